--- /dev/null
+++ b/cresstray/__init__.py
@@ -0,0 +1,1 @@
+"""cresstray: an admission controller for queries on a pool of engines."""
--- /dev/null
+++ b/cresstray/interface.py
@@ -0,0 +1,121 @@
+"""What the decision module and an adapter share: the types, and the port that the module speaks through.
+
+Nothing is decided here. Times are whole microseconds; objects point to each other, ids stay with the adapter.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+
+class Ending(Enum):
+    """How one relay ended."""
+
+    FULFILLED = "fulfilled"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    UNREACHABLE = "unreachable"
+    RESET = "reset"
+    WITHDRAWN = "withdrawn"
+    MOOT = "moot"
+
+
+class Standing(Enum):
+    """What the list of engines says of one engine."""
+
+    GONE = "gone"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class Topic(Enum):
+    """What a note about an outstanding relay tells."""
+
+    SHARE_DONE = "share done"
+    SPILLS = "spills"
+    WAITS = "waits"
+
+
+@dataclass(slots=True, eq=False)
+class Tariff:
+    """What all submissions of one kind have in common."""
+
+    index: int
+    threads: int
+    soft_limit: int
+    soft_stretch: float
+    payoff: float
+    late_payoff: float
+    idempotent: bool
+    deduplicated: bool
+    group: str
+    memory: int  # how long engines discard repeats
+    ordered: bool
+    zones: frozenset[int] | None
+    machines: frozenset[int] | None
+    usual: Any = None  # the decision module's own reckoning
+
+
+@dataclass(slots=True, eq=False)
+class Engine:
+    """One query engine, as the list of engines last described it."""
+
+    machine: int = 0
+    zone: int = 0
+    cell: int = 0
+    started: int = 0  # 0: long ago
+    standing: Standing = Standing.GONE
+    limiter: Any = None  # the decision module's own reckoning
+
+
+@dataclass(slots=True, eq=False)
+class Submission:
+    """One query accepted by this gateway."""
+
+    tariff: Tariff
+    arrived: int
+    hard_stop: int
+    tenant: int = 0
+    key: int = 0
+    estimate: int = 0  # work of all threads, as time on one; 0: none given
+    megabytes: float = 0.0
+    data_set: int = 0
+    relays: list[Relay] = field(default_factory=list)
+    relay: Relay | None = None  # the one that is out
+    ended: bool = False
+    expected: int = 0
+    leave_by: int = 0
+    rank: float = 0.0
+    held: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Relay:
+    """One attempt to run a submission on an engine."""
+
+    submission: Submission
+    engine: Engine
+    number: int
+    sent: int
+    ending: Ending | None = None
+    called_off: bool = False
+    projected: float = 0.0
+    cold_until: int = 0
+
+
+class Port(Protocol):
+    """What the module asks of the outside. Every call takes effect at once and returns nothing."""
+
+    def relay(self, relay: Relay, patience: int) -> None: ...
+    def withdraw(self, relay: Relay) -> None: ...
+    def deny(self, submission: Submission, come_back: int) -> None: ...
+    def abandon(self, submission: Submission) -> None: ...
+    def grant(self, submission: Submission, megabytes: float, priority: int) -> None: ...
+    def wake(self, delay: int, call: Callable[[int], None]) -> None: ...
+    def probe(self, engine: Engine) -> None: ...
+    def subscribe(self) -> None: ...
+    def remark(self, text: str) -> None: ...
--- /dev/null
+++ b/cresstray/logic.py
@@ -0,0 +1,581 @@
+"""All decisions of one gateway; its types and the port it speaks through are in interface.py.
+
+An adapter makes one Gateway, hands it each event as one call (accept, came_back, noted, client_left, listed,
+list_failed, probed) with the clock in whole microseconds, and carries out what the gateway asks of its Port.
+A submission goes down the chain accept > take its turn > hold > choose > send; what comes back goes up it,
+came_back > learn > relay again or end > give up its turn > release what is held. docs/design.md tells why.
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import insort
+from collections import deque
+from collections.abc import Iterable, Mapping
+from operator import attrgetter
+from typing import Any
+
+from cresstray.interface import Ending, Engine, Port, Relay, Standing, Submission, Tariff, Topic
+from cresstray.ring import Ring
+
+# Endings that prove a relay never ran; after any other it may have run.
+UNRUN = {Ending.FULL, Ending.UNREACHABLE, Ending.MOOT}
+# Endings after which a relay may still be running.
+RUNNING_ON = {Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN}
+# Length of a sample window: the design's.
+WINDOW = 1_000_000
+# The sweep over what is held and out: a tenth of a window is fine enough for limits of whole seconds.
+SWEEP = 100_000
+# Danger: what is held may be looked at a sweep late, so it leaves this long before its hard stop or is lost.
+MARGIN = SWEEP + 50_000
+RANK = attrgetter("rank")
+
+
+def micros(milliseconds: float) -> int:
+    """Whole microseconds of a setting, which is in milliseconds."""
+    return int(milliseconds * 1000)
+
+
+class Usual:
+    """What a tariff's answers usually take, learnt from this gateway's own fulfilled relays."""
+
+    def __init__(self, tariff: Tariff) -> None:
+        # Before the first answers: a quarter of the soft limit, since limits are set to be met with room.
+        self.mean = tariff.soft_limit / 4.0
+        self.threads = tariff.threads
+        self.seen = 0
+        self.factor = 1.0  # latency against the estimate's own time
+        self.estimate = 0.0  # mean time by estimate
+
+    def time_of(self, submission: Submission) -> int:
+        """The expected time of one submission on an engine in its usual state."""
+        if not submission.estimate:
+            return max(1000, int(self.mean))
+        return max(1000, int(submission.estimate / self.threads * self.factor))
+
+    def work(self) -> float:
+        """The mean work of a submission, as time on one thread."""
+        return self.mean * self.threads
+
+    def learn(self, submission: Submission, latency: int) -> None:
+        # A mean over the last 200 or so: long enough for widely spread work, short enough to follow a day.
+        self.seen += 1
+        weight = 1.0 / min(self.seen, 200)
+        self.mean += weight * (latency - self.mean)
+        if submission.estimate:
+            self.estimate += weight * (submission.estimate / self.threads - self.estimate)
+            self.factor = self.mean / max(1.0, self.estimate)
+
+
+class Limiter:
+    """The thread limit on this gateway's running work on one engine, moved by the Gradient law."""
+
+    def __init__(self, cores: float, gateways: int) -> None:
+        self.cores = cores
+        # A thread a core, shared by the gateways; floor and cap as the design gives them, below twice the start.
+        self.start = cores / gateways
+        self.floor = self.start * 0.1
+        self.cap = self.start * 1.99
+        self.limit = self.start
+        self.out: dict[Relay, None] = {}
+        self.threads = 0
+        self.average = 0.0
+        self.best = 0.0
+        self.seen = 0
+        self.total = 0.0
+        self.count = 0
+        self.failed = False
+        self.draw = 1.0  # the chance draw for work wider than the free limit, once a window
+        self.full_until = 0
+        self.others = 0.0  # threads of other gateways, by the engine's reports
+        self.memory = 0.0
+        self.waiting = 0.0
+        self.doubted = False
+        self.trial_at = 0
+        self.step = 0
+        self.streak = 0
+        self.heard = 0
+        self.fails = Ring(5 * WINDOW, 10)
+        self.answers = Ring(5 * WINDOW, 10)
+        self.cold: Ring | None = None
+
+    def sample(self, ratio: float) -> None:
+        self.seen += 1
+        self.count += 1
+        self.total += ratio
+
+    def close_window(self) -> None:
+        """The Gradient law, once a closed window; the first window with an average only holds."""
+        count, total, failed = self.count, self.total, self.failed
+        self.count, self.total, self.failed = 0, 0.0, False
+        # Ten samples of warmup: the source's default.
+        if self.seen < 10 or not (count or failed):
+            return
+        if failed:
+            self.limit = max(self.floor, self.limit * 0.5)
+        if not count:
+            return
+        mean = total / count
+        if not self.average:
+            self.average = self.best = mean
+            return
+        # Smoothing, tolerance and ratio: the source's defaults.
+        self.average = 0.2 * mean + 0.8 * self.average
+        self.best = min(self.best * 1.01, self.average)
+        if failed:
+            return
+        gradient = (mean - self.average) / self.average
+        if gradient < -0.1:
+            self.limit += 2
+        elif gradient <= 0.1:
+            self.limit += 1
+        else:
+            self.limit *= max(1 - gradient * 0.5, 0.5)
+        self.limit = min(max(self.limit, self.floor), self.cap)
+
+    def load(self, more: int) -> float:
+        """Threads a core with `more` added, at the pace this engine has lately shown."""
+        return (self.threads + self.others + more) / self.cores * max(self.average, 0.2)
+
+    def pressed(self, now: int) -> bool:
+        """Whether the limit binds: as many threads as cores, latency half above its best, or lately full."""
+        return (self.threads + self.others >= self.cores or self.average > 1.5 * self.best > 0
+                or now < self.full_until)
+
+    def permits(self, threads: int, now: int) -> bool:
+        if self.threads + threads <= self.limit:
+            return True
+        if self.threads == 0 and self.draw * threads < self.limit:
+            return True
+        # Unpressed, the limit does not bind, but its cap always does.
+        return self.threads + threads <= self.cap and not self.pressed(now)
+
+
+class Gateway:
+    """One gateway's decisions."""
+
+    def __init__(self, port: Port, settings: Mapping[str, Any], seed: int, now: int) -> None:
+        self.port = port
+        self.settings = settings
+        chance = random.Random(seed)
+        self.random, self.sample = chance.random, chance.sample
+        self.family = settings.get("FamilyInfo", {})
+        self.rules = settings.get("Safety", {})
+        self.limits = settings.get("Limits", {})
+        self.gateways = max(1, settings.get("Balancers", 1))
+        self.tariffs = [self._tariff(n, given) for n, given in enumerate(settings.get("Services", []))]
+        self.engines: dict[Engine, None] = {}
+        self.ready: list[Engine] = []
+        self.held: list[Submission] = []  # first relays, by rank
+        self.further: list[Submission] = []  # further relays, in a line of their own behind them
+        self.queues: dict[int, deque[Submission]] = {}
+        self.key_free: dict[int, int] = {}
+        budget = micros(self.rules.get("BudgetWindow", 0))
+        self.accepted = Ring(budget, 20) if budget else None
+        self.relayed_again = Ring(budget, 20) if budget else None
+        self.payoff = self.work = 1.0
+        self.swept = 0
+        self.began = now
+        if settings.get("MembershipMode") == "ask":
+            port.subscribe()
+        port.wake(SWEEP, self._sweep)
+
+    def _tariff(self, index: int, given: Mapping[str, Any]) -> Tariff:
+        threads = self.family.get("Dop", [])
+        zones, machines = given.get("StaysIn"), given.get("FlavorsOpen")
+        tariff = Tariff(
+            index, threads[index] if index < len(threads) else 1, micros(given.get("GoalTime", 1000)),
+            given.get("AimStretch", 0.0), given.get("Worth", 1.0), given.get("LateValue", 0.0),
+            given.get("Effect") == "idempotent", given.get("Effect") == "deduplicated",
+            given.get("Group", "all"), micros(given.get("KeyTtl", 0)), bool(given.get("ByArrival")),
+            None if zones is None else frozenset(zones), None if machines is None else frozenset(machines))
+        tariff.usual = Usual(tariff)
+        return tariff
+
+    # Accept: from here on the submission is owed one final answer.
+
+    def accept(self, submission: Submission, now: int) -> None:
+        tariff = submission.tariff
+        submission.expected = tariff.usual.time_of(submission)
+        soft = tariff.soft_limit + tariff.soft_stretch * submission.expected
+        # Held until it can no longer be answered within its soft limit, a tenth of its time at the least.
+        patience = max((submission.hard_stop - now) // 10, int(soft - 1.5 * submission.expected))
+        submission.leave_by = min(now + patience, submission.hard_stop - MARGIN)
+        density = tariff.payoff / (submission.expected * tariff.threads)
+        submission.rank = -density
+        if self.accepted:
+            self.accepted.add(now)
+        self._take_turn(submission)
+        self._offer(submission, now)
+
+    # Turns: submissions of one key run one after another, in the order they were accepted.
+
+    def _take_turn(self, submission: Submission) -> None:
+        if submission.tariff.ordered and submission.key:
+            self.queues.setdefault(submission.key, deque()).append(submission)
+
+    def _is_turn(self, submission: Submission, now: int) -> bool:
+        if not (submission.tariff.ordered and submission.key):
+            return True
+        return (self.queues[submission.key][0] is submission
+                and (submission.relays or now >= self.key_free.get(submission.key, 0)))
+
+    def _give_up_turn(self, submission: Submission, now: int) -> None:
+        # Danger: an ended submission whose relay is still out keeps its turn, or two of a key would run at once.
+        queue = self.queues.get(submission.key) if submission.tariff.ordered else None
+        if queue is None or not submission.ended or submission.relay or submission not in queue:
+            return
+        queue.remove(submission)
+        if not queue:
+            del self.queues[submission.key]
+            if now >= self.key_free.get(submission.key, 0):
+                self.key_free.pop(submission.key, None)
+
+    # Hold: first relays by payoff for their expected work, further relays in their own line behind them.
+
+    def _offer(self, submission: Submission, now: int) -> None:
+        if not self._is_turn(submission, now) or not self._send(submission, now):
+            self._hold(submission, now)
+
+    def _hold(self, submission: Submission, now: int) -> None:
+        if now >= submission.leave_by:
+            self._end(submission, now)
+            return
+        submission.held = True
+        insort(self.further if submission.relays else self.held, submission, key=RANK)
+
+    def _release(self, now: int) -> None:
+        for line in (self.held, self.further):
+            if not line:
+                continue
+            kept = []
+            for at, submission in enumerate(line):
+                if not any(engine.limiter.permits(1, now) for engine in self.ready):
+                    kept.extend(line[at:])
+                    break
+                if self._is_turn(submission, now) and self._send(submission, now):
+                    submission.held = False
+                else:
+                    kept.append(submission)
+            line[:] = kept
+
+    # Choose: of two random engines that may take it, the less loaded.
+
+    def _choose(self, submission: Submission, now: int) -> Engine | None:
+        threads = submission.tariff.threads
+        fit = [engine for engine in self.ready
+               if engine.limiter.permits(threads, now) and self._may_take(submission, engine, now)]
+        tried = {relay.engine for relay in submission.relays}
+        fresh = [engine for engine in fit if engine not in tried] if tried else fit
+        fit = fresh or fit
+        if len(fit) < 2:
+            return fit[0] if fit else None
+        one, other = self.sample(fit, 2)
+        return one if one.limiter.load(threads) <= other.limiter.load(threads) else other
+
+    def _may_take(self, submission: Submission, engine: Engine, now: int) -> bool:
+        tariff = submission.tariff
+        if tariff.zones is not None and engine.zone not in tariff.zones:
+            return False
+        if tariff.machines is not None and engine.machine not in tariff.machines:
+            return False
+        for relay in submission.relays:
+            if relay.ending not in UNRUN and tariff.deduplicated:
+                # Danger: a repeat outside the group, or past its memory, would take effect twice.
+                if tariff.group == "zone" and engine.zone != relay.engine.zone:
+                    return False
+                if tariff.group == "cell" and engine.cell != relay.engine.cell:
+                    return False
+                if tariff.group not in ("all", "zone", "cell") or now >= relay.sent + tariff.memory - 50_000:
+                    return False
+        limiter = engine.limiter
+        if limiter.doubted and not self._many_doubted():
+            # A doubted engine gets one relay at a time that may safely run again, now and then.
+            if now < limiter.trial_at or limiter.out or not tariff.idempotent:
+                return False
+        return self._cold_room(engine, tariff, now)
+
+    def _many_doubted(self) -> bool:
+        # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
+        return 2 * sum(engine.limiter.doubted for engine in self.ready) > len(self.ready)
+
+    # Cold engines: this gateway's share of what all may send one that has just started.
+
+    def _cold_room(self, engine: Engine, tariff: Tariff, now: int) -> bool:
+        ring = engine.limiter.cold
+        if ring is None:
+            return True
+        if now >= engine.started + micros(self.rules.get("WarmUp", 0)):
+            engine.limiter.cold = None
+            return True
+        # Danger: together the gateways may push a cold engine over. Its capacity is taken as what it starts with
+        # until it must be warm, at 0.85 busy and 0.9 of nominal speed, and 0.7 of the budget is used for chance.
+        window = micros(self.rules.get("Fall", 1000))
+        room = (self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0) * engine.limiter.cores
+                * 0.85 * 0.9 * 0.7 * window / self.gateways)
+        weight = self._cold_weight(tariff)
+        return ring.most(now) + weight <= room
+
+    def _cold_weight(self, tariff: Tariff) -> float:
+        # Unlearnt, a tariff weighs as heavily as its soft limit lets it: silence is no proof of light work.
+        usual = tariff.usual
+        return usual.work() if usual.seen >= 5 else tariff.soft_limit * tariff.threads
+
+    # Send, and what keeps a further relay from being sent.
+
+    def _send(self, submission: Submission, now: int) -> bool:
+        again = bool(submission.relays)
+        if again and not self._budget_left(now):
+            return False
+        engine = self._choose(submission, now)
+        if engine is None:
+            return False
+        tariff, limiter = submission.tariff, engine.limiter
+        relay = Relay(submission, engine, len(submission.relays), now)
+        submission.relays.append(relay)
+        submission.relay = relay
+        limiter.out[relay] = None
+        limiter.threads += tariff.threads
+        if limiter.threads > limiter.limit:
+            limiter.draw = self.random()
+        if limiter.cold is not None:
+            limiter.cold.add(now, self._cold_weight(tariff))
+        if limiter.doubted:
+            limiter.trial_at = now + self._trial_gap(limiter)
+        if again and self.relayed_again:
+            self.relayed_again.add(now)
+        self._terms(submission)
+        self.port.relay(relay, 0)
+        return True
+
+    def _budget_left(self, now: int) -> bool:
+        # Danger: relays beyond the first are rationed over any window; the ring rounds to the safe side.
+        if self.accepted is None or "ResendRatio" not in self.rules and "FreeResends" not in self.rules:
+            return True
+        allowed = self.rules.get("FreeResends", 0) + self.rules.get("ResendRatio", 0) * self.accepted.least(now)
+        return self.relayed_again.most(now) + 1 <= allowed
+
+    def _terms(self, submission: Submission) -> None:
+        grants, ranks = self.family.get("MemoryHeeded"), self.family.get("RanksHeeded")
+        megabytes, priority = 0.0, 1
+        if grants and submission.megabytes:
+            # A tenth over the estimate: enough for a close one, and less taken from others than the usual quarter.
+            megabytes = submission.megabytes * 1.1
+        if ranks:
+            # Four ranks by payoff for work against the mean of all: twice and half the mean part them.
+            density = -submission.rank * self.work / self.payoff
+            priority = 3 if density > 2 else 2 if density > 1 else 1 if density > 0.5 else 0
+        if (megabytes or priority != 1) and not (len(submission.relays) > 1 and not megabytes):
+            self.port.grant(submission, megabytes, priority)
+
+    # What comes back.
+
+    def came_back(self, relay: Relay, ending: Ending, latency: int, no_more: bool,
+                  report: Mapping[str, float], now: int) -> None:
+        if relay.ending is not None:
+            return
+        submission, limiter = relay.submission, relay.engine.limiter
+        relay.ending = ending
+        submission.relay = None
+        del limiter.out[relay]
+        limiter.threads -= submission.tariff.threads
+        if report:
+            self._heed(limiter, report)
+        self._learn(relay, ending, latency, now)
+        if ending in RUNNING_ON and submission.key:
+            self.key_free[submission.key] = now + micros(self.rules.get("TurnGap", 0)) + 1000
+        if no_more or submission.ended:
+            self._unhold(submission)
+            submission.ended = True
+        else:
+            self._again(submission, ending, now)
+        self._give_up_turn(submission, now)
+        self._release(now)
+
+    def _learn(self, relay: Relay, ending: Ending, latency: int, now: int) -> None:
+        submission, limiter = relay.submission, relay.engine.limiter
+        usual = submission.tariff.usual
+        if ending is Ending.FULFILLED:
+            # Danger: one heavy draw in a thin window would cut a healthy limit; a sample counts four at most.
+            limiter.sample(min(4.0, latency / max(1000, submission.expected)))
+            usual.learn(submission, latency)
+            self.payoff += 0.005 * (submission.tariff.payoff - self.payoff)
+            self.work += 0.005 * (submission.expected * submission.tariff.threads - self.work)
+            limiter.answers.add(now)
+            limiter.heard = now
+            self._believe(relay.engine, now)
+        elif ending in (Ending.WITHDRAWN, Ending.MOOT):
+            return
+        else:
+            limiter.failed = True
+            limiter.answers.add(now)
+            limiter.fails.add(now)
+            if ending is Ending.FULL:
+                limiter.full_until = now + WINDOW
+            elif ending is Ending.ERROR:
+                limiter.heard = now
+                fails = limiter.fails.most(now)
+                # Three failures that make up a fifth of its answers: far above stray errors, soon enough to matter.
+                if limiter.doubted or fails >= 3 and fails >= 0.2 * limiter.answers.most(now):
+                    self._doubt(relay.engine, now)
+            else:
+                self._doubt(relay.engine, now)
+
+    def _heed(self, limiter: Limiter, report: Mapping[str, float]) -> None:
+        if "concurrent" in report:
+            # What others run there is what the engine holds beyond our own, at a tariff mix like ours.
+            ours = len(limiter.out) + 1
+            others = max(0.0, report["concurrent"] - ours) * self._mean_threads()
+            limiter.others += 0.3 * (others - limiter.others)
+        limiter.memory = report.get("x0", 0.0)
+        limiter.waiting = report.get("depth", 0.0)
+
+    def _mean_threads(self) -> float:
+        mean = [tariff.usual for tariff in self.tariffs]
+        weight = sum(usual.seen * usual.mean for usual in mean)
+        return sum(usual.seen * usual.mean * usual.threads for usual in mean) / weight if weight else 1.0
+
+    # Doubt: an engine that fails, is silent or cannot be reached loses new work until trials go well.
+
+    def _trial_gap(self, limiter: Limiter) -> int:
+        # Half a second, doubled with each failed trial up to four.
+        return 500_000 << min(limiter.step, 3)
+
+    def _doubt(self, engine: Engine, now: int) -> None:
+        limiter = engine.limiter
+        if limiter.doubted:
+            limiter.step += 1
+        else:
+            limiter.doubted, limiter.step = True, 0
+        limiter.streak = 0
+        limiter.trial_at = now + self._trial_gap(limiter)
+
+    def _believe(self, engine: Engine, now: int) -> None:
+        limiter = engine.limiter
+        if not limiter.doubted:
+            return
+        limiter.streak += 1
+        limiter.trial_at = now
+        # Three trials in a row: one can succeed by luck on an engine that fails half of its work.
+        if limiter.streak >= 3:
+            limiter.doubted = False
+            limiter.fails = Ring(5 * WINDOW, 10)
+
+    # Relay again, or end.
+
+    def _again(self, submission: Submission, ending: Ending, now: int) -> None:
+        if (now < submission.hard_stop - MARGIN and len(submission.relays) < self.limits.get("MaxAttempts", 1)
+                and self._may_repeat(submission) and self._within_soft(submission, now)):
+            # A further relay waits as long as a first one would.
+            submission.leave_by = min(submission.hard_stop - MARGIN, max(submission.leave_by, now + WINDOW))
+            self._offer_again(submission, now)
+        else:
+            self._end(submission, now)
+
+    def _offer_again(self, submission: Submission, now: int) -> None:
+        if self.held or not self._send(submission, now):
+            self._hold(submission, now)
+
+    def _within_soft(self, submission: Submission, now: int) -> bool:
+        tariff = submission.tariff
+        if tariff.late_payoff > 0:
+            return now + submission.expected < submission.hard_stop
+        soft = tariff.soft_limit + tariff.soft_stretch * submission.expected
+        return now + submission.expected < submission.arrived + soft
+
+    def _may_repeat(self, submission: Submission) -> bool:
+        # Danger: an unrepeatable submission that may have run must not be sent or denied again.
+        tariff = submission.tariff
+        return (tariff.idempotent or tariff.deduplicated
+                or all(relay.ending in UNRUN for relay in submission.relays))
+
+    def _may_deny(self, submission: Submission) -> bool:
+        tariff = submission.tariff
+        return (tariff.idempotent or tariff.deduplicated and tariff.group == "all"
+                or all(relay.ending in UNRUN for relay in submission.relays))
+
+    def _end(self, submission: Submission, now: int) -> None:
+        """The final answer: a denial where a repeat does no harm, else an abandonment; at once."""
+        if submission.ended:
+            return
+        submission.ended = True
+        self._unhold(submission)
+        if submission.relay is not None or not self._may_deny(submission):
+            self.port.abandon(submission)
+        else:
+            most = micros(self.limits.get("MaxRetryAfter", 0)) if self.limits.get("RetryAfter") else 0
+            # Come back spread over the longest wait that clients honour, so that they do not return together.
+            self.port.deny(submission, int(most * (0.5 + 0.5 * self.random())))
+        self._give_up_turn(submission, now)
+
+    def _unhold(self, submission: Submission) -> None:
+        if submission.held:
+            submission.held = False
+            (self.further if submission in self.further else self.held).remove(submission)
+
+    def client_left(self, submission: Submission, now: int) -> None:
+        self._unhold(submission)
+        submission.ended = True
+        if submission.relay is not None and self.limits.get("Cancel"):
+            self.port.withdraw(submission.relay)
+        self._give_up_turn(submission, now)
+
+    def noted(self, relay: Relay, topic: Topic, value: float, now: int) -> None:
+        """A note on a relay that is out."""
+        relay.engine.limiter.heard = now
+        if topic is Topic.SHARE_DONE and relay.ending is None and not relay.called_off:
+            relay.projected = (now - relay.sent) / max(value, 0.001)
+
+    # The list of engines.
+
+    def listed(self, known: Iterable[tuple[Engine, tuple]], complete: bool, now: int) -> None:
+        named = set()
+        for engine, (machine, zone, cell, started, standing) in known:
+            named.add(engine)
+            fresh = engine.limiter is None
+            if fresh or machine != engine.machine:
+                cores = self.family.get("CpuOfKind", [])
+                engine.limiter = engine.limiter or Limiter(cores[machine] if machine < len(cores) else 1,
+                                                           self.gateways)
+            if started != engine.started and started > 0:
+                # Danger: a restarted engine is cold; what was learnt of its former life says nothing now.
+                self._restarted(engine, fresh, now, started)
+            engine.machine, engine.zone, engine.cell, engine.started = machine, zone, cell, started
+            engine.standing = standing
+            self.engines[engine] = None
+        if complete:
+            for engine in self.engines:
+                if engine not in named:
+                    engine.standing = Standing.GONE
+        # Danger: nothing new goes to an engine that drains or is gone; the grace is not used.
+        self.ready = [engine for engine in self.engines if engine.standing is Standing.READY]
+        self._release(now)
+
+    def _restarted(self, engine: Engine, fresh: bool, now: int, started: int) -> None:
+        limiter = engine.limiter
+        if now < started + micros(self.rules.get("WarmUp", 0)):
+            limiter.cold = Ring(micros(self.rules.get("Fall", 1000)), 10)
+        limiter.doubted, limiter.others, limiter.average, limiter.seen = False, 0.0, 0.0, 0
+        limiter.limit = limiter.start
+
+    def list_failed(self, now: int) -> None:
+        # Ask again a second later; the list is one service for all, and a failed call costs it too.
+        self.port.wake(WINDOW, lambda _: self.port.subscribe())
+
+    def probed(self, engine: Engine, ending: Ending, report: Mapping[str, float], now: int) -> None:
+        if engine.limiter is not None and report:
+            self._heed(engine.limiter, report)
+
+    # The sweep: closes windows, ends what was held too long, looks after what is out.
+
+    def _sweep(self, now: int) -> None:
+        self.swept += 1
+        if self.swept % (WINDOW // SWEEP) == 0:
+            for engine in self.engines:
+                engine.limiter.close_window()
+                engine.limiter.draw = self.random()
+        for line in (self.held, self.further):
+            for submission in [s for s in line if now >= s.leave_by]:
+                self._end(submission, now)
+        self._release(now)
+        self.port.wake(SWEEP, self._sweep)
