--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -89,6 +89,7 @@
         self.full_until = 0
         self.others = 0.0  # threads of other gateways, by the engine's reports
         self.memory = 0.0
+        self.reported = False
         self.waiting = 0.0
         self.doubted = False
         self.trial_at = 0
@@ -138,17 +139,18 @@
         return (self.threads + self.others + more) / self.cores * max(self.average, 0.2)
 
     def pressed(self, now: int) -> bool:
-        """Whether the limit binds: as many threads as cores, latency half above its best, or lately full."""
-        return (self.threads + self.others >= self.cores or self.average > 1.5 * self.best > 0
-                or now < self.full_until)
+        """Whether the limit binds: lately full, or busy by its reports, or without them slow against its best."""
+        if now < self.full_until:
+            return True
+        if self.reported:
+            # A fifth more threads than cores: some always wait for a disk; memory all but granted; a line for it.
+            return self.threads + self.others >= 1.2 * self.cores or self.memory > 0.95 or self.waiting >= 1
+        return self.average > 1.5 * self.best > 0
 
     def permits(self, threads: int, now: int) -> bool:
-        if self.threads + threads <= self.limit:
-            return True
-        if self.threads == 0 and self.draw * threads < self.limit:
+        if self.threads + threads <= self.limit or not self.pressed(now):
             return True
-        # Unpressed, the limit does not bind, but its cap always does.
-        return self.threads + threads <= self.cap and not self.pressed(now)
+        return self.threads == 0 and self.draw * threads < self.limit
 
 
 class Gateway:
@@ -427,6 +429,7 @@
             ours = len(limiter.out) + 1
             others = max(0.0, report["concurrent"] - ours) * self._mean_threads()
             limiter.others += 0.3 * (others - limiter.others)
+        limiter.reported = True
         limiter.memory = report.get("x0", 0.0)
         limiter.waiting = report.get("depth", 0.0)
 
