--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -143,8 +143,8 @@
         if now < self.full_until:
             return True
         if self.reported:
-            # Three threads for two cores: some always wait for a disk; memory all but granted; a line for it.
-            return self.threads + self.others >= 1.5 * self.cores or self.memory > 0.95 or self.waiting >= 1
+            # Three threads for two cores: some always wait for a disk; or a line for memory.
+            return self.threads + self.others >= 1.5 * self.cores or self.waiting >= 1
         return self.average > 1.5 * self.best > 0
 
     def permits(self, threads: int, now: int) -> bool:
