--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -409,7 +409,7 @@
         elif ending in (Ending.WITHDRAWN, Ending.MOOT):
             return
         else:
-            limiter.failed = True
+            limiter.failed = limiter.failed or ending is not Ending.TIMED_OUT or limiter.heard < relay.sent
             limiter.answers.add(now)
             limiter.fails.add(now)
             if ending is Ending.FULL:
@@ -420,7 +420,8 @@
                 # Three failures that make up a fifth of its answers: far above stray errors, soon enough to matter.
                 if limiter.doubted or fails >= 3 and fails >= 0.2 * limiter.answers.most(now):
                     self._doubt(relay.engine, now)
-            else:
+            elif ending is not Ending.TIMED_OUT or limiter.heard < relay.sent:
+                # Danger: a long query that times out says nothing of an engine that answers others meanwhile.
                 self._doubt(relay.engine, now)
 
     def _heed(self, limiter: Limiter, report: Mapping[str, float]) -> None:
