--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -581,5 +581,9 @@
         for line in (self.held, self.further):
             for submission in [s for s in line if now >= s.leave_by]:
                 self._end(submission, now)
+        if self.settings.get("Report", {}).get("Source") == "on_probe" and self.limits.get("Probes"):
+            # Each ready engine twice a second: reports are about that fresh, and a probe costs next to nothing.
+            for engine in self.ready[self.swept % 5::5]:
+                self.port.probe(engine)
         self._release(now)
         self.port.wake(SWEEP, self._sweep)
