--- a/cresstray/interface.py
+++ b/cresstray/interface.py
@@ -103,8 +103,9 @@
     sent: int
     ending: Ending | None = None
     called_off: bool = False
+    overdue: bool = False
+    noted: int = 0  # when the last note of it came
     projected: float = 0.0
-    cold_until: int = 0
 
 
 class Port(Protocol):
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -96,6 +96,9 @@
         self.step = 0
         self.streak = 0
         self.heard = 0
+        self.trial: Relay | None = None
+        self.mute = False  # in doubt for silence, not for errors
+        self.unanswered = 0  # probes in a row
         self.fails = Ring(5 * WINDOW, 10)
         self.answers = Ring(5 * WINDOW, 10)
         self.cold: Ring | None = None
@@ -176,6 +179,7 @@
         self.accepted = Ring(budget, 20) if budget else None
         self.relayed_again = Ring(budget, 20) if budget else None
         self.payoff = self.work = 1.0
+        self.pace = 1.0  # latency against the expected time, over all engines
         self.swept = 0
         self.began = now
         if settings.get("MembershipMode") == "ask":
@@ -293,7 +297,7 @@
         limiter = engine.limiter
         if limiter.doubted and not self._many_doubted():
             # A doubted engine gets one relay at a time that may safely run again, now and then.
-            if now < limiter.trial_at or limiter.out or not tariff.idempotent:
+            if now < limiter.trial_at or limiter.trial or not tariff.idempotent:
                 return False
         return self._cold_room(engine, tariff, now)
 
@@ -343,7 +347,7 @@
         if limiter.cold is not None:
             limiter.cold.add(now, self._cold_weight(tariff))
         if limiter.doubted:
-            limiter.trial_at = now + self._trial_gap(limiter)
+            limiter.trial = relay
         if again and self.relayed_again:
             self.relayed_again.add(now)
         self._terms(submission)
@@ -381,6 +385,8 @@
         submission.relay = None
         del limiter.out[relay]
         limiter.threads -= submission.tariff.threads
+        if limiter.trial is relay:
+            limiter.trial = None
         if report:
             self._heed(limiter, report)
         self._learn(relay, ending, latency, now)
@@ -399,30 +405,33 @@
         usual = submission.tariff.usual
         if ending is Ending.FULFILLED:
             # Danger: one heavy draw in a thin window would cut a healthy limit; a sample counts four at most.
-            limiter.sample(min(4.0, latency / max(1000, submission.expected)))
+            ratio = min(4.0, latency / submission.expected)
+            limiter.sample(ratio)
+            self.pace += 0.01 * (ratio - self.pace)
             usual.learn(submission, latency)
             self.payoff += 0.005 * (submission.tariff.payoff - self.payoff)
             self.work += 0.005 * (submission.expected * submission.tariff.threads - self.work)
             limiter.answers.add(now)
             limiter.heard = now
             self._believe(relay.engine, now)
-        elif ending in (Ending.WITHDRAWN, Ending.MOOT):
-            return
-        else:
-            limiter.failed = limiter.failed or ending is not Ending.TIMED_OUT or limiter.heard < relay.sent
-            limiter.answers.add(now)
-            limiter.fails.add(now)
-            if ending is Ending.FULL:
-                limiter.full_until = now + WINDOW
-            elif ending is Ending.ERROR:
-                limiter.heard = now
-                fails = limiter.fails.most(now)
-                # Three failures that make up a fifth of its answers: far above stray errors, soon enough to matter.
-                if limiter.doubted or fails >= 3 and fails >= 0.2 * limiter.answers.most(now):
-                    self._doubt(relay.engine, now)
-            elif ending is not Ending.TIMED_OUT or limiter.heard < relay.sent:
-                # Danger: a long query that times out says nothing of an engine that answers others meanwhile.
-                self._doubt(relay.engine, now)
+        elif ending is Ending.FULL:
+            limiter.failed, limiter.full_until = True, now + WINDOW
+        elif ending is Ending.ERROR:
+            limiter.heard = now
+            self._fault(relay.engine, False, now)
+        elif ending in (Ending.UNREACHABLE, Ending.RESET):
+            self._fault(relay.engine, True, now)
+
+    def _fault(self, engine: Engine, mute: bool, now: int) -> None:
+        """An error, a lost answer or, where nothing is heard at all, a mute engine."""
+        limiter = engine.limiter
+        limiter.failed = True
+        limiter.answers.add(now)
+        limiter.fails.add(now)
+        fails = limiter.fails.most(now)
+        # Three failures that make up a fifth of its answers: far above stray errors, soon enough to matter.
+        if limiter.doubted or mute or fails >= 3 and fails >= 0.2 * limiter.answers.most(now):
+            self._doubt(engine, mute, now)
 
     def _heed(self, limiter: Limiter, report: Mapping[str, float]) -> None:
         if "concurrent" in report:
@@ -445,12 +454,12 @@
         # Half a second, doubled with each failed trial up to four.
         return 500_000 << min(limiter.step, 3)
 
-    def _doubt(self, engine: Engine, now: int) -> None:
+    def _doubt(self, engine: Engine, mute: bool, now: int) -> None:
         limiter = engine.limiter
         if limiter.doubted:
             limiter.step += 1
         else:
-            limiter.doubted, limiter.step = True, 0
+            limiter.doubted, limiter.step, limiter.mute = True, 0, mute
         limiter.streak = 0
         limiter.trial_at = now + self._trial_gap(limiter)
 
@@ -460,11 +469,40 @@
             return
         limiter.streak += 1
         limiter.trial_at = now
-        # Three trials in a row: one can succeed by luck on an engine that fails half of its work.
-        if limiter.streak >= 3:
+        # Three trials in a row: one can succeed by luck on an engine that fails half of its work, not on a mute one.
+        if limiter.streak >= 3 or limiter.mute:
             limiter.doubted = False
             limiter.fails = Ring(5 * WINDOW, 10)
 
+    def _listen(self, now: int) -> None:
+        """Looks after what is out: relays that should long be back, and engines that answer nothing."""
+        for engine in self.engines:
+            limiter = engine.limiter
+            for relay in list(limiter.out):
+                overdue = self._overdue(relay, now)
+                if overdue and not relay.overdue:
+                    relay.overdue = True
+                    self._fault(engine, limiter.heard < relay.sent, now)
+                if overdue or limiter.doubted and limiter.mute:
+                    self._call_back(relay, now)
+
+    def _overdue(self, relay: Relay, now: int) -> bool:
+        # Danger: an engine cut off, dead or stuck, or a link that loses answers, gives no samples. Four times the
+        # expected time at the fleet's pace, since work spreads widely, 0.2 s for the way, and no note of late.
+        age = now - relay.sent
+        return (age > 4 * relay.submission.expected * max(1.0, self.pace) + 200_000
+                and now - relay.noted > 1.5 * micros(self.family.get("TellsEvery", 0)))
+
+    def _call_back(self, relay: Relay, now: int) -> None:
+        submission = relay.submission
+        if (relay.called_off or submission.ended or relay.sent + submission.expected + WINDOW // 2 > now
+                or not self._may_repeat(submission) or not self._within_soft(submission, now)
+                or len(submission.relays) >= self.limits.get("MaxAttempts", 1) or not self._budget_left(now)
+                or self._many_doubted() or not self.limits.get("Cancel")):
+            return
+        relay.called_off = True
+        self.port.withdraw(relay)
+
     # Relay again, or end.
 
     def _again(self, submission: Submission, ending: Ending, now: int) -> None:
@@ -526,9 +564,17 @@
 
     def noted(self, relay: Relay, topic: Topic, value: float, now: int) -> None:
         """A note on a relay that is out."""
-        relay.engine.limiter.heard = now
-        if topic is Topic.SHARE_DONE and relay.ending is None and not relay.called_off:
-            relay.projected = (now - relay.sent) / max(value, 0.001)
+        submission = relay.submission
+        if relay.ending is not None:
+            return
+        relay.engine.limiter.heard = relay.noted = now
+        if topic is Topic.SHARE_DONE and submission.tariff.usual.seen >= 10:
+            # Danger: a bad plan, drawn for each relay anew, takes many times as long and holds threads and memory.
+            # Four times the expected time; work that was as heavy on an earlier relay is heavy by itself.
+            relay.projected = (now - relay.sent) / max(value, 0.01)
+            earlier = min((other.projected for other in submission.relays[:-1] if other.projected), default=0)
+            if relay.projected > max(4 * submission.expected * max(1.0, self.pace), 2 * earlier):
+                self._call_back(relay, now)
 
     # The list of engines.
 
@@ -567,8 +613,18 @@
         self.port.wake(WINDOW, lambda _: self.port.subscribe())
 
     def probed(self, engine: Engine, ending: Ending, report: Mapping[str, float], now: int) -> None:
-        if engine.limiter is not None and report:
-            self._heed(engine.limiter, report)
+        limiter = engine.limiter
+        if ending is Ending.FULFILLED:
+            limiter.unanswered, limiter.heard = 0, now
+            if limiter.mute:
+                limiter.trial_at = now
+        elif ending is not Ending.FULL:
+            # Two in a row: one probe may be lost in a busy moment.
+            limiter.unanswered += 1
+            if limiter.unanswered >= 2:
+                self._doubt(engine, True, now)
+        if report:
+            self._heed(limiter, report)
 
     # The sweep: closes windows, ends what was held too long, looks after what is out.
 
@@ -578,6 +634,7 @@
             for engine in self.engines:
                 engine.limiter.close_window()
                 engine.limiter.draw = self.random()
+        self._listen(now)
         for line in (self.held, self.further):
             for submission in [s for s in line if now >= s.leave_by]:
                 self._end(submission, now)
