--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -418,14 +418,14 @@
             limiter.failed, limiter.full_until = True, now + WINDOW
         elif ending is Ending.ERROR:
             limiter.heard = now
-            self._fault(relay.engine, False, now)
+            self._fault(relay.engine, False, True, now)
         elif ending in (Ending.UNREACHABLE, Ending.RESET):
-            self._fault(relay.engine, True, now)
+            self._fault(relay.engine, True, True, now)
 
-    def _fault(self, engine: Engine, mute: bool, now: int) -> None:
+    def _fault(self, engine: Engine, mute: bool, counts: bool, now: int) -> None:
         """An error, a lost answer or, where nothing is heard at all, a mute engine."""
         limiter = engine.limiter
-        limiter.failed = True
+        limiter.failed = limiter.failed or counts
         limiter.answers.add(now)
         limiter.fails.add(now)
         fails = limiter.fails.most(now)
@@ -482,8 +482,8 @@
                 overdue = self._overdue(relay, now)
                 if overdue and not relay.overdue:
                     relay.overdue = True
-                    self._fault(engine, limiter.heard < relay.sent, now)
-                if overdue or limiter.doubted and limiter.mute:
+                    self._fault(engine, limiter.heard < relay.sent, False, now)
+                if limiter.doubted and (overdue or limiter.mute):
                     self._call_back(relay, now)
 
     def _overdue(self, relay: Relay, now: int) -> bool:
