--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -81,6 +81,7 @@
         self.threads = 0
         self.average = 0.0
         self.best = 0.0
+        self.pace = 1.0
         self.seen = 0
         self.total = 0.0
         self.count = 0
@@ -107,6 +108,8 @@
         self.seen += 1
         self.count += 1
         self.total += ratio
+        # Over the last 20 samples or so: a thin window's mean says too little to choose by.
+        self.pace += 0.05 * (ratio - self.pace)
 
     def close_window(self) -> None:
         """The Gradient law, once a closed window; the first window with an average only holds."""
@@ -139,7 +142,7 @@
 
     def load(self, more: int) -> float:
         """Threads a core with `more` added, at the pace this engine has lately shown."""
-        return (self.threads + self.others + more) / self.cores * max(self.average, 0.2)
+        return (self.threads + self.others + more) / self.cores * self.pace
 
     def pressed(self, now: int) -> bool:
         """Whether the limit binds: lately full, or busy by its reports, or without them slow against its best."""
