--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -90,7 +90,7 @@
         self.full_until = 0
         self.others = 0.0  # threads of other gateways, by the engine's reports
         self.memory = 0.0
-        self.reported = False
+        self.reported = 0  # when the last report came
         self.waiting = 0.0
         self.doubted = False
         self.trial_at = 0
@@ -150,7 +150,10 @@
             return True
         if self.reported:
             # Three threads for two cores: some always wait for a disk; or a line for memory.
-            return self.threads + self.others >= 1.5 * self.cores or self.waiting >= 1
+            # Danger: no relays, no reports; an engine once seen busy would be shunned for good. What is known of
+            # others halves with each second without a report.
+            others = self.others * 0.5 ** ((now - self.reported) // (WINDOW // 2) / 2)
+            return self.threads + others >= 1.5 * self.cores or self.waiting >= 1
         return self.average > 1.5 * self.best > 0
 
     def permits(self, threads: int, now: int) -> bool:
@@ -391,7 +394,7 @@
         if limiter.trial is relay:
             limiter.trial = None
         if report:
-            self._heed(limiter, report)
+            self._heed(limiter, report, now)
         self._learn(relay, ending, latency, now)
         if ending in RUNNING_ON and submission.key:
             self.key_free[submission.key] = now + micros(self.rules.get("TurnGap", 0)) + 1000
@@ -436,13 +439,13 @@
         if limiter.doubted or mute or fails >= 3 and fails >= 0.2 * limiter.answers.most(now):
             self._doubt(engine, mute, now)
 
-    def _heed(self, limiter: Limiter, report: Mapping[str, float]) -> None:
+    def _heed(self, limiter: Limiter, report: Mapping[str, float], now: int) -> None:
         if "concurrent" in report:
-            # What others run there is what the engine holds beyond our own, at a tariff mix like ours.
-            ours = len(limiter.out) + 1
-            others = max(0.0, report["concurrent"] - ours) * self._mean_threads()
-            limiter.others += 0.3 * (others - limiter.others)
-        limiter.reported = True
+            # What others run there is what the engine holds beyond our own, at a tariff mix like ours. The older
+            # what was known, the more the new counts.
+            others = max(0.0, report["concurrent"] - len(limiter.out) - 1) * self._mean_threads()
+            limiter.others += min(1.0, 0.3 + (now - limiter.reported) / WINDOW) * (others - limiter.others)
+        limiter.reported = now
         limiter.memory = report.get("x0", 0.0)
         limiter.waiting = report.get("depth", 0.0)
 
@@ -627,7 +630,7 @@
             if limiter.unanswered >= 2:
                 self._doubt(engine, True, now)
         if report:
-            self._heed(limiter, report)
+            self._heed(limiter, report, now)
 
     # The sweep: closes windows, ends what was held too long, looks after what is out.
 
