--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -444,7 +444,7 @@
             # What others run there is what the engine holds beyond our own, at a tariff mix like ours. The older
             # what was known, the more the new counts.
             others = max(0.0, report["concurrent"] - len(limiter.out) - 1) * self._mean_threads()
-            limiter.others += min(1.0, 0.3 + (now - limiter.reported) / WINDOW) * (others - limiter.others)
+            limiter.others += min(1.0, max(0.3, (now - limiter.reported) / WINDOW / 2)) * (others - limiter.others)
         limiter.reported = now
         limiter.memory = report.get("x0", 0.0)
         limiter.waiting = report.get("depth", 0.0)
