--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -53,10 +53,6 @@
             return max(1000, int(self.mean))
         return max(1000, int(submission.estimate / self.threads * self.factor))
 
-    def work(self) -> float:
-        """The mean work of a submission, as time on one thread."""
-        return self.mean * self.threads
-
     def learn(self, submission: Submission, latency: int) -> None:
         # A mean over the last 200 or so: long enough for widely spread work, short enough to follow a day.
         self.seen += 1
@@ -89,7 +85,6 @@
         self.draw = 1.0  # the chance draw for work wider than the free limit, once a window
         self.full_until = 0
         self.others = 0.0  # threads of other gateways, by the engine's reports
-        self.memory = 0.0
         self.reported = 0  # when the last report came
         self.waiting = 0.0
         self.doubted = False
@@ -217,59 +212,55 @@
         submission.rank = -density
         if self.accepted:
             self.accepted.add(now)
-        self._take_turn(submission)
+        if tariff.ordered and submission.key:
+            self.queues.setdefault(submission.key, deque()).append(submission)
         self._offer(submission, now)
 
     # Turns: submissions of one key run one after another, in the order they were accepted.
 
-    def _take_turn(self, submission: Submission) -> None:
-        if submission.tariff.ordered and submission.key:
-            self.queues.setdefault(submission.key, deque()).append(submission)
-
     def _is_turn(self, submission: Submission, now: int) -> bool:
         if not (submission.tariff.ordered and submission.key):
             return True
         return (self.queues[submission.key][0] is submission
                 and (submission.relays or now >= self.key_free.get(submission.key, 0)))
 
-    def _give_up_turn(self, submission: Submission, now: int) -> None:
+    def _give_up_turn(self, submission: Submission) -> None:
         # Danger: an ended submission whose relay is still out keeps its turn, or two of a key would run at once.
         queue = self.queues.get(submission.key) if submission.tariff.ordered else None
-        if queue is None or not submission.ended or submission.relay or submission not in queue:
-            return
-        queue.remove(submission)
-        if not queue:
-            del self.queues[submission.key]
-            if now >= self.key_free.get(submission.key, 0):
-                self.key_free.pop(submission.key, None)
+        if queue and submission.ended and not submission.relay and submission in queue:
+            queue.remove(submission)
+            if not queue:
+                del self.queues[submission.key]
 
     # Hold: first relays by payoff for their expected work, further relays in their own line behind them.
 
     def _offer(self, submission: Submission, now: int) -> None:
-        if not self._is_turn(submission, now) or not self._send(submission, now):
-            self._hold(submission, now)
-
-    def _hold(self, submission: Submission, now: int) -> None:
+        first_relays_wait = bool(submission.relays and self.held)
+        if not first_relays_wait and self._is_turn(submission, now) and self._send(submission, now):
+            return
         if now >= submission.leave_by:
-            self._end(submission, now)
+            self._end(submission)
             return
         submission.held = True
         insort(self.further if submission.relays else self.held, submission, key=RANK)
 
     def _release(self, now: int) -> None:
         for line in (self.held, self.further):
-            if not line:
-                continue
-            kept = []
-            for at, submission in enumerate(line):
-                if not any(engine.limiter.permits(1, now) for engine in self.ready):
-                    kept.extend(line[at:])
-                    break
-                if self._is_turn(submission, now) and self._send(submission, now):
+            sent, stuck = [], set()
+            for submission in line:
+                # Danger: thousands held would be tried for each permit; once one of a tariff finds no engine, the
+                # others of that tariff, alike but for the engines they have tried, wait too.
+                if submission.tariff in stuck or not self._is_turn(submission, now):
+                    continue
+                if self._send(submission, now):
                     submission.held = False
+                    sent.append(submission)
                 else:
-                    kept.append(submission)
-            line[:] = kept
+                    stuck.add(submission.tariff)
+                    if len(stuck) == len(self.tariffs):
+                        break
+            if sent:
+                line[:] = [submission for submission in line if submission.held]
 
     # Choose: of two random engines that may take it, the less loaded.
 
@@ -278,11 +269,10 @@
         fit = [engine for engine in self.ready
                if engine.limiter.permits(threads, now) and self._may_take(submission, engine, now)]
         tried = {relay.engine for relay in submission.relays}
-        fresh = [engine for engine in fit if engine not in tried] if tried else fit
-        fit = fresh or fit
-        if len(fit) < 2:
-            return fit[0] if fit else None
-        one, other = self.sample(fit, 2)
+        fit = [engine for engine in fit if engine not in tried] or fit
+        if not fit:
+            return None
+        one, other = self.sample(fit, 2) if len(fit) > 1 else fit * 2
         return one if one.limiter.load(threads) <= other.limiter.load(threads) else other
 
     def _may_take(self, submission: Submission, engine: Engine, now: int) -> bool:
@@ -325,13 +315,11 @@
         window = micros(self.rules.get("Fall", 1000))
         room = (self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0) * engine.limiter.cores
                 * 0.85 * 0.9 * 0.7 * window / self.gateways)
-        weight = self._cold_weight(tariff)
-        return ring.most(now) + weight <= room
+        return ring.most(now) + self._cold_weight(tariff) <= room
 
     def _cold_weight(self, tariff: Tariff) -> float:
         # Unlearnt, a tariff weighs as heavily as its soft limit lets it: silence is no proof of light work.
-        usual = tariff.usual
-        return usual.work() if usual.seen >= 5 else tariff.soft_limit * tariff.threads
+        return tariff.threads * (tariff.usual.mean if tariff.usual.seen >= 5 else tariff.soft_limit)
 
     # Send, and what keeps a further relay from being sent.
 
@@ -362,22 +350,21 @@
 
     def _budget_left(self, now: int) -> bool:
         # Danger: relays beyond the first are rationed over any window; the ring rounds to the safe side.
-        if self.accepted is None or "ResendRatio" not in self.rules and "FreeResends" not in self.rules:
+        if self.accepted is None:
             return True
         allowed = self.rules.get("FreeResends", 0) + self.rules.get("ResendRatio", 0) * self.accepted.least(now)
         return self.relayed_again.most(now) + 1 <= allowed
 
     def _terms(self, submission: Submission) -> None:
-        grants, ranks = self.family.get("MemoryHeeded"), self.family.get("RanksHeeded")
         megabytes, priority = 0.0, 1
-        if grants and submission.megabytes:
+        if self.family.get("MemoryHeeded"):
             # A tenth over the estimate: enough for a close one, and less taken from others than the usual quarter.
             megabytes = submission.megabytes * 1.1
-        if ranks:
+        if self.family.get("RanksHeeded"):
             # Four ranks by payoff for work against the mean of all: twice and half the mean part them.
             density = -submission.rank * self.work / self.payoff
             priority = 3 if density > 2 else 2 if density > 1 else 1 if density > 0.5 else 0
-        if (megabytes or priority != 1) and not (len(submission.relays) > 1 and not megabytes):
+        if megabytes or priority != 1:
             self.port.grant(submission, megabytes, priority)
 
     # What comes back.
@@ -396,25 +383,25 @@
         if report:
             self._heed(limiter, report, now)
         self._learn(relay, ending, latency, now)
-        if ending in RUNNING_ON and submission.key:
+        if ending in RUNNING_ON and submission.tariff.ordered and submission.key:
+            # Danger: the relay may run on, and the key's next would run beside it.
             self.key_free[submission.key] = now + micros(self.rules.get("TurnGap", 0)) + 1000
         if no_more or submission.ended:
             self._unhold(submission)
             submission.ended = True
         else:
             self._again(submission, ending, now)
-        self._give_up_turn(submission, now)
+        self._give_up_turn(submission)
         self._release(now)
 
     def _learn(self, relay: Relay, ending: Ending, latency: int, now: int) -> None:
         submission, limiter = relay.submission, relay.engine.limiter
-        usual = submission.tariff.usual
         if ending is Ending.FULFILLED:
             # Danger: one heavy draw in a thin window would cut a healthy limit; a sample counts four at most.
             ratio = min(4.0, latency / submission.expected)
             limiter.sample(ratio)
             self.pace += 0.01 * (ratio - self.pace)
-            usual.learn(submission, latency)
+            submission.tariff.usual.learn(submission, latency)
             self.payoff += 0.005 * (submission.tariff.payoff - self.payoff)
             self.work += 0.005 * (submission.expected * submission.tariff.threads - self.work)
             limiter.answers.add(now)
@@ -437,7 +424,11 @@
         fails = limiter.fails.most(now)
         # Three failures that make up a fifth of its answers: far above stray errors, soon enough to matter.
         if limiter.doubted or mute or fails >= 3 and fails >= 0.2 * limiter.answers.most(now):
-            self._doubt(engine, mute, now)
+            limiter.step = limiter.step + 1 if limiter.doubted else 0
+            limiter.mute = mute if not limiter.doubted else limiter.mute
+            limiter.doubted, limiter.streak = True, 0
+            # Half a second to the next trial, doubled with each failed one up to four.
+            limiter.trial_at = now + (500_000 << min(limiter.step, 3))
 
     def _heed(self, limiter: Limiter, report: Mapping[str, float], now: int) -> None:
         if "concurrent" in report:
@@ -446,7 +437,6 @@
             others = max(0.0, report["concurrent"] - len(limiter.out) - 1) * self._mean_threads()
             limiter.others += min(1.0, max(0.3, (now - limiter.reported) / WINDOW / 2)) * (others - limiter.others)
         limiter.reported = now
-        limiter.memory = report.get("x0", 0.0)
         limiter.waiting = report.get("depth", 0.0)
 
     def _mean_threads(self) -> float:
@@ -456,27 +446,12 @@
 
     # Doubt: an engine that fails, is silent or cannot be reached loses new work until trials go well.
 
-    def _trial_gap(self, limiter: Limiter) -> int:
-        # Half a second, doubled with each failed trial up to four.
-        return 500_000 << min(limiter.step, 3)
-
-    def _doubt(self, engine: Engine, mute: bool, now: int) -> None:
-        limiter = engine.limiter
-        if limiter.doubted:
-            limiter.step += 1
-        else:
-            limiter.doubted, limiter.step, limiter.mute = True, 0, mute
-        limiter.streak = 0
-        limiter.trial_at = now + self._trial_gap(limiter)
-
     def _believe(self, engine: Engine, now: int) -> None:
         limiter = engine.limiter
-        if not limiter.doubted:
-            return
         limiter.streak += 1
         limiter.trial_at = now
         # Three trials in a row: one can succeed by luck on an engine that fails half of its work, not on a mute one.
-        if limiter.streak >= 3 or limiter.mute:
+        if limiter.doubted and (limiter.streak >= 3 or limiter.mute):
             limiter.doubted = False
             limiter.fails = Ring(5 * WINDOW, 10)
 
@@ -516,13 +491,9 @@
                 and self._may_repeat(submission) and self._within_soft(submission, now)):
             # A further relay waits as long as a first one would.
             submission.leave_by = min(submission.hard_stop - MARGIN, max(submission.leave_by, now + WINDOW))
-            self._offer_again(submission, now)
+            self._offer(submission, now)
         else:
-            self._end(submission, now)
-
-    def _offer_again(self, submission: Submission, now: int) -> None:
-        if self.held or not self._send(submission, now):
-            self._hold(submission, now)
+            self._end(submission)
 
     def _within_soft(self, submission: Submission, now: int) -> bool:
         tariff = submission.tariff
@@ -533,16 +504,14 @@
 
     def _may_repeat(self, submission: Submission) -> bool:
         # Danger: an unrepeatable submission that may have run must not be sent or denied again.
-        tariff = submission.tariff
-        return (tariff.idempotent or tariff.deduplicated
-                or all(relay.ending in UNRUN for relay in submission.relays))
+        return submission.tariff.deduplicated or self._may_deny(submission)
 
     def _may_deny(self, submission: Submission) -> bool:
         tariff = submission.tariff
         return (tariff.idempotent or tariff.deduplicated and tariff.group == "all"
                 or all(relay.ending in UNRUN for relay in submission.relays))
 
-    def _end(self, submission: Submission, now: int) -> None:
+    def _end(self, submission: Submission) -> None:
         """The final answer: a denial where a repeat does no harm, else an abandonment; at once."""
         if submission.ended:
             return
@@ -554,7 +523,7 @@
             most = micros(self.limits.get("MaxRetryAfter", 0)) if self.limits.get("RetryAfter") else 0
             # Come back spread over the longest wait that clients honour, so that they do not return together.
             self.port.deny(submission, int(most * (0.5 + 0.5 * self.random())))
-        self._give_up_turn(submission, now)
+        self._give_up_turn(submission)
 
     def _unhold(self, submission: Submission) -> None:
         if submission.held:
@@ -566,7 +535,7 @@
         submission.ended = True
         if submission.relay is not None and self.limits.get("Cancel"):
             self.port.withdraw(submission.relay)
-        self._give_up_turn(submission, now)
+        self._give_up_turn(submission)
 
     def noted(self, relay: Relay, topic: Topic, value: float, now: int) -> None:
         """A note on a relay that is out."""
@@ -585,35 +554,31 @@
     # The list of engines.
 
     def listed(self, known: Iterable[tuple[Engine, tuple]], complete: bool, now: int) -> None:
+        cores = self.family.get("CpuOfKind", [])
         named = set()
         for engine, (machine, zone, cell, started, standing) in known:
             named.add(engine)
-            fresh = engine.limiter is None
-            if fresh or machine != engine.machine:
-                cores = self.family.get("CpuOfKind", [])
-                engine.limiter = engine.limiter or Limiter(cores[machine] if machine < len(cores) else 1,
-                                                           self.gateways)
-            if started != engine.started and started > 0:
-                # Danger: a restarted engine is cold; what was learnt of its former life says nothing now.
-                self._restarted(engine, fresh, now, started)
+            if engine.limiter is None or started != engine.started and started > 0:
+                # Danger: a restarted engine is cold; what was learnt of its former life says nothing now, but what
+                # was sent to it is still to come back.
+                limiter = Limiter(cores[machine] if machine < len(cores) else 1, self.gateways)
+                if engine.limiter is not None:
+                    limiter.out, limiter.threads = engine.limiter.out, engine.limiter.threads
+                if now < started + micros(self.rules.get("WarmUp", 0)):
+                    limiter.cold = Ring(micros(self.rules.get("Fall", 1000)), 10)
+                engine.limiter = limiter
             engine.machine, engine.zone, engine.cell, engine.started = machine, zone, cell, started
             engine.standing = standing
             self.engines[engine] = None
-        if complete:
-            for engine in self.engines:
-                if engine not in named:
-                    engine.standing = Standing.GONE
+        for engine in list(self.engines):
+            if complete and engine not in named:
+                engine.standing = Standing.GONE
+            if engine.standing is Standing.GONE and not engine.limiter.out:
+                del self.engines[engine]
         # Danger: nothing new goes to an engine that drains or is gone; the grace is not used.
         self.ready = [engine for engine in self.engines if engine.standing is Standing.READY]
         self._release(now)
 
-    def _restarted(self, engine: Engine, fresh: bool, now: int, started: int) -> None:
-        limiter = engine.limiter
-        if now < started + micros(self.rules.get("WarmUp", 0)):
-            limiter.cold = Ring(micros(self.rules.get("Fall", 1000)), 10)
-        limiter.doubted, limiter.others, limiter.average, limiter.seen = False, 0.0, 0.0, 0
-        limiter.limit = limiter.start
-
     def list_failed(self, now: int) -> None:
         # Ask again a second later; the list is one service for all, and a failed call costs it too.
         self.port.wake(WINDOW, lambda _: self.port.subscribe())
@@ -628,7 +593,7 @@
             # Two in a row: one probe may be lost in a busy moment.
             limiter.unanswered += 1
             if limiter.unanswered >= 2:
-                self._doubt(engine, True, now)
+                self._fault(engine, True, False, now)
         if report:
             self._heed(limiter, report, now)
 
@@ -642,8 +607,9 @@
                 engine.limiter.draw = self.random()
         self._listen(now)
         for line in (self.held, self.further):
-            for submission in [s for s in line if now >= s.leave_by]:
-                self._end(submission, now)
+            for submission in [held for held in line if now >= held.leave_by]:
+                self._end(submission)
+        self.key_free = {key: free for key, free in self.key_free.items() if now < free}
         if self.settings.get("Report", {}).get("Source") == "on_probe" and self.limits.get("Probes"):
             # Each ready engine twice a second: reports are about that fresh, and a probe costs next to nothing.
             for engine in self.ready[self.swept % 5::5]:
