--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -68,7 +68,8 @@
 
     def __init__(self, cores: float, gateways: int) -> None:
         self.cores = cores
-        # A thread a core, shared by the gateways; floor and cap as the design gives them, below twice the start.
+        # A thread a core, shared by the gateways; floor and cap as the design gives them, below twice the
+        # start.
         self.start = cores / gateways
         self.floor = self.start * 0.1
         self.cap = self.start * 1.99
@@ -140,13 +141,13 @@
         return (self.threads + self.others + more) / self.cores * self.pace
 
     def pressed(self, now: int) -> bool:
-        """Whether the limit binds: lately full, or busy by its reports, or without them slow against its best."""
+        """Whether the limit binds: lately full, or busy by its reports, or without them slow for once."""
         if now < self.full_until:
             return True
         if self.reported:
-            # Three threads for two cores: some always wait for a disk; or a line for memory.
-            # Danger: no relays, no reports; an engine once seen busy would be shunned for good. What is known of
-            # others halves with each second without a report.
+            # Three threads for two cores: some always wait for a disk; or a line for memory. Danger: no
+            # relays, no reports; an engine once seen busy would be shunned for good. What is known of others
+            # halves with each second without a report.
             others = self.others * 0.5 ** ((now - self.reported) // (WINDOW // 2) / 2)
             return self.threads + others >= 1.5 * self.cores or self.waiting >= 1
         return self.average > 1.5 * self.best > 0
@@ -225,7 +226,8 @@
                 and (submission.relays or now >= self.key_free.get(submission.key, 0)))
 
     def _give_up_turn(self, submission: Submission) -> None:
-        # Danger: an ended submission whose relay is still out keeps its turn, or two of a key would run at once.
+        # Danger: an ended submission whose relay is still out keeps its turn, or two of a key would run at
+        # once.
         queue = self.queues.get(submission.key) if submission.tariff.ordered else None
         if queue and submission.ended and not submission.relay and submission in queue:
             queue.remove(submission)
@@ -248,8 +250,8 @@
         for line in (self.held, self.further):
             sent, stuck = [], set()
             for submission in line:
-                # Danger: thousands held would be tried for each permit; once one of a tariff finds no engine, the
-                # others of that tariff, alike but for the engines they have tried, wait too.
+                # Danger: thousands held would be tried for each permit; once one of a tariff finds no engine,
+                # the others of that tariff, alike but for the engines they have tried, wait too.
                 if submission.tariff in stuck or not self._is_turn(submission, now):
                     continue
                 if self._send(submission, now):
@@ -310,8 +312,9 @@
         if now >= engine.started + micros(self.rules.get("WarmUp", 0)):
             engine.limiter.cold = None
             return True
-        # Danger: together the gateways may push a cold engine over. Its capacity is taken as what it starts with
-        # until it must be warm, at 0.85 busy and 0.9 of nominal speed, and 0.7 of the budget is used for chance.
+        # Danger: together the gateways may push a cold engine over. Its capacity is taken as what it starts
+        # with until it must be warm, at 0.85 busy and 0.9 of nominal speed, and 0.7 of the budget is used for
+        # chance.
         window = micros(self.rules.get("Fall", 1000))
         room = (self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0) * engine.limiter.cores
                 * 0.85 * 0.9 * 0.7 * window / self.gateways)
@@ -352,13 +355,14 @@
         # Danger: relays beyond the first are rationed over any window; the ring rounds to the safe side.
         if self.accepted is None:
             return True
-        allowed = self.rules.get("FreeResends", 0) + self.rules.get("ResendRatio", 0) * self.accepted.least(now)
-        return self.relayed_again.most(now) + 1 <= allowed
+        share = self.rules.get("ResendRatio", 0) * self.accepted.least(now)
+        return self.relayed_again.most(now) + 1 <= self.rules.get("FreeResends", 0) + share
 
     def _terms(self, submission: Submission) -> None:
         megabytes, priority = 0.0, 1
         if self.family.get("MemoryHeeded"):
-            # A tenth over the estimate: enough for a close one, and less taken from others than the usual quarter.
+            # A tenth over the estimate: enough for a close one, and less taken from others than the usual
+            # quarter.
             megabytes = submission.megabytes * 1.1
         if self.family.get("RanksHeeded"):
             # Four ranks by payoff for work against the mean of all: twice and half the mean part them.
@@ -432,10 +436,11 @@
 
     def _heed(self, limiter: Limiter, report: Mapping[str, float], now: int) -> None:
         if "concurrent" in report:
-            # What others run there is what the engine holds beyond our own, at a tariff mix like ours. The older
-            # what was known, the more the new counts.
+            # What others run there is what the engine holds beyond our own, at a tariff mix like ours. The
+            # older what was known, the more the new counts.
             others = max(0.0, report["concurrent"] - len(limiter.out) - 1) * self._mean_threads()
-            limiter.others += min(1.0, max(0.3, (now - limiter.reported) / WINDOW / 2)) * (others - limiter.others)
+            weight = min(1.0, max(0.3, (now - limiter.reported) / WINDOW / 2))
+            limiter.others += weight * (others - limiter.others)
         limiter.reported = now
         limiter.waiting = report.get("depth", 0.0)
 
@@ -450,7 +455,8 @@
         limiter = engine.limiter
         limiter.streak += 1
         limiter.trial_at = now
-        # Three trials in a row: one can succeed by luck on an engine that fails half of its work, not on a mute one.
+        # Three trials in a row: one can succeed by luck on an engine that fails half of its work, not on a
+        # mute one.
         if limiter.doubted and (limiter.streak >= 3 or limiter.mute):
             limiter.doubted = False
             limiter.fails = Ring(5 * WINDOW, 10)
@@ -468,8 +474,9 @@
                     self._call_back(relay, now)
 
     def _overdue(self, relay: Relay, now: int) -> bool:
-        # Danger: an engine cut off, dead or stuck, or a link that loses answers, gives no samples. Four times the
-        # expected time at the fleet's pace, since work spreads widely, 0.2 s for the way, and no note of late.
+        # Danger: an engine cut off, dead or stuck, or a link that loses answers, gives no samples. Four times
+        # the expected time at the fleet's pace, since work spreads widely, 0.2 s for the way, and no note of
+        # late.
         age = now - relay.sent
         return (age > 4 * relay.submission.expected * max(1.0, self.pace) + 200_000
                 and now - relay.noted > 1.5 * micros(self.family.get("TellsEvery", 0)))
@@ -544,8 +551,9 @@
             return
         relay.engine.limiter.heard = relay.noted = now
         if topic is Topic.SHARE_DONE and submission.tariff.usual.seen >= 10:
-            # Danger: a bad plan, drawn for each relay anew, takes many times as long and holds threads and memory.
-            # Four times the expected time; work that was as heavy on an earlier relay is heavy by itself.
+            # Danger: a bad plan, drawn for each relay anew, takes many times as long and holds threads and
+            # memory. Four times the expected time; work that was as heavy on an earlier relay is heavy by
+            # itself.
             relay.projected = (now - relay.sent) / max(value, 0.01)
             earlier = min((other.projected for other in submission.relays[:-1] if other.projected), default=0)
             if relay.projected > max(4 * submission.expected * max(1.0, self.pace), 2 * earlier):
@@ -559,8 +567,8 @@
         for engine, (machine, zone, cell, started, standing) in known:
             named.add(engine)
             if engine.limiter is None or started != engine.started and started > 0:
-                # Danger: a restarted engine is cold; what was learnt of its former life says nothing now, but what
-                # was sent to it is still to come back.
+                # Danger: a restarted engine is cold; what was learnt of its former life says nothing now, but
+                # what was sent to it is still to come back.
                 limiter = Limiter(cores[machine] if machine < len(cores) else 1, self.gateways)
                 if engine.limiter is not None:
                     limiter.out, limiter.threads = engine.limiter.out, engine.limiter.threads
@@ -611,7 +619,8 @@
                 self._end(submission)
         self.key_free = {key: free for key, free in self.key_free.items() if now < free}
         if self.settings.get("Report", {}).get("Source") == "on_probe" and self.limits.get("Probes"):
-            # Each ready engine twice a second: reports are about that fresh, and a probe costs next to nothing.
+            # Each ready engine twice a second: reports are about that fresh, and a probe costs next to
+            # nothing.
             for engine in self.ready[self.swept % 5::5]:
                 self.port.probe(engine)
         self._release(now)
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,131 @@
+"""The law, holding, choosing and the defences, and what the wire's host says to malformed frames."""
+
+import contextlib
+import io
+import struct
+
+from cresstray import wire, wirehost
+from cresstray.interface import Ending, Topic
+from cresstray.logic import Limiter
+from tests.desk import Desk, TraceCase, settings
+from tests.test_rules import fill
+
+
+class Decisions(TraceCase):
+    def test_gradient_window(self) -> None:
+        limiter, lines = Limiter(8, 2), []
+        plan = [("warmup, nine samples", [1.0] * 9, False), ("first average only holds", [1.0] * 4, False),
+                ("steady adds one", [1.0] * 4, False), ("far below adds two", [0.5] * 4, False),
+                ("capped below twice the start", [0.5] * 4, False),
+                ("risen cuts in proportion", [1.5] * 4, False),
+                ("far risen cuts by half at most", [9.0] * 4, False),
+                ("a failure halves, once", [1.0] * 4, True),
+                ("a failure with no sample", [], True), ("nothing seen, nothing moved", [], False),
+                ("floored at a tenth", [], True), ("floored at a tenth", [], True)]
+        for text, samples, failed in plan:
+            for ratio in samples:
+                limiter.sample(ratio)
+            limiter.failed = failed
+            limiter.close_window()
+            lines.append(f"{text}: limit {limiter.limit:.2f}, average {limiter.average:.2f}")
+        self.check("gradient", lines)
+
+    def test_holding_and_denial(self) -> None:
+        desk = Desk(settings(), engines=1)
+        running = fill(desk)
+        again = desk.submit("further relay", left=6000, estimate=1000)
+        desk.submit("heavy first relay", 1, left=9000, estimate=4_000_000)
+        desk.submit("light first relay", 0, left=6000, estimate=100_000)
+        desk.submit("huge, denied when its time to wait is over", 1, left=6000, estimate=90_000_000)
+        for submission in running[:3]:
+            desk.run(20)
+            if submission is running[0]:
+                desk.back(submission, Ending.FULL)
+                desk.engines[0].limiter.full_until = desk.now + 60_000_000
+            else:
+                desk.back(submission, Ending.FULFILLED)
+        desk.back(running[3], Ending.FULFILLED)
+        desk.back(again, Ending.FULFILLED)
+        desk.run(6000)
+        self.check("holding", desk.lines)
+
+    def test_less_loaded_of_two(self) -> None:
+        desk = Desk(settings(), engines=3)
+        for threads, engine in zip((1, 2, 3), desk.engines):
+            engine.limiter.threads = threads
+        drawn = [desk.gateway._choose(desk.submit("one"), desk.now) for _ in range(12)]
+        self.check("two_choice", [f"engine {desk.engines.index(engine)}" for engine in drawn])
+
+    def test_fast_errors_raise_doubt(self) -> None:
+        desk = Desk(settings(), engines=3)
+        for number in range(12):
+            submission = desk.submit(f"s{number}")
+            while submission.relay and submission.relay.engine is desk.engines[0] and desk.now < 108_000_000:
+                desk.back(submission, Ending.ERROR)
+            desk.run(150)
+            if submission.relay:
+                desk.back(submission, Ending.FULFILLED)
+        desk.lines.append("doubted: " + ", ".join(str(engine.limiter.doubted) for engine in desk.engines))
+        self.check("fast_errors", desk.lines)
+
+    def test_silence_raises_doubt_and_calls_back(self) -> None:
+        desk = Desk(settings(), engines=3)
+        out = [desk.submit(f"s{number}", 1, left=9000, estimate=200_000) for number in range(3)]
+        for submission in out:
+            if submission.relay.engine is not desk.engines[0]:
+                desk.run(100)
+                desk.back(submission, Ending.FULFILLED)
+        desk.run(700)
+        for submission in out:
+            if submission.relay and submission.relay.called_off:
+                desk.back(submission, Ending.WITHDRAWN)
+        desk.submit("after the doubt")
+        desk.lines.append("doubted: " + ", ".join(str(engine.limiter.doubted) for engine in desk.engines))
+        self.check("silence", desk.lines)
+
+    def test_bad_plan_called_back_once(self) -> None:
+        desk = Desk(settings(FamilyInfo={"TellsEvery": 500.0}))
+        desk.gateway.tariffs[1].usual.seen, desk.gateway.tariffs[1].usual.mean = 20, 400_000
+        slow = desk.submit("bad plan, then heavy by itself", 1, left=9000)
+        for _ in range(2):
+            desk.run(500)
+            desk.gateway.noted(slow.relays[-1], Topic.SHARE_DONE, 0.05, desk.now)
+            if slow.relays[-1].called_off:
+                desk.back(slow, Ending.WITHDRAWN)
+        desk.run(500)
+        desk.back(slow, Ending.FULFILLED)
+        self.check("bad_plan", desk.lines)
+
+    def test_old_reports_fade(self) -> None:
+        desk, lines = Desk(settings(), engines=1), []
+        limiter = desk.engines[0].limiter
+        desk.back(desk.submit("reports a busy engine"), Ending.FULFILLED, {"concurrent": 30.0})
+        limiter.limit = 0.4
+        for seconds in range(4):
+            lines.append(f"{seconds} s after its report: pressed {limiter.pressed(desk.now)}")
+            desk.run(1000)
+        self.check("old_reports", lines)
+
+    def test_malformed_frames(self) -> None:
+        def frame(count: int, body: bytes) -> bytes:
+            return wire.HEADER.pack(wire.HEADER.size + len(body), 1000.0, count) + body
+        on = struct.pack("<BI", wire.ON, 3)
+        odd = {"empty batch": frame(0, b""), "ends within its length": b"\x10\x00",
+               "ends within its body": frame(1, on)[:-2], "length below a header": struct.pack("<I", 3),
+               "unknown event": frame(2, on + b"\xc8"),
+               "event cut short": frame(2, on + bytes([wire.ALARM, 1])),
+               "fewer records than counted": frame(2, on), "more bytes than records": frame(1, on + b"\x00"),
+               "event before any on": frame(1, struct.pack("<BI", wire.CLIENT_GONE, 1)),
+               "unknown list": frame(2, on + struct.pack("<BBIH", wire.MEMBERS, 1, 1, 9)),
+               "instance never created": frame(2, on + struct.pack("<BI", wire.CLIENT_GONE, 1)),
+               "failing decisions": frame(2, on + struct.pack("<BQI", wire.CREATE, 1, 2) + b"[]")}
+        lines = []
+        for name, raw in odd.items():
+            out, err = io.BytesIO(), io.StringIO()
+            with contextlib.redirect_stderr(err):
+                code = wirehost.serve(io.BytesIO(raw), out)
+            said = err.getvalue().strip()
+            lines.append(f"{name}: exit {code}, {len(out.getvalue())} bytes answered, {said}")
+            if len(out.getvalue()) > 8:
+                lines.append(f"    {out.getvalue()[13 + 3:].decode()}")
+        self.check("malformed", lines)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,114 @@
+"""Each of the seven rules, with the case that tempts the module to break it."""
+
+from cresstray.interface import Ending, Standing
+from tests.desk import START, Desk, TraceCase, settings
+
+
+def fill(desk: Desk, tariff: int = 0) -> list:
+    """Takes every permit: a full engine makes the limit bind."""
+    for engine in desk.engines:
+        engine.limiter.full_until = desk.now + 60_000_000
+    return [desk.submit(f"filler {n}", tariff, left=60_000) for n in range(4 * len(desk.engines))]
+
+
+class Rules(TraceCase):
+    def test_one_final_answer_in_time(self) -> None:
+        desk = Desk(settings(), engines=1)
+        fill(desk)
+        desk.submit("held", left=5000)
+        desk.submit("short of time", left=160)
+        desk.submit("out of time", left=100)
+        desk.run(3000)
+        late = desk.submit("timed out", left=2000)
+        desk.engines[0].limiter.full_until = 0
+        desk.run(100)
+        desk.run(1990)
+        desk.back(late, Ending.TIMED_OUT)
+        desk.gateway.client_left(late, desk.now)
+        self.check("final_answer", desk.lines)
+
+    def test_no_effect_twice(self) -> None:
+        desk = Desk(settings({"Effect": "at_most_once", "LateValue": 1}, {
+            "Effect": "deduplicated", "Group": "zone", "KeyTtl": 1500.0, "LateValue": 1}), engines=3)
+        desk.list({desk.engines[0]: {"zone": 1}, desk.engines[1]: {"zone": 2}, desk.engines[2]: {"zone": 1}})
+        for ending in (Ending.UNREACHABLE, Ending.RESET, Ending.ERROR):
+            desk.back(desk.submit(f"unrepeatable, {ending.value}", left=9000), ending)
+        twice = desk.submit("unrepeatable unreached then timed out", left=9000)
+        desk.back(twice, Ending.FULL)
+        desk.back(twice, Ending.TIMED_OUT)
+        desk.list({engine: {"zone": number % 2} for number, engine in enumerate(desk.engines)})
+        for number in range(3):
+            desk.back(desk.submit(f"deduplicated {number}", 1, left=9000), Ending.ERROR)
+        old = desk.submit("deduplicated past its memory", 1, left=9000)
+        desk.run(1460)
+        desk.back(old, Ending.ERROR)
+        desk.run(3000)
+        self.check("no_effect_twice", desk.lines)
+
+    def test_drains_kept(self) -> None:
+        desk = Desk(settings())
+        desk.list({desk.engines[0]: {"standing": Standing.DRAINING}})
+        for number in range(3):
+            desk.submit(f"during the drain {number}")
+        desk.list({desk.engines[0]: {}}, complete=True)
+        for number in range(3):
+            desk.submit(f"after a complete list without engine 1, {number}")
+        desk.list({desk.engines[0]: {"standing": Standing.GONE}})
+        desk.submit("with no engine at all", left=1000)
+        desk.run(1000)
+        self.check("drains", desk.lines)
+
+    def test_cold_engine_not_pushed_over(self) -> None:
+        desk = Desk(settings(), engines=1)
+        desk.list({desk.engines[0]: {"started": START - 100_000}})
+        for number in range(3):
+            desk.submit(f"of unknown weight {number}", 1, left=9000)
+        desk.run(1000)
+        for tariff in desk.gateway.tariffs:
+            tariff.usual.seen, tariff.usual.mean = 10, 300_000 * (1 + 4 * tariff.index)
+        for number in range(9):
+            desk.submit(f"light {number}", 0, left=6000)
+        desk.submit("heavy", 1, left=9000)
+        desk.run(1500)
+        desk.run(9000)
+        desk.submit("heavy, once warm", 1, left=9000)
+        self.check("cold", desk.lines)
+
+    def test_order_kept(self) -> None:
+        desk = Desk(settings({"ByArrival": True, "LateValue": 1}, Safety={"TurnGap": 500.0}))
+        first, second = (desk.submit(name, key=5, left=9000) for name in ("first", "second"))
+        others = [desk.submit("of another key", key=6, left=9000), desk.submit("of no key", left=9000)]
+        desk.run(200)
+        for submission in others:
+            desk.back(submission, Ending.FULFILLED)
+        desk.back(first, Ending.FULFILLED)
+        third = desk.submit("third", key=5, left=9000)
+        desk.gateway.client_left(second, desk.now)
+        desk.run(100)
+        desk.back(second, Ending.WITHDRAWN)
+        desk.run(700)
+        desk.back(third, Ending.FULFILLED)
+        self.check("order", desk.lines)
+
+    def test_placement_kept(self) -> None:
+        desk = Desk(settings({"StaysIn": [1]}, {"FlavorsOpen": [1]}), engines=3)
+        desk.list(dict(zip(desk.engines, ({"zone": 0}, {"zone": 1}, {"machine": 1}))))
+        bound = [desk.submit(f"bound to zone 1, {number}") for number in range(2)]
+        for number in range(2):
+            desk.submit(f"bound to machine 1, {number}", 1)
+        desk.back(bound[0], Ending.UNREACHABLE)
+        desk.list({desk.engines[1]: {"zone": 1, "standing": Standing.GONE}})
+        desk.submit("with its zone gone", left=1500)
+        desk.run(1500)
+        self.check("placement", desk.lines)
+
+    def test_further_relays_rationed(self) -> None:
+        budget = {"BudgetWindow": 5000.0, "FreeResends": 1.0, "ResendRatio": 0.25}
+        desk = Desk(settings(Safety=budget), engines=4)
+        tried = [desk.submit(f"s{number}", left=60_000) for number in range(8)]
+        for submission in tried:
+            desk.back(submission, Ending.FULL)
+        for engine in desk.engines:
+            engine.limiter.full_until = 0
+        desk.run(5600)
+        self.check("budget", desk.lines)
