--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -237,9 +237,13 @@
     # Hold: first relays by payoff for their expected work, further relays in their own line behind them.
 
     def _offer(self, submission: Submission, now: int) -> None:
-        first_relays_wait = bool(submission.relays and self.held)
-        if not first_relays_wait and self._is_turn(submission, now) and self._send(submission, now):
-            return
+        head = self.held[0] if self.held else submission
+        if submission.relays and self.held:
+            pass  # further relays wait behind first ones
+        elif self._is_turn(submission, now):
+            wide = head.tariff.threads if head.rank < submission.rank else 0
+            if self._send(submission, now, wide):
+                return
         if now >= submission.leave_by:
             self._end(submission)
             return
@@ -248,16 +252,18 @@
 
     def _release(self, now: int) -> None:
         for line in (self.held, self.further):
-            sent, stuck = [], set()
+            sent, stuck, wide = [], set(), 0
             for submission in line:
                 # Danger: thousands held would be tried for each permit; once one of a tariff finds no engine,
                 # the others of that tariff, alike but for the engines they have tried, wait too.
                 if submission.tariff in stuck or not self._is_turn(submission, now):
                     continue
-                if self._send(submission, now):
+                if self._send(submission, now, wide):
                     submission.held = False
                     sent.append(submission)
                 else:
+                    # Danger: narrow work would take each thread that frees, and wide work ahead of it never go.
+                    wide = max(wide, submission.tariff.threads)
                     stuck.add(submission.tariff)
                     if len(stuck) == len(self.tariffs):
                         break
@@ -266,10 +272,10 @@
 
     # Choose: of two random engines that may take it, the less loaded.
 
-    def _choose(self, submission: Submission, now: int) -> Engine | None:
+    def _choose(self, submission: Submission, wide: int, now: int) -> Engine | None:
         threads = submission.tariff.threads
         fit = [engine for engine in self.ready
-               if engine.limiter.permits(threads, now) and self._may_take(submission, engine, now)]
+               if engine.limiter.permits(max(threads, wide), now) and self._may_take(submission, engine, now)]
         tried = {relay.engine for relay in submission.relays}
         fit = [engine for engine in fit if engine not in tried] or fit
         if not fit:
@@ -326,11 +332,12 @@
 
     # Send, and what keeps a further relay from being sent.
 
-    def _send(self, submission: Submission, now: int) -> bool:
+    def _send(self, submission: Submission, now: int, wide: int = 0) -> bool:
+        """Sends to an engine with a free permit, for this and for the `wide` one that waits ahead of it."""
         again = bool(submission.relays)
         if again and not self._budget_left(now):
             return False
-        engine = self._choose(submission, now)
+        engine = self._choose(submission, wide, now)
         if engine is None:
             return False
         tariff, limiter = submission.tariff, engine.limiter
