--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -46,6 +46,7 @@
         self.seen = 0
         self.factor = 1.0  # latency against the estimate's own time
         self.estimate = 0.0  # mean time by estimate
+        self.asked = self.served = 0.0  # payoff asked for and answered in time of late
 
     def time_of(self, submission: Submission) -> int:
         """The expected time of one submission on an engine in its usual state."""
@@ -209,14 +210,24 @@
         # Held until it can no longer be answered within its soft limit, a tenth of its time at the least.
         patience = max((submission.hard_stop - now) // 10, int(soft - 1.5 * submission.expected))
         submission.leave_by = min(now + patience, submission.hard_stop - MARGIN)
-        density = tariff.payoff / (submission.expected * tariff.threads)
-        submission.rank = -density
+        tariff.usual.asked += tariff.payoff
+        submission.rank = -tariff.payoff * self._need(tariff) / (submission.expected * tariff.threads)
         if self.accepted:
             self.accepted.add(now)
         if tariff.ordered and submission.key:
             self.queues.setdefault(submission.key, deque()).append(submission)
         self._offer(submission, now)
 
+    def _need(self, tariff: Tariff) -> float:
+        """What a unit of payoff of this tariff adds: more for the worst served, where the goal weighs that one."""
+        goal = self.settings.get("Blend", {})
+        usuals = [other.usual for other in self.tariffs]
+        worst = min(usuals, key=lambda usual: usual.served / usual.asked if usual.asked else 1.0)
+        if tariff.usual is not worst or not goal.get("Whole"):
+            return 1.0
+        share = worst.asked / sum(usual.asked for usual in usuals)
+        return 1.0 + goal.get("WorstClass", 0.0) / goal["Whole"] / max(share, 0.05)
+
     # Turns: submissions of one key run one after another, in the order they were accepted.
 
     def _is_turn(self, submission: Submission, now: int) -> bool:
@@ -237,13 +248,9 @@
     # Hold: first relays by payoff for their expected work, further relays in their own line behind them.
 
     def _offer(self, submission: Submission, now: int) -> None:
-        head = self.held[0] if self.held else submission
-        if submission.relays and self.held:
-            pass  # further relays wait behind first ones
-        elif self._is_turn(submission, now):
-            wide = head.tariff.threads if head.rank < submission.rank else 0
-            if self._send(submission, now, wide):
-                return
+        first_relays_wait = bool(submission.relays and self.held)
+        if not first_relays_wait and self._is_turn(submission, now) and self._send(submission, now):
+            return
         if now >= submission.leave_by:
             self._end(submission)
             return
@@ -252,18 +259,16 @@
 
     def _release(self, now: int) -> None:
         for line in (self.held, self.further):
-            sent, stuck, wide = [], set(), 0
+            sent, stuck = [], set()
             for submission in line:
                 # Danger: thousands held would be tried for each permit; once one of a tariff finds no engine,
                 # the others of that tariff, alike but for the engines they have tried, wait too.
                 if submission.tariff in stuck or not self._is_turn(submission, now):
                     continue
-                if self._send(submission, now, wide):
+                if self._send(submission, now):
                     submission.held = False
                     sent.append(submission)
                 else:
-                    # Danger: narrow work would take each thread that frees, and wide work ahead of it never go.
-                    wide = max(wide, submission.tariff.threads)
                     stuck.add(submission.tariff)
                     if len(stuck) == len(self.tariffs):
                         break
@@ -272,10 +277,10 @@
 
     # Choose: of two random engines that may take it, the less loaded.
 
-    def _choose(self, submission: Submission, wide: int, now: int) -> Engine | None:
+    def _choose(self, submission: Submission, now: int) -> Engine | None:
         threads = submission.tariff.threads
         fit = [engine for engine in self.ready
-               if engine.limiter.permits(max(threads, wide), now) and self._may_take(submission, engine, now)]
+               if engine.limiter.permits(threads, now) and self._may_take(submission, engine, now)]
         tried = {relay.engine for relay in submission.relays}
         fit = [engine for engine in fit if engine not in tried] or fit
         if not fit:
@@ -332,12 +337,11 @@
 
     # Send, and what keeps a further relay from being sent.
 
-    def _send(self, submission: Submission, now: int, wide: int = 0) -> bool:
-        """Sends to an engine with a free permit, for this and for the `wide` one that waits ahead of it."""
+    def _send(self, submission: Submission, now: int) -> bool:
         again = bool(submission.relays)
         if again and not self._budget_left(now):
             return False
-        engine = self._choose(submission, wide, now)
+        engine = self._choose(submission, now)
         if engine is None:
             return False
         tariff, limiter = submission.tariff, engine.limiter
@@ -413,6 +417,8 @@
             limiter.sample(ratio)
             self.pace += 0.01 * (ratio - self.pace)
             submission.tariff.usual.learn(submission, latency)
+            if self._within_soft(submission, now - submission.expected):
+                submission.tariff.usual.served += submission.tariff.payoff
             self.payoff += 0.005 * (submission.tariff.payoff - self.payoff)
             self.work += 0.005 * (submission.expected * submission.tariff.threads - self.work)
             limiter.answers.add(now)
@@ -617,6 +623,10 @@
     def _sweep(self, now: int) -> None:
         self.swept += 1
         if self.swept % (WINDOW // SWEEP) == 0:
+            for tariff in self.tariffs:
+                # Half forgotten in half a minute: the worst is picked by what is so now, yet not by a moment.
+                tariff.usual.asked *= 0.98
+                tariff.usual.served *= 0.98
             for engine in self.engines:
                 engine.limiter.close_window()
                 engine.limiter.draw = self.random()
