--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -262,7 +262,7 @@
         tried = {relay.engine for relay in submission.relays}
         fit = [engine for engine in fit if engine not in tried] or fit
         fit = [engine for engine in fit if not self._stalls(submission, engine, now)] or fit
-        # Crossing zones costs: engines of our own zone will do while they hold 0.7 threads a core, with room left.
+        # Crossing zones costs: engines of our own zone will do while they have under 0.7 threads a core.
         near = [engine for engine in fit if engine.zone == self.settings.get("Zone")
                 and engine.limiter.load(threads) < 0.7]
         fit = near or fit
