--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -99,7 +99,7 @@
         count, total, failed = self.count, self.total, self.failed
         self.count, self.total, self.failed = 0, 0.0, False
         # Ten samples of warmup: the source's default.
-        if self.seen < 10 or not (count or failed):
+        if self.seen < 10:
             return
         if failed:
             self.limit = max(self.floor, self.limit * 0.5)
@@ -124,7 +124,6 @@
         self.limit = min(max(self.limit, self.floor), self.cap)
 
     def load(self, more: int) -> float:
-        """Threads a core with `more` added, at the pace this engine has lately shown."""
         return (self.threads + self.others + more) / self.cores * self.pace
 
     def pressed(self, now: int) -> bool:
@@ -146,8 +145,6 @@
 
 
 class Gateway:
-    """One gateway's decisions."""
-
     def __init__(self, port: Port, settings: Mapping[str, Any], seed: int, now: int) -> None:
         self.port = port
         self.settings = settings
@@ -209,10 +206,9 @@
     # Turns: submissions of one key run one after another, in the order they were accepted.
 
     def _is_turn(self, submission: Submission, now: int) -> bool:
-        if not (submission.tariff.ordered and submission.key):
-            return True
-        return (self.queues[submission.key][0] is submission
-                and (submission.relays or now >= self.key_free.get(submission.key, 0)))
+        return not (submission.tariff.ordered and submission.key) or (
+            self.queues[submission.key][0] is submission
+            and (bool(submission.relays) or now >= self.key_free.get(submission.key, 0)))
 
     def _give_up_turn(self, submission: Submission) -> None:
         # Danger: an ended submission whose relay is still out keeps its turn, or two of a key would run at
@@ -239,8 +235,7 @@
         for line in (self.held, self.further):
             sent, stuck = [], set()
             for submission in line:
-                # Danger: thousands held would be tried for each permit; once one of a tariff finds no engine,
-                # the others of that tariff, alike but for the engines they have tried, wait too.
+                # Danger: thousands held would be tried for each permit; one failure speaks for its tariff.
                 if submission.tariff in stuck or not self._is_turn(submission, now):
                     continue
                 if self._send(submission, now):
@@ -261,6 +256,8 @@
                if engine.limiter.permits(threads, now) and self._may_take(submission, engine, now)]
         tried = {relay.engine for relay in submission.relays}
         fit = [engine for engine in fit if engine not in tried] or fit
+        if self._load_must_wait(submission, now):
+            return None
         fit = [engine for engine in fit if not self._stalls(submission, engine, now)] or fit
         # Crossing zones costs: engines of our own zone will do while they have under 0.7 threads a core.
         near = [engine for engine in fit if engine.zone == self.settings.get("Zone")
@@ -299,6 +296,12 @@
         return submission.tariff.waits and (now < limiter.blocked.get(data_set, 0) or any(
             relay.submission.tariff.load and relay.submission.data_set == data_set for relay in limiter.out))
 
+    def _load_must_wait(self, submission: Submission, now: int) -> bool:
+        # Danger: loads of a hot data set, spread over all engines, leave nowhere to read it. A third of the engines
+        # may hold one, where other tariffs stand still for it.
+        return (submission.tariff.load and any(tariff.waits and not tariff.load for tariff in self.tariffs)
+                and 3 * sum(self._stalls(submission, engine, now) for engine in self.ready) >= len(self.ready))
+
     def _many_doubted(self) -> bool:
         # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
         return 2 * sum(engine.limiter.doubted for engine in self.ready) > len(self.ready)
@@ -422,7 +425,6 @@
             self._fault(relay.engine, True, True, now)
 
     def _fault(self, engine: Engine, mute: bool, counts: bool, now: int) -> None:
-        """An error, a lost answer or, where nothing is heard at all, a mute engine."""
         limiter = engine.limiter
         limiter.failed = limiter.failed or counts
         limiter.answers.add(now)
@@ -462,8 +464,8 @@
                 if overdue and not relay.overdue:
                     relay.overdue = True
                     self._fault(engine, limiter.heard < relay.sent, False, now)
-                young = now < relay.sent + relay.submission.expected + WINDOW // 2
-                if limiter.doubted and (overdue or limiter.mute and not young):
+                old = now >= relay.sent + relay.submission.expected + WINDOW // 2
+                if limiter.doubted and (overdue or limiter.mute and old):
                     self._call_back(relay, now)
 
     def _overdue(self, relay: Relay, now: int) -> bool:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -150,3 +150,11 @@
         for number in range(5):
             desk.submit(f"s{number}")
         self.check("own_zone", desk.lines)
+
+    def test_loads_of_a_hot_set_wait(self) -> None:
+        desk = Desk(settings(FamilyInfo={"Loads": [False, True], "WaitsForLoads": [True, False]}), engines=3)
+        loads = [desk.submit(f"load of set 7, {number}", 1, left=9000, data_set=7) for number in range(3)]
+        desk.submit("load of set 8", 1, left=9000, data_set=8)
+        desk.run(200)
+        desk.back(loads[0], Ending.FULFILLED)
+        self.check("hot_set", desk.lines)
