--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -297,10 +297,11 @@
             relay.submission.tariff.load and relay.submission.data_set == data_set for relay in limiter.out))
 
     def _load_must_wait(self, submission: Submission, now: int) -> bool:
-        # Danger: loads of a hot data set, spread over all engines, leave nowhere to read it. A third of the engines
-        # may hold one, where other tariffs stand still for it.
-        return (submission.tariff.load and any(tariff.waits and not tariff.load for tariff in self.tariffs)
-                and 3 * sum(self._stalls(submission, engine, now) for engine in self.ready) >= len(self.ready))
+        # Danger: loads of a hot data set, spread over all engines, leave nowhere to read it. A third of the
+        # engines may hold one, where other tariffs stand still for it.
+        if not submission.tariff.load or not any(other.waits and not other.load for other in self.tariffs):
+            return False
+        return 3 * sum(self._stalls(submission, engine, now) for engine in self.ready) >= len(self.ready)
 
     def _many_doubted(self) -> bool:
         # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
