--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -39,12 +39,10 @@
     """What a tariff's answers usually take, learnt from this gateway's own fulfilled relays."""
 
     def __init__(self, tariff: Tariff) -> None:
+        self.threads, self.seen = tariff.threads, 0
         # Before the first answers: a quarter of the soft limit, since limits are set to be met with room.
         self.mean = tariff.soft_limit / 4.0
-        self.threads = tariff.threads
-        self.seen = 0
-        self.factor = 1.0  # latency against the estimate's own time
-        self.estimate = 0.0  # mean time by estimate
+        self.estimate, self.factor = 0.0, 1.0  # mean time by estimate, and latency against that
 
     def time_of(self, submission: Submission) -> int:
         if not submission.estimate:
@@ -78,7 +76,8 @@
         self.total, self.count, self.failed = 0.0, 0, False  # the open window
         self.seen, self.average, self.best, self.pace = 0, 0.0, 0.0, 1.0
         self.full_until = 0
-        self.others, self.waiting, self.reported = 0.0, 0.0, 0  # by reports: threads of others, line, when
+        self.report: Mapping[str, float] = {}
+        self.others, self.reported = 0.0, 0  # threads of others by reports, and when the last one came
         self.heard, self.unanswered = 0, 0  # when it last answered anything; probes lost since
         self.fails, self.answers = Ring(5 * WINDOW, 10), Ring(5 * WINDOW, 10)
         self.doubted, self.mute = False, False  # mute: in doubt for silence, not for errors
@@ -131,11 +130,13 @@
         if now < self.full_until:
             return True
         if self.reported:
-            # Three threads for two cores: some always wait for a disk; or a line for memory. Danger: no
-            # relays, no reports; an engine once seen busy would be shunned for good. What is known of others
-            # halves with each second without a report.
+            # Danger: no relays, no reports; an engine once seen busy would be shunned for good, so what is known
+            # of others halves each second. Two threads a core, as some wait for disks; three for two if cores
+            # are busy or nothing tells; memory overgranted beyond a report's noise, or a line for it.
             others = self.others * 0.5 ** ((now - self.reported) // (WINDOW // 2) / 2)
-            return self.threads + others >= 1.5 * self.cores or self.waiting >= 1
+            most = 1.5 if self.report.get("load_share", 1.0) > 0.9 else 2.0
+            return (self.threads + others >= most * self.cores or self.report.get("depth", 0.0) >= 1
+                    or self.report.get("x0", 0.0) > 1.15)
         return self.average > 1.5 * self.best > 0
 
     def permits(self, threads: int, now: int) -> bool:
@@ -317,8 +318,7 @@
             engine.limiter.cold = None
             return True
         # Danger: together the gateways may push a cold engine over. Its capacity is taken as what it starts
-        # with until it must be warm, at 0.85 busy and 0.9 of nominal speed, and 0.7 of the budget is used for
-        # chance.
+        # with until it must be warm, at 0.85 busy and 0.9 of nominal speed, and 0.7 of the budget is used.
         window = micros(self.rules.get("Fall", 1000))
         room = (self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0) * engine.limiter.cores
                 * 0.85 * 0.9 * 0.7 * window / self.gateways)
@@ -446,8 +446,7 @@
             others = max(0.0, report["concurrent"] - len(limiter.out) - 1) * self._mean_threads()
             weight = min(1.0, max(0.3, (now - limiter.reported) / WINDOW / 2))
             limiter.others += weight * (others - limiter.others)
-        limiter.reported = now
-        limiter.waiting = report.get("depth", 0.0)
+        limiter.report, limiter.reported = report, now
 
     def _mean_threads(self) -> float:
         mean = [tariff.usual for tariff in self.tariffs]
