--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -130,8 +130,8 @@
         if now < self.full_until:
             return True
         if self.reported:
-            # Danger: no relays, no reports; an engine once seen busy would be shunned for good, so what is known
-            # of others halves each second. Two threads a core, as some wait for disks; three for two if cores
+            # Danger: no relays, no reports; an engine once seen busy would be shunned for good, so what is said
+            # of others halves each second. Two threads a core, as some wait for disks; three for two if they
             # are busy or nothing tells; memory overgranted beyond a report's noise, or a line for it.
             others = self.others * 0.5 ** ((now - self.reported) // (WINDOW // 2) / 2)
             most = 1.5 if self.report.get("load_share", 1.0) > 0.9 else 2.0
