Unrepeatable and deduplicated work goes where nothing failed of late

A reset also put engines that answer others in doubt as if silent. It should also keep loads off engines that begin to fail; it may crowd them on few engines where all have stray errors.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -163,8 +163,7 @@
         self.queues: dict[int, deque[Submission]] = {}
         self.key_free: dict[int, int] = {}
         budget = micros(self.rules.get("BudgetWindow", 0))
-        self.accepted = Ring(budget, 20) if budget else None
-        self.relayed_again = Ring(budget, 20) if budget else None
+        self.accepted, self.relayed_again = Ring(budget, 20), Ring(budget, 20)
         self.payoff = self.work = 1.0
         self.pace = 1.0  # latency against the expected time, over all engines
         self.swept = 0
@@ -196,10 +195,8 @@
         # Held until it can no longer be answered within its soft limit, a tenth of its time at the least.
         patience = max((submission.hard_stop - now) // 10, int(soft - 1.5 * submission.expected))
         submission.leave_by = min(now + patience, submission.hard_stop - MARGIN)
-        density = tariff.payoff / (submission.expected * tariff.threads)
-        submission.rank = -density
-        if self.accepted:
-            self.accepted.add(now)
+        submission.rank = -tariff.payoff / (submission.expected * tariff.threads)
+        self.accepted.add(now)
         if tariff.ordered and submission.key:
             self.queues.setdefault(submission.key, deque()).append(submission)
         self._offer(submission, now)
@@ -260,6 +257,9 @@
         if self._load_must_wait(submission, now):
             return None
         fit = [engine for engine in fit if not self._stalls(submission, engine, now)] or fit
+        if not submission.tariff.idempotent:
+            # What cannot simply be run again goes where nothing has failed for five seconds, if it can.
+            fit = [engine for engine in fit if not engine.limiter.fails.most(now)] or fit
         # Crossing zones costs: engines of our own zone will do while they have under 0.7 threads a core.
         near = [engine for engine in fit if engine.zone == self.settings.get("Zone")
                 and engine.limiter.load(threads) < 0.7]
@@ -349,7 +349,7 @@
             limiter.cold.add(now, self._cold_weight(tariff))
         if limiter.doubted:
             limiter.trial = relay
-        if again and self.relayed_again:
+        if again:
             self.relayed_again.add(now)
         self._terms(submission)
         self.port.relay(relay, 0)
@@ -357,7 +357,7 @@
 
     def _budget_left(self, now: int) -> bool:
         # Danger: relays beyond the first are rationed over any window; the ring rounds to the safe side.
-        if self.accepted is None:
+        if "BudgetWindow" not in self.rules:
             return True
         share = self.rules.get("ResendRatio", 0) * self.accepted.least(now)
         return self.relayed_again.most(now) + 1 <= self.rules.get("FreeResends", 0) + share
@@ -423,7 +423,7 @@
             limiter.heard = now
             self._fault(relay.engine, False, True, now)
         elif ending in (Ending.UNREACHABLE, Ending.RESET):
-            self._fault(relay.engine, True, True, now)
+            self._fault(relay.engine, limiter.heard < relay.sent, True, now)
 
     def _fault(self, engine: Engine, mute: bool, counts: bool, now: int) -> None:
         limiter = engine.limiter
