--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -158,3 +158,24 @@
         desk.run(200)
         desk.back(loads[0], Ending.FULFILLED)
         self.check("hot_set", desk.lines)
+
+    def test_what_cannot_run_again_avoids_faults(self) -> None:
+        desk = Desk(settings({"Effect": "at_most_once"}))
+        lost = desk.submit("cut off", left=9000)
+        desk.gateway.probed(lost.relay.engine, Ending.FULFILLED, {}, desk.now)
+        desk.back(lost, Ending.RESET)
+        for number in range(4):
+            desk.submit(f"unrepeatable {number}", left=9000)
+        self.check("avoids_faults", desk.lines)
+
+    def test_signs_of_pressure(self) -> None:
+        desk, lines = Desk(settings(), engines=1), []
+        limiter = desk.engines[0].limiter
+        for report in ({"concurrent": 7.0}, {"concurrent": 7.0, "load_share": 0.5}, {"load_share": 0.95},
+                       {"concurrent": 7.0, "load_share": 0.95}, {"concurrent": 9.0, "load_share": 0.5},
+                       {"x0": 1.3}, {"x0": 1.1}, {"depth": 2.0}):
+            limiter.others = 0.0
+            desk.gateway.probed(desk.engines[0], Ending.FULFILLED, report, desk.now)
+            lines.append(f"{report}: pressed {limiter.pressed(desk.now)}")
+            desk.run(2000)
+        self.check("pressure", lines)
