Share-sized limits follow the share of threads that a gateway carries

The share is now measured from own and reported threads, between half and four times the equal one. It may hurt where one gateway's flood earns it a larger share, hence the bound.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -62,13 +62,10 @@
 class Limiter:
     """The thread limit on this gateway's running work on one engine, moved by the Gradient law."""
 
-    def __init__(self, cores: float, gateways: int) -> None:
+    def __init__(self, cores: float, share: float) -> None:
         self.cores = cores
-        # A thread a core, shared by the gateways; floor and cap as the design gives them, below twice the
-        # start.
-        self.start = cores / gateways
-        self.floor = self.start * 0.1
-        self.cap = self.start * 1.99
+        # A thread a core, shared by the gateways.
+        self.start = cores * share
         self.limit = self.start
         self.draw = 1.0  # the chance draw for work wider than the free limit, once a window
         self.out: dict[Relay, None] = {}
@@ -93,34 +90,27 @@
         # Over the last 20 samples or so: a thin window's mean says too little to choose by.
         self.pace += 0.05 * (ratio - self.pace)
 
-    def close_window(self) -> None:
+    def close_window(self, share: float) -> None:
         """The Gradient law, once a closed window; the first window with an average only holds."""
-        count, total, failed = self.count, self.total, self.failed
+        self.limit *= self.cores * share / self.start
+        self.start = self.cores * share
+        count, mean, failed = self.count, self.total / max(1, self.count), self.failed
         self.count, self.total, self.failed = 0, 0.0, False
-        # Ten samples of warmup: the source's default.
-        if self.seen < 10:
+        # Ten samples of warmup, and below smoothing, tolerance and ratio: the source's defaults.
+        if self.seen < 10 or not (count or failed):
             return
+        first, gradient = not self.average, 0.0
+        if count:
+            self.average = mean if first else 0.2 * mean + 0.8 * self.average
+            self.best = self.average if first else min(self.best * 1.01, self.average)
+            gradient = (mean - self.average) / self.average
         if failed:
-            self.limit = max(self.floor, self.limit * 0.5)
-        if not count:
-            return
-        mean = total / count
-        if not self.average:
-            self.average = self.best = mean
-            return
-        # Smoothing, tolerance and ratio: the source's defaults.
-        self.average = 0.2 * mean + 0.8 * self.average
-        self.best = min(self.best * 1.01, self.average)
-        if failed:
-            return
-        gradient = (mean - self.average) / self.average
-        if gradient < -0.1:
-            self.limit += 2
-        elif gradient <= 0.1:
-            self.limit += 1
-        else:
-            self.limit *= max(1 - gradient * 0.5, 0.5)
-        self.limit = min(max(self.limit, self.floor), self.cap)
+            self.limit *= 0.5
+        elif not first:
+            step = 2 if gradient < -0.1 else 1
+            self.limit = self.limit + step if gradient <= 0.1 else self.limit * max(1 - gradient * 0.5, 0.5)
+        # Floor and cap as the design gives them, the cap below twice the start.
+        self.limit = min(max(self.limit, 0.1 * self.start), 1.99 * self.start)
 
     def load(self, more: int) -> float:
         return (self.threads + self.others + more) / self.cores * self.pace
@@ -167,6 +157,7 @@
         self.payoff = self.work = 1.0
         self.pace = 1.0  # latency against the expected time, over all engines
         self.swept = 0
+        self.share = 1.0 / self.gateways  # what this gateway has of the engines' threads
         if settings.get("MembershipMode") == "ask":
             port.subscribe()
         port.wake(SWEEP, self._sweep)
@@ -571,7 +562,7 @@
             if engine.limiter is None or started != engine.started and started > 0:
                 # Danger: a restarted engine is cold; what was learnt of its former life says nothing now, but
                 # what was sent to it is still to come back.
-                limiter = Limiter(cores[machine] if machine < len(cores) else 1, self.gateways)
+                limiter = Limiter(cores[machine] if machine < len(cores) else 1, self.share)
                 if engine.limiter is not None:
                     limiter.out, limiter.threads = engine.limiter.out, engine.limiter.threads
                 if now < started + micros(self.rules.get("WarmUp", 0)):
@@ -607,13 +598,23 @@
         if report:
             self._heed(limiter, report, now)
 
+    def _measure_share(self) -> None:
+        # Danger: where gateways carry unequal traffic, equal shares starve the busy and idle the rest. Over
+        # some ten seconds, and between half and four times the equal share, lest one be crowded out.
+        told = [engine.limiter for engine in self.ready if engine.limiter.reported]
+        every = sum(limiter.threads + limiter.others for limiter in told)
+        if every >= len(told) > 0:
+            seen = sum(limiter.threads for limiter in told) / every * self.gateways
+            self.share += 0.1 * (min(max(seen, 0.5), 4.0) / self.gateways - self.share)
+
     # The sweep: closes windows, ends what was held too long, looks after what is out.
 
     def _sweep(self, now: int) -> None:
         self.swept += 1
         if self.swept % (WINDOW // SWEEP) == 0:
+            self._measure_share()
             for engine in self.engines:
-                engine.limiter.close_window()
+                engine.limiter.close_window(self.share)
                 engine.limiter.draw = self.random()
         self._listen(now)
         for line in (self.held, self.further):
