Give up work that is heavy by itself while others are held

A denial may now also be given while a relay that may run again is out. It may hurt a tariff whose heavy ones matter most.

--- a/cresstray/interface.py
+++ b/cresstray/interface.py
@@ -90,6 +90,7 @@
     relay: Relay | None = None  # the one that is out
     ended: bool = False
     expected: int = 0
+    soft_stop: int = 0
     leave_by: int = 0
     rank: float = 0.0
     held: bool = False
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -182,9 +182,10 @@
     def accept(self, submission: Submission, now: int) -> None:
         tariff = submission.tariff
         submission.expected = tariff.usual.time_of(submission)
-        soft = tariff.soft_limit + tariff.soft_stretch * submission.expected
+        soft = int(tariff.soft_limit + tariff.soft_stretch * submission.expected)
+        submission.soft_stop = now + soft
         # Held until it can no longer be answered within its soft limit, a tenth of its time at the least.
-        patience = max((submission.hard_stop - now) // 10, int(soft - 1.5 * submission.expected))
+        patience = max((submission.hard_stop - now) // 10, soft - 3 * submission.expected // 2)
         submission.leave_by = min(now + patience, submission.hard_stop - MARGIN)
         submission.rank = -tariff.payoff / (submission.expected * tariff.threads)
         self.accepted.add(now)
@@ -461,8 +462,7 @@
 
     def _overdue(self, relay: Relay, now: int) -> bool:
         # Danger: an engine cut off, dead or stuck, or a link that loses answers, gives no samples. Four times
-        # the expected time at the fleet's pace, since work spreads widely, 0.2 s for the way, and no note of
-        # late.
+        # the expected time, as work spreads widely, at the fleet's pace, 0.2 s for the way, no note of late.
         age = now - relay.sent
         return (age > 4 * relay.submission.expected * max(1.0, self.pace) + 200_000
                 and now - relay.noted > 1.5 * micros(self.family.get("TellsEvery", 0)))
@@ -485,16 +485,10 @@
             self._end(submission)
 
     def _worth_again(self, submission: Submission, now: int) -> bool:
-        return (now < submission.hard_stop - MARGIN and self._may_repeat(submission)
-                and len(submission.relays) < self.limits.get("MaxAttempts", 1)
-                and self._within_soft(submission, now))
-
-    def _within_soft(self, submission: Submission, now: int) -> bool:
-        tariff = submission.tariff
-        if tariff.late_payoff > 0:
-            return now + submission.expected < submission.hard_stop
-        soft = tariff.soft_limit + tariff.soft_stretch * submission.expected
-        return now + submission.expected < submission.arrived + soft
+        stop = submission.hard_stop if submission.tariff.late_payoff > 0 else submission.soft_stop
+        return (now + submission.expected < stop and now < submission.hard_stop - MARGIN
+                and self._may_repeat(submission)
+                and len(submission.relays) < self.limits.get("MaxAttempts", 1))
 
     def _may_repeat(self, submission: Submission) -> bool:
         # Danger: an unrepeatable submission that may have run must not be sent or denied again.
@@ -511,7 +505,7 @@
             return
         submission.ended = True
         self._unhold(submission)
-        if submission.relay is not None or not self._may_deny(submission):
+        if not self._may_deny(submission):
             self.port.abandon(submission)
         else:
             most = micros(self.limits.get("MaxRetryAfter", 0)) if self.limits.get("RetryAfter") else 0
@@ -549,8 +543,13 @@
             # itself.
             relay.projected = (now - relay.sent) / max(value, 0.01)
             earlier = min((other.projected for other in submission.relays[:-1] if other.projected), default=0)
-            if relay.projected > max(4 * submission.expected * max(1.0, self.pace), 2 * earlier):
+            usual = 4 * submission.expected * max(1.0, self.pace)
+            if relay.projected > max(usual, 2 * earlier):
                 self._call_back(relay, now)
+            elif earlier and self.held and relay.projected > 3 * usual and self._may_deny(submission):
+                # Danger: one by itself as heavy as a dozen holds up a dozen; not while others are held.
+                self.port.withdraw(relay)
+                self._end(submission)
 
     # The list of engines.
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -192,3 +192,16 @@
                 share = desk.gateway.share
                 lines.append(f"{text}, after {seconds} s: share {share:.2f}, start {limiter.start:.2f}")
         self.check("share", lines)
+
+    def test_heavy_by_itself_given_up_while_others_are_held(self) -> None:
+        desk = Desk(settings(FamilyInfo={"TellsEvery": 500.0}))
+        desk.gateway.tariffs[1].usual.seen, desk.gateway.tariffs[1].usual.mean = 20, 400_000
+        heavy = desk.submit("heavy", 1, left=20_000)
+        for _ in range(2):
+            desk.run(300)
+            desk.gateway.noted(heavy.relay, Topic.SHARE_DONE, 0.01, desk.now)
+            if not heavy.ended:
+                desk.back(heavy, Ending.WITHDRAWN)
+                fill(desk)
+        desk.back(heavy, Ending.WITHDRAWN)
+        self.check("heavy", [line for line in desk.lines if "filler" not in line])
