--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -468,7 +468,7 @@
                 and now - relay.noted > 1.5 * micros(self.family.get("TellsEvery", 0)))
 
     def _call_back(self, relay: Relay, now: int) -> None:
-        if (self.limits.get("Cancel") and not relay.called_off and not relay.submission.ended
+        if (self.limits.get("Cancel") and not (relay.called_off or relay.ending or relay.submission.ended)
                 and self._worth_again(relay.submission, now) and self._budget_left(now)
                 and not self._many_doubted()):
             relay.called_off = True
@@ -527,8 +527,6 @@
 
     def noted(self, relay: Relay, topic: Topic, value: float, now: int) -> None:
         submission = relay.submission
-        if relay.ending is not None:
-            return
         relay.engine.limiter.heard = relay.noted = now
         if topic is Topic.WAITS and value == 2:
             # Minded for two notes' time; what waits may run elsewhere, and has lost nothing yet.
@@ -537,19 +535,22 @@
                     engine.limiter.permits(submission.tariff.threads, now)
                     and not self._stalls(submission, engine, now) for engine in self.ready):
                 self._call_back(relay, now)
-        if topic is Topic.SHARE_DONE and submission.tariff.usual.seen >= 10:
-            # Danger: a bad plan, drawn for each relay anew, takes many times as long and holds threads and
-            # memory. Four times the expected time; work that was as heavy on an earlier relay is heavy by
-            # itself.
-            relay.projected = (now - relay.sent) / max(value, 0.01)
+        if topic is Topic.SHARE_DONE and relay.ending is None and submission.tariff.usual.seen >= 10:
+            # Danger: a bad plan, drawn for each relay anew, holds threads and memory many times as long. Four
+            # times the expected time; work that was as heavy on an earlier relay is heavy by itself.
+            out = now - relay.sent
+            relay.projected = out / max(value, 0.01)
             earlier = min((other.projected for other in submission.relays[:-1] if other.projected), default=0)
             usual = 4 * submission.expected * max(1.0, self.pace)
+            # Danger: one as heavy as a dozen holds up a dozen, and one that will be late wastes its work. The
+            # share told is rough: after a window, seven tenths of what it projects must fit.
+            late = out > WINDOW and relay.sent + 0.7 * relay.projected > submission.hard_stop
             if relay.projected > max(usual, 2 * earlier):
                 self._call_back(relay, now)
-            elif earlier and self.held and relay.projected > 3 * usual and self._may_deny(submission):
-                # Danger: one by itself as heavy as a dozen holds up a dozen; not while others are held.
-                self.port.withdraw(relay)
-                self._end(submission)
+            elif late or earlier and self.held and relay.projected > 3 * usual:
+                if self._may_deny(submission) and not relay.called_off and self.limits.get("Cancel"):
+                    self.port.withdraw(relay)
+                    self._end(submission)
 
     # The list of engines.
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -205,3 +205,15 @@
                 fill(desk)
         desk.back(heavy, Ending.WITHDRAWN)
         self.check("heavy", [line for line in desk.lines if "filler" not in line])
+
+    def test_given_up_when_its_notes_show_it_too_late(self) -> None:
+        desk = Desk(settings(FamilyInfo={"TellsEvery": 500.0}))
+        desk.gateway.tariffs[1].usual.seen, desk.gateway.tariffs[1].usual.mean = 20, 3_000_000
+        for name, share in (("too late", 0.15), ("in time", 0.5)):
+            slow = desk.submit(name, 1, left=6000)
+            for passed in (500, 1000):
+                desk.run(passed)
+                if not slow.ended:
+                    desk.gateway.noted(slow.relay, Topic.SHARE_DONE, share, desk.now)
+            desk.back(slow, Ending.WITHDRAWN if slow.ended else Ending.FULFILLED)
+        self.check("too_late", desk.lines)
