Prefer the own zone up to a difference in load, not up to a fixed load

Two are drawn from the own zone and two from all; the own zone's less loaded is taken unless it holds 0.6 threads a core more. It should also keep work off lossy links; it may hurt where one zone has few engines and much traffic.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -252,14 +252,14 @@
         if not submission.tariff.idempotent:
             # What cannot simply be run again goes where nothing has failed for five seconds, if it can.
             fit = [engine for engine in fit if not engine.limiter.fails.most(now)] or fit
-        # Crossing zones costs: engines of our own zone will do while they have under 0.7 threads a core.
-        near = [engine for engine in fit if engine.zone == self.settings.get("Zone")
-                and engine.limiter.load(threads) < 0.7]
-        fit = near or fit
-        if not fit:
-            return None
-        one, other = self.sample(fit, 2) if len(fit) > 1 else fit * 2
-        return one if one.limiter.load(threads) <= other.limiter.load(threads) else other
+        near = [engine for engine in fit if engine.zone == self.settings.get("Zone")]
+        best, own = self._less_loaded(fit, threads), self._less_loaded(near, threads)
+        # Crossing zones costs: engines of our own zone will do up to 0.6 threads a core more.
+        return own if own and own.limiter.load(threads) <= best.limiter.load(threads) + 0.6 else best
+
+    def _less_loaded(self, fit: list[Engine], threads: int) -> Engine | None:
+        two = self.sample(fit, 2) if len(fit) > 1 else fit
+        return min(two, key=lambda engine: engine.limiter.load(threads), default=None)
 
     def _may_take(self, submission: Submission, engine: Engine, now: int) -> bool:
         tariff = submission.tariff
