--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -153,9 +153,8 @@
         self.queues: dict[int, deque[Submission]] = {}
         self.key_free: dict[int, int] = {}
         budget = micros(self.rules.get("BudgetWindow", 0))
-        self.accepted, self.relayed_again = Ring(budget, 20), Ring(budget, 20)
-        self.payoff = self.work = 1.0
-        self.pace = 1.0  # latency against the expected time, over all engines
+        self.accepted, self.relayed_again = Ring(budget, 20), Ring(budget, 20)  # rounding costs a twentieth
+        self.payoff = self.work = self.pace = 1.0  # means over answers; pace: latency against expected time
         self.swept = 0
         self.share = 1.0 / self.gateways  # what this gateway has of the engines' threads
         if settings.get("MembershipMode") == "ask":
@@ -385,7 +384,7 @@
         self._learn(relay, ending, latency, now)
         if ending in RUNNING_ON and submission.tariff.ordered and submission.key:
             # Danger: the relay may run on, and the key's next would run beside it.
-            self.key_free[submission.key] = now + micros(self.rules.get("TurnGap", 0)) + 1000
+            self.key_free[submission.key] = now + micros(self.rules.get("TurnGap", 0)) + 1000  # rounded up
         if no_more or submission.ended:
             self._unhold(submission)
             submission.ended = True
@@ -400,9 +399,9 @@
             # Danger: one heavy draw in a thin window would cut a healthy limit; a sample counts four at most.
             ratio = min(4.0, latency / submission.expected)
             limiter.sample(ratio)
-            self.pace += 0.01 * (ratio - self.pace)
+            self.pace += 0.01 * (ratio - self.pace)  # some hundred samples: the fleet's pace, not a moment's
             submission.tariff.usual.learn(submission, latency)
-            self.payoff += 0.005 * (submission.tariff.payoff - self.payoff)
+            self.payoff += 0.005 * (submission.tariff.payoff - self.payoff)  # over some two hundred answers
             self.work += 0.005 * (submission.expected * submission.tariff.threads - self.work)
             limiter.answers.add(now)
             limiter.heard, limiter.trial_at, limiter.streak = now, now, limiter.streak + 1
@@ -425,8 +424,10 @@
         fails = limiter.fails.most(now)
         # Three failures that make up a fifth of its answers: far above stray errors, soon enough to matter.
         if limiter.doubted or mute or fails >= 3 and fails >= 0.2 * limiter.answers.most(now):
+            if not limiter.doubted:
+                self.port.remark(f"{now / 1e6:.1f} s: an engine in doubt, {'silent' if mute else 'failing'}")
+                limiter.mute = mute
             limiter.step = limiter.step + 1 if limiter.doubted else 0
-            limiter.mute = mute if not limiter.doubted else limiter.mute
             limiter.doubted, limiter.streak = True, 0
             # Half a second to the next trial, doubled with each failed one up to four.
             limiter.trial_at = now + (500_000 << min(limiter.step, 3))
