Grant memory at 1.3 times the estimate where grants are heeded

A query that gets a tenth over a close estimate still spills now and then, and spilled work is several times as much. It may hurt where estimates are high by tariff.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -358,7 +358,7 @@
         if self.family.get("MemoryHeeded"):
             # A tenth over the estimate: enough for a close one, and less taken from others than the usual
             # quarter.
-            megabytes = submission.megabytes * 1.1
+            megabytes = submission.megabytes * 1.3
         if self.family.get("RanksHeeded"):
             # Four ranks by payoff for work against the mean of all: twice and half the mean part them.
             density = -submission.rank * self.work / self.payoff
