Others' load goes over into the fleet's; probes by traffic; equal shares again

Where gateways are many, each hears of an engine seldom. What was known of others' threads faded to none, so pressure went unseen and engines were flooded; it now fades into the mean of all reports.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -59,14 +59,24 @@
             self.factor = self.mean / max(1.0, self.estimate)
 
 
+class Crowd:
+    """What other gateways run on the usual engine, in threads a core, by the reports of all engines."""
+
+    def __init__(self) -> None:
+        self.threads, self.at = 0.0, 0
+
+    def heed(self, threads: float, now: int) -> None:
+        # Over some two seconds, or four reports where they are rarer: a fleet's load moves no faster.
+        self.threads += min(0.25, (now - self.at) / WINDOW / 2) * (threads - self.threads)
+        self.at = now
+
+
 class Limiter:
     """The thread limit on this gateway's running work on one engine, moved by the Gradient law."""
 
-    def __init__(self, cores: float, share: float) -> None:
-        self.cores = cores
-        # A thread a core, shared by the gateways.
-        self.start = cores * share
-        self.limit = self.start
+    def __init__(self, cores: float, gateways: int, crowd: Crowd) -> None:
+        self.cores, self.crowd = cores, crowd
+        self.start = self.limit = cores / gateways  # a thread a core, shared by the gateways
         self.draw = 1.0  # the chance draw for work wider than the free limit, once a window
         self.out: dict[Relay, None] = {}
         self.threads = 0
@@ -75,7 +85,7 @@
         self.full_until = 0
         self.report: Mapping[str, float] = {}
         self.others, self.reported = 0.0, 0  # threads of others by reports, and when the last one came
-        self.heard, self.unanswered = 0, 0  # when it last answered anything; probes lost since
+        self.heard, self.lost = 0, 0  # when it last answered anything; relays and probes lost since
         self.fails, self.answers = Ring(5 * WINDOW, 10), Ring(5 * WINDOW, 10)
         self.doubted, self.mute = False, False  # mute: in doubt for silence, not for errors
         self.trial: Relay | None = None
@@ -83,6 +93,9 @@
         self.cold: Ring | None = None
         self.blocked: dict[int, int] = {}  # data sets that a load was seen to hold, and until when to mind it
 
+    def hear(self, now: int) -> None:
+        self.heard, self.lost = now, 0
+
     def sample(self, ratio: float) -> None:
         self.seen += 1
         self.count += 1
@@ -90,10 +103,8 @@
         # Over the last 20 samples or so: a thin window's mean says too little to choose by.
         self.pace += 0.05 * (ratio - self.pace)
 
-    def close_window(self, share: float) -> None:
+    def close_window(self) -> None:
         """The Gradient law, once a closed window; the first window with an average only holds."""
-        self.limit *= self.cores * share / self.start
-        self.start = self.cores * share
         count, mean, failed = self.count, self.total / max(1, self.count), self.failed
         self.count, self.total, self.failed = 0, 0.0, False
         # Ten samples of warmup, and below smoothing, tolerance and ratio: the source's defaults.
@@ -112,20 +123,25 @@
         # Floor and cap as the design gives them, the cap below twice the start.
         self.limit = min(max(self.limit, 0.1 * self.start), 1.99 * self.start)
 
-    def load(self, more: int) -> float:
-        return (self.threads + self.others + more) / self.cores * self.pace
+    def load(self, more: int, now: int) -> float:
+        return (self.threads + more + self.others_by(now)) / self.cores * self.pace
+
+    def others_by(self, now: int) -> float:
+        # Danger: no relays, no reports; an engine once seen busy would be shunned for good, or one once seen
+        # idle flooded by all. What is known of it goes over into what is known of the usual engine, by half
+        # in each two seconds without a report.
+        usual = self.crowd.threads * self.cores
+        return usual + (self.others - usual) * 0.5 ** ((now - self.reported) / WINDOW / 2)
 
     def pressed(self, now: int) -> bool:
         """Whether the limit binds: lately full, or busy by its reports, or without them slow for once."""
         if now < self.full_until:
             return True
-        if self.reported:
-            # Danger: no relays, no reports; an engine once seen busy would be shunned for good. What is known
-            # of others halves each second. Two threads a core, as some wait for disks; three for two if they
-            # are busy or nothing tells; memory overgranted beyond a report's noise, or a line for it.
-            others = self.others * 0.5 ** ((now - self.reported) // (WINDOW // 2) / 2)
+        if self.crowd.at:
+            # Two threads a core, as some wait for disks; three for two if they are busy or nothing tells;
+            # memory overgranted beyond a report's noise, or a line for it.
             most = 1.5 if self.report.get("load_share", 1.0) > 0.9 else 2.0
-            return (self.threads + others >= most * self.cores or self.report.get("depth", 0.0) >= 1
+            return (self.threads + self.others_by(now) >= most * self.cores or self.report.get("depth", 0.0) >= 1
                     or self.report.get("x0", 0.0) > 1.15)
         return self.average > 1.5 * self.best > 0
 
@@ -154,9 +170,10 @@
         self.key_free: dict[int, int] = {}
         budget = micros(self.rules.get("BudgetWindow", 0))
         self.accepted, self.relayed_again = Ring(budget, 20), Ring(budget, 20)  # rounding costs a twentieth
-        self.payoff = self.work = self.pace = 1.0  # means over answers; pace: latency against expected time
-        self.swept = 0
-        self.share = 1.0 / self.gateways  # what this gateway has of the engines' threads
+        # Means over answers; pace: latency against expected time.
+        self.payoff = self.work = self.time = self.pace = 1.0
+        self.swept, self.crowd = 0, Crowd()
+        self.probes, self.probed_last = 0.0, 0  # probes that may be spent, and the engine probed last
         if settings.get("MembershipMode") == "ask":
             port.subscribe()
         port.wake(SWEEP, self._sweep)
@@ -181,13 +198,14 @@
     def accept(self, submission: Submission, now: int) -> None:
         tariff = submission.tariff
         submission.expected = tariff.usual.time_of(submission)
-        soft = int(tariff.soft_limit + tariff.soft_stretch * submission.expected)
-        submission.soft_stop = now + soft
+        submission.soft_stop = now + int(tariff.soft_limit + tariff.soft_stretch * submission.expected)
         # Held until it can no longer be answered within its soft limit, a tenth of its time at the least.
-        patience = max((submission.hard_stop - now) // 10, soft - 3 * submission.expected // 2)
-        submission.leave_by = min(now + patience, submission.hard_stop - MARGIN)
+        submission.leave_by = min(submission.hard_stop - MARGIN, max(
+            now + (submission.hard_stop - now) // 10, submission.soft_stop - 3 * submission.expected // 2))
         submission.rank = -tariff.payoff / (submission.expected * tariff.threads)
         self.accepted.add(now)
+        # Danger: with many gateways, probes at a fixed rate cost more than they tell. One for two submissions.
+        self.probes += 0.5
         if tariff.ordered and submission.key:
             self.queues.setdefault(submission.key, deque()).append(submission)
         self._offer(submission, now)
@@ -200,8 +218,7 @@
             and (bool(submission.relays) or now >= self.key_free.get(submission.key, 0)))
 
     def _give_up_turn(self, submission: Submission) -> None:
-        # Danger: an ended submission whose relay is still out keeps its turn, or two of a key would run at
-        # once.
+        # Danger: an ended submission whose relay is still out keeps its turn, or two of a key would run.
         queue = self.queues.get(submission.key) if submission.tariff.ordered else None
         if queue and submission.ended and not submission.relay and submission in queue:
             queue.remove(submission)
@@ -211,8 +228,7 @@
     # Hold: first relays by payoff for their expected work, further relays in their own line behind them.
 
     def _offer(self, submission: Submission, now: int) -> None:
-        first_relays_wait = bool(submission.relays and self.held)
-        if not first_relays_wait and self._is_turn(submission, now) and self._send(submission, now):
+        if not (submission.relays and self.held) and self._is_turn(submission, now) and self._send(submission, now):
             return
         if now >= submission.leave_by:
             self._end(submission)
@@ -240,25 +256,35 @@
     # Choose: of two random engines that may take it, the less loaded.
 
     def _choose(self, submission: Submission, now: int) -> Engine | None:
-        threads = submission.tariff.threads
-        fit = [engine for engine in self.ready
-               if engine.limiter.permits(threads, now) and self._may_take(submission, engine, now)]
-        tried = {relay.engine for relay in submission.relays}
-        fit = [engine for engine in fit if engine not in tried] or fit
         if self._load_must_wait(submission, now):
             return None
-        fit = [engine for engine in fit if not self._stalls(submission, engine, now)] or fit
-        if not submission.tariff.idempotent:
+        threads, zone = submission.tariff.threads, self.settings.get("Zone")
+        tried = {relay.engine for relay in submission.relays}
+        drawn, near, spare = [], [], None
+        # Danger: ranking a large fleet for each send is too slow; they are drawn until two and two are found.
+        pool = self.ready[:]
+        for left in range(len(pool), 0, -1):
+            at = int(self.random() * left)
+            engine, pool[at] = pool[at], pool[left - 1]
+            if (len(drawn) == 2 and engine.zone != zone or not engine.limiter.permits(threads, now)
+                    or not self._may_take(submission, engine, now)):
+                continue
             # What cannot simply be run again goes where nothing has failed for five seconds, if it can.
-            fit = [engine for engine in fit if not engine.limiter.fails.most(now)] or fit
-        near = [engine for engine in fit if engine.zone == self.settings.get("Zone")]
-        best, own = self._less_loaded(fit, threads), self._less_loaded(near, threads)
+            if (engine in tried or self._stalls(submission, engine, now)
+                    or not submission.tariff.idempotent and engine.limiter.fails.most(now)):
+                spare = spare or engine
+                continue
+            if len(drawn) < 2:
+                drawn.append((engine.limiter.load(threads, now), left, engine))
+            if engine.zone == zone:
+                near.append((engine.limiter.load(threads, now), left, engine))
+                if len(near) == 2 == len(drawn):
+                    break
+        if not drawn:
+            return spare
         # Crossing zones costs: engines of our own zone will do up to 0.6 threads a core more.
-        return own if own and own.limiter.load(threads) <= best.limiter.load(threads) + 0.6 else best
-
-    def _less_loaded(self, fit: list[Engine], threads: int) -> Engine | None:
-        two = self.sample(fit, 2) if len(fit) > 1 else fit
-        return min(two, key=lambda engine: engine.limiter.load(threads), default=None)
+        best, own = min(drawn), min(near, default=min(drawn))
+        return own[-1] if own[0] <= best[0] + 0.6 else best[-1]
 
     def _may_take(self, submission: Submission, engine: Engine, now: int) -> bool:
         tariff = submission.tariff
@@ -356,8 +382,7 @@
     def _terms(self, submission: Submission) -> None:
         megabytes, priority = 0.0, 1
         if self.family.get("MemoryHeeded"):
-            # A tenth over the estimate: enough for a close one, and less taken from others than the usual
-            # quarter.
+            # Three tenths over the estimate: enough for a close one, little taken from others.
             megabytes = submission.megabytes * 1.3
         if self.family.get("RanksHeeded"):
             # Four ranks by payoff for work against the mean of all: twice and half the mean part them.
@@ -402,28 +427,37 @@
             self.pace += 0.01 * (ratio - self.pace)  # some hundred samples: the fleet's pace, not a moment's
             submission.tariff.usual.learn(submission, latency)
             self.payoff += 0.005 * (submission.tariff.payoff - self.payoff)  # over some two hundred answers
+            self.time += 0.005 * (submission.expected - self.time)
             self.work += 0.005 * (submission.expected * submission.tariff.threads - self.work)
             limiter.answers.add(now)
-            limiter.heard, limiter.trial_at, limiter.streak = now, now, limiter.streak + 1
+            limiter.hear(now)
+            limiter.trial_at, limiter.streak = now, limiter.streak + 1
             # Three trials in a row: one can succeed by luck on an engine that fails half of its work.
             if limiter.doubted and (limiter.streak >= 3 or limiter.mute):
                 limiter.doubted, limiter.fails = False, Ring(5 * WINDOW, 10)
         elif ending is Ending.FULL:
             limiter.failed, limiter.full_until = True, now + WINDOW
         elif ending is Ending.ERROR:
-            limiter.heard = now
-            self._fault(relay.engine, False, True, now)
+            limiter.hear(now)
+            self._fault(relay.engine, 0, True, now)
         elif ending in (Ending.UNREACHABLE, Ending.RESET):
-            self._fault(relay.engine, limiter.heard < relay.sent, True, now)
+            lost = 2 if ending is Ending.UNREACHABLE else 1
+            self._fault(relay.engine, lost * (limiter.heard < relay.sent), True, now)
 
-    def _fault(self, engine: Engine, mute: bool, counts: bool, now: int) -> None:
+    def _fault(self, engine: Engine, lost: int, counts: bool, now: int) -> None:
         limiter = engine.limiter
         limiter.failed = limiter.failed or counts
+        # Danger: one lost relay may be a heavy draw or a cut link, and where gateways are many it is all that
+        # one of them has on an engine. Silence takes two lost in a row, or a failed connection.
+        limiter.lost += lost
+        mute = lost > 0 and limiter.lost >= 2
         limiter.answers.add(now)
         limiter.fails.add(now)
         fails = limiter.fails.most(now)
-        # Three failures that make up a fifth of its answers: far above stray errors, soon enough to matter.
-        if limiter.doubted or mute or fails >= 3 and fails >= 0.2 * limiter.answers.most(now):
+        # Three faults that make up a fifth of its answers: far above stray errors, soon enough to matter; one
+        # failure where answers are so few that three would take too long.
+        answers = limiter.answers.most(now)
+        if limiter.doubted or mute or fails >= 0.2 * answers and (fails >= 3 or counts and answers <= 5):
             if not limiter.doubted:
                 self.port.remark(f"{now / 1e6:.1f} s: an engine in doubt, {'silent' if mute else 'failing'}")
                 limiter.mute = mute
@@ -436,16 +470,12 @@
         if "concurrent" in report:
             # What others run there is what the engine holds beyond our own, at a tariff mix like ours. The
             # older what was known, the more the new counts.
-            others = max(0.0, report["concurrent"] - len(limiter.out) - 1) * self._mean_threads()
+            others = max(0.0, report["concurrent"] - len(limiter.out) - 1) * self.work / self.time
             weight = min(1.0, max(0.3, (now - limiter.reported) / WINDOW / 2))
             limiter.others += weight * (others - limiter.others)
+            self.crowd.heed(others / limiter.cores, now)
         limiter.report, limiter.reported = report, now
 
-    def _mean_threads(self) -> float:
-        mean = [tariff.usual for tariff in self.tariffs]
-        weight = sum(usual.seen * usual.mean for usual in mean)
-        return sum(usual.seen * usual.mean * usual.threads for usual in mean) / weight if weight else 1.0
-
     # Doubt: an engine that fails, is silent or cannot be reached loses new work until trials go well.
 
     def _listen(self, now: int) -> None:
@@ -488,14 +518,11 @@
     def _worth_again(self, submission: Submission, now: int) -> bool:
         stop = submission.hard_stop if submission.tariff.late_payoff > 0 else submission.soft_stop
         return (now + submission.expected < stop and now < submission.hard_stop - MARGIN
-                and self._may_repeat(submission)
+                and (submission.tariff.deduplicated or self._may_deny(submission))
                 and len(submission.relays) < self.limits.get("MaxAttempts", 1))
 
-    def _may_repeat(self, submission: Submission) -> bool:
-        # Danger: an unrepeatable submission that may have run must not be sent or denied again.
-        return submission.tariff.deduplicated or self._may_deny(submission)
-
     def _may_deny(self, submission: Submission) -> bool:
+        # Danger: an unrepeatable submission that may have run must not be sent or denied again.
         tariff = submission.tariff
         return (tariff.idempotent or tariff.deduplicated and tariff.group == "all"
                 or all(relay.ending in UNRUN for relay in submission.relays))
@@ -528,7 +555,8 @@
 
     def noted(self, relay: Relay, topic: Topic, value: float, now: int) -> None:
         submission = relay.submission
-        relay.engine.limiter.heard = relay.noted = now
+        relay.engine.limiter.hear(now)
+        relay.noted = now
         if topic is Topic.WAITS and value == 2:
             # Minded for two notes' time; what waits may run elsewhere, and has lost nothing yet.
             relay.engine.limiter.blocked[submission.data_set] = now + 2 * micros(self.family["TellsEvery"])
@@ -561,16 +589,16 @@
         for engine, (machine, zone, cell, started, standing) in known:
             named.add(engine)
             if engine.limiter is None or started != engine.started and started > 0:
-                # Danger: a restarted engine is cold; what was learnt of its former life says nothing now, but
-                # what was sent to it is still to come back.
-                limiter = Limiter(cores[machine] if machine < len(cores) else 1, self.share)
+                # Danger: a restarted engine is cold; what was learnt before says nothing now, but what was
+                # sent to it is still to come back.
+                limiter = Limiter(cores[machine] if machine < len(cores) else 1, self.gateways, self.crowd)
                 if engine.limiter is not None:
                     limiter.out, limiter.threads = engine.limiter.out, engine.limiter.threads
                 if now < started + micros(self.rules.get("WarmUp", 0)):
                     limiter.cold = Ring(micros(self.rules.get("Fall", 1000)), 10)
                 engine.limiter = limiter
-            engine.machine, engine.zone, engine.cell, engine.started = machine, zone, cell, started
-            engine.standing = standing
+            engine.zone, engine.cell, engine.started, engine.standing = zone, cell, started, standing
+            engine.machine = machine
             self.engines[engine] = None
         for engine in list(self.engines):
             if complete and engine not in named:
@@ -588,34 +616,21 @@
     def probed(self, engine: Engine, ending: Ending, report: Mapping[str, float], now: int) -> None:
         limiter = engine.limiter
         if ending is Ending.FULFILLED:
-            limiter.unanswered, limiter.heard = 0, now
+            limiter.hear(now)
             if limiter.mute:
                 limiter.trial_at = now
         elif ending is not Ending.FULL:
-            # Two in a row: one probe may be lost in a busy moment.
-            limiter.unanswered += 1
-            if limiter.unanswered >= 2:
-                self._fault(engine, True, False, now)
+            self._fault(engine, 1, False, now)
         if report:
             self._heed(limiter, report, now)
 
-    def _measure_share(self) -> None:
-        # Danger: where gateways carry unequal traffic, equal shares starve the busy and idle the rest. Over
-        # some ten seconds, and between half and four times the equal share, lest one be crowded out.
-        told = [engine.limiter for engine in self.ready if engine.limiter.reported]
-        every = sum(limiter.threads + limiter.others for limiter in told)
-        if every >= len(told) > 0:
-            seen = sum(limiter.threads for limiter in told) / every * self.gateways
-            self.share += 0.1 * (min(max(seen, 0.5), 4.0) / self.gateways - self.share)
-
     # The sweep: closes windows, ends what was held too long, looks after what is out.
 
     def _sweep(self, now: int) -> None:
         self.swept += 1
         if self.swept % (WINDOW // SWEEP) == 0:
-            self._measure_share()
             for engine in self.engines:
-                engine.limiter.close_window(self.share)
+                engine.limiter.close_window()
                 engine.limiter.draw = self.random()
         self._listen(now)
         for line in (self.held, self.further):
@@ -623,9 +638,11 @@
                 self._end(submission)
         self.key_free = {key: free for key, free in self.key_free.items() if now < free}
         if self.settings.get("Report", {}).get("Source") == "on_probe" and self.limits.get("Probes"):
-            # Each ready engine twice a second: reports are about that fresh, and a probe costs next to
-            # nothing.
-            for engine in self.ready[self.swept % 5::5]:
-                self.port.probe(engine)
+            # One after the other, each twice a second at the most: reports are about that fresh.
+            most = min(self.probes, len(self.ready) / 5)
+            self.probes = 0.0 if most < self.probes else self.probes % 1
+            for _ in range(int(most)):
+                self.probed_last = (self.probed_last + 1) % len(self.ready)
+                self.port.probe(self.ready[self.probed_last])
         self._release(now)
         self.port.wake(SWEEP, self._sweep)
