Signs in reports fade into the fleet's, and bind earlier the less is known

Memory, cores and threads of others all fade into what the fleet's reports say, and the limit binds up to a quarter earlier on an engine not heard of.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -59,23 +59,24 @@
             self.factor = self.mean / max(1.0, self.estimate)
 
 
-class Crowd:
-    """What other gateways run on the usual engine, in threads a core, by the reports of all engines."""
+class Signs:
+    """What reports tell: others' threads a core, at how many threads a core it binds, memory against its bound."""
 
     def __init__(self) -> None:
-        self.threads, self.at = 0.0, 0
+        self.others, self.most, self.strain, self.at = 0.0, 2.0, 0.0, 0
 
-    def heed(self, threads: float, now: int) -> None:
-        # Over some two seconds, or four reports where they are rarer: a fleet's load moves no faster.
-        self.threads += min(0.25, (now - self.at) / WINDOW / 2) * (threads - self.threads)
+    def heed(self, weight: float, others: float, most: float, strain: float, now: int) -> None:
+        self.others += weight * (others - self.others)
+        self.most += weight * (most - self.most)
+        self.strain += weight * (strain - self.strain)
         self.at = now
 
 
 class Limiter:
     """The thread limit on this gateway's running work on one engine, moved by the Gradient law."""
 
-    def __init__(self, cores: float, gateways: int, crowd: Crowd) -> None:
-        self.cores, self.crowd = cores, crowd
+    def __init__(self, cores: float, gateways: int, fleet: Signs) -> None:
+        self.cores, self.fleet, self.signs = cores, fleet, Signs()  # signs of all engines, and of this one
         self.start = self.limit = cores / gateways  # a thread a core, shared by the gateways
         self.draw = 1.0  # the chance draw for work wider than the free limit, once a window
         self.out: dict[Relay, None] = {}
@@ -83,8 +84,6 @@
         self.total, self.count, self.failed = 0.0, 0, False  # the open window
         self.seen, self.average, self.best, self.pace = 0, 0.0, 0.0, 1.0
         self.full_until = 0
-        self.report: Mapping[str, float] = {}
-        self.others, self.reported = 0.0, 0  # threads of others by reports, and when the last one came
         self.heard, self.lost = 0, 0  # when it last answered anything; relays and probes lost since
         self.fails, self.answers = Ring(5 * WINDOW, 10), Ring(5 * WINDOW, 10)
         self.doubted, self.mute = False, False  # mute: in doubt for silence, not for errors
@@ -124,25 +123,27 @@
         self.limit = min(max(self.limit, 0.1 * self.start), 1.99 * self.start)
 
     def load(self, more: int, now: int) -> float:
-        return (self.threads + more + self.others_by(now)) / self.cores * self.pace
+        return ((self.threads + more) / self.cores + self.by_now(now)[0]) * self.pace
 
-    def others_by(self, now: int) -> float:
+    def by_now(self, now: int) -> tuple[float, float, float]:
         # Danger: no relays, no reports; an engine once seen busy would be shunned for good, or one once seen
-        # idle flooded by all. What is known of it goes over into what is known of the usual engine, by half
-        # in each two seconds without a report.
-        usual = self.crowd.threads * self.cores
-        return usual + (self.others - usual) * 0.5 ** ((now - self.reported) / WINDOW / 2)
+        # idle flooded by all. What is known of it goes over into what is known of the fleet, by half in each
+        # two seconds without a report.
+        fleet, own = self.fleet, self.signs
+        kept = 0.5 ** ((now - own.at) / WINDOW / 2)
+        # Half of those not known are busier than the mean: by a quarter, the less is known, the earlier it binds.
+        bound = 0.75 + 0.25 * kept
+        return (fleet.others + (own.others - fleet.others) * kept,
+                (fleet.most + (own.most - fleet.most) * kept) * bound,
+                (fleet.strain + (own.strain - fleet.strain) * kept) / bound)
 
     def pressed(self, now: int) -> bool:
         """Whether the limit binds: lately full, or busy by its reports, or without them slow for once."""
         if now < self.full_until:
             return True
-        if self.crowd.at:
-            # Two threads a core, as some wait for disks; three for two if they are busy or nothing tells;
-            # memory overgranted beyond a report's noise, or a line for it.
-            most = 1.5 if self.report.get("load_share", 1.0) > 0.9 else 2.0
-            return (self.threads + self.others_by(now) >= most * self.cores or self.report.get("depth", 0.0) >= 1
-                    or self.report.get("x0", 0.0) > 1.15)
+        if self.fleet.at:
+            others, most, strain = self.by_now(now)
+            return self.threads / self.cores + others >= most or strain >= 1
         return self.average > 1.5 * self.best > 0
 
     def permits(self, threads: int, now: int) -> bool:
@@ -172,7 +173,7 @@
         self.accepted, self.relayed_again = Ring(budget, 20), Ring(budget, 20)  # rounding costs a twentieth
         # Means over answers; pace: latency against expected time.
         self.payoff = self.work = self.time = self.pace = 1.0
-        self.swept, self.crowd = 0, Crowd()
+        self.swept, self.fleet = 0, Signs()
         self.probes, self.probed_last = 0.0, 0  # probes that may be spent, and the engine probed last
         if settings.get("MembershipMode") == "ask":
             port.subscribe()
@@ -467,14 +468,17 @@
             limiter.trial_at = now + (500_000 << min(limiter.step, 3))
 
     def _heed(self, limiter: Limiter, report: Mapping[str, float], now: int) -> None:
-        if "concurrent" in report:
-            # What others run there is what the engine holds beyond our own, at a tariff mix like ours. The
-            # older what was known, the more the new counts.
-            others = max(0.0, report["concurrent"] - len(limiter.out) - 1) * self.work / self.time
-            weight = min(1.0, max(0.3, (now - limiter.reported) / WINDOW / 2))
-            limiter.others += weight * (others - limiter.others)
-            self.crowd.heed(others / limiter.cores, now)
-        limiter.report, limiter.reported = report, now
+        # What others run there is what the engine holds beyond our own, at a tariff mix like ours.
+        held = max(0.0, report.get("concurrent", 0.0) - len(limiter.out) - 1)
+        # Two threads a core, as some wait for disks; three for two if they are busy or nothing tells. Memory
+        # overgranted beyond a report's noise strains it, or a line for it.
+        most = 1.5 if report.get("load_share", 1.0) > 0.9 else 2.0
+        strain = max(report.get("x0", 0.0) / 1.15, float(report.get("depth", 0.0) >= 1))
+        told = (held * self.work / self.time / limiter.cores, most, strain, now)
+        # The older what was known, the more the new counts; of the fleet over some two seconds, or four
+        # reports where they are rarer, as its load moves no faster.
+        limiter.signs.heed(min(1.0, max(0.3, (now - limiter.signs.at) / WINDOW / 2)), *told)
+        self.fleet.heed(min(0.25, (now - self.fleet.at) / WINDOW / 2), *told)
 
     # Doubt: an engine that fails, is silent or cannot be reached loses new work until trials go well.
 
@@ -591,7 +595,7 @@
             if engine.limiter is None or started != engine.started and started > 0:
                 # Danger: a restarted engine is cold; what was learnt before says nothing now, but what was
                 # sent to it is still to come back.
-                limiter = Limiter(cores[machine] if machine < len(cores) else 1, self.gateways, self.crowd)
+                limiter = Limiter(cores[machine] if machine < len(cores) else 1, self.gateways, self.fleet)
                 if engine.limiter is not None:
                     limiter.out, limiter.threads = engine.limiter.out, engine.limiter.threads
                 if now < started + micros(self.rules.get("WarmUp", 0)):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,14 +6,14 @@
 
 from cresstray import wire, wirehost
 from cresstray.interface import Ending, Topic
-from cresstray.logic import Crowd, Limiter
+from cresstray.logic import Limiter, Signs
 from tests.desk import Desk, TraceCase, settings
 from tests.test_rules import fill
 
 
 class Decisions(TraceCase):
     def test_gradient_window(self) -> None:
-        limiter, lines = Limiter(8, 2, Crowd()), []
+        limiter, lines = Limiter(8, 2, Signs()), []
         plan = [("warmup, nine samples", [1.0] * 9, False), ("first average only holds", [1.0] * 4, False),
                 ("steady adds one", [1.0] * 4, False), ("far below adds two", [0.5] * 4, False),
                 ("capped below twice the start", [0.5] * 4, False),
@@ -96,14 +96,17 @@
         desk.back(slow, Ending.FULFILLED)
         self.check("bad_plan", desk.lines)
 
-    def test_old_reports_fade(self) -> None:
-        desk, lines = Desk(settings(), engines=1), []
-        limiter = desk.engines[0].limiter
-        desk.back(desk.submit("reports a busy engine"), Ending.FULFILLED, {"concurrent": 30.0})
-        limiter.limit = 0.4
-        for seconds in range(4):
-            lines.append(f"{seconds} s after its report: pressed {limiter.pressed(desk.now)}")
-            desk.run(1000)
+    def test_old_reports_go_over_into_the_fleet(self) -> None:
+        desk, lines = Desk(settings(), engines=4), []
+        busy, *others = desk.engines
+        desk.gateway.probed(busy, Ending.FULFILLED, {"concurrent": 13.0}, desk.now)
+        for crowd in (1.0, 13.0):
+            for seconds in range(4):
+                told = ", ".join(f"{value:.2f}" for value in busy.limiter.by_now(desk.now))
+                lines.append(f"{seconds} s on, others with {crowd}: {told}, pressed {busy.limiter.pressed(desk.now)}")
+                for engine in others:
+                    desk.gateway.probed(engine, Ending.FULFILLED, {"concurrent": crowd}, desk.now)
+                desk.run(1000)
         self.check("old_reports", lines)
 
     def test_malformed_frames(self) -> None:
@@ -174,7 +177,7 @@
         for report in ({"concurrent": 7.0}, {"concurrent": 7.0, "load_share": 0.5}, {"load_share": 0.95},
                        {"concurrent": 7.0, "load_share": 0.95}, {"concurrent": 9.0, "load_share": 0.5},
                        {"x0": 1.3}, {"x0": 1.1}, {"depth": 2.0}):
-            limiter.others = 0.0
+            limiter.signs.at = desk.gateway.fleet.at = 0
             desk.gateway.probed(desk.engines[0], Ending.FULFILLED, report, desk.now)
             lines.append(f"{report}: pressed {limiter.pressed(desk.now)}")
             desk.run(2000)
