The chance of wide work is for the time it takes

The limit bounds threads at work, but one draw a window let a tenth of a second of work run a second's worth less often than the limit means, and long work more often. The chance now counts how long work lasts.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -146,10 +146,13 @@
             return self.threads / self.cores + others >= most or strain >= 1
         return self.average > 1.5 * self.best > 0
 
-    def permits(self, threads: int, now: int) -> bool:
+    def permits(self, submission: Submission, now: int) -> bool:
+        threads = submission.tariff.threads
         if self.threads + threads <= self.limit or not self.pressed(now):
             return True
-        return self.threads == 0 and self.draw * threads < self.limit
+        # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes.
+        lasts = submission.expected / WINDOW
+        return self.threads == 0 and self.draw * threads * lasts < self.limit
 
 
 class Gateway:
@@ -267,7 +270,7 @@
         for left in range(len(pool), 0, -1):
             at = int(self.random() * left)
             engine, pool[at] = pool[at], pool[left - 1]
-            if (len(drawn) == 2 and engine.zone != zone or not engine.limiter.permits(threads, now)
+            if (len(drawn) == 2 and engine.zone != zone or not engine.limiter.permits(submission, now)
                     or not self._may_take(submission, engine, now)):
                 continue
             # What cannot simply be run again goes where nothing has failed for five seconds, if it can.
@@ -565,7 +568,7 @@
             # Minded for two notes' time; what waits may run elsewhere, and has lost nothing yet.
             relay.engine.limiter.blocked[submission.data_set] = now + 2 * micros(self.family["TellsEvery"])
             if len(submission.relays) == 1 and any(
-                    engine.limiter.permits(submission.tariff.threads, now)
+                    engine.limiter.permits(submission, now)
                     and not self._stalls(submission, engine, now) for engine in self.ready):
                 self._call_back(relay, now)
         if topic is Topic.SHARE_DONE and relay.ending is None and submission.tariff.usual.seen >= 10:
