Cold engines get work in turns from each gateway instead of a share of a window

Where gateways are many, a gateway's part of what a cold engine bears in a window is less than one look-up, so restarted engines stood idle until warm. Each gateway now sends in turns as long as its work earns, from a random first turn, and nothing over a tenth of what all may send.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -87,9 +87,8 @@
         self.heard, self.lost = 0, 0  # when it last answered anything; relays and probes lost since
         self.fails, self.answers = Ring(5 * WINDOW, 10), Ring(5 * WINDOW, 10)
         self.doubted, self.mute = False, False  # mute: in doubt for silence, not for errors
-        self.trial: Relay | None = None
         self.trial_at, self.step, self.streak = 0, 0, 0
-        self.cold: Ring | None = None
+        self.cold = 0  # while it is cold: when this gateway may send to it again
         self.blocked: dict[int, int] = {}  # data sets that a load was seen to hold, and until when to mind it
 
     def hear(self, now: int) -> None:
@@ -159,8 +158,7 @@
     def __init__(self, port: Port, settings: Mapping[str, Any], seed: int, now: int) -> None:
         self.port = port
         self.settings = settings
-        chance = random.Random(seed)
-        self.random, self.sample = chance.random, chance.sample
+        self.random = random.Random(seed).random
         self.family = settings.get("FamilyInfo", {})
         self.rules = settings.get("Safety", {})
         self.limits = settings.get("Limits", {})
@@ -308,7 +306,7 @@
         limiter = engine.limiter
         if limiter.doubted and not self._many_doubted():
             # A doubted engine gets one relay at a time that may safely run again, now and then.
-            if now < limiter.trial_at or limiter.trial or not tariff.idempotent:
+            if now < limiter.trial_at or not tariff.idempotent:
                 return False
         return self._cold_room(engine, tariff, now)
 
@@ -332,18 +330,18 @@
     # Cold engines: this gateway's share of what all may send one that has just started.
 
     def _cold_room(self, engine: Engine, tariff: Tariff, now: int) -> bool:
-        ring = engine.limiter.cold
-        if ring is None:
-            return True
-        if now >= engine.started + micros(self.rules.get("WarmUp", 0)):
-            engine.limiter.cold = None
+        if not engine.limiter.cold or now >= engine.started + micros(self.rules.get("WarmUp", 0)):
+            engine.limiter.cold = 0
             return True
+        # In turn, and nothing that alone is over our part of a window and a tenth of all gateways' part.
+        most = self._cold_ration(engine) * micros(self.rules.get("Fall", 1000)) * max(1.0, self.gateways / 10)
+        return now >= engine.limiter.cold and self._cold_weight(tariff) <= most
+
+    def _cold_ration(self, engine: Engine) -> float:
         # Danger: together the gateways may push a cold engine over. Its capacity is taken as what it starts
         # with until it must be warm, at 0.85 busy and 0.9 of nominal speed, and 0.7 of the budget is used.
-        window = micros(self.rules.get("Fall", 1000))
-        room = (self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0) * engine.limiter.cores
-                * 0.85 * 0.9 * 0.7 * window / self.gateways)
-        return ring.most(now) + self._cold_weight(tariff) <= room
+        return (self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0.1)
+                * self._cores(engine.machine) * 0.85 * 0.9 * 0.7 / self.gateways)
 
     def _cold_weight(self, tariff: Tariff) -> float:
         # Unlearnt, a tariff weighs as heavily as its soft limit lets it: silence is no proof of light work.
@@ -366,10 +364,10 @@
         limiter.threads += tariff.threads
         if limiter.threads > limiter.limit:
             limiter.draw = self.random()
-        if limiter.cold is not None:
-            limiter.cold.add(now, self._cold_weight(tariff))
+        if limiter.cold:
+            limiter.cold = now + int(self._cold_weight(tariff) / self._cold_ration(engine))
         if limiter.doubted:
-            limiter.trial = relay
+            limiter.trial_at = now + 4 * WINDOW  # one at a time, unless it is answered sooner
         if again:
             self.relayed_again.add(now)
         self._terms(submission)
@@ -406,8 +404,6 @@
         submission.relay = None
         del limiter.out[relay]
         limiter.threads -= submission.tariff.threads
-        if limiter.trial is relay:
-            limiter.trial = None
         if report:
             self._heed(limiter, report, now)
         self._learn(relay, ending, latency, now)
@@ -590,22 +586,27 @@
 
     # The list of engines.
 
-    def listed(self, known: Iterable[tuple[Engine, tuple]], complete: bool, now: int) -> None:
+    def _cores(self, machine: int) -> float:
         cores = self.family.get("CpuOfKind", [])
+        return cores[machine] if machine < len(cores) else 1
+
+    def listed(self, known: Iterable[tuple[Engine, tuple]], complete: bool, now: int) -> None:
         named = set()
         for engine, (machine, zone, cell, started, standing) in known:
             named.add(engine)
+            engine.machine = machine
             if engine.limiter is None or started != engine.started and started > 0:
                 # Danger: a restarted engine is cold; what was learnt before says nothing now, but what was
                 # sent to it is still to come back.
-                limiter = Limiter(cores[machine] if machine < len(cores) else 1, self.gateways, self.fleet)
+                limiter = Limiter(self._cores(machine), self.gateways, self.fleet)
                 if engine.limiter is not None:
                     limiter.out, limiter.threads = engine.limiter.out, engine.limiter.threads
-                if now < started + micros(self.rules.get("WarmUp", 0)):
-                    limiter.cold = Ring(micros(self.rules.get("Fall", 1000)), 10)
                 engine.limiter = limiter
+                if now < started + micros(self.rules.get("WarmUp", 0)):
+                    # Danger: all gateways hear of it at once; each begins at some time of its first turn.
+                    turn = min(map(self._cold_weight, self.tariffs), default=0) / self._cold_ration(engine)
+                    limiter.cold = now + 1 + int(turn * self.random())
             engine.zone, engine.cell, engine.started, engine.standing = zone, cell, started, standing
-            engine.machine = machine
             self.engines[engine] = None
         for engine in list(self.engines):
             if complete and engine not in named:
