--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -133,7 +133,7 @@
         # Half of those not known are busier than the mean: by a quarter, the less is known, the earlier it binds.
         bound = 0.75 + 0.25 * kept
         return (fleet.others + (own.others - fleet.others) * kept,
-                fleet.most + (own.most - fleet.most) * kept,
+                1.5 + (own.most - 1.5) * kept,  # as where nothing tells
                 (fleet.strain + (own.strain - fleet.strain) * kept) / bound)
 
     def pressed(self, now: int) -> bool:
