--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -28,7 +28,6 @@
 SWEEP = 100_000
 # Danger: what is held may be looked at a sweep late, so it leaves this long before its hard stop or is lost.
 MARGIN = SWEEP + 50_000
-RANK = attrgetter("rank")
 
 
 def micros(milliseconds: float) -> int:
@@ -45,29 +44,25 @@
         self.estimate, self.factor = 0.0, 1.0  # mean time by estimate, and latency against that
 
     def time_of(self, submission: Submission) -> int:
-        if not submission.estimate:
-            return max(1000, int(self.mean))
-        return max(1000, int(submission.estimate / self.threads * self.factor))
+        return max(1000, int(submission.estimate / self.threads * self.factor or self.mean))
 
     def learn(self, submission: Submission, latency: int) -> None:
         # A mean over the last 200 or so: long enough for widely spread work, short enough to follow a day.
         self.seen += 1
         weight = 1.0 / min(self.seen, 200)
         self.mean += weight * (latency - self.mean)
-        if submission.estimate:
-            self.estimate += weight * (submission.estimate / self.threads - self.estimate)
-            self.factor = self.mean / max(1.0, self.estimate)
+        self.estimate += weight * (submission.estimate / self.threads - self.estimate)
+        self.factor = self.mean / max(1.0, self.estimate)
 
 
 class Signs:
-    """What reports tell: others' threads a core, at how many threads a core it binds, memory against its bound."""
+    """What reports tell and when: the threads of others a core, and memory against what binds."""
 
     def __init__(self) -> None:
-        self.others, self.most, self.strain, self.at = 0.0, 2.0, 0.0, 0
+        self.others, self.strain, self.at = 0.0, 0.0, 0
 
-    def heed(self, weight: float, others: float, most: float, strain: float, now: int) -> None:
+    def heed(self, weight: float, others: float, strain: float, now: int) -> None:
         self.others += weight * (others - self.others)
-        self.most += weight * (most - self.most)
         self.strain += weight * (strain - self.strain)
         self.at = now
 
@@ -83,11 +78,11 @@
         self.threads = 0
         self.total, self.count, self.failed = 0.0, 0, False  # the open window
         self.seen, self.average, self.best, self.pace = 0, 0.0, 0.0, 1.0
-        self.full_until = 0
+        self.full_until, self.idle = 0, False  # idle: its cores have room, as it last told
         self.heard, self.lost = 0, 0  # when it last answered anything; relays and probes lost since
         self.fails, self.answers = Ring(5 * WINDOW, 10), Ring(5 * WINDOW, 10)
         self.doubted, self.mute = False, False  # mute: in doubt for silence, not for errors
-        self.trial_at, self.step, self.streak = 0, 0, 0
+        self.trial_at, self.streak = 0, 0  # the next trial; answers in a row, below none failed trials
         self.cold = 0  # while it is cold: when this gateway may send to it again
         self.blocked: dict[int, int] = {}  # data sets that a load was seen to hold, and until when to mind it
 
@@ -125,24 +120,23 @@
         return ((self.threads + more) / self.cores + self.by_now(now)[0]) * self.pace
 
     def by_now(self, now: int) -> tuple[float, float, float]:
-        # Danger: no relays, no reports; an engine once seen busy would be shunned for good, or one once seen
-        # idle flooded by all. What is known of it goes over into what is known of the fleet, by half in each
-        # two seconds without a report.
+        # Danger: no relays, no reports; an engine seen busy would be shunned for good, one seen idle flooded.
+        # What is known of it goes over into what is known of the fleet, by half in two seconds.
         fleet, own = self.fleet, self.signs
         kept = 0.5 ** ((now - own.at) / WINDOW / 2)
-        # Half of those not known are busier than the mean: by a quarter, the less is known, the earlier it binds.
-        bound = 0.75 + 0.25 * kept
         return (fleet.others + (own.others - fleet.others) * kept,
-                1.5 + (own.most - 1.5) * kept,  # as where nothing tells
-                (fleet.strain + (own.strain - fleet.strain) * kept) / bound)
+                fleet.strain + (own.strain - fleet.strain) * kept, kept)
 
     def pressed(self, now: int) -> bool:
         """Whether the limit binds: lately full, or busy by its reports, or without them slow for once."""
         if now < self.full_until:
             return True
         if self.fleet.at:
-            others, most, strain = self.by_now(now)
-            return self.threads / self.cores + others >= most or strain >= 1
+            # Three threads for two cores if they are busy or nothing tells of late, up to two a core if not,
+            # as some wait for disks. Half of those not known are busier than the mean: a quarter sooner.
+            others, strain, kept = self.by_now(now)
+            return (self.threads / self.cores + others >= 1.5 + 0.5 * kept * self.idle
+                    or strain >= 0.75 + 0.25 * kept)
         return self.average > 1.5 * self.best > 0
 
     def permits(self, submission: Submission, now: int) -> bool:
@@ -206,8 +200,8 @@
             now + (submission.hard_stop - now) // 10, submission.soft_stop - 3 * submission.expected // 2))
         submission.rank = -tariff.payoff / (submission.expected * tariff.threads)
         self.accepted.add(now)
-        # Danger: with many gateways, probes at a fixed rate cost more than they tell. One for two submissions.
-        self.probes += 0.5
+        # Danger: many gateways' probes at a fixed rate cost more than they tell. One for two submissions.
+        self.probes = min(self.probes + 0.5, 1 + len(self.ready) / 5)
         if tariff.ordered and submission.key:
             self.queues.setdefault(submission.key, deque()).append(submission)
         self._offer(submission, now)
@@ -230,57 +224,61 @@
     # Hold: first relays by payoff for their expected work, further relays in their own line behind them.
 
     def _offer(self, submission: Submission, now: int) -> None:
-        if not (submission.relays and self.held) and self._is_turn(submission, now) and self._send(submission, now):
-            return
+        if not (submission.relays and self.held) and self._is_turn(submission, now):
+            if self._send(submission, now):
+                return
         if now >= submission.leave_by:
             self._end(submission)
             return
         submission.held = True
-        insort(self.further if submission.relays else self.held, submission, key=RANK)
+        insort(self.further if submission.relays else self.held, submission, key=attrgetter("rank"))
 
     def _release(self, now: int) -> None:
         for line in (self.held, self.further):
-            sent, stuck = [], set()
-            for submission in line:
+            stuck = set()
+            for submission in list(line):
                 # Danger: thousands held would be tried for each permit; one failure speaks for its tariff.
                 if submission.tariff in stuck or not self._is_turn(submission, now):
                     continue
                 if self._send(submission, now):
-                    submission.held = False
-                    sent.append(submission)
+                    self._unhold(submission)
                 else:
                     stuck.add(submission.tariff)
                     if len(stuck) == len(self.tariffs):
                         break
-            if sent:
-                line[:] = [submission for submission in line if submission.held]
 
     # Choose: of two random engines that may take it, the less loaded.
 
     def _choose(self, submission: Submission, now: int) -> Engine | None:
         if self._load_must_wait(submission, now):
             return None
-        threads, zone = submission.tariff.threads, self.settings.get("Zone")
-        tried = {relay.engine for relay in submission.relays}
+        threads, idempotent = submission.tariff.threads, submission.tariff.idempotent
+        zone = self.settings.get("Zone")
+        tried, doubt_counts = {relay.engine for relay in submission.relays}, not self._many_doubted()
         drawn, near, spare = [], [], None
         # Danger: ranking a large fleet for each send is too slow; they are drawn until two and two are found.
         pool = self.ready[:]
         for left in range(len(pool), 0, -1):
             at = int(self.random() * left)
             engine, pool[at] = pool[at], pool[left - 1]
-            if (len(drawn) == 2 and engine.zone != zone or not engine.limiter.permits(submission, now)
+            limiter = engine.limiter
+            if (len(drawn) == 2 and engine.zone != zone or not limiter.permits(submission, now)
                     or not self._may_take(submission, engine, now)):
                 continue
+            # A doubted engine gets one relay at a time that may safely run again, now and then.
+            if limiter.doubted and doubt_counts and not (idempotent and now >= limiter.trial_at):
+                continue
             # What cannot simply be run again goes where nothing has failed for five seconds, if it can.
             if (engine in tried or self._stalls(submission, engine, now)
-                    or not submission.tariff.idempotent and engine.limiter.fails.most(now)):
+                    or not idempotent and limiter.fails.most(now)):
                 spare = spare or engine
                 continue
+            found = (limiter.load(threads, now), left, engine)
             if len(drawn) < 2:
-                drawn.append((engine.limiter.load(threads, now), left, engine))
+                drawn.append(found)
             if engine.zone == zone:
-                near.append((engine.limiter.load(threads, now), left, engine))
-                if len(near) == 2 == len(drawn):
+                near.append(found)
+                if len(near) == 2:
                     break
         if not drawn:
             return spare
@@ -303,11 +301,6 @@
                     return False
                 if tariff.group not in ("all", "zone", "cell") or now >= relay.sent + tariff.memory - 50_000:
                     return False
-        limiter = engine.limiter
-        if limiter.doubted and not self._many_doubted():
-            # A doubted engine gets one relay at a time that may safely run again, now and then.
-            if now < limiter.trial_at or not tariff.idempotent:
-                return False
         return self._cold_room(engine, tariff, now)
 
     def _stalls(self, submission: Submission, engine: Engine, now: int) -> bool:
@@ -341,7 +334,7 @@
         # Danger: together the gateways may push a cold engine over. Its capacity is taken as what it starts
         # with until it must be warm, at 0.85 busy and 0.9 of nominal speed, and 0.7 of the budget is used.
         return (self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0.1)
-                * self._cores(engine.machine) * 0.85 * 0.9 * 0.7 / self.gateways)
+                * engine.limiter.cores * 0.85 * 0.9 * 0.7 / self.gateways)
 
     def _cold_weight(self, tariff: Tariff) -> float:
         # Unlearnt, a tariff weighs as heavily as its soft limit lets it: silence is no proof of light work.
@@ -376,10 +369,9 @@
 
     def _budget_left(self, now: int) -> bool:
         # Danger: relays beyond the first are rationed over any window; the ring rounds to the safe side.
-        if "BudgetWindow" not in self.rules:
-            return True
         share = self.rules.get("ResendRatio", 0) * self.accepted.least(now)
-        return self.relayed_again.most(now) + 1 <= self.rules.get("FreeResends", 0) + share
+        return ("BudgetWindow" not in self.rules
+                or self.relayed_again.most(now) + 1 <= self.rules.get("FreeResends", 0) + share)
 
     def _terms(self, submission: Submission) -> None:
         megabytes, priority = 0.0, 1
@@ -404,8 +396,7 @@
         submission.relay = None
         del limiter.out[relay]
         limiter.threads -= submission.tariff.threads
-        if report:
-            self._heed(limiter, report, now)
+        self._heed(limiter, report, now)
         self._learn(relay, ending, latency, now)
         if ending in RUNNING_ON and submission.tariff.ordered and submission.key:
             # Danger: the relay may run on, and the key's next would run beside it.
@@ -413,8 +404,12 @@
         if no_more or submission.ended:
             self._unhold(submission)
             submission.ended = True
+        elif self._worth_again(submission, now):
+            # A further relay waits as long as a first one would, a window at the least.
+            submission.leave_by = min(submission.hard_stop - MARGIN, max(submission.leave_by, now + WINDOW))
+            self._offer(submission, now)
         else:
-            self._again(submission, now)
+            self._end(submission)
         self._give_up_turn(submission)
         self._release(now)
 
@@ -431,7 +426,7 @@
             self.work += 0.005 * (submission.expected * submission.tariff.threads - self.work)
             limiter.answers.add(now)
             limiter.hear(now)
-            limiter.trial_at, limiter.streak = now, limiter.streak + 1
+            limiter.trial_at, limiter.streak = now, max(0, limiter.streak) + 1
             # Three trials in a row: one can succeed by luck on an engine that fails half of its work.
             if limiter.doubted and (limiter.streak >= 3 or limiter.mute):
                 limiter.doubted, limiter.fails = False, Ring(5 * WINDOW, 10)
@@ -453,27 +448,26 @@
         mute = lost > 0 and limiter.lost >= 2
         limiter.answers.add(now)
         limiter.fails.add(now)
-        fails = limiter.fails.most(now)
+        fails, answers = limiter.fails.most(now), limiter.answers.most(now)
         # Three faults that make up a fifth of its answers: far above stray errors, soon enough to matter; one
         # failure where answers are so few that three would take too long.
-        answers = limiter.answers.most(now)
         if limiter.doubted or mute or fails >= 0.2 * answers and (fails >= 3 or counts and answers <= 5):
             if not limiter.doubted:
                 self.port.remark(f"{now / 1e6:.1f} s: an engine in doubt, {'silent' if mute else 'failing'}")
                 limiter.mute = mute
-            limiter.step = limiter.step + 1 if limiter.doubted else 0
-            limiter.doubted, limiter.streak = True, 0
             # Half a second to the next trial, doubled with each failed one up to four.
-            limiter.trial_at = now + (500_000 << min(limiter.step, 3))
+            limiter.streak = min(0, limiter.streak) - 1 if limiter.doubted else 0
+            limiter.doubted, limiter.trial_at = True, now + (500_000 << min(-limiter.streak, 3))
 
     def _heed(self, limiter: Limiter, report: Mapping[str, float], now: int) -> None:
+        if not report:
+            return
         # What others run there is what the engine holds beyond our own, at a tariff mix like ours.
         held = max(0.0, report.get("concurrent", 0.0) - len(limiter.out) - 1)
-        # Two threads a core, as some wait for disks; three for two if they are busy or nothing tells. Memory
-        # overgranted beyond a report's noise strains it, or a line for it.
-        most = 1.5 if report.get("load_share", 1.0) > 0.9 else 2.0
+        limiter.idle = report.get("load_share", 1.0) <= 0.9
+        # Memory overgranted beyond a report's noise strains it, or a line for it.
         strain = max(report.get("x0", 0.0) / 1.15, float(report.get("depth", 0.0) >= 1))
-        told = (held * self.work / self.time / limiter.cores, most, strain, now)
+        told = (held * self.work / self.time / limiter.cores, strain, now)
         # The older what was known, the more the new counts; of the fleet over some two seconds, or four
         # reports where they are rarer, as its load moves no faster.
         limiter.signs.heed(min(1.0, max(0.3, (now - limiter.signs.at) / WINDOW / 2)), *told)
@@ -486,21 +480,17 @@
         for engine in self.engines:
             limiter = engine.limiter
             for relay in list(limiter.out):
-                overdue = self._overdue(relay, now)
+                # Danger: an engine cut off, dead or stuck, or a link that loses answers, gives no samples.
+                # Four times the expected time, as work spreads widely, at the fleet's pace, no note of late.
+                expected, age = relay.submission.expected, now - relay.sent
+                overdue = (age > 4 * expected * max(1.0, self.pace) + 200_000
+                           and now - relay.noted > 1.5 * micros(self.family.get("TellsEvery", 0)))
                 if overdue and not relay.overdue:
                     relay.overdue = True
                     self._fault(engine, limiter.heard < relay.sent, False, now)
-                old = now >= relay.sent + relay.submission.expected + WINDOW // 2
-                if limiter.doubted and (overdue or limiter.mute and old):
+                if limiter.doubted and (overdue or limiter.mute and age >= expected + WINDOW // 2):
                     self._call_back(relay, now)
 
-    def _overdue(self, relay: Relay, now: int) -> bool:
-        # Danger: an engine cut off, dead or stuck, or a link that loses answers, gives no samples. Four times
-        # the expected time, as work spreads widely, at the fleet's pace, 0.2 s for the way, no note of late.
-        age = now - relay.sent
-        return (age > 4 * relay.submission.expected * max(1.0, self.pace) + 200_000
-                and now - relay.noted > 1.5 * micros(self.family.get("TellsEvery", 0)))
-
     def _call_back(self, relay: Relay, now: int) -> None:
         if (self.limits.get("Cancel") and not (relay.called_off or relay.ending or relay.submission.ended)
                 and self._worth_again(relay.submission, now) and self._budget_left(now)
@@ -510,14 +500,6 @@
 
     # Relay again, or end.
 
-    def _again(self, submission: Submission, now: int) -> None:
-        if self._worth_again(submission, now):
-            # A further relay waits as long as a first one would, a window at the least.
-            submission.leave_by = min(submission.hard_stop - MARGIN, max(submission.leave_by, now + WINDOW))
-            self._offer(submission, now)
-        else:
-            self._end(submission)
-
     def _worth_again(self, submission: Submission, now: int) -> bool:
         stop = submission.hard_stop if submission.tariff.late_payoff > 0 else submission.soft_stop
         return (now + submission.expected < stop and now < submission.hard_stop - MARGIN
@@ -586,19 +568,14 @@
 
     # The list of engines.
 
-    def _cores(self, machine: int) -> float:
-        cores = self.family.get("CpuOfKind", [])
-        return cores[machine] if machine < len(cores) else 1
-
     def listed(self, known: Iterable[tuple[Engine, tuple]], complete: bool, now: int) -> None:
-        named = set()
+        cores, named = self.family.get("CpuOfKind", []), set()
         for engine, (machine, zone, cell, started, standing) in known:
             named.add(engine)
-            engine.machine = machine
             if engine.limiter is None or started != engine.started and started > 0:
                 # Danger: a restarted engine is cold; what was learnt before says nothing now, but what was
                 # sent to it is still to come back.
-                limiter = Limiter(self._cores(machine), self.gateways, self.fleet)
+                limiter = Limiter(cores[machine] if machine < len(cores) else 1, self.gateways, self.fleet)
                 if engine.limiter is not None:
                     limiter.out, limiter.threads = engine.limiter.out, engine.limiter.threads
                 engine.limiter = limiter
@@ -606,7 +583,8 @@
                     # Danger: all gateways hear of it at once; each begins at some time of its first turn.
                     turn = min(map(self._cold_weight, self.tariffs), default=0) / self._cold_ration(engine)
                     limiter.cold = now + 1 + int(turn * self.random())
-            engine.zone, engine.cell, engine.started, engine.standing = zone, cell, started, standing
+            engine.machine, engine.zone, engine.cell = machine, zone, cell
+            engine.started, engine.standing = started, standing
             self.engines[engine] = None
         for engine in list(self.engines):
             if complete and engine not in named:
@@ -629,8 +607,7 @@
                 limiter.trial_at = now
         elif ending is not Ending.FULL:
             self._fault(engine, 1, False, now)
-        if report:
-            self._heed(limiter, report, now)
+        self._heed(limiter, report, now)
 
     # The sweep: closes windows, ends what was held too long, looks after what is out.
 
@@ -647,9 +624,8 @@
         self.key_free = {key: free for key, free in self.key_free.items() if now < free}
         if self.settings.get("Report", {}).get("Source") == "on_probe" and self.limits.get("Probes"):
             # One after the other, each twice a second at the most: reports are about that fresh.
-            most = min(self.probes, len(self.ready) / 5)
-            self.probes = 0.0 if most < self.probes else self.probes % 1
-            for _ in range(int(most)):
+            while self.probes >= 1 and self.ready:
+                self.probes -= 1
                 self.probed_last = (self.probed_last + 1) % len(self.ready)
                 self.port.probe(self.ready[self.probed_last])
         self._release(now)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -103,7 +103,8 @@
         for crowd in (1.0, 13.0):
             for seconds in range(4):
                 told = ", ".join(f"{value:.2f}" for value in busy.limiter.by_now(desk.now))
-                lines.append(f"{seconds} s on, others with {crowd}: {told}, pressed {busy.limiter.pressed(desk.now)}")
+                pressed = busy.limiter.pressed(desk.now)
+                lines.append(f"{seconds} s on, others with {crowd}: {told}, pressed {pressed}")
                 for engine in others:
                     desk.gateway.probed(engine, Ending.FULFILLED, {"concurrent": crowd}, desk.now)
                 desk.run(1000)
