The engine told of as idlest is a third choice; trials bounded by traffic

Where gateways are many, a gateway knows little of most engines, and trials of failing ones were more than their fair share of its work.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -168,8 +168,8 @@
         self.accepted, self.relayed_again = Ring(budget, 20), Ring(budget, 20)  # rounding costs a twentieth
         # Means over answers; pace: latency against expected time.
         self.payoff = self.work = self.time = self.pace = 1.0
-        self.swept, self.fleet = 0, Signs()
-        self.probes, self.probed_last = 0.0, 0  # probes that may be spent, and the engine probed last
+        self.swept, self.fleet, self.idlest = 0, Signs(), None
+        self.probes, self.trials, self.probed_last = 0.0, 0.0, 0  # probes and trials that may be spent
         if settings.get("MembershipMode") == "ask":
             port.subscribe()
         port.wake(SWEEP, self._sweep)
@@ -202,6 +202,8 @@
         self.accepted.add(now)
         # Danger: many gateways' probes at a fixed rate cost more than they tell. One for two submissions.
         self.probes = min(self.probes + 0.5, 1 + len(self.ready) / 5)
+        # Danger: many gateways' trials alone are as much as a fair share of work. One for ten submissions.
+        self.trials = min(self.trials + 0.1, 2.0)
         if tariff.ordered and submission.key:
             self.queues.setdefault(submission.key, deque()).append(submission)
         self._offer(submission, now)
@@ -257,16 +259,19 @@
         tried, doubt_counts = {relay.engine for relay in submission.relays}, not self._many_doubted()
         drawn, near, spare = [], [], None
         # Danger: ranking a large fleet for each send is too slow; they are drawn until two and two are found.
-        pool = self.ready[:]
+        pool, picks = self.ready[:], 2
+        if self.idlest is not None and self.idlest.standing is Standing.READY:
+            pool, picks = pool + [self.idlest], 3
         for left in range(len(pool), 0, -1):
-            at = int(self.random() * left)
+            at = left - 1 if left > len(self.ready) else int(self.random() * left)
             engine, pool[at] = pool[at], pool[left - 1]
             limiter = engine.limiter
-            if (len(drawn) == 2 and engine.zone != zone or not limiter.permits(submission, now)
+            if (len(drawn) == picks and engine.zone != zone or not limiter.permits(submission, now)
                     or not self._may_take(submission, engine, now)):
                 continue
             # A doubted engine gets one relay at a time that may safely run again, now and then.
-            if limiter.doubted and doubt_counts and not (idempotent and now >= limiter.trial_at):
+            if limiter.doubted and doubt_counts and not (
+                    idempotent and now >= limiter.trial_at and self.trials >= 1):
                 continue
             # What cannot simply be run again goes where nothing has failed for five seconds, if it can.
             if (engine in tried or self._stalls(submission, engine, now)
@@ -274,11 +279,11 @@
                 spare = spare or engine
                 continue
             found = (limiter.load(threads, now), left, engine)
-            if len(drawn) < 2:
+            if len(drawn) < picks:
                 drawn.append(found)
             if engine.zone == zone:
                 near.append(found)
-                if len(near) == 2:
+                if len(near) == picks:
                     break
         if not drawn:
             return spare
@@ -360,6 +365,7 @@
         if limiter.cold:
             limiter.cold = now + int(self._cold_weight(tariff) / self._cold_ration(engine))
         if limiter.doubted:
+            self.trials = max(0.0, self.trials - 1)
             limiter.trial_at = now + 4 * WINDOW  # one at a time, unless it is answered sooner
         if again:
             self.relayed_again.add(now)
@@ -396,7 +402,7 @@
         submission.relay = None
         del limiter.out[relay]
         limiter.threads -= submission.tariff.threads
-        self._heed(limiter, report, now)
+        self._heed(relay.engine, report, now)
         self._learn(relay, ending, latency, now)
         if ending in RUNNING_ON and submission.tariff.ordered and submission.key:
             # Danger: the relay may run on, and the key's next would run beside it.
@@ -459,9 +465,10 @@
             limiter.streak = min(0, limiter.streak) - 1 if limiter.doubted else 0
             limiter.doubted, limiter.trial_at = True, now + (500_000 << min(-limiter.streak, 3))
 
-    def _heed(self, limiter: Limiter, report: Mapping[str, float], now: int) -> None:
+    def _heed(self, engine: Engine, report: Mapping[str, float], now: int) -> None:
         if not report:
             return
+        limiter = engine.limiter
         # What others run there is what the engine holds beyond our own, at a tariff mix like ours.
         held = max(0.0, report.get("concurrent", 0.0) - len(limiter.out) - 1)
         limiter.idle = report.get("load_share", 1.0) <= 0.9
@@ -472,6 +479,8 @@
         # reports where they are rarer, as its load moves no faster.
         limiter.signs.heed(min(1.0, max(0.3, (now - limiter.signs.at) / WINDOW / 2)), *told)
         self.fleet.heed(min(0.25, (now - self.fleet.at) / WINDOW / 2), *told)
+        if self.idlest is None or limiter.load(0, now) <= self.idlest.limiter.load(0, now):
+            self.idlest = engine
 
     # Doubt: an engine that fails, is silent or cannot be reached loses new work until trials go well.
 
@@ -607,7 +616,7 @@
                 limiter.trial_at = now
         elif ending is not Ending.FULL:
             self._fault(engine, 1, False, now)
-        self._heed(limiter, report, now)
+        self._heed(engine, report, now)
 
     # The sweep: closes windows, ends what was held too long, looks after what is out.
 
