--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -151,7 +151,7 @@
 class Gateway:
     def __init__(self, port: Port, settings: Mapping[str, Any], seed: int, now: int) -> None:
         self.port = port
-        self.settings = settings
+        self.settings, self.zone = settings, settings.get("Zone")
         self.random = random.Random(seed).random
         self.family = settings.get("FamilyInfo", {})
         self.rules = settings.get("Safety", {})
@@ -168,7 +168,8 @@
         self.accepted, self.relayed_again = Ring(budget, 20), Ring(budget, 20)  # rounding costs a twentieth
         # Means over answers; pace: latency against expected time.
         self.payoff = self.work = self.time = self.pace = 1.0
-        self.swept, self.fleet, self.idlest = 0, Signs(), None
+        self.swept, self.fleet = 0, Signs()
+        self.idlest: list[Engine] = []  # the one of late, or none
         self.probes, self.trials, self.probed_last = 0.0, 0.0, 0  # probes and trials that may be spent
         if settings.get("MembershipMode") == "ask":
             port.subscribe()
@@ -254,14 +255,11 @@
     def _choose(self, submission: Submission, now: int) -> Engine | None:
         if self._load_must_wait(submission, now):
             return None
-        threads, idempotent = submission.tariff.threads, submission.tariff.idempotent
-        zone = self.settings.get("Zone")
-        tried, doubt_counts = {relay.engine for relay in submission.relays}, not self._many_doubted()
+        threads, idempotent, zone = submission.tariff.threads, submission.tariff.idempotent, self.zone
+        doubt_counts, tried = not self._many_doubted(), {relay.engine for relay in submission.relays}
         drawn, near, spare = [], [], None
         # Danger: ranking a large fleet for each send is too slow; they are drawn until two and two are found.
-        pool, picks = self.ready[:], 2
-        if self.idlest is not None and self.idlest.standing is Standing.READY:
-            pool, picks = pool + [self.idlest], 3
+        pool, picks = self.ready + self.idlest, 2 + len(self.idlest)
         for left in range(len(pool), 0, -1):
             at = left - 1 if left > len(self.ready) else int(self.random() * left)
             engine, pool[at] = pool[at], pool[left - 1]
@@ -273,9 +271,7 @@
             if limiter.doubted and doubt_counts and not (
                     idempotent and now >= limiter.trial_at and self.trials >= 1):
                 continue
-            # What cannot simply be run again goes where nothing has failed for five seconds, if it can.
-            if (engine in tried or self._stalls(submission, engine, now)
-                    or not idempotent and limiter.fails.most(now)):
+            if engine in tried or self._stalls(submission, engine, now):
                 spare = spare or engine
                 continue
             found = (limiter.load(threads, now), left, engine)
@@ -293,18 +289,17 @@
 
     def _may_take(self, submission: Submission, engine: Engine, now: int) -> bool:
         tariff = submission.tariff
-        if tariff.zones is not None and engine.zone not in tariff.zones:
-            return False
-        if tariff.machines is not None and engine.machine not in tariff.machines:
+        # Danger: an engine that drains still reports, and may be the idlest.
+        if (engine.standing is not Standing.READY
+                or tariff.zones is not None and engine.zone not in tariff.zones
+                or tariff.machines is not None and engine.machine not in tariff.machines):
             return False
         for relay in submission.relays:
             if relay.ending not in UNRUN and tariff.deduplicated:
                 # Danger: a repeat outside the group, or past its memory, would take effect twice.
-                if tariff.group == "zone" and engine.zone != relay.engine.zone:
-                    return False
-                if tariff.group == "cell" and engine.cell != relay.engine.cell:
-                    return False
-                if tariff.group not in ("all", "zone", "cell") or now >= relay.sent + tariff.memory - 50_000:
+                group = {"all": True, "zone": engine.zone == relay.engine.zone,
+                         "cell": engine.cell == relay.engine.cell}
+                if not group.get(tariff.group) or now >= relay.sent + tariff.memory - 50_000:
                     return False
         return self._cold_room(engine, tariff, now)
 
@@ -317,9 +312,8 @@
     def _load_must_wait(self, submission: Submission, now: int) -> bool:
         # Danger: loads of a hot data set, spread over all engines, leave nowhere to read it. A third of the
         # engines may hold one, where other tariffs stand still for it.
-        if not submission.tariff.load or not any(other.waits and not other.load for other in self.tariffs):
-            return False
-        return 3 * sum(self._stalls(submission, engine, now) for engine in self.ready) >= len(self.ready)
+        return (submission.tariff.load and any(other.waits and not other.load for other in self.tariffs)
+                and 3 * sum(self._stalls(submission, one, now) for one in self.ready) >= len(self.ready))
 
     def _many_doubted(self) -> bool:
         # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
@@ -345,8 +339,6 @@
         # Unlearnt, a tariff weighs as heavily as its soft limit lets it: silence is no proof of light work.
         return tariff.threads * (tariff.usual.mean if tariff.usual.seen >= 5 else tariff.soft_limit)
 
-    # Send, and what keeps a further relay from being sent.
-
     def _send(self, submission: Submission, now: int) -> bool:
         again = bool(submission.relays)
         if again and not self._budget_left(now):
@@ -391,8 +383,6 @@
         if megabytes or priority != 1:
             self.port.grant(submission, megabytes, priority)
 
-    # What comes back.
-
     def came_back(self, relay: Relay, ending: Ending, latency: int, no_more: bool,
                   report: Mapping[str, float], now: int) -> None:
         if relay.ending is not None:
@@ -448,8 +438,8 @@
     def _fault(self, engine: Engine, lost: int, counts: bool, now: int) -> None:
         limiter = engine.limiter
         limiter.failed = limiter.failed or counts
-        # Danger: one lost relay may be a heavy draw or a cut link, and where gateways are many it is all that
-        # one of them has on an engine. Silence takes two lost in a row, or a failed connection.
+        # Danger: one lost relay may be a heavy draw or a cut link, and all that one of many gateways has on
+        # an engine. Silence takes two lost in a row, or a failed connection.
         limiter.lost += lost
         mute = lost > 0 and limiter.lost >= 2
         limiter.answers.add(now)
@@ -468,7 +458,7 @@
     def _heed(self, engine: Engine, report: Mapping[str, float], now: int) -> None:
         if not report:
             return
-        limiter = engine.limiter
+        limiter, rare = engine.limiter, now - engine.limiter.signs.at > 2 * WINDOW
         # What others run there is what the engine holds beyond our own, at a tariff mix like ours.
         held = max(0.0, report.get("concurrent", 0.0) - len(limiter.out) - 1)
         limiter.idle = report.get("load_share", 1.0) <= 0.9
@@ -479,8 +469,10 @@
         # reports where they are rarer, as its load moves no faster.
         limiter.signs.heed(min(1.0, max(0.3, (now - limiter.signs.at) / WINDOW / 2)), *told)
         self.fleet.heed(min(0.25, (now - self.fleet.at) / WINDOW / 2), *told)
-        if self.idlest is None or limiter.load(0, now) <= self.idlest.limiter.load(0, now):
-            self.idlest = engine
+        # Danger: known to all, the idlest would be flooded. Where most are seldom heard of, each gateway
+        # knows another, and it is a third choice.
+        if rare and all(limiter.load(0, now) <= other.limiter.load(0, now) for other in self.idlest):
+            self.idlest = [engine]
 
     # Doubt: an engine that fails, is silent or cannot be reached loses new work until trials go well.
 
@@ -507,8 +499,6 @@
             relay.called_off = True
             self.port.withdraw(relay)
 
-    # Relay again, or end.
-
     def _worth_again(self, submission: Submission, now: int) -> bool:
         stop = submission.hard_stop if submission.tariff.late_payoff > 0 else submission.soft_stop
         return (now + submission.expected < stop and now < submission.hard_stop - MARGIN
@@ -523,8 +513,6 @@
 
     def _end(self, submission: Submission) -> None:
         """The final answer: a denial where a repeat does no harm, else an abandonment; at once."""
-        if submission.ended:
-            return
         submission.ended = True
         self._unhold(submission)
         if not self._may_deny(submission):
@@ -548,9 +536,8 @@
         self._give_up_turn(submission)
 
     def noted(self, relay: Relay, topic: Topic, value: float, now: int) -> None:
-        submission = relay.submission
+        submission, relay.noted = relay.submission, now
         relay.engine.limiter.hear(now)
-        relay.noted = now
         if topic is Topic.WAITS and value == 2:
             # Minded for two notes' time; what waits may run elsewhere, and has lost nothing yet.
             relay.engine.limiter.blocked[submission.data_set] = now + 2 * micros(self.family["TellsEvery"])
@@ -558,22 +545,23 @@
                     engine.limiter.permits(submission, now)
                     and not self._stalls(submission, engine, now) for engine in self.ready):
                 self._call_back(relay, now)
-        if topic is Topic.SHARE_DONE and relay.ending is None and submission.tariff.usual.seen >= 10:
-            # Danger: a bad plan, drawn for each relay anew, holds threads and memory many times as long. Four
-            # times the expected time; work that was as heavy on an earlier relay is heavy by itself.
-            out = now - relay.sent
-            relay.projected = out / max(value, 0.01)
-            earlier = min((other.projected for other in submission.relays[:-1] if other.projected), default=0)
-            usual = 4 * submission.expected * max(1.0, self.pace)
-            # Danger: one as heavy as a dozen holds up a dozen, and one that will be late wastes its work. The
-            # share told is rough: after a window, seven tenths of what it projects must fit.
-            late = out > WINDOW and relay.sent + 0.7 * relay.projected > submission.hard_stop
-            if relay.projected > max(usual, 2 * earlier):
-                self._call_back(relay, now)
-            elif late or earlier and self.held and relay.projected > 3 * usual:
-                if self._may_deny(submission) and not relay.called_off and self.limits.get("Cancel"):
-                    self.port.withdraw(relay)
-                    self._end(submission)
+        if (topic is not Topic.SHARE_DONE or relay.ending or submission.ended
+                or submission.tariff.usual.seen < 10):
+            return
+        # Danger: a bad plan, drawn for each relay anew, holds threads and memory many times as long. Four
+        # times the expected time; work that was as heavy on an earlier relay is heavy by itself.
+        relay.projected = (now - relay.sent) / max(value, 0.01)
+        earlier = min((other.projected for other in submission.relays[:-1] if other.projected), default=0)
+        usual = 4 * submission.expected * max(1.0, self.pace)
+        # Danger: one as heavy as a dozen holds up a dozen, and one that will be late wastes its work. The
+        # share told is rough: after a window, seven tenths of what it projects must fit.
+        late = now > relay.sent + WINDOW and relay.sent + 0.7 * relay.projected > submission.hard_stop
+        if relay.projected > max(usual, 2 * earlier):
+            self._call_back(relay, now)
+        elif late or earlier and self.held and relay.projected > 3 * usual:
+            if self._may_deny(submission) and not relay.called_off and self.limits.get("Cancel"):
+                self.port.withdraw(relay)
+                self._end(submission)
 
     # The list of engines.
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -48,6 +48,8 @@
     def test_drains_kept(self) -> None:
         desk = Desk(settings())
         desk.list({desk.engines[0]: {"standing": Standing.DRAINING}})
+        desk.gateway.probed(desk.engines[1], Ending.FULFILLED, {"concurrent": 9.0}, desk.now)
+        desk.gateway.probed(desk.engines[0], Ending.FULFILLED, {"concurrent": 0.0}, desk.now)
         for number in range(3):
             desk.submit(f"during the drain {number}")
         desk.list({desk.engines[0]: {}}, complete=True)
