A failing engine is the last choice where none else may take work

Doubt of one engine in seven left the others over their limits, though part of what the failing one got ended well. Silent engines stay out. Should also help under lost answers; may waste relays on a dead one.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -267,11 +267,12 @@
             if (len(drawn) == picks and engine.zone != zone or not limiter.permits(submission, now)
                     or not self._may_take(submission, engine, now)):
                 continue
-            # A doubted engine gets one relay at a time that may safely run again, now and then.
-            if limiter.doubted and doubt_counts and not (
-                    idempotent and now >= limiter.trial_at and self.trials >= 1):
+            # A doubted engine gets one relay at a time that may safely run again, now and then; one that fails
+            # but answers is also better than none, as part of what it gets ends well.
+            awaited = limiter.doubted and doubt_counts and (now < limiter.trial_at or self.trials < 1)
+            if limiter.doubted and doubt_counts and (not idempotent or awaited and limiter.mute):
                 continue
-            if engine in tried or self._stalls(submission, engine, now):
+            if awaited or engine in tried or self._stalls(submission, engine, now):
                 spare = spare or engine
                 continue
             found = (limiter.load(threads, now), left, engine)
@@ -465,8 +466,7 @@
         # Memory overgranted beyond a report's noise strains it, or a line for it.
         strain = max(report.get("x0", 0.0) / 1.15, float(report.get("depth", 0.0) >= 1))
         told = (held * self.work / self.time / limiter.cores, strain, now)
-        # The older what was known, the more the new counts; of the fleet over some two seconds, or four
-        # reports where they are rarer, as its load moves no faster.
+        # The older what was known, the more the new counts; of the fleet over two seconds, or four reports.
         limiter.signs.heed(min(1.0, max(0.3, (now - limiter.signs.at) / WINDOW / 2)), *told)
         self.fleet.heed(min(0.25, (now - self.fleet.at) / WINDOW / 2), *told)
         # Danger: known to all, the idlest would be flooded. Where most are seldom heard of, each gateway
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,7 +6,7 @@
 
 from cresstray import wire, wirehost
 from cresstray.interface import Ending, Topic
-from cresstray.logic import Limiter, Signs
+from cresstray.logic import WINDOW, Limiter, Signs
 from tests.desk import Desk, TraceCase, settings
 from tests.test_rules import fill
 
@@ -110,6 +110,22 @@
                 desk.run(1000)
         self.check("old_reports", lines)
 
+    def test_third_choice_and_last_choice(self) -> None:
+        desk, lines = Desk(settings(), engines=12), []
+        for number, engine in enumerate(desk.engines):
+            report = {"concurrent": 1.0 if number == 5 else 5.0}
+            desk.gateway.probed(engine, Ending.FULFILLED, report, desk.now)
+        lines.append("seldom heard of: " + ", ".join(
+            str(desk.engines.index(desk.gateway._choose(desk.submit("one"), desk.now))) for _ in range(6)))
+        doubted = desk.engines[3].limiter
+        for engine in desk.engines:
+            engine.limiter.limit, engine.limiter.full_until = 0.0, desk.now + WINDOW
+        doubted.limit, doubted.doubted, doubted.trial_at = 9.0, True, desk.now + WINDOW
+        for doubted.mute in (False, True):
+            chosen = desk.gateway._choose(desk.submit("two"), desk.now)
+            lines.append(f"the rest full, one silent {doubted.mute}: {chosen and desk.engines.index(chosen)}")
+        self.check("choices", lines)
+
     def test_malformed_frames(self) -> None:
         def frame(count: int, body: bytes) -> bytes:
             return wire.HEADER.pack(wire.HEADER.size + len(body), 1000.0, count) + body
