--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -236,14 +236,15 @@
         submission.held = True
         insort(self.further if submission.relays else self.held, submission, key=attrgetter("rank"))
 
-    def _release(self, now: int) -> None:
+    def _release(self, now: int, freed: Engine | None = None) -> None:
+        # Danger: the whole fleet tried for each answer is too slow; one frees a permit on its engine only.
         for line in (self.held, self.further):
             stuck = set()
             for submission in list(line):
                 # Danger: thousands held would be tried for each permit; one failure speaks for its tariff.
                 if submission.tariff in stuck or not self._is_turn(submission, now):
                     continue
-                if self._send(submission, now):
+                if self._send(submission, now, freed):
                     self._unhold(submission)
                 else:
                     stuck.add(submission.tariff)
@@ -252,14 +253,12 @@
 
     # Choose: of two random engines that may take it, the less loaded.
 
-    def _choose(self, submission: Submission, now: int) -> Engine | None:
-        if self._load_must_wait(submission, now):
-            return None
+    def _choose(self, submission: Submission, now: int, freed: Engine | None = None) -> Engine | None:
         threads, idempotent, zone = submission.tariff.threads, submission.tariff.idempotent, self.zone
         doubt_counts, tried = not self._many_doubted(), {relay.engine for relay in submission.relays}
         drawn, near, spare = [], [], None
         # Danger: ranking a large fleet for each send is too slow; they are drawn until two and two are found.
-        pool, picks = self.ready + self.idlest, 2 + len(self.idlest)
+        pool, picks = [freed] if freed else self.ready + self.idlest, 2 + len(self.idlest)
         for left in range(len(pool), 0, -1):
             at = left - 1 if left > len(self.ready) else int(self.random() * left)
             engine, pool[at] = pool[at], pool[left - 1]
@@ -267,8 +266,8 @@
             if (len(drawn) == picks and engine.zone != zone or not limiter.permits(submission, now)
                     or not self._may_take(submission, engine, now)):
                 continue
-            # A doubted engine gets one relay at a time that may safely run again, now and then; one that fails
-            # but answers is also better than none, as part of what it gets ends well.
+            # A doubted engine gets one relay at a time that may safely run again, now and then; one that
+            # fails but answers is also better than none, as part of what it gets ends well.
             awaited = limiter.doubted and doubt_counts and (now < limiter.trial_at or self.trials < 1)
             if limiter.doubted and doubt_counts and (not idempotent or awaited and limiter.mute):
                 continue
@@ -282,6 +281,8 @@
                 near.append(found)
                 if len(near) == picks:
                     break
+        if not (drawn or spare) or self._load_must_wait(submission, now):
+            return None
         if not drawn:
             return spare
         # Crossing zones costs: engines of our own zone will do up to 0.6 threads a core more.
@@ -320,7 +321,7 @@
         # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
         return 2 * sum(engine.limiter.doubted for engine in self.ready) > len(self.ready)
 
-    # Cold engines: this gateway's share of what all may send one that has just started.
+
 
     def _cold_room(self, engine: Engine, tariff: Tariff, now: int) -> bool:
         if not engine.limiter.cold or now >= engine.started + micros(self.rules.get("WarmUp", 0)):
@@ -340,11 +341,11 @@
         # Unlearnt, a tariff weighs as heavily as its soft limit lets it: silence is no proof of light work.
         return tariff.threads * (tariff.usual.mean if tariff.usual.seen >= 5 else tariff.soft_limit)
 
-    def _send(self, submission: Submission, now: int) -> bool:
+    def _send(self, submission: Submission, now: int, freed: Engine | None = None) -> bool:
         again = bool(submission.relays)
         if again and not self._budget_left(now):
             return False
-        engine = self._choose(submission, now)
+        engine = self._choose(submission, now, freed)
         if engine is None:
             return False
         tariff, limiter = submission.tariff, engine.limiter
@@ -408,7 +409,7 @@
         else:
             self._end(submission)
         self._give_up_turn(submission)
-        self._release(now)
+        self._release(now, relay.engine)
 
     def _learn(self, relay: Relay, ending: Ending, latency: int, now: int) -> None:
         submission, limiter = relay.submission, relay.engine.limiter
