--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -168,7 +168,7 @@
         self.accepted, self.relayed_again = Ring(budget, 20), Ring(budget, 20)  # rounding costs a twentieth
         # Means over answers; pace: latency against expected time.
         self.payoff = self.work = self.time = self.pace = 1.0
-        self.swept, self.fleet = 0, Signs()
+        self.swept, self.fleet, self.doubt_counts = 0, Signs(), True
         self.idlest: list[Engine] = []  # the one of late, or none
         self.probes, self.trials, self.probed_last = 0.0, 0.0, 0  # probes and trials that may be spent
         if settings.get("MembershipMode") == "ask":
@@ -227,9 +227,11 @@
     # Hold: first relays by payoff for their expected work, further relays in their own line behind them.
 
     def _offer(self, submission: Submission, now: int) -> None:
-        if not (submission.relays and self.held) and self._is_turn(submission, now):
-            if self._send(submission, now):
-                return
+        # Danger: in overload each arrival would try the whole fleet; behind its own tariff it waits.
+        alike = submission.tariff if not (submission.tariff.load or submission.tariff.ordered) else None
+        behind = self.held if submission.relays else any(held.tariff is alike for held in self.held)
+        if not behind and self._is_turn(submission, now) and self._send(submission, now):
+            return
         if now >= submission.leave_by:
             self._end(submission)
             return
@@ -255,7 +257,7 @@
 
     def _choose(self, submission: Submission, now: int, freed: Engine | None = None) -> Engine | None:
         threads, idempotent, zone = submission.tariff.threads, submission.tariff.idempotent, self.zone
-        doubt_counts, tried = not self._many_doubted(), {relay.engine for relay in submission.relays}
+        tried = {relay.engine for relay in submission.relays}
         drawn, near, spare = [], [], None
         # Danger: ranking a large fleet for each send is too slow; they are drawn until two and two are found.
         pool, picks = [freed] if freed else self.ready + self.idlest, 2 + len(self.idlest)
@@ -268,8 +270,8 @@
                 continue
             # A doubted engine gets one relay at a time that may safely run again, now and then; one that
             # fails but answers is also better than none, as part of what it gets ends well.
-            awaited = limiter.doubted and doubt_counts and (now < limiter.trial_at or self.trials < 1)
-            if limiter.doubted and doubt_counts and (not idempotent or awaited and limiter.mute):
+            awaited = limiter.doubted and self.doubt_counts and (now < limiter.trial_at or self.trials < 1)
+            if limiter.doubted and self.doubt_counts and (not idempotent or awaited and limiter.mute):
                 continue
             if awaited or engine in tried or self._stalls(submission, engine, now):
                 spare = spare or engine
@@ -283,10 +285,9 @@
                     break
         if not (drawn or spare) or self._load_must_wait(submission, now):
             return None
-        if not drawn:
-            return spare
         # Crossing zones costs: engines of our own zone will do up to 0.6 threads a core more.
-        best, own = min(drawn), min(near, default=min(drawn))
+        best = min(drawn, default=(0.0, 0, spare))
+        own = min(near, default=best)
         return own[-1] if own[0] <= best[0] + 0.6 else best[-1]
 
     def _may_take(self, submission: Submission, engine: Engine, now: int) -> bool:
@@ -317,12 +318,6 @@
         return (submission.tariff.load and any(other.waits and not other.load for other in self.tariffs)
                 and 3 * sum(self._stalls(submission, one, now) for one in self.ready) >= len(self.ready))
 
-    def _many_doubted(self) -> bool:
-        # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
-        return 2 * sum(engine.limiter.doubted for engine in self.ready) > len(self.ready)
-
-
-
     def _cold_room(self, engine: Engine, tariff: Tariff, now: int) -> bool:
         if not engine.limiter.cold or now >= engine.started + micros(self.rules.get("WarmUp", 0)):
             engine.limiter.cold = 0
@@ -452,7 +447,7 @@
         if limiter.doubted or mute or fails >= 0.2 * answers and (fails >= 3 or counts and answers <= 5):
             if not limiter.doubted:
                 self.port.remark(f"{now / 1e6:.1f} s: an engine in doubt, {'silent' if mute else 'failing'}")
-                limiter.mute = mute
+            limiter.mute = mute or limiter.doubted and limiter.mute
             # Half a second to the next trial, doubled with each failed one up to four.
             limiter.streak = min(0, limiter.streak) - 1 if limiter.doubted else 0
             limiter.doubted, limiter.trial_at = True, now + (500_000 << min(-limiter.streak, 3))
@@ -496,7 +491,7 @@
     def _call_back(self, relay: Relay, now: int) -> None:
         if (self.limits.get("Cancel") and not (relay.called_off or relay.ending or relay.submission.ended)
                 and self._worth_again(relay.submission, now) and self._budget_left(now)
-                and not self._many_doubted()):
+                and self.doubt_counts):
             relay.called_off = True
             self.port.withdraw(relay)
 
@@ -615,6 +610,8 @@
             for engine in self.engines:
                 engine.limiter.close_window()
                 engine.limiter.draw = self.random()
+        # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
+        self.doubt_counts = 2 * sum(engine.limiter.doubted for engine in self.ready) <= len(self.ready)
         self._listen(now)
         for line in (self.held, self.further):
             for submission in [held for held in line if now >= held.leave_by]:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -34,6 +34,7 @@
         for ending in (Ending.UNREACHABLE, Ending.RESET, Ending.ERROR):
             desk.back(desk.submit(f"unrepeatable, {ending.value}", left=9000), ending)
         twice = desk.submit("unrepeatable unreached then timed out", left=9000)
+        desk.run(3000)
         desk.back(twice, Ending.FULL)
         desk.back(twice, Ending.TIMED_OUT)
         desk.list({engine: {"zone": number % 2} for number, engine in enumerate(desk.engines)})
