--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -126,6 +126,14 @@
             lines.append(f"the rest full, one silent {doubted.mute}: {chosen and desk.engines.index(chosen)}")
         self.check("choices", lines)
 
+    def test_failing_engine_gone_silent(self) -> None:
+        desk, lines = Desk(settings(), engines=3), []
+        for lost, text in ((0, "an error"), (2, "no connection"), (0, "an error again")):
+            desk.gateway._fault(desk.engines[0], lost, True, desk.now)
+            limiter = desk.engines[0].limiter
+            lines.append(f"after {text}: doubted {limiter.doubted}, silent {limiter.mute}")
+        self.check("gone_silent", lines)
+
     def test_malformed_frames(self) -> None:
         def frame(count: int, body: bytes) -> bytes:
             return wire.HEADER.pack(wire.HEADER.size + len(body), 1000.0, count) + body
