--- /dev/null
+++ b/cresstray/__main__.py
@@ -0,0 +1,42 @@
+"""Starts one gateway by the configuration that GW_CONFIG names."""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import Any
+
+import anyio
+import msgspec
+
+from cresstray.coordinator import known
+from cresstray.service import Service
+
+
+class Configuration(msgspec.Struct):
+    name: str
+    listen: str
+    seed: str
+    settings: dict[str, Any]
+    known: known.Known = msgspec.field(default_factory=known.Known)
+    coordinator: str | None = None
+
+
+def main() -> int:
+    path = os.environ.get("GW_CONFIG", "")
+    try:
+        with open(path, "rb") as file:
+            given = msgspec.json.decode(file.read(), type=Configuration)
+        host, _, port = given.listen.rpartition(":")
+        events = known.events(given.known, given.settings)
+        service = Service(given.name, (host, int(port)), int(given.seed, 16), given.settings, events,
+                          given.coordinator)
+    except (OSError, ValueError, msgspec.MsgspecError, known.MalformedError) as trouble:
+        print(f"cresstray: the configuration GW_CONFIG={path!r} can't be used: {trouble}", file=sys.stderr)
+        return 2
+    anyio.run(service.run)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cresstray/clients/codec.py
@@ -0,0 +1,116 @@
+"""JSON-RPC 2.0 as the clients speak it, one message a line. Knows no socket and decides nothing."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+import msgspec
+
+PARSE_ERROR, INVALID_REQUEST, UNKNOWN_METHOD, INVALID_PARAMS = -32700, -32600, -32601, -32602
+DENIED, ABANDONED = -32000, -32001
+
+
+class MalformedError(Exception):
+    """A message that can't be taken in; `number` is the id to answer under, if one could be read."""
+
+    def __init__(self, code: int, text: str, number: int | None = None) -> None:
+        super().__init__(text)
+        self.code, self.text, self.number = code, text, number
+
+
+class Query(msgspec.Struct, rename={
+        "name": "req", "patience": "timeout", "tenant": "owner", "mark": "opkey", "estimate": "ms",
+        "megabytes": "est_mb", "statement": "data"}):
+    """What a client asks for; times in milliseconds. `tariff` is the method, `mark` tells repeats apart."""
+
+    name: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{16}$")]
+    patience: Annotated[float, msgspec.Meta(gt=0, lt=1e9)]
+    statement: bytes = b""
+    tenant: str = ""
+    # Danger: a mark goes into a list of fields; a comma in it would make another field of the rest.
+    mark: Annotated[str, msgspec.Meta(pattern="^[0-9A-Za-z_.:-]{0,128}$")] = ""
+    estimate: Annotated[float, msgspec.Meta(ge=0, lt=1e9)] = 0.0
+    megabytes: Annotated[float, msgspec.Meta(ge=0, lt=1e9)] = 0.0
+    tariff: str = ""
+
+
+class Withdrawal(msgspec.Struct):
+    """The client no longer waits, for the request of this id on its connection or of this name."""
+
+    id: int | None = None
+    req: str | None = None
+
+
+class Status(msgspec.Struct):
+    pass
+
+
+class _Envelope(msgspec.Struct):
+    jsonrpc: str
+    method: str
+    id: Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)] | None = None
+    params: msgspec.Raw = msgspec.Raw(b"{}")
+
+
+class _Id(msgspec.Struct):
+    id: Any = None
+
+
+_envelope, _id = msgspec.json.Decoder(_Envelope), msgspec.json.Decoder(_Id)
+_withdrawal, _query = msgspec.json.Decoder(Withdrawal), msgspec.json.Decoder(Query)
+_encode = msgspec.json.Encoder().encode
+
+
+def decode(line: bytes, tariffs: frozenset[str]) -> tuple[int | None, Query | Withdrawal | Status]:
+    """One line as its id and a typed value, or MalformedError with the standard code."""
+    try:
+        envelope = _envelope.decode(line)
+    except msgspec.ValidationError as trouble:
+        raise MalformedError(INVALID_REQUEST, str(trouble), _id_of(line)) from None
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as trouble:
+        raise MalformedError(PARSE_ERROR, str(trouble)) from None
+    number, method = envelope.id, envelope.method
+    if envelope.jsonrpc != "2.0":
+        raise MalformedError(INVALID_REQUEST, "the version must be 2.0", number)
+    try:
+        if method in tariffs:
+            if number is None:
+                raise MalformedError(INVALID_REQUEST, "a request needs an id")
+            query = _query.decode(envelope.params)
+            query.tariff = method
+            return number, query
+        if method == "withdraw":
+            return number, _withdrawal.decode(envelope.params)
+        if method == "status":
+            return number, Status()
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as trouble:
+        raise MalformedError(INVALID_PARAMS, str(trouble), number) from None
+    raise MalformedError(UNKNOWN_METHOD, "no such method", number)
+
+
+def _id_of(line: bytes) -> int | None:
+    try:
+        number = _id.decode(line).id
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return number if type(number) is int and number >= 1 else None
+
+
+def fulfilled(number: int, result: bytes) -> bytes:
+    return _encode({"jsonrpc": "2.0", "id": number, "result": {"data": result}}) + b"\n"
+
+
+def healthy(number: int) -> bytes:
+    return _encode({"jsonrpc": "2.0", "id": number, "result": {"pass": True}}) + b"\n"
+
+
+def denied(number: int, come_back: int) -> bytes:
+    """`come_back` in milliseconds; 0 tells nothing of it."""
+    error: dict = {"code": DENIED, "message": "refused"}
+    if come_back:
+        error["data"] = {"holdoff": come_back}
+    return _encode({"jsonrpc": "2.0", "id": number, "error": error}) + b"\n"
+
+
+def failed(number: int | None, code: int, text: str) -> bytes:
+    return _encode({"jsonrpc": "2.0", "id": number, "error": {"code": code, "message": text}}) + b"\n"
--- /dev/null
+++ b/cresstray/clients/connections.py
@@ -0,0 +1,141 @@
+"""Connections of clients: each reads lines, hands on what they ask, and writes the answers it is given."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import anyio
+from anyio.abc import SocketListener, SocketStream
+
+from cresstray.clients import codec
+from cresstray.counters import Counters
+from cresstray.log import Log
+from cresstray.streams import ENDED, Outbox
+
+# A statement is some kilobytes; a line that is longer by far than any has no end that can be found.
+_LONGEST_LINE = 1_000_000
+# What a client may leave unread before nothing more is read from it: some whole results.
+_MOST_UNREAD = 256 * 1024
+
+
+class Front(Protocol):
+    """What connections hand on to. A submission is named by its connection and its id there."""
+
+    def take(self, connection: Connection, number: int, query: codec.Query) -> None: ...
+    def withdraw(self, connection: Connection, number: int | None, name: str | None) -> None: ...
+    def gone(self, connection: Connection) -> None: ...
+
+
+class Connection:
+    """One client. `open` holds what is owed an answer here, by id."""
+
+    def __init__(self, door: Door) -> None:
+        self._door, self._outbox = door, Outbox()
+        self.open: dict[int, object] = {}
+
+    def fulfil(self, number: int, result: bytes) -> None:
+        self._answer(number, codec.fulfilled(number, result))
+
+    def deny(self, number: int, come_back: int) -> None:
+        """`come_back` in microseconds."""
+        self._answer(number, codec.denied(number, come_back // 1000))
+
+    def abandon(self, number: int) -> None:
+        self._answer(number, codec.failed(number, codec.ABANDONED, "failed"))
+
+    def reject(self, number: int | None, text: str) -> None:
+        """For what could be read but can't be taken in."""
+        self._door.counters.add("clients malformed")
+        self._outbox.put(codec.failed(number, codec.INVALID_PARAMS, text))
+
+    def _answer(self, number: int, line: bytes) -> None:
+        del self.open[number]
+        self._outbox.put(line)
+
+    async def run(self, stream: SocketStream) -> None:
+        counters = self._door.counters
+        counters.add("clients connected")
+        self._door.connections.add(self)
+        try:
+            async with stream, anyio.create_task_group() as tasks:
+                tasks.start_soon(self._pump, stream, tasks.cancel_scope)
+                try:
+                    await self._read(stream)
+                except ENDED:
+                    counters.add("clients ended")
+                tasks.cancel_scope.cancel()
+        finally:
+            self._door.connections.discard(self)
+            self._door.front.gone(self)
+
+    async def _pump(self, stream: SocketStream, scope: anyio.CancelScope) -> None:
+        try:
+            await self._outbox.pump(stream)
+        except ENDED:
+            self._door.counters.add("clients cut")
+        scope.cancel()
+
+    async def _read(self, stream: SocketStream) -> None:
+        buffer = b""
+        while True:
+            while self._outbox.size > _MOST_UNREAD:
+                # Danger: answers that a client does not read would fill the memory of all.
+                await anyio.sleep(0.01)
+            buffer += await stream.receive(65536)
+            *lines, buffer = buffer.split(b"\n")
+            for line in lines:
+                if line.strip():
+                    self._line(line)
+            if len(buffer) > _LONGEST_LINE:
+                self._door.log.say("client", "a line without an end, its connection is closed")
+                return
+
+    def _line(self, line: bytes) -> None:
+        try:
+            number, message = codec.decode(line, self._door.tariffs)
+        except codec.MalformedError as trouble:
+            self._door.counters.add("clients malformed")
+            self._door.log.say("client", f"malformed, {trouble.code}: {trouble.text}")
+            self._outbox.put(codec.failed(trouble.number, trouble.code, trouble.text))
+            return
+        if isinstance(message, codec.Status):
+            if number is not None:
+                self._outbox.put(codec.healthy(number))
+        elif isinstance(message, codec.Withdrawal):
+            self._door.front.withdraw(self, message.id, message.req)
+        elif number in self.open:
+            self._door.counters.add("clients malformed")
+            self._outbox.put(codec.failed(number, codec.INVALID_REQUEST, "an id that is in use"))
+        else:
+            self._door.front.take(self, number, message)
+
+    def close(self) -> None:
+        """What has been answered is still written."""
+        self._outbox.close()
+
+
+class Door:
+    """Where clients connect."""
+
+    def __init__(self, tariffs: frozenset[str], front: Front, counters: Counters, log: Log) -> None:
+        self.tariffs, self.front, self.counters, self.log = tariffs, front, counters, log
+        self.connections: set[Connection] = set()
+
+    async def run(self, listener: SocketListener) -> None:
+        """Accepts until it is cancelled; what it accepted lives on in the same task group."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                try:
+                    stream = await listener.accept()
+                except OSError as trouble:
+                    # Danger: out of descriptors for a moment must not end the service.
+                    self.log.say("door", f"can't accept: {trouble!r}")
+                    self._make_room()
+                    await anyio.sleep(0.02)
+                    continue
+                tasks.start_soon(Connection(self).run, stream)
+
+    def _make_room(self) -> None:
+        idle = next((one for one in self.connections if not one.open), None)
+        if idle is not None:
+            idle.close()
--- /dev/null
+++ b/cresstray/clock.py
@@ -0,0 +1,72 @@
+"""One clock for the module, the rules and the list of engines, and the calls that are due by it."""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections.abc import Callable
+from itertools import count
+
+import anyio
+
+
+class Clock:
+    """Unix time in whole microseconds: read once at the start, moved on by the monotonic clock."""
+
+    def __init__(self) -> None:
+        self._offset = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return (self._offset + time.monotonic_ns()) // 1000
+
+
+class Due:
+    """One call that is to come; `cancel` keeps it from being made."""
+
+    __slots__ = ("at", "call")
+
+    def __init__(self, at: int, call: Callable[[int], None]) -> None:
+        self.at = at
+        self.call: Callable[[int], None] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Timers:
+    """All calls that are to come, in one heap and one task; calls of the same moment in the order given."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._heap: list[tuple[int, int, Due]] = []
+        self._order = count()
+        self._changed = anyio.Event()
+        self.latest = 0  # by how much a call was late at the most, in microseconds
+
+    def after(self, delay: int, call: Callable[[int], None]) -> Due:
+        due = Due(self._clock.now() + max(0, delay), call)
+        heapq.heappush(self._heap, (due.at, next(self._order), due))
+        if self._heap[0][2] is due:
+            self._changed.set()
+        return due
+
+    def run_due(self) -> int | None:
+        """Makes the calls that are due; microseconds to the next one, or None."""
+        while self._heap:
+            now = self._clock.now()
+            at, _, due = self._heap[0]
+            if due.call is not None and at > now:
+                return at - now
+            heapq.heappop(self._heap)
+            if due.call is not None:
+                self.latest = max(self.latest, now - at)
+                due.call(now)
+        return None
+
+    async def run(self) -> None:
+        while True:
+            self._changed = anyio.Event()
+            left = self.run_due()
+            # A call made just now may have added one that is due sooner: then the event is set already.
+            with anyio.move_on_after(None if left is None else left / 1e6):
+                await self._changed.wait()
--- /dev/null
+++ b/cresstray/coordinator/frames.py
@@ -0,0 +1,57 @@
+"""The coordinator's event frames: binary, big-endian. Knows no socket."""
+
+from __future__ import annotations
+
+import struct
+from ipaddress import IPv4Address
+
+from cresstray.coordinator.known import Event, MalformedError, Member
+from cresstray.interface import Standing
+
+_LENGTH, _HEAD, _RECORD = struct.Struct(">I"), struct.Struct(">QB"), struct.Struct(">IIHBBBHIQ")
+_STANDINGS = {0: Standing.READY, 1: Standing.DRAINING, 2: Standing.GONE}
+_NOTHING, _WHOLE, _CHANGES = 0, 1, 2
+# Some hundred thousand engines; what says to be longer is no frame.
+_LONGEST = 4_000_000
+
+
+def hello(last: int) -> bytes:
+    """What a gateway writes first: the number of the last event that it has."""
+    return struct.pack(">Q", last)
+
+
+class Frames:
+    """The events in what is received, however it is cut. Frames that tell nothing new yield None."""
+
+    def __init__(self, zones: int, machines: int) -> None:
+        self._zones, self._machines = zones, machines
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Event | None]:
+        self._buffer += data
+        found = []
+        while len(self._buffer) >= 4:
+            (length,) = _LENGTH.unpack_from(self._buffer)
+            if not _HEAD.size <= length <= _LONGEST:
+                raise MalformedError(f"a frame of {length} bytes")
+            if len(self._buffer) < 4 + length:
+                break
+            found.append(self._event(bytes(self._buffer[4:4 + length])))
+            del self._buffer[:4 + length]
+        return found
+
+    def _event(self, frame: bytes) -> Event | None:
+        number, kind = _HEAD.unpack_from(frame)
+        if kind == _NOTHING:
+            return None
+        records = frame[_HEAD.size:]
+        if kind not in (_WHOLE, _CHANGES) or len(records) % _RECORD.size:
+            raise MalformedError(f"a frame of kind {kind} with {len(records)} bytes")
+        return Event(number, kind == _WHOLE, [self._member(*one) for one in _RECORD.iter_unpack(records)])
+
+    def _member(self, number: int, address: int, port: int, state: int, zone: int, machine: int, cell: int,
+                _weight: int, started: int) -> Member:
+        if state not in _STANDINGS or zone >= self._zones or machine >= self._machines:
+            raise MalformedError(f"a record of state {state}, zone {zone}, kind {machine}")
+        return Member(number, str(IPv4Address(address)), port, _STANDINGS[state], zone, machine, cell,
+                      started * 1000)
--- /dev/null
+++ b/cresstray/passage/book.py
@@ -0,0 +1,65 @@
+"""Last stage, and the first on the way back: counts, and the one answer that each submission gets."""
+
+from __future__ import annotations
+
+from cresstray.counters import Counters
+from cresstray.interface import Ending, Submission
+from cresstray.passage.errand import Errand
+
+
+class Book:
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+        self.open: dict[Submission, Errand] = {}  # until answered and nothing of it is out
+
+    def opened(self, errand: Errand) -> None:
+        self.open[errand.submission] = errand
+        errand.asker.open[errand.number] = errand
+        self._counters.add("submissions accepted")
+
+    def owed(self) -> int:
+        """How many still wait for their answer."""
+        return sum(not errand.answered for errand in self.open.values())
+
+    def fulfil(self, submission: Submission, result: bytes) -> None:
+        errand = self._answer(submission, "fulfilled")
+        if errand is not None:
+            errand.asker.fulfil(errand.number, result)
+
+    def deny(self, submission: Submission, come_back: int) -> None:
+        errand = self._answer(submission, "denied")
+        if errand is not None:
+            errand.asker.deny(errand.number, come_back)
+
+    def abandon(self, submission: Submission) -> None:
+        errand = self._answer(submission, "abandoned")
+        if errand is not None:
+            errand.asker.abandon(errand.number)
+
+    def left(self, errand: Errand) -> None:
+        """Nothing is owed any more."""
+        errand.answered = True
+        del errand.asker.open[errand.number]
+        self._counters.add("submissions left")
+
+    def _answer(self, submission: Submission, how: str) -> Errand | None:
+        errand = self.open.get(submission)
+        self._counters.must(errand is not None, "an answer belongs to an open submission")
+        if errand is None:
+            return None
+        self._counters.must(not errand.answered, "a submission is answered once")
+        if errand.answered:
+            return None
+        errand.answered = True
+        self._counters.add(f"submissions {how}")
+        self.settle(submission)
+        return errand
+
+    def relay_ended(self, ending: Ending) -> None:
+        self._counters.add(f"relays {ending.value}")
+
+    def settle(self, submission: Submission) -> None:
+        """Forgets what is answered and has nothing out."""
+        errand = self.open.get(submission)
+        if errand is not None and errand.answered and submission.relay is None:
+            del self.open[submission]
--- /dev/null
+++ b/cresstray/passage/relay.py
@@ -0,0 +1,70 @@
+"""Fifth stage, on the way back: an engine's answers become the one ending of a relay."""
+
+from __future__ import annotations
+
+from cresstray.clock import Clock
+from cresstray.counters import Counters
+from cresstray.engines import codec
+from cresstray.engines.links import Exchange
+from cresstray.engines.pages import Pages
+from cresstray.interface import Ending, Relay
+from cresstray.logic import Gateway
+from cresstray.passage.book import Book
+
+_ENDINGS = {b"overload": Ending.FULL, b"crashed": Ending.ERROR, b"nobody": Ending.MOOT}
+
+
+class Back:
+    """The keeper of all exchanges with engines."""
+
+    def __init__(self, clock: Clock, counters: Counters, book: Book) -> None:
+        self._clock, self._counters, self._book = clock, counters, book
+        self.gateway: Gateway | None = None
+        self.out: dict[Relay, Exchange] = {}
+        self._reports: dict[Relay, dict[str, float]] = {}  # told with a first page, for the relay's end
+
+    def answered(self, exchange: Exchange, answer: codec.Answer) -> None:
+        relay = exchange.relay
+        if answer.word == b"served" and exchange.pages is None:
+            exchange.pages = Pages(answer.pages, answer.body)
+            self._reports[relay] = answer.report
+            if answer.pages > 1:
+                # All at once: a round trip for each would hold the permit and the client that much longer.
+                exchange.link.send(codec.next_pages(exchange.name, answer.pages))
+        elif answer.word == b"rows" and exchange.pages is not None:
+            exchange.pages.add(answer.page, answer.body)
+        elif answer.word in _ENDINGS and not (exchange.pages and answer.word != b"crashed"):
+            if exchange.pages is None:
+                exchange.link.finish(exchange)
+            else:
+                exchange.link.give_up(exchange)  # answers to the other pages may still come
+            self.ended(exchange, _ENDINGS[answer.word], answer.report)
+            return
+        else:
+            raise codec.BrokenError(f"{answer.word!r} out of place")
+        result = exchange.pages.whole()
+        if result is not None:
+            exchange.link.finish(exchange)
+            self.ended(exchange, Ending.FULFILLED, self._reports[relay], result)
+
+    def unreached(self, exchange: Exchange) -> None:
+        self.ended(exchange, Ending.UNREACHABLE)
+
+    def cut(self, exchange: Exchange) -> None:
+        # Danger: part of its bytes may have gone out; it may have run.
+        self.ended(exchange, Ending.RESET)
+
+    def ended(self, exchange: Exchange, ending: Ending, report: dict[str, float] | None = None,
+              result: bytes | None = None) -> None:
+        """Books the ending, answers the client if that was the result, and tells the module."""
+        relay, submission, now = exchange.relay, exchange.relay.submission, self._clock.now()
+        exchange.due.cancel()
+        del self.out[relay]
+        self._reports.pop(relay, None)
+        self._book.relay_ended(ending)
+        no_more = submission.ended
+        if ending is Ending.FULFILLED and not no_more:
+            self._book.fulfil(submission, result)
+            no_more = True
+        self.gateway.came_back(relay, ending, now - relay.sent, no_more, report or {}, now)
+        self._book.settle(submission)
--- /dev/null
+++ b/cresstray/passage/send.py
@@ -0,0 +1,39 @@
+"""Fourth stage: the relay goes out on a link, and is given up when its time is over or it is withdrawn."""
+
+from __future__ import annotations
+
+from cresstray.clock import Clock, Timers
+from cresstray.counters import Counters
+from cresstray.engines import codec
+from cresstray.engines.links import Exchange, Pool
+from cresstray.interface import Ending, Relay
+from cresstray.passage.errand import Errand
+from cresstray.passage.relay import Back
+
+
+class Send:
+    def __init__(self, clock: Clock, timers: Timers, counters: Counters, back: Back) -> None:
+        self._clock, self._timers, self._counters, self._back = clock, timers, counters, back
+
+    def send(self, relay: Relay, errand: Errand, pool: Pool, patience: int) -> None:
+        """`patience` 0: until the client's own time is up."""
+        submission, query, now = relay.submission, errand.query, self._clock.now()
+        left = submission.hard_stop - now
+        patience = min(left, patience) if patience else left
+        name = query.name.encode()
+        message = codec.ask(name, query.tariff, max(1, patience // 1000), query.mark, query.statement)
+        exchange = Exchange(name, message, self._back, relay)
+        self._back.out[relay] = exchange
+        exchange.due = self._timers.after(patience, lambda _: self._give_up(relay, Ending.TIMED_OUT))
+        self._counters.add("relays sent")
+        pool.start(exchange)
+
+    def withdraw(self, relay: Relay) -> None:
+        # The module hears of it once it has finished what it is about.
+        self._timers.after(0, lambda _: self._give_up(relay, Ending.WITHDRAWN))
+
+    def _give_up(self, relay: Relay, ending: Ending) -> None:
+        exchange = self._back.out.get(relay)
+        if exchange is not None:
+            exchange.link.give_up(exchange)
+            self._back.ended(exchange, ending)
--- /dev/null
+++ b/cresstray/service.py
@@ -0,0 +1,95 @@
+"""Puts the parts of one gateway together, runs them, and ends them in order."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Mapping
+from typing import Any
+
+import anyio
+
+from cresstray.clients.connections import Door
+from cresstray.clock import Clock, Timers
+from cresstray.coordinator import known
+from cresstray.coordinator.feed import Feed
+from cresstray.counters import Counters
+from cresstray.engines.links import Pool
+from cresstray.log import Log
+from cresstray.logic import Gateway
+from cresstray.passage.admit import Admit
+from cresstray.passage.book import Book
+from cresstray.passage.port import SocketPort
+from cresstray.passage.relay import Back
+from cresstray.passage.route import Route
+from cresstray.passage.send import Send
+from cresstray.passage.take_in import TakeIn
+
+# After SIGTERM new requests go on coming for 0.6 s at the most, as the deployment page has it.
+_STILL_COMING = 0.8
+
+
+class Service:
+    def __init__(self, name: str, listen: tuple[str, int], seed: int, settings: Mapping[str, Any],
+                 events: list[known.Event], coordinator: str | None) -> None:
+        self._listen, self._settings, self._coordinator = listen, settings, coordinator
+        self._clock, self.counters = Clock(), Counters()
+        self._log, self._timers = Log(name, self._clock), Timers(self._clock)
+        self._book = Book(self.counters)
+        self._back = Back(self._clock, self.counters, self._book)
+        send = Send(self._clock, self._timers, self.counters, self._back)
+        self._route = Route(self._make_pool, send)
+        port = SocketPort(self._route, send, self._book, self._timers, self.counters, self._log)
+        self._gateway = Gateway(port, settings, seed, self._clock.now())
+        admit = Admit(self._book)
+        self._back.gateway = admit.gateway = self._gateway
+        take_in = TakeIn(settings, self._gateway.tariffs, self._clock, admit)
+        tariffs = frozenset(service["Name"] for service in settings.get("Services", []))
+        self._door = Door(tariffs, take_in, self.counters, self._log)
+        self._events = events
+        self._tasks: anyio.abc.TaskGroup
+
+    def _make_pool(self, label: str, address: tuple[str, int]) -> Pool:
+        return Pool(label, address, self._settings, self._tasks, self._timers, self._clock.now, self._log)
+
+    def _told(self, event: known.Event) -> None:
+        self._gateway.listed(self._route.listed(event), event.complete, self._clock.now())
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as self._tasks:
+            for event in self._events:
+                self._told(event)
+            if self._coordinator:
+                last = self._events[-1].number if self._events else 0
+                feed = Feed(self._coordinator, last, self._settings, self._told, self.counters, self._log)
+                self._tasks.start_soon(feed.run)
+            self._tasks.start_soon(self._timers.run)
+            host, port = self._listen
+            listeners = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=1024)
+            self._tasks.start_soon(self._door.run, listeners.listeners[0])
+            self._log.say("service", f"serves on {host}:{port}")
+            await self._signals()
+            self._tasks.cancel_scope.cancel()
+        self.report()
+
+    async def _signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1) as signals:
+            async for received in signals:
+                if received == signal.SIGUSR1:
+                    self.report()
+                    continue
+                self._log.say("service", f"ends; {self._book.owed()} submissions are owed an answer")
+                await anyio.sleep(_STILL_COMING)
+                while self._book.owed():
+                    await anyio.sleep(0.01)
+                # What has been answered just now is still to be written.
+                for connection in list(self._door.connections):
+                    connection.close()
+                with anyio.move_on_after(0.5):
+                    while self._door.connections:
+                        await anyio.sleep(0.01)
+                return
+
+    def report(self) -> None:
+        self.counters.counts["loop latest us"] = self._timers.latest
+        for line in self.counters.lines():
+            self._log.tell("counter", line)
--- /dev/null
+++ b/cresstray/streams.py
@@ -0,0 +1,41 @@
+"""Writing to one connection: what is to go out is gathered and sent in order by one task."""
+
+from __future__ import annotations
+
+import anyio
+from anyio.abc import ByteStream
+
+# What ends a connection: closed, cut, or reset.
+ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+class Outbox:
+    """Messages that wait to be written; all that wait go out in one write."""
+
+    def __init__(self) -> None:
+        self._waiting: list[bytes] = []
+        self._changed = anyio.Event()
+        self._closing = False
+        self.size = 0  # bytes not yet handed to the connection
+
+    def put(self, message: bytes) -> None:
+        self._waiting.append(message)
+        self.size += len(message)
+        self._changed.set()
+
+    def close(self) -> None:
+        """What waits is still written; then `pump` returns."""
+        self._closing = True
+        self._changed.set()
+
+    async def pump(self, stream: ByteStream) -> None:
+        while True:
+            while self._waiting:
+                data = self._waiting[0] if len(self._waiting) == 1 else b"".join(self._waiting)
+                self._waiting.clear()
+                await stream.send(data)
+                self.size -= len(data)
+            if self._closing:
+                return
+            self._changed = anyio.Event()
+            await self._changed.wait()
