--- a/cresstray/log.py
+++ b/cresstray/log.py
@@ -14,7 +14,7 @@
         self._said: dict[str, int] = {}
 
     def say(self, kind: str, text: str) -> None:
-        """Prints a line, unless this kind had its lines of this second; the next tells how many were left out."""
+        """Prints a line, unless this kind had its lines of this second; the next tells how many it lost."""
         second = self._clock.now() // 1_000_000
         if self._second.get(kind) != second:
             # Five a second tell what happens; a flood of one kind must not cost the core it reports on.
