--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -128,8 +128,8 @@
             while True:
                 await anyio.wait_readable(listener)
                 try:
-                    # Danger: a client's time runs whether it has been accepted or not. One connection a turn of
-                    # a busy loop leaves the last of a crowd waiting for 0.3 s; all that wait are taken at once.
+                    # Danger: a client's time runs, accepted or not. One connection a turn of a busy loop
+                    # leaves the last of a crowd waiting for 0.3 s; all that wait are taken at once.
                     while True:
                         tasks.start_soon(self._serve, listener.accept()[0])
                 except BlockingIOError:
