--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -11,7 +11,7 @@
 from cresstray.clients import codec
 from cresstray.counters import Counters
 from cresstray.log import Log
-from cresstray.streams import ENDED, Outbox
+from cresstray.streams import ENDED, Outbox, contained
 
 # A statement is some kilobytes; a line that is longer by far than any has no end that can be found.
 _LONGEST_LINE = 1_000_000
@@ -147,7 +147,8 @@
             accepted.close()
             self.log.say("door", f"a connection ended at once: {trouble!r}")
             return
-        await Connection(self).run(stream)
+        with contained("a client's connection", self.counters, self.log):
+            await Connection(self).run(stream)
 
     def _make_room(self) -> None:
         idle = next((one for one in self.connections if not one.open), None)
--- a/cresstray/engines/links.py
+++ b/cresstray/engines/links.py
@@ -12,9 +12,10 @@
 from anyio.abc import SocketStream, TaskGroup
 
 from cresstray.clock import Timers
+from cresstray.counters import Counters
 from cresstray.engines import codec
 from cresstray.log import Log
-from cresstray.streams import ENDED, Outbox
+from cresstray.streams import ENDED, Outbox, contained
 
 
 class Keeper(Protocol):
@@ -101,7 +102,7 @@
 
     async def run(self) -> None:
         try:
-            with self._scope:
+            with contained("a link", self.pool.counters, self.pool.log), self._scope:
                 stream = await self._connect()
                 if stream is not None:
                     await self._live(stream)
@@ -160,9 +161,10 @@
     """All links to one engine."""
 
     def __init__(self, label: str, address: tuple[str, int], settings: dict, tasks: TaskGroup, timers: Timers,
-                 now: Callable[[], int], log: Log) -> None:
+                 now: Callable[[], int], counters: Counters, log: Log) -> None:
         limits = settings.get("Limits", {})
-        self.label, self.address, self.log, self.now = label, address, log, now
+        self.label, self.address, self.now = label, address, now
+        self.counters, self.log = counters, log
         self.streams = max(1, limits.get("StreamsPerConn", 32))
         self.connect_timeout = int(limits.get("ConnectTimeout", 250) * 1000)
         # Danger: a request may cross the engine's own close of an idle link, so ours comes well before.
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+from anyio.abc import TaskGroup, TaskStatus
 
 from cresstray.clients.connections import Door
 from cresstray.clock import Clock, Timers
@@ -49,15 +50,17 @@
         tariffs = frozenset(service["Name"] for service in settings.get("Services", []))
         self._door = Door(tariffs, take_in, self.counters, self._log)
         self._events = events
-        self._tasks: anyio.abc.TaskGroup
+        self._tasks: TaskGroup
 
     def _make_pool(self, label: str, address: tuple[str, int]) -> Pool:
-        return Pool(label, address, self._settings, self._tasks, self._timers, self._clock.now, self._log)
+        return Pool(label, address, self._settings, self._tasks, self._timers, self._clock.now,
+                    self.counters, self._log)
 
     def _told(self, event: known.Event) -> None:
         self._gateway.listed(self._route.listed(event), event.complete, self._clock.now())
 
-    async def run(self) -> None:
+    async def run(self, *, task_status: TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serves until SIGTERM; `task_status` hears the address once it does."""
         async with anyio.create_task_group() as self._tasks:
             for event in self._events:
                 self._told(event)
@@ -70,7 +73,9 @@
             listener = socket.create_server((host, port), backlog=1024)
             listener.setblocking(False)
             self._tasks.start_soon(self._door.run, listener)
+            host, port = listener.getsockname()
             self._log.say("service", f"serves on {host}:{port}")
+            task_status.started((host, port))
             await self._signals()
             self._tasks.cancel_scope.cancel()
         self.report()
--- a/cresstray/streams.py
+++ b/cresstray/streams.py
@@ -2,13 +2,30 @@
 
 from __future__ import annotations
 
+import traceback
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import anyio
 from anyio.abc import ByteStream
 
+from cresstray.counters import Counters
+from cresstray.log import Log
+
 # What ends a connection: closed, cut, or reset.
 ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
+@contextmanager
+def contained(what: str, counters: Counters, log: Log) -> Iterator[None]:
+    """Danger: a fault of ours met on one connection must end that one only. It is counted, and told whole."""
+    try:
+        yield
+    except Exception as trouble:
+        counters.add("faults")
+        log.say("fault", f"{what}: {''.join(traceback.format_exception(trouble))}")
+
+
 class Outbox:
     """Messages that wait to be written; all that wait go out in one write."""
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -1,13 +1,21 @@
-"""A desk for trace tests: a port that prints what the module decides, and a clock that it is moved by."""
+"""Helpers of the tests: a desk that prints what the module decides, and stand-ins on loopback."""
 
 from __future__ import annotations
 
+import base64
+import contextlib
 import copy
 import difflib
+import json
 import os
+import re
 import unittest
 from pathlib import Path
 
+import anyio
+import anyio.abc
+import hiredis
+
 from cresstray.interface import Ending, Engine, Relay, Standing, Submission
 from cresstray.logic import Gateway
 
@@ -116,3 +124,90 @@
         wanted = kept.read_text().splitlines()
         changes = list(difflib.unified_diff(wanted, lines, "kept", "now", lineterm=""))
         self.assertFalse(changes, "\n" + "\n".join(changes))
+
+
+class EngineStandIn:
+    """A small engine on loopback: a statement's first word says how it answers; `lines` is what it gets."""
+
+    def __init__(self, label: str) -> None:
+        self._label = label
+        self.lines: list[str] = []
+        self.port, self._failed = 0, False
+        self.got = anyio.Event()  # set anew with each message
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started()
+        await listener.serve(self._serve)
+
+    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        reader = hiredis.Reader()
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            async with stream:
+                while True:
+                    reader.feed(await stream.receive())
+                    while (message := reader.gets()) is not False:
+                        await self._take(stream, *message)
+
+    async def _take(self, stream: anyio.abc.SocketStream, command: bytes, name: bytes, *more: bytes) -> None:
+        said = " ".join(part.decode() for part in more)
+        self.lines.append(f"{self._label} gets {command.decode()} {name.decode()[:4]} {mask(said)}".rstrip())
+        body = more[-1].decode() if more else ""
+        if command == b"NEXT":
+            await self._say(stream, name, "rows", f"sheet={body}", f"row {body}\n")
+        elif command == b"ASK":
+            if body.startswith("pages"):
+                await self._say(stream, name, "served", "sheets=3,load=inflight:1;util:0.2", "row 0\n")
+            elif body.startswith("once") and not self._failed:
+                self._failed = True
+                await self._say(stream, name, "crashed", "-", "")
+            elif body.startswith("full"):
+                await self._say(stream, name, "overload", "-", "")
+            elif body.startswith("garbage"):
+                await stream.send(b"HTTP/1.1 500 no\r\n\r\n")
+            elif body.startswith("reset"):
+                await stream.aclose()
+            elif not body.startswith("silent"):
+                await self._say(stream, name, "served", "sheets=1", f"{body}\n")
+        self.got.set()
+        self.got = anyio.Event()
+
+    async def _say(self, stream: anyio.abc.SocketStream, *parts: bytes | str) -> None:
+        await stream.send(hiredis.pack_command(parts))
+
+
+def mask(text: str) -> str:
+    """Without what differs from run to run: times left."""
+    return re.sub(r"(\bw=|\"holdoff\":)\d+", r"\g<1>N", text)
+
+
+class ClientStandIn:
+    """One connection of a client; what it says and hears is in `lines`."""
+
+    def __init__(self, stream: anyio.abc.SocketStream, lines: list[str]) -> None:
+        self._stream, self._lines, self._buffer = stream, lines, b""
+        self._names = 0
+
+    async def ask(self, number: int, statement: str, tariff: str = "lookup", timeout: int = 5000) -> None:
+        self._names += 1
+        params = {"req": f"{self._names:04x}{'0' * 12}", "timeout": timeout, "owner": "acme",
+                  "data": base64.b64encode(statement.encode()).decode()}
+        self._lines.append(f"client asks {number}: {statement}")
+        await self.say({"jsonrpc": "2.0", "id": number, "method": tariff, "params": params})
+
+    async def say(self, message: dict | bytes) -> None:
+        line = message if isinstance(message, bytes) else json.dumps(message).encode() + b"\n"
+        await self._stream.send(line)
+
+    async def hear(self) -> dict:
+        while b"\n" not in self._buffer:
+            self._buffer += await self._stream.receive()
+        line, self._buffer = self._buffer.split(b"\n", 1)
+        answer = json.loads(line)
+        told = answer.get("error") or {name: base64.b64decode(value).decode() if name == "data" else value
+                                       for name, value in answer["result"].items()}
+        if "error" in answer and told["code"] != -32000:
+            told = {"code": told["code"]}
+        self._lines.append(f"client hears {answer['id']}: {mask(json.dumps(told, separators=(',', ':')))}")
+        return answer
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -115,3 +115,10 @@
             engine.limiter.full_until = 0
         desk.run(5600)
         self.check("budget", desk.lines)
+
+    def test_relays_end_before_the_hard_stop(self) -> None:
+        desk = Desk(settings(), engines=1)
+        desk.relay = lambda relay, patience: desk.say(f"relay may take {patience / 1000:.0f} ms")
+        for left in (2000, 100, 20):
+            desk.submit(f"{left} ms left", left=left)
+        self.check("patience", desk.lines)
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,301 @@
+"""The whole gateway between stand-ins of clients, engines and the coordinator, all on loopback."""
+
+import contextlib
+import io
+import os
+import signal
+import socket
+import struct
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+
+from cresstray import __main__ as program
+from cresstray.clients.connections import Door
+from cresstray.clock import Clock, Timers
+from cresstray.coordinator.known import Event, Member
+from cresstray.counters import Counters
+from cresstray.engines.links import Exchange, Link, Pool
+from cresstray.interface import Standing
+from cresstray.log import Log
+from cresstray.service import Service
+from tests.desk import ClientStandIn, EngineStandIn, TraceCase, settings
+from tests.test_codecs import frame
+
+
+def member(port: int, number: int = 1) -> Member:
+    return Member(number, "127.0.0.1", port, Standing.READY, 0, 0, 0, 0)
+
+
+class Stage:
+    """A gateway and its engines, up and reachable, with all that is said in `lines`."""
+
+    def __init__(self, engines: int, **parts: object) -> None:
+        self.lines: list[str] = []
+        self.settings = settings(Tenants=[{"Name": "acme"}], Localities=["east"], Flavors=["std"], **parts)
+        for name, service in zip(("lookup", "report"), self.settings["Services"]):
+            service["Name"] = name
+        self.engines = [EngineStandIn(f"engine {number}") for number in range(engines)]
+        self.service: Service
+        self.address: tuple[str, int]
+
+    async def run(self, scene: Callable[["Stage", ClientStandIn], Awaitable],
+                  coordinator: str | None) -> None:
+        async with anyio.create_task_group() as tasks:
+            for engine in self.engines:
+                await tasks.start(engine.run)
+            # With a coordinator, the engines are still to be told of.
+            told = [] if coordinator else self.engines
+            listed = [member(engine.port, number) for number, engine in enumerate(told)]
+            self.service = Service("n0", ("127.0.0.1", 0), 7, self.settings,
+                                   [Event(1, True, listed)], coordinator)
+            self.address = await tasks.start(self.service.run)
+            with anyio.fail_after(30):
+                async with await anyio.connect_tcp(*self.address) as stream:
+                    await scene(self, ClientStandIn(stream, self.lines))
+            tasks.cancel_scope.cancel()
+
+    async def until(self, engine: int, text: str) -> None:
+        """Waits for the engine to get what begins like this."""
+        while not any(line.startswith(f"engine {engine} gets {text}") for line in self.engines[engine].lines):
+            await self.engines[engine].got.wait()
+
+    def trace(self) -> list[str]:
+        """What each was told, one party after the other: between them, the order is the network's."""
+        return self.lines + [line for engine in self.engines for line in engine.lines]
+
+
+class Scenes(TraceCase):
+    def play(self, name: str, scene: Callable[[Stage, ClientStandIn], Awaitable], engines: int = 1,
+             coordinator: str | None = None, **parts: object) -> Stage:
+        stage = Stage(engines, **parts)
+        with contextlib.redirect_stderr(io.StringIO()) as said:
+            anyio.run(stage.run, scene, coordinator)
+        self.assertNotIn("broken", said.getvalue())
+        self.assertNotIn("fault", said.getvalue())
+        self.check(name, stage.trace())
+        return stage
+
+    def test_pages_in_order(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            await client.say({"jsonrpc": "2.0", "id": 1, "method": "status", "params": {}})
+            await client.hear()
+            for number, statement in enumerate(("pages", "plain"), 2):
+                await client.ask(number, statement)
+                await client.hear()
+
+        stage = self.play("scene_pages", scene)
+        self.assertEqual(2, stage.service.counters.counts["submissions fulfilled"])
+
+    def test_malformed_lines_keep_the_connection(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            for line in (b"no JSON\n", b'{"jsonrpc":"2.0","id":3,"method":"rapport"}\n', b"\n",
+                         b'{"jsonrpc":"2.0","id":4,"method":"lookup","params":{}}\n'):
+                await client.say(line)
+                if line.strip():
+                    await client.hear()
+            await client.ask(5, "silent")
+            await stage.until(0, "ASK 0001")
+            await client.ask(5, "plain")
+            await client.hear()
+            await client.say({"jsonrpc": "2.0", "id": 6, "method": "lookup", "params": {
+                "req": "0" * 16, "timeout": 900, "owner": "nobody", "data": ""}})
+            await client.hear()
+            await client.ask(7, "plain")
+            await client.hear()
+
+        self.play("scene_malformed", scene)
+
+    def test_withdrawn_and_left(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            await client.ask(1, "silent one")
+            await stage.until(0, "ASK 0001")
+            await client.say({"jsonrpc": "2.0", "method": "withdraw", "params": {"id": 1}})
+            await stage.until(0, "QUIT 0001")
+            async with await anyio.connect_tcp(*stage.address) as stream:
+                other = ClientStandIn(stream, stage.lines)
+                await other.ask(1, "silent two")
+                await stage.until(0, "ASK 0001 c=lookup,w=N silent two")
+            while len([line for line in stage.engines[0].lines if "QUIT" in line]) < 2:
+                await stage.engines[0].got.wait()
+            await client.ask(2, "plain")
+            await client.hear()
+
+        stage = self.play("scene_left", scene)
+        self.assertEqual(2, stage.service.counters.counts["submissions left"])
+
+    def test_engine_faults(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            for number, statement in enumerate(("garbage", "plain", "reset", "plain", "full", "plain"), 1):
+                await client.ask(number, statement, timeout=60000)
+                await client.hear()
+
+        stage = self.play("scene_faults", scene, Limits={"MaxAttempts": 1})
+        counts = stage.service.counters.counts
+        endings = [counts[f"relays {how}"] for how in ("reset", "full", "fulfilled")]
+        self.assertEqual([2, 1, 3], endings)
+
+    def test_further_relay(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            for number in range(1, 4):
+                await client.ask(number, "once", timeout=60000)
+                await client.hear()
+
+        self.play("scene_further", scene, engines=2)
+
+    def test_silent_engine_ends_before_the_hard_stop(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            await client.ask(1, "silent", timeout=400)
+            await client.hear()
+            await stage.until(0, "QUIT 0001")
+
+        self.play("scene_silent", scene)
+
+    def test_unreachable_engine(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            list(stage.service._route._pools.values())[0].address = ("127.0.0.1", 1)
+            await client.ask(1, "plain", timeout=1000)
+            await client.hear()
+
+        stage = self.play("scene_unreachable", scene, Limits={"MaxAttempts": 1})
+        self.assertEqual(1, stage.service.counters.counts["relays unreachable"])
+
+    def test_last_stop(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            await client.ask(1, "silent")
+            await stage.until(0, "ASK 0001")
+            os.kill(os.getpid(), signal.SIGTERM)
+            await client.ask(2, "plain")
+            await client.hear()
+            await client.hear()
+            with contextlib.suppress(anyio.EndOfStream):
+                await client.hear()
+                stage.lines.append("more was said after the end")
+            stage.lines.append("the connection has ended")
+
+        # The client would wait for five seconds, the gateway ends by its longest time limit.
+        service = {"Effect": "idempotent", "GoalTime": 100.0, "GiveUp": 900.0}
+        self.play("scene_last_stop", scene, Services=[service])
+
+    def test_coordinator(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(told, stage)
+                await client.ask(1, "plain", timeout=60000)
+                await client.hear()
+                await again.wait()
+                tasks.cancel_scope.cancel()
+
+        async def told(stage: Stage) -> None:
+            async def serve(stream: anyio.abc.SocketStream) -> None:
+                number = struct.unpack(">Q", await stream.receive(8))[0]
+                heard.append(f"coordinator is told {number}")
+                if number == 1:
+                    record = (5, 0x7f000001, stage.engines[0].port, 0, 0, 0, 0, 0, 0)
+                    event = frame(2, 0) + frame(2, 2, record)
+                    for at in range(len(event)):
+                        await stream.send(event[at:at + 1])
+                    await stream.send(frame(2, 2))  # no number comes twice
+                    with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                        await stream.receive()
+                else:
+                    again.set()
+                    await anyio.sleep_forever()
+
+            await listener.serve(serve)
+
+        again, made, heard = anyio.Event(), Stage(1), []
+
+        async def main() -> None:
+            nonlocal listener
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            await made.run(scene, f"127.0.0.1:{port}")
+
+        listener = None
+        with contextlib.redirect_stderr(io.StringIO()):
+            anyio.run(main)
+        self.check("scene_coordinator", made.trace() + heard)
+
+
+class Parts(TraceCase):
+    def test_a_crowd_is_accepted_at_once(self) -> None:
+        async def main() -> None:
+            door = Door(frozenset(), None, Counters(), Log("n0", Clock()))
+            with contextlib.ExitStack() as crowd:
+                listener = crowd.enter_context(socket.create_server(("127.0.0.1", 0), backlog=200))
+                listener.setblocking(False)
+                for _ in range(100):
+                    crowd.enter_context(socket.create_connection(listener.getsockname()))
+                async with anyio.create_task_group() as tasks:
+                    door.front = type("Front", (), {"gone": lambda self, connection: None})()
+                    tasks.start_soon(door.run, listener)
+                    for _ in range(20):
+                        await anyio.lowlevel.checkpoint()
+                    lines.append(f"{len(door.connections)} of 100 are served after 20 turns of the loop")
+                    tasks.cancel_scope.cancel()
+
+        lines = []
+        anyio.run(main)
+        self.check("crowd", lines)
+
+    def test_a_name_given_up_is_not_used_again_on_its_link(self) -> None:
+        async def main() -> None:
+            self.names_on_a_link()
+
+        anyio.run(main)
+
+    def names_on_a_link(self) -> None:
+        timers = Timers(Clock())
+        pool = Pool("engine", ("127.0.0.1", 1), {}, None, timers, Clock().now, Counters(), Log("n0", Clock()))
+        link, lines = Link(pool), []
+        link.up = True
+        for name in (b"first", b"second"):
+            link.start(Exchange(name, b"", None, None))
+        for text, name in (("open", b"first"), ("given up", b"first"), ("new", b"third")):
+            if text == "given up":
+                link.give_up(link.open[name])
+            lines.append(f"{text}: {'room' if link.room_for(name) else 'no room'}")
+        link.finish(link.open[b"second"])
+        lines.append(f"answered, asked again: {'room' if link.room_for(b'second') else 'no room'}")
+        link.retire()
+        lines.append(f"retired: {'room' if link.room_for(b'new') else 'no room'}")
+        self.check("links", lines)
+
+    def test_timers(self) -> None:
+        clock, lines = Clock(), []
+        clock.now = lambda: now
+        timers, now = Timers(clock), 0
+        for at, text in ((50, "late"), (10, "early"), (10, "early too"), (30, "cancelled")):
+            due = timers.after(at, lambda _, text=text: lines.append(text))
+        due.cancel()
+        timers.after(20, lambda _: timers.after(0, lambda _: lines.append("added by a call")))
+        for now in (9, 10, 40, 50):  # noqa: B007, the clock reads it
+            lines.append(f"at {now}: next in {timers.run_due()}")
+        self.check("timers", lines)
+
+    def test_what_must_hold(self) -> None:
+        counters = Counters()
+        counters.must(True, "nothing")
+        with self.assertRaises(AssertionError):
+            counters.must(False, "a submission is answered once")
+
+    def test_configuration(self) -> None:
+        lines = []
+        with tempfile.TemporaryDirectory() as folder:
+            for text, given in (("missing", None), ("no JSON", "{"), ("no address", '{"name":"n0"}'),
+                                ("a malformed list", '{"name":"n0","listen":"127.0.0.1:1","seed":"1",'
+                                 '"settings":{},"known":{"index":1,"updates":[{"index":1,"endpoints":'
+                                 '{"members":[{"id":"x","host_port":"y"}]}}]}}')):
+                path = Path(folder) / "config.json"
+                if given is not None:
+                    path.write_text(given)
+                os.environ["GW_CONFIG"] = str(path)
+                with contextlib.redirect_stderr(io.StringIO()) as said:
+                    lines.append(f"{text}: exit code {program.main()}")
+                lines.append(said.getvalue().strip().replace(folder, "FOLDER"))
+        self.check("configuration", lines)
