--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -6,12 +6,11 @@
 from typing import Protocol
 
 import anyio
-from anyio.abc import SocketStream
 
 from cresstray.clients import codec
 from cresstray.counters import Counters
 from cresstray.log import Log
-from cresstray.streams import ENDED, Outbox, contained
+from cresstray.streams import ENDED, Line, contained
 
 # A statement is some kilobytes; a line that is longer by far than any has no end that can be found.
 _LONGEST_LINE = 1_000_000
@@ -30,8 +29,8 @@
 class Connection:
     """One client. `open` holds what is owed an answer here, by id."""
 
-    def __init__(self, door: Door) -> None:
-        self._door, self._outbox = door, Outbox()
+    def __init__(self, door: Door, line: Line) -> None:
+        self._door, self._line = door, line
         self.open: dict[int, object] = {}
 
     def fulfil(self, number: int, result: bytes) -> None:
@@ -47,21 +46,21 @@
     def reject(self, number: int | None, text: str) -> None:
         """For what could be read but can't be taken in."""
         self._door.counters.add("clients malformed")
-        self._outbox.put(codec.failed(number, codec.INVALID_PARAMS, text))
+        self._line.put(codec.failed(number, codec.INVALID_PARAMS, text))
 
     def _answer(self, number: int, line: bytes) -> None:
         del self.open[number]
-        self._outbox.put(line)
+        self._line.put(line)
 
-    async def run(self, stream: SocketStream) -> None:
+    async def run(self) -> None:
         counters = self._door.counters
         counters.add("clients connected")
         self._door.connections.add(self)
         try:
-            async with stream, anyio.create_task_group() as tasks:
-                tasks.start_soon(self._pump, stream, tasks.cancel_scope)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._pump, tasks.cancel_scope)
                 try:
-                    await self._read(stream)
+                    await self._read()
                 except ENDED:
                     counters.add("clients ended")
                 tasks.cancel_scope.cancel()
@@ -69,50 +68,50 @@
             self._door.connections.discard(self)
             self._door.front.gone(self)
 
-    async def _pump(self, stream: SocketStream, scope: anyio.CancelScope) -> None:
+    async def _pump(self, scope: anyio.CancelScope) -> None:
         try:
-            await self._outbox.pump(stream)
+            await self._line.pump()
         except ENDED:
             self._door.counters.add("clients cut")
         scope.cancel()
 
-    async def _read(self, stream: SocketStream) -> None:
+    async def _read(self) -> None:
         buffer = b""
         while True:
-            while self._outbox.size > _MOST_UNREAD:
+            while len(self._line.waiting) > _MOST_UNREAD:
                 # Danger: answers that a client does not read would fill the memory of all.
                 await anyio.sleep(0.01)
-            buffer += await stream.receive(65536)
+            buffer += await self._line.receive()
             *lines, buffer = buffer.split(b"\n")
             for line in lines:
                 if line.strip():
-                    self._line(line)
+                    self._take(line)
             if len(buffer) > _LONGEST_LINE:
                 self._door.log.say("client", "a line without an end, its connection is closed")
                 return
 
-    def _line(self, line: bytes) -> None:
+    def _take(self, line: bytes) -> None:
         try:
             number, message = codec.decode(line, self._door.tariffs)
         except codec.MalformedError as trouble:
             self._door.counters.add("clients malformed")
             self._door.log.say("client", f"malformed, {trouble.code}: {trouble.text}")
-            self._outbox.put(codec.failed(trouble.number, trouble.code, trouble.text))
+            self._line.put(codec.failed(trouble.number, trouble.code, trouble.text))
             return
         if isinstance(message, codec.Status):
             if number is not None:
-                self._outbox.put(codec.healthy(number))
+                self._line.put(codec.healthy(number))
         elif isinstance(message, codec.Withdrawal):
             self._door.front.withdraw(self, message.id, message.req)
         elif number in self.open:
             self._door.counters.add("clients malformed")
-            self._outbox.put(codec.failed(number, codec.INVALID_REQUEST, "an id that is in use"))
+            self._line.put(codec.failed(number, codec.INVALID_REQUEST, "an id that is in use"))
         else:
             self._door.front.take(self, number, message)
 
     def close(self) -> None:
         """What has been answered is still written."""
-        self._outbox.close()
+        self._line.finish()
 
 
 class Door:
@@ -141,14 +140,8 @@
                     await anyio.sleep(0.02)
 
     async def _serve(self, accepted: socket.socket) -> None:
-        try:
-            stream = await SocketStream.from_socket(accepted)
-        except OSError as trouble:
-            accepted.close()
-            self.log.say("door", f"a connection ended at once: {trouble!r}")
-            return
-        with contained("a client's connection", self.counters, self.log):
-            await Connection(self).run(stream)
+        with contained("a client's connection", self.counters, self.log), accepted:
+            await Connection(self, Line(accepted)).run()
 
     def _make_room(self) -> None:
         idle = next((one for one in self.connections if not one.open), None)
--- a/cresstray/engines/links.py
+++ b/cresstray/engines/links.py
@@ -5,17 +5,18 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Protocol
 
 import anyio
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import TaskGroup
 
 from cresstray.clock import Timers
 from cresstray.counters import Counters
 from cresstray.engines import codec
 from cresstray.log import Log
-from cresstray.streams import ENDED, Outbox, contained
+from cresstray.streams import ENDED, Line, connect, contained
 
 
 class Keeper(Protocol):
@@ -48,9 +49,9 @@
         # Danger: an answer that crosses its QUIT would be taken for that of a second relay of the same name.
         # A name once given up is not used again on this link, and what still comes under it is dropped.
         self.given_up: set[bytes] = set()
-        self.up = self.ended = self.retired = False
+        self.ended = self.retired = False
         self.idle_since = 0
-        self._outbox = Outbox()
+        self.line: Line | None = None  # once it is up
         self._scope = anyio.CancelScope()
 
     def room_for(self, name: bytes) -> bool:
@@ -60,15 +61,15 @@
     def start(self, exchange: Exchange) -> None:
         exchange.link = self
         self.open[exchange.name] = exchange
-        if self.up:
+        if self.line is not None:
             self._write(exchange)
 
     def _write(self, exchange: Exchange) -> None:
         exchange.written = True
-        self._outbox.put(exchange.message)
+        self.line.put(exchange.message)
 
     def send(self, message: bytes) -> None:
-        self._outbox.put(message)
+        self.line.put(message)
 
     def finish(self, exchange: Exchange) -> None:
         """All that was to come has come."""
@@ -98,14 +99,12 @@
 
     def close(self) -> None:
         self.ended = True
-        self._outbox.close()
+        self._scope.cancel()
 
     async def run(self) -> None:
         try:
             with contained("a link", self.pool.counters, self.pool.log), self._scope:
-                stream = await self._connect()
-                if stream is not None:
-                    await self._live(stream)
+                await self._live()
         finally:
             self.ended = True
             self.pool.links.remove(self)
@@ -113,43 +112,44 @@
             for exchange in left:
                 (exchange.keeper.cut if exchange.written else exchange.keeper.unreached)(exchange)
 
-    async def _live(self, stream: SocketStream) -> None:
-        async with stream, anyio.create_task_group() as tasks:
-            self.up = True
+    async def _live(self) -> None:
+        made = await self._connect()
+        if made is None:
+            return
+        with Line(made) as self.line:
             for exchange in self.open.values():
                 self._write(exchange)
-            tasks.start_soon(self._pump, stream)
-            try:
-                await self._read(stream)
-            except ENDED as trouble:
-                self.pool.log.say("link", f"a link to {self.pool.label} ended: {trouble!r}")
-            except codec.BrokenError as trouble:
-                self.pool.log.say("link", f"a link to {self.pool.label} is dropped: {trouble}")
-            self._scope.cancel()
-
-    async def _connect(self) -> SocketStream | None:
-        host, port = self.pool.address
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._pump, self.line)
+                try:
+                    await self._read(self.line)
+                except ENDED as trouble:
+                    self.pool.log.say("link", f"a link to {self.pool.label} ended: {trouble!r}")
+                except codec.BrokenError as trouble:
+                    self.pool.log.say("link", f"a link to {self.pool.label} is dropped: {trouble}")
+                self._scope.cancel()
+
+    async def _connect(self) -> socket.socket | None:
         with anyio.move_on_after(self.pool.connect_timeout / 1e6):
             try:
-                return await anyio.connect_tcp(host, port)
+                return await connect(*self.pool.address)
             except OSError as trouble:
                 self.pool.log.say("link", f"{self.pool.label} can't be reached: {trouble!r}")
                 return None
         self.pool.log.say("link", f"{self.pool.label} can't be reached: no connection in time")
         return None
 
-    async def _pump(self, stream: SocketStream) -> None:
+    async def _pump(self, line: Line) -> None:
         try:
-            await self._outbox.pump(stream)
+            await line.pump()
         except ENDED as trouble:
             self.pool.log.say("link", f"a link to {self.pool.label} takes nothing more: {trouble!r}")
-        # Closed by us, or broken: either way there is nothing more to read.
-        self._scope.cancel()
+            self._scope.cancel()
 
-    async def _read(self, stream: SocketStream) -> None:
+    async def _read(self, line: Line) -> None:
         answers = codec.Answers()
         while True:
-            for answer in answers.feed(await stream.receive(65536)):
+            for answer in answers.feed(await line.receive()):
                 exchange = self.open.get(answer.name)
                 if exchange is not None:
                     exchange.keeper.answered(exchange, answer)
--- a/cresstray/streams.py
+++ b/cresstray/streams.py
@@ -1,13 +1,14 @@
-"""Writing to one connection: what is to go out is gathered and sent in order by one task."""
+"""Connections: reading, writing without waiting, and the bounds of a fault."""
 
 from __future__ import annotations
 
+import os
+import socket
 import traceback
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 import anyio
-from anyio.abc import ByteStream
 
 from cresstray.counters import Counters
 from cresstray.log import Log
@@ -18,7 +19,7 @@
 
 @contextmanager
 def contained(what: str, counters: Counters, log: Log) -> Iterator[None]:
-    """Danger: a fault of ours met on one connection must end that one only. It is counted, and told whole."""
+    """Danger: a fault of ours on one connection must end that one only. Counted, and told whole."""
     try:
         yield
     except Exception as trouble:
@@ -26,33 +27,78 @@
         log.say("fault", f"{what}: {''.join(traceback.format_exception(trouble))}")
 
 
-class Outbox:
-    """Messages that wait to be written; all that wait go out in one write."""
+async def connect(host: str, port: int) -> socket.socket:
+    """A connection, or OSError; how long to wait for it is the caller's matter."""
+    made = socket.socket()
+    try:
+        made.setblocking(False)
+        try:
+            made.connect((host, port))
+        except BlockingIOError:
+            await anyio.wait_writable(made)
+        trouble = made.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if trouble:
+            raise OSError(trouble, os.strerror(trouble))
+    except BaseException:
+        made.close()
+        raise
+    return made
+
 
-    def __init__(self) -> None:
-        self._waiting: list[bytes] = []
-        self._changed = anyio.Event()
-        self._closing = False
-        self.size = 0  # bytes not yet handed to the connection
+class Line:
+    """One connection. What is put goes to the kernel at once; what that does not take waits here, in order."""
+
+    def __init__(self, made: socket.socket) -> None:
+        made.setblocking(False)
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = made
+        self.waiting = bytearray()
+        self._stirred = anyio.Event()
+        self._broken = self._closing = False
 
     def put(self, message: bytes) -> None:
-        self._waiting.append(message)
-        self.size += len(message)
-        self._changed.set()
+        # Danger: written by a task of its own, a QUIT could follow the ASK that it must go before.
+        sent = 0
+        if not self.waiting:
+            try:
+                sent = self._socket.send(message)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self._broken = True
+                self._stirred.set()
+                return
+        if sent < len(message):
+            self.waiting += message[sent:]
+            self._stirred.set()
 
-    def close(self) -> None:
+    def finish(self) -> None:
         """What waits is still written; then `pump` returns."""
         self._closing = True
-        self._changed.set()
+        self._stirred.set()
 
-    async def pump(self, stream: ByteStream) -> None:
+    async def pump(self) -> None:
+        """Writes what waits whenever the kernel takes more."""
         while True:
-            while self._waiting:
-                data = self._waiting[0] if len(self._waiting) == 1 else b"".join(self._waiting)
-                self._waiting.clear()
-                await stream.send(data)
-                self.size -= len(data)
+            await self._stirred.wait()
+            while self.waiting and not self._broken:
+                await anyio.wait_writable(self._socket)
+                del self.waiting[:self._socket.send(self.waiting)]
+            if self._broken:
+                raise anyio.BrokenResourceError
             if self._closing:
                 return
-            self._changed = anyio.Event()
-            await self._changed.wait()
+            self._stirred = anyio.Event()
+
+    async def receive(self) -> bytes:
+        await anyio.wait_readable(self._socket)
+        data = self._socket.recv(65536)
+        if not data:
+            raise anyio.EndOfStream
+        return data
+
+    def __enter__(self) -> Line:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._socket.close()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -253,7 +253,7 @@
         timers = Timers(Clock())
         pool = Pool("engine", ("127.0.0.1", 1), {}, None, timers, Clock().now, Counters(), Log("n0", Clock()))
         link, lines = Link(pool), []
-        link.up = True
+        link.line = type("Line", (), {"put": lambda self, message: None})()
         for name in (b"first", b"second"):
             link.start(Exchange(name, b"", None, None))
         for text, name in (("open", b"first"), ("given up", b"first"), ("new", b"third")):
