--- a/cresstray/coordinator/feed.py
+++ b/cresstray/coordinator/feed.py
@@ -10,7 +10,7 @@
 from cresstray.coordinator.known import Event, MalformedError
 from cresstray.counters import Counters
 from cresstray.log import Log
-from cresstray.streams import ENDED
+from cresstray.streams import ENDED, Line, connect
 
 # An empty frame comes each second; after two and a half the link is taken for dead.
 _SILENCE = 2.5
@@ -41,14 +41,14 @@
 
     async def _follow(self) -> None:
         with anyio.fail_after(_CONNECT):
-            stream = await anyio.connect_tcp(*self._address)
-        async with stream:
-            await stream.send(hello(self.last))
+            made = await connect(*self._address)
+        with Line(made) as line:
+            line.put(hello(self.last))
             frames = Frames(len(self._settings.get("Localities", [])) or 256,
                             len(self._settings.get("Flavors", [])) or 256)
             while True:
                 with anyio.fail_after(_SILENCE):
-                    data = await stream.receive(65536)
+                    data = await line.receive()
                 for event in frames.feed(data):
                     if event is not None:
                         self._take(event)
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -242,7 +242,8 @@
         # Danger: the whole fleet tried for each answer is too slow; one frees a permit on its engine only.
         for line in (self.held, self.further):
             stuck = set()
-            for submission in list(line):
+            # An answer tries the first of the line, some for each tariff; the others wait for the sweep.
+            for submission in line[:64] if freed else list(line):
                 # Danger: thousands held would be tried for each permit; one failure speaks for its tariff.
                 if submission.tariff in stuck or not self._is_turn(submission, now):
                     continue
@@ -613,9 +614,8 @@
         # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
         self.doubt_counts = 2 * sum(engine.limiter.doubted for engine in self.ready) <= len(self.ready)
         self._listen(now)
-        for line in (self.held, self.further):
-            for submission in [held for held in line if now >= held.leave_by]:
-                self._end(submission)
+        for submission in [held for held in self.held + self.further if now >= held.leave_by]:
+            self._end(submission)
         self.key_free = {key: free for key, free in self.key_free.items() if now < free}
         if self.settings.get("Report", {}).get("Source") == "on_probe" and self.limits.get("Probes"):
             # One after the other, each twice a second at the most: reports are about that fresh.
