--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -242,3 +242,15 @@
                     desk.gateway.noted(slow.relay, Topic.SHARE_DONE, share, desk.now)
             desk.back(slow, Ending.WITHDRAWN if slow.ended else Ending.FULFILLED)
         self.check("too_late", desk.lines)
+
+    def test_an_answer_tries_few_of_many_held(self) -> None:
+        desk = Desk(settings(), engines=1)
+        running = fill(desk)
+        for number in range(200):
+            desk.submit(f"held {number}", left=9000, estimate=1000)
+        tried = []
+        desk.gateway._is_turn = lambda submission, now: tried.append(submission) or False
+        desk.back(running[0], Ending.FULFILLED)
+        few = len(tried)
+        desk.run(100)
+        self.check("few_tried", [f"an answer looks at {few}, the sweep at {len(tried) - few}"])
