--- a/cresstray/__main__.py
+++ b/cresstray/__main__.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import signal
 import sys
 from typing import Any
 
@@ -23,16 +24,28 @@
     coordinator: str | None = None
 
 
+class UnusableError(ValueError):
+    """What is wrong with a configuration, in one line."""
+
+
+def configuration(path: str) -> Configuration:
+    try:
+        with open(path, "rb") as file:
+            return msgspec.json.decode(file.read(), type=Configuration)
+    except (OSError, ValueError, msgspec.MsgspecError) as trouble:
+        raise UnusableError(str(trouble)) from None
+
+
 def main() -> int:
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))  # until the service catches it
     path = os.environ.get("GW_CONFIG", "")
     try:
-        with open(path, "rb") as file:
-            given = msgspec.json.decode(file.read(), type=Configuration)
+        given = configuration(path)
         host, _, port = given.listen.rpartition(":")
         events = known.events(given.known, given.settings)
         service = Service(given.name, (host, int(port)), int(given.seed, 16), given.settings, events,
-                          given.coordinator)
-    except (OSError, ValueError, msgspec.MsgspecError, known.MalformedError) as trouble:
+                          given.coordinator, lambda: configuration(path).coordinator)
+    except (ValueError, known.MalformedError) as trouble:
         print(f"cresstray: the configuration GW_CONFIG={path!r} can't be used: {trouble}", file=sys.stderr)
         return 2
     # Danger: a collection that looks at every object stands still for 40 ms, and answers come too late. What
--- a/cresstray/coordinator/feed.py
+++ b/cresstray/coordinator/feed.py
@@ -12,36 +12,56 @@
 from cresstray.log import Log
 from cresstray.streams import ENDED, Line, connect
 
-# An empty frame comes each second; after two and a half the link is taken for dead.
-_SILENCE = 2.5
+# Events count as told two seconds after a break and four after a silence, whether they came or not. An empty
+# frame comes each second: after one and a half the link is taken for dead, with time for two more tries.
+_SILENCE = 1.5
 # A connection on a healthy network is up far sooner; the gateway must not miss more than it has to.
-_CONNECT = 1.0
-# Again at once the first time, then each time twice as late, up to a second: events count whether they come.
-_FIRST_PAUSE, _LONGEST_PAUSE = 0.05, 1.0
+_CONNECT = 0.5
+# Again at once the first time, then each time twice as late, up to some times a second.
+_FIRST_PAUSE, _LONGEST_PAUSE = 0.02, 0.3
 
 
 class Feed:
-    def __init__(self, address: str, last: int, settings: Mapping, told: Callable[[Event], None],
+    """`address` as host:port, ValueError where it is none; without one the list stays as it is."""
+
+    def __init__(self, address: str | None, last: int, settings: Mapping, told: Callable[[Event], None],
                  counters: Counters, log: Log) -> None:
-        host, _, port = address.rpartition(":")
-        self._address, self.last = (host, int(port)), last
+        self._address, self.last = _parts(address), last
         self._settings, self._told, self._counters, self._log = settings, told, counters, log
+        self._scope: anyio.CancelScope | None = None  # of the coordinator that is followed
+
+    def move(self, address: str | None) -> None:
+        """Leaves the coordinator that is followed for this one, at once; the numbers carry on."""
+        parts = _parts(address)
+        if parts != self._address:
+            self._address = parts
+            self._log.say("coordinator", f"now follows {address}")
+            if self._scope is not None:
+                self._scope.cancel()
 
     async def run(self) -> None:
+        while True:
+            with anyio.CancelScope() as self._scope:
+                await self._keep_up()
+
+    async def _keep_up(self) -> None:
+        if self._address is None:
+            await anyio.sleep_forever()
         pause = _FIRST_PAUSE
         while True:
-            before = self.last
+            heard = self._counters.counts["coordinator frames"]
             try:
-                await self._follow()
+                await self._follow(*self._address)
             except (*ENDED, MalformedError, TimeoutError) as trouble:
                 self._counters.add("coordinator links ended")
                 self._log.say("coordinator", f"link ended, made again: {trouble!r}")
-            pause = _FIRST_PAUSE if self.last != before else min(_LONGEST_PAUSE, 2 * pause)
+            worked = self._counters.counts["coordinator frames"] != heard
+            pause = _FIRST_PAUSE if worked else min(_LONGEST_PAUSE, 2 * pause)
             await anyio.sleep(pause)
 
-    async def _follow(self) -> None:
+    async def _follow(self, host: str, port: int) -> None:
         with anyio.fail_after(_CONNECT):
-            made = await connect(*self._address)
+            made = await connect(host, port)
         with Line(made) as line:
             line.put(hello(self.last))
             frames = Frames(len(self._settings.get("Localities", [])) or 256,
@@ -50,12 +70,16 @@
                 with anyio.fail_after(_SILENCE):
                     data = await line.receive()
                 for event in frames.feed(data):
-                    if event is not None:
-                        self._take(event)
-
-    def _take(self, event: Event) -> None:
-        if event.number <= self.last:
-            raise MalformedError(f"event {event.number} after {self.last}")
-        self.last = event.number
-        self._counters.add("coordinator events")
-        self._told(event)
+                    self._counters.add("coordinator frames")
+                    # Danger: an event told twice is nothing new, and no reason to leave the link.
+                    if event is not None and event.number > self.last:
+                        self.last = event.number
+                        self._counters.add("coordinator events")
+                        self._told(event)
+
+
+def _parts(address: str | None) -> tuple[str, int] | None:
+    if not address:
+        return None
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -4,7 +4,7 @@
 
 import signal
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import anyio
@@ -34,8 +34,9 @@
 
 class Service:
     def __init__(self, name: str, listen: tuple[str, int], seed: int, settings: Mapping[str, Any],
-                 events: list[known.Event], coordinator: str | None) -> None:
-        self._listen, self._settings, self._coordinator = listen, settings, coordinator
+                 events: list[known.Event], coordinator: str | None,
+                 coordinator_now: Callable[[], str | None] | None = None) -> None:
+        self._listen, self._settings, self._coordinator_now = listen, settings, coordinator_now
         self._clock, self.counters = Clock(), Counters()
         self._log, self._timers = Log(name, self._clock), Timers(self._clock)
         self._book = Book(self.counters)
@@ -50,6 +51,8 @@
         tariffs = frozenset(service["Name"] for service in settings.get("Services", []))
         self._door = Door(tariffs, take_in, self.counters, self._log)
         self._events = events
+        last = events[-1].number if events else 0
+        self._feed = Feed(coordinator, last, settings, self._told, self.counters, self._log)
         self._tasks: TaskGroup
 
     def _make_pool(self, label: str, address: tuple[str, int]) -> Pool:
@@ -64,10 +67,7 @@
         async with anyio.create_task_group() as self._tasks:
             for event in self._events:
                 self._told(event)
-            if self._coordinator:
-                last = self._events[-1].number if self._events else 0
-                feed = Feed(self._coordinator, last, self._settings, self._told, self.counters, self._log)
-                self._tasks.start_soon(feed.run)
+            self._tasks.start_soon(self._feed.run)
             self._tasks.start_soon(self._timers.run)
             host, port = self._listen
             listener = socket.create_server((host, port), backlog=1024)
@@ -81,11 +81,17 @@
         self.report()
 
     async def _signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1) as signals:
+        # Danger: a SIGHUP that comes before or after these are caught would end the process. `main` holds it
+        # back until here, and what comes during the stop is caught and left alone.
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
             async for received in signals:
                 if received == signal.SIGUSR1:
                     self.report()
                     continue
+                if received == signal.SIGHUP:
+                    self._reload()
+                    continue
                 self._log.say("service", f"ends; {self._book.owed()} submissions are owed an answer")
                 self._last_stop()
                 await anyio.sleep(_STILL_COMING)
@@ -97,8 +103,16 @@
                 with anyio.move_on_after(0.5):
                     while self._door.connections:
                         await anyio.sleep(0.01)
+                signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
                 return
 
+    def _reload(self) -> None:
+        """The configuration has been replaced: its coordinator is followed from now on, all else goes on."""
+        try:
+            self._feed.move(self._coordinator_now())
+        except ValueError as trouble:
+            self._log.say("service", f"the new configuration can't be used, the old one stays: {trouble}")
+
     def _last_stop(self) -> None:
         """All that is open, and what still comes, is to be answered before SIGKILL may come."""
         limits = [int(service.get("GiveUp", 0) * 1000) for service in self._settings.get("Services", [])]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -2,10 +2,14 @@
 
 import contextlib
 import io
+import json
 import os
+import re
 import signal
 import socket
 import struct
+import subprocess
+import sys
 import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -41,6 +45,7 @@
             service["Name"] = name
         self.engines = [EngineStandIn(f"engine {number}") for number in range(engines)]
         self.service: Service
+        self.coordinator: str | None = None  # of the configuration that replaces the first
         self.address: tuple[str, int]
 
     async def run(self, scene: Callable[["Stage", ClientStandIn], Awaitable],
@@ -52,7 +57,7 @@
             told = [] if coordinator else self.engines
             listed = [member(engine.port, number) for number, engine in enumerate(told)]
             self.service = Service("n0", ("127.0.0.1", 0), 7, self.settings,
-                                   [Event(1, True, listed)], coordinator)
+                                   [Event(1, True, listed)], coordinator, lambda: self.coordinator)
             self.address = await tasks.start(self.service.run)
             with anyio.fail_after(30):
                 async with await anyio.connect_tcp(*self.address) as stream:
@@ -181,45 +186,56 @@
         service = {"Effect": "idempotent", "GoalTime": 100.0, "GiveUp": 900.0}
         self.play("scene_last_stop", scene, Services=[service])
 
-    def test_coordinator(self) -> None:
+    def test_coordinators(self) -> None:
+        """A doubled event, a break, and configurations replaced while the gateway runs and while it stops."""
         async def scene(stage: Stage, client: ClientStandIn) -> None:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(told, stage)
-                await client.ask(1, "plain", timeout=60000)
-                await client.hear()
-                await again.wait()
-                tasks.cancel_scope.cancel()
+            await client.ask(1, "plain", timeout=60000)
+            await client.hear()
+            for address in ("no address", replaced):
+                stage.coordinator = address
+                os.kill(os.getpid(), signal.SIGHUP)
+                await anyio.sleep(0.05)
+            await told_again.wait()
+            await client.ask(2, "silent", timeout=800)
+            await stage.until(0, "ASK 0002")
+            os.kill(os.getpid(), signal.SIGTERM)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await client.hear()
+
+        async def first(stream: anyio.abc.SocketStream) -> None:
+            heard.append(f"the first is told {struct.unpack('>Q', await stream.receive(8))[0]}")
+            event = frame(2, 0) + 2 * frame(2, 2, (5, 0x7f000001, made.engines[0].port, 0, 0, 0, 0, 0, 0))
+            for at in range(len(event)):
+                await stream.send(event[at:at + 1])
+            with contextlib.suppress(anyio.EndOfStream):
+                await stream.receive()
+            heard.append("the first is left")
 
-        async def told(stage: Stage) -> None:
-            async def serve(stream: anyio.abc.SocketStream) -> None:
-                number = struct.unpack(">Q", await stream.receive(8))[0]
-                heard.append(f"coordinator is told {number}")
-                if number == 1:
-                    record = (5, 0x7f000001, stage.engines[0].port, 0, 0, 0, 0, 0, 0)
-                    event = frame(2, 0) + frame(2, 2, record)
-                    for at in range(len(event)):
-                        await stream.send(event[at:at + 1])
-                    await stream.send(frame(2, 2))  # no number comes twice
-                    with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
-                        await stream.receive()
-                else:
-                    again.set()
-                    await anyio.sleep_forever()
-
-            await listener.serve(serve)
-
-        again, made, heard = anyio.Event(), Stage(1), []
+        async def second(stream: anyio.abc.SocketStream) -> None:
+            heard.append(f"the second is told {struct.unpack('>Q', await stream.receive(8))[0]}")
+            if len(heard) > 3:
+                told_again.set()
+                await anyio.sleep_forever()
+            await stream.send(frame(3, 2, (6, 0x7f000001, 1, 0, 0, 0, 0, 0, 0))[:20])
+            await stream.aclose()
 
         async def main() -> None:
-            nonlocal listener
-            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-            port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            await made.run(scene, f"127.0.0.1:{port}")
+            nonlocal replaced
+            async with anyio.create_task_group() as tasks:
+                ports = []
+                for coordinator in (first, second):
+                    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+                    ports.append(listener.extra(anyio.abc.SocketAttribute.local_port))
+                    tasks.start_soon(listener.serve, coordinator)
+                replaced = f"127.0.0.1:{ports[1]}"
+                await made.run(scene, f"127.0.0.1:{ports[0]}")
+                tasks.cancel_scope.cancel()
 
-        listener = None
-        with contextlib.redirect_stderr(io.StringIO()):
+        told_again, made, heard, replaced = anyio.Event(), Stage(1), [], ""
+        with contextlib.redirect_stderr(io.StringIO()) as said:
             anyio.run(main)
-        self.check("scene_coordinator", made.trace() + heard)
+        self.assertEqual(1, said.getvalue().count("can't be used, the old one stays"))
+        self.check("scene_coordinators", made.trace() + heard)
 
 
 class Parts(TraceCase):
@@ -299,3 +315,23 @@
                     lines.append(f"{text}: exit code {program.main()}")
                 lines.append(said.getvalue().strip().replace(folder, "FOLDER"))
         self.check("configuration", lines)
+
+    def test_the_program_is_told_of_a_new_configuration(self) -> None:
+        lines = []
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            given = {"name": "n0", "listen": "127.0.0.1:0", "seed": "1",
+                     "settings": Stage(0).settings}
+            path.write_text(json.dumps(given))
+            run = [sys.executable, "-m", "cresstray"]
+            with subprocess.Popen(run, env=os.environ | {"GW_CONFIG": str(path)}, stderr=subprocess.PIPE,
+                                  text=True) as process:
+                lines.append(re.sub(r":\d+$", ":PORT", process.stderr.readline().split(" ", 1)[1].rstrip()))
+                for text in ("{", json.dumps(given | {"coordinator": "127.0.0.1:1"})):
+                    path.write_text(text)
+                    process.send_signal(signal.SIGHUP)
+                    lines.append(process.stderr.readline().split(" ", 1)[1].rstrip())
+                process.send_signal(signal.SIGTERM)
+                process.stderr.read()
+            lines.append(f"exit code {process.returncode}")
+        self.check("reload", lines)
