--- a/cresstray/__main__.py
+++ b/cresstray/__main__.py
@@ -15,6 +15,12 @@
 from cresstray.service import Service
 
 
+class Limits(msgspec.Struct, frozen=True):
+    """What this machine gives the gateway; its memory and its share of a core need no word from it."""
+
+    sockets: int = 1024
+
+
 class Configuration(msgspec.Struct):
     name: str
     listen: str
@@ -22,6 +28,7 @@
     settings: dict[str, Any]
     known: known.Known = msgspec.field(default_factory=known.Known)
     coordinator: str | None = None
+    limits: Limits = Limits()
 
 
 class UnusableError(ValueError):
@@ -44,7 +51,7 @@
         host, _, port = given.listen.rpartition(":")
         events = known.events(given.known, given.settings)
         service = Service(given.name, (host, int(port)), int(given.seed, 16), given.settings, events,
-                          given.coordinator, lambda: configuration(path).coordinator)
+                          given.coordinator, lambda: configuration(path).coordinator, given.limits.sockets)
     except (ValueError, known.MalformedError) as trouble:
         print(f"cresstray: the configuration GW_CONFIG={path!r} can't be used: {trouble}", file=sys.stderr)
         return 2
--- a/cresstray/clients/codec.py
+++ b/cresstray/clients/codec.py
@@ -25,7 +25,7 @@
 
     name: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{16}$")]
     patience: Annotated[float, msgspec.Meta(gt=0, lt=1e9)]
-    statement: bytes = b""
+    statement: Annotated[bytes, msgspec.Meta(min_length=1)]
     tenant: str = ""
     # Danger: a mark goes into a list of fields; a comma in it would make another field of the rest.
     mark: Annotated[str, msgspec.Meta(pattern="^[0-9A-Za-z_.:-]{0,128}$")] = ""
--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 import anyio
@@ -12,10 +13,20 @@
 from cresstray.log import Log
 from cresstray.streams import ENDED, Line, contained
 
-# A statement is some kilobytes; a line that is longer by far than any has no end that can be found.
-_LONGEST_LINE = 1_000_000
+# A statement is some kilobytes, and a line that is longer by far than any has no end that can be found.
+_LONGEST_LINE = 256 * 1024
+# Danger: lines that never end, on all connections at once, would fill the memory.
+_MOST_UNFINISHED = 2 * 1024 * 1024
 # What a client may leave unread before nothing more is read from it: some whole results.
 _MOST_UNREAD = 256 * 1024
+# Open requests on a connection, as the protocol has it.
+_MOST_OPEN = 32
+# One mistake may happen to any client; whoever makes ten on a connection does not speak the protocol.
+_MOST_FAULTS = 10
+# A client that has not said a whole line by then is owed a close within three seconds of connecting. One that
+# has been answered closes after four seconds by itself, so ours does not cross its next request.
+_SILENT, _IDLE = 2_200_000, 5_000_000
+_SWEEP = 0.2
 
 
 class Front(Protocol):
@@ -32,6 +43,11 @@
     def __init__(self, door: Door, line: Line) -> None:
         self._door, self._line = door, line
         self.open: dict[int, object] = {}
+        self.since = door.now()  # of the connection; later of its last line or answer, or of half a line
+        self.spoken = False  # whether it has sent a line that could be read
+        self._buffer = bytearray()
+        self._faults = 0
+        self._scope = anyio.CancelScope()
 
     def fulfil(self, number: int, result: bytes) -> None:
         self._answer(number, codec.fulfilled(number, result))
@@ -43,69 +59,95 @@
     def abandon(self, number: int) -> None:
         self._answer(number, codec.failed(number, codec.ABANDONED, "failed"))
 
-    def reject(self, number: int | None, text: str) -> None:
-        """For what could be read but can't be taken in."""
+    def reject(self, number: int | None, text: str, code: int = codec.INVALID_PARAMS) -> None:
+        """For what can't be taken in."""
+        self._faults += 1
         self._door.counters.add("clients malformed")
-        self._line.put(codec.failed(number, codec.INVALID_PARAMS, text))
+        self._door.log.say("client", f"malformed, {code}: {text}")
+        self._line.put(codec.failed(number, code, text))
 
     def _answer(self, number: int, line: bytes) -> None:
         del self.open[number]
+        self.since = self._door.now()
         self._line.put(line)
 
     async def run(self) -> None:
         counters = self._door.counters
         counters.add("clients connected")
-        self._door.connections.add(self)
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._pump, tasks.cancel_scope)
-                try:
-                    await self._read()
-                except ENDED:
-                    counters.add("clients ended")
-                tasks.cancel_scope.cancel()
+            with self._scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._pump)
+                    try:
+                        await self._read()
+                    except ENDED:
+                        counters.add("clients ended")
+                    self._scope.cancel()
         finally:
-            self._door.connections.discard(self)
+            self._door.unfinished -= len(self._buffer)
+            self._door.connections.pop(self, None)
             self._door.front.gone(self)
 
-    async def _pump(self, scope: anyio.CancelScope) -> None:
+    async def _pump(self) -> None:
         try:
             await self._line.pump()
         except ENDED:
             self._door.counters.add("clients cut")
-        scope.cancel()
+        self._scope.cancel()
 
     async def _read(self) -> None:
-        buffer = b""
+        buffer, door = self._buffer, self._door
         while True:
             while len(self._line.waiting) > _MOST_UNREAD:
                 # Danger: answers that a client does not read would fill the memory of all.
                 await anyio.sleep(0.01)
-            buffer += await self._line.receive()
-            *lines, buffer = buffer.split(b"\n")
-            for line in lines:
-                if line.strip():
-                    self._take(line)
-            if len(buffer) > _LONGEST_LINE:
-                self._door.log.say("client", "a line without an end, its connection is closed")
+            data = await self._line.receive()
+            if self.spoken and not buffer:
+                self.since = door.now()
+            before, end = len(buffer), data.rfind(b"\n")
+            buffer += data
+            if end >= 0:
+                lines = bytes(buffer[:before + end]).split(b"\n")
+                del buffer[:before + end + 1]
+                self.since = door.now()
+                self._take_all(lines)
+            door.unfinished += len(buffer) - before
+            if len(buffer) > _LONGEST_LINE or door.unfinished > _MOST_UNFINISHED:
+                self.reject(None, "a line without an end", codec.INVALID_REQUEST)
+                return
+            if self._faults >= _MOST_FAULTS:
+                # Danger: a flood of bad lines costs the others their time. What is open is still answered.
+                door.counters.add("clients turned out")
+                while self.open or self._line.waiting:
+                    await anyio.sleep(0.05)
+                return
+
+    def _take_all(self, lines: list[bytes]) -> None:
+        for line in lines:
+            if self._faults >= _MOST_FAULTS:
                 return
+            if line.strip():
+                self._take(line)
 
     def _take(self, line: bytes) -> None:
         try:
             number, message = codec.decode(line, self._door.tariffs)
         except codec.MalformedError as trouble:
-            self._door.counters.add("clients malformed")
-            self._door.log.say("client", f"malformed, {trouble.code}: {trouble.text}")
-            self._line.put(codec.failed(trouble.number, trouble.code, trouble.text))
+            self.reject(trouble.number, trouble.text, trouble.code)
             return
+        self.spoken = True
         if isinstance(message, codec.Status):
             if number is not None:
                 self._line.put(codec.healthy(number))
         elif isinstance(message, codec.Withdrawal):
             self._door.front.withdraw(self, message.id, message.req)
         elif number in self.open:
-            self._door.counters.add("clients malformed")
-            self._line.put(codec.failed(number, codec.INVALID_REQUEST, "an id that is in use"))
+            # Danger: an answer under this number could be taken for that to either; both are given up.
+            self._door.front.withdraw(self, number, None)
+            self.reject(number, "two requests under one id", codec.INVALID_REQUEST)
+            self.reject(number, "two requests under one id", codec.INVALID_REQUEST)
+        elif len(self.open) >= _MOST_OPEN:
+            self.reject(number, "too many open requests", codec.INVALID_REQUEST)
         else:
             self._door.front.take(self, number, message)
 
@@ -113,24 +155,49 @@
         """What has been answered is still written."""
         self._line.finish()
 
+    def silent_for(self, now: int) -> int:
+        """How long it has said nothing beyond what it may; below 0: not yet so long, or something is open."""
+        if self.open:
+            return -1
+        return now - self.since - (_IDLE if self.spoken and not self._buffer else _SILENT)
+
+    def drop(self, surely: bool) -> bool:
+        """Ends it at once, unless something is open; if not `surely`, unless something is still to be read."""
+        if self.open or not surely and self._line.has_more():
+            return False
+        self._door.counters.add("clients silent, closed")
+        self._door.connections.pop(self, None)
+        self._scope.cancel()
+        return True
+
 
 class Door:
-    """Where clients connect."""
+    """Where clients connect; `most` connections at once."""
 
-    def __init__(self, tariffs: frozenset[str], front: Front, counters: Counters, log: Log) -> None:
-        self.tariffs, self.front, self.counters, self.log = tariffs, front, counters, log
-        self.connections: set[Connection] = set()
+    def __init__(self, tariffs: frozenset[str], front: Front, most: int, now: Callable[[], int],
+                 counters: Counters, log: Log) -> None:
+        self.tariffs, self.front, self.now, self.counters, self.log = tariffs, front, now, counters, log
+        self._most = most
+        self.connections: dict[Connection, None] = {}  # in the order they came
+        self.unfinished = 0  # bytes of half lines, on all connections
 
     async def run(self, listener: socket.socket) -> None:
         """Accepts until it is cancelled; what it accepted lives on in the same task group."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._sweep)
             while True:
                 await anyio.wait_readable(listener)
                 try:
                     # Danger: a client's time runs, accepted or not. One connection a turn of a busy loop
                     # leaves the last of a crowd waiting for 0.3 s; all that wait are taken at once.
                     while True:
-                        tasks.start_soon(self._serve, listener.accept()[0])
+                        accepted = listener.accept()[0]
+                        if len(self.connections) < self._most or self._make_room():
+                            connection = Connection(self, Line(accepted))
+                            self.connections[connection] = None
+                            tasks.start_soon(self._serve, connection, accepted)
+                        else:
+                            accepted.close()
                 except BlockingIOError:
                     continue
                 except OSError as trouble:
@@ -139,11 +206,29 @@
                     self._make_room()
                     await anyio.sleep(0.02)
 
-    async def _serve(self, accepted: socket.socket) -> None:
+    async def _serve(self, connection: Connection, accepted: socket.socket) -> None:
         with contained("a client's connection", self.counters, self.log), accepted:
-            await Connection(self, Line(accepted)).run()
+            await connection.run()
 
-    def _make_room(self) -> None:
-        idle = next((one for one in self.connections if not one.open), None)
-        if idle is not None:
-            idle.close()
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(_SWEEP)
+            self.close_silent()
+
+    def close_silent(self) -> None:
+        now = self.now()
+        for connection in [one for one in self.connections if one.silent_for(now) >= 0]:
+            # What is not read within a second more is left unread on purpose.
+            connection.drop(surely=connection.silent_for(now) >= 1_000_000)
+
+    def _make_room(self) -> bool:
+        """Closes who has been silent longest: who never spoke before who has been answered."""
+        # Danger: of a crowd that says nothing, the last may be about to send their first request. A client
+        # speaks at once; whoever has not within 0.3 s is not likely to.
+        now = self.now()
+        for connection in sorted(self.connections, key=lambda one: (
+                one.spoken if now - one.since > 300_000 else 2 - one.spoken, one.since)):
+            if connection.drop(surely=False):
+                return True
+        self.log.say("door", "no room for a client, all others have requests open")
+        return False
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -396,8 +396,7 @@
             # Danger: the relay may run on, and the key's next would run beside it.
             self.key_free[submission.key] = now + micros(self.rules.get("TurnGap", 0)) + 1000  # rounded up
         if no_more or submission.ended:
-            self._unhold(submission)
-            submission.ended = True
+            self._close(submission)
         elif self._worth_again(submission, now):
             # A further relay waits as long as a first one would, a window at the least.
             submission.leave_by = min(submission.hard_stop - MARGIN, max(submission.leave_by, now + WINDOW))
@@ -510,14 +509,17 @@
 
     def _end(self, submission: Submission) -> None:
         """The final answer: a denial where a repeat does no harm, else an abandonment; at once."""
-        submission.ended = True
-        self._unhold(submission)
+        self._close(submission)
         if not self._may_deny(submission):
             self.port.abandon(submission)
         else:
             most = micros(self.limits.get("MaxRetryAfter", 0)) if self.limits.get("RetryAfter") else 0
             # Come back spread over the longest wait that clients honour, so that they do not return together.
             self.port.deny(submission, int(most * (0.5 + 0.5 * self.random())))
+
+    def _close(self, submission: Submission) -> None:
+        submission.ended = True
+        self._unhold(submission)
         self._give_up_turn(submission)
 
     def _unhold(self, submission: Submission) -> None:
@@ -526,11 +528,11 @@
             (self.further if submission in self.further else self.held).remove(submission)
 
     def client_left(self, submission: Submission, now: int) -> None:
-        self._unhold(submission)
-        submission.ended = True
+        # Danger: a flood that is asked and withdrawn would earn relays for others; it earns nothing.
+        self.accepted.add(submission.arrived, -1)
+        self._close(submission)
         if submission.relay is not None and self.limits.get("Cancel"):
             self.port.withdraw(submission.relay)
-        self._give_up_turn(submission)
 
     def noted(self, relay: Relay, topic: Topic, value: float, now: int) -> None:
         submission, relay.noted = relay.submission, now
@@ -597,8 +599,7 @@
         limiter = engine.limiter
         if ending is Ending.FULFILLED:
             limiter.hear(now)
-            if limiter.mute:
-                limiter.trial_at = now
+            limiter.trial_at = now if limiter.mute else limiter.trial_at
         elif ending is not Ending.FULL:
             self._fault(engine, 1, False, now)
         self._heed(engine, report, now)
--- a/cresstray/passage/take_in.py
+++ b/cresstray/passage/take_in.py
@@ -10,30 +10,53 @@
 from cresstray.passage.errand import Asker, Errand, Query
 from cresstray.tables import group_of
 
+# Names are new with every request: one that comes again within some ten seconds is a mistake or worse.
+_MEMORY, _MOST_NAMES = 10_000_000, 20_000
+
 
 class TakeIn:
     def __init__(self, settings: Mapping, tariffs: list[Tariff], clock: Clock, onward: Admit) -> None:
         self._clock, self._onward = clock, onward
         self.last_stop: int | None = None  # when this gateway ends, once it is known
-        names = [service.get("Name") for service in settings.get("Services", [])]
-        self._tariffs = dict(zip(names, tariffs))
+        services = settings.get("Services", [])
+        # The longest time a client of a tariff waits, twice over: no client can mean more.
+        self._tariffs = {service.get("Name"): (tariff, 2 * service.get("GiveUp", 5e8))
+                         for service, tariff in zip(services, tariffs)}
         self._tenants = {tenant["Name"]: place for place, tenant in enumerate(settings.get("Tenants", []))}
+        self._names: set[str] = set()  # of late, and before that
+        self._older: set[str] = set()
+        self._turn = 0
 
     def take(self, asker: Asker, number: int, query: Query) -> None:
         now = self._clock.now()
-        tariff = self._tariffs[query.tariff]
+        tariff, longest = self._tariffs[query.tariff]
         tenant = self._tenants.get(query.tenant, 0 if not self._tenants else None)
-        if tenant is None or tariff.deduplicated and not query.mark:
-            asker.reject(number, "an unknown tenant" if tenant is None else "a mark is missing")
+        statement = _text(query.statement)
+        wrong = ("an unknown tenant" if tenant is None
+                 else "a mark is missing" if tariff.deduplicated and not query.mark
+                 else "a time limit beyond all bounds" if query.patience > longest
+                 else "a statement that is no text" if statement is None
+                 else "a name that was used before" if not self._is_new(query.name, now) else None)
+        if wrong:
+            asker.reject(number, wrong)
             return
         hard_stop = now + int(query.patience * 1000)
         if self.last_stop is not None:
             hard_stop = min(hard_stop, self.last_stop)
         submission = Submission(
-            tariff, now, hard_stop, tenant, 0, int(query.estimate * 1000),
-            query.megabytes, group_of(query.statement.decode("utf-8", "replace")))
+            tariff, now, hard_stop, tenant, 0, int(query.estimate * 1000), query.megabytes, group_of(statement))
         self._onward.admit(Errand(asker, number, query, submission), now)
 
+    def _is_new(self, name: str, now: int) -> bool:
+        # Danger: engines know a request by its name alone. Under one that is open, a stranger could have the
+        # owner's work given up or answered, and a link could not tell whose answer comes.
+        if now >= self._turn or len(self._names) >= _MOST_NAMES:
+            self._names, self._older, self._turn = set(), self._names, now + _MEMORY
+        if name in self._names or name in self._older:
+            return False
+        self._names.add(name)
+        return True
+
     def withdraw(self, asker: Asker, number: int | None, name: str | None) -> None:
         """The client no longer waits for one of its submissions."""
         if number is None:
@@ -45,3 +68,10 @@
         """The client has left, and with it all that it waited for."""
         for errand in list(asker.open.values()):
             self._onward.leave(errand, self._clock.now())
+
+
+def _text(statement: bytes) -> str | None:
+    try:
+        return statement.decode()
+    except UnicodeDecodeError:
+        return None
--- a/cresstray/ring.py
+++ b/cresstray/ring.py
@@ -22,8 +22,12 @@
         return self._stamp % size
 
     def add(self, now: int, amount: float = 1.0) -> None:
-        """Counts an amount at this moment."""
-        self._sums[self._turn(now)] += amount
+        """Counts an amount at this moment, or at one that has passed if the ring still holds that."""
+        stamp, size = now // self._width, len(self._sums)
+        if stamp > self._stamp:
+            self._turn(now)
+        if stamp > self._stamp - size:
+            self._sums[stamp % size] += amount
 
     def most(self, now: int) -> float:
         """The sum over the span or a little longer: at least what a sliding window holds."""
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -35,7 +35,8 @@
 class Service:
     def __init__(self, name: str, listen: tuple[str, int], seed: int, settings: Mapping[str, Any],
                  events: list[known.Event], coordinator: str | None,
-                 coordinator_now: Callable[[], str | None] | None = None) -> None:
+                 coordinator_now: Callable[[], str | None] | None = None,
+                 descriptors: int = 1024) -> None:
         self._listen, self._settings, self._coordinator_now = listen, settings, coordinator_now
         self._clock, self.counters = Clock(), Counters()
         self._log, self._timers = Log(name, self._clock), Timers(self._clock)
@@ -49,7 +50,8 @@
         self._back.gateway = admit.gateway = self._gateway
         self._take_in = take_in = TakeIn(settings, self._gateway.tariffs, self._clock, admit)
         tariffs = frozenset(service["Name"] for service in settings.get("Services", []))
-        self._door = Door(tariffs, take_in, self.counters, self._log)
+        # Clients hold a third of the descriptors at most; the other half of these five eighths is for strangers.
+        self._door = Door(tariffs, take_in, descriptors * 5 // 8, self._clock.now, self.counters, self._log)
         self._events = events
         last = events[-1].number if events else 0
         self._feed = Feed(coordinator, last, settings, self._told, self.counters, self._log)
--- a/cresstray/streams.py
+++ b/cresstray/streams.py
@@ -97,6 +97,13 @@
             raise anyio.EndOfStream
         return data
 
+    def has_more(self) -> bool:
+        """Whether something has come that was not received yet; an end is nothing."""
+        try:
+            return bool(self._socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def __enter__(self) -> Line:
         return self
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -25,8 +25,8 @@
     "Limits": {"Cancel": True, "MaxAttempts": 4, "RetryAfter": True, "MaxRetryAfter": 1000.0},
     "Safety": {"ColdShare": 0.5, "WarmUp": 10000.0, "OverloadFactor": 2.0, "Fall": 1000.0},
     "Services": [
-        {"Effect": "idempotent", "GoalTime": 400.0, "AimStretch": 2.0, "GiveUp": 2000.0, "Worth": 1.0},
-        {"Effect": "idempotent", "GoalTime": 2000.0, "AimStretch": 2.0, "GiveUp": 9000.0, "Worth": 5.0,
+        {"Effect": "idempotent", "GoalTime": 400.0, "AimStretch": 2.0, "GiveUp": 60000.0, "Worth": 1.0},
+        {"Effect": "idempotent", "GoalTime": 2000.0, "AimStretch": 2.0, "GiveUp": 60000.0, "Worth": 5.0,
          "LateValue": 0.4}],
 }
 START = 100_000_000
@@ -185,13 +185,13 @@
 class ClientStandIn:
     """One connection of a client; what it says and hears is in `lines`."""
 
-    def __init__(self, stream: anyio.abc.SocketStream, lines: list[str]) -> None:
+    def __init__(self, stream: anyio.abc.SocketStream, lines: list[str], names: int = 0) -> None:
         self._stream, self._lines, self._buffer = stream, lines, b""
-        self._names = 0
+        self.names = names  # that were used
 
     async def ask(self, number: int, statement: str, tariff: str = "lookup", timeout: int = 5000) -> None:
-        self._names += 1
-        params = {"req": f"{self._names:04x}{'0' * 12}", "timeout": timeout, "owner": "acme",
+        self.names += 1
+        params = {"req": f"{self.names:04x}{'0' * 12}", "timeout": timeout, "owner": "acme",
                   "data": base64.b64encode(statement.encode()).decode()}
         self._lines.append(f"client asks {number}: {statement}")
         await self.say({"jsonrpc": "2.0", "id": number, "method": tariff, "params": params})
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -116,6 +116,18 @@
         desk.run(5600)
         self.check("budget", desk.lines)
 
+    def test_what_is_withdrawn_earns_no_relays(self) -> None:
+        budget = {"BudgetWindow": 5000.0, "FreeResends": 1.0, "ResendRatio": 0.25}
+        desk = Desk(settings(Safety=budget), engines=4)
+        for number in range(40):
+            flood = desk.submit(f"flood {number}", left=60_000)
+            desk.gateway.client_left(flood, desk.now)
+            desk.back(flood, Ending.WITHDRAWN)
+        desk.lines.clear()
+        for submission in [desk.submit(f"s{number}", left=60_000) for number in range(4)]:
+            desk.back(submission, Ending.FULL)
+        self.check("withdrawn", desk.lines)
+
     def test_relays_end_before_the_hard_stop(self) -> None:
         desk = Desk(settings(), engines=1)
         desk.relay = lambda relay, patience: desk.say(f"relay may take {patience / 1000:.0f} ms")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -74,6 +74,11 @@
         return self.lines + [line for engine in self.engines for line in engine.lines]
 
 
+async def turns(count: int) -> None:
+    for _ in range(count):
+        await anyio.lowlevel.checkpoint()
+
+
 class Scenes(TraceCase):
     def play(self, name: str, scene: Callable[[Stage, ClientStandIn], Awaitable], engines: int = 1,
              coordinator: str | None = None, **parts: object) -> Stage:
@@ -105,7 +110,8 @@
                     await client.hear()
             await client.ask(5, "silent")
             await stage.until(0, "ASK 0001")
-            await client.ask(5, "plain")
+            await client.ask(5, "plain")  # neither can be answered now
+            await client.hear()
             await client.hear()
             await client.say({"jsonrpc": "2.0", "id": 6, "method": "lookup", "params": {
                 "req": "0" * 16, "timeout": 900, "owner": "nobody", "data": ""}})
@@ -122,9 +128,9 @@
             await client.say({"jsonrpc": "2.0", "method": "withdraw", "params": {"id": 1}})
             await stage.until(0, "QUIT 0001")
             async with await anyio.connect_tcp(*stage.address) as stream:
-                other = ClientStandIn(stream, stage.lines)
+                other = ClientStandIn(stream, stage.lines, names=16)
                 await other.ask(1, "silent two")
-                await stage.until(0, "ASK 0001 c=lookup,w=N silent two")
+                await stage.until(0, "ASK 0011")
             while len([line for line in stage.engines[0].lines if "QUIT" in line]) < 2:
                 await stage.engines[0].got.wait()
             await client.ask(2, "plain")
@@ -133,6 +139,37 @@
         stage = self.play("scene_left", scene)
         self.assertEqual(2, stage.service.counters.counts["submissions left"])
 
+    def test_strangers_do_no_harm(self) -> None:
+        """The id of an open request, one used again after it was withdrawn, too many open, only mistakes."""
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            await client.ask(1, "silent")
+            await stage.until(0, "ASK 0001")
+            for what in ("taken", "used up"):
+                async with await anyio.connect_tcp(*stage.address) as stream:
+                    stage.lines.append(f"a stranger comes with a name that is {what}")
+                    stranger = ClientStandIn(stream, stage.lines)
+                    await stranger.ask(1, "plain")
+                    await stranger.hear()
+                    for _ in range(9 if what == "taken" else 0):
+                        await stranger.say(b"no JSON\n")
+                        await stranger.hear()
+                    with contextlib.suppress(anyio.EndOfStream):
+                        if what == "taken":
+                            await stranger.say(b"the tenth is not answered\n")
+                            await stranger.hear()
+                if what == "taken":
+                    await client.say({"jsonrpc": "2.0", "method": "withdraw", "params": {"id": 1}})
+                    await stage.until(0, "QUIT 0001")
+            mark = len(stage.lines)
+            for number in range(2, 35):
+                await client.ask(number, "silent")
+            await client.hear()
+            del stage.lines[mark:-2]
+            del stage.engines[0].lines[2:]
+
+        stage = self.play("scene_strangers", scene)
+        self.assertEqual(1, stage.service.counters.counts["clients turned out"])
+
     def test_engine_faults(self) -> None:
         async def scene(stage: Stage, client: ClientStandIn) -> None:
             for number, statement in enumerate(("garbage", "plain", "reset", "plain", "full", "plain"), 1):
@@ -171,10 +208,10 @@
 
     def test_last_stop(self) -> None:
         async def scene(stage: Stage, client: ClientStandIn) -> None:
-            await client.ask(1, "silent")
+            await client.ask(1, "silent", timeout=1800)
             await stage.until(0, "ASK 0001")
             os.kill(os.getpid(), signal.SIGTERM)
-            await client.ask(2, "plain")
+            await client.ask(2, "plain", timeout=1800)
             await client.hear()
             await client.hear()
             with contextlib.suppress(anyio.EndOfStream):
@@ -182,7 +219,7 @@
                 stage.lines.append("more was said after the end")
             stage.lines.append("the connection has ended")
 
-        # The client would wait for five seconds, the gateway ends by its longest time limit.
+        # The client would wait for 1.8 seconds, the gateway ends by its longest time limit.
         service = {"Effect": "idempotent", "GoalTime": 100.0, "GiveUp": 900.0}
         self.play("scene_last_stop", scene, Services=[service])
 
@@ -239,25 +276,60 @@
 
 
 class Parts(TraceCase):
-    def test_a_crowd_is_accepted_at_once(self) -> None:
+    def crowd(self, most: int, count: int, check: Callable) -> list[str]:
+        """Clients at a door of `most`, and what `check` notes about it; the clock is the test's."""
         async def main() -> None:
-            door = Door(frozenset(), None, Counters(), Log("n0", Clock()))
+            door = Door(frozenset(), None, most, lambda: clock[0], Counters(), Log("n0", Clock()))
+            door.front = type("Front", (), {"gone": lambda self, connection: None})()
             with contextlib.ExitStack() as crowd:
                 listener = crowd.enter_context(socket.create_server(("127.0.0.1", 0), backlog=200))
                 listener.setblocking(False)
-                for _ in range(100):
-                    crowd.enter_context(socket.create_connection(listener.getsockname()))
                 async with anyio.create_task_group() as tasks:
-                    door.front = type("Front", (), {"gone": lambda self, connection: None})()
                     tasks.start_soon(door.run, listener)
-                    for _ in range(20):
-                        await anyio.lowlevel.checkpoint()
-                    lines.append(f"{len(door.connections)} of 100 are served after 20 turns of the loop")
+                    await check(door, clock, lines, [
+                        crowd.enter_context(socket.create_connection(listener.getsockname()))
+                        for _ in range(count)])
                     tasks.cancel_scope.cancel()
 
-        lines = []
+        lines, clock = [], [0]
         anyio.run(main)
-        self.check("crowd", lines)
+        return lines
+
+    def test_a_crowd_is_accepted_at_once(self) -> None:
+        async def check(door: Door, _: list[int], lines: list[str], clients: list[socket.socket]) -> None:
+            await turns(20)
+            lines.append(f"{len(door.connections)} of {len(clients)} are served after 20 turns of the loop")
+
+        self.check("crowd", self.crowd(200, 100, check))
+
+    def test_silent_clients_make_room(self) -> None:
+        async def check(door: Door, clock: list[int], lines: list[str], clients: list[socket.socket]) -> None:
+            def note(text: str) -> None:
+                lines.append(f"{text}: {' '.join(names[one] for one in door.connections)}")
+
+            await turns(20)
+            names = dict(zip(door.connections, ("silent", "asking", "answered", "half")))
+            asking, answered = list(door.connections)[1:3]
+            asking.open[1] = None
+            clients[2].sendall(b'{"jsonrpc":"2.0","id":1,"method":"status"}\n')
+            clients[3].sendall(b"half a li")
+            await turns(20)
+            note("served")
+            for milliseconds, text in ((1000, "a fifth comes"), (2000, "a sixth comes"),
+                                       (2100, "a seventh comes"), (4300, "the sweep"), (6900, "the sweep")):
+                clock[0] = milliseconds * 1000
+                if "comes" in text:
+                    clients.append(socket.create_connection(clients[0].getpeername()))
+                    await turns(20)
+                    for one in door.connections:
+                        names.setdefault(one, text.split()[1])
+                else:
+                    door.close_silent()
+                note(f"{milliseconds} ms, {text}")
+            for client in clients:
+                client.close()
+
+        self.check("silent_clients", self.crowd(4, 4, check))
 
     def test_a_name_given_up_is_not_used_again_on_its_link(self) -> None:
         async def main() -> None:
