--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -162,7 +162,7 @@
         return now - self.since - (_IDLE if self.spoken and not self._buffer else _SILENT)
 
     def drop(self, surely: bool) -> bool:
-        """Ends it at once, unless something is open; if not `surely`, unless something is still to be read."""
+        """Ends it unless something is open or, if not `surely`, still to be read."""
         if self.open or not surely and self._line.has_more():
             return False
         self._door.counters.add("clients silent, closed")
--- a/cresstray/passage/take_in.py
+++ b/cresstray/passage/take_in.py
@@ -44,7 +44,8 @@
         if self.last_stop is not None:
             hard_stop = min(hard_stop, self.last_stop)
         submission = Submission(
-            tariff, now, hard_stop, tenant, 0, int(query.estimate * 1000), query.megabytes, group_of(statement))
+            tariff, now, hard_stop, tenant, 0, int(query.estimate * 1000), query.megabytes,
+            group_of(statement))
         self._onward.admit(Errand(asker, number, query, submission), now)
 
     def _is_new(self, name: str, now: int) -> bool:
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -50,7 +50,7 @@
         self._back.gateway = admit.gateway = self._gateway
         self._take_in = take_in = TakeIn(settings, self._gateway.tariffs, self._clock, admit)
         tariffs = frozenset(service["Name"] for service in settings.get("Services", []))
-        # Clients hold a third of the descriptors at most; the other half of these five eighths is for strangers.
+        # Clients hold a third of the descriptors at most; the rest of five eighths is for strangers.
         self._door = Door(tariffs, take_in, descriptors * 5 // 8, self._clock.now, self.counters, self._log)
         self._events = events
         last = events[-1].number if events else 0
