--- a/cresstray/engines/codec.py
+++ b/cresstray/engines/codec.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import re
+
 import hiredis
 import msgspec
 
-# An answer holds a page of 6,000 bytes and some fields; what is longer by far is no answer.
-_LONGEST = 64 * 1024
 _REPORT_NAMES = {"inflight": "concurrent", "util": "load_share", "queue": "depth", "latency_ms": "mean_ms",
                  "qps": "tps", "eps": "err_ps"}
 WORDS = frozenset((b"served", b"overload", b"crashed", b"nobody", b"rows", b"green"))
+# Bytes of an answer's name, word, fields and body: a page by the protocol, the others with room to spare.
+_LONGEST = (64, 16, 1024, 6_000)
+_LENGTH = re.compile(rb"\$(\d{1,4})\r\n")
+# Threads, shares and rates; what is beyond was never measured.
+_MOST_REPORTED = 1e6
 
 
 class BrokenError(Exception):
@@ -28,33 +33,56 @@
 
 
 class Answers:
-    """The answers in what is received, however it is cut."""
+    """The answers in what is received, however it is cut.
+
+    Danger: hiredis reserves what an array claims before it comes: one of 400 million parts takes the loop a
+    second, one of three billion all memory. An engine's answer is four short strings; nothing else is read.
+    """
 
     def __init__(self) -> None:
-        self._reader = hiredis.Reader()
-        self._pending = 0
+        self._buffer = bytearray()
+
+    def begun(self) -> bool:
+        """Whether part of an answer has come, and the rest has not."""
+        return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[Answer]:
-        found = []
-        self._reader.feed(data)
-        self._pending += len(data)
-        try:
-            while (parts := self._reader.gets()) is not False:
-                self._pending = 0
-                found.append(_answer(parts))
-        except hiredis.HiredisError as trouble:
-            raise BrokenError(str(trouble)) from None
-        if self._pending > _LONGEST:
-            raise BrokenError("an answer without an end")
+        found, at = [], 0
+        self._buffer += data
+        while (whole := self._whole(at)) is not None:
+            parts, at = whole
+            found.append(_answer(*parts))
+        del self._buffer[:at]
         return found
 
-
-def _answer(parts: object) -> Answer:
-    if not (isinstance(parts, list) and len(parts) == 4 and all(isinstance(part, bytes) for part in parts)):
-        raise BrokenError("not an array of four strings")
-    name, word, fields, body = parts
+    def _whole(self, at: int) -> tuple[list[bytes], int] | None:
+        buffer, parts = self._buffer, []
+        if not buffer.startswith(b"*4\r\n", at):
+            if b"*4\r\n".startswith(buffer[at:at + 4]):
+                return None
+            raise BrokenError(f"not an array of four strings: {bytes(buffer[at:at + 20])!r}")
+        at += 4
+        for longest in _LONGEST:
+            length = _LENGTH.match(buffer, at)
+            if length is None:
+                if len(buffer) - at < 7 and buffer.find(b"\n", at) < 0:
+                    return None
+                raise BrokenError(f"not the length of a string: {bytes(buffer[at:at + 20])!r}")
+            start, size = length.end(), int(length[1])
+            if size > longest:
+                raise BrokenError(f"a string of {size} bytes")
+            at = start + size + 2
+            if len(buffer) < at:
+                return None
+            if buffer[at - 2:at] != b"\r\n":
+                raise BrokenError("a string longer than its length")
+            parts.append(bytes(buffer[start:at - 2]))
+        return parts, at
+
+
+def _answer(name: bytes, word: bytes, fields: bytes, body: bytes) -> Answer:
     if word not in WORDS:
-        raise BrokenError(f"unknown word {word[:40]!r}")
+        raise BrokenError(f"unknown word {word!r}")
     pages, page, report = 1, 0, {}
     if fields != b"-":
         try:
@@ -77,7 +105,9 @@
     report = {}
     for entry in text.split(";"):
         key, _, value = entry.partition(":")
-        report[_REPORT_NAMES.get(key, key)] = float(value)
+        report[_REPORT_NAMES.get(key, key)] = figure = float(value)
+        if not 0 <= figure <= _MOST_REPORTED:  # nor is what is no number
+            raise ValueError(value)
     return report
 
 
--- a/cresstray/engines/links.py
+++ b/cresstray/engines/links.py
@@ -1,4 +1,4 @@
-"""Links to engines: one pool for each engine, some connections in it, many exchanges on each.
+"""Links to engines: one pool for each engine, with as many connections as it has exchanges, if there is room.
 
 A link belongs to its engine, not to an address. What becomes of an exchange is told to its keeper once.
 """
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import anyio
@@ -18,24 +18,31 @@
 from cresstray.log import Log
 from cresstray.streams import ENDED, Line, connect, contained
 
+# An answer comes in one piece; the rest of one that was begun is not late by a quarter of a second.
+_HALF_WAY = 250_000
+# Links that were reset before anything was written, one after the other: then the engine can't be reached.
+_MOST_MOVES = 2
+
 
 class Keeper(Protocol):
-    """Who is told of an exchange. After `refused` and `cut` nothing more comes of it."""
+    """Who is told of an exchange. After `unreached` and `cut` nothing more comes of it."""
 
-    def answered(self, exchange: Exchange, answer: codec.Answer) -> None: ...
+    def answered(self, exchange: Exchange, answer: codec.Answer) -> bool: ...
     def unreached(self, exchange: Exchange) -> None: ...
-    def cut(self, exchange: Exchange) -> None: ...
+    def cut(self, exchange: Exchange, spoilt: bool) -> None: ...
 
 
 class Exchange:
     """One request on one link, from its first byte to its end or until it is given up."""
 
-    __slots__ = ("name", "message", "keeper", "link", "written", "pages", "relay", "due")
+    __slots__ = ("name", "message", "keeper", "link", "written", "heard", "moves", "pages", "relay", "due")
 
     def __init__(self, name: bytes, message: bytes, keeper: Keeper, relay: object) -> None:
         self.name, self.message, self.keeper, self.relay = name, message, keeper, relay
         self.link: Link | None = None
         self.written = False
+        self.heard = 0  # how often its link had received something when it was written
+        self.moves = 0  # links that it found dead
         self.pages = None  # of its result, once the first has come
         self.due = None  # the call at its time limit
 
@@ -49,7 +56,8 @@
         # Danger: an answer that crosses its QUIT would be taken for that of a second relay of the same name.
         # A name once given up is not used again on this link, and what still comes under it is dropped.
         self.given_up: set[bytes] = set()
-        self.ended = self.retired = False
+        self.ended = self.retired = self._spoilt = False
+        self._heard = 0  # how often something was received
         self.idle_since = 0
         self.line: Line | None = None  # once it is up
         self._scope = anyio.CancelScope()
@@ -58,15 +66,20 @@
         return not (self.ended or self.retired or len(self.open) >= self.pool.streams or name in self.open
                     or name in self.given_up)
 
-    def start(self, exchange: Exchange) -> None:
+    def start(self, exchange: Exchange) -> bool:
+        """False where the link proves dead: then nothing of the exchange has left."""
+        # Danger: what is written to a link that the other side has closed is lost, and may have run.
+        if self.line is not None and not self.open and self.line.has_ended():
+            self.close()
+            return False
         exchange.link = self
         self.open[exchange.name] = exchange
         if self.line is not None:
             self._write(exchange)
+        return True
 
     def _write(self, exchange: Exchange) -> None:
-        exchange.written = True
-        self.line.put(exchange.message)
+        exchange.written, exchange.heard = self.line.put(exchange.message), self._heard
 
     def send(self, message: bytes) -> None:
         self.line.put(message)
@@ -80,6 +93,9 @@
         """Whatever comes under this name from now on is dropped."""
         del self.open[exchange.name]
         if exchange.written:
+            # Danger: a link that stays open may be dead, and would swallow the next. Nothing has come on this
+            # one since the exchange was written: it gets no other.
+            self.retired = self.retired or self._heard == exchange.heard
             self.given_up.add(exchange.name)
             self.send(codec.quit_(exchange.name) if exchange.pages is None else codec.free(exchange.name))
             # Danger: names given up pile up on a link that lives for days; some hundred are no burden.
@@ -107,10 +123,16 @@
                 await self._live()
         finally:
             self.ended = True
-            self.pool.links.remove(self)
+            self.pool.removed(self)
             left, self.open = list(self.open.values()), {}
             for exchange in left:
-                (exchange.keeper.cut if exchange.written else exchange.keeper.unreached)(exchange)
+                if exchange.written:
+                    exchange.keeper.cut(exchange, self._spoilt)
+                elif self.line is None or exchange.moves >= _MOST_MOVES:
+                    exchange.keeper.unreached(exchange)
+                else:
+                    exchange.moves += 1
+                    self.pool.start(exchange)
 
     async def _live(self) -> None:
         made = await self._connect()
@@ -126,6 +148,8 @@
                 except ENDED as trouble:
                     self.pool.log.say("link", f"a link to {self.pool.label} ended: {trouble!r}")
                 except codec.BrokenError as trouble:
+                    self._spoilt = True
+                    self.pool.counters.add("links spoilt")
                     self.pool.log.say("link", f"a link to {self.pool.label} is dropped: {trouble}")
                 self._scope.cancel()
 
@@ -147,21 +171,41 @@
             self._scope.cancel()
 
     async def _read(self, line: Line) -> None:
-        answers = codec.Answers()
+        answers, due = codec.Answers(), 0
         while True:
-            for answer in answers.feed(await line.receive()):
+            try:
+                left = max(0.0, (due - self.pool.now()) / 1e6) if answers.begun() else None
+                data = await line.receive(left)
+            except TimeoutError:
+                raise codec.BrokenError("it stopped within an answer") from None
+            except ENDED:
+                if answers.begun():
+                    raise codec.BrokenError("it ended within an answer") from None
+                raise
+            self._heard += 1
+            if not answers.begun():
+                due = self.pool.now() + _HALF_WAY
+            for answer in answers.feed(data):
+                due = self.pool.now() + _HALF_WAY
                 exchange = self.open.get(answer.name)
-                if exchange is not None:
-                    exchange.keeper.answered(exchange, answer)
-                elif answer.name not in self.given_up:
-                    raise codec.BrokenError(f"an answer to {answer.name[:40]!r}, which is not open")
+                if exchange is None or not exchange.keeper.answered(exchange, answer):
+                    # A second copy, or an answer that comes after its time: no fault of what else is open.
+                    self.pool.counters.add("answers not awaited")
+
+
+class Quota:
+    """How many links there may be to all engines together, before exchanges share them."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.used = most, 0
 
 
 class Pool:
     """All links to one engine."""
 
-    def __init__(self, label: str, address: tuple[str, int], settings: dict, tasks: TaskGroup, timers: Timers,
-                 now: Callable[[], int], counters: Counters, log: Log) -> None:
+    def __init__(self, label: str, address: tuple[str, int], settings: Mapping, quota: Quota,
+                 tasks: TaskGroup, timers: Timers, now: Callable[[], int], counters: Counters,
+                 log: Log) -> None:
         limits = settings.get("Limits", {})
         self.label, self.address, self.now = label, address, now
         self.counters, self.log = counters, log
@@ -170,26 +214,33 @@
         # Danger: a request may cross the engine's own close of an idle link, so ours comes well before.
         self._idle = int(limits.get("ConnIdle", 15000) * 1000) * 2 // 3
         self.links: list[Link] = []
-        self._last: Link | None = None  # that took an exchange, and likely has room for the next
-        self._tasks, self._timers = tasks, timers
+        self._quota, self._tasks, self._timers = quota, tasks, timers
         self._swept = False
 
     def start(self, exchange: Exchange) -> None:
-        link = self._last
-        if link is None or not link.room_for(exchange.name):
-            link = next((link for link in self.links if link.room_for(exchange.name)), None) or self._add()
-            self._last = link
-        link.start(exchange)
+        while not self._pick(exchange.name).start(exchange):
+            pass
         if not self._swept:
             self._swept = True
             self._timers.after(self._idle, self._sweep)
 
-    def _add(self) -> Link:
+    def _pick(self, name: bytes) -> Link:
+        """A link with nothing on it, or a new one; where that would be too many, the one with the least."""
+        # Danger: one spoilt answer ends all that is out on its link.
+        least = min((link for link in self.links if link.room_for(name)),
+                    key=lambda link: len(link.open), default=None)
+        if least is not None and (not least.open or self._quota.used >= self._quota.most):
+            return least
         link = Link(self)
         self.links.append(link)
+        self._quota.used += 1
         self._tasks.start_soon(link.run)
         return link
 
+    def removed(self, link: Link) -> None:
+        self.links.remove(link)
+        self._quota.used -= 1
+
     def move(self, address: tuple[str, int]) -> None:
         """The engine has started anew, maybe elsewhere: what runs may end, new work takes new links."""
         self.address = address
--- a/cresstray/engines/pages.py
+++ b/cresstray/engines/pages.py
@@ -4,29 +4,44 @@
 
 from cresstray.engines.codec import BrokenError
 
-# A result holds 48,000 bytes at most, and a page a row at least; this many pages are more than any needs.
-_MOST_PAGES = 4096
+# A result holds 48,000 bytes at most; in pages of some hundred it is still to be had.
+_MOST_PAGES, _LONGEST = 512, 48_000
+_COLUMNS = 3
 
 
 class Pages:
-    """Takes the pages in any order; whole once the last one is there."""
+    """Takes the pages in any order; whole once the last one is there. What is no page ends the link."""
 
-    __slots__ = ("_pages", "_missing")
+    __slots__ = ("_pages", "_missing", "_size")
 
     def __init__(self, count: int, first: bytes) -> None:
         if count > _MOST_PAGES:
             raise BrokenError(f"a result of {count} pages")
         self._pages: list[bytes | None] = [None] * count
-        self._pages[0] = first
-        self._missing = count - 1
+        self._missing, self._size = count, 0
+        self.add(0, first)
 
-    def add(self, number: int, body: bytes) -> None:
-        if not 0 < number < len(self._pages):
+    def add(self, number: int, body: bytes) -> bool:
+        """Whether it is new; a second copy is left alone."""
+        if not 0 <= number < len(self._pages):
             raise BrokenError(f"page {number} of {len(self._pages)}")
         if self._pages[number] is not None:
-            raise BrokenError(f"page {number} came twice")
+            return False
+        self._size += len(body)
+        if self._size > _LONGEST or not _are_rows(body):
+            raise BrokenError(f"no rows, or too many: {body[:40]!r}")
         self._pages[number] = body
         self._missing -= 1
+        return True
 
     def whole(self) -> bytes | None:
         return None if self._missing else b"".join(self._pages)
+
+
+def _are_rows(body: bytes) -> bool:
+    # Danger: a client would take noise for its rows.
+    try:
+        rows = body.decode().split("\n")
+    except UnicodeDecodeError:
+        return False
+    return not rows.pop() and all(row.count("\t") == _COLUMNS - 1 for row in rows)
--- a/cresstray/interface.py
+++ b/cresstray/interface.py
@@ -20,6 +20,7 @@
     TIMED_OUT = "timed out"
     UNREACHABLE = "unreachable"
     RESET = "reset"
+    SPOILT = "spoilt"  # the engine has answered, and the answer or others on its link can't be used
     WITHDRAWN = "withdrawn"
     MOOT = "moot"
 
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -21,7 +21,7 @@
 # Endings that prove a relay never ran; after any other it may have run.
 UNRUN = {Ending.FULL, Ending.UNREACHABLE, Ending.MOOT}
 # Endings after which a relay may still be running.
-RUNNING_ON = {Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN}
+RUNNING_ON = {Ending.TIMED_OUT, Ending.RESET, Ending.SPOILT, Ending.WITHDRAWN}
 # Length of a sample window: the design's.
 WINDOW = 1_000_000
 # The sweep over what is held and out: a tenth of a window is fine enough for limits of whole seconds.
--- a/cresstray/passage/relay.py
+++ b/cresstray/passage/relay.py
@@ -23,7 +23,8 @@
         self.out: dict[Relay, Exchange] = {}
         self._reports: dict[Relay, dict[str, float]] = {}  # told with a first page, for the relay's end
 
-    def answered(self, exchange: Exchange, answer: codec.Answer) -> None:
+    def answered(self, exchange: Exchange, answer: codec.Answer) -> bool:
+        """Whether it belongs to what is still awaited."""
         relay = exchange.relay
         if answer.word == b"served" and exchange.pages is None:
             exchange.pages = Pages(answer.pages, answer.body)
@@ -32,27 +33,29 @@
                 # All at once: a round trip for each would hold the permit and the client that much longer.
                 exchange.link.send(codec.next_pages(exchange.name, answer.pages))
         elif answer.word == b"rows" and exchange.pages is not None:
-            exchange.pages.add(answer.page, answer.body)
+            if not exchange.pages.add(answer.page, answer.body):
+                return False
         elif answer.word in _ENDINGS and not (exchange.pages and answer.word != b"crashed"):
             if exchange.pages is None:
                 exchange.link.finish(exchange)
             else:
                 exchange.link.give_up(exchange)  # answers to the other pages may still come
             self.ended(exchange, _ENDINGS[answer.word], answer.report)
-            return
+            return True
         else:
-            raise codec.BrokenError(f"{answer.word!r} out of place")
+            return False
         result = exchange.pages.whole()
         if result is not None:
             exchange.link.finish(exchange)
             self.ended(exchange, Ending.FULFILLED, self._reports[relay], result)
+        return True
 
     def unreached(self, exchange: Exchange) -> None:
         self.ended(exchange, Ending.UNREACHABLE)
 
-    def cut(self, exchange: Exchange) -> None:
+    def cut(self, exchange: Exchange, spoilt: bool) -> None:
         # Danger: part of its bytes may have gone out; it may have run.
-        self.ended(exchange, Ending.RESET)
+        self.ended(exchange, Ending.SPOILT if spoilt else Ending.RESET)
 
     def ended(self, exchange: Exchange, ending: Ending, report: dict[str, float] | None = None,
               result: bytes | None = None) -> None:
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -15,7 +15,7 @@
 from cresstray.coordinator import known
 from cresstray.coordinator.feed import Feed
 from cresstray.counters import Counters
-from cresstray.engines.links import Pool
+from cresstray.engines.links import Pool, Quota
 from cresstray.log import Log
 from cresstray.logic import Gateway
 from cresstray.passage.admit import Admit
@@ -52,13 +52,15 @@
         tariffs = frozenset(service["Name"] for service in settings.get("Services", []))
         # Clients hold a third of the descriptors at most; the rest of five eighths is for strangers.
         self._door = Door(tariffs, take_in, descriptors * 5 // 8, self._clock.now, self.counters, self._log)
+        # A quarter for links to engines, an eighth for all else.
+        self._quota = Quota(descriptors // 4)
         self._events = events
         last = events[-1].number if events else 0
         self._feed = Feed(coordinator, last, settings, self._told, self.counters, self._log)
         self._tasks: TaskGroup
 
     def _make_pool(self, label: str, address: tuple[str, int]) -> Pool:
-        return Pool(label, address, self._settings, self._tasks, self._timers, self._clock.now,
+        return Pool(label, address, self._settings, self._quota, self._tasks, self._timers, self._clock.now,
                     self.counters, self._log)
 
     def _told(self, event: known.Event) -> None:
--- a/cresstray/streams.py
+++ b/cresstray/streams.py
@@ -56,7 +56,8 @@
         self._stirred = anyio.Event()
         self._broken = self._closing = False
 
-    def put(self, message: bytes) -> None:
+    def put(self, message: bytes) -> bool:
+        """False where the connection is broken and nothing of the message has left."""
         # Danger: written by a task of its own, a QUIT could follow the ASK that it must go before.
         sent = 0
         if not self.waiting:
@@ -67,10 +68,11 @@
             except OSError:
                 self._broken = True
                 self._stirred.set()
-                return
+                return False
         if sent < len(message):
             self.waiting += message[sent:]
             self._stirred.set()
+        return True
 
     def finish(self) -> None:
         """What waits is still written; then `pump` returns."""
@@ -90,19 +92,36 @@
                 return
             self._stirred = anyio.Event()
 
-    async def receive(self) -> bytes:
-        await anyio.wait_readable(self._socket)
-        data = self._socket.recv(65536)
+    async def receive(self, within: float | None = None) -> bytes:
+        """What has come, or TimeoutError if nothing does within so many seconds."""
+        while True:
+            with anyio.move_on_after(within) as scope:
+                await anyio.wait_readable(self._socket)
+            try:
+                # Danger: on a late loop the time may be over while it is there.
+                data = self._socket.recv(65536)
+                break
+            except BlockingIOError:
+                if scope.cancelled_caught:
+                    raise TimeoutError from None
         if not data:
             raise anyio.EndOfStream
         return data
 
     def has_more(self) -> bool:
         """Whether something has come that was not received yet; an end is nothing."""
+        return bool(self._peek())
+
+    def has_ended(self) -> bool:
+        return self._peek() == b""
+
+    def _peek(self) -> bytes | None:
         try:
-            return bool(self._socket.recv(1, socket.MSG_PEEK))
+            return self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
         except OSError:
-            return False
+            return b""
 
     def __enter__(self) -> Line:
         return self
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -155,10 +155,10 @@
         self.lines.append(f"{self._label} gets {command.decode()} {name.decode()[:4]} {mask(said)}".rstrip())
         body = more[-1].decode() if more else ""
         if command == b"NEXT":
-            await self._say(stream, name, "rows", f"sheet={body}", f"row {body}\n")
+            await self._say(stream, name, "rows", f"sheet={body}", f"row {body}\t1\t2\n")
         elif command == b"ASK":
             if body.startswith("pages"):
-                await self._say(stream, name, "served", "sheets=3,load=inflight:1;util:0.2", "row 0\n")
+                await self._say(stream, name, "served", "sheets=3,load=inflight:1;util:0.2", "row 0\t1\t2\n")
             elif body.startswith("once") and not self._failed:
                 self._failed = True
                 await self._say(stream, name, "crashed", "-", "")
@@ -166,10 +166,17 @@
                 await self._say(stream, name, "overload", "-", "")
             elif body.startswith("garbage"):
                 await stream.send(b"HTTP/1.1 500 no\r\n\r\n")
+            elif body.startswith("noise"):
+                await self._say(stream, name, "served", "sheets=1", "\x00no rows\n")
+            elif body.startswith("half"):
+                await stream.send(hiredis.pack_command((name, "served", "sheets=1", "a\tb\tc\n"))[:-9])
+            elif body.startswith("more"):
+                for other in ("0" * 16, name, name):
+                    await self._say(stream, other, "served", "sheets=1", f"{body}\t1\t2\n")
             elif body.startswith("reset"):
                 await stream.aclose()
             elif not body.startswith("silent"):
-                await self._say(stream, name, "served", "sheets=1", f"{body}\n")
+                await self._say(stream, name, "served", "sheets=1", f"{body}\t1\t2\n")
         self.got.set()
         self.got = anyio.Event()
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -80,14 +80,20 @@
         lines = []
         for text, data in [
                 ("no RESP", b"HTTP/1.1 200 OK\r\n\r\n"), ("a number", b":1\r\n"),
-                ("a bare string", b"$2\r\nok\r\n"),
-                ("three parts", array(b"q", b"served", b"-")), ("a part that is none", b"*1\r\n$-1\r\n"),
+                ("a bare string", b"$2\r\nok\r\n"), ("endless parts", b"*400000000\r\n$1\r\na\r\n"),
+                ("three parts", b"*3\r\n$1\r\n"), ("a part that is none", b"*4\r\n$-1\r\n"),
+                ("a length without an end", b"*4\r\n$1111111111"),
+                ("three gigabytes", b"*4\r\n$1\r\nq\r\n$6\r\nserved\r\n$1\r\n-\r\n$3000000000\r\n"),
+                ("too long a name", array(b"q" * 65, b"served", b"-", b"")),
+                ("a length that does not fit", b"*4\r\n$1\r\nquery\r\n"),
                 ("an unknown word", array(b"q", b"done", b"-", b"")),
                 ("a count that is no number", array(b"q", b"served", b"sheets=x", b"")),
                 ("no page at all", array(b"q", b"served", b"sheets=0", b"")),
                 ("rows without a page", array(b"q", b"rows", b"-", b"")),
                 ("a report that is none", array(b"q", b"served", b"load=inflight", b"")),
-                ("without an end", b"*4\r\n$90000\r\n" + b"x" * 70_000)]:
+                ("a report that is no number", array(b"q", b"served", b"load=util:nan", b"")),
+                ("a report beyond all bounds", array(b"q", b"served", b"load=util:1e300", b"")),
+                ("a report below none", array(b"q", b"served", b"load=util:-1", b""))]:
             with self.assertRaises(resp.BrokenError, msg=text) as caught:
                 resp.Answers().feed(data)
             lines.append(f"{text}: {caught.exception}")
@@ -101,11 +107,13 @@
 
     def test_pages(self) -> None:
         lines = []
-        pages = Pages(4, b"0")
-        for number in (3, 1, 1, 4, 0, 2):
+        pages = Pages(4, b"a\t0\t\n")
+        for number, body in ((3, b"a\t3\t\n"), (1, b"a\t1\t\nb\t1\t\n"), (1, b"a\tcopy\t\n"), (4, b""),
+                             (2, b"a\t2\n"), (2, b"a\t2\t"), (2, b"\xff\t2\t\n"), (2, 7000 * b"\t\t\n" * 3),
+                             (2, b"")):
             try:
-                pages.add(number, b"%d" % number)
-                lines.append(f"page {number}: {pages.whole()}")
+                kind = "new" if pages.add(number, body) else "a copy"
+                lines.append(f"page {number}: {kind}, {pages.whole()}")
             except resp.BrokenError as trouble:
                 lines.append(str(trouble))
         lines.append(f"a single page: {Pages(1, b'').whole()}")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -23,7 +23,7 @@
 from cresstray.clock import Clock, Timers
 from cresstray.coordinator.known import Event, Member
 from cresstray.counters import Counters
-from cresstray.engines.links import Exchange, Link, Pool
+from cresstray.engines.links import Exchange, Link, Pool, Quota
 from cresstray.interface import Standing
 from cresstray.log import Log
 from cresstray.service import Service
@@ -164,6 +164,8 @@
             for number in range(2, 35):
                 await client.ask(number, "silent")
             await client.hear()
+            while len(stage.engines[0].lines) < 34:
+                await stage.engines[0].got.wait()
             del stage.lines[mark:-2]
             del stage.engines[0].lines[2:]
 
@@ -172,14 +174,19 @@
 
     def test_engine_faults(self) -> None:
         async def scene(stage: Stage, client: ClientStandIn) -> None:
-            for number, statement in enumerate(("garbage", "plain", "reset", "plain", "full", "plain"), 1):
+            await client.ask(1, "silent", timeout=60000)
+            await stage.until(0, "ASK 0001")
+            faults = ("garbage", "noise", "half", "reset", "full", "more", "plain")
+            for number, statement in enumerate(faults, 2):
                 await client.ask(number, statement, timeout=60000)
                 await client.hear()
 
+        # What was asked first is open on a link of its own until the gateway ends, a reset for it.
         stage = self.play("scene_faults", scene, Limits={"MaxAttempts": 1})
         counts = stage.service.counters.counts
-        endings = [counts[f"relays {how}"] for how in ("reset", "full", "fulfilled")]
-        self.assertEqual([2, 1, 3], endings)
+        endings = [counts[f"relays {how}"] for how in ("spoilt", "reset", "full", "fulfilled")]
+        self.assertEqual([3, 2, 1, 2], endings)
+        self.assertEqual(2, counts["answers not awaited"])
 
     def test_further_relay(self) -> None:
         async def scene(stage: Stage, client: ClientStandIn) -> None:
@@ -339,19 +346,22 @@
 
     def names_on_a_link(self) -> None:
         timers = Timers(Clock())
-        pool = Pool("engine", ("127.0.0.1", 1), {}, None, timers, Clock().now, Counters(), Log("n0", Clock()))
+        pool = Pool("engine", ("127.0.0.1", 1), {}, Quota(8), None, timers, Clock().now, Counters(),
+                    Log("n0", Clock()))
         link, lines = Link(pool), []
-        link.line = type("Line", (), {"put": lambda self, message: None})()
+        link.line = type("Line", (), {"put": lambda self, message: True, "has_ended": lambda self: False})()
         for name in (b"first", b"second"):
             link.start(Exchange(name, b"", None, None))
+        link._heard = 1
         for text, name in (("open", b"first"), ("given up", b"first"), ("new", b"third")):
             if text == "given up":
                 link.give_up(link.open[name])
             lines.append(f"{text}: {'room' if link.room_for(name) else 'no room'}")
         link.finish(link.open[b"second"])
         lines.append(f"answered, asked again: {'room' if link.room_for(b'second') else 'no room'}")
-        link.retire()
-        lines.append(f"retired: {'room' if link.room_for(b'new') else 'no room'}")
+        link.start(Exchange(b"third", b"", None, None))
+        link.give_up(link.open[b"third"])
+        lines.append(f"given up, nothing heard: {'room' if link.room_for(b'new') else 'no room'}")
         self.check("links", lines)
 
     def test_timers(self) -> None:
