--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -144,8 +144,7 @@
         if self.threads + threads <= self.limit or not self.pressed(now):
             return True
         # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes.
-        lasts = submission.expected / WINDOW
-        return self.threads == 0 and self.draw * threads * lasts < self.limit
+        return self.threads == 0 and self.draw * threads * submission.expected / WINDOW < self.limit
 
 
 class Gateway:
@@ -230,9 +229,10 @@
         # Danger: in overload each arrival would try the whole fleet; behind its own tariff it waits.
         alike = submission.tariff if not (submission.tariff.load or submission.tariff.ordered) else None
         behind = self.held if submission.relays else any(held.tariff is alike for held in self.held)
-        if not behind and self._is_turn(submission, now) and self._send(submission, now):
+        last = now >= submission.leave_by
+        if (not behind or last) and self._is_turn(submission, now) and self._send(submission, now):
             return
-        if now >= submission.leave_by:
+        if last:
             self._end(submission)
             return
         submission.held = True
@@ -251,8 +251,6 @@
                     self._unhold(submission)
                 else:
                     stuck.add(submission.tariff)
-                    if len(stuck) == len(self.tariffs):
-                        break
 
     # Choose: of two random engines that may take it, the less loaded.
 
@@ -269,10 +267,12 @@
             if (len(drawn) == picks and engine.zone != zone or not limiter.permits(submission, now)
                     or not self._may_take(submission, engine, now)):
                 continue
-            # A doubted engine gets one relay at a time that may safely run again, now and then; one that
-            # fails but answers is also better than none, as part of what it gets ends well.
+            # A doubted engine gets one relay at a time that may safely run again, now and then. Danger: while
+            # the others are full, one that fails has room, and fails all that could still wait for them. If
+            # it answers, it gets what has no other chance left, as part of that ends well.
             awaited = limiter.doubted and self.doubt_counts and (now < limiter.trial_at or self.trials < 1)
-            if limiter.doubted and self.doubt_counts and (not idempotent or awaited and limiter.mute):
+            if limiter.doubted and self.doubt_counts and (
+                    not idempotent or awaited and (limiter.mute or now < submission.leave_by)):
                 continue
             if awaited or engine in tried or self._stalls(submission, engine, now):
                 spare = spare or engine
@@ -339,9 +339,7 @@
 
     def _send(self, submission: Submission, now: int, freed: Engine | None = None) -> bool:
         again = bool(submission.relays)
-        if again and not self._budget_left(now):
-            return False
-        engine = self._choose(submission, now, freed)
+        engine = None if again and not self._budget_left(now) else self._choose(submission, now, freed)
         if engine is None:
             return False
         tariff, limiter = submission.tariff, engine.limiter
@@ -425,9 +423,9 @@
                 limiter.doubted, limiter.fails = False, Ring(5 * WINDOW, 10)
         elif ending is Ending.FULL:
             limiter.failed, limiter.full_until = True, now + WINDOW
-        elif ending is Ending.ERROR:
+        elif ending in (Ending.ERROR, Ending.SPOILT):
             limiter.hear(now)
-            self._fault(relay.engine, 0, True, now)
+            self._fault(relay.engine, 0, ending is Ending.ERROR, now)  # a spoilt answer cuts no limit
         elif ending in (Ending.UNREACHABLE, Ending.RESET):
             lost = 2 if ending is Ending.UNREACHABLE else 1
             self._fault(relay.engine, lost * (limiter.heard < relay.sent), True, now)
@@ -499,6 +497,8 @@
         stop = submission.hard_stop if submission.tariff.late_payoff > 0 else submission.soft_stop
         return (now + submission.expected < stop and now < submission.hard_stop - MARGIN
                 and (submission.tariff.deduplicated or self._may_deny(submission))
+                # Danger: what no engine can run would use up the ration; two of them have said so by then.
+                and [relay.ending for relay in submission.relays].count(Ending.ERROR) < 2
                 and len(submission.relays) < self.limits.get("MaxAttempts", 1))
 
     def _may_deny(self, submission: Submission) -> bool:
@@ -562,8 +562,6 @@
                 self.port.withdraw(relay)
                 self._end(submission)
 
-    # The list of engines.
-
     def listed(self, known: Iterable[tuple[Engine, tuple]], complete: bool, now: int) -> None:
         cores, named = self.family.get("CpuOfKind", []), set()
         for engine, (machine, zone, cell, started, standing) in known:
@@ -616,7 +614,8 @@
         self.doubt_counts = 2 * sum(engine.limiter.doubted for engine in self.ready) <= len(self.ready)
         self._listen(now)
         for submission in [held for held in self.held + self.further if now >= held.leave_by]:
-            self._end(submission)
+            self._unhold(submission)
+            self._offer(submission, now)  # for the last time
         self.key_free = {key: free for key, free in self.key_free.items() if now < free}
         if self.settings.get("Report", {}).get("Source") == "on_probe" and self.limits.get("Probes"):
             # One after the other, each twice a second at the most: reports are about that fresh.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -122,10 +122,42 @@
             engine.limiter.limit, engine.limiter.full_until = 0.0, desk.now + WINDOW
         doubted.limit, doubted.doubted, doubted.trial_at = 9.0, True, desk.now + WINDOW
         for doubted.mute in (False, True):
-            chosen = desk.gateway._choose(desk.submit("two"), desk.now)
-            lines.append(f"the rest full, one silent {doubted.mute}: {chosen and desk.engines.index(chosen)}")
+            waits = desk.submit("two")
+            for at, text in ((desk.now, "it can wait"), (waits.leave_by, "it can't")):
+                chosen = desk.gateway._choose(waits, at)
+                lines.append(f"the rest full, one {'silent' if doubted.mute else 'failing'}, {text}: "
+                             f"{chosen and desk.engines.index(chosen)}")
         self.check("choices", lines)
 
+    def test_what_waits_is_not_given_to_an_engine_that_fails(self) -> None:
+        desk = Desk(settings(), engines=2)
+        failing, full = desk.engines
+        for engine in desk.engines:
+            engine.limiter.full_until = desk.now + 10 * WINDOW
+        full.limiter.limit = 0.0
+        failing.limiter.doubted, failing.limiter.trial_at, failing.limiter.streak = True, 2**60, -3
+        for number in range(3):
+            desk.submit(f"s{number}", left=4000)
+        desk.run(200)
+        full.limiter.limit = 2.0
+        desk.run(4000)
+        self.check("last_chance", desk.lines)
+
+    def test_two_errors_are_enough(self) -> None:
+        desk = Desk(settings(), engines=4)
+        nobody_can = desk.submit("what no engine can run", left=9000)
+        while nobody_can.relay:
+            desk.back(nobody_can, Ending.ERROR)
+        self.check("two_errors", desk.lines)
+
+    def test_spoilt_answers(self) -> None:
+        desk = Desk(settings(), engines=2)
+        for number in range(4):
+            desk.back(desk.submit(f"s{number}"), Ending.SPOILT)
+        limiters = [engine.limiter for engine in desk.engines]
+        desk.lines += [f"cut {one.failed}, lost {one.lost}, doubted {one.doubted}" for one in limiters]
+        self.check("spoilt", desk.lines)
+
     def test_failing_engine_gone_silent(self) -> None:
         desk, lines = Desk(settings(), engines=3), []
         for lost, text in ((0, "an error"), (2, "no connection"), (0, "an error again")):
