--- a/cresstray/passage/route.py
+++ b/cresstray/passage/route.py
@@ -26,6 +26,8 @@
             address = (member.host, member.port)
             engine = self._engines.get(member.id)
             if engine is None:
+                if member.standing is Standing.GONE:
+                    continue  # a late word on one that was forgotten
                 engine = self._engines[member.id] = Engine()
                 self._pools[engine] = self._make_pool(f"engine s-{member.id:08x}", address)
             elif self._pools[engine].address != address or member.started > engine.started:
@@ -38,6 +40,9 @@
         else:
             gone = [member.id for member in event.members if member.standing is Standing.GONE]
         for number in gone:
-            # What is out on an engine that is gone still comes back on its old links.
-            self._pools[self._engines[number]].retire()
+            # Danger: engines come under new ids for days. What is out on one that is gone still comes back on
+            # its old links, which know what they need; here it is forgotten.
+            engine = self._engines.pop(number, None)
+            if engine is not None:
+                self._pools.pop(engine).retire()
         return entries
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -26,13 +26,14 @@
 from cresstray.engines.links import Exchange, Link, Pool, Quota
 from cresstray.interface import Standing
 from cresstray.log import Log
+from cresstray.passage.route import Route
 from cresstray.service import Service
 from tests.desk import ClientStandIn, EngineStandIn, TraceCase, settings
 from tests.test_codecs import frame
 
 
-def member(port: int, number: int = 1) -> Member:
-    return Member(number, "127.0.0.1", port, Standing.READY, 0, 0, 0, 0)
+def member(port: int, number: int = 1, standing: Standing = Standing.READY) -> Member:
+    return Member(number, "127.0.0.1", port, standing, 0, 0, 0, 0)
 
 
 class Stage:
@@ -364,6 +365,22 @@
         lines.append(f"given up, nothing heard: {'room' if link.room_for(b'new') else 'no room'}")
         self.check("links", lines)
 
+    def test_engines_that_are_gone_are_forgotten(self) -> None:
+        def pool(label: str, address: tuple[str, int]) -> Pool:
+            lines.append(f"links to {label}")
+            return Pool(label, address, {}, Quota(8), None, None, None, Counters(), None)
+
+        lines, route = [], Route(pool, None)
+        for text, event in (
+                ("two come", Event(1, True, [member(1, 1), member(2, 2)])),
+                ("one leaves", Event(2, False, [member(1, 1, Standing.GONE)])),
+                ("a late word on it", Event(3, False, [member(1, 1, Standing.GONE)])),
+                ("its address under another id", Event(4, False, [member(1, 3)])),
+                ("only that one is listed", Event(5, True, [member(1, 3)]))):
+            entries = len(route.listed(event))
+            lines.append(f"{text}: {entries} told, {len(route._engines)} kept, {len(route._pools)} pools")
+        self.check("gone", lines)
+
     def test_timers(self) -> None:
         clock, lines = Clock(), []
         clock.now = lambda: now
