--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import anyio
+from anyio.abc import TaskGroup
 
 from cresstray.clients import codec
 from cresstray.counters import Counters
@@ -27,6 +28,10 @@
 # has been answered closes after four seconds by itself, so ours does not cross its next request.
 _SILENT, _IDLE = 2_200_000, 5_000_000
 _SWEEP = 0.2
+# Some times as long as a usual client takes to ask; in need whoever pauses longer makes room.
+_PAUSE = 300_000
+# Some ten milliseconds of accepting: what a busy loop takes for a turn anyway.
+_MOST_A_TURN = 64
 
 
 class Front(Protocol):
@@ -40,14 +45,14 @@
 class Connection:
     """One client. `open` holds what is owed an answer here, by id."""
 
-    def __init__(self, door: Door, line: Line) -> None:
-        self._door, self._line = door, line
+    def __init__(self, door: Door, accepted: socket.socket, tasks: TaskGroup) -> None:
+        self._door, self._scope = door, anyio.CancelScope()
+        self._line = Line(accepted, tasks, self._scope.cancel)
         self.open: dict[int, object] = {}
         self.since = door.now()  # of the connection; later of its last line or answer, or of half a line
         self.spoken = False  # whether it has sent a line that could be read
         self._buffer = bytearray()
         self._faults = 0
-        self._scope = anyio.CancelScope()
 
     def fulfil(self, number: int, result: bytes) -> None:
         self._answer(number, codec.fulfilled(number, result))
@@ -75,26 +80,16 @@
         counters = self._door.counters
         counters.add("clients connected")
         try:
-            with self._scope:
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self._pump)
-                    try:
-                        await self._read()
-                    except ENDED:
-                        counters.add("clients ended")
-                    self._scope.cancel()
+            with self._scope, self._line:
+                try:
+                    await self._read()
+                except ENDED:
+                    counters.add("clients ended")
         finally:
             self._door.unfinished -= len(self._buffer)
             self._door.connections.pop(self, None)
             self._door.front.gone(self)
 
-    async def _pump(self) -> None:
-        try:
-            await self._line.pump()
-        except ENDED:
-            self._door.counters.add("clients cut")
-        self._scope.cancel()
-
     async def _read(self) -> None:
         buffer, door = self._buffer, self._door
         while True:
@@ -167,17 +162,19 @@
             return False
         self._door.counters.add("clients silent, closed")
         self._door.connections.pop(self, None)
-        self._scope.cancel()
+        # Danger: of a crowd in one turn of the loop, each takes the place of another, whose descriptor would
+        # be free only once its task has run.
+        self._line.close()
         return True
 
 
 class Door:
-    """Where clients connect; `most` connections at once."""
+    """Where clients connect; `most` connections at once, and not `many` that only stay."""
 
-    def __init__(self, tariffs: frozenset[str], front: Front, most: int, now: Callable[[], int],
+    def __init__(self, tariffs: frozenset[str], front: Front, most: int, many: int, now: Callable[[], int],
                  counters: Counters, log: Log) -> None:
         self.tariffs, self.front, self.now, self.counters, self.log = tariffs, front, now, counters, log
-        self._most = most
+        self._most, self._many = most, many
         self.connections: dict[Connection, None] = {}  # in the order they came
         self.unfinished = 0  # bytes of half lines, on all connections
 
@@ -188,26 +185,36 @@
             while True:
                 await anyio.wait_readable(listener)
                 try:
-                    # Danger: a client's time runs, accepted or not. One connection a turn of a busy loop
-                    # leaves the last of a crowd waiting for 0.3 s; all that wait are taken at once.
-                    while True:
-                        accepted = listener.accept()[0]
-                        if len(self.connections) < self._most or self._make_room():
-                            connection = Connection(self, Line(accepted))
-                            self.connections[connection] = None
-                            tasks.start_soon(self._serve, connection, accepted)
-                        else:
-                            accepted.close()
+                    if not self._accept(listener, tasks):
+                        # Who waits is turned to again once others have been answered.
+                        self.log.say("door", "no room for a client, all others have requests open")
+                        await anyio.sleep(0.02)
                 except BlockingIOError:
                     continue
                 except OSError as trouble:
                     # Danger: out of descriptors for a moment must not end the service.
                     self.log.say("door", f"can't accept: {trouble!r}")
-                    self._make_room()
                     await anyio.sleep(0.02)
 
-    async def _serve(self, connection: Connection, accepted: socket.socket) -> None:
-        with contained("a client's connection", self.counters, self.log), accepted:
+    def _accept(self, listener: socket.socket, tasks: TaskGroup) -> bool:
+        """Takes in who waits; False where there is no room."""
+        silent = None
+        # Danger: a client's time runs, accepted or not. One connection a turn of a busy loop leaves the last
+        # of a crowd waiting for 0.3 s; all the crowd at once keeps the others waiting.
+        for _ in range(_MOST_A_TURN):
+            accepted = listener.accept()[0]
+            if len(self.connections) >= self._most:
+                silent = iter(self._silent_first()) if silent is None else silent
+                if not any(one.drop(surely=False) for one in silent):
+                    accepted.close()
+                    return False
+            connection = Connection(self, accepted, tasks)
+            self.connections[connection] = None
+            tasks.start_soon(self._serve, connection)
+        return True
+
+    async def _serve(self, connection: Connection) -> None:
+        with contained("a client's connection", self.counters, self.log):
             await connection.run()
 
     async def _sweep(self) -> None:
@@ -220,15 +227,17 @@
         for connection in [one for one in self.connections if one.silent_for(now) >= 0]:
             # What is not read within a second more is left unread on purpose.
             connection.drop(surely=connection.silent_for(now) >= 1_000_000)
-
-    def _make_room(self) -> bool:
-        """Closes who has been silent longest: who never spoke before who has been answered."""
+        # Danger: clients may hold a third of the descriptors; who stays after an answer keeps others out.
+        too_many = len(self.connections) - self._many
+        if too_many > 0:
+            idle = [one for one in self._silent_first() if not one.open and now - one.since > _PAUSE]
+            for connection in idle[:too_many]:
+                connection.drop(surely=False)
+
+    def _silent_first(self) -> list[Connection]:
+        """Who has been silent longest first: who never spoke before who has been answered."""
         # Danger: of a crowd that says nothing, the last may be about to send their first request. A client
-        # speaks at once; whoever has not within 0.3 s is not likely to.
+        # speaks at once.
         now = self.now()
-        for connection in sorted(self.connections, key=lambda one: (
-                one.spoken if now - one.since > 300_000 else 2 - one.spoken, one.since)):
-            if connection.drop(surely=False):
-                return True
-        self.log.say("door", "no room for a client, all others have requests open")
-        return False
+        return sorted(self.connections, key=lambda one: (
+            one.spoken if now - one.since > _PAUSE else 2 - one.spoken, one.since))
--- a/cresstray/coordinator/feed.py
+++ b/cresstray/coordinator/feed.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 
 import anyio
+from anyio.abc import TaskGroup
 
 from cresstray.coordinator.frames import Frames, hello
 from cresstray.coordinator.known import Event, MalformedError
@@ -39,19 +40,19 @@
             if self._scope is not None:
                 self._scope.cancel()
 
-    async def run(self) -> None:
+    async def run(self, tasks: TaskGroup) -> None:
         while True:
             with anyio.CancelScope() as self._scope:
-                await self._keep_up()
+                await self._keep_up(tasks)
 
-    async def _keep_up(self) -> None:
+    async def _keep_up(self, tasks: TaskGroup) -> None:
         if self._address is None:
             await anyio.sleep_forever()
         pause = _FIRST_PAUSE
         while True:
             heard = self._counters.counts["coordinator frames"]
             try:
-                await self._follow(*self._address)
+                await self._follow(tasks, *self._address)
             except (*ENDED, MalformedError, TimeoutError) as trouble:
                 self._counters.add("coordinator links ended")
                 self._log.say("coordinator", f"link ended, made again: {trouble!r}")
@@ -59,17 +60,16 @@
             pause = _FIRST_PAUSE if worked else min(_LONGEST_PAUSE, 2 * pause)
             await anyio.sleep(pause)
 
-    async def _follow(self, host: str, port: int) -> None:
+    async def _follow(self, tasks: TaskGroup, host: str, port: int) -> None:
         with anyio.fail_after(_CONNECT):
             made = await connect(host, port)
-        with Line(made) as line:
+        # What breaks it while it is written to is heard of in the reading.
+        with Line(made, tasks, lambda: None) as line:
             line.put(hello(self.last))
             frames = Frames(len(self._settings.get("Localities", [])) or 256,
                             len(self._settings.get("Flavors", [])) or 256)
             while True:
-                with anyio.fail_after(_SILENCE):
-                    data = await line.receive()
-                for event in frames.feed(data):
+                for event in frames.feed(await line.receive(_SILENCE)):
                     self._counters.add("coordinator frames")
                     # Danger: an event told twice is nothing new, and no reason to leave the link.
                     if event is not None and event.number > self.last:
--- a/cresstray/engines/links.py
+++ b/cresstray/engines/links.py
@@ -138,20 +138,17 @@
         made = await self._connect()
         if made is None:
             return
-        with Line(made) as self.line:
+        with Line(made, self.pool.tasks, self._scope.cancel) as self.line:
             for exchange in self.open.values():
                 self._write(exchange)
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._pump, self.line)
-                try:
-                    await self._read(self.line)
-                except ENDED as trouble:
-                    self.pool.log.say("link", f"a link to {self.pool.label} ended: {trouble!r}")
-                except codec.BrokenError as trouble:
-                    self._spoilt = True
-                    self.pool.counters.add("links spoilt")
-                    self.pool.log.say("link", f"a link to {self.pool.label} is dropped: {trouble}")
-                self._scope.cancel()
+            try:
+                await self._read(self.line)
+            except ENDED as trouble:
+                self.pool.log.say("link", f"a link to {self.pool.label} ended: {trouble!r}")
+            except codec.BrokenError as trouble:
+                self._spoilt = True
+                self.pool.counters.add("links spoilt")
+                self.pool.log.say("link", f"a link to {self.pool.label} is dropped: {trouble}")
 
     async def _connect(self) -> socket.socket | None:
         with anyio.move_on_after(self.pool.connect_timeout / 1e6):
@@ -163,13 +160,6 @@
         self.pool.log.say("link", f"{self.pool.label} can't be reached: no connection in time")
         return None
 
-    async def _pump(self, line: Line) -> None:
-        try:
-            await line.pump()
-        except ENDED as trouble:
-            self.pool.log.say("link", f"a link to {self.pool.label} takes nothing more: {trouble!r}")
-            self._scope.cancel()
-
     async def _read(self, line: Line) -> None:
         answers, due = codec.Answers(), 0
         while True:
@@ -214,7 +204,7 @@
         # Danger: a request may cross the engine's own close of an idle link, so ours comes well before.
         self._idle = int(limits.get("ConnIdle", 15000) * 1000) * 2 // 3
         self.links: list[Link] = []
-        self._quota, self._tasks, self._timers = quota, tasks, timers
+        self._quota, self.tasks, self._timers = quota, tasks, timers
         self._swept = False
 
     def start(self, exchange: Exchange) -> None:
@@ -239,7 +229,7 @@
         link = Link(self)
         self.links.append(link)
         self._quota.used += 1
-        self._tasks.start_soon(link.run)
+        self.tasks.start_soon(link.run)
         return link
 
     def removed(self, link: Link) -> None:
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -50,11 +50,13 @@
         self._back.gateway = admit.gateway = self._gateway
         self._take_in = take_in = TakeIn(settings, self._gateway.tariffs, self._clock, admit)
         tariffs = frozenset(service["Name"] for service in settings.get("Services", []))
-        # Clients hold a third of the descriptors at most; the rest of five eighths is for strangers.
-        self._door = Door(tariffs, take_in, descriptors * 5 // 8, self._clock.now, self.counters, self._log)
-        # A quarter for links to engines, an eighth for all else. In overload more than 64 links cost half as
-        # much CPU again (calm day, seed 3: 13.5 s > 20.4 s), and on other days no more are needed.
-        self._quota = Quota(min(descriptors // 4, 64))
+        # In overload more than 64 links cost half as much CPU again (calm day, seed 3: 13.5 s > 20.4 s); on
+        # other days no more are needed. An eighth, or 64, is for all else: signals, the coordinator, the log.
+        links, rest = min(descriptors // 4, 64), min(descriptors // 8, 64)
+        self._quota = Quota(links)
+        # Usual clients hold a third of the descriptors at most.
+        self._door = Door(tariffs, take_in, descriptors - links - rest, descriptors // 4, self._clock.now,
+                          self.counters, self._log)
         self._events = events
         last = events[-1].number if events else 0
         self._feed = Feed(coordinator, last, settings, self._told, self.counters, self._log)
@@ -72,7 +74,7 @@
         async with anyio.create_task_group() as self._tasks:
             for event in self._events:
                 self._told(event)
-            self._tasks.start_soon(self._feed.run)
+            self._tasks.start_soon(self._feed.run, self._tasks)
             self._tasks.start_soon(self._timers.run)
             host, port = self._listen
             listener = socket.create_server((host, port), backlog=1024)
--- a/cresstray/streams.py
+++ b/cresstray/streams.py
@@ -5,10 +5,11 @@
 import os
 import socket
 import traceback
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import anyio
+from anyio.abc import TaskGroup
 
 from cresstray.counters import Counters
 from cresstray.log import Log
@@ -51,15 +52,17 @@
 
 
 class Line:
-    """One connection. What is put goes to the kernel at once; what that does not take waits, in order."""
+    """One connection. What is put goes to the kernel at once; what that does not take waits, in order.
 
-    def __init__(self, made: socket.socket) -> None:
+    Only then does a task of `tasks` write it. `ended` is called when the connection breaks, or is done for.
+    """
+
+    def __init__(self, made: socket.socket, tasks: TaskGroup, ended: Callable[[], None]) -> None:
         made.setblocking(False)
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._socket = made
+        self._socket, self._tasks, self._ended = made, tasks, ended
         self.waiting = bytearray()
-        self._stirred = anyio.Event()
-        self._broken = self._closing = False
+        self._pumps = self._finishing = False
 
     def put(self, message: bytes) -> bool:
         """False where the connection is broken and nothing of the message has left."""
@@ -71,34 +74,42 @@
             except BlockingIOError:
                 sent = 0
             except OSError:
-                self._broken = True
-                self._stirred.set()
+                self._ended()
                 return False
         if sent < len(message):
             self.waiting += message[sent:]
-            self._stirred.set()
+            if not self._pumps:
+                self._pumps = True
+                self._tasks.start_soon(self._pump)
         return True
 
     def finish(self) -> None:
-        """What waits is still written; then `pump` returns."""
-        self._closing = True
-        self._stirred.set()
-
-    async def pump(self) -> None:
-        """Writes what waits whenever the kernel takes more."""
-        while True:
-            await self._stirred.wait()
-            while self.waiting and not self._broken:
+        """It ends once what waits has been written."""
+        self._finishing = True
+        if not self.waiting:
+            self._ended()
+
+    async def _pump(self) -> None:
+        try:
+            while self.waiting:
                 await anyio.wait_writable(self._socket)
                 del self.waiting[:self._socket.send(self.waiting)]
-            if self._broken:
-                raise anyio.BrokenResourceError
-            if self._closing:
-                return
-            self._stirred = anyio.Event()
+        except (*ENDED, ValueError):  # the latter: closed before the wait
+            self._ended()
+        self._pumps = False
+        if self._finishing:
+            self._ended()
+
+    def close(self) -> None:
+        """Gives the descriptor back at once; whoever waits for it hears that it is closed."""
+        if self._socket.fileno() >= 0:
+            anyio.notify_closing(self._socket)
+            self._socket.close()
 
     async def receive(self, within: float | None = None) -> bytes:
         """What has come, or TimeoutError if nothing does within so many seconds."""
+        if self._socket.fileno() < 0:
+            raise anyio.ClosedResourceError
         if within is None:
             await anyio.wait_readable(self._socket)
         else:
@@ -132,4 +143,4 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._socket.close()
+        self.close()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -284,10 +284,10 @@
 
 
 class Parts(TraceCase):
-    def crowd(self, most: int, count: int, check: Callable) -> list[str]:
+    def crowd(self, most: int, many: int, count: int, check: Callable) -> list[str]:
         """Clients at a door of `most`, and what `check` notes about it; the clock is the test's."""
         async def main() -> None:
-            door = Door(frozenset(), None, most, lambda: clock[0], Counters(), Log("n0", Clock()))
+            door = Door(frozenset(), None, most, many, lambda: clock[0], Counters(), Log("n0", Clock()))
             door.front = type("Front", (), {"gone": lambda self, connection: None})()
             with contextlib.ExitStack() as crowd:
                 listener = crowd.enter_context(socket.create_server(("127.0.0.1", 0), backlog=200))
@@ -308,7 +308,7 @@
             await turns(20)
             lines.append(f"{len(door.connections)} of {len(clients)} are served after 20 turns of the loop")
 
-        self.check("crowd", self.crowd(200, 100, check))
+        self.check("crowd", self.crowd(200, 200, 100, check))
 
     def test_silent_clients_make_room(self) -> None:
         async def check(door: Door, clock: list[int], lines: list[str], clients: list[socket.socket]) -> None:
@@ -337,7 +337,22 @@
             for client in clients:
                 client.close()
 
-        self.check("silent_clients", self.crowd(4, 4, check))
+        self.check("silent_clients", self.crowd(4, 4, 4, check))
+
+    def test_who_stays_after_an_answer_keeps_nobody_out(self) -> None:
+        async def check(door: Door, clock: list[int], lines: list[str], clients: list[socket.socket]) -> None:
+            for client in clients[:5]:
+                client.sendall(b'{"jsonrpc":"2.0","id":1,"method":"status"}\n')
+            await turns(20)
+            for clock[0] in (200_000, 400_000):
+                door.close_silent()
+                lines.append(f"{clock[0]} us: {[one.spoken for one in door.connections].count(True)} "
+                             f"answered, {len(door.connections)} in all")
+                await turns(2)
+            for client in clients:
+                client.close()
+
+        self.check("stayers", self.crowd(10, 4, 6, check))
 
     def test_a_name_given_up_is_not_used_again_on_its_link(self) -> None:
         async def main() -> None:
