--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -229,10 +229,9 @@
         # Danger: in overload each arrival would try the whole fleet; behind its own tariff it waits.
         alike = submission.tariff if not (submission.tariff.load or submission.tariff.ordered) else None
         behind = self.held if submission.relays else any(held.tariff is alike for held in self.held)
-        last = now >= submission.leave_by
-        if (not behind or last) and self._is_turn(submission, now) and self._send(submission, now):
+        if not behind and self._is_turn(submission, now) and self._send(submission, now):
             return
-        if last:
+        if now >= submission.leave_by:
             self._end(submission)
             return
         submission.held = True
@@ -247,16 +246,13 @@
                 # Danger: thousands held would be tried for each permit; one failure speaks for its tariff.
                 if submission.tariff in stuck or not self._is_turn(submission, now):
                     continue
-                if self._send(submission, now, freed):
-                    self._unhold(submission)
-                else:
+                if not self._send(submission, now, freed):
                     stuck.add(submission.tariff)
 
     # Choose: of two random engines that may take it, the less loaded.
 
     def _choose(self, submission: Submission, now: int, freed: Engine | None = None) -> Engine | None:
-        threads, idempotent, zone = submission.tariff.threads, submission.tariff.idempotent, self.zone
-        tried = {relay.engine for relay in submission.relays}
+        idempotent, tried = submission.tariff.idempotent, {relay.engine for relay in submission.relays}
         drawn, near, spare = [], [], None
         # Danger: ranking a large fleet for each send is too slow; they are drawn until two and two are found.
         pool, picks = [freed] if freed else self.ready + self.idlest, 2 + len(self.idlest)
@@ -264,7 +260,7 @@
             at = left - 1 if left > len(self.ready) else int(self.random() * left)
             engine, pool[at] = pool[at], pool[left - 1]
             limiter = engine.limiter
-            if (len(drawn) == picks and engine.zone != zone or not limiter.permits(submission, now)
+            if (len(drawn) == picks and engine.zone != self.zone or not limiter.permits(submission, now)
                     or not self._may_take(submission, engine, now)):
                 continue
             # A doubted engine gets one relay at a time that may safely run again, now and then. Danger: while
@@ -277,10 +273,10 @@
             if awaited or engine in tried or self._stalls(submission, engine, now):
                 spare = spare or engine
                 continue
-            found = (limiter.load(threads, now), left, engine)
+            found = (limiter.load(submission.tariff.threads, now), left, engine)
             if len(drawn) < picks:
                 drawn.append(found)
-            if engine.zone == zone:
+            if engine.zone == self.zone:
                 near.append(found)
                 if len(near) == picks:
                     break
@@ -342,6 +338,7 @@
         engine = None if again and not self._budget_left(now) else self._choose(submission, now, freed)
         if engine is None:
             return False
+        self._unhold(submission)
         tariff, limiter = submission.tariff, engine.limiter
         relay = Relay(submission, engine, len(submission.relays), now)
         submission.relays.append(relay)
@@ -423,12 +420,14 @@
                 limiter.doubted, limiter.fails = False, Ring(5 * WINDOW, 10)
         elif ending is Ending.FULL:
             limiter.failed, limiter.full_until = True, now + WINDOW
-        elif ending in (Ending.ERROR, Ending.SPOILT):
-            limiter.hear(now)
-            self._fault(relay.engine, 0, ending is Ending.ERROR, now)  # a spoilt answer cuts no limit
-        elif ending in (Ending.UNREACHABLE, Ending.RESET):
-            lost = 2 if ending is Ending.UNREACHABLE else 1
-            self._fault(relay.engine, lost * (limiter.heard < relay.sent), True, now)
+        elif ending in (Ending.ERROR, Ending.SPOILT, Ending.RESET):
+            # Danger: links between healthy ends are reset too. Cuts for that leave limits that are all or
+            # none, and doubt takes away engines that are needed. A dead one refuses the next connection.
+            if ending is not Ending.RESET:
+                limiter.hear(now)
+            self._fault(relay.engine, 0, ending is Ending.ERROR, now)
+        elif ending is Ending.UNREACHABLE:
+            self._fault(relay.engine, 2 * (limiter.heard < relay.sent), True, now)
 
     def _fault(self, engine: Engine, lost: int, counts: bool, now: int) -> None:
         limiter = engine.limiter
@@ -602,8 +601,6 @@
             self._fault(engine, 1, False, now)
         self._heed(engine, report, now)
 
-    # The sweep: closes windows, ends what was held too long, looks after what is out.
-
     def _sweep(self, now: int) -> None:
         self.swept += 1
         if self.swept % (WINDOW // SWEEP) == 0:
@@ -613,9 +610,11 @@
         # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
         self.doubt_counts = 2 * sum(engine.limiter.doubted for engine in self.ready) <= len(self.ready)
         self._listen(now)
+        failing = [engine for engine in self.ready if engine.limiter.doubted and not engine.limiter.mute]
         for submission in [held for held in self.held + self.further if now >= held.leave_by]:
-            self._unhold(submission)
-            self._offer(submission, now)  # for the last time
+            if not (self._is_turn(submission, now)
+                    and any(self._send(submission, now, engine) for engine in failing)):
+                self._end(submission)
         self.key_free = {key: free for key, free in self.key_free.items() if now < free}
         if self.settings.get("Report", {}).get("Source") == "on_probe" and self.limits.get("Probes"):
             # One after the other, each twice a second at the most: reports are about that fresh.
