--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -75,7 +75,6 @@
         self.start = self.limit = cores / gateways  # a thread a core, shared by the gateways
         self.draw = 1.0  # the chance draw for work wider than the free limit, once a window
         self.out: dict[Relay, None] = {}
-        self.lately = 0.0
         self.threads = 0
         self.total, self.count, self.failed = 0.0, 0, False  # the open window
         self.seen, self.average, self.best, self.pace = 0, 0.0, 0.0, 1.0
@@ -125,7 +124,7 @@
         # What is known of it goes over into what is known of the fleet, by half in two seconds.
         fleet, own = self.fleet, self.signs
         kept = 0.5 ** ((now - own.at) / WINDOW / 2)
-        return (fleet.others + (own.others - fleet.others) * kept + max(0.0, len(self.out) - self.lately) / self.cores,
+        return (fleet.others + (own.others - fleet.others) * kept,
                 fleet.strain + (own.strain - fleet.strain) * kept, kept)
 
     def pressed(self, now: int) -> bool:
@@ -455,7 +454,7 @@
             return
         limiter, rare = engine.limiter, now - engine.limiter.signs.at > 2 * WINDOW
         # What others run there is what the engine holds beyond our own, at a tariff mix like ours.
-        held = max(0.0, report.get("concurrent", 0.0) - limiter.lately)
+        held = max(0.0, report.get("concurrent", 0.0) - len(limiter.out) - 1)
         limiter.idle = report.get("load_share", 1.0) <= 0.9
         # Memory overgranted beyond a report's noise strains it, or a line for it.
         strain = max(report.get("x0", 0.0) / 1.15, float(report.get("depth", 0.0) >= 1))
@@ -609,8 +608,6 @@
                 engine.limiter.close_window()
                 engine.limiter.draw = self.random()
         # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
-        for engine in self.engines:
-            engine.limiter.lately += 0.2 * (len(engine.limiter.out) - engine.limiter.lately)
         self.doubt_counts = 2 * sum(engine.limiter.doubted for engine in self.ready) <= len(self.ready)
         self._listen(now)
         failing = [engine for engine in self.ready if engine.limiter.doubted and not engine.limiter.mute]
