--- a/cresstray/__main__.py
+++ b/cresstray/__main__.py
@@ -6,7 +6,7 @@
 import os
 import signal
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import msgspec
@@ -14,6 +14,9 @@
 from cresstray.coordinator import known
 from cresstray.service import Service
 
+if TYPE_CHECKING:
+    from cresstray.conf.operator import Operator
+
 
 class Limits(msgspec.Struct, frozen=True):
     """What this machine gives the gateway; its memory and its share of a core need no word from it."""
@@ -43,7 +46,25 @@
         raise UnusableError(str(trouble)) from None
 
 
-def main() -> int:
+def operator_file() -> Operator | None:
+    """What the file that GW_OPERATOR names sets; ValueError with all that is wrong, None without one."""
+    path = os.environ.get("GW_OPERATOR", "")
+    if not path:
+        return None
+    # Danger: the platform may give 32 MB; without an operator's file nothing of it is loaded.
+    from cresstray.conf import operator
+    return operator.read(path)
+
+
+def main(words: list[str] | None = None) -> int:
+    if words:
+        from cresstray.commands import cli
+        return cli(words)
+    return run()
+
+
+def run() -> int:
+    """One gateway, as the platform starts it; its exit code."""
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))  # until the service catches it
     path = os.environ.get("GW_CONFIG", "")
     try:
@@ -51,8 +72,9 @@
         host, _, port = given.listen.rpartition(":")
         events = known.events(given.known, given.settings)
         service = Service(given.name, (host, int(port)), int(given.seed, 16), given.settings, events,
-                          given.coordinator, lambda: configuration(path).coordinator, given.limits.sockets)
-    except (ValueError, known.MalformedError) as trouble:
+                          given.coordinator, lambda: configuration(path).coordinator, given.limits.sockets,
+                          operator_file(), operator_file)
+    except (OSError, ValueError, known.MalformedError) as trouble:
         print(f"cresstray: the configuration GW_CONFIG={path!r} can't be used: {trouble}", file=sys.stderr)
         return 2
     # Danger: a collection that looks at every object stands still for 40 ms, and answers come too late. What
@@ -64,4 +86,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/cresstray/engines/links.py
+++ b/cresstray/engines/links.py
@@ -89,8 +89,8 @@
         del self.open[exchange.name]
         self._mind_idle()
 
-    def give_up(self, exchange: Exchange) -> None:
-        """Whatever comes under this name from now on is dropped."""
+    def give_up(self, exchange: Exchange) -> bool:
+        """What comes under this name from now on is dropped. True: the engine hears of it before the next."""
         del self.open[exchange.name]
         if exchange.written:
             # Danger: a link that stays open may be dead, and would swallow the next. Nothing has come on this
@@ -101,6 +101,7 @@
             # Danger: names given up pile up on a link that lives for days; some hundred are no burden.
             self.retired = self.retired or len(self.given_up) >= 500
         self._mind_idle()
+        return True
 
     def _mind_idle(self) -> None:
         if not self.open:
--- /dev/null
+++ b/cresstray/halls/__init__.py
@@ -0,0 +1,1 @@
+"""Between halls: when to cross, what is known of each crossing, and the link that carries it."""
--- /dev/null
+++ b/cresstray/halls/connections.py
@@ -0,0 +1,335 @@
+"""The links' sockets: dialled again and again, accepted, read, written. Decides nothing about submissions."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Protocol
+
+import anyio
+import msgspec
+from anyio.abc import ByteStream, TaskGroup
+
+from cresstray.clock import Clock, Timers
+from cresstray.conf import operator
+from cresstray.counters import Counters
+from cresstray.halls import codec
+from cresstray.halls.codec import BrokenError
+from cresstray.halls.credit import Credit, Share
+from cresstray.halls.decide import Way
+from cresstray.halls.health import Health, State
+from cresstray.halls.inward import Front, Inward
+from cresstray.halls.outward import Outward, Place
+from cresstray.log import Log
+from cresstray.streams import ENDED, Line, connect, contained
+
+if TYPE_CHECKING:
+    from cresstray.halls.tls import Contexts
+    from cresstray.passage.across import Across
+
+# Room for both handshakes at the longest round trip that a link is of any use with.
+_HANDSHAKE = 3.0
+# A connection that lived so long worked; one that did not is made again later and later.
+_WORKED = 5_000_000
+# Danger: a peer that reads nothing would have all that is written to it kept.
+_MOST_UNWRITTEN = 8 * 1024 * 1024
+# A near gateway that has not come back for so long: nothing it had is kept, and its place is free.
+_ABSENT = 60_000_000
+# Gateways of other halls that may be connected at once, with some that are just leaving.
+_MOST_LINKS = 256
+
+class Channel(Protocol):
+    """What a link is written to and read from: a line, or TLS on one."""
+
+    def put(self, message: bytes) -> object: ...
+    async def receive(self) -> bytes: ...
+
+
+class Wire:
+    """One connection. What is written while something received is handled goes out in one piece after it."""
+
+    def __init__(self, line: Line, channel: Channel, scope: anyio.CancelScope) -> None:
+        self._line, self._channel, self.scope = line, channel, scope
+        self._out = bytearray()
+        self._handles = False
+
+    def write(self, data: bytes) -> None:
+        if self._handles:
+            self._out += data
+            return
+        self._channel.put(data)
+        if len(self._line.waiting) > _MOST_UNWRITTEN:
+            self.scope.cancel()
+
+    async def serve(self, receive: Callable[[bytes], object]) -> str:
+        """Until the connection ends, or its scope is cancelled; why it ended."""
+        try:
+            while True:
+                data = await self._channel.receive()
+                self._handles = True
+                try:
+                    receive(data)
+                finally:
+                    self._handles = False
+                    if self._out:
+                        out = bytes(self._out)
+                        self._out.clear()
+                        self.write(out)
+        except BrokenError as trouble:
+            return f"dropped: {trouble}"
+        except ENDED as trouble:
+            return repr(trouble)
+
+
+class Hub:
+    """All links of one gateway: those it makes to its peers, and those that others make to it."""
+
+    def __init__(self, given: operator.Halls, incarnation: str, front: Front, across: Across,
+                 room: Callable[[], tuple[float, float, float]], clock: Clock, timers: Timers,
+                 counters: Counters, log: Log) -> None:
+        self._given, self._front, self._across, self._spare = given, front, across, room
+        self._clock, self._timers, self._counters, self._log = clock, timers, counters, log
+        self._me = Place(given.hall, given.gateway, incarnation)
+        self.share = Share(given.share)
+        self._contexts: Contexts | None = None
+        self._near: dict[tuple[str, str], Inward] = {}  # by hall and name
+        self._wires: dict[object, Wire] = {}
+        self.leaving = False
+        self._tasks: TaskGroup
+        self._links = [(peer, self._outward(peer)) for peer in given.peers]
+        self.load_keys(given)
+
+    def load_keys(self, given: operator.Halls) -> None:
+        """The keys of new connections; OSError (which ssl's errors are) where they can't be used."""
+        if given.tls is not None:
+            from cresstray.halls.tls import Contexts
+            self._contexts = Contexts(given.tls)
+
+    def reload(self, given: operator.Halls) -> None:
+        """What may change while links live: keys, and the share that crosses. The rest takes a restart."""
+        self.load_keys(given)
+        self.share.share = given.share
+        rest = [(one.hall, one.gateway, one.listen, one.control, one.link, one.peers)
+                for one in (given, self._given)]
+        if rest[0] != rest[1]:
+            self._say("of the new operator's file only keys and the share are used until a restart")
+
+    def _health(self) -> Health:
+        link = self._given.link
+        return Health(link.heartbeat, link.slow, link.lease, link.heal)
+
+    def _outward(self, peer: operator.Peer) -> Outward:
+        link = self._given.link
+        way = Way(f"{peer.hall} {peer.address[0]}:{peer.address[1]}", self._health(),
+                  Credit(link.submissions, link.bytes), self.share)
+        outward = Outward(self._me, peer.hall, way, self._across, self._counters, self._say)
+        self._across.add(outward)
+        return outward
+
+    def _say(self, text: str) -> None:
+        self._log.say("hall", text)
+
+    async def run(self, tasks: TaskGroup) -> None:
+        """Starts all links in these tasks; returns once it accepts."""
+        given, self._tasks = self._given, tasks
+        if given.listen is not None:
+            listener = socket.create_server(given.listen, backlog=64)
+            listener.setblocking(False)
+            self.address = listener.getsockname()
+            tasks.start_soon(self._accept, listener)
+            self._say(f"{given.gateway} of {given.hall} takes links on {self.address[0]}:{self.address[1]}")
+        for peer, outward in self._links:
+            tasks.start_soon(self._keep_up, peer, outward)
+        self._tick(self._clock.now())
+
+    def _tick(self, now: int) -> None:
+        ends: list[Outward | Inward] = [outward for _, outward in self._links]
+        for end in ends + list(self._near.values()):
+            wire = self._wires.get(end)
+            if not end.tick(now) and wire is not None:
+                self._counters.add("links between halls silent")
+                wire.scope.cancel()
+        for place, inward in list(self._near.items()):
+            if inward not in self._wires and now - inward.silent_since > _ABSENT:
+                inward.end()
+                del self._near[place]
+        # Half a beat: fine enough for beats, leases and what is hopeless.
+        self._timers.after(self._given.link.heartbeat // 2, self._tick)
+
+    # Links that we make.
+
+    async def _keep_up(self, peer: operator.Peer, outward: Outward) -> None:
+        link = self._given.link
+        pause = link.retry
+        while True:
+            began = self._clock.now()
+            why = ""
+            with contained("a link to another hall", self._counters, self._log):
+                why = await self._made(peer, outward)
+            now = self._clock.now()
+            outward.disconnected(now)
+            self._say(f"link to {outward.way.name} ended: {why}")
+            # Danger: on a link that flaps, or a hall that is gone, handshakes would cost both halls their
+            # time.
+            pause = link.retry if now - began > _WORKED else min(2 * pause, link.retry_most)
+            await anyio.sleep(pause / 1e6)
+
+    async def _made(self, peer: operator.Peer, outward: Outward) -> str:
+        try:
+            with anyio.fail_after(_HANDSHAKE):
+                made = await connect(*peer.address)
+        except (OSError, TimeoutError) as trouble:
+            return f"not made: {trouble!r}"
+        with anyio.CancelScope() as scope, Line(made, self._tasks, scope.cancel) as line:
+            try:
+                with anyio.fail_after(_HANDSHAKE):
+                    channel, _ = await self._secured(line, {peer.hall}, False)
+            except (*ENDED, TimeoutError, BrokenError) as trouble:
+                return f"refused: {trouble!r}"
+            wire = self._wires[outward] = Wire(line, channel, scope)
+            outward.connected(wire.write)
+            greeted = self._timers.after(
+                int(_HANDSHAKE * 1e6), lambda _: outward.greeted or wire.scope.cancel())
+            try:
+                return await wire.serve(lambda data: outward.receive(data, self._clock.now()))
+            finally:
+                greeted.cancel()
+                del self._wires[outward]
+        return "given up"
+
+    async def _secured(self, line: Line, halls: set[str], server: bool) -> tuple[Channel, set[str]]:
+        """What to speak on, and the halls that the other side may be; BrokenError where that is none."""
+        if self._contexts is None:
+            return line, halls
+        from cresstray.halls.tls import Sealed
+        sealed = Sealed(line, self._contexts, server)
+        named = await sealed.shake_hands()
+        if not named & halls:
+            self._counters.add("links between halls refused")
+            raise BrokenError(f"a certificate for {', '.join(sorted(named)) or 'no hall'}")
+        return sealed, named & halls
+
+    # Links that others make.
+
+    async def _accept(self, listener: socket.socket) -> None:
+        while True:
+            await anyio.wait_readable(listener)
+            try:
+                self._tasks.start_soon(self._accepted, listener.accept()[0])
+            except BlockingIOError:
+                continue
+            except OSError as trouble:
+                # Danger: out of descriptors for a moment must not end the service.
+                self._say(f"can't accept: {trouble!r}")
+                await anyio.sleep(0.02)
+
+    async def _accepted(self, made: socket.socket) -> None:
+        why = "given up"
+        with contained("a link from another hall", self._counters, self._log):
+            with anyio.CancelScope() as scope, Line(made, self._tasks, scope.cancel) as line:
+                why = await self._taken_in(line, scope)
+        self._say(f"link from another hall ended: {why}")
+
+    async def _taken_in(self, line: Line, scope: anyio.CancelScope) -> str:
+        halls = {peer.hall for peer in self._given.peers}
+        if len(self._wires) >= _MOST_LINKS:
+            return "refused, there are too many"
+        frames, found = codec.Frames(), []
+        try:
+            with anyio.fail_after(_HANDSHAKE):
+                channel, named = await self._secured(line, halls, True)
+                while not found:
+                    found = frames.feed(await channel.receive())
+            hello = found[0]
+            if not isinstance(hello, codec.Hello) or hello.magic != codec.MAGIC:
+                raise BrokenError("no hello")
+            if hello.version != codec.VERSION or hello.hall not in named:
+                raise BrokenError(f"version {hello.version} of hall {hello.hall!r}")
+        except (*ENDED, TimeoutError, BrokenError) as trouble:
+            self._counters.add("links between halls refused")
+            return f"refused: {trouble!r}"
+        wire = Wire(line, channel, scope)
+        inward = self._of(hello, wire)
+        inward.welcome(hello, wire.write)
+        if self.leaving:
+            inward.goodbye("this gateway ends")
+        try:
+            for frame in found[1:]:
+                inward.receive(frame)
+            return await wire.serve(lambda data: [inward.receive(one) for one in frames.feed(data)])
+        finally:
+            if self._wires.get(inward) is wire:
+                del self._wires[inward]
+                inward.disconnected()
+
+    def _of(self, hello: codec.Hello, wire: Wire) -> Inward:
+        place = Place(hello.hall, hello.name, hello.incarnation)
+        inward = self._near.get((hello.hall, hello.name))
+        if inward is not None and inward in self._wires:
+            # Danger: what an earlier connection still holds unread must never be taken once this one is
+            # compared.
+            self._wires.pop(inward).scope.cancel()
+        if inward is None or inward.near != place:
+            if inward is not None:
+                inward.end()
+            link = self._given.link
+            inward = self._near[hello.hall, hello.name] = Inward(
+                self._me, place, self._health(), link.submissions, link.bytes, self._front,
+                self._room, self._clock.now, self._counters, self._say)
+        self._wires[inward] = wire
+        return inward
+
+    def _room(self) -> tuple[float, float, float, int]:
+        threads, cores, pace = self._spare()
+        # Danger: each near gateway would take all that is told to all of them.
+        near = max(1, sum(inward in self._wires for inward in self._near.values()))
+        return threads / near, cores / near, pace, 1_000_000 if self.leaving else 0
+
+    def goodbye(self) -> None:
+        """Nothing new is taken; what is open goes on until this gateway ends."""
+        self.leaving = True
+        for inward in self._near.values():
+            inward.goodbye("this gateway ends")
+
+    # For operators.
+
+    def status(self) -> dict:
+        now = self._clock.now()
+        return {
+            "hall": self._me.hall, "gateway": self._me.name, "incarnation": self._me.incarnation,
+            "to": [self._told_of(outward, now) for _, outward in self._links],
+            "from": [{"hall": inward.near.hall, "gateway": inward.near.name,
+                      "incarnation": inward.near.incarnation, "connected": inward in self._wires,
+                      "ledger": _counted(entry.state.name.lower() for entry in inward.ledger.open.values())}
+                     for inward in self._near.values()]}
+
+    def _told_of(self, outward: Outward, now: int) -> dict:
+        way, health = outward.way, outward.way.health
+        connected = health.state is not State.CUT
+        return {
+            "peer": way.name, "gateway": outward.far, "state": health.state.value,
+            "round trip ms": round(health.round_trip(now) / 1000, 1) if connected else None,
+            "room threads": round(way.room(), 1), "leaving": way.leaving,
+            "closed ms": max(0, way.closed_until - now) // 1000,
+            "credit": f"{way.credit.held}/{way.credit.submissions}",
+            "ledger": _counted("unknown" if one.cut else one.state.name.lower()
+                               for one in outward.ledger.open.values())}
+
+
+def _counted(words: Iterable[str]) -> dict[str, int]:
+    counted: dict[str, int] = {}
+    for word in words:
+        counted[word] = counted.get(word, 0) + 1
+    return counted
+
+
+async def serve_status(path: str, status: Callable[[], dict]) -> None:
+    """Tells the state as one JSON line to whoever connects to this local socket; only the owner may."""
+    listener = await anyio.create_unix_listener(path, mode=0o600)
+
+    async def tell(stream: ByteStream) -> None:
+        async with stream:
+            with anyio.move_on_after(1):
+                await stream.send(msgspec.json.encode(status()) + b"\n")
+
+    await listener.serve(tell)
--- /dev/null
+++ b/cresstray/halls/decide.py
@@ -0,0 +1,128 @@
+"""Whether a submission crosses to another hall. The near module asks; what is known of the far one is here.
+
+The module knows each far gateway as one more engine, never drawn, whose `far` is a Way. A Way answers one
+question, `takes`, from the link's health and credit, the far hall's room as it last told, and the times that
+both halls would need. It decides nothing about engines: behind the link, the far gateway's module does.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from cresstray.halls.credit import Credit, Ramp, Share
+from cresstray.halls.health import Health, State
+from cresstray.interface import Ending, Submission
+
+# What a far answer needs beyond its work and the round trip: two loops that may be late.
+_MARGIN = 50_000
+# Threads a core of the chosen near engine, at its pace: from the first on, the far hall is asked whether it
+# is clearly better; below the second no more. Work slows down from one thread a core on.
+_BUSY, _CALM = 1.3, 1.0
+# Clearly better: sooner by a quarter of the expected time and by more than the links' noise.
+_BETTER, _NOISE = 4, 20_000
+# A further relay that crosses is sent by the far gateway within this, or not at all: the budget of the
+# gateway that accepted it is reckoned with room for so much delay.
+AHEAD = 300_000
+# A first relay may wait there for a permit, a twentieth of the time it has left, at most so long.
+_MOST_HOLD = 300_000
+# Relays that can't have run say nothing against a second engine; see logic.UNRUN.
+_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
+
+
+class Way:
+    """The way to one far gateway, as the module of this one sees it."""
+
+    def __init__(self, name: str, health: Health, credit: Credit, share: Share) -> None:
+        self.name, self.health, self.credit, self.share = name, health, credit, share
+        self.ramp = Ramp()
+        self.threads = self.cores = 0.0  # to spare, and in all, as last told
+        self.pace = 1.0
+        self.closed_until = 0  # refused, with a time to come back
+        self.leaving = False  # it has said goodbye
+        self.asked_at = 0  # when anything last wanted to cross
+        self._busy = False
+        self._fresh: deque[tuple[int, int]] = deque()  # offers that what was last told can't count yet
+
+    def tell(self, threads: float, cores: float, pace: float, closed: int, now: int) -> None:
+        """What a beat told of the far hall."""
+        self.threads, self.cores, self.pace = threads, cores, max(0.25, pace)
+        if closed:
+            self.close(closed, now)
+        # What was offered within the last round trip and a half was not there when the beat was written.
+        since = now - self.health.round_trip(now) * 3 // 2
+        while self._fresh and self._fresh[0][0] < since:
+            self._fresh.popleft()
+
+    def close(self, come_back: int, now: int) -> None:
+        self.closed_until = max(self.closed_until, now + come_back)
+
+    def room(self) -> float:
+        """Threads that may still be offered."""
+        return self.threads - sum(threads for _, threads in self._fresh)
+
+    def usable(self, now: int) -> bool:
+        state = self.health.look(now)
+        return (state in (State.UP, State.SLOW, State.HEALING) and not self.leaving
+                and now >= self.closed_until
+                and (state is State.UP or self.ramp.room(self.health.crossing_since, now)))
+
+    def takes(self, submission: Submission, near_load: float | None, now: int) -> bool:
+        """`near_load`: threads a core, at its pace, of the engine that could take it here; None: none can."""
+        if near_load is not None and not self._is_busy(near_load):
+            return False
+        self.asked_at = now
+        if (not self.usable(now) or submission.tariff.threads > self.room()
+                or not self.credit.has(submission.size) or not self.share.room(now)):
+            return False
+        expected, trip = submission.expected, self.health.round_trip(now)
+        far = int(trip + expected * self.pace) + _MARGIN
+        # Danger: work that the far hall ends after the soft limit is wasted there, and was worth more here.
+        if now + far > submission.soft_stop or self.within(submission, now) <= trip // 2:
+            return False
+        if near_load is None:
+            return True
+        near = int(expected * max(1.0, near_load))
+        return now + near > submission.soft_stop or near - far > expected // _BETTER + _NOISE
+
+    def _is_busy(self, load: float) -> bool:
+        # Danger: a route that opens and closes with each submission. It closes well below where it opened.
+        self._busy = load >= (_CALM if self._busy else _BUSY)
+        return self._busy
+
+    def offered(self, submission: Submission, now: int) -> None:
+        self.credit.take(submission.size)
+        self.share.crossed(now)
+        self.ramp.crossed(now)
+        self._fresh.append((now, submission.tariff.threads))
+
+    def over(self, submission: Submission) -> None:
+        self.credit.give(submission.size)
+
+    def hold(self, submission: Submission, now: int) -> int:
+        """How long the far gateway may hold it; a further relay goes at once or not at all."""
+        if len(submission.relays) > 1:
+            return 0
+        return max(0, min(_MOST_HOLD, (submission.hard_stop - now) // 20))
+
+    def within(self, submission: Submission, now: int) -> int:
+        """How long from now its relay may still be sent; its whole time where nothing bounds that."""
+        longest = submission.hard_stop - now
+        earlier = [relay for relay in submission.relays if relay.ending is not None]
+        if earlier:
+            longest = min(longest, AHEAD)
+        if submission.tariff.deduplicated:
+            # Danger: past their memory, engines would run a repeat. It is reckoned from the earlier send.
+            for relay in earlier:
+                if relay.ending not in _UNRUN:
+                    longest = min(longest, relay.sent + submission.tariff.memory - 100_000 - now)
+        return longest
+
+    def hopeless(self, submission: Submission, sent: bool, now: int) -> bool:
+        """Whether its answer can no longer come before its hard stop, so that nobody should wait for it."""
+        left = submission.hard_stop - now
+        if self.health.state is State.CUT:
+            # Without the link: no answer before it is up again, which takes a round trip at the least.
+            return left <= self.health.round_trip(now) + _MARGIN
+        trip = self.health.round_trip(now)
+        # What was not yet sent needs its work as well; half of the usual at the least.
+        return left <= trip // 2 + (0 if sent else submission.expected // 2)
--- /dev/null
+++ b/cresstray/halls/outward.py
@@ -0,0 +1,258 @@
+"""The near end of a link: offers submissions, and says what became of each. Free of I/O.
+
+Whoever connects hands in what was received and when, and writes what `write` is given. Calls out go to the
+keeper, which stands in the passage.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from cresstray.counters import Counters
+from cresstray.halls import codec
+from cresstray.halls.codec import BrokenError
+from cresstray.halls.decide import Way
+from cresstray.halls.ledger import Crossing, Outcome, Outgoing, State
+from cresstray.interface import Relay
+
+# A result holds 48,000 bytes at most where clients speak JSON-RPC; what claims far more is no result.
+_MOST_PAGES = 512
+# The far side writes so many pages ahead; half of them read, it is told so.
+WINDOW = 4
+
+
+@dataclass(frozen=True)
+class Place:
+    """Who a gateway is: its hall, its name there, and this life of it."""
+
+    hall: str
+    name: str
+    incarnation: str
+
+
+class Keeper(Protocol):
+    """Who is told of crossings; after `ended` nothing more comes of one."""
+
+    def ended(self, crossing: Crossing, outcome: Outcome, sent: bool, result: bytes | None) -> None: ...
+    def hopeless(self, crossing: Crossing) -> None: ...
+    def standing(self, link: Outward, ready: bool) -> None: ...
+
+
+class Outward:
+    def __init__(self, me: Place, far_hall: str, way: Way, keeper: Keeper, counters: Counters,
+                 say: Callable[[str], None]) -> None:
+        self._me, self._far_hall, self.way, self._health = me, far_hall, way, way.health
+        self._keeper, self._counters, self._say = keeper, counters, say
+        self.ledger = Outgoing()
+        self._frames = codec.Frames()
+        self._write: Callable[[bytes], None] | None = None
+        self.greeted, self._told = False, 0.0  # the far cores that the keeper was told of
+        self._knew, self._beat_at = "", 0
+        self.far = ""  # name of the far gateway, once it has said it
+
+    # The connection.
+
+    def connected(self, write: Callable[[bytes], None]) -> None:
+        self._write, self._frames, self.greeted = write, codec.Frames(), False
+        me = self._me
+        self._put(codec.Hello(codec.MAGIC, codec.VERSION, list(codec.FEATURES), me.hall, me.name,
+                              me.incarnation, self._knew, list(self.ledger.open)))
+
+    def disconnected(self, now: int) -> None:
+        self._write = None
+        if self.greeted:
+            self._counters.add("links between halls lost")
+        self.greeted = False
+        self._health.lost()
+        self.ledger.cut()
+        self._tell_standing(now)
+
+    def receive(self, data: bytes, now: int) -> None:
+        """BrokenError where the far side does not keep to the protocol; the connection ends then."""
+        for frame in self._frames.feed(data):
+            if not self.greeted:
+                self._greet(frame, now)
+                continue
+            self._health.word(now)
+            take = self._TAKES.get(type(frame))
+            if take is None:
+                raise BrokenError(f"a {type(frame).__name__} from the far side")
+            take(self, frame, now)
+
+    def _put(self, frame: codec.Frame) -> None:
+        if self._write is not None:
+            self._write(codec.encode(frame))
+
+    def _greet(self, frame: codec.Frame, now: int) -> None:
+        if not isinstance(frame, codec.Welcome):
+            raise BrokenError(f"a {type(frame).__name__} in place of a welcome")
+        if frame.version != codec.VERSION or frame.hall != self._far_hall:
+            raise BrokenError(f"version {frame.version} of hall {frame.hall!r}, not {self._far_hall!r}")
+        # Danger: an incarnation other than the one that was spoken to knows nothing of what that one had.
+        resumed = frame.resumed and frame.incarnation == self._knew
+        self._knew, self.far, self.greeted = frame.incarnation, frame.name, True
+        self._health.connected(now)
+        # Danger: a far lease longer than ours would outlive our own reckoning of it.
+        self._health.lease = max(self._health.lease, frame.lease)
+        way = self.way
+        way.credit.submissions = min(way.credit.submissions, max(1, frame.submissions))
+        way.credit.size = min(way.credit.size, max(codec.LONGEST, frame.bytes))
+        way.leaving, way.threads, way.cores = False, 0.0, 0.0
+        known = set(self.ledger.open)
+        settled = self.ledger.settle(resumed, frame.states)
+        for number, _ in frame.states:
+            if number not in known:
+                # It ended here while the welcome was on its way. Before our first beat, which renews the
+                # lease.
+                self._put(codec.Withdraw(number))
+                self._put(codec.Forget(number))
+        for crossing, outcome in settled:
+            self._end(crossing, outcome, outcome is not Outcome.UNRUN)
+        for crossing in self.ledger.open.values():
+            if crossing.withdrawn:
+                self._put(codec.Withdraw(crossing.number))
+        self._counters.add("links between halls made")
+        if settled:
+            self._say(f"link to {self.far} {'resumed' if resumed else 'new'}: {len(settled)} crossings "
+                      f"settled, {len(self.ledger.open)} go on")
+        self._send_beat(now)
+        self._tell_standing(now)
+
+    # Crossings.
+
+    def offer(self, relay: Relay, query: object, now: int) -> Crossing:
+        """`query` as passage.errand has it; the way has said that it takes it."""
+        submission = relay.submission
+        crossing = self.ledger.add(relay, self, query.name, submission.size)
+        self.way.offered(submission, now)
+        within = self.way.within(submission, now)
+        bounded = within < submission.hard_stop - now
+        self._put(codec.Offer(
+            crossing.number, self._health.heard, query.name, query.tariff, query.tenant, query.mark,
+            query.estimate, query.megabytes, max(0, submission.hard_stop - now),
+            self.way.hold(submission, now), max(1, within) if bounded else 0, len(submission.relays) - 1,
+            submission.tariff.idempotent or submission.tariff.deduplicated, query.statement))
+        self._counters.add("crossings offered")
+        return crossing
+
+    def give_up(self, crossing: Crossing) -> bool:
+        """False: the far side's word, or the end of its lease, is still to come. Until then it may run."""
+        if crossing.number in self.ledger.open and not crossing.withdrawn:
+            crossing.withdrawn = True
+            self._counters.add("crossings withdrawn")
+            self._put(codec.Withdraw(crossing.number))
+        return False
+
+    def _end(self, crossing: Crossing, outcome: Outcome, sent: bool, result: bytes | None = None) -> None:
+        self.ledger.end(crossing)
+        self.way.over(crossing.relay.submission)
+        self._counters.add(f"crossings {outcome.value}")
+        self._keeper.ended(crossing, outcome, sent, result)
+
+    def _given(self, number: int, last: bool = False) -> Crossing | None:
+        """An open crossing; None for one that has ended here, of which the last word need not be kept."""
+        crossing = self.ledger.open.get(number)
+        if crossing is None and not self.ledger.given(number):
+            # Danger: a peer that answers what it was not asked may answer anything with anything.
+            raise BrokenError(f"word of crossing {number}, which was never given")
+        if crossing is None and last:
+            self._put(codec.Forget(number))
+        return crossing
+
+    def _taken(self, frame: codec.Taken, now: int) -> None:
+        crossing = self._given(frame.number)
+        if crossing is not None and crossing.state is State.OFFERED:
+            crossing.state = State.TAKEN
+
+    def _sent(self, frame: codec.Sent, now: int) -> None:
+        crossing = self._given(frame.number)
+        if crossing is not None:
+            crossing.state = State.SENT
+
+    def _refused(self, frame: codec.Refused, now: int) -> None:
+        crossing = self._given(frame.number, last=True)
+        if frame.come_back:
+            self.way.close(frame.come_back, now)
+        if crossing is not None:
+            if crossing.state is State.SENT:
+                raise BrokenError(f"crossing {frame.number} is refused after it was sent")
+            self._counters.add("crossings refused")
+            self._put(codec.Forget(frame.number))
+            self._end(crossing, Outcome.UNRUN, False)
+
+    def _failed(self, frame: codec.Ended, now: int) -> None:
+        crossing = self._given(frame.number, last=True)
+        if crossing is not None:
+            self._put(codec.Forget(frame.number))
+            sent = crossing.state is State.SENT or frame.ran
+            self._end(crossing, Outcome.RAN if frame.ran else Outcome.UNRUN, sent)
+
+    def _page(self, frame: codec.Page, now: int) -> None:
+        crossing = self._given(frame.number, last=frame.page == 0)
+        if crossing is None:
+            return
+        crossing.state = State.SENT
+        if crossing.pages is None:
+            if frame.pages > _MOST_PAGES:
+                raise BrokenError(f"a result of {frame.pages} pages")
+            crossing.pages = []
+        if frame.page != len(crossing.pages):
+            raise BrokenError(f"page {frame.page} of {frame.number} in place of {len(crossing.pages)}")
+        crossing.pages.append(frame.body)
+        have = len(crossing.pages)
+        if have == frame.pages:
+            self._put(codec.Forget(frame.number))
+            self._end(crossing, Outcome.SERVED, True, b"".join(crossing.pages))
+        elif have - crossing.told >= WINDOW // 2:
+            crossing.told = have
+            self._put(codec.More(frame.number, have))
+
+    def _heard(self, frame: codec.Beat, now: int) -> None:
+        self._health.hear(frame.number, frame.heard, frame.held, now)
+        self.way.tell(frame.threads, frame.cores, frame.pace, frame.closed, now)
+        self._tell_standing(now)
+
+    def _goodbye(self, frame: codec.Goodbye, now: int) -> None:
+        self._say(f"{self.far} takes nothing more: {frame.reason}")
+        self.way.leaving = True
+        self._tell_standing(now)
+
+    _TAKES = {codec.Taken: _taken, codec.Sent: _sent, codec.Refused: _refused, codec.Ended: _failed,
+              codec.Page: _page, codec.Beat: _heard, codec.Goodbye: _goodbye}
+
+    # Time.
+
+    def tick(self, now: int) -> bool:
+        """To be called some times for each beat; False where the connection is of no more use."""
+        self._health.pace(bool(self.ledger.open) or now - self.way.asked_at < 1_000_000, now)
+        if self.greeted and now - self._beat_at >= self._health.beat:
+            self._send_beat(now)
+        before, state = self._health.state, self._health.look(now)
+        if before is not state:
+            trip = self._health.round_trip(now) / 1000
+            self._say(f"link to {self.far} is {state.value}, round trip {trip:.1f} ms")
+        gone = now > self._health.lease_end()
+        for crossing in list(self.ledger.open.values()):
+            tariff = crossing.relay.submission.tariff
+            if crossing.cut and gone and (tariff.idempotent or tariff.deduplicated):
+                # The far side has given it up by now, whatever it did before.
+                self._end(crossing, Outcome.UNKNOWN, True)
+            elif not crossing.withdrawn and self.way.hopeless(
+                    crossing.relay.submission, crossing.state is State.SENT, now):
+                self._counters.add("crossings hopeless")
+                self._keeper.hopeless(crossing)
+        self._tell_standing(now)
+        return not self._health.dead(now)
+
+    def _send_beat(self, now: int) -> None:
+        self._beat_at = now
+        self._put(codec.Beat(*self._health.next_beat(now)))
+
+    def _tell_standing(self, now: int) -> None:
+        # Known for what it is only once a beat has told of its cores; a change of a tenth is news.
+        cores = self.way.cores if self.greeted and not self.way.leaving else 0.0
+        if bool(cores) != bool(self._told) or abs(cores - self._told) > 0.1 * self._told:
+            self._told = cores
+            self._keeper.standing(self, cores > 0)
--- a/cresstray/interface.py
+++ b/cresstray/interface.py
@@ -73,6 +73,13 @@
     started: int = 0  # 0: long ago
     standing: Standing = Standing.GONE
     limiter: Any = None  # the decision module's own reckoning
+    far: Far | None = None  # of a gateway in another hall: the way to it
+
+
+class Far(Protocol):
+    """What decides whether a submission goes to another hall; `near_load` as halls/decide.py has it."""
+
+    def takes(self, submission: Submission, near_load: float | None, now: int) -> bool: ...
 
 
 @dataclass(slots=True, eq=False)
@@ -95,6 +102,10 @@
     leave_by: int = 0
     rank: float = 0.0
     held: bool = False
+    size: int = 0  # bytes of its statement
+    foreign: bool = False  # it came from another hall: one relay here, and never across again
+    hold: int = 0  # of a foreign one: for how long it may be held
+    crossed: bool = False  # it has gone to another hall once
 
 
 @dataclass(slots=True, eq=False)
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -139,6 +139,12 @@
                     or strain >= 0.75 + 0.25 * kept)
         return self.average > 1.5 * self.best > 0
 
+    def spare(self, now: int) -> float:
+        """Threads that another hall's work may take: up to 0.85 a core, where ours is not slowed yet."""
+        others, strain, _ = self.by_now(now)
+        busy = self.doubted or self.cold or now < self.full_until or strain >= 0.75
+        return 0.0 if busy else (0.85 - others) * self.cores - self.threads
+
     def permits(self, submission: Submission, now: int) -> bool:
         threads = submission.tariff.threads
         if self.threads + threads <= self.limit or not self.pressed(now):
@@ -163,8 +169,12 @@
         self.further: list[Submission] = []  # further relays, in a line of their own behind them
         self.queues: dict[int, deque[Submission]] = {}
         self.key_free: dict[int, int] = {}
-        budget = micros(self.rules.get("BudgetWindow", 0))
-        self.accepted, self.relayed_again = Ring(budget, 20), Ring(budget, 20)  # rounding costs a twentieth
+        # Danger: a further relay that crosses halls is sent later than it is counted here, by so much at
+        # most.
+        budget, ahead = micros(self.rules.get("BudgetWindow", 0)), micros(settings.get("CrossingAhead", 0))
+        self.accepted = Ring(max(0, budget - ahead), 20)  # rounding costs a twentieth
+        self.relayed_again = Ring(budget + ahead, 20)
+        self.halls: list[Engine] = []  # gateways of other halls, each as one engine that is never drawn
         # Means over answers; pace: latency against expected time.
         self.payoff = self.work = self.time = self.pace = 1.0
         self.swept, self.fleet, self.doubt_counts = 0, Signs(), True
@@ -199,7 +209,11 @@
         submission.leave_by = min(submission.hard_stop - MARGIN, max(
             now + (submission.hard_stop - now) // 10, submission.soft_stop - 3 * submission.expected // 2))
         submission.rank = -tariff.payoff / (submission.expected * tariff.threads)
-        self.accepted.add(now)
+        if submission.foreign:
+            # It counts, and earns further relays, where it was accepted; here it gives way to our own.
+            submission.leave_by = min(submission.leave_by, now + submission.hold)
+        else:
+            self.accepted.add(now)
         # Danger: many gateways' probes at a fixed rate cost more than they tell. One for two submissions.
         self.probes = min(self.probes + 0.5, 1 + len(self.ready) / 5)
         # Danger: many gateways' trials alone are as much as a fair share of work. One for ten submissions.
@@ -228,14 +242,15 @@
     def _offer(self, submission: Submission, now: int) -> None:
         # Danger: in overload each arrival would try the whole fleet; behind its own tariff it waits.
         alike = submission.tariff if not (submission.tariff.load or submission.tariff.ordered) else None
-        behind = self.held if submission.relays else any(held.tariff is alike for held in self.held)
+        last = submission.foreign or bool(submission.relays)
+        behind = self.held if last else any(held.tariff is alike for held in self.held)
         if not behind and self._is_turn(submission, now) and self._send(submission, now):
             return
         if now >= submission.leave_by:
             self._end(submission)
             return
         submission.held = True
-        insort(self.further if submission.relays else self.held, submission, key=attrgetter("rank"))
+        insort(self.further if last else self.held, submission, key=attrgetter("rank"))
 
     def _release(self, now: int, freed: Engine | None = None) -> None:
         # Danger: the whole fleet tried for each answer is too slow; one frees a permit on its engine only.
@@ -261,7 +276,8 @@
             engine, pool[at] = pool[at], pool[left - 1]
             limiter = engine.limiter
             if (len(drawn) == picks and engine.zone != self.zone or not limiter.permits(submission, now)
-                    or not self._may_take(submission, engine, now)):
+                    or not self._may_take(submission, engine, now)
+                    or submission.foreign and limiter.spare(now) < submission.tariff.threads):
                 continue
             # A doubted engine gets one relay at a time that may safely run again, now and then. Danger: while
             # the others are full, one that fails has room, and fails all that could still wait for them. If
@@ -287,6 +303,50 @@
         own = min(near, default=best)
         return own[-1] if own[0] <= best[0] + 0.6 else best[-1]
 
+    def _cross(self, submission: Submission, near: Engine | None, freed: Engine | None,
+               now: int) -> Engine | None:
+        """A far hall in place of the near engine, if any, where the way to it takes the submission."""
+        tariff, relays = submission.tariff, submission.relays
+        # Danger: halls that each believe the other idle would pass work back and forth: one crossing in a
+        # life. What must run in order, or on certain engines only, stays, as the far hall knows neither from
+        # here.
+        if (submission.crossed or submission.foreign or tariff.ordered or freed and not freed.far
+                or tariff.zones is not None or tariff.machines is not None
+                or relays and not self._budget_left(now)):
+            return near
+        load = near.limiter.load(tariff.threads, now) if near else None
+        for hall in self.halls:
+            limiter = hall.limiter
+            if (self._may_take(submission, hall, now) and limiter.threads + tariff.threads <= limiter.limit
+                    and (not limiter.doubted or now >= limiter.trial_at)
+                    and hall.far.takes(submission, load, now)):
+                submission.crossed = True
+                return hall
+        return near
+
+    def hall_listed(self, hall: Engine, cores: float, standing: Standing, now: int) -> None:
+        """A gateway of another hall, with what its hall has for us in cores; its limiter always binds."""
+        if hall.limiter is None:
+            hall.limiter = Limiter(max(1.0, cores), 1, self.fleet)
+            self.halls.append(hall)
+        limiter, cores = hall.limiter, max(1.0, cores)
+        limiter.limit *= cores / limiter.cores
+        limiter.cores = limiter.start = cores
+        hall.standing = standing
+        self._release(now)
+
+    def room(self, now: int) -> tuple[float, float, float]:
+        """What other halls may be told: our part of the threads to spare and of all cores, and our pace."""
+        spare = sum(max(0.0, engine.limiter.spare(now)) for engine in self.ready)
+        cores = sum(engine.limiter.cores for engine in self.ready)
+        return 0.0 if self.held else spare / self.gateways, cores / self.gateways, self.pace
+
+    def hopeless(self, relay: Relay, now: int) -> None:
+        """What crossed can't be answered in time any more: the final answer goes at once."""
+        if relay.ending is None and not relay.submission.ended:
+            self.port.withdraw(relay)
+            self._end(relay.submission)
+
     def _may_take(self, submission: Submission, engine: Engine, now: int) -> bool:
         tariff = submission.tariff
         # Danger: an engine that drains still reports, and may be the idlest.
@@ -335,7 +395,11 @@
 
     def _send(self, submission: Submission, now: int, freed: Engine | None = None) -> bool:
         again = bool(submission.relays)
-        engine = None if again and not self._budget_left(now) else self._choose(submission, now, freed)
+        far_only = freed is not None and freed.far is not None
+        stays = far_only or again and not self._budget_left(now)
+        engine = None if stays else self._choose(submission, now, freed)
+        if self.halls:
+            engine = self._cross(submission, engine, freed, now)
         if engine is None:
             return False
         self._unhold(submission)
@@ -385,6 +449,8 @@
         submission.relay = None
         del limiter.out[relay]
         limiter.threads -= submission.tariff.threads
+        if relay.engine.far and ending is Ending.MOOT:
+            submission.relays.remove(relay)  # no engine of either hall has seen it
         self._heed(relay.engine, report, now)
         self._learn(relay, ending, latency, now)
         if ending in RUNNING_ON and submission.tariff.ordered and submission.key:
@@ -471,7 +537,7 @@
 
     def _listen(self, now: int) -> None:
         """Looks after what is out: relays that should long be back, and engines that answer nothing."""
-        for engine in self.engines:
+        for engine in (*self.engines, *self.halls):
             limiter = engine.limiter
             for relay in list(limiter.out):
                 # Danger: an engine cut off, dead or stuck, or a link that loses answers, gives no samples.
@@ -498,7 +564,8 @@
                 and (submission.tariff.deduplicated or self._may_deny(submission))
                 # Danger: what no engine can run would use up the ration; two of them have said so by then.
                 and [relay.ending for relay in submission.relays].count(Ending.ERROR) < 2
-                and len(submission.relays) < self.limits.get("MaxAttempts", 1))
+                and len(submission.relays) < self.limits.get("MaxAttempts", 1)
+                and not (submission.foreign and submission.relays))
 
     def _may_deny(self, submission: Submission) -> bool:
         # Danger: an unrepeatable submission that may have run must not be sent or denied again.
@@ -528,7 +595,8 @@
 
     def client_left(self, submission: Submission, now: int) -> None:
         # Danger: a flood that is asked and withdrawn would earn relays for others; it earns nothing.
-        self.accepted.add(submission.arrived, -1)
+        if not submission.foreign:
+            self.accepted.add(submission.arrived, -1)
         self._close(submission)
         if submission.relay is not None and self.limits.get("Cancel"):
             self.port.withdraw(submission.relay)
@@ -604,7 +672,7 @@
     def _sweep(self, now: int) -> None:
         self.swept += 1
         if self.swept % (WINDOW // SWEEP) == 0:
-            for engine in self.engines:
+            for engine in (*self.engines, *self.halls):
                 engine.limiter.close_window()
                 engine.limiter.draw = self.random()
         # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
--- a/cresstray/passage/book.py
+++ b/cresstray/passage/book.py
@@ -64,6 +64,12 @@
     def relay_ended(self, ending: Ending) -> None:
         self._counters.add(f"relays {ending.value}")
 
+    def tell_far(self, submission: Submission, ending: Ending) -> None:
+        """Who asked from another hall must know whether its relay ran, whatever the answer is."""
+        errand = self.open.get(submission)
+        if errand is not None:
+            errand.asker.relay_ended(errand.number, ending)
+
     def settle(self, submission: Submission) -> None:
         """Forgets what is answered and has nothing out."""
         errand = self.open.get(submission)
--- a/cresstray/passage/errand.py
+++ b/cresstray/passage/errand.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from cresstray.interface import Submission
+from cresstray.interface import Ending, Submission
 
 
 class Query(Protocol):
@@ -31,6 +31,10 @@
     def abandon(self, number: int) -> None: ...
     def reject(self, number: int | None, text: str) -> None: ...
 
+    # Of an asker in another hall only: its submissions are foreign.
+    def sent(self, number: int) -> None: ...
+    def relay_ended(self, number: int, ending: Ending) -> None: ...
+
 
 @dataclass(slots=True, eq=False)
 class Errand:
--- a/cresstray/passage/relay.py
+++ b/cresstray/passage/relay.py
@@ -65,6 +65,8 @@
         del self.out[relay]
         self._reports.pop(relay, None)
         self._book.relay_ended(ending)
+        if submission.foreign:
+            self._book.tell_far(submission, ending)
         no_more = submission.ended
         if ending is Ending.FULFILLED and not no_more:
             self._book.fulfil(submission, result)
--- a/cresstray/passage/route.py
+++ b/cresstray/passage/route.py
@@ -3,20 +3,28 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
 
 from cresstray.coordinator.known import Event
 from cresstray.engines.links import Pool
 from cresstray.interface import Engine, Relay, Standing
 from cresstray.passage.send import Send
 
+if TYPE_CHECKING:  # a gateway without links loads none of it
+    from cresstray.passage.across import Across
+
 
 class Route:
     def __init__(self, make_pool: Callable[[str, tuple[str, int]], Pool], onward: Send) -> None:
         self._make_pool, self._onward = make_pool, onward
+        self.across: Across | None = None  # where there are links to other halls
         self._engines: dict[int, Engine] = {}
         self._pools: dict[Engine, Pool] = {}
 
     def route(self, relay: Relay, statement_of: Mapping, patience: int) -> None:
+        if relay.engine.far is not None:
+            self.across.send(relay, statement_of[relay.submission], patience)
+            return
         self._onward.send(relay, statement_of[relay.submission], self._pools[relay.engine], patience)
 
     def listed(self, event: Event) -> list[tuple[Engine, tuple]]:
--- a/cresstray/passage/send.py
+++ b/cresstray/passage/send.py
@@ -20,21 +20,26 @@
         message = codec.ask(name, query.tariff, max(1, patience // 1000), query.mark, query.statement)
         exchange = Exchange(name, message, self._back, relay)
         self._back.out[relay] = exchange
-        exchange.due = self._timers.after(patience, lambda _: self._give_up(relay, Ending.TIMED_OUT))
+        exchange.due = self._timers.after(patience, lambda _: self.give_up(relay, Ending.TIMED_OUT))
         self._counters.add("relays sent")
+        if relay.submission.foreign:
+            errand.asker.sent(errand.number)
         pool.start(exchange)
 
     def withdraw(self, relay: Relay) -> None:
         # The module hears of it once it has finished what it is about.
-        self._timers.after(0, lambda _: self._give_up(relay, Ending.WITHDRAWN))
+        self._timers.after(0, lambda _: self.give_up(relay, Ending.WITHDRAWN))
 
     def give_up_all(self, _now: int) -> None:
         """The time of all that is out is over."""
         for relay in list(self._back.out):
-            self._give_up(relay, Ending.TIMED_OUT)
+            self.give_up(relay, Ending.TIMED_OUT)
 
-    def _give_up(self, relay: Relay, ending: Ending) -> None:
+    def give_up(self, relay: Relay, ending: Ending) -> None:
         exchange = self._back.out.get(relay)
         if exchange is not None:
-            exchange.link.give_up(exchange)
-            self._back.ended(exchange, ending)
+            surely = exchange.link.give_up(exchange)
+            # Danger: what another hall has runs on until it has heard of it, and may not be relayed
+            # meanwhile. At its time limit nothing more is relayed, and the client is owed the answer.
+            if surely or ending is Ending.TIMED_OUT:
+                self._back.ended(exchange, ending)
--- a/cresstray/passage/take_in.py
+++ b/cresstray/passage/take_in.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import Protocol
 
 from cresstray.clock import Clock
 from cresstray.interface import Submission, Tariff
@@ -14,6 +15,12 @@
 _MEMORY, _MOST_NAMES = 10_000_000, 20_000
 
 
+class Crossing(Protocol):
+    """Microseconds that it may be held."""
+
+    hold: int
+
+
 class TakeIn:
     def __init__(self, settings: Mapping, tariffs: list[Tariff], clock: Clock, onward: Admit) -> None:
         self._clock, self._onward = clock, onward
@@ -27,8 +34,12 @@
         self._older: set[str] = set()
         self._turn = 0
 
-    def take(self, asker: Asker, number: int, query: Query) -> None:
+    def take(self, asker: Asker, number: int, query: Query, crossing: Crossing | None = None) -> None:
+        """`crossing`: how it came from another hall, for what a client did not ask here."""
         now = self._clock.now()
+        if query.tariff not in self._tariffs:
+            asker.reject(number, "an unknown tariff")
+            return
         tariff, longest = self._tariffs[query.tariff]
         tenant = self._tenants.get(query.tenant, 0 if not self._tenants else None)
         statement = _text(query.statement)
@@ -45,7 +56,9 @@
             hard_stop = min(hard_stop, self.last_stop)
         submission = Submission(
             tariff, now, hard_stop, tenant, 0, int(query.estimate * 1000), query.megabytes,
-            group_of(statement))
+            group_of(statement), size=len(query.statement))
+        if crossing is not None:
+            submission.foreign, submission.hold = True, crossing.hold
         self._onward.admit(Errand(asker, number, query, submission), now)
 
     def _is_new(self, name: str, now: int) -> bool:
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -5,7 +5,7 @@
 import signal
 import socket
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
@@ -26,6 +26,10 @@
 from cresstray.passage.send import Send
 from cresstray.passage.take_in import TakeIn
 
+if TYPE_CHECKING:
+    from cresstray.conf.operator import Halls, Operator
+    from cresstray.halls.connections import Hub
+
 # After SIGTERM new requests go on coming for 0.6 s at the most, and SIGKILL comes no sooner than after the
 # longest time limit, three seconds at most, and 0.7 s: what is open has until half a second before that.
 _STILL_COMING = 0.8
@@ -36,7 +40,8 @@
     def __init__(self, name: str, listen: tuple[str, int], seed: int, settings: Mapping[str, Any],
                  events: list[known.Event], coordinator: str | None,
                  coordinator_now: Callable[[], str | None] | None = None,
-                 descriptors: int = 1024) -> None:
+                 descriptors: int = 1024, operator: Operator | None = None,
+                 operator_now: Callable[[], Operator] | None = None) -> None:
         self._listen, self._settings, self._coordinator_now = listen, settings, coordinator_now
         self._clock, self.counters = Clock(), Counters()
         self._log, self._timers = Log(name, self._clock), Timers(self._clock)
@@ -44,9 +49,12 @@
         self._back = Back(self._clock, self.counters, self._book)
         self._send = send = Send(self._clock, self._timers, self.counters, self._back)
         self._route = Route(self._make_pool, send)
+        if operator and operator.halls:
+            from cresstray.halls.decide import AHEAD
+            settings = {**settings, "CrossingAhead": AHEAD / 1000}
         port = SocketPort(self._route, send, self._book, self._timers, self.counters, self._log)
         self._gateway = Gateway(port, settings, seed, self._clock.now())
-        admit = Admit(self._book)
+        admit = self._admit = Admit(self._book)
         self._back.gateway = admit.gateway = self._gateway
         self._take_in = take_in = TakeIn(settings, self._gateway.tariffs, self._clock, admit)
         tariffs = frozenset(service["Name"] for service in settings.get("Services", []))
@@ -59,9 +67,24 @@
                           self.counters, self._log)
         self._events = events
         last = events[-1].number if events else 0
+        self._operator, self._operator_now = operator, operator_now
+        self._hub = self._make_hub(operator.halls, seed) if operator and operator.halls else None
         self._feed = Feed(coordinator, last, settings, self._told, self.counters, self._log)
         self._tasks: TaskGroup
 
+    def _make_hub(self, halls: Halls, seed: int) -> Hub:
+        # Danger: the platform may give 32 MB; what links to other halls need is loaded only where there are
+        # any.
+        from cresstray.halls.connections import Hub
+        from cresstray.passage.across import Across
+        across = self._route.across = Across(self._clock, self._timers, self.counters, self._back, self._send)
+        # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
+        incarnation = f"{seed & 0xffffffff:08x}{self._clock.now():014x}"
+        hub = Hub(halls, incarnation, self._take_in, across, lambda: self._gateway.room(self._clock.now()),
+                  self._clock, self._timers, self.counters, self._log)
+        self._admit.share = hub.share
+        return hub
+
     def _make_pool(self, label: str, address: tuple[str, int]) -> Pool:
         return Pool(label, address, self._settings, self._quota, self._tasks, self._timers, self._clock.now,
                     self.counters, self._log)
@@ -79,6 +102,8 @@
             host, port = self._listen
             listener = socket.create_server((host, port), backlog=1024)
             listener.setblocking(False)
+            if self._hub is not None:
+                await self._start_hub(self._hub)
             self._tasks.start_soon(self._door.run, listener)
             host, port = listener.getsockname()
             self._log.say("service", f"serves on {host}:{port}")
@@ -87,6 +112,13 @@
             self._tasks.cancel_scope.cancel()
         self.report()
 
+    async def _start_hub(self, hub: Hub) -> None:
+        from cresstray.halls.connections import serve_status
+        await hub.run(self._tasks)
+        path = self._operator.halls.control
+        if path:
+            self._tasks.start_soon(serve_status, path, hub.status)
+
     async def _signals(self) -> None:
         # Danger: a SIGHUP that comes before or after these are caught would end the process. `main` holds it
         # back until here, and what comes during the stop is caught and left alone.
@@ -117,7 +149,12 @@
         """The configuration has been replaced: its coordinator is followed from now on, all else goes on."""
         try:
             self._feed.move(self._coordinator_now())
-        except ValueError as trouble:
+            if self._hub is not None:
+                given = self._operator_now().halls
+                if given is None:
+                    raise ValueError("the operator's file names no hall any more")
+                self._hub.reload(given)
+        except (ValueError, OSError) as trouble:
             self._log.say("service", f"the new configuration can't be used, the old one stays: {trouble}")
 
     def _last_stop(self) -> None:
@@ -125,6 +162,8 @@
         limits = [int(service.get("GiveUp", 0) * 1000) for service in self._settings.get("Services", [])]
         left = min(_LONGEST_LIMIT, max(limits, default=0)) + _AFTER_LIMIT
         self._take_in.last_stop = self._clock.now() + left
+        if self._hub is not None:
+            self._hub.goodbye()
         self._book.close(self._take_in.last_stop)
         self._timers.after(left, self._send.give_up_all)
 
--- a/cresstray/streams.py
+++ b/cresstray/streams.py
@@ -4,6 +4,7 @@
 
 import os
 import socket
+import struct
 import traceback
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -106,6 +107,11 @@
             anyio.notify_closing(self._socket)
             self._socket.close()
 
+    def end_by_reset(self) -> None:
+        """Once it is closed, the other side sees what the end of a process looks like."""
+        if self._socket.fileno() >= 0:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
     async def receive(self, within: float | None = None) -> bytes:
         """What has come, or TimeoutError if nothing does within so many seconds."""
         if self._socket.fileno() < 0:
