--- a/cresstray/clock.py
+++ b/cresstray/clock.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
 import time
 from collections.abc import Callable
 from itertools import count
 
-import anyio
-
 
 class Clock:
     """Unix time in whole microseconds: read once at the start, moved on by the monotonic clock."""
@@ -40,7 +39,7 @@
         self._clock = clock
         self._heap: list[tuple[int, int, Due]] = []
         self._order = count()
-        self._changed = anyio.Event()
+        self._changed = asyncio.Event()
         self.latest = 0  # by how much a call was late at the most, in microseconds
 
     def after(self, delay: int, call: Callable[[int], None]) -> Due:
@@ -64,9 +63,13 @@
         return None
 
     async def run(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
-            self._changed = anyio.Event()
+            self._changed = asyncio.Event()
             left = self.run_due()
-            # A call made just now may have added one that is due sooner: then the event is set already.
-            with anyio.move_on_after(None if left is None else left / 1e6):
-                await self._changed.wait()
+            # A call made just now may have added one that is due sooner: then the event is set already. The
+            # loop's own timer, since a cancel scope for each wait took an eighth of a busy gateway's samples.
+            timer = None if left is None else loop.call_later(left / 1e6, self._changed.set)
+            await self._changed.wait()
+            if timer is not None:
+                timer.cancel()
--- a/cresstray/halls/codec.py
+++ b/cresstray/halls/codec.py
@@ -92,6 +92,7 @@
     left: _Time
     hold: _Time
     within: _Time
+    group: _Number  # of tables, that the statement reads or writes
     used: _Number  # relays before this one; the far side may make one
     fenced: bool  # given up when the lease is over: the near side may relay it elsewhere then
     statement: Annotated[bytes, msgspec.Meta(min_length=1)]
@@ -154,10 +155,10 @@
 
 
 class Forget(Frame):
-    """The near side has the end of it; nothing need be kept."""
+    """The near side has the end of these; nothing of them need be kept."""
 
     kind = 12
-    number: _Number
+    numbers: Annotated[list[_Number], msgspec.Meta(max_length=100_000)]
 
 
 class Goodbye(Frame):
--- a/cresstray/halls/connections.py
+++ b/cresstray/halls/connections.py
@@ -10,14 +10,14 @@
 import msgspec
 from anyio.abc import ByteStream, TaskGroup
 
-from cresstray.clock import Clock, Timers
+from cresstray.clock import Clock, Due, Timers
 from cresstray.conf import operator
 from cresstray.counters import Counters
 from cresstray.halls import codec
 from cresstray.halls.codec import BrokenError
 from cresstray.halls.credit import Credit, Share
 from cresstray.halls.decide import Way
-from cresstray.halls.health import Health, State
+from cresstray.halls.health import IDLE, Health, State
 from cresstray.halls.inward import Front, Inward
 from cresstray.halls.outward import Outward, Place
 from cresstray.log import Log
@@ -35,6 +35,8 @@
 _MOST_UNWRITTEN = 8 * 1024 * 1024
 # A near gateway that has not come back for so long: nothing it had is kept, and its place is free.
 _ABSENT = 60_000_000
+# Room is shared among the near gateways that have offered anything for so long.
+_ASKS = 1_000_000
 # Gateways of other halls that may be connected at once, with some that are just leaving.
 _MOST_LINKS = 256
 
@@ -46,18 +48,35 @@
 
 
 class Wire:
-    """One connection. What is written while something received is handled goes out in one piece after it."""
+    """One connection. What is written waits as long as its end allows, and goes out in one piece."""
 
-    def __init__(self, line: Line, channel: Channel, scope: anyio.CancelScope) -> None:
-        self._line, self._channel, self.scope = line, channel, scope
+    def __init__(self, line: Line, channel: Channel, scope: anyio.CancelScope, timers: Timers) -> None:
+        self._line, self._channel, self.scope, self._timers = line, channel, scope, timers
+        self.dawdle: Callable[[], int] = lambda: 0
         self._out = bytearray()
-        self._handles = False
-
-    def write(self, data: bytes) -> None:
-        if self._handles:
-            self._out += data
+        self._handles = self._waits = False
+
+    def write(self, data: bytes, at_once: bool) -> None:
+        self._out += data
+        if at_once:
+            self._flush()
+        elif not self._handles:
+            self._mind()
+
+    def _mind(self) -> None:
+        wait = self.dawdle()
+        if not wait:
+            self._flush()
+        elif not self._waits:
+            self._waits = True
+            self._timers.after(wait, self._flush)
+
+    def _flush(self, _now: int = 0) -> None:
+        self._waits = False
+        if not self._out or not self._line.lives():
             return
-        self._channel.put(data)
+        self._channel.put(bytes(self._out))
+        self._out.clear()
         if len(self._line.waiting) > _MOST_UNWRITTEN:
             self.scope.cancel()
 
@@ -72,9 +91,7 @@
                 finally:
                     self._handles = False
                     if self._out:
-                        out = bytes(self._out)
-                        self._out.clear()
-                        self.write(out)
+                        self._mind()
         except BrokenError as trouble:
             return f"dropped: {trouble}"
         except ENDED as trouble:
@@ -96,6 +113,7 @@
         self._wires: dict[object, Wire] = {}
         self.leaving = False
         self._tasks: TaskGroup
+        self._busy, self._due = False, Due(0, lambda _: None)  # the next tick
         self._links = [(peer, self._outward(peer)) for peer in given.peers]
         self.load_keys(given)
 
@@ -122,7 +140,8 @@
         link = self._given.link
         way = Way(f"{peer.hall} {peer.address[0]}:{peer.address[1]}", self._health(),
                   Credit(link.submissions, link.bytes), self.share)
-        outward = Outward(self._me, peer.hall, way, self._across, self._counters, self._say)
+        outward = Outward(self._me, peer.hall, way, self._across, self._counters, self._say,
+                           self._clock.now, self._wake)
         self._across.add(outward)
         return outward
 
@@ -144,7 +163,8 @@
 
     def _tick(self, now: int) -> None:
         ends: list[Outward | Inward] = [outward for _, outward in self._links]
-        for end in ends + list(self._near.values()):
+        ends += self._near.values()
+        for end in ends:
             wire = self._wires.get(end)
             if not end.tick(now) and wire is not None:
                 self._counters.add("links between halls silent")
@@ -153,8 +173,17 @@
             if inward not in self._wires and now - inward.silent_since > _ABSENT:
                 inward.end()
                 del self._near[place]
-        # Half a beat: fine enough for beats, leases and what is hopeless.
-        self._timers.after(self._given.link.heartbeat // 2, self._tick)
+        # Half a beat: fine enough for beats, leases and what is hopeless. An idle beat where all is idle.
+        beat = self._given.link.heartbeat
+        self._busy = any(end.busy(now) for end in ends)
+        self._due = self._timers.after(beat // 2 if self._busy else IDLE * beat, self._tick)
+
+    def _wake(self) -> None:
+        """Something is under way, or wants to be: not to wait for the next idle tick."""
+        if not self._busy:
+            self._busy = True
+            self._due.cancel()
+            self._due = self._timers.after(0, self._tick)
 
     # Links that we make.
 
@@ -186,7 +215,8 @@
                     channel, _ = await self._secured(line, {peer.hall}, False)
             except (*ENDED, TimeoutError, BrokenError) as trouble:
                 return f"refused: {trouble!r}"
-            wire = self._wires[outward] = Wire(line, channel, scope)
+            wire = self._wires[outward] = Wire(line, channel, scope, self._timers)
+            wire.dawdle = outward.dawdle
             outward.connected(wire.write)
             greeted = self._timers.after(
                 int(_HANDSHAKE * 1e6), lambda _: outward.greeted or wire.scope.cancel())
@@ -248,8 +278,9 @@
         except (*ENDED, TimeoutError, BrokenError) as trouble:
             self._counters.add("links between halls refused")
             return f"refused: {trouble!r}"
-        wire = Wire(line, channel, scope)
+        wire = Wire(line, channel, scope, self._timers)
         inward = self._of(hello, wire)
+        wire.dawdle = inward.dawdle
         inward.welcome(hello, wire.write)
         if self.leaving:
             inward.goodbye("this gateway ends")
@@ -275,15 +306,20 @@
             link = self._given.link
             inward = self._near[hello.hall, hello.name] = Inward(
                 self._me, place, self._health(), link.submissions, link.bytes, self._front,
-                self._room, self._clock.now, self._counters, self._say)
+                self._room, self._closed, self._clock.now, self._wake, self._timers.after, self._counters,
+                self._say)
         self._wires[inward] = wire
         return inward
 
-    def _room(self) -> tuple[float, float, float, int]:
+    def _closed(self) -> int:
+        return 1_000_000 if self.leaving else 0
+
+    def _room(self) -> tuple[float, float, float]:
         threads, cores, pace = self._spare()
         # Danger: each near gateway would take all that is told to all of them.
-        near = max(1, sum(inward in self._wires for inward in self._near.values()))
-        return threads / near, cores / near, pace, 1_000_000 if self.leaving else 0
+        now = self._clock.now()
+        near = max(1, sum(now - inward.asked_at < _ASKS for inward in self._near.values()))
+        return threads / near, cores / near, pace
 
     def goodbye(self) -> None:
         """Nothing new is taken; what is open goes on until this gateway ends."""
--- a/cresstray/halls/decide.py
+++ b/cresstray/halls/decide.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections.abc import Callable
 
 from cresstray.halls.credit import Credit, Ramp, Share
 from cresstray.halls.health import Health, State
@@ -17,7 +17,7 @@
 _MARGIN = 50_000
 # Threads a core of the chosen near engine, at its pace: from the first on, the far hall is asked whether it
 # is clearly better; below the second no more. Work slows down from one thread a core on.
-_BUSY, _CALM = 1.3, 1.0
+_BUSY, _CALM = 1.1, 0.9
 # Clearly better: sooner by a quarter of the expected time and by more than the links' noise.
 _BETTER, _NOISE = 4, 20_000
 # A further relay that crosses is sent by the far gateway within this, or not at all: the budget of the
@@ -35,30 +35,27 @@
     def __init__(self, name: str, health: Health, credit: Credit, share: Share) -> None:
         self.name, self.health, self.credit, self.share = name, health, credit, share
         self.ramp = Ramp()
-        self.threads = self.cores = 0.0  # to spare, and in all, as last told
+        self.threads = self.cores = 0.0  # ours to use there, and our part of all, as last told
         self.pace = 1.0
         self.closed_until = 0  # refused, with a time to come back
         self.leaving = False  # it has said goodbye
         self.asked_at = 0  # when anything last wanted to cross
+        self.ask: Callable[[], None] = lambda: None  # has a beat sent now, if the last one is not of late
         self._busy = False
-        self._fresh: deque[tuple[int, int]] = deque()  # offers that what was last told can't count yet
+        self.used, self.open = 0.0, 0  # threads and number of what is under way
 
     def tell(self, threads: float, cores: float, pace: float, closed: int, now: int) -> None:
         """What a beat told of the far hall."""
         self.threads, self.cores, self.pace = threads, cores, max(0.25, pace)
         if closed:
             self.close(closed, now)
-        # What was offered within the last round trip and a half was not there when the beat was written.
-        since = now - self.health.round_trip(now) * 3 // 2
-        while self._fresh and self._fresh[0][0] < since:
-            self._fresh.popleft()
 
     def close(self, come_back: int, now: int) -> None:
         self.closed_until = max(self.closed_until, now + come_back)
 
     def room(self) -> float:
-        """Threads that may still be offered."""
-        return self.threads - sum(threads for _, threads in self._fresh)
+        """Threads that may still be offered; as soon as a crossing ends, its threads are free again."""
+        return self.threads - self.used
 
     def usable(self, now: int) -> bool:
         state = self.health.look(now)
@@ -68,35 +65,53 @@
 
     def takes(self, submission: Submission, near_load: float | None, now: int) -> bool:
         """`near_load`: threads a core, at its pace, of the engine that could take it here; None: none can."""
-        if near_load is not None and not self._is_busy(near_load):
+        expected, trip = submission.expected, self.health.round_trip(now)
+        far = int(trip + expected * self.pace) + _MARGIN
+        if near_load is not None and not self._is_better(submission, near_load, far - _MARGIN, now):
             return False
         self.asked_at = now
-        if (not self.usable(now) or submission.tariff.threads > self.room()
+        if self.health.stale(now):
+            # The link has been idle; the answer to this beat brings the present room, and tries again.
+            self.ask()
+            return False
+        if (not self.usable(now) or not self._fits(submission.tariff.threads)
                 or not self.credit.has(submission.size) or not self.share.room(now)):
             return False
-        expected, trip = submission.expected, self.health.round_trip(now)
-        far = int(trip + expected * self.pace) + _MARGIN
         # Danger: work that the far hall ends after the soft limit is wasted there, and was worth more here.
-        if now + far > submission.soft_stop or self.within(submission, now) <= trip // 2:
+        return now + far <= submission.soft_stop and self.within(submission, now) > trip // 2
+
+    def _is_better(self, submission: Submission, near_load: float, far: int, now: int) -> bool:
+        """Whether the far hall would be clearly sooner, or the near one late."""
+        if not self._is_busy(near_load):
             return False
-        if near_load is None:
-            return True
-        near = int(expected * max(1.0, near_load))
-        return now + near > submission.soft_stop or near - far > expected // _BETTER + _NOISE
+        near = int(submission.expected * max(1.0, near_load))
+        return now + near > submission.soft_stop or near - far > submission.expected // _BETTER + _NOISE
+
+    def _fits(self, threads: int) -> bool:
+        # Danger: parts of a thread for each of many gateways would leave room for nobody. What is at least
+        # half of what is needed counts as whole where nothing else is under way.
+        return threads <= self.room() or self.used == 0 and threads <= 2 * self.room()
 
     def _is_busy(self, load: float) -> bool:
         # Danger: a route that opens and closes with each submission. It closes well below where it opened.
         self._busy = load >= (_CALM if self._busy else _BUSY)
         return self._busy
 
-    def offered(self, submission: Submission, now: int) -> None:
+    def offered(self, submission: Submission, now: int) -> float:
+        """Books it; returns the threads it counts for: of its time under way, it runs for a part only."""
         self.credit.take(submission.size)
         self.share.crossed(now)
         self.ramp.crossed(now)
-        self._fresh.append((now, submission.tariff.threads))
+        runs = submission.expected * self.pace
+        weight = submission.tariff.threads * runs / (runs + self.health.round_trip(now))
+        self.used += weight
+        self.open += 1
+        return weight
 
-    def over(self, submission: Submission) -> None:
+    def over(self, submission: Submission, weight: float) -> None:
         self.credit.give(submission.size)
+        self.open -= 1
+        self.used = max(0.0, self.used - weight) if self.open else 0.0
 
     def hold(self, submission: Submission, now: int) -> int:
         """How long the far gateway may hold it; a further relay goes at once or not at all."""
--- a/cresstray/halls/health.py
+++ b/cresstray/halls/health.py
@@ -22,8 +22,9 @@
     HEALING = "healing"
 
 
-# Without anything under way, or asked for of late, beats come so many times slower.
-_IDLE = 4
+# Without anything under way, or asked for of late, beats come so many times slower: a wake-up costs a gateway
+# with little to do as much as a submission does.
+IDLE = 10
 # Beats of ours whose time of sending is kept: with five a second, more than any lease.
 _KEPT = 128
 # The round trip is the mean of the last second; a link that gets slower is seen sooner, by beats not yet
@@ -37,11 +38,12 @@
 
     def __init__(self, beat: int, slow: int, lease: int, heal: int) -> None:
         self._busy_beat = self.beat = beat
-        self.idle_beat, self._paced_at = _IDLE * beat, 0
+        self.idle_beat, self._paced_at = IDLE * beat, 0
         self._slow, self.lease, self._heal = slow, lease, heal
         self.state = State.CUT
         self._sum, self._count = Ring(_SPAN, _PARTS), Ring(_SPAN, _PARTS)
         self._latest = 0  # round trip
+        self._told, self._told_at = 0, -1  # what was last said of it, and in which millisecond
         self._number = 0  # of our last beat
         self._sent: deque[tuple[int, int]] = deque(maxlen=_KEPT)  # our beats not yet heard
         self._echoed, self._zero_at = 0, 0  # of ours, the last they heard; beat 0 is the connection itself
@@ -59,6 +61,7 @@
         self.heard, self.heard_at, self._number, self._echoed, self._zero_at = 0, now, 0, 0, now
         self._word_at = self.calm_since = self.crossing_since = now
         self._sum, self._count, self._latest = Ring(_SPAN, _PARTS), Ring(_SPAN, _PARTS), 0
+        self._told_at = -1
 
     def pace(self, busy: bool, now: int) -> None:
         """How often beats come from now on; a link that is needed is looked after more closely."""
@@ -66,6 +69,18 @@
         if beat != self.beat:
             self.beat, self._paced_at = beat, now
 
+    def dawdle(self, now: int) -> int:
+        """How long a word may wait for others to go with: a tenth of the round trip, 5 ms at most.
+
+        At 1,000 crossings a second over 50 ms, five go in one piece, and both sides wake up that much less.
+        """
+        wait = min(5_000, self.round_trip(now) // 10)
+        return wait if wait >= 1_000 else 0
+
+    def stale(self, now: int) -> bool:
+        """Whether what the last beat told is too old to act on."""
+        return now - self.heard_at > 4 * self._busy_beat + self._latest
+
     def lost(self) -> None:
         self.state = State.CUT
 
@@ -89,6 +104,7 @@
             self._latest = now - at - min(held, now - at)
             self._sum.add(now, self._latest)
             self._count.add(now)
+            self._told_at = -1
         self.confirm(echo)
 
     def confirm(self, echo: int) -> None:
@@ -101,6 +117,12 @@
 
     def round_trip(self, now: int) -> int:
         """The present one: the most of the mean of late, the last, and the age of a beat not answered."""
+        # Asked some times for each submission; a millisecond more or less is no matter.
+        if now // 1000 != self._told_at:
+            self._told_at, self._told = now // 1000, self._round_trip(now)
+        return self._told
+
+    def _round_trip(self, now: int) -> int:
         count = self._count.least(now)
         mean = int(self._sum.least(now) / count) if count else self._latest
         return max(mean, self._latest, self._unheard(now) - self.beat)
@@ -140,8 +162,9 @@
 
     def dead(self, now: int) -> bool:
         """Silent, or deaf to us, for a lease: the connection is of no more use."""
-        return self.state is not State.CUT and (
-            now - self._word_at > self.lease or self._unheard(now) > 2 * self.lease)
+        most = self.lease + (2 * self.beat if self.beat == self.idle_beat else 0)
+        return self.state is not State.CUT and now - self._paced_at > most and (
+            now - self._word_at > most or self._unheard(now) > 2 * most)
 
     def fenced(self, now: int) -> bool:
         """Whether what the other side had here is to be given up: it may think so by now."""
--- a/cresstray/halls/inward.py
+++ b/cresstray/halls/inward.py
@@ -32,22 +32,25 @@
 
 
 class Inward:
-    """`room` tells threads to spare, cores, pace and for how long nothing is taken."""
+    """`room` tells threads to spare, cores and pace; `closed` for how many microseconds nothing is taken."""
 
     def __init__(self, me: Place, near: Place, health: Health, submissions: int, size: int,
-                 front: Front, room: Callable[[], tuple[float, float, float, int]], now: Callable[[], int],
+                 front: Front, room: Callable[[], tuple[float, float, float]], closed: Callable[[], int],
+                 now: Callable[[], int], wake: Callable[[], None], later: Callable[[int, Callable[[int], None]], object],
                  counters: Counters, say: Callable[[str], None]) -> None:
         self._me, self.near, self._health = me, near, health
         self._submissions, self._size = submissions, size
-        self._front, self._room, self._now, self._counters, self._say = front, room, now, counters, say
+        self._front, self._room, self._closed = front, room, closed
+        self._now, self._wake, self._later = now, wake, later
+        self._counters, self._say = counters, say
         self.open: dict[int, object] = {}  # errands, for the passage
         self.ledger = Incoming()
-        self._write: Callable[[bytes], None] | None = None
-        self._beat_at, self.silent_since = 0, 0
+        self._write: Callable[[bytes, bool], None] | None = None
+        self._beat_at, self.silent_since, self.asked_at = 0, 0, 0
 
     # The connection.
 
-    def welcome(self, hello: codec.Hello, write: Callable[[bytes], None]) -> None:
+    def welcome(self, hello: codec.Hello, write: Callable[[bytes, bool], None]) -> None:
         """A connection of the same near gateway and life; what an earlier one had is compared."""
         self._write = write
         now = self._now()
@@ -95,30 +98,38 @@
             raise BrokenError(f"a {type(frame).__name__} from the near side")
         take(self, frame, now)
 
-    def _put(self, frame: codec.Frame) -> None:
+    def _put(self, frame: codec.Frame, at_once: bool = False) -> None:
         if self._write is not None:
-            self._write(codec.encode(frame))
+            self._write(codec.encode(frame), at_once)
+
+    def dawdle(self) -> int:
+        """Microseconds that a word may wait for others."""
+        return self._health.dawdle(self._now())
 
     # What the near side says.
 
     def _offered(self, offer: codec.Offer, now: int) -> None:
         sent = self._health.sent_at(offer.heard)
         self._health.confirm(offer.heard)
+        self.asked_at = now
         entry = self.ledger.take(offer.number, offer.name, len(offer.statement))
         if entry is None:
             raise BrokenError(f"crossing {offer.number} is offered again")
-        if len(self.ledger.open) > self._submissions + 8 or self.ledger.size > self._size + codec.LONGEST:
+        # What has ended here and is not yet forgotten holds none of the near side's credit.
+        most = self._submissions * 3 // 2 + 8
+        if len(self.ledger.open) > most or self.ledger.size > self._size * 3 // 2 + codec.LONGEST:
             raise BrokenError("more is offered than there is credit for")
         # However long it was on its way, it can't have left before our beat that it names.
         if offer.within and (sent is None or now - sent > offer.within):
             self._refuse(entry, "it came too late to be sent", 0)
-        elif self._room()[3]:
+        elif self._closed():
             self._refuse(entry, "nothing is taken here now", _COME_BACK)
         elif not offer.left:
             self._refuse(entry, "its time is over", 0)
         else:
             self._counters.add("crossings taken")
             entry.fenced = offer.fenced
+            self._wake()  # its lease is looked after from now on
             self._front.take(self, entry.number, offer, offer)
             if entry.state is State.TAKEN:  # else what was said since says it too
                 self._put(codec.Taken(entry.number))
@@ -138,9 +149,10 @@
                 self._ended(entry, "withdrawn")
 
     def _forgotten(self, frame: codec.Forget, now: int) -> None:
-        entry = self.ledger.forget(frame.number)
-        if entry is not None:
-            self._give_up(entry)
+        for number in frame.numbers:
+            entry = self.ledger.forget(number)
+            if entry is not None:
+                self._give_up(entry)
 
     def _more(self, frame: codec.More, now: int) -> None:
         entry = self.ledger.open.get(frame.number)
@@ -161,7 +173,16 @@
         entry = self.ledger.open.get(number)
         if entry is not None and entry.state is State.TAKEN:
             entry.state, entry.ran = State.SENT, True
-            self._put(codec.Sent(number))
+            wait = self.dawdle()
+            if wait:
+                # It may end sooner than this word would leave, and the end says it too.
+                self._later(wait, lambda _: self._say_sent(entry))
+            else:
+                self._say_sent(entry)
+
+    def _say_sent(self, entry: Entry) -> None:
+        if entry.state is State.SENT:
+            self._put(codec.Sent(entry.number))
 
     def relay_ended(self, number: int, ending: Ending) -> None:
         entry = self.ledger.open.get(number)
@@ -232,8 +253,12 @@
 
     # Time.
 
+    def busy(self, now: int) -> bool:
+        return bool(self.open)
+
     def tick(self, now: int) -> bool:
         """To be called some times for each beat; False where the connection is of no more use."""
+        self._health.pace(self.busy(now), now)
         # Each of their beats is answered at once; on our own we only speak up where they are late.
         if now - self._beat_at >= 2 * self._health.idle_beat:
             self._send_beat(now)
@@ -254,6 +279,8 @@
     def _send_beat(self, now: int) -> None:
         self._beat_at = now
         if self._write is not None:
-            threads, cores, pace, closed = self._room()
-            self._put(codec.Beat(*self._health.next_beat(now), max(0.0, threads), max(0.0, cores),
-                                 max(0.0, pace), closed))
+            threads, cores, pace = self._room()
+            # What it has running here is its own to use again.
+            running = sum(errand.submission.tariff.threads for errand in self.open.values())
+            self._put(codec.Beat(*self._health.next_beat(now), max(0.0, threads) + running, max(0.0, cores),
+                                 max(0.0, pace), self._closed()), at_once=True)
--- a/cresstray/halls/ledger.py
+++ b/cresstray/halls/ledger.py
@@ -33,11 +33,12 @@
 class Crossing:
     """One, on the near side; `relay` is the near module's, `link` the near end of the link it went by."""
 
-    __slots__ = ("number", "relay", "link", "name", "due", "state", "cut", "withdrawn", "pages", "size",
+    __slots__ = ("number", "relay", "link", "name", "due", "state", "cut", "withdrawn", "pages", "weight",
                  "told")
 
-    def __init__(self, number: int, relay: object, link: object, name: str, size: int) -> None:
-        self.number, self.relay, self.link, self.name, self.size = number, relay, link, name, size
+    def __init__(self, number: int, relay: object, link: object, name: str, weight: float) -> None:
+        self.number, self.relay, self.link, self.name = number, relay, link, name
+        self.weight = weight  # threads that it counts for
         self.due = None  # the call at its time limit
         self.state, self.cut = State.OFFERED, False  # cut: the link has gone since
         self.withdrawn = False
@@ -52,9 +53,9 @@
         self.open: dict[int, Crossing] = {}
         self._last = 0
 
-    def add(self, relay: object, link: object, name: str, size: int) -> Crossing:
+    def add(self, relay: object, link: object, name: str, weight: float) -> Crossing:
         self._last += 1
-        crossing = self.open[self._last] = Crossing(self._last, relay, link, name, size)
+        crossing = self.open[self._last] = Crossing(self._last, relay, link, name, weight)
         return crossing
 
     def given(self, number: int) -> bool:
--- a/cresstray/halls/outward.py
+++ b/cresstray/halls/outward.py
@@ -38,24 +38,30 @@
     def ended(self, crossing: Crossing, outcome: Outcome, sent: bool, result: bytes | None) -> None: ...
     def hopeless(self, crossing: Crossing) -> None: ...
     def standing(self, link: Outward, ready: bool) -> None: ...
+    def room_told(self, link: Outward) -> None: ...
 
 
 class Outward:
     def __init__(self, me: Place, far_hall: str, way: Way, keeper: Keeper, counters: Counters,
-                 say: Callable[[str], None]) -> None:
+                 say: Callable[[str], None], now: Callable[[], int], wake: Callable[[], None]) -> None:
         self._me, self._far_hall, self.way, self._health = me, far_hall, way, way.health
         self._keeper, self._counters, self._say = keeper, counters, say
+        self._now, self._wake = now, wake
+        way.ask = self._asked
         self.ledger = Outgoing()
         self._frames = codec.Frames()
-        self._write: Callable[[bytes], None] | None = None
+        self._write: Callable[[bytes, bool], None] | None = None
+        self._forgets: list[int] = []  # to be said with the next words
         self.greeted, self._told = False, 0.0  # the far cores that the keeper was told of
         self._knew, self._beat_at = "", 0
         self.far = ""  # name of the far gateway, once it has said it
 
     # The connection.
 
-    def connected(self, write: Callable[[bytes], None]) -> None:
+    def connected(self, write: Callable[[bytes, bool], None]) -> None:
+        """`write` takes bytes, and whether they must go at once."""
         self._write, self._frames, self.greeted = write, codec.Frames(), False
+        self._forgets.clear()
         me = self._me
         self._put(codec.Hello(codec.MAGIC, codec.VERSION, list(codec.FEATURES), me.hall, me.name,
                               me.incarnation, self._knew, list(self.ledger.open)))
@@ -81,9 +87,20 @@
                 raise BrokenError(f"a {type(frame).__name__} from the far side")
             take(self, frame, now)
 
-    def _put(self, frame: codec.Frame) -> None:
+    def _put(self, frame: codec.Frame, at_once: bool = False) -> None:
         if self._write is not None:
-            self._write(codec.encode(frame))
+            self._write(codec.encode(frame), at_once)
+
+    def _forget(self, number: int) -> None:
+        self._forgets.append(number)
+        # A far entry costs little for a while; half of a tenth of the credit goes in one frame.
+        if len(self._forgets) * 20 >= self.way.credit.submissions:
+            self._put_forgets()
+
+    def _put_forgets(self) -> None:
+        if self._forgets:
+            self._put(codec.Forget(self._forgets))
+            self._forgets = []
 
     def _greet(self, frame: codec.Frame, now: int) -> None:
         if not isinstance(frame, codec.Welcome):
@@ -107,7 +124,7 @@
                 # It ended here while the welcome was on its way. Before our first beat, which renews the
                 # lease.
                 self._put(codec.Withdraw(number))
-                self._put(codec.Forget(number))
+                self._put(codec.Forget([number]))
         for crossing, outcome in settled:
             self._end(crossing, outcome, outcome is not Outcome.UNRUN)
         for crossing in self.ledger.open.values():
@@ -125,14 +142,14 @@
     def offer(self, relay: Relay, query: object, now: int) -> Crossing:
         """`query` as passage.errand has it; the way has said that it takes it."""
         submission = relay.submission
-        crossing = self.ledger.add(relay, self, query.name, submission.size)
-        self.way.offered(submission, now)
+        crossing = self.ledger.add(relay, self, query.name, self.way.offered(submission, now))
         within = self.way.within(submission, now)
         bounded = within < submission.hard_stop - now
         self._put(codec.Offer(
             crossing.number, self._health.heard, query.name, query.tariff, query.tenant, query.mark,
             query.estimate, query.megabytes, max(0, submission.hard_stop - now),
-            self.way.hold(submission, now), max(1, within) if bounded else 0, len(submission.relays) - 1,
+            self.way.hold(submission, now), max(1, within) if bounded else 0, submission.data_set,
+            len(submission.relays) - 1,
             submission.tariff.idempotent or submission.tariff.deduplicated, query.statement))
         self._counters.add("crossings offered")
         return crossing
@@ -147,7 +164,7 @@
 
     def _end(self, crossing: Crossing, outcome: Outcome, sent: bool, result: bytes | None = None) -> None:
         self.ledger.end(crossing)
-        self.way.over(crossing.relay.submission)
+        self.way.over(crossing.relay.submission, crossing.weight)
         self._counters.add(f"crossings {outcome.value}")
         self._keeper.ended(crossing, outcome, sent, result)
 
@@ -158,7 +175,7 @@
             # Danger: a peer that answers what it was not asked may answer anything with anything.
             raise BrokenError(f"word of crossing {number}, which was never given")
         if crossing is None and last:
-            self._put(codec.Forget(number))
+            self._forget(number)
         return crossing
 
     def _taken(self, frame: codec.Taken, now: int) -> None:
@@ -179,13 +196,13 @@
             if crossing.state is State.SENT:
                 raise BrokenError(f"crossing {frame.number} is refused after it was sent")
             self._counters.add("crossings refused")
-            self._put(codec.Forget(frame.number))
+            self._forget(frame.number)
             self._end(crossing, Outcome.UNRUN, False)
 
     def _failed(self, frame: codec.Ended, now: int) -> None:
         crossing = self._given(frame.number, last=True)
         if crossing is not None:
-            self._put(codec.Forget(frame.number))
+            self._forget(frame.number)
             sent = crossing.state is State.SENT or frame.ran
             self._end(crossing, Outcome.RAN if frame.ran else Outcome.UNRUN, sent)
 
@@ -203,7 +220,7 @@
         crossing.pages.append(frame.body)
         have = len(crossing.pages)
         if have == frame.pages:
-            self._put(codec.Forget(frame.number))
+            self._forget(frame.number)
             self._end(crossing, Outcome.SERVED, True, b"".join(crossing.pages))
         elif have - crossing.told >= WINDOW // 2:
             crossing.told = have
@@ -213,6 +230,8 @@
         self._health.hear(frame.number, frame.heard, frame.held, now)
         self.way.tell(frame.threads, frame.cores, frame.pace, frame.closed, now)
         self._tell_standing(now)
+        if self._told and self.way.room() > 0:
+            self._keeper.room_told(self)
 
     def _goodbye(self, frame: codec.Goodbye, now: int) -> None:
         self._say(f"{self.far} takes nothing more: {frame.reason}")
@@ -224,9 +243,17 @@
 
     # Time.
 
+    def busy(self, now: int) -> bool:
+        """Whether the link is to be looked after closely."""
+        return bool(self.ledger.open) or now - self.way.asked_at < 1_000_000
+
+    def _asked(self) -> None:
+        if self.greeted:
+            self._wake()
+
     def tick(self, now: int) -> bool:
         """To be called some times for each beat; False where the connection is of no more use."""
-        self._health.pace(bool(self.ledger.open) or now - self.way.asked_at < 1_000_000, now)
+        self._health.pace(self.busy(now), now)
         if self.greeted and now - self._beat_at >= self._health.beat:
             self._send_beat(now)
         before, state = self._health.state, self._health.look(now)
@@ -248,7 +275,12 @@
 
     def _send_beat(self, now: int) -> None:
         self._beat_at = now
-        self._put(codec.Beat(*self._health.next_beat(now)))
+        self._put_forgets()
+        self._put(codec.Beat(*self._health.next_beat(now)), at_once=True)
+
+    def dawdle(self) -> int:
+        """Microseconds that a word may wait for others."""
+        return self._health.dawdle(self._now())
 
     def _tell_standing(self, now: int) -> None:
         # Known for what it is only once a beat has told of its cores; a change of a tenth is news.
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -139,11 +139,11 @@
                     or strain >= 0.75 + 0.25 * kept)
         return self.average > 1.5 * self.best > 0
 
-    def spare(self, now: int) -> float:
-        """Threads that another hall's work may take: up to 0.85 a core, where ours is not slowed yet."""
+    def spare(self, now: int, most: float) -> float:
+        """Threads that another hall's work may take, up to so many a core with all that runs there."""
         others, strain, _ = self.by_now(now)
         busy = self.doubted or self.cold or now < self.full_until or strain >= 0.75
-        return 0.0 if busy else (0.85 - others) * self.cores - self.threads
+        return 0.0 if busy else (most - others) * self.cores - self.threads
 
     def permits(self, submission: Submission, now: int) -> bool:
         threads = submission.tariff.threads
@@ -277,7 +277,7 @@
             limiter = engine.limiter
             if (len(drawn) == picks and engine.zone != self.zone or not limiter.permits(submission, now)
                     or not self._may_take(submission, engine, now)
-                    or submission.foreign and limiter.spare(now) < submission.tariff.threads):
+                    or submission.foreign and limiter.spare(now, 1.0) < submission.tariff.threads):
                 continue
             # A doubted engine gets one relay at a time that may safely run again, now and then. Danger: while
             # the others are full, one that fails has room, and fails all that could still wait for them. If
@@ -335,9 +335,14 @@
         hall.standing = standing
         self._release(now)
 
+    def hall_has_room(self, hall: Engine, now: int) -> None:
+        if self.held or self.further:
+            self._release(now, hall)
+
     def room(self, now: int) -> tuple[float, float, float]:
         """What other halls may be told: our part of the threads to spare and of all cores, and our pace."""
-        spare = sum(max(0.0, engine.limiter.spare(now)) for engine in self.ready)
+        # From a thread a core on, ours slows down; what is told is behind, and others are told the like.
+        spare = sum(max(0.0, engine.limiter.spare(now, 0.95)) for engine in self.ready)
         cores = sum(engine.limiter.cores for engine in self.ready)
         return 0.0 if self.held else spare / self.gateways, cores / self.gateways, self.pace
 
--- a/cresstray/passage/across.py
+++ b/cresstray/passage/across.py
@@ -45,11 +45,16 @@
             ending = Ending.WITHDRAWN
         else:
             ending = Ending.ERROR if outcome is Outcome.RAN else Ending.RESET
-        self._back.ended(crossing, ending, result=result)
+        now = self._clock.now()
+        travel = min(crossing.link.way.health.round_trip(now), (now - relay.sent) // 2)
+        self._back.ended(crossing, ending, result=result, travel=travel)
 
     def hopeless(self, crossing: Crossing) -> None:
         self._back.gateway.hopeless(crossing.relay, self._clock.now())
 
+    def room_told(self, link: Outward) -> None:
+        self._back.gateway.hall_has_room(self._engines[link], self._clock.now())
+
     def standing(self, link: Outward, ready: bool) -> None:
         self._back.gateway.hall_listed(self._engines[link], link.way.cores,
                                        Standing.READY if ready else Standing.DRAINING, self._clock.now())
--- a/cresstray/passage/relay.py
+++ b/cresstray/passage/relay.py
@@ -58,8 +58,11 @@
         self.ended(exchange, Ending.SPOILT if spoilt else Ending.RESET)
 
     def ended(self, exchange: Exchange, ending: Ending, report: dict[str, float] | None = None,
-              result: bytes | None = None) -> None:
-        """Books the ending, answers the client if that was the result, and tells the module."""
+              result: bytes | None = None, travel: int = 0) -> None:
+        """Books the ending, answers the client if that was the result, and tells the module.
+
+        `travel`: microseconds between halls, which say nothing about how long the work takes.
+        """
         relay, submission, now = exchange.relay, exchange.relay.submission, self._clock.now()
         exchange.due.cancel()
         del self.out[relay]
@@ -71,5 +74,5 @@
         if ending is Ending.FULFILLED and not no_more:
             self._book.fulfil(submission, result)
             no_more = True
-        self.gateway.came_back(relay, ending, now - relay.sent, no_more, report or {}, now)
+        self.gateway.came_back(relay, ending, now - relay.sent - travel, no_more, report or {}, now)
         self._book.settle(submission)
--- a/cresstray/passage/take_in.py
+++ b/cresstray/passage/take_in.py
@@ -16,9 +16,10 @@
 
 
 class Crossing(Protocol):
-    """Microseconds that it may be held."""
+    """Microseconds that it may be held, and the group of tables that the other hall has found."""
 
     hold: int
+    group: int
 
 
 class TakeIn:
@@ -56,7 +57,7 @@
             hard_stop = min(hard_stop, self.last_stop)
         submission = Submission(
             tariff, now, hard_stop, tenant, 0, int(query.estimate * 1000), query.megabytes,
-            group_of(statement), size=len(query.statement))
+            group_of(statement) if crossing is None else crossing.group, size=len(query.statement))
         if crossing is not None:
             submission.foreign, submission.hold = True, crossing.hold
         self._onward.admit(Errand(asker, number, query, submission), now)
--- a/cresstray/standins/account.py
+++ b/cresstray/standins/account.py
@@ -7,7 +7,7 @@
 
 PROMISES = ("no_answer", "two_answers", "second_run", "two_outstanding", "over_cap",
             "denied_after_run", "past_deadline", "drain_broken")
-# What sockets and clocks of two processes may add to a stated time, in seconds: the users' protocol has 50 ms.
+# What sockets and two clocks may add to a stated time, in seconds: the users' protocol has 50 ms.
 _SLACK = 0.05
 
 
--- a/cresstray/streams.py
+++ b/cresstray/streams.py
@@ -101,6 +101,10 @@
         if self._finishing:
             self._ended()
 
+    def lives(self) -> bool:
+        """Whether it has not been closed here."""
+        return self._socket.fileno() >= 0
+
     def close(self) -> None:
         """Gives the descriptor back at once; whoever waits for it hears that it is closed."""
         if self._socket.fileno() >= 0:
