--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -681,7 +681,9 @@
                 engine.limiter.close_window()
                 engine.limiter.draw = self.random()
         # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
-        self.doubt_counts = 2 * sum(engine.limiter.doubted for engine in self.ready) <= len(self.ready)
+        # With another hall to go to, those of this one need not be the measure: most of them may be dead.
+        self.doubt_counts = (2 * sum(engine.limiter.doubted for engine in self.ready) <= len(self.ready)
+                             or any(hall.standing is Standing.READY for hall in self.halls))
         self._listen(now)
         failing = [engine for engine in self.ready if engine.limiter.doubted and not engine.limiter.mute]
         for submission in [held for held in self.held + self.further if now >= held.leave_by]:
