--- a/cresstray/halls/decide.py
+++ b/cresstray/halls/decide.py
@@ -65,6 +65,9 @@
 
     def takes(self, submission: Submission, near_load: float | None, now: int) -> bool:
         """`near_load`: threads a core, at its pace, of the engine that could take it here; None: none can."""
+        # Asked for every submission: most go no further than this.
+        if near_load is not None and not self._is_busy(near_load):
+            return False
         expected, trip = submission.expected, self.health.round_trip(now)
         far = int(trip + expected * self.pace) + _MARGIN
         if near_load is not None and not self._is_better(submission, near_load, far - _MARGIN, now):
@@ -82,8 +85,6 @@
 
     def _is_better(self, submission: Submission, near_load: float, far: int, now: int) -> bool:
         """Whether the far hall would be clearly sooner, or the near one late."""
-        if not self._is_busy(near_load):
-            return False
         near = int(submission.expected * max(1.0, near_load))
         return now + near > submission.soft_stop or near - far > submission.expected // _BETTER + _NOISE
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -3,6 +3,8 @@
 import contextlib
 import io
 import os
+import subprocess
+import sys
 import tempfile
 import unittest
 from datetime import UTC, datetime, timedelta
@@ -140,6 +142,48 @@
             "not verified" if "CERTIFICATE_VERIFY_FAILED" in said.getvalue() else "")
         return f"{'up' if made[0] and made[1] else 'refused'} {why}".strip()
 
+    def test_new_keys_leave_live_links_alone(self) -> None:
+        """After a reload, new connections use the new keys; a file that can't be used keeps the old ones."""
+        def text(hall: str, more: str) -> str:
+            keys = f"{folder}/keys"
+            return (f"hall {hall}\n    gateway g\n{more}tls\n    authority {keys}/authority.pem\n"
+                    f"    certificate {keys}/{hall}.pem\n    key {keys}/{hall}.key\n")
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                host, _, timers = self.hub(text("hall-b", "    listen 127.0.0.1:0\npeer hall-a 127.0.0.1:1\n"))
+                tasks.start_soon(timers.run)
+                host._links = []
+                await host.run(tasks)
+                peer = f"peer hall-b 127.0.0.1:{host.address[1]}\n"
+                guest, counters, near_timers = self.hub(text("hall-a", peer))
+                tasks.start_soon(near_timers.run)
+                await guest.run(tasks)
+                while not counters.counts["links between halls made"]:
+                    await anyio.sleep(0.01)
+                given = operator.parse("file.conf", text("hall-a", peer)).halls
+                authority.make(f"{folder}/keys", ["hall-a"])
+                first = guest._contexts
+                guest.reload(given)
+                lines.append(f"new keys: {guest._contexts is not first}, the link lives: "
+                             f"{guest.status()['to'][0]['state'] != 'cut'}")
+                second = guest._contexts
+                Path(f"{folder}/keys/hall-a.pem").write_text("no certificate")
+                with self.assertRaises(OSError):
+                    guest.reload(given)
+                lines.append(f"unusable: the old ones stay {guest._contexts is second}")
+                list(guest._wires.values())[0].scope.cancel()
+                while counters.counts["links between halls made"] < 2:
+                    await anyio.sleep(0.01)
+                lines.append("a new connection comes up")
+                tasks.cancel_scope.cancel()
+
+        lines: list[str] = []
+        with tempfile.TemporaryDirectory() as folder, contextlib.redirect_stderr(io.StringIO()):
+            authority.make(f"{folder}/keys", ["hall-a", "hall-b"])
+            anyio.run(main)
+        self.check("operator_reload", lines)
+
     def test_certificates(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             authority.make(f"{folder}/keys", ["hall-a", "hall-b", "hall-c"])
@@ -201,3 +245,15 @@
                 self.assertGreater(min(made), 2)
 
         anyio.run(main)
+
+
+class Loading(unittest.TestCase):
+    def test_a_gateway_without_an_operators_file_loads_none_of_it(self) -> None:
+        """The platform may give 32 MB. What asyncio loads by itself, ssl among it, is not ours."""
+        said = subprocess.run(
+            [sys.executable, "-c", "import sys; import cresstray.__main__; print(*sorted(sys.modules))"],
+            capture_output=True, text=True, check=True).stdout.split()
+        unwanted = ("click", "rich", "cryptography", "cresstray.halls", "cresstray.conf", "cresstray.commands",
+                    "cresstray.standins", "cresstray.passage.across")
+        self.assertIn("cresstray.service", said)
+        self.assertEqual([], [name for name in said if name.startswith(unwanted)])
