Links come back within a second or so after a cut, each gateway at its own time

Need: after a cut of a second the next try could be two seconds off; and all gateways of a hall would come back at one moment.

Change: pauses double up to a second, by the gateway's own chance a quarter less or more.

--- a/cresstray/conf/operator.py
+++ b/cresstray/conf/operator.py
@@ -21,7 +21,7 @@
     submissions: int = 64
     bytes: int = 4 * 1024 * 1024
     retry: int = 50_000
-    retry_most: int = 2_000_000
+    retry_most: int = 1_000_000
 
 
 class Tls(msgspec.Struct, frozen=True):
--- a/cresstray/halls/connections.py
+++ b/cresstray/halls/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Protocol
@@ -101,12 +102,13 @@
 class Hub:
     """All links of one gateway: those it makes to its peers, and those that others make to it."""
 
-    def __init__(self, given: operator.Halls, incarnation: str, front: Front, across: Across,
+    def __init__(self, given: operator.Halls, incarnation: str, seed: int, front: Front, across: Across,
                  room: Callable[[], tuple[float, float, float]], clock: Clock, timers: Timers,
                  counters: Counters, log: Log) -> None:
         self._given, self._front, self._across, self._spare = given, front, across, room
         self._clock, self._timers, self._counters, self._log = clock, timers, counters, log
         self._me = Place(given.hall, given.gateway, incarnation)
+        self._random = random.Random(seed).random
         self.share = Share(given.share)
         self._contexts: Contexts | None = None
         self._near: dict[tuple[str, str], Inward] = {}  # by hall and name
@@ -201,7 +203,8 @@
             # Danger: on a link that flaps, or a hall that is gone, handshakes would cost both halls their
             # time.
             pause = link.retry if now - began > _WORKED else min(2 * pause, link.retry_most)
-            await anyio.sleep(pause / 1e6)
+            # Danger: all gateways of a hall find a cut at once, and would come back at once.
+            await anyio.sleep(pause * (0.75 + 0.5 * self._random()) / 1e6)
 
     async def _made(self, peer: operator.Peer, outward: Outward) -> str:
         try:
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -80,7 +80,8 @@
         across = self._route.across = Across(self._clock, self._timers, self.counters, self._back, self._send)
         # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
         incarnation = f"{seed & 0xffffffff:08x}{self._clock.now():014x}"
-        hub = Hub(halls, incarnation, self._take_in, across, lambda: self._gateway.room(self._clock.now()),
+        hub = Hub(halls, incarnation, seed, self._take_in, across,
+                  lambda: self._gateway.room(self._clock.now()),
                   self._clock, self._timers, self.counters, self._log)
         self._admit.share = hub.share
         return hub
