Strangers at the link's door: what came with the hello ends the link in one line, not as a fault

Cause: frames that came in one piece with the hello were handled outside the place that ends a link for them; an offer told twice, a far side's word or more than the credit counted as a fault of ours, with a trace in the log. Found by a test that says eleven wrong things at the door.

Change: they end the connection as later frames do (halls/connections.py, _taken_in).

--- a/cresstray/halls/connections.py
+++ b/cresstray/halls/connections.py
@@ -289,8 +289,12 @@
         if self.leaving:
             inward.goodbye("this gateway ends")
         try:
-            for frame in found[1:]:
-                inward.receive(frame)
+            # Danger: what came in one piece with the hello may be as wrong as what comes later.
+            try:
+                for frame in found[1:]:
+                    inward.receive(frame)
+            except BrokenError as trouble:
+                return f"dropped: {trouble}"
             return await wire.serve(lambda data: [inward.receive(one) for one in frames.feed(data)])
         finally:
             if self._wires.get(inward) is wire:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import os
+import re
 import subprocess
 import sys
 import tempfile
@@ -18,6 +19,7 @@
 from cresstray.conf import operator
 from cresstray.conf.lines import UnusableError
 from cresstray.counters import Counters
+from cresstray.halls import codec
 from cresstray.halls.connections import Hub
 from cresstray.log import Log
 from cresstray.standins.clients import draw
@@ -142,6 +144,69 @@
             "not verified" if "CERTIFICATE_VERIFY_FAILED" in said.getvalue() else "")
         return f"{'up' if made[0] and made[1] else 'refused'} {why}".strip()
 
+    def test_strangers_at_the_door(self) -> None:
+        """Whatever is said there ends that connection with one line; a link that is up goes on."""
+        def hello(hall: str, name: str, magic: str = codec.MAGIC, version: int = codec.VERSION) -> bytes:
+            return codec.encode(codec.Hello(magic, version, [], hall, name, f"life of {name}", "", []))
+
+        def offer(number: int) -> bytes:
+            return codec.encode(codec.Offer(number, 0, "0" * 16, "lookup", "", "", 0, 0, 10**6, 0, 0, 0, 0,
+                                            True, b"x"))
+
+        async def strange(host: Hub, text: str, *words: bytes) -> None:
+            said.truncate(0)
+            stream = await anyio.connect_tcp(*host.address)
+            with contextlib.suppress(anyio.BrokenResourceError):
+                for word in words:
+                    await stream.send(word)
+                with anyio.fail_after(5):
+                    with contextlib.suppress(anyio.EndOfStream):
+                        while True:
+                            await stream.receive()
+            await stream.aclose()
+            await anyio.sleep(0.25)  # five lines a second of a kind are printed
+            told = [line.split(" ended: ", 1)[1] for line in said.getvalue().splitlines()
+                    if " ended: " in line]
+            lines.append(f"{text}: {'; '.join(told)}")
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                host, counters, timers = self.hub(
+                    "hall hall-b\n    gateway gb\n    listen 127.0.0.1:0\npeer hall-a 127.0.0.1:1\n")
+                tasks.start_soon(timers.run)
+                host._links, host._front = [], type("Front", (), {
+                    "take": lambda self, asker, number, query, crossing: asker.open.update({number: None}),
+                    "withdraw": lambda self, asker, number, name: asker.open.pop(number)})()
+                await host.run(tasks)
+                guest, near_counters, near_timers = self.hub(
+                    f"hall hall-a\n    gateway ga\npeer hall-b 127.0.0.1:{host.address[1]}\n")
+                tasks.start_soon(near_timers.run)
+                await guest.run(tasks)
+                while not near_counters.counts["links between halls made"]:
+                    await anyio.sleep(0.01)
+                await strange(host, "noise", b"GET / HTTP/1.1\r\n\r\n")
+                await strange(host, "a length that lies", b"\xff\xff\xff\xff\x01")
+                await strange(host, "no hello first", codec.encode(codec.Beat(1, 0, 0)))
+                await strange(host, "another protocol", hello("hall-a", "x", magic="other"))
+                await strange(host, "a later version", hello("hall-a", "x", version=9))
+                await strange(host, "a hall unheard of", hello("hall-z", "x"))
+                await strange(host, "half a hello, then nothing", hello("hall-a", "x")[:9])
+                await strange(host, "noise behind a hello", hello("hall-a", "x"), b"\0\0\0\1\xff")
+                await strange(host, "a far side's word", hello("hall-a", "x"), codec.encode(codec.Sent(1)))
+                await strange(host, "more than its credit", hello("hall-a", "x"),
+                              b"".join(offer(number) for number in range(1, 200)))
+                await strange(host, "an offer that came before", hello("hall-a", "y"), offer(3), offer(3))
+                lines.append(f"the good link: {guest.status()['to'][0]['state'] != 'cut'}, made "
+                             f"{near_counters.counts['links between halls made']} time, lost "
+                             f"{near_counters.counts['links between halls lost']}, "
+                             f"faults {counters.counts['faults']}")
+                tasks.cancel_scope.cancel()
+
+        lines: list[str] = []
+        with contextlib.redirect_stderr(io.StringIO()) as said:
+            anyio.run(main)
+        self.check("operator_strangers", [re.sub(r"\(\d+, ", "(N, ", line) for line in lines])
+
     def test_new_keys_leave_live_links_alone(self) -> None:
         """After a reload, new connections use the new keys; a file that can't be used keeps the old ones."""
         def text(hall: str, more: str) -> str:
