The life of exchanges on a link is a machine without sockets: engines/exchanges.py

Change: which name may start on a link, what a withdrawal leaves behind and what a link's end means for each exchange move from links.py to exchanges.py, calls in, calls out; the link reads and writes. No behaviour changes.

Result: all traces as before; a new one for the ends of a link.

--- a/cresstray/engines/links.py
+++ b/cresstray/engines/links.py
@@ -7,7 +7,6 @@
 
 import socket
 from collections.abc import Callable, Mapping
-from typing import Protocol
 
 import anyio
 from anyio.abc import TaskGroup
@@ -15,107 +14,67 @@
 from cresstray.clock import Timers
 from cresstray.counters import Counters
 from cresstray.engines import codec
+from cresstray.engines.exchanges import Exchange, Exchanges, Fate
 from cresstray.log import Log
 from cresstray.streams import ENDED, Line, connect, contained
 
 # An answer comes in one piece; the rest of one that was begun is not late by a quarter of a second.
 _HALF_WAY = 250_000
-# Links that were reset before anything was written, one after the other: then the engine can't be reached.
-_MOST_MOVES = 2
-
-
-class Keeper(Protocol):
-    """Who is told of an exchange. After `unreached` and `cut` nothing more comes of it."""
-
-    def answered(self, exchange: Exchange, answer: codec.Answer) -> bool: ...
-    def unreached(self, exchange: Exchange) -> None: ...
-    def cut(self, exchange: Exchange, spoilt: bool) -> None: ...
-
-
-class Exchange:
-    """One request on one link, from its first byte to its end or until it is given up."""
-
-    __slots__ = ("name", "message", "keeper", "link", "written", "heard", "moves", "pages", "relay", "due")
-
-    def __init__(self, name: bytes, message: bytes, keeper: Keeper, relay: object) -> None:
-        self.name, self.message, self.keeper, self.relay = name, message, keeper, relay
-        self.link: Link | None = None
-        self.written = False
-        self.heard = 0  # how often its link had received something when it was written
-        self.moves = 0  # links that it found dead
-        self.pages = None  # of its result, once the first has come
-        self.due = None  # the call at its time limit
-
-
 class Link:
     """One connection to an engine."""
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
-        self.open: dict[bytes, Exchange] = {}
-        # Danger: an answer that crosses its QUIT would be taken for that of a second relay of the same name.
-        # A name once given up is not used again on this link, and what still comes under it is dropped.
-        self.given_up: set[bytes] = set()
-        self.ended = self.retired = self._spoilt = False
-        self._heard = 0  # how often something was received
+        self.life = Exchanges(pool.streams)
+        self._spoilt = False
         self.idle_since = 0
         self.line: Line | None = None  # once it is up
         self._scope = anyio.CancelScope()
 
-    def room_for(self, name: bytes) -> bool:
-        return not (self.ended or self.retired or len(self.open) >= self.pool.streams or name in self.open
-                    or name in self.given_up)
-
     def start(self, exchange: Exchange) -> bool:
         """False where the link proves dead: then nothing of the exchange has left."""
         # Danger: what is written to a link that the other side has closed is lost, and may have run.
-        if self.line is not None and not self.open and self.line.has_ended():
+        if self.line is not None and not self.life.open and self.line.has_ended():
             self.close()
             return False
         exchange.link = self
-        self.open[exchange.name] = exchange
+        self.life.begin(exchange)
         if self.line is not None:
             self._write(exchange)
         return True
 
     def _write(self, exchange: Exchange) -> None:
-        exchange.written, exchange.heard = self.line.put(exchange.message), self._heard
+        self.life.wrote(exchange, self.line.put(exchange.message))
 
     def send(self, message: bytes) -> None:
         self.line.put(message)
 
     def finish(self, exchange: Exchange) -> None:
         """All that was to come has come."""
-        del self.open[exchange.name]
+        self.life.finish(exchange)
         self._mind_idle()
 
     def give_up(self, exchange: Exchange) -> bool:
         """What comes under this name from now on is dropped. True: the engine hears of it before the next."""
-        del self.open[exchange.name]
-        if exchange.written:
-            # Danger: a link that stays open may be dead, and would swallow the next. Nothing has come on this
-            # one since the exchange was written: it gets no other.
-            self.retired = self.retired or self._heard == exchange.heard
-            self.given_up.add(exchange.name)
-            self.send(codec.quit_(exchange.name) if exchange.pages is None else codec.free(exchange.name))
-            # Danger: names given up pile up on a link that lives for days; some hundred are no burden.
-            self.retired = self.retired or len(self.given_up) >= 500
+        told = self.life.give_up(exchange)
+        if told is not None:
+            self.send(told)
         self._mind_idle()
         return True
 
     def _mind_idle(self) -> None:
-        if not self.open:
+        if not self.life.open:
             self.idle_since = self.pool.now()
-            if self.retired:
+            if self.life.retired:
                 self.close()
 
     def retire(self) -> None:
         """Takes no new exchange; closed once the last one has ended."""
-        self.retired = True
+        self.life.retired = True
         self._mind_idle()
 
     def close(self) -> None:
-        self.ended = True
+        self.life.ended = True
         self._scope.cancel()
 
     async def run(self) -> None:
@@ -123,16 +82,14 @@
             with contained("a link", self.pool.counters, self.pool.log), self._scope:
                 await self._live()
         finally:
-            self.ended = True
+            self.life.ended = True
             self.pool.removed(self)
-            left, self.open = list(self.open.values()), {}
-            for exchange in left:
-                if exchange.written:
+            for exchange, fate in self.life.end(self.line is not None):
+                if fate is Fate.CUT:
                     exchange.keeper.cut(exchange, self._spoilt)
-                elif self.line is None or exchange.moves >= _MOST_MOVES:
+                elif fate is Fate.UNREACHED:
                     exchange.keeper.unreached(exchange)
                 else:
-                    exchange.moves += 1
                     self.pool.start(exchange)
 
     async def _live(self) -> None:
@@ -140,7 +97,7 @@
         if made is None:
             return
         with Line(made, self.pool.tasks, self._scope.cancel) as self.line:
-            for exchange in self.open.values():
+            for exchange in self.life.open.values():
                 self._write(exchange)
             try:
                 await self._read(self.line)
@@ -173,12 +130,12 @@
                 if answers.begun():
                     raise codec.BrokenError("it ended within an answer") from None
                 raise
-            self._heard += 1
+            self.life.heard += 1
             if not answers.begun():
                 due = self.pool.now() + _HALF_WAY
             for answer in answers.feed(data):
                 due = self.pool.now() + _HALF_WAY
-                exchange = self.open.get(answer.name)
+                exchange = self.life.open.get(answer.name)
                 if exchange is None or not exchange.keeper.answered(exchange, answer):
                     # A second copy, or an answer that comes after its time: no fault of what else is open.
                     self.pool.counters.add("answers not awaited")
@@ -220,10 +177,11 @@
         # Danger: one spoilt answer ends all that is out on its link.
         least = None
         for link in self.links:
-            if link.room_for(name):
-                if not link.open:
+            life = link.life
+            if life.room_for(name):
+                if not life.open:
                     return link
-                if least is None or len(link.open) < len(least.open):
+                if least is None or len(life.open) < len(least.life.open):
                     least = link
         if least is not None and self._quota.used >= self._quota.most:
             return least
@@ -248,7 +206,7 @@
 
     def _sweep(self, now: int) -> None:
         for link in list(self.links):
-            if not link.open and now - link.idle_since >= self._idle:
+            if not link.life.open and now - link.idle_since >= self._idle:
                 link.close()
         self._swept = bool(self.links)
         if self._swept:
--- a/cresstray/passage/relay.py
+++ b/cresstray/passage/relay.py
@@ -5,7 +5,7 @@
 from cresstray.clock import Clock
 from cresstray.counters import Counters
 from cresstray.engines import codec
-from cresstray.engines.links import Exchange
+from cresstray.engines.exchanges import Exchange
 from cresstray.engines.pages import Pages
 from cresstray.interface import Ending, Relay
 from cresstray.logic import Gateway
--- a/cresstray/passage/send.py
+++ b/cresstray/passage/send.py
@@ -5,7 +5,8 @@
 from cresstray.clock import Clock, Timers
 from cresstray.counters import Counters
 from cresstray.engines import codec
-from cresstray.engines.links import Exchange, Pool
+from cresstray.engines.exchanges import Exchange
+from cresstray.engines.links import Pool
 from cresstray.interface import Ending, Relay
 from cresstray.passage.errand import Errand
 from cresstray.passage.relay import Back
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -23,7 +23,8 @@
 from cresstray.clock import Clock, Timers
 from cresstray.coordinator.known import Event, Member
 from cresstray.counters import Counters
-from cresstray.engines.links import Exchange, Link, Pool, Quota
+from cresstray.engines.exchanges import Exchange, Exchanges
+from cresstray.engines.links import Link, Pool, Quota
 from cresstray.interface import Standing
 from cresstray.log import Log
 from cresstray.passage.route import Route
@@ -368,18 +369,33 @@
         link.line = type("Line", (), {"put": lambda self, message: True, "has_ended": lambda self: False})()
         for name in (b"first", b"second"):
             link.start(Exchange(name, b"", None, None))
-        link._heard = 1
+        link.life.heard = 1
         for text, name in (("open", b"first"), ("given up", b"first"), ("new", b"third")):
             if text == "given up":
-                link.give_up(link.open[name])
-            lines.append(f"{text}: {'room' if link.room_for(name) else 'no room'}")
-        link.finish(link.open[b"second"])
-        lines.append(f"answered, asked again: {'room' if link.room_for(b'second') else 'no room'}")
+                link.give_up(link.life.open[name])
+            lines.append(f"{text}: {'room' if link.life.room_for(name) else 'no room'}")
+        link.finish(link.life.open[b"second"])
+        lines.append(f"answered, asked again: {'room' if link.life.room_for(b'second') else 'no room'}")
         link.start(Exchange(b"third", b"", None, None))
-        link.give_up(link.open[b"third"])
-        lines.append(f"given up, nothing heard: {'room' if link.room_for(b'new') else 'no room'}")
+        link.give_up(link.life.open[b"third"])
+        lines.append(f"given up, nothing heard: {'room' if link.life.room_for(b'new') else 'no room'}")
         self.check("links", lines)
 
+    def test_what_the_end_of_a_link_means(self) -> None:
+        """Written, not written, on a link that never came up, and moved as often as it may."""
+        lines = []
+        for text, came_up, written, moves in (
+                ("written", True, True, 0), ("not written", True, False, 0), ("moved before", True, False, 1),
+                ("moved twice", True, False, 2), ("never up", False, False, 0)):
+            life, exchange = Exchanges(8), Exchange(b"one", b"", None, None)
+            exchange.moves = moves
+            life.begin(exchange)
+            life.wrote(exchange, written)
+            ended = life.end(came_up)
+            self.assertFalse(life.room_for(b"two"))
+            lines.append(f"{text}: {', '.join(fate.value for _, fate in ended)}; {exchange.moves} moves")
+        self.check("link_ends", lines)
+
     def test_engines_that_are_gone_are_forgotten(self) -> None:
         def pool(label: str, address: tuple[str, int]) -> Pool:
             lines.append(f"links to {label}")
