What is wrong with the operator's file or the keys is told as such, also by check-config

Cause: a gateway whose operator's file or keys can't be used blamed GW_CONFIG, and named no file for a missing key.

Change: the file's faults are told line by line, keys with their paths; check-config tries the keys too.

--- a/cresstray/__main__.py
+++ b/cresstray/__main__.py
@@ -67,13 +67,18 @@
     """One gateway, as the platform starts it; its exit code."""
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))  # until the service catches it
     path = os.environ.get("GW_CONFIG", "")
+    try:
+        operator = operator_file()
+    except ValueError as trouble:
+        print(trouble, file=sys.stderr)
+        return 2
     try:
         given = configuration(path)
         host, _, port = given.listen.rpartition(":")
         events = known.events(given.known, given.settings)
         service = Service(given.name, (host, int(port)), int(given.seed, 16), given.settings, events,
                           given.coordinator, lambda: configuration(path).coordinator, given.limits.sockets,
-                          operator_file(), operator_file)
+                          operator, operator_file)
     except (OSError, ValueError, known.MalformedError) as trouble:
         print(f"cresstray: the configuration GW_CONFIG={path!r} can't be used: {trouble}", file=sys.stderr)
         return 2
--- a/cresstray/commands/__init__.py
+++ b/cresstray/commands/__init__.py
@@ -38,7 +38,10 @@
     from cresstray.conf.lines import UnusableError
     try:
         given = operator.read(file)
-    except UnusableError as trouble:
+        if given.halls is not None and given.halls.tls is not None:
+            from cresstray.halls.tls import Contexts
+            Contexts(given.halls.tls)
+    except (UnusableError, OSError) as trouble:
         click.echo(str(trouble), err=True)
         sys.exit(2)
     click.echo(msgspec.json.format(msgspec.json.encode(given), indent=2).decode())
--- a/cresstray/halls/tls.py
+++ b/cresstray/halls/tls.py
@@ -14,11 +14,15 @@
     """For links that we make and links that we accept; new ones after a reload serve new connections only."""
 
     def __init__(self, files: Tls) -> None:
-        """OSError or ssl.SSLError where a file can't be used."""
-        self.near = self._make(files, ssl.PROTOCOL_TLS_CLIENT)
-        # A certificate names its hall, not a host; `hall_of` compares it once the connection is up.
-        self.near.check_hostname = False
-        self.far = self._make(files, ssl.PROTOCOL_TLS_SERVER)
+        """OSError where a file can't be used."""
+        try:
+            self.near = self._make(files, ssl.PROTOCOL_TLS_CLIENT)
+            # A certificate names its hall, not a host; it is compared once the connection is up.
+            self.near.check_hostname = False
+            self.far = self._make(files, ssl.PROTOCOL_TLS_SERVER)
+        except OSError as trouble:
+            named = f"{files.authority}, {files.certificate}, {files.key}"
+            raise OSError(f"keys between halls, one of {named}: {trouble}") from None
 
     def _make(self, files: Tls, protocol: int) -> ssl.SSLContext:
         context = ssl.SSLContext(protocol)
