Both ends of a link share one base; one list of what never ran, one way to drop an entry

Need: a second reading of the change. Written again: logic.UNRUN twice over, writing and handing out of frames in both ends, giving up and forgetting an entry in three places, which tariffs a lease gives up.

Change: halls/ends.py holds what both ends have in common; the rest calls the one piece there is. One fault mended on the way: a far gateway could still take what an old connection had received in the very turn in which a newer one took over; it is dropped now, as the comment there always said.

--- a/cresstray/halls/connections.py
+++ b/cresstray/halls/connections.py
@@ -18,9 +18,10 @@
 from cresstray.halls.codec import BrokenError
 from cresstray.halls.credit import Credit, Share
 from cresstray.halls.decide import Way
+from cresstray.halls.ends import Place
 from cresstray.halls.health import IDLE, Health, State
 from cresstray.halls.inward import Front, Inward
-from cresstray.halls.outward import Outward, Place
+from cresstray.halls.outward import Outward
 from cresstray.log import Log
 from cresstray.streams import ENDED, Line, connect, contained
 
@@ -288,14 +289,21 @@
         inward.welcome(hello, wire.write)
         if self.leaving:
             inward.goodbye("this gateway ends")
+
+        def take(came: list[codec.Frame]) -> None:
+            for frame in came:
+                # Danger: what was received just before a newer connection took over is of the old one.
+                if self._wires.get(inward) is not wire:
+                    raise BrokenError("a newer connection has taken its place")
+                inward.receive(frame)
+
         try:
             # Danger: what came in one piece with the hello may be as wrong as what comes later.
             try:
-                for frame in found[1:]:
-                    inward.receive(frame)
+                take(found[1:])
             except BrokenError as trouble:
                 return f"dropped: {trouble}"
-            return await wire.serve(lambda data: [inward.receive(one) for one in frames.feed(data)])
+            return await wire.serve(lambda data: take(frames.feed(data)))
         finally:
             if self._wires.get(inward) is wire:
                 del self._wires[inward]
--- a/cresstray/halls/decide.py
+++ b/cresstray/halls/decide.py
@@ -11,7 +11,8 @@
 
 from cresstray.halls.credit import Credit, Ramp, Share
 from cresstray.halls.health import Health, State
-from cresstray.interface import Ending, Submission
+from cresstray.interface import Submission
+from cresstray.logic import UNRUN
 
 # What a far answer needs beyond its work and the round trip: two loops that may be late.
 _MARGIN = 50_000
@@ -25,8 +26,6 @@
 AHEAD = 300_000
 # A first relay may wait there for a permit, a twentieth of the time it has left, at most so long.
 _MOST_HOLD = 300_000
-# Relays that can't have run say nothing against a second engine; see logic.UNRUN.
-_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
 
 
 class Way:
@@ -129,7 +128,7 @@
         if submission.tariff.deduplicated:
             # Danger: past their memory, engines would run a repeat. It is reckoned from the earlier send.
             for relay in earlier:
-                if relay.ending not in _UNRUN:
+                if relay.ending not in UNRUN:
                     longest = min(longest, relay.sent + submission.tariff.memory - 100_000 - now)
         return longest
 
--- a/cresstray/halls/inward.py
+++ b/cresstray/halls/inward.py
@@ -12,16 +12,16 @@
 from cresstray.counters import Counters
 from cresstray.halls import codec
 from cresstray.halls.codec import BrokenError
+from cresstray.halls.ends import WINDOW, End, Place
 from cresstray.halls.health import Health
 from cresstray.halls.ledger import Entry, Incoming, State
-from cresstray.halls.outward import WINDOW, Place
 from cresstray.interface import Ending
+from cresstray.logic import UNRUN
 
 # After its end an entry is kept for the near side until that has it, or has surely given up.
 _KEPT = 30_000_000
 # What a refusal tells the near side to stay away for: two of the usual beats, which tell of room by then.
 _COME_BACK = 200_000
-_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
 
 
 class Front(Protocol):
@@ -31,22 +31,23 @@
     def withdraw(self, asker: Inward, number: int | None, name: str | None) -> None: ...
 
 
-class Inward:
+class Inward(End):
     """`room` tells threads to spare, cores and pace; `closed` for how many microseconds nothing is taken."""
 
+    _OTHER = "near"
+
     def __init__(self, me: Place, near: Place, health: Health, submissions: int, size: int,
                  front: Front, room: Callable[[], tuple[float, float, float]], closed: Callable[[], int],
                  now: Callable[[], int], wake: Callable[[], None],
                  later: Callable[[int, Callable[[int], None]], object],
                  counters: Counters, say: Callable[[str], None]) -> None:
-        self._me, self.near, self._health = me, near, health
-        self._submissions, self._size = submissions, size
+        super().__init__(me, health, now)
+        self.near, self._submissions, self._size = near, submissions, size
         self._front, self._room, self._closed = front, room, closed
-        self._now, self._wake, self._later = now, wake, later
+        self._wake, self._later = wake, later
         self._counters, self._say = counters, say
         self.open: dict[int, object] = {}  # errands, for the passage
         self.ledger = Incoming()
-        self._write: Callable[[bytes, bool], None] | None = None
         self._beat_at, self.silent_since, self.asked_at = 0, 0, 0
 
     # The connection.
@@ -58,13 +59,9 @@
         resumed = hello.knew == self._me.incarnation
         states: list[tuple[int, str]] = []
         if resumed:
-            states, given_up, gone = self.ledger.compare(hello.open)
-            for entry in given_up:
-                self._give_up(entry)
-                self.ledger.forget(entry.number)
+            states, gone = self.ledger.compare(hello.open)
             for entry in gone:
-                self._give_up(entry)
-                self.ledger.forget(entry.number)
+                self._drop(entry)
         else:
             self.end()
         self._health.connected(now)
@@ -85,27 +82,13 @@
     def end(self) -> None:
         """The near gateway has a new life, or none: what it had is given up."""
         for entry in list(self.ledger.open.values()):
-            self._give_up(entry)
-            self.ledger.forget(entry.number)
+            self._drop(entry)
 
     def goodbye(self, reason: str) -> None:
         self._put(codec.Goodbye(reason))
 
     def receive(self, frame: codec.Frame) -> None:
-        now = self._now()
-        self._health.word(now)
-        take = self._TAKES.get(type(frame))
-        if take is None:
-            raise BrokenError(f"a {type(frame).__name__} from the near side")
-        take(self, frame, now)
-
-    def _put(self, frame: codec.Frame, at_once: bool = False) -> None:
-        if self._write is not None:
-            self._write(codec.encode(frame), at_once)
-
-    def dawdle(self) -> int:
-        """Microseconds that a word may wait for others."""
-        return self._health.dawdle(self._now())
+        self._take(frame, self._now())
 
     # What the near side says.
 
@@ -113,7 +96,7 @@
         sent = self._health.sent_at(offer.heard)
         self._health.confirm(offer.heard)
         self.asked_at = now
-        entry = self.ledger.take(offer.number, offer.name, len(offer.statement))
+        entry = self.ledger.take(offer.number, len(offer.statement))
         if entry is None:
             raise BrokenError(f"crossing {offer.number} is offered again")
         # What has ended here and is not yet forgotten holds none of the near side's credit.
@@ -151,9 +134,9 @@
 
     def _forgotten(self, frame: codec.Forget, now: int) -> None:
         for number in frame.numbers:
-            entry = self.ledger.forget(number)
+            entry = self.ledger.open.get(number)
             if entry is not None:
-                self._give_up(entry)
+                self._drop(entry)
 
     def _more(self, frame: codec.More, now: int) -> None:
         entry = self.ledger.open.get(frame.number)
@@ -188,7 +171,7 @@
     def relay_ended(self, number: int, ending: Ending) -> None:
         entry = self.ledger.open.get(number)
         if entry is not None:
-            entry.ran, entry.how = ending not in _UNRUN, ending.value
+            entry.ran, entry.how = ending not in UNRUN, ending.value
             if entry.withdrawn and entry.state is State.SENT:
                 self._ended(entry, "withdrawn")
 
@@ -248,6 +231,11 @@
             self._put(codec.Page(entry.number, entry.next_page, len(entry.pages), body))
             entry.next_page += 1
 
+    def _drop(self, entry: Entry) -> None:
+        """Nothing of it is wanted any more."""
+        self.ledger.forget(entry)
+        self._give_up(entry)
+
     def _give_up(self, entry: Entry) -> None:
         if entry.number in self.open:
             self._front.withdraw(self, entry.number, None)
@@ -274,7 +262,7 @@
                 entry.ended_at = now
                 self._put(codec.Ended(entry.number, entry.ran, entry.how))
             elif entry.ended_at and now - entry.ended_at > _KEPT:
-                self.ledger.forget(entry.number)
+                self.ledger.forget(entry)
         return not self._health.dead(now)
 
     def _send_beat(self, now: int) -> None:
--- a/cresstray/halls/ledger.py
+++ b/cresstray/halls/ledger.py
@@ -34,11 +34,13 @@
     """One, on the near side; `relay` is the near module's, `link` the near end of the link it went by."""
 
     __slots__ = ("number", "relay", "link", "name", "due", "state", "cut", "withdrawn", "pages", "weight",
-                 "told")
+                 "told", "fenced")
 
-    def __init__(self, number: int, relay: object, link: object, name: str, weight: float) -> None:
+    def __init__(self, number: int, relay: object, link: object, name: str, weight: float,
+                 fenced: bool) -> None:
         self.number, self.relay, self.link, self.name = number, relay, link, name
         self.weight = weight  # threads that it counts for
+        self.fenced = fenced  # given up there when the lease is over, and may run again here
         self.due = None  # the call at its time limit
         self.state, self.cut = State.OFFERED, False  # cut: the link has gone since
         self.withdrawn = False
@@ -53,9 +55,9 @@
         self.open: dict[int, Crossing] = {}
         self._last = 0
 
-    def add(self, relay: object, link: object, name: str, weight: float) -> Crossing:
+    def add(self, relay: object, link: object, name: str, weight: float, fenced: bool) -> Crossing:
         self._last += 1
-        crossing = self.open[self._last] = Crossing(self._last, relay, link, name, weight)
+        crossing = self.open[self._last] = Crossing(self._last, relay, link, name, weight, fenced)
         return crossing
 
     def given(self, number: int) -> bool:
@@ -92,11 +94,11 @@
 class Entry:
     """One, on the far side. Its result or its end is kept until the near side has it."""
 
-    __slots__ = ("number", "name", "state", "ran", "how", "pages", "next_page", "let", "size", "ended_at",
+    __slots__ = ("number", "state", "ran", "how", "pages", "next_page", "let", "size", "ended_at",
                  "come_back", "fenced", "withdrawn")
 
-    def __init__(self, number: int, name: str, size: int) -> None:
-        self.number, self.name, self.size = number, name, size
+    def __init__(self, number: int, size: int) -> None:
+        self.number, self.size = number, size
         self.state = State.TAKEN
         self.ran, self.how, self.come_back = False, "", 0
         self.fenced = True  # given up when the lease is over
@@ -114,29 +116,29 @@
         self.size = 0
         self._highest = 0
 
-    def take(self, number: int, name: str, size: int) -> Entry | None:
+    def take(self, number: int, size: int) -> Entry | None:
         """None for a number that was used before: numbers only grow."""
         if number <= self._highest:
             return None
         self._highest = number
-        entry = self.open[number] = Entry(number, name, size)
+        entry = self.open[number] = Entry(number, size)
         self.size += size
         return entry
 
-    def forget(self, number: int) -> Entry | None:
-        entry = self.open.pop(number, None)
-        if entry is not None:
-            self.size -= entry.size
-        return entry
+    def forget(self, entry: Entry) -> None:
+        del self.open[entry.number]
+        self.size -= entry.size
+
+    def compare(self, asked: list[int]) -> tuple[list[tuple[int, str]], list[Entry]]:
+        """The word on each that the near side waits for; and what is to be given up and forgotten.
 
-    def compare(self, asked: list[int]) -> tuple[list[tuple[int, str]], list[Entry], list[Entry]]:
-        """The word on each that the near side waits for; what is to be given up; what can be forgotten."""
-        states, given_up, wanted = [], [], set(asked)
+        That is what it does not wait for, and what was taken and not sent.
+        """
+        states, wanted = [], set(asked)
         for number in asked:
             entry = self.open.get(number)
             states.append((number, (State.NEVER if entry is None and number > self._highest
                                     else State.FENCED if entry is None else entry.state).value))
-            if entry is not None and entry.state is State.TAKEN:
-                given_up.append(entry)
-        gone = [entry for number, entry in self.open.items() if number not in wanted]
-        return states, given_up, gone
+        gone = [entry for number, entry in self.open.items()
+                if number not in wanted or entry.state is State.TAKEN]
+        return states, gone
--- a/cresstray/halls/outward.py
+++ b/cresstray/halls/outward.py
@@ -7,29 +7,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 from cresstray.counters import Counters
 from cresstray.halls import codec
 from cresstray.halls.codec import BrokenError
 from cresstray.halls.decide import Way
+from cresstray.halls.ends import WINDOW, End, Place
 from cresstray.halls.ledger import Crossing, Outcome, Outgoing, State
 from cresstray.interface import Relay
 
 # A result holds 48,000 bytes at most where clients speak JSON-RPC; what claims far more is no result.
 _MOST_PAGES = 512
-# The far side writes so many pages ahead; half of them read, it is told so.
-WINDOW = 4
-
-
-@dataclass(frozen=True)
-class Place:
-    """Who a gateway is: its hall, its name there, and this life of it."""
-
-    hall: str
-    name: str
-    incarnation: str
 
 
 class Keeper(Protocol):
@@ -41,16 +30,17 @@
     def room_told(self, link: Outward) -> None: ...
 
 
-class Outward:
+class Outward(End):
+    _OTHER = "far"
+
     def __init__(self, me: Place, far_hall: str, way: Way, keeper: Keeper, counters: Counters,
                  say: Callable[[str], None], now: Callable[[], int], wake: Callable[[], None]) -> None:
-        self._me, self._far_hall, self.way, self._health = me, far_hall, way, way.health
+        super().__init__(me, way.health, now)
+        self._far_hall, self.way, self._wake = far_hall, way, wake
         self._keeper, self._counters, self._say = keeper, counters, say
-        self._now, self._wake = now, wake
         way.ask = self._asked
         self.ledger = Outgoing()
         self._frames = codec.Frames()
-        self._write: Callable[[bytes, bool], None] | None = None
         self._forgets: list[int] = []  # to be said with the next words
         self.greeted, self._told = False, 0.0  # the far cores that the keeper was told of
         self._knew, self._beat_at = "", 0
@@ -59,7 +49,6 @@
     # The connection.
 
     def connected(self, write: Callable[[bytes, bool], None]) -> None:
-        """`write` takes bytes, and whether they must go at once."""
         self._write, self._frames, self.greeted = write, codec.Frames(), False
         self._forgets.clear()
         me = self._me
@@ -80,16 +69,8 @@
         for frame in self._frames.feed(data):
             if not self.greeted:
                 self._greet(frame, now)
-                continue
-            self._health.word(now)
-            take = self._TAKES.get(type(frame))
-            if take is None:
-                raise BrokenError(f"a {type(frame).__name__} from the far side")
-            take(self, frame, now)
-
-    def _put(self, frame: codec.Frame, at_once: bool = False) -> None:
-        if self._write is not None:
-            self._write(codec.encode(frame), at_once)
+            else:
+                self._take(frame, now)
 
     def _forget(self, number: int) -> None:
         self._forgets.append(number)
@@ -142,15 +123,15 @@
     def offer(self, relay: Relay, query: object, now: int) -> Crossing:
         """`query` as passage.errand has it; the way has said that it takes it."""
         submission = relay.submission
-        crossing = self.ledger.add(relay, self, query.name, self.way.offered(submission, now))
+        fenced = submission.tariff.idempotent or submission.tariff.deduplicated
+        crossing = self.ledger.add(relay, self, query.name, self.way.offered(submission, now), fenced)
         within = self.way.within(submission, now)
         bounded = within < submission.hard_stop - now
         self._put(codec.Offer(
             crossing.number, self._health.heard, query.name, query.tariff, query.tenant, query.mark,
             query.estimate, query.megabytes, max(0, submission.hard_stop - now),
             self.way.hold(submission, now), max(1, within) if bounded else 0, submission.data_set,
-            len(submission.relays) - 1,
-            submission.tariff.idempotent or submission.tariff.deduplicated, query.statement))
+            len(submission.relays) - 1, fenced, query.statement))
         self._counters.add("crossings offered")
         return crossing
 
@@ -263,8 +244,7 @@
         gone = now > self._health.lease_end()
         for crossing in list(self.ledger.open.values()):
             submission = crossing.relay.submission
-            again = submission.tariff.idempotent or submission.tariff.deduplicated
-            if crossing.cut and gone and (again or submission.ended):
+            if crossing.cut and gone and (crossing.fenced or submission.ended):
                 # The far side has given it up by now, whatever it did; or nobody waits for it any more.
                 self._end(crossing, Outcome.UNKNOWN, True)
             elif not crossing.withdrawn and self.way.hopeless(
@@ -279,10 +259,6 @@
         self._put_forgets()
         self._put(codec.Beat(*self._health.next_beat(now)), at_once=True)
 
-    def dawdle(self) -> int:
-        """Microseconds that a word may wait for others."""
-        return self._health.dawdle(self._now())
-
     def _tell_standing(self, now: int) -> None:
         # Known for what it is only once a beat has told of its cores; a change of a tenth is news.
         cores = self.way.cores if self.greeted and not self.way.leaving else 0.0
--- a/cresstray/passage/take_in.py
+++ b/cresstray/passage/take_in.py
@@ -38,10 +38,11 @@
     def take(self, asker: Asker, number: int, query: Query, crossing: Crossing | None = None) -> None:
         """`crossing`: how it came from another hall, for what a client did not ask here."""
         now = self._clock.now()
-        if query.tariff not in self._tariffs:
+        known = self._tariffs.get(query.tariff)
+        if known is None:
             asker.reject(number, "an unknown tariff")
             return
-        tariff, longest = self._tariffs[query.tariff]
+        tariff, longest = known
         tenant = self._tenants.get(query.tenant, 0 if not self._tenants else None)
         statement = _text(query.statement)
         wrong = ("an unknown tenant" if tenant is None
--- a/cresstray/standins/world.py
+++ b/cresstray/standins/world.py
@@ -159,7 +159,7 @@
     def __init__(self, folder: Path, crossing: bool = True, gateways: int = 2, engines: int = 4,
                  cores: int = 4, kinds: list[Kind] = KINDS, link: str = "", most: int = 10_000,
                  tunnel: bool = False) -> None:
-        self._folder, self._crossing, self._kinds = folder, crossing, kinds
+        self._folder, self._crossing = folder, crossing
         self.account = Account({kind.name: kind.effect for kind in kinds}, _ATTEMPTS, _BUDGET)
         self.marks = Marks(_MEMORY)
         self.cores = cores
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -7,10 +7,10 @@
 from cresstray.engines import codec as resp
 from cresstray.halls.credit import Credit, Share
 from cresstray.halls.decide import AHEAD, Way
+from cresstray.halls.ends import Place
 from cresstray.halls.health import Health
 from cresstray.halls.inward import Inward
-from cresstray.halls.ledger import State
-from cresstray.halls.outward import Outward, Place
+from cresstray.halls.outward import Outward
 from cresstray.interface import Engine, Standing
 from cresstray.logic import Gateway
 from cresstray.passage.across import Across
@@ -272,6 +272,3 @@
 
     def answers(self) -> dict[str, list[str]]:
         return self.a.client.answers
-
-    def entry_states(self) -> list[State]:
-        return [entry.state for entry in self.inward.ledger.open.values()]
