--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -60,6 +60,7 @@
 
     def __init__(self) -> None:
         self.others, self.strain, self.at = 0.0, 0.0, 0
+        self.threads, self.limit = 0, 0.0  # of the fleet: ours that run on all engines, and all limits
 
     def heed(self, weight: float, others: float, strain: float, now: int) -> None:
         self.others += weight * (others - self.others)
@@ -149,6 +150,10 @@
         threads = submission.tariff.threads
         if self.threads + threads <= self.limit or not self.pressed(now):
             return True
+        # Danger: limits of a part of a thread still let one of ours onto each engine. As answers slow down, all
+        # gateways together are many times over their limits; so what runs stays within all limits' sum.
+        if self.fleet.threads and self.fleet.threads + threads > self.fleet.limit:
+            return False
         # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes.
         return self.threads == 0 and self.draw * threads * submission.expected / WINDOW < self.limit
 
@@ -414,6 +419,7 @@
         submission.relay = relay
         limiter.out[relay] = None
         limiter.threads += tariff.threads
+        self.fleet.threads += tariff.threads
         if limiter.threads > limiter.limit:
             limiter.draw = self.random()
         if limiter.cold:
@@ -454,6 +460,7 @@
         submission.relay = None
         del limiter.out[relay]
         limiter.threads -= submission.tariff.threads
+        self.fleet.threads = max(0, self.fleet.threads - submission.tariff.threads)
         if relay.engine.far and ending is Ending.MOOT:
             submission.relays.remove(relay)  # no engine of either hall has seen it
         self._heed(relay.engine, report, now)
@@ -684,6 +691,9 @@
         # With another hall to go to, those of this one need not be the measure: most of them may be dead.
         self.doubt_counts = (2 * sum(engine.limiter.doubted for engine in self.ready) <= len(self.ready)
                              or any(hall.standing is Standing.READY for hall in self.halls))
+        # Danger: what engines that have fallen silent hold would leave no room for any other.
+        self.fleet.threads = sum(engine.limiter.threads for engine in self.ready if not engine.limiter.mute)
+        self.fleet.limit = sum(engine.limiter.limit for engine in self.ready)
         self._listen(now)
         failing = [engine for engine in self.ready if engine.limiter.doubted and not engine.limiter.mute]
         for submission in [held for held in self.held + self.further if now >= held.leave_by]:
