No list is refused for a zone it names first, and idle links to other engines make room

Size: frames refused a record whose zone or kind is beyond the settings' lists, with it the whole list, and the feed came back for the same one for good; at the start such a list ended the gateway with exit code 2 (events_malformed, before). Now every zone and kind is taken; names that the settings don't have get places of their own behind 255, each another, as a repeat in another zone may take effect twice. Links: the quota of 64 bounded only the second link to one engine; each further engine got one more, so several hundred engines could take all descriptors (test fleet_links: 1,024 links before, 200 now with a quota of 200). Up to half of the descriptors less a rest are for links, the longest idle one makes room, and the door takes what links leave: at 64 links or fewer just what it had. Tests: events_unnamed, fleet_links.

--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -169,10 +169,10 @@
 
 
 class Door:
-    """Where clients connect; `most` connections at once, and not `many` that only stay."""
+    """Where clients connect; `most()` connections at once, and not `many` that only stay."""
 
-    def __init__(self, tariffs: frozenset[str], front: Front, most: int, many: int, now: Callable[[], int],
-                 counters: Counters, log: Log) -> None:
+    def __init__(self, tariffs: frozenset[str], front: Front, most: Callable[[], int], many: int,
+                 now: Callable[[], int], counters: Counters, log: Log) -> None:
         self.tariffs, self.front, self.now, self.counters, self.log = tariffs, front, now, counters, log
         self._most, self._many = most, many
         self.connections: dict[Connection, None] = {}  # in the order they came
@@ -203,7 +203,7 @@
         # of a crowd waiting for 0.3 s; all the crowd at once keeps the others waiting.
         for _ in range(_MOST_A_TURN):
             accepted = listener.accept()[0]
-            if len(self.connections) >= self._most:
+            if len(self.connections) >= self._most():
                 silent = iter(self._silent_first()) if silent is None else silent
                 if not any(one.drop(surely=False) for one in silent):
                     accepted.close()
--- a/cresstray/coordinator/feed.py
+++ b/cresstray/coordinator/feed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -25,10 +25,10 @@
 class Feed:
     """`address` as host:port, ValueError where it is none; without one the list stays as it is."""
 
-    def __init__(self, address: str | None, last: int, settings: Mapping, told: Callable[[Event], None],
-                 counters: Counters, log: Log) -> None:
+    def __init__(self, address: str | None, last: int, told: Callable[[Event], None], counters: Counters,
+                 log: Log) -> None:
         self._address, self.last = _parts(address), last
-        self._settings, self._told, self._counters, self._log = settings, told, counters, log
+        self._told, self._counters, self._log = told, counters, log
         self._scope: anyio.CancelScope | None = None  # of the coordinator that is followed
 
     def move(self, address: str | None) -> None:
@@ -66,8 +66,7 @@
         # What breaks it while it is written to is heard of in the reading.
         with Line(made, tasks, lambda: None) as line:
             line.put(hello(self.last))
-            frames = Frames(len(self._settings.get("Localities", [])) or 256,
-                            len(self._settings.get("Flavors", [])) or 256)
+            frames = Frames()
             while True:
                 for event in frames.feed(await line.receive(_SILENCE)):
                     self._counters.add("coordinator frames")
--- a/cresstray/coordinator/frames.py
+++ b/cresstray/coordinator/frames.py
@@ -11,7 +11,7 @@
 _LENGTH, _HEAD, _RECORD = struct.Struct(">I"), struct.Struct(">QB"), struct.Struct(">IIHBBBHIQ")
 _STANDINGS = {0: Standing.READY, 1: Standing.DRAINING, 2: Standing.GONE}
 _NOTHING, _WHOLE, _CHANGES = 0, 1, 2
-# Some hundred thousand engines; what says to be longer is no frame.
+# Some hundred thousand engines, far over any fleet; what says to be longer is no frame.
 _LONGEST = 4_000_000
 
 
@@ -23,8 +23,7 @@
 class Frames:
     """The events in what is received, however it is cut. Frames that tell nothing new yield None."""
 
-    def __init__(self, zones: int, machines: int) -> None:
-        self._zones, self._machines = zones, machines
+    def __init__(self) -> None:
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[Event | None]:
@@ -51,7 +50,9 @@
 
     def _member(self, number: int, address: int, port: int, state: int, zone: int, machine: int, cell: int,
                 _weight: int, started: int) -> Member:
-        if state not in _STANDINGS or zone >= self._zones or machine >= self._machines:
-            raise MalformedError(f"a record of state {state}, zone {zone}, kind {machine}")
+        # Danger: a fleet grows into zones and kinds that this gateway's settings do not name yet; refused,
+        # they would take the whole list with them, and for good. They are zones and kinds like any other.
+        if state not in _STANDINGS:
+            raise MalformedError(f"a record of state {state}")
         return Member(number, str(IPv4Address(address)), port, _STANDINGS[state], zone, machine, cell,
                       started * 1000)
--- a/cresstray/coordinator/known.py
+++ b/cresstray/coordinator/known.py
@@ -63,20 +63,35 @@
 
 
 def events(known: Known, settings: Mapping) -> list[Event]:
-    zones, machines = settings.get("Localities", []), settings.get("Flavors", [])
+    zones, machines = _Places(settings.get("Localities", [])), _Places(settings.get("Flavors", []))
     return [Event(update.index, update.endpoints.complete,
                   [_member(member, zones, machines) for member in update.endpoints.members])
             for update in known.updates]
 
 
-def _member(given: _Member, zones: Sequence[str], machines: Sequence[str]) -> Member:
+class _Places(dict):
+    """Names by their place in the settings; others get places behind all that a frame can tell.
+
+    Danger: a fleet grows into zones that the settings do not name. Each is its own: a repeat in another zone
+    may take effect twice.
+    """
+
+    def __init__(self, names: Sequence[str]) -> None:
+        super().__init__((name, place) for place, name in enumerate(names))
+        self._named = len(self)
+
+    def __missing__(self, name: str) -> int:
+        place = self[name] = 256 + len(self) - self._named if self._named else 0
+        return place
+
+
+def _member(given: _Member, zones: _Places, machines: _Places) -> Member:
     host, _, port = given.host_port.rpartition(":")
     try:
         if not given.id.startswith("s-"):
             raise ValueError(f"an id {given.id!r}")
         return Member(int(given.id[2:], 16), host, int(port), _STANDINGS[given.phase],
-                      zones.index(given.locality) if zones else 0,
-                      machines.index(given.flavor) if machines else 0, given.cell,
+                      zones[given.locality], machines[given.flavor], given.cell,
                       int(given.up_since_ms * 1000))
     except (ValueError, KeyError) as trouble:
         raise MalformedError(f"engine {given.id}: {trouble}") from None
--- a/cresstray/engines/links.py
+++ b/cresstray/engines/links.py
@@ -38,6 +38,7 @@
             self.close()
             return False
         exchange.link = self
+        self.pool.quota.idle.pop(self, None)
         self.life.begin(exchange)
         if self.line is not None:
             self._write(exchange)
@@ -67,6 +68,8 @@
             self.idle_since = self.pool.now()
             if self.life.retired:
                 self.close()
+            elif not self.life.ended:
+                self.pool.quota.idle[self] = None
 
     def retire(self) -> None:
         """Takes no new exchange; closed once the last one has ended."""
@@ -75,6 +78,7 @@
 
     def close(self) -> None:
         self.life.ended = True
+        self.pool.quota.idle.pop(self, None)
         self._scope.cancel()
 
     async def run(self) -> None:
@@ -83,6 +87,7 @@
                 await self._live()
         finally:
             self.life.ended = True
+            self.pool.quota.idle.pop(self, None)
             self.pool.removed(self)
             for exchange, fate in self.life.end(self.line is not None):
                 if fate is Fate.CUT:
@@ -142,10 +147,20 @@
 
 
 class Quota:
-    """How many links there may be to all engines together before exchanges share them."""
+    """The links to all engines together.
 
-    def __init__(self, most: int) -> None:
-        self.most, self.used = most, 0
+    From `share` on exchanges share those of their engine; from `most` on an idle one makes room for another.
+    """
+
+    def __init__(self, share: int, most: int) -> None:
+        self.share, self.most, self.used = share, most, 0
+        self.idle: dict[Link, None] = {}  # idle for longest first
+
+    def make_room(self) -> None:
+        # Danger: with hundreds of engines links that idle would take the clients' descriptors. Where none is
+        # idle, all are at work: one more, and the door takes in one client less.
+        if self.used >= self.most and self.idle:
+            next(iter(self.idle)).close()
 
 
 class Pool:
@@ -162,7 +177,7 @@
         # Danger: a request may cross the engine's own close of an idle link, so ours comes well before.
         self._idle = int(limits.get("ConnIdle", 15000) * 1000) * 2 // 3
         self.links: list[Link] = []
-        self._quota, self.tasks, self._timers = quota, tasks, timers
+        self.quota, self.tasks, self._timers = quota, tasks, timers
         self._swept = False
 
     def start(self, exchange: Exchange) -> None:
@@ -183,17 +198,18 @@
                     return link
                 if least is None or len(life.open) < len(least.life.open):
                     least = link
-        if least is not None and self._quota.used >= self._quota.most:
+        if least is not None and self.quota.used >= self.quota.share:
             return least
+        self.quota.make_room()
         link = Link(self)
         self.links.append(link)
-        self._quota.used += 1
+        self.quota.used += 1
         self.tasks.start_soon(link.run)
         return link
 
     def removed(self, link: Link) -> None:
         self.links.remove(link)
-        self._quota.used -= 1
+        self.quota.used -= 1
 
     def move(self, address: tuple[str, int]) -> None:
         """The engine has started anew, maybe elsewhere: what runs may end, new work takes new links."""
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -150,8 +150,8 @@
         threads = submission.tariff.threads
         if self.threads + threads <= self.limit or not self.pressed(now):
             return True
-        # Danger: limits of a part of a thread still let one of ours onto each engine. As answers slow down, all
-        # gateways together are many times over their limits; so what runs stays within all limits' sum.
+        # Danger: limits of a part of a thread still let one of ours onto each engine. As answers slow down,
+        # all gateways together are many times over their limits; what runs stays within all limits' sum.
         if self.fleet.threads and self.fleet.threads + threads > self.fleet.limit:
             return False
         # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes.
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -60,16 +60,17 @@
         tariffs = frozenset(service["Name"] for service in settings.get("Services", []))
         # In overload more than 64 links cost half as much CPU again (calm day, seed 3: 13.5 s > 20.4 s); on
         # other days no more are needed. An eighth, or 64, is for all else: signals, the coordinator, the log.
-        links, rest = min(descriptors // 4, 64), min(descriptors // 8, 64)
-        self._quota = Quota(links)
-        # Usual clients hold a third of the descriptors at most.
-        self._door = Door(tariffs, take_in, descriptors - links - rest, descriptors // 4, self._clock.now,
-                          self.counters, self._log)
+        share, rest = min(descriptors // 4, 64), min(descriptors // 8, 64)
+        # Usual clients hold a third of the descriptors at most: a half is theirs, and what links leave.
+        # A link to each of hundreds of engines finds room in the other half.
+        self._quota = quota = Quota(share, max(share, descriptors // 2 - rest))
+        self._door = Door(tariffs, take_in, lambda: descriptors - rest - max(share, quota.used),
+                          descriptors // 4, self._clock.now, self.counters, self._log)
         self._events = events
         last = events[-1].number if events else 0
         self._operator, self._operator_now = operator, operator_now
         self._hub = self._make_hub(operator.halls, seed) if operator and operator.halls else None
-        self._feed = Feed(coordinator, last, settings, self._told, self.counters, self._log)
+        self._feed = Feed(coordinator, last, self._told, self.counters, self._log)
         self._tasks: TaskGroup
 
     def _make_hub(self, halls: Halls, seed: int) -> Hub:
