--- /dev/null
+++ b/benchmarks/scale.py
@@ -0,0 +1,126 @@
+"""What many engines cost one gateway: memory, a whole new list, a sweep, a choice; nothing on the network.
+
+python -m benchmarks.scale [--seed N] [--json]. One run measures all sizes, so that they can be compared.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import struct
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from cresstray.clock import Clock, Timers
+from cresstray.coordinator.frames import Frames
+from cresstray.coordinator.known import Event
+from cresstray.counters import Counters
+from cresstray.engines.links import Pool, Quota
+from cresstray.interface import Ending, Relay, Submission
+from cresstray.log import Log
+from cresstray.logic import Gateway
+from cresstray.passage.route import Route
+
+SIZES, ZONES, GATEWAYS = (10, 100, 1024), 8, 1024
+
+
+class Silent:
+    """A port that takes relays and answers nothing by itself."""
+
+    def __init__(self) -> None:
+        self.out: list[Relay] = []
+
+    def relay(self, relay: Relay, _patience: int) -> None:
+        self.out.append(relay)
+
+    def _nothing(self, *_: object) -> None:
+        pass
+
+    withdraw = deny = abandon = grant = wake = probe = subscribe = remark = _nothing
+
+
+def settings(gateways: int) -> dict:
+    return {"Balancers": gateways, "Zone": 1, "Localities": [f"hall-{number}" for number in range(ZONES)],
+            "FamilyInfo": {"CpuOfKind": [12, 8], "Dop": [1, 2]},
+            "Limits": {"Cancel": True, "MaxAttempts": 4, "RetryAfter": True, "MaxRetryAfter": 1000.0},
+            "Safety": {"ColdShare": 0.33, "WarmUp": 13000.0, "OverloadFactor": 2.0, "Fall": 1000.0},
+            "Services": [{"Effect": "idempotent", "GoalTime": 800.0, "GiveUp": 4000.0, "Worth": 1.0},
+                         {"Effect": "idempotent", "GoalTime": 2000.0, "GiveUp": 9000.0, "Worth": 5.0}]}
+
+
+def frame(number: int, first: int, count: int) -> bytes:
+    """A whole list of so many engines, its ids from `first` on."""
+    records = b"".join(struct.pack(">IIHBBBHIQ", first + one, 0x7f000001, 9000 + one, 0, one % ZONES, one % 2,
+                                   0, 1000, 0) for one in range(count))
+    body = struct.pack(">QB", number, 1) + records
+    return struct.pack(">I", len(body)) + body
+
+
+def best(call: Callable[[], object], times: int) -> float:
+    """The least microseconds that it takes."""
+    least = float("inf")
+    for _ in range(times):
+        before = time.perf_counter_ns()
+        call()
+        least = min(least, time.perf_counter_ns() - before)
+    return least / 1000
+
+
+def measure(engines: int, seed: int) -> dict[str, float]:
+    clock, counters, port = Clock(), Counters(), Silent()
+    timers, log = Timers(clock), Log("n0", clock)
+    quota = Quota(64, 200)
+    gateway = Gateway(port, settings(GATEWAYS), seed, clock.now())
+    route = Route(lambda label, address: Pool(label, address, {}, quota, None, timers, clock.now, counters, log),
+                  None)
+    frames = Frames()
+
+    def told(raw: bytes) -> Event:
+        event, = frames.feed(raw)
+        gateway.listed(route.listed(event), event.complete, clock.now())
+        return event
+
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    told(frame(1, 1, engines))
+    kept = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    result = {"engines": engines, "kB an engine": kept / engines / 1000}
+    new, same = frame(3, 100_000, engines), frame(4, 100_000, engines)
+    result["all new, us"] = best(lambda: told(new), 1)
+    result["same again, us"] = best(lambda: told(same), 5)
+    one = Submission(gateway.tariffs[0], clock.now(), clock.now() + 3_000_000)
+    gateway.accept(one, clock.now())
+    gateway.came_back(port.out.pop(), Ending.FULFILLED, 100_000, True, {}, clock.now())
+
+    def choose() -> None:
+        gateway._choose(one, clock.now())
+
+    result["choice, us"] = best(choose, 200)
+    for engine in gateway.ready:
+        engine.limiter.full_until, engine.limiter.limit = clock.now() + 60_000_000, 0.0
+    result["choice in vain, us"] = best(choose, 50)
+    for number in range(200):
+        gateway.accept(Submission(gateway.tariffs[number % 2], clock.now(), clock.now() + 60_000_000), clock.now())
+    result["sweep, 200 held, us"] = best(lambda: gateway._sweep(clock.now()), 30)
+    result["held"] = len(gateway.held)
+    return result
+
+
+def main(words: list[str] | None = None) -> int:
+    reader = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    reader.add_argument("--seed", type=int, default=1)
+    reader.add_argument("--json", action="store_true")
+    given = reader.parse_args(words)
+    table = [measure(engines, given.seed) for engines in SIZES]
+    for name in table[0]:
+        print(f"{name:>24} " + " ".join(f"{row[name]:10.1f}" for row in table), file=sys.stderr)
+    if given.json:
+        print(json.dumps({"scale": table}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
