--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -73,8 +73,8 @@
     timers, log = Timers(clock), Log("n0", clock)
     quota = Quota(64, 200)
     gateway = Gateway(port, settings(GATEWAYS), seed, clock.now())
-    route = Route(lambda label, address: Pool(label, address, {}, quota, None, timers, clock.now, counters, log),
-                  None)
+    route = Route(lambda label, address: Pool(label, address, {}, quota, None, timers, clock.now, counters,
+                                              log), None)
     frames = Frames()
 
     def told(raw: bytes) -> Event:
@@ -103,7 +103,8 @@
         engine.limiter.full_until, engine.limiter.limit = clock.now() + 60_000_000, 0.0
     result["choice in vain, us"] = best(choose, 50)
     for number in range(200):
-        gateway.accept(Submission(gateway.tariffs[number % 2], clock.now(), clock.now() + 60_000_000), clock.now())
+        now = clock.now()
+        gateway.accept(Submission(gateway.tariffs[number % 2], now, now + 60_000_000), now)
     result["sweep, 200 held, us"] = best(lambda: gateway._sweep(clock.now()), 30)
     result["held"] = len(gateway.held)
     return result
