No tariff is passed over for good: what gets less than half of its share goes first

Asked of every kind of tariff (test fleet_starved, on the module alone): 20 busy engines, 200 gateways, light work and wide or long work asked ten times a second for a minute. At fault: the held line's rank, payoff for work. While light work is always held it takes each permit that frees; and permits' chance, limit / (threads x expected time), falls without end as answers slow down. Change: shares of first relays over five seconds; a tariff under half of that of all goes before the others. The chance counts a window at most (fleet_long, heavy work where light answers take 500 ms: 2 > 4 of 30). The bound on all limits' sum asks for room of any width: where the sum is a thread or two, narrow work never left room for wide.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -42,6 +42,8 @@
         # Before the first answers: a quarter of the soft limit, since limits are set to be met with room.
         self.mean = tariff.soft_limit / 4.0
         self.estimate, self.factor = 0.0, 1.0  # mean time by estimate, and latency against that
+        # First relays of late, and what was ended without any.
+        self.sent, self.unsent = Ring(5 * WINDOW, 10), Ring(5 * WINDOW, 10)
 
     def time_of(self, submission: Submission) -> int:
         return max(1000, int(submission.estimate / self.threads * self.factor or self.mean))
@@ -151,11 +153,14 @@
         if self.threads + threads <= self.limit or not self.pressed(now):
             return True
         # Danger: limits of a part of a thread still let one of ours onto each engine. As answers slow down,
-        # all gateways together are many times over their limits; what runs stays within all limits' sum.
-        if self.fleet.threads and self.fleet.threads + threads > self.fleet.limit:
+        # all gateways together are many times over their limits; what runs stays within all limits' sum, and
+        # one over it: where that is a thread or two, narrow work would never leave room for wide.
+        if self.fleet.threads >= max(1.0, self.fleet.limit):
             return False
-        # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes.
-        return self.threads == 0 and self.draw * threads * submission.expected / WINDOW < self.limit
+        # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes. It
+        # would shut out long work for good as answers slow down; a window at most.
+        lasts = min(1.0, submission.expected / WINDOW)
+        return self.threads == 0 and self.draw * threads * lasts < self.limit
 
 
 class Gateway:
@@ -214,6 +219,8 @@
         submission.leave_by = min(submission.hard_stop - MARGIN, max(
             now + (submission.hard_stop - now) // 10, submission.soft_stop - 3 * submission.expected // 2))
         submission.rank = -tariff.payoff / (submission.expected * tariff.threads)
+        if self._passed_over(tariff, now):
+            submission.rank -= 1e6  # before any payoff for work, which is in microseconds
         if submission.foreign:
             # It counts, and earns further relays, where it was accepted; here it gives way to our own.
             submission.leave_by = min(submission.leave_by, now + (0 if self.held else submission.hold))
@@ -227,6 +234,14 @@
             self.queues.setdefault(submission.key, deque()).append(submission)
         self._offer(submission, now)
 
+    def _passed_over(self, tariff: Tariff, now: int) -> bool:
+        # Danger: while the line is never empty, what pays least for its work would never run. A tariff of
+        # which less than half as much gets its relay as of all goes before the others.
+        usual = [(one.usual.sent.most(now), one.usual.unsent.most(now)) for one in self.tariffs]
+        sent, unsent = map(sum, zip(*usual))
+        own, lost = usual[tariff.index]
+        return lost >= 2 and own * (sent + unsent) < 0.5 * sent * (own + lost)
+
     # Turns: submissions of one key run one after another, in the order they were accepted.
 
     def _is_turn(self, submission: Submission, now: int) -> bool:
@@ -252,7 +267,7 @@
         if not behind and self._is_turn(submission, now) and self._send(submission, now):
             return
         if now >= submission.leave_by:
-            self._end(submission)
+            self._end(submission, now)
             return
         submission.held = True
         insort(self.further if last else self.held, submission, key=attrgetter("rank"))
@@ -355,7 +370,7 @@
         """What crossed can't be answered in time any more: the final answer goes at once."""
         if relay.ending is None and not relay.submission.ended:
             self.port.withdraw(relay)
-            self._end(relay.submission)
+            self._end(relay.submission, now)
 
     def _may_take(self, submission: Submission, engine: Engine, now: int) -> bool:
         tariff = submission.tariff
@@ -429,6 +444,8 @@
             limiter.trial_at = now + 4 * WINDOW  # one at a time, unless it is answered sooner
         if again:
             self.relayed_again.add(now)
+        else:
+            tariff.usual.sent.add(now)
         self._terms(submission)
         self.port.relay(relay, max(1000, submission.hard_stop - now - (MARGIN - SWEEP)))
         return True
@@ -475,7 +492,7 @@
             submission.leave_by = min(submission.hard_stop - MARGIN, max(submission.leave_by, now + WINDOW))
             self._offer(submission, now)
         else:
-            self._end(submission)
+            self._end(submission, now)
         self._give_up_turn(submission)
         self._release(now, relay.engine)
 
@@ -585,9 +602,11 @@
         return (tariff.idempotent or tariff.deduplicated and tariff.group == "all"
                 or all(relay.ending in UNRUN for relay in submission.relays))
 
-    def _end(self, submission: Submission) -> None:
+    def _end(self, submission: Submission, now: int) -> None:
         """The final answer: a denial where a repeat does no harm, else an abandonment; at once."""
         self._close(submission)
+        if not submission.relays:
+            submission.tariff.usual.unsent.add(now)
         if not self._may_deny(submission):
             self.port.abandon(submission)
         else:
@@ -639,7 +658,7 @@
         elif late or earlier and self.held and relay.projected > 3 * usual:
             if self._may_deny(submission) and not relay.called_off and self.limits.get("Cancel"):
                 self.port.withdraw(relay)
-                self._end(submission)
+                self._end(submission, now)
 
     def listed(self, known: Iterable[tuple[Engine, tuple]], complete: bool, now: int) -> None:
         cores, named = self.family.get("CpuOfKind", []), set()
@@ -699,7 +718,7 @@
         for submission in [held for held in self.held + self.further if now >= held.leave_by]:
             if not (self._is_turn(submission, now)
                     and any(self._send(submission, now, engine) for engine in failing)):
-                self._end(submission)
+                self._end(submission, now)
         self.key_free = {key: free for key, free in self.key_free.items() if now < free}
         if self.settings.get("Report", {}).get("Source") == "on_probe" and self.limits.get("Probes"):
             # One after the other, each twice a second at the most: reports are about that fresh.
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -64,3 +64,48 @@
         kept = sum(bool(pool.links) for pool in pools[-150:])
         lines.append(f"of the last 150 engines {kept} still have theirs")
         self.check("fleet_links", lines)
+
+    def starve(self, given: dict, engines: int, tariffs: tuple[int, ...], answer: int, seconds: int = 60,
+               pause: int = 100) -> str:
+        """What each tariff gets on busy engines: each asks every `pause` ms, answers take `answer` ms."""
+        desk = Desk(given, engines=engines)
+        desk.list({engine: {"zone": number % 2, "machine": number % 2}
+                   for number, engine in enumerate(desk.engines)})
+        made: list[list] = [[] for _ in desk.gateway.tariffs]
+        for tariff in desk.gateway.tariffs:
+            tariff.usual.seen, tariff.usual.mean = 200, answer * 1000 * (1 + 9 * (tariff.index > 0))
+        for turn in range(seconds * 1000 // pause):
+            for engine in desk.engines:
+                desk.gateway.probed(engine, Ending.FULFILLED, BUSY, desk.now)
+            for index in tariffs:
+                made[index].append(desk.submit(f"{index}.{turn}", index, left=20_000))
+            desk.run(pause)
+            for index in tariffs:
+                takes = desk.gateway.tariffs[index].usual.time_of(made[index][0])
+                for submission in made[index]:
+                    if submission.relay and desk.now - submission.relay.sent >= takes:
+                        desk.back(submission, Ending.FULFILLED)
+        parts = [f"{sum(bool(one.relays) for one in made[index])} of {len(made[index])}" for index in tariffs]
+        return ", ".join(parts) + " relayed"
+
+    def test_no_tariff_is_passed_over_for_good(self) -> None:
+        plain = {"Effect": "idempotent", "GoalTime": 400.0, "AimStretch": 2.0, "GiveUp": 60000.0,
+                 "Worth": 1.0}
+        kinds = {"wide and long": plain | {"GoalTime": 2000.0},
+                 "worth little": plain | {"Worth": 0.01, "GoalTime": 2000.0},
+                 "unrepeatable": plain | {"Effect": "at_most_once", "GoalTime": 2000.0},
+                 "of one zone": plain | {"StaysIn": [1], "GoalTime": 2000.0},
+                 "of one kind of machine": plain | {"FlavorsOpen": [1], "GoalTime": 2000.0}}
+        lines = []
+        for name, kind in kinds.items():
+            for gateways in (4, 200):
+                given = settings(plain, kind, Balancers=gateways)
+                lines.append(f"{name}, {gateways} gateways: light, then this: "
+                             + self.starve(given, 20, (0, 1), 200))
+        self.check("fleet_starved", lines)
+
+    def test_long_work_is_not_shut_out_as_answers_slow_down(self) -> None:
+        given = settings(Balancers=200)
+        self.check("fleet_long", [f"light answers take {answer} ms, heavy ten times as long: heavy, "
+                                  + self.starve(given, 10, (1,), answer, pause=2000)
+                                  for answer in (20, 100, 500)])
