--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -157,8 +157,8 @@
         # one over it: where that is a thread or two, narrow work would never leave room for wide.
         if self.fleet.threads >= max(1.0, self.fleet.limit):
             return False
-        # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes. It
-        # would shut out long work for good as answers slow down; a window at most.
+        # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes, a
+        # window at most: it would shut out long work for good as answers slow down.
         lasts = min(1.0, submission.expected / WINDOW)
         return self.threads == 0 and self.draw * threads * lasts < self.limit
 
