--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,14 +1,21 @@
 """Many gateways, many engines, limits of a small part of a thread: what harms in common, who could starve."""
 
+import contextlib
+import io
+
 import anyio
+import msgspec
 
 from cresstray.clock import Clock, Timers
+from cresstray.coordinator import known
 from cresstray.counters import Counters
 from cresstray.engines.exchanges import Exchange
 from cresstray.engines.links import Link, Pool, Quota
 from cresstray.interface import Ending
 from cresstray.log import Log
-from tests.desk import Desk, TraceCase, settings
+from cresstray.service import Service
+from cresstray.standins.coordinator import Coordinator, Listed
+from tests.desk import ClientStandIn, Desk, EngineStandIn, TraceCase, settings
 
 BUSY = {"concurrent": 50.0, "load_share": 1.0}
 
@@ -109,3 +116,49 @@
         self.check("fleet_long", [f"light answers take {answer} ms, heavy ten times as long: heavy, "
                                   + self.starve(given, 10, (1,), answer, pause=2000)
                                   for answer in (20, 100, 500)])
+
+    def test_a_thousand_engines_at_the_start_and_by_events(self) -> None:
+        """In five zones of which the settings name one, for one of 1,024 gateways; all listen at one port."""
+        async def main() -> None:
+            engine, given = EngineStandIn("engine"), settings(
+                Balancers=1024, Zone=0, Localities=["here"], Flavors=["std"], Tenants=[{"Name": "acme"}])
+            for name, service in zip(("lookup", "report"), given["Services"]):
+                service["Name"] = name
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(engine.run)
+                first = [Listed(number, engine.port, zone=number % 2) for number in range(1, 1025)]
+                coordinator = Coordinator(first)
+                start = known.events(msgspec.convert(coordinator.known, known.Known), given)
+                service = Service("n0", ("127.0.0.1", 0), 7, given, start, coordinator.address)
+                tasks.start_soon(coordinator.run)
+                address = await tasks.start(service.run)
+                with anyio.fail_after(30):
+                    async with await anyio.connect_tcp(*address) as stream:
+                        client, gateway = ClientStandIn(stream, []), service._gateway
+
+                        async def look(text: str) -> None:
+                            for number in range(40):
+                                await client.ask(client.names + 1, f"plain {number}")
+                                await client.hear()
+                            zones = len({one.zone for one in gateway.ready})
+                            lines.append(f"{text}: {len(gateway.ready)} ready in {zones} zones, "
+                                         f"{len(service._route._pools)} pools, "
+                                         f"{service.counters.counts['submissions fulfilled']} fulfilled")
+
+                        await look("at the start")
+                        coordinator.tell(*(Listed(number, engine.port, zone=number % 5)
+                                           for number in range(2001, 3025)))
+                        while len(gateway.ready) < 2048:
+                            await anyio.sleep(0.01)
+                        await look("as many more")
+                        coordinator.tell(*(Listed(one.id, one.port, "terminated") for one in first))
+                        while len(gateway.engines) > 1024:
+                            await anyio.sleep(0.01)
+                        await look("the first gone")
+                tasks.cancel_scope.cancel()
+
+        lines: list[str] = []
+        with contextlib.redirect_stderr(io.StringIO()) as said:
+            anyio.run(main)
+        self.assertNotIn("fault", said.getvalue())
+        self.check("fleet_thousand", lines)
