--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -29,6 +29,8 @@
 # Danger: on a late loop what ends at its hard stop is lost; it ends 100 ms sooner, held work a sweep more.
 MARGIN = SWEEP + 100_000
 
+PASSED_OVER = -1e6  # in the held line: before any payoff for work in microseconds
+
 
 def micros(milliseconds: float) -> int:
     return int(milliseconds * 1000)
@@ -152,14 +154,14 @@
         threads = submission.tariff.threads
         if self.threads + threads <= self.limit or not self.pressed(now):
             return True
-        # Danger: limits of a part of a thread still let one of ours onto each engine. As answers slow down,
-        # all gateways together are many times over their limits; what runs stays within all limits' sum, and
-        # one over it: where that is a thread or two, narrow work would never leave room for wide.
-        if self.fleet.threads >= max(1.0, self.fleet.limit):
+        # Danger: limits of a part of a thread let one of ours onto each engine. As answers slow down, all
+        # gateways are many times over; what runs stays under all limits' cap, twice their sum, or one over
+        # it, as narrow work would never leave room for wide.
+        if self.fleet.threads >= max(1.0, 2 * self.fleet.limit):
             return False
-        # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes, a
-        # window at most: it would shut out long work for good as answers slow down.
-        lasts = min(1.0, submission.expected / WINDOW)
+        # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes.
+        # As answers slow down it would shut out long work: a window at most for what was passed over.
+        lasts = min(submission.expected / WINDOW, 1.0 if submission.rank < PASSED_OVER / 2 else 1e9)
         return self.threads == 0 and self.draw * threads * lasts < self.limit
 
 
@@ -220,7 +222,7 @@
             now + (submission.hard_stop - now) // 10, submission.soft_stop - 3 * submission.expected // 2))
         submission.rank = -tariff.payoff / (submission.expected * tariff.threads)
         if self._passed_over(tariff, now):
-            submission.rank -= 1e6  # before any payoff for work, which is in microseconds
+            submission.rank += PASSED_OVER
         if submission.foreign:
             # It counts, and earns further relays, where it was accepted; here it gives way to our own.
             submission.leave_by = min(submission.leave_by, now + (0 if self.held else submission.hold))
@@ -240,7 +242,7 @@
         usual = [(one.usual.sent.most(now), one.usual.unsent.most(now)) for one in self.tariffs]
         sent, unsent = map(sum, zip(*usual))
         own, lost = usual[tariff.index]
-        return lost >= 2 and own * (sent + unsent) < 0.5 * sent * (own + lost)
+        return lost >= 2 and 2 * own * (sent + unsent) < sent * (own + lost)
 
     # Turns: submissions of one key run one after another, in the order they were accepted.
 
@@ -264,7 +266,9 @@
         alike = submission.tariff if not (submission.tariff.load or submission.tariff.ordered) else None
         last = submission.foreign or bool(submission.relays)
         behind = self.held if last else any(held.tariff is alike for held in self.held)
-        if not behind and self._is_turn(submission, now) and self._send(submission, now):
+        # Danger: what has no time beyond the margin would only be sent to be given up, on links made for it.
+        if (not behind and now < submission.hard_stop - (MARGIN - SWEEP) and self._is_turn(submission, now)
+                and self._send(submission, now)):
             return
         if now >= submission.leave_by:
             self._end(submission, now)
@@ -274,9 +278,9 @@
 
     def _release(self, now: int, freed: Engine | None = None) -> None:
         # Danger: the whole fleet tried for each answer is too slow; one frees a permit on its engine only.
+        # It tries the first of the line, some for each tariff; the others wait for the sweep.
         for line in (self.held, self.further):
             stuck = set()
-            # An answer tries the first of the line, some for each tariff; the others wait for the sweep.
             for submission in line[:64] if freed else list(line):
                 # Danger: thousands held would be tried for each permit; one failure speaks for its tariff.
                 if submission.tariff in stuck or not self._is_turn(submission, now):
