The bound is three times all limits: gateways that see several times the mean keep their work

At fault: the bound in Limiter.permits; traffic is uneven, and some gateways see several times the mean.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -155,9 +155,9 @@
         if self.threads + threads <= self.limit or not self.pressed(now):
             return True
         # Danger: limits of a part of a thread let one of ours onto each engine. As answers slow down, all
-        # gateways are many times over; what runs stays under all limits' cap, twice their sum, or one over
-        # it, as narrow work would never leave room for wide.
-        if self.fleet.threads >= max(1.0, 2 * self.fleet.limit):
+        # gateways are many times over; what runs stays under three times all limits, as some see several
+        # times the mean, or one over it, as narrow work would never leave room for wide.
+        if self.fleet.threads >= max(1.0, 3 * self.fleet.limit):
             return False
         # Danger: a draw a window keeps short work far under the limit; the chance is for the time it takes.
         # As answers slow down it would shut out long work: a window at most for what was passed over.
