--- /dev/null
+++ b/cresstray/frames.py
@@ -0,0 +1,61 @@
+"""Frames of links between processes of this program, whichever package names their kinds. Knows no socket.
+
+A frame is its length (4 bytes, big-endian, counting all behind it), one byte of kind, and a msgpack array. Kinds
+1 to 31 are of links between halls, 32 to 47 of the keepers' log, 48 to 79 of the rules, the reads and the moves.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable
+from typing import ClassVar
+
+import msgspec
+
+# A client's line is 256 kB at most, in base64; its statement and all that goes with it are shorter. What is
+# longer than a frame goes in parts.
+LONGEST = 256 * 1024
+_HEAD = struct.Struct(">IB")
+
+
+class BrokenError(Exception):
+    """What came can't be a frame of this link; nothing behind it on this connection can be trusted."""
+
+
+class Frame(msgspec.Struct, array_like=True):
+    kind: ClassVar[int]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+def encode(frame: Frame) -> bytes:
+    body = _encode(frame)
+    return _HEAD.pack(len(body) + 1, frame.kind) + body
+
+
+class Frames:
+    """The frames of some kinds in what is received, however it is cut; BrokenError where it can't be one."""
+
+    def __init__(self, kinds: Iterable[type[Frame]]) -> None:
+        self._decoders = {one.kind: msgspec.msgpack.Decoder(one) for one in kinds}
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Frame]:
+        self._buffer += data
+        found, at = [], 0
+        while len(self._buffer) - at >= _HEAD.size:
+            length, kind = _HEAD.unpack_from(self._buffer, at)
+            decoder = self._decoders.get(kind)
+            # Danger: a length that lies would have its bytes waited for, and kept, without end.
+            if not 1 <= length <= LONGEST or decoder is None:
+                raise BrokenError(f"a frame of kind {kind} and {length} bytes")
+            if len(self._buffer) - at < 4 + length:
+                break
+            try:
+                found.append(decoder.decode(self._buffer[at + _HEAD.size:at + 4 + length]))
+            except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as trouble:
+                raise BrokenError(f"a frame of kind {kind}: {trouble}") from None
+            at += 4 + length
+        del self._buffer[:at]
+        return found
--- a/cresstray/halls/codec.py
+++ b/cresstray/halls/codec.py
@@ -1,24 +1,22 @@
-"""The link's frames, as docs/halls.md writes them down. Knows no socket and decides nothing.
-
-A frame is its length (4 bytes, big-endian, counting all behind it), one byte of kind, and a msgpack array.
-"""
+"""The link's frames, as docs/halls.md writes them down. Knows no socket and decides nothing."""
 
 from __future__ import annotations
 
-import struct
-from typing import Annotated, ClassVar
+from typing import Annotated
 
 import msgspec
 
+from cresstray.frames import LONGEST, BrokenError, Frame, encode
+from cresstray.frames import Frames as AnyFrames
+
+__all__ = ["LONGEST", "BrokenError", "Frame", "encode"]
+
 VERSION = 1
 MAGIC = "cresstray-halls"
 # What this build can do beyond the version; what only one side names is not used.
 FEATURES = ("pages", "resume")
-# A client's line is 256 kB at most, in base64; its statement and all that goes with it are shorter.
-LONGEST = 256 * 1024
 # A page of a result; some go into one write, and one lost with its link costs little to send again.
 PAGE = 8_000
-_HEAD = struct.Struct(">IB")
 
 _Text = Annotated[str, msgspec.Meta(max_length=128)]
 _Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
@@ -26,14 +24,6 @@
 _Figure = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 
 
-class BrokenError(Exception):
-    """What came can't be a frame of this link; nothing behind it on this connection can be trusted."""
-
-
-class Frame(msgspec.Struct, array_like=True):
-    kind: ClassVar[int]
-
-
 class Hello(Frame):
     """First from the near side. `open`: crossings it still waits for; `knew`: the incarnation it spoke to."""
 
@@ -169,36 +159,8 @@
 
 
 _KINDS = (Hello, Welcome, Beat, Offer, Taken, Refused, Sent, Page, Ended, More, Withdraw, Forget, Goodbye)
-_decoders = {one.kind: msgspec.msgpack.Decoder(one) for one in _KINDS}
-_encode = msgspec.msgpack.Encoder().encode
-
-
-def encode(frame: Frame) -> bytes:
-    body = _encode(frame)
-    return _HEAD.pack(len(body) + 1, frame.kind) + body
-
 
-class Frames:
-    """The frames in what is received, however it is cut; BrokenError where it can't be one."""
 
+class Frames(AnyFrames):
     def __init__(self) -> None:
-        self._buffer = bytearray()
-
-    def feed(self, data: bytes) -> list[Frame]:
-        self._buffer += data
-        found, at = [], 0
-        while len(self._buffer) - at >= _HEAD.size:
-            length, kind = _HEAD.unpack_from(self._buffer, at)
-            decoder = _decoders.get(kind)
-            # Danger: a length that lies would have its bytes waited for, and kept, without end.
-            if not 1 <= length <= LONGEST or decoder is None:
-                raise BrokenError(f"a frame of kind {kind} and {length} bytes")
-            if len(self._buffer) - at < 4 + length:
-                break
-            try:
-                found.append(decoder.decode(self._buffer[at + _HEAD.size:at + 4 + length]))
-            except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as trouble:
-                raise BrokenError(f"a frame of kind {kind}: {trouble}") from None
-            at += 4 + length
-        del self._buffer[:at]
-        return found
+        super().__init__(_KINDS)
