The module asks the fleet's rules when it acts: one hook for count, engines, denial and budget

Change: Gateway.agreed (interface.Rules), asked at each send for the count of gateways, at each draw for the engine, at each offer for the submission, and for what scales the budget of further relays; None without an operator's file.

--- a/cresstray/interface.py
+++ b/cresstray/interface.py
@@ -106,6 +106,7 @@
     foreign: bool = False  # it came from another hall: one relay here, and never across again
     hold: int = 0  # of a foreign one: for how long it may be held
     crossed: bool = False  # it has gone to another hall once
+    read: Any = None  # of one that may read a copy: what replicas/ knows of it
 
 
 @dataclass(slots=True, eq=False)
@@ -135,3 +136,18 @@
     def probe(self, engine: Engine) -> None: ...
     def subscribe(self) -> None: ...
     def remark(self, text: str) -> None: ...
+
+
+class Rules(Protocol):
+    """What the fleet's rules let this gateway do at this moment: asked when acting, never kept."""
+
+    def gateways(self, now: int) -> int:
+        """How many gateways share the engines; 0: this one may relay nothing."""
+
+    def admits(self, submission: Submission, now: int) -> bool:
+        """False: it is denied at once."""
+
+    def takes(self, submission: Submission, engine: Engine, now: int) -> bool: ...
+
+    def further(self, submission: Submission, now: int) -> float:
+        """What scales the budget of further relays, for this one."""
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -1,9 +1,8 @@
 """All decisions of one gateway; its types and the port it speaks through are in interface.py.
 
-An adapter makes one Gateway, hands it each event as one call (accept, came_back, noted, client_left, listed,
-list_failed, probed) with the clock in whole microseconds, and carries out what the gateway asks of its Port.
-A submission goes down the chain accept > take its turn > hold > choose > send; what comes back goes up it,
-came_back > learn > relay again or end > give up its turn > release what is held. docs/design.md tells why.
+An adapter makes one Gateway, hands it each event as one call with the clock in whole microseconds, and does what
+it asks of its Port. A submission goes down the chain accept > take its turn > hold > choose > send; what comes
+back goes up it, came_back > learn > relay again or end > give up its turn > release. docs/design.md tells why.
 """
 
 from __future__ import annotations
@@ -12,10 +11,9 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Iterable, Mapping
-from operator import attrgetter
 from typing import Any
 
-from cresstray.interface import Ending, Engine, Port, Relay, Standing, Submission, Tariff, Topic
+from cresstray.interface import Ending, Engine, Port, Relay, Rules, Standing, Submission, Tariff, Topic
 from cresstray.ring import Ring
 
 # Endings that prove a relay never ran; after any other it may have run.
@@ -44,8 +42,7 @@
         # Before the first answers: a quarter of the soft limit, since limits are set to be met with room.
         self.mean = tariff.soft_limit / 4.0
         self.estimate, self.factor = 0.0, 1.0  # mean time by estimate, and latency against that
-        # First relays of late, and what was ended without any.
-        self.sent, self.unsent = Ring(5 * WINDOW, 10), Ring(5 * WINDOW, 10)
+        self.sent, self.unsent = Ring(5 * WINDOW, 10), Ring(5 * WINDOW, 10)  # first relays, or ended without
 
     def time_of(self, submission: Submission) -> int:
         return max(1000, int(submission.estimate / self.threads * self.factor or self.mean))
@@ -95,9 +92,7 @@
         self.heard, self.lost = now, 0
 
     def sample(self, ratio: float) -> None:
-        self.seen += 1
-        self.count += 1
-        self.total += ratio
+        self.seen, self.count, self.total = self.seen + 1, self.count + 1, self.total + ratio
         # Over the last 20 samples or so: a thin window's mean says too little to choose by.
         self.pace += 0.05 * (ratio - self.pace)
 
@@ -170,9 +165,9 @@
         self.port = port
         self.settings, self.zone = settings, settings.get("Zone")
         self.random = random.Random(seed).random
-        self.family = settings.get("FamilyInfo", {})
-        self.rules = settings.get("Safety", {})
-        self.limits = settings.get("Limits", {})
+        self.family, self.rules, self.limits = (
+            settings.get(part, {}) for part in ("FamilyInfo", "Safety", "Limits"))
+        self.agreed: Rules | None = None  # what the fleet has agreed on, where it does
         self.gateways = max(1, settings.get("Balancers", 1))
         self.tariffs = [self._tariff(n, given) for n, given in enumerate(settings.get("Services", []))]
         self.engines: dict[Engine, None] = {}
@@ -187,8 +182,7 @@
         self.accepted = Ring(max(0, budget - ahead), 20)  # rounding costs a twentieth
         self.relayed_again = Ring(budget + ahead, 20)
         self.halls: list[Engine] = []  # gateways of other halls, each as one engine that is never drawn
-        # Means over answers; pace: latency against expected time.
-        self.payoff = self.work = self.time = self.pace = 1.0
+        self.payoff = self.work = self.time = self.pace = 1.0  # means; pace: latency against expected time
         self.swept, self.fleet, self.doubt_counts = 0, Signs(), True
         self.idlest: list[Engine] = []  # the one of late, or none
         self.probes, self.trials, self.probed_last = 0.0, 0.0, 0  # probes and trials that may be spent
@@ -220,9 +214,8 @@
         # Held until it can no longer be answered within its soft limit, a tenth of its time at the least.
         submission.leave_by = min(submission.hard_stop - MARGIN, max(
             now + (submission.hard_stop - now) // 10, submission.soft_stop - 3 * submission.expected // 2))
-        submission.rank = -tariff.payoff / (submission.expected * tariff.threads)
-        if self._passed_over(tariff, now):
-            submission.rank += PASSED_OVER
+        submission.rank = (PASSED_OVER * self._passed_over(tariff, now)
+                           - tariff.payoff / (submission.expected * tariff.threads))
         if submission.foreign:
             # It counts, and earns further relays, where it was accepted; here it gives way to our own.
             submission.leave_by = min(submission.leave_by, now + (0 if self.held else submission.hold))
@@ -267,14 +260,15 @@
         last = submission.foreign or bool(submission.relays)
         behind = self.held if last else any(held.tariff is alike for held in self.held)
         # Danger: what has no time beyond the margin would only be sent to be given up, on links made for it.
-        if (not behind and now < submission.hard_stop - (MARGIN - SWEEP) and self._is_turn(submission, now)
-                and self._send(submission, now)):
+        barred = self.agreed and not self.agreed.admits(submission, now)
+        if (not (behind or barred) and now < submission.hard_stop - (MARGIN - SWEEP)
+                and self._is_turn(submission, now) and self._send(submission, now)):
             return
-        if now >= submission.leave_by:
+        if barred or now >= submission.leave_by:
             self._end(submission, now)
             return
         submission.held = True
-        insort(self.further if last else self.held, submission, key=attrgetter("rank"))
+        insort(self.further if last else self.held, submission, key=lambda one: one.rank)
 
     def _release(self, now: int, freed: Engine | None = None) -> None:
         # Danger: the whole fleet tried for each answer is too slow; one frees a permit on its engine only.
@@ -283,9 +277,8 @@
             stuck = set()
             for submission in line[:64] if freed else list(line):
                 # Danger: thousands held would be tried for each permit; one failure speaks for its tariff.
-                if submission.tariff in stuck or not self._is_turn(submission, now):
-                    continue
-                if not self._send(submission, now, freed):
+                if (submission.tariff not in stuck and self._is_turn(submission, now)
+                        and not self._send(submission, now, freed)):
                     stuck.add(submission.tariff)
 
     # Choose: of two random engines that may take it, the less loaded.
@@ -336,7 +329,7 @@
         # here.
         if (submission.crossed or submission.foreign or tariff.ordered or freed and not freed.far
                 or tariff.zones is not None or tariff.machines is not None
-                or relays and not self._budget_left(now)):
+                or relays and not self._budget_left(submission, now)):
             return near
         load = near.limiter.load(tariff.threads, now) if near else None
         for hall in self.halls:
@@ -371,7 +364,7 @@
         return 0.0 if self.held else spare / self.gateways, cores / self.gateways, self.pace
 
     def hopeless(self, relay: Relay, now: int) -> None:
-        """What crossed can't be answered in time any more: the final answer goes at once."""
+        """What is out can't be answered in time any more: the final answer goes at once."""
         if relay.ending is None and not relay.submission.ended:
             self.port.withdraw(relay)
             self._end(relay.submission, now)
@@ -380,6 +373,7 @@
         tariff = submission.tariff
         # Danger: an engine that drains still reports, and may be the idlest.
         if (engine.standing is not Standing.READY
+                or self.agreed and not self.agreed.takes(submission, engine, now)
                 or tariff.zones is not None and engine.zone not in tariff.zones
                 or tariff.machines is not None and engine.machine not in tariff.machines):
             return False
@@ -424,8 +418,10 @@
 
     def _send(self, submission: Submission, now: int, freed: Engine | None = None) -> bool:
         again = bool(submission.relays)
+        if self.agreed and not self._counted(now):
+            return False
         far_only = freed is not None and freed.far is not None
-        stays = far_only or again and not self._budget_left(now)
+        stays = far_only or again and not self._budget_left(submission, now)
         engine = None if stays else self._choose(submission, now, freed)
         if self.halls:
             engine = self._cross(submission, engine, freed, now)
@@ -446,25 +442,31 @@
         if limiter.doubted:
             self.trials = max(0.0, self.trials - 1)
             limiter.trial_at = now + 4 * WINDOW  # one at a time, unless it is answered sooner
-        if again:
-            self.relayed_again.add(now)
-        else:
-            tariff.usual.sent.add(now)
+        (self.relayed_again if again else tariff.usual.sent).add(now)
         self._terms(submission)
         self.port.relay(relay, max(1000, submission.hard_stop - now - (MARGIN - SWEEP)))
         return True
 
-    def _budget_left(self, now: int) -> bool:
+    def _counted(self, now: int) -> bool:
+        """Whether this gateway may relay; shares follow the number of gateways that the fleet agrees on."""
+        count = self.agreed.gateways(now)
+        if count not in (0, self.gateways):
+            for limiter in [engine.limiter for engine in self.engines]:
+                limiter.start *= self.gateways / count
+                limiter.limit *= self.gateways / count
+            self.gateways = count
+        return count > 0
+
+    def _budget_left(self, submission: Submission, now: int) -> bool:
         # Danger: relays beyond the first are rationed over any window; the ring rounds to the safe side.
-        share = self.rules.get("ResendRatio", 0) * self.accepted.least(now)
-        return ("BudgetWindow" not in self.rules
-                or self.relayed_again.most(now) + 1 <= self.rules.get("FreeResends", 0) + share)
+        most = self.rules.get("FreeResends", 0) + self.rules.get("ResendRatio", 0) * self.accepted.least(now)
+        scale = self.agreed.further(submission, now) if self.agreed else 1
+        return scale > 0 and ("BudgetWindow" not in self.rules
+                              or self.relayed_again.most(now) + 1 <= most * scale)
 
     def _terms(self, submission: Submission) -> None:
-        megabytes, priority = 0.0, 1
-        if self.family.get("MemoryHeeded"):
-            # Three tenths over the estimate: enough for a close one, little taken from others.
-            megabytes = submission.megabytes * 1.3
+        # Three tenths over the estimate: enough for a close one, little taken from others.
+        megabytes, priority = submission.megabytes * 1.3 if self.family.get("MemoryHeeded") else 0.0, 1
         if self.family.get("RanksHeeded"):
             # Four ranks by payoff for work against the mean of all: twice and half the mean part them.
             density = -submission.rank * self.work / self.payoff
@@ -586,7 +588,7 @@
 
     def _call_back(self, relay: Relay, now: int) -> None:
         if (self.limits.get("Cancel") and not (relay.called_off or relay.ending or relay.submission.ended)
-                and self._worth_again(relay.submission, now) and self._budget_left(now)
+                and self._worth_again(relay.submission, now) and self._budget_left(relay.submission, now)
                 and self.doubt_counts):
             relay.called_off = True
             self.port.withdraw(relay)
@@ -661,8 +663,7 @@
             self._call_back(relay, now)
         elif late or earlier and self.held and relay.projected > 3 * usual:
             if self._may_deny(submission) and not relay.called_off and self.limits.get("Cancel"):
-                self.port.withdraw(relay)
-                self._end(submission, now)
+                self.hopeless(relay, now)
 
     def listed(self, known: Iterable[tuple[Engine, tuple]], complete: bool, now: int) -> None:
         cores, named = self.family.get("CpuOfKind", []), set()
