--- a/cresstray/commands/__init__.py
+++ b/cresstray/commands/__init__.py
@@ -20,12 +20,12 @@
               help="The operator's file; without one, no optional part is on.")
 def run(config: str | None, operator: str | None) -> None:
     """Start one gateway and stay in the foreground."""
-    from cresstray import __main__ as program
+    from cresstray import start
     if config:
         os.environ["GW_CONFIG"] = config
     if operator:
         os.environ["GW_OPERATOR"] = operator
-    sys.exit(program.run())
+    sys.exit(start.run())
 
 
 @group.command("check-config")
@@ -66,7 +66,7 @@
 @click.option("--json", "as_json", is_flag=True, help="One JSON object, as the gateway tells it.")
 def links(socket: str, as_json: bool) -> None:
     """Tell the state of a running gateway's links and ledgers, by its control SOCKET."""
-    from cresstray.commands import status
+    from cresstray.halls import status
     try:
         told = status.ask(socket)
     except (OSError, ValueError) as trouble:
@@ -98,5 +98,5 @@
 
 def main() -> None:
     """The console's entry; without a command, the gateway as the platform starts it."""
-    from cresstray import __main__ as program
-    sys.exit(program.main(sys.argv[1:]))
+    from cresstray.start import run as start
+    sys.exit(cli(sys.argv[1:]) if sys.argv[1:] else start())
