--- a/cresstray/halls/connections.py
+++ b/cresstray/halls/connections.py
@@ -21,13 +21,12 @@
 from cresstray.halls.ends import Place
 from cresstray.halls.health import IDLE, Health, State
 from cresstray.halls.inward import Front, Inward
-from cresstray.halls.outward import Outward
+from cresstray.halls.outward import Keeper, Outward
 from cresstray.log import Log
 from cresstray.streams import ENDED, Line, connect, contained
 
 if TYPE_CHECKING:
     from cresstray.halls.tls import Contexts
-    from cresstray.passage.across import Across
 
 # Room for both handshakes at the longest round trip that a link is of any use with.
 _HANDSHAKE = 3.0
@@ -103,10 +102,10 @@
 class Hub:
     """All links of one gateway: those it makes to its peers, and those that others make to it."""
 
-    def __init__(self, given: operator.Halls, incarnation: str, seed: int, front: Front, across: Across,
+    def __init__(self, given: operator.Halls, incarnation: str, seed: int, front: Front, keeper: Keeper,
                  room: Callable[[], tuple[float, float, float]], clock: Clock, timers: Timers,
                  counters: Counters, log: Log) -> None:
-        self._given, self._front, self._across, self._spare = given, front, across, room
+        self._given, self._front, self._keeper, self._spare = given, front, keeper, room
         self._clock, self._timers, self._counters, self._log = clock, timers, counters, log
         self._me = Place(given.hall, given.gateway, incarnation)
         self._random = random.Random(seed).random
@@ -143,9 +142,9 @@
         link = self._given.link
         way = Way(f"{peer.hall} {peer.address[0]}:{peer.address[1]}", self._health(),
                   Credit(link.submissions, link.bytes), self.share)
-        outward = Outward(self._me, peer.hall, way, self._across, self._counters, self._say,
+        outward = Outward(self._me, peer.hall, way, self._keeper, self._counters, self._say,
                            self._clock.now, self._wake)
-        self._across.add(outward)
+        self._keeper.add(outward)
         return outward
 
     def _say(self, text: str) -> None:
--- a/cresstray/standins/show.py
+++ b/cresstray/standins/show.py
@@ -12,7 +12,7 @@
 from rich.live import Live
 from rich.table import Table
 
-from cresstray.commands import status
+from cresstray.halls import status
 from cresstray.standins.account import Asked
 from cresstray.standins.clients import draw
 from cresstray.standins.world import KINDS, World
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -15,11 +15,11 @@
 import anyio
 
 from cresstray.clock import Clock, Timers
-from cresstray.commands import authority, cli, status
+from cresstray.commands import authority, cli
 from cresstray.conf import operator
 from cresstray.conf.lines import UnusableError
 from cresstray.counters import Counters
-from cresstray.halls import codec
+from cresstray.halls import codec, status
 from cresstray.halls.connections import Hub
 from cresstray.log import Log
 from cresstray.standins.clients import draw
