--- a/cresstray/standins/world.py
+++ b/cresstray/standins/world.py
@@ -83,6 +83,7 @@
     process: subprocess.Popen | None = None
     spent: float = 0.0  # CPU seconds of earlier processes
     clients: list[Client] = field(default_factory=list)
+    tree: Path | None = None  # of another build of the program, in place of this one
 
     @property
     def control(self) -> str:
@@ -97,7 +98,7 @@
             os.unlink(self.control)
         with open(self.folder / f"{self.name}.log", "a") as log:
             self.process = subprocess.Popen([sys.executable, "-O", "-m", "cresstray"], env=env, stderr=log,
-                                            stdout=log)
+                                            stdout=log, cwd=self.tree)
 
     def cpu(self) -> float:
         """Seconds of CPU so far."""
@@ -107,6 +108,11 @@
             fields = file.read().rpartition(")")[2].split()
         return self.spent + (int(fields[11]) + int(fields[12])) / _TICKS
 
+    def memory(self) -> int:
+        """Bytes resident at most so far."""
+        with open(f"/proc/{self.process.pid}/status") as file:
+            return next(int(line.split()[1]) * 1024 for line in file if line.startswith("VmHWM"))
+
     def lives(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
