--- a/cresstray/clients/codec.py
+++ b/cresstray/clients/codec.py
@@ -96,8 +96,10 @@
     return number if type(number) is int and number >= 1 else None
 
 
-def fulfilled(number: int, result: bytes) -> bytes:
-    return _encode({"jsonrpc": "2.0", "id": number, "result": {"data": result}}) + b"\n"
+def fulfilled(number: int, result: bytes, at: str | None = None) -> bytes:
+    """`at`: how far a hinted read has seen, for the client to hand back."""
+    told = {"data": result} if at is None else {"data": result, "at": at}
+    return _encode({"jsonrpc": "2.0", "id": number, "result": told}) + b"\n"
 
 
 def healthy(number: int) -> bytes:
--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -54,8 +54,8 @@
         self._buffer = bytearray()
         self._faults = 0
 
-    def fulfil(self, number: int, result: bytes) -> None:
-        self._answer(number, codec.fulfilled(number, result))
+    def fulfil(self, number: int, result: bytes, at: str | None = None) -> None:
+        self._answer(number, codec.fulfilled(number, result, at))
 
     def deny(self, number: int, come_back: int) -> None:
         """`come_back` in microseconds."""
--- a/cresstray/clock.py
+++ b/cresstray/clock.py
@@ -10,13 +10,21 @@
 
 
 class Clock:
-    """Unix time in whole microseconds: read once at the start, moved on by the monotonic clock."""
+    """Unix time in whole microseconds: read once at the start, moved on by the monotonic clock.
 
-    def __init__(self) -> None:
-        self._offset = time.time_ns() - time.monotonic_ns()
+    `sleeps`: time in which the machine sleeps counts as well, as leases need it.
+    """
+
+    def __init__(self, sleeps: bool = False) -> None:
+        self._read = _with_sleep if sleeps else time.monotonic_ns
+        self._offset = time.time_ns() - self._read()
 
     def now(self) -> int:
-        return (self._offset + time.monotonic_ns()) // 1000
+        return (self._offset + self._read()) // 1000
+
+
+def _with_sleep() -> int:
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
 
 
 class Due:
--- a/cresstray/conf/lines.py
+++ b/cresstray/conf/lines.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import re
 import shlex
 from collections.abc import Callable
@@ -138,3 +139,12 @@
     if not found or int(found[3]) > 65535:
         raise ValueError("an address as HOST:PORT")
     return found[1] or found[2], int(found[3])
+
+
+def is_loopback(host: str) -> bool:
+    if host == "localhost":
+        return True
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False
--- a/cresstray/conf/operator.py
+++ b/cresstray/conf/operator.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import ipaddress
 from typing import Any
 
 import msgspec
 
+from cresstray.conf import fleet as fleets
 from cresstray.conf import lines
+from cresstray.conf.fleet import Fleet, Keeper
 from cresstray.conf.lines import Section, Sheet, UnusableError, one_of
 
 
@@ -54,6 +55,7 @@
     """All that the file sets."""
 
     halls: Halls | None = None
+    fleet: Fleet | None = None
 
 
 def read(path: str) -> Operator:
@@ -75,13 +77,17 @@
     "crossing": {"share": one_of(lines.share)},
     "tls": {"authority": _TEXT, "certificate": _TEXT, "key": _TEXT},
     "peer": {},
+    **fleets.KNOWN,
 }
+# Those that have a word of their own behind the keyword.
+_NAMED = {"hall": "its name", "fleet": "its name", "member": "its name", "folder": "a path"}
 
 
 def parse(path: str, text: str) -> Operator:
     sheet = Sheet(path, text)
     found: dict[str, Section] = {}
     peers: list[tuple[int, Peer]] = []
+    keepers: list[tuple[int, Keeper]] = []
     for section in sheet.sections:
         keyword, words = section.words[0], section.words[1:]
         if keyword not in _KNOWN:
@@ -90,16 +96,27 @@
             peer = _peer(sheet, section, words)
             if peer is not None:
                 peers.append((section.number, peer))
+        elif keyword == "keeper":
+            keeper = fleets.keeper(sheet, section, words)
+            if keeper is not None:
+                keepers.append((section.number, keeper))
         elif keyword in found:
             sheet.fault(section.number, f"{keyword!r} once; it stands in line {found[keyword].number}")
-        elif len(words) != (keyword == "hall"):
-            sheet.fault(section.number, "hall with its name" if keyword == "hall" else f"{keyword!r} alone")
+        elif len(words) != (keyword in _NAMED):
+            sheet.fault(section.number,
+                        f"{keyword} with {_NAMED[keyword]}" if keyword in _NAMED else f"{keyword!r} alone")
         else:
             found[keyword] = section
     made = {keyword: sheet.values(section, _KNOWN[keyword]) for keyword, section in found.items()}
-    halls = _halls(sheet, found, made, peers) if found or peers else None
+    tls = _tls(sheet, found.get("tls"), made.get("tls", {}))
+    of_fleet = [keyword for keyword in found if keyword in fleets.KNOWN]
+    fleet = fleets.fleet(sheet, found, made, keepers, tls) if of_fleet or keepers else None
+    of_halls = [keyword for keyword in found if keyword not in fleets.KNOWN and keyword != "tls"]
+    if "tls" in found and not of_fleet and not keepers:
+        of_halls.append("tls")
+    halls = _halls(sheet, found, made, peers, tls) if of_halls or peers else None
     sheet.finish()
-    return Operator(halls)
+    return Operator(halls, fleet)
 
 
 def _peer(sheet: Sheet, section: Section, words: list[str]) -> Peer | None:
@@ -114,7 +131,7 @@
 
 
 def _halls(sheet: Sheet, found: dict[str, Section], made: dict[str, dict[str, Any]],
-           peers: list[tuple[int, Peer]]) -> Halls | None:
+           peers: list[tuple[int, Peer]], tls: Tls | None) -> Halls | None:
     if "hall" not in found:
         sheet.fault(1, "a section 'hall' with this gateway's hall")
         return None
@@ -126,7 +143,6 @@
     if "gateway" not in section.lines:
         sheet.fault(section.number, "a line 'gateway NAME' below it")
     link = _link(sheet, found.get("link"), made.get("link", {}))
-    tls = _tls(sheet, found.get("tls"), made.get("tls", {}))
     for number, peer in peers:
         if peer.hall == hall:
             sheet.fault(number, f"a peer of another hall; {hall!r} is this one")
@@ -137,7 +153,7 @@
         reached.append((section.lines["listen"].number, made["hall"]["listen"][0]))
     for number, host in reached:
         # Danger: statements and marks would cross a network in the clear, and anybody could offer work.
-        if "tls" not in found and not _is_loopback(host):
+        if "tls" not in found and not lines.is_loopback(host):
             sheet.fault(number, f"a section 'tls', as {host} is not this machine")
     if sheet.faults:
         return None
@@ -166,12 +182,3 @@
         sheet.fault(section.number, f"lines for {', '.join(missing)} below it")
         return None
     return Tls(**made) if len(made) == len(_KNOWN["tls"]) else None
-
-
-def _is_loopback(host: str) -> bool:
-    if host == "localhost":
-        return True
-    try:
-        return ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        return False
--- a/cresstray/engines/codec.py
+++ b/cresstray/engines/codec.py
@@ -13,8 +13,9 @@
 # Bytes of an answer's name, word, fields and body: a page by the protocol, the others with room to spare.
 _LONGEST = (64, 16, 1024, 6_000)
 _LENGTH = re.compile(rb"\$(\d{1,4})\r\n")
-# Threads, shares and rates; what is beyond was never measured.
-_MOST_REPORTED = 1e6
+# Threads, shares and rates; what is beyond was never measured. Positions in a shard's log only grow.
+_MOST_REPORTED, _MOST_POSITION = 1e6, 2.0**53
+_POSITIONS = frozenset(("shard", "epoch", "applied", "head"))
 
 
 class BrokenError(Exception):
@@ -106,7 +107,8 @@
     for entry in text.split(";"):
         key, _, value = entry.partition(":")
         report[_REPORT_NAMES.get(key, key)] = figure = float(value)
-        if not 0 <= figure <= _MOST_REPORTED:  # nor is what is no number
+        most = _MOST_POSITION if key in _POSITIONS else _MOST_REPORTED
+        if not 0 <= figure <= most:  # nor is what is no number
             raise ValueError(value)
     return report
 
--- a/cresstray/halls/inward.py
+++ b/cresstray/halls/inward.py
@@ -175,7 +175,8 @@
             if entry.withdrawn and entry.state is State.SENT:
                 self._ended(entry, "withdrawn")
 
-    def fulfil(self, number: int, result: bytes) -> None:
+    def fulfil(self, number: int, result: bytes, at: str | None = None) -> None:
+        """`at` is of this hall's copies, and a hinted read does not cross."""
         self.open.pop(number)
         entry = self.ledger.open.get(number)
         if entry is not None:
--- a/cresstray/passage/book.py
+++ b/cresstray/passage/book.py
@@ -30,7 +30,8 @@
     def fulfil(self, submission: Submission, result: bytes) -> None:
         errand = self._answer(submission, "fulfilled")
         if errand is not None:
-            errand.asker.fulfil(errand.number, result)
+            read = submission.read
+            errand.asker.fulfil(errand.number, result, read.at() if read is not None else None)
 
     def deny(self, submission: Submission, come_back: int) -> None:
         errand = self._answer(submission, "denied")
--- a/cresstray/passage/relay.py
+++ b/cresstray/passage/relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from cresstray.clock import Clock
 from cresstray.counters import Counters
 from cresstray.engines import codec
@@ -11,6 +13,9 @@
 from cresstray.logic import Gateway
 from cresstray.passage.book import Book
 
+if TYPE_CHECKING:
+    from cresstray.passage.pinned import Pinned
+
 _ENDINGS = {b"overload": Ending.FULL, b"crashed": Ending.ERROR, b"nobody": Ending.MOOT}
 
 
@@ -20,6 +25,7 @@
     def __init__(self, clock: Clock, counters: Counters, book: Book) -> None:
         self._clock, self._counters, self._book = clock, counters, book
         self.gateway: Gateway | None = None
+        self.pinned: Pinned | None = None  # where the fleet's rules place shards
         self.out: dict[Relay, Exchange] = {}
         self._reports: dict[Relay, dict[str, float]] = {}  # told with a first page, for the relay's end
 
@@ -70,6 +76,8 @@
         self._book.relay_ended(ending)
         if submission.foreign:
             self._book.tell_far(submission, ending)
+        if self.pinned is not None:
+            self.pinned.came_back(relay, report, now)
         no_more = submission.ended
         if ending is Ending.FULFILLED and not no_more:
             self._book.fulfil(submission, result)
--- a/cresstray/passage/route.py
+++ b/cresstray/passage/route.py
@@ -12,12 +12,14 @@
 
 if TYPE_CHECKING:  # a gateway without links loads none of it
     from cresstray.passage.across import Across
+    from cresstray.passage.pinned import Pinned
 
 
 class Route:
     def __init__(self, make_pool: Callable[[str, tuple[str, int]], Pool], onward: Send) -> None:
         self._make_pool, self._onward = make_pool, onward
         self.across: Across | None = None  # where there are links to other halls
+        self.pinned: Pinned | None = None  # where there are rules of a fleet
         self._engines: dict[int, Engine] = {}
         self._pools: dict[Engine, Pool] = {}
 
@@ -25,6 +27,8 @@
         if relay.engine.far is not None:
             self.across.send(relay, statement_of[relay.submission], patience)
             return
+        if self.pinned is not None:
+            self.pinned.sent(relay, relay.sent)
         self._onward.send(relay, statement_of[relay.submission], self._pools[relay.engine], patience)
 
     def listed(self, event: Event) -> list[tuple[Engine, tuple]]:
@@ -53,4 +57,6 @@
             engine = self._engines.pop(number, None)
             if engine is not None:
                 self._pools.pop(engine).retire()
+        if self.pinned is not None:
+            self.pinned.directory.listed(event, self._engines)
         return entries
--- a/cresstray/passage/take_in.py
+++ b/cresstray/passage/take_in.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from cresstray.clock import Clock
 from cresstray.interface import Submission, Tariff
@@ -11,6 +11,9 @@
 from cresstray.passage.errand import Asker, Errand, Query
 from cresstray.tables import group_of
 
+if TYPE_CHECKING:
+    from cresstray.passage.pinned import Pinned
+
 # Names are new with every request: one that comes again within some ten seconds is a mistake or worse.
 _MEMORY, _MOST_NAMES = 10_000_000, 20_000
 
@@ -26,6 +29,7 @@
     def __init__(self, settings: Mapping, tariffs: list[Tariff], clock: Clock, onward: Admit) -> None:
         self._clock, self._onward = clock, onward
         self.last_stop: int | None = None  # when this gateway ends, once it is known
+        self.pinned: Pinned | None = None  # where there are rules of a fleet
         services = settings.get("Services", [])
         # The longest time a client of a tariff waits, twice over: no client can mean more.
         self._tariffs = {service.get("Name"): (tariff, 2 * service.get("GiveUp", 5e8))
@@ -50,6 +54,12 @@
                  else "a time limit beyond all bounds" if query.patience > longest
                  else "a statement that is no text" if statement is None
                  else "a name that was used before" if not self._is_new(query.name, now) else None)
+        read = None
+        if not wrong and self.pinned is not None and crossing is None:
+            try:
+                read = self.pinned.take(statement, query, tariff, now)
+            except ValueError as trouble:
+                wrong = f"a hint that can't be followed: {trouble}"
         if wrong:
             asker.reject(number, wrong)
             return
@@ -61,6 +71,8 @@
             group_of(statement) if crossing is None else crossing.group, size=len(query.statement))
         if crossing is not None:
             submission.foreign, submission.hold = True, crossing.hold
+        if read is not None:
+            self.pinned.made(submission, read)
         self._onward.admit(Errand(asker, number, query, submission), now)
 
     def _is_new(self, name: str, now: int) -> bool:
--- /dev/null
+++ b/cresstray/peers.py
@@ -0,0 +1,292 @@
+"""Links between processes of one fleet: made again and again, accepted, greeted, sealed, read, written.
+
+Both sides greet first; whoever can't show its name, or sends what it may not, loses its link with one line.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import socket
+from collections.abc import Callable, Iterable
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any, Protocol
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from cresstray.counters import Counters
+from cresstray.frames import BrokenError, Frame, Frames, encode
+from cresstray.rules.codec import MAGIC, ROLES, VERSION, Greet
+from cresstray.streams import ENDED, Line, connect
+
+if TYPE_CHECKING:
+    from cresstray.conf.fleet import Fleet
+    from cresstray.halls.tls import Contexts
+    from cresstray.said import Said
+
+# Room for both handshakes at the longest round trip that a lease of two seconds can stand.
+_HANDSHAKE = 2.0
+# Danger: a peer that reads nothing would have all that is written to it kept.
+_MOST_UNWRITTEN = 8 * 1024 * 1024
+# What the network has taken and not delivered for so long is lost; without this the kernel tries for minutes.
+_UNDELIVERED_MS = 2000
+# Danger: strangers that connect and say nothing hold a descriptor each for the time of a handshake.
+_MOST_GREETING = 256
+# A connection that lived so long worked; one that did not is made again later and later.
+_WORKED = 2.0
+_PAUSE, _PAUSE_MOST = 0.05, 1.0
+
+
+# As the documents have gateways' names; a keeper's generation is part of its name in the log.
+_NAME, _LIFE = re.compile(r"[0-9A-Za-z_.:@-]{1,64}"), re.compile(r"[0-9a-f]{1,32}")
+
+
+UNLIKE = "another lease, floor-lease, drift, most or barred than in this file"
+
+
+def agreed(given: Fleet) -> bytes:
+    """What all processes of one fleet must have the same, in 16 bytes.
+
+    Danger: a gateway with a longer lease would act when its leader takes it for stopped, and keepers that check
+    by another `most` would apply one log to different states.
+    """
+    told = msgspec.msgpack.encode([given.lease, given.floor_lease, given.drift, given.most, given.barred])
+    return blake2b(told, digest_size=16).digest()
+
+
+def hello(role: str, fleet: str, name: str, life: str, agreed: bytes = b"") -> Greet:
+    """`agreed`: needed from keepers, and from gateways that ask for leases."""
+    return Greet(MAGIC, VERSION, role, fleet, name, life, agreed)
+
+
+def greeted(greeting: Frame, given: Fleet, names: set[str] | None) -> Greet:
+    """A greeting of this fleet by who may bear its name; BrokenError with what is wrong."""
+    if not isinstance(greeting, Greet) or greeting.magic != MAGIC:
+        raise BrokenError("no greeting")
+    if greeting.version != VERSION:
+        raise BrokenError(f"version {greeting.version}, this is {VERSION}")
+    if greeting.fleet != given.name:
+        raise BrokenError(f"of fleet {greeting.fleet!r}")
+    if greeting.role not in ROLES:
+        raise BrokenError(f"role {greeting.role!r}")
+    if not _NAME.fullmatch(greeting.name) or not _LIFE.fullmatch(greeting.life):
+        raise BrokenError(f"name {greeting.name!r}, life {greeting.life!r}")
+    if names is not None and greeting.name not in names:
+        raise BrokenError(f"{greeting.name!r} with a certificate for {', '.join(sorted(names)) or 'nobody'}")
+    keeper = given.keeper(greeting.name) is not None
+    # Danger: whoever holds a gateway's key could change the rules of all.
+    if greeting.role == "operator":
+        if names is not None and greeting.name != "operator" and not keeper:
+            raise BrokenError(f"{greeting.name!r} as an operator")
+    elif (greeting.role == "keeper") != keeper or greeting.name == "operator":
+        raise BrokenError(f"{greeting.name!r} as a {greeting.role}")
+    elif keeper and greeting.nonce != agreed(given):
+        raise BrokenError(UNLIKE)
+    return greeting
+
+
+class Channel(Protocol):
+    def put(self, message: bytes) -> object: ...
+    async def receive(self) -> bytes: ...
+
+
+class Link:
+    """One greeted connection. What is put in one turn of the loop leaves in one piece."""
+
+    def __init__(self, line: Line, channel: Channel, scope: anyio.CancelScope, frames: Frames,
+                 greeting: Greet, early: list[Frame], bound: int = _MOST_UNWRITTEN) -> None:
+        self._line, self._channel, self._scope, self._frames = line, channel, scope, frames
+        self.greeting, self._early, self._bound = greeting, early, bound
+        self._out = bytearray()
+        self.guest: Any = None  # what its owner knows it by
+        self.why = ""
+        self.sent = self.received = 0  # bytes
+
+    def put(self, frame: Frame) -> None:
+        self.write(encode(frame))
+
+    def write(self, message: bytes) -> None:
+        """Encoded frames; nothing where the link has ended."""
+        if self.why:
+            return
+        if not self._out:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._out += message
+        if self.unwritten > self._bound:
+            self.end(f"{self.unwritten} bytes not read")
+
+    @property
+    def unwritten(self) -> int:
+        return len(self._out) + len(self._line.waiting)
+
+    def _flush(self) -> None:
+        if self._out and self._line.lives() and not self.why:
+            self.sent += len(self._out)
+            try:
+                self._channel.put(bytes(self._out))
+            except OSError as trouble:
+                self.end(repr(trouble))
+        self._out.clear()
+
+    def end(self, why: str) -> None:
+        """It ends; only the first reason is told."""
+        self.why = self.why or why
+        self._scope.cancel()
+
+    async def serve(self, take: Callable[[Frame], None]) -> str:
+        """Until the connection ends or `take` raises BrokenError; why it ended."""
+        try:
+            early, self._early = self._early, []
+            for frame in early:
+                take(frame)
+            while not self.why:
+                data = await self._channel.receive()
+                self.received += len(data)
+                for frame in self._frames.feed(data):
+                    if self.why:
+                        break
+                    take(frame)
+        except BrokenError as trouble:
+            self.why = self.why or f"dropped: {trouble}"
+        except ENDED as trouble:
+            self.why = self.why or repr(trouble)
+        return self.why
+
+
+class Ends:
+    """Makes and accepts the links of one process. `kinds`: what the other side may send, its greeting among it."""
+
+    def __init__(self, kinds: Iterable[type[Frame]], contexts: Contexts | None, chance: Callable[[], float],
+                 said: Said, counters: Counters) -> None:
+        self._kinds, self._contexts, self._chance = tuple(kinds), contexts, chance
+        self._said, self._counters = said, counters
+        self._greeting = 0
+        self._not_made: dict[str, str] = {}  # by whom it was not made, and why, as last told
+
+    def again(self) -> Pause:
+        return Pause(self._chance)
+
+    async def made(self, address: tuple[str, int], name: str, hello: Frame,
+                   check: Callable[[Frame, set[str] | None], None],
+                   talk: Callable[[Link], object], taken: Callable[[Link, Frame], None],
+                   gone: Callable[[Link], None], tasks: TaskGroup) -> str:
+        """One link to `name`, made and served; why it ended, which has been told in one line.
+
+        `check` gets the other side's greeting and the names of its certificate, None without TLS.
+        `talk` is called once the link is up, `taken` with each frame, `gone` when it has ended.
+        """
+        why = "given up"
+        try:
+            with anyio.fail_after(_HANDSHAKE):
+                made = await connect(*address)
+        except (OSError, TimeoutError) as trouble:
+            why = repr(trouble)
+            self._counters.add("links not made")
+            if self._not_made.get(name) != why:
+                self._not_made[name] = why
+                self._said.say("link", "not made, tried again", to=name, why=why)
+            return why
+        with anyio.CancelScope() as scope, Line(made, tasks, scope.cancel) as line:
+            made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNDELIVERED_MS)
+            link = await self._greeted(line, scope, False, lambda _: hello, check)
+            if isinstance(link, str):
+                why = link
+            else:
+                self._counters.add("links made")
+                self._not_made.pop(name, None)
+                talk(link)
+                try:
+                    await link.serve(lambda frame: taken(link, frame))
+                finally:
+                    gone(link)
+        if not isinstance(link, str):
+            why = link.why = link.why or "broken"
+        self._counters.add("links ended")
+        self._said.say("link", "ended", to=name, why=why)
+        return why
+
+    async def accept(self, listener: socket.socket, hello: Callable[[Frame], Frame],
+                     check: Callable[[Frame, set[str] | None], None], talk: Callable[[Link], object],
+                     taken: Callable[[Link, Frame], None], gone: Callable[[Link], None],
+                     tasks: TaskGroup) -> None:
+        """Links that others make; `hello` answers a greeting that `check` has found good."""
+        async def one(made: socket.socket) -> None:
+            link: Link | str = "given up"
+            host = ""
+            try:
+                host = "{}:{}".format(*made.getpeername()[:2])
+                with anyio.CancelScope() as scope, Line(made, tasks, scope.cancel) as line:
+                    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNDELIVERED_MS)
+                    self._greeting += 1
+                    try:
+                        if self._greeting > _MOST_GREETING:
+                            link = "refused: too many greet at once"
+                        else:
+                            link = await self._greeted(line, scope, True, hello, check)
+                    finally:
+                        self._greeting -= 1
+                    if not isinstance(link, str):
+                        self._counters.add("links taken")
+                        talk(link)
+                        try:
+                            await link.serve(lambda frame: taken(link, frame))
+                        finally:
+                            gone(link)
+            except OSError as trouble:
+                link = link if isinstance(link, Link) else repr(trouble)
+            why = link if isinstance(link, str) else link.why or "broken"
+            named = {} if isinstance(link, str) else {"name": getattr(link.greeting, "name", "")}
+            self._counters.add("links ended")
+            self._said.say("link", "ended", of=host, **named, why=why)
+
+        with listener:
+            while True:
+                try:
+                    await anyio.wait_readable(listener)
+                    tasks.start_soon(one, listener.accept()[0])
+                except BlockingIOError:
+                    continue
+                except OSError as trouble:
+                    # Danger: out of descriptors for a moment must not end the keeper.
+                    self._said.say("link", "can't accept", why=repr(trouble))
+                    await anyio.sleep(0.02)
+
+    async def _greeted(self, line: Line, scope: anyio.CancelScope, server: bool,
+                       hello: Callable[[Frame | None], Frame],
+                       check: Callable[[Frame, set[str] | None], None]) -> Link | str:
+        frames, found = Frames(self._kinds), []
+        channel: Channel = line
+        names: set[str] | None = None
+        try:
+            with anyio.fail_after(_HANDSHAKE):
+                if self._contexts is not None:
+                    from cresstray.halls.tls import Sealed
+                    channel = Sealed(line, self._contexts, server)
+                    names = await channel.shake_hands()
+                if not server:
+                    channel.put(encode(hello(None)))
+                while not found:
+                    found = frames.feed(await channel.receive())
+                check(found[0], names)
+                if server:
+                    channel.put(encode(hello(found[0])))
+        except (*ENDED, TimeoutError, BrokenError) as trouble:
+            self._counters.add("links refused")
+            return f"refused: {trouble!r}"
+        return Link(line, channel, scope, frames, found[0], found[1:])
+
+
+class Pause:
+    """How long to wait before a link is made again, in seconds."""
+
+    def __init__(self, chance: Callable[[], float]) -> None:
+        self._chance, self._next = chance, _PAUSE
+
+    def after(self, lived: float) -> float:
+        # Danger: all that followed one keeper find it gone at once, and would come back at once.
+        if lived > _WORKED:
+            self._next = _PAUSE
+        pause, self._next = self._next, min(2 * self._next, _PAUSE_MOST)
+        return pause * (0.5 + self._chance())
--- /dev/null
+++ b/cresstray/replicas/read.py
@@ -0,0 +1,194 @@
+"""Hinted reads of one gateway: what each asks for, which engines may take it now, what its answer shows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
+
+from cresstray.counters import Counters
+from cresstray.interface import Submission, Tariff
+from cresstray.replicas.choose import Choice, candidates, primary_has
+from cresstray.replicas.fallback import Share
+from cresstray.replicas.hint import Else, Hint, HintError, read_hint
+from cresstray.replicas.pins import matching, narrowed
+from cresstray.replicas.positions import MOST_POSITION, Board, Shard
+from cresstray.replicas.sessions import Token, token
+from cresstray.replicas.spread import MOST_WANTED
+from cresstray.rules.use import InUse, Mode
+from cresstray.tables import group_of
+
+if TYPE_CHECKING:
+    from cresstray.rules.use import Use
+
+# What a shard's hinted reads of late have asked for is asked of keepers for so long.
+_OF_LATE = 10_000_000
+
+
+class Reads:
+    """`cores`, `zone_of` and `full` (whether the limits let no such work onto it now) by engine id; `wall`: Unix
+    seconds, for the ends of pins only."""
+
+    def __init__(self, board: Board, use: Use, counters: Counters, chance: Callable[[], float],
+                 cores: Callable[[str], float], zone_of: Callable[[str], str | None],
+                 full: Callable[[str, Submission, int], bool], wall: Callable[[], float]) -> None:
+        self.board, self.use, self.counters = board, use, counters
+        self.cores, self.zone_of, self.full, self.wall = cores, zone_of, full, wall
+        self.share = Share(chance)
+        self._asked: dict[str, int] = {}  # shards, and when a hinted read last asked for each
+
+    def hint(self, statement: str, tariff: Tariff, now: int, named: str = "", tenant: str = "") -> Read | None:
+        """None where there is no hint; HintError where it can't be followed. The names are for pins."""
+        hint = read_hint(statement)
+        if hint is None:
+            return None
+        group = group_of(statement)
+        if not tariff.idempotent:
+            raise HintError("a hint on a tariff that writes")
+        if not group:
+            raise HintError("a hint on a statement that names no shard's table")
+        if hint.after is not None and hint.after.shard != group:
+            raise HintError(f"after is of shard {hint.after.shard}, the statement of {group}")
+        self.counters.add("reads hinted")
+        shard = str(group)
+        self._asked.pop(shard, None)
+        self._asked[shard] = now
+        if len(self._asked) > MOST_WANTED:
+            del self._asked[next(iter(self._asked))]
+        return Read(self, hint, shard, named, tenant)
+
+    def wanted(self, now: int) -> tuple[str, ...]:
+        """The shards of hinted reads of late."""
+        return tuple(shard for shard, at in self._asked.items() if now - at < _OF_LATE)
+
+    def heard(self, engine: str, report: Mapping[str, float], sent_at: int, now: int) -> None:
+        """From each answer; `sent_at`: when what it answers was sent, or before."""
+        told = told_in(report)
+        if told is not None:
+            shard, epoch, applied, head = told
+            self.placed(now)
+            self.board.heard(str(shard), engine, epoch, applied, head, sent_at, now)
+
+    def placed(self, now: int) -> InUse:
+        """What may be used now; the board has heard of it."""
+        in_use = self.use.at(now)
+        self.board.place(in_use.documents.placement.items, now)
+        return in_use
+
+
+def told_in(report: Mapping[str, float]) -> tuple[int, int, int, int | None] | None:
+    """Shard, epoch, applied, head of an answer's report; None where it tells none, or none that can be."""
+    if "shard" not in report or "epoch" not in report or not ("applied" in report or "head" in report):
+        return None
+    head = report.get("head")
+    found = [report["shard"], report["epoch"], report.get("applied", head), head]
+    if any(one is not None and not (0 <= one <= MOST_POSITION and one == int(one)) for one in found):
+        return None
+    return int(found[0]), int(found[1]), int(found[2]), None if head is None else int(head)
+
+
+class Read:
+    """One hinted read. All is asked of the rules when acting, nothing is kept."""
+
+    def __init__(self, reads: Reads, hint: Hint, shard: str, tariff: str, tenant: str) -> None:
+        self._reads, self.hint, self.shard = reads, hint, shard
+        self._tariff, self._tenant = tariff, tenant
+        self.submission: Submission | None = None  # once it is made
+        self._fell: tuple[str, int, float, int] | None = None  # primary, charged, its cores, gateways
+        self._fresh_until = 0
+        self._seen: Token | None = None
+        self._key: tuple | None = None
+        self._choice = Choice((), None)
+
+    def takes(self, engine: str, now: int) -> bool:
+        """Whether it may be read there now."""
+        in_use = self._reads.placed(now)
+        shard = self._shard(in_use)
+        if shard is None:
+            return False
+        if self.hint.primary:
+            return engine == shard.primary and primary_has(self.hint.after, shard)
+        choice = self._chosen(in_use, shard, now)
+        if choice.copies:
+            return engine in choice.copies
+        return (choice.otherwise is Else.PRIMARY and bool(engine) and engine == shard.primary
+                and primary_has(self.hint.after, shard) and self._reads.share.admits(
+                    engine, self._cost(), self._reads.cores(engine), in_use.gateways, now))
+
+    def admits(self, now: int) -> bool:
+        """False: it is denied at once."""
+        in_use = self._reads.placed(now)
+        shard = self._shard(in_use)
+        if self.hint.primary:
+            return True
+        copies = self._chosen(in_use, shard, now).copies if shard is not None else ()
+        if not copies:
+            return self.hint.otherwise is not Else.DENY
+        pins = self._pins(in_use)
+        # A strict pin takes from others what its copies could give them: at their limits it goes first.
+        if any(pin.strict for pin in pins) and all(self._full(copy, now) for copy in copies):
+            self._reads.counters.add("reads of pins shed")
+            return False
+        return True
+
+    def sent(self, engine: str, now: int) -> None:
+        """It goes out to this engine, which it `takes` at this moment."""
+        reads, in_use = self._reads, self._reads.placed(now)
+        shard = self._shard(in_use)
+        self._fell, self._fresh_until = None, 0
+        if self.hint.primary or shard is None:
+            return
+        if engine == shard.primary:
+            cost, cores = self._cost(), reads.cores(engine)
+            self._fell = (engine, cost, cores, in_use.gateways)
+            reads.share.charge(*self._fell, now)
+            reads.counters.add("reads fallen back")
+        else:
+            bound = reads.board.bound(self.shard, engine, now)
+            self._fresh_until = now + self.hint.within - bound if bound is not None else now
+            reads.counters.add("reads by copies")
+
+    def came_back(self, report: Mapping[str, float], took: int, now: int) -> None:
+        """Its relay has ended; `took`: microseconds that it was out."""
+        if self._fell is not None:
+            primary, charged, cores, gateways = self._fell
+            more = took * self.submission.tariff.threads - charged
+            if more > 0:
+                self._reads.share.charge(primary, more, cores, gateways, now)
+            self._fell = None
+        elif self._fresh_until and now > self._fresh_until:
+            self._reads.counters.add("reads longer than their bound")
+        told = told_in(report)
+        self._seen = None
+        if told is not None and str(told[0]) == self.shard:
+            # Danger: what was read may be as far as what the copy had when it answered. A token of less would
+            # let the session go back to between the two; without a position there is no token at all.
+            self._seen = Token(told[0], told[1], max(told[2], told[3] or 0))
+
+    def at(self) -> str | None:
+        """What the client may hand back as `after`; None where the answer did not tell how far it saw."""
+        return None if self._seen is None else token(self._seen)
+
+    def _shard(self, in_use: InUse) -> Shard | None:
+        # Danger: without a lease another may be the primary, and copies may be gone or set back.
+        return in_use.documents.placement.items.get(self.shard) if in_use.mode is Mode.LEASE else None
+
+    def _chosen(self, in_use: InUse, shard: Shard, now: int) -> Choice:
+        # The module asks for each engine in turn, at one moment.
+        key = (now, in_use.turn, self.submission.expected)
+        if key != self._key:
+            pins = self._pins(in_use)
+            self._key, self._choice = key, candidates(
+                self.hint, self.shard, shard, self._reads.board, now, self.submission.expected,
+                lambda fresh: narrowed(pins, fresh, shard.reads, self._reads.zone_of,
+                                       lambda copy: self._full(copy, now)))
+        return self._choice
+
+    def _pins(self, in_use: InUse) -> list:
+        items = in_use.documents.replicas.items
+        return matching(items, self._tariff, self._tenant, self._reads.wall()) if items else []
+
+    def _full(self, copy: str, now: int) -> bool:
+        return self._reads.full(copy, self.submission, now)
+
+    def _cost(self) -> int:
+        return self.submission.expected * self.submission.tariff.threads
--- /dev/null
+++ b/cresstray/replicas/spread.py
@@ -0,0 +1,59 @@
+"""What one peer is told of positions and tells: every word names the last one heard, so its age is bounded by
+this side's own clock."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from cresstray.replicas.positions import Board, Cursor, Item
+
+# Shards that a gateway asks for: those of its hinted reads of late.
+MOST_WANTED = 256
+# Words on their way at once; of older ones the moment is forgotten, and what refers to them is dropped.
+_MOST_KEPT = 64
+
+
+class Word(msgspec.Struct, array_like=True, frozen=True):
+    """The body of a Heard frame. `echo`: number of the last one heard from who gets this, 0: none."""
+
+    number: int
+    echo: int
+    items: tuple[Item, ...]
+    wants: tuple[str, ...] | None = None  # None: all; from keeper to keeper
+
+
+class Peer:
+    """One peer on one link; new with each link, so that nothing of an earlier one is echoed."""
+
+    def __init__(self, board: Board) -> None:
+        self._board, self._cursor = board, Cursor()
+        self._number = self._heard = 0
+        self._said: dict[int, int] = {}  # when each word went out
+        self._wants: tuple[str, ...] | None = ()
+
+    def says(self, most: int, wants: Iterable[str] | None, now: int) -> Word:
+        """The next word, with at most so many shards of what the peer wants."""
+        self._number += 1
+        self._said[self._number] = now
+        if len(self._said) > _MOST_KEPT:
+            del self._said[next(iter(self._said))]
+        items = self._board.told(now, most, self._cursor, self._wants) if self._heard else []
+        return Word(self._number, self._heard, tuple(items), None if wants is None else tuple(wants))
+
+    def hears(self, word: Word, now: int) -> None:
+        """What is out of turn, or names a word that was never said, is dropped."""
+        if word.number <= self._heard:
+            return
+        self._heard = word.number
+        wants = None if word.wants is None else word.wants[:MOST_WANTED]
+        if wants is None or set(wants) - set(self._wants or ()):
+            if wants != self._wants:
+                self._cursor = Cursor()  # what it did not want before has never been told
+        self._wants = wants
+        at = self._said.get(word.echo)
+        if at is not None:
+            self._board.take(word.items, at, now)
+            for number in [number for number in self._said if number < word.echo]:
+                del self._said[number]
--- /dev/null
+++ b/cresstray/rules/admission.py
@@ -0,0 +1,169 @@
+"""The module's hook: what the documents in use say of a submission and an engine, at the moment of acting."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from hashlib import blake2b
+
+from cresstray.counters import Counters
+from cresstray.interface import Engine, Submission
+from cresstray.ring import Ring
+from cresstray.rules.documents import Documents, EngineRule, TariffRule, TenantRule
+from cresstray.rules.use import InUse, Mode, Use
+
+# A tenant's share is of the work accepted over five seconds, as long as a burst lasts that is no trend.
+_SPAN, _PARTS = 5_000_000, 20
+# So many submissions of a tenant in that time always pass, or a quiet gateway's only tenant would get none.
+_ALWAYS = 10
+# What no answer has told the time of weighs as little as the least that does.
+_LEAST = 1_000
+# Threads a core that an engine is given at the most where nothing is limited: twice the start of logic.py.
+_FULL = 2
+
+
+class _View:
+    """The documents of one turn, by the indexes that submissions carry."""
+
+    def __init__(self, documents: Documents, tenants: Sequence[str], tariffs: Sequence[str]) -> None:
+        self.documents = documents
+        self.tenants = [documents.tenants.items.get(name, TenantRule()) for name in tenants]
+        self.tariffs = [documents.tariffs.items.get(name, TariffRule()) for name in tariffs]
+        self.capped = any(rule.share < 1 for rule in self.tenants)
+        self.shards = documents.placement.items
+        self.ranks: dict[str, int] = {}  # of this gateway among all, for the seats of an engine
+
+
+class _Taken:
+    """What was accepted of late of one tenant, or of all."""
+
+    def __init__(self) -> None:
+        self.work, self.count = Ring(_SPAN, _PARTS), Ring(_SPAN, _PARTS)
+
+    def add(self, now: int, work: float) -> None:
+        self.work.add(now, work)
+        self.count.add(now)
+
+
+class Admission:
+    """interface.Rules. `tenants`, `tariffs`: names by index; `engine_id` gives "" for one of another hall."""
+
+    def __init__(self, use: Use, tenants: Sequence[str], tariffs: Sequence[str],
+                 engine_id: Callable[[Engine], str], counters: Counters | None = None) -> None:
+        self.use, self._engine_id = use, engine_id
+        self._tenants, self._tariffs = tuple(tenants), tuple(tariffs)
+        self._counters = counters or Counters()
+        self._view = _View(use.documents, self._tenants, self._tariffs)
+        self._kept: tuple[int, int, InUse] | None = None
+        self._all, self._of = _Taken(), [_Taken() for _ in self._tenants]
+
+    def _at(self, now: int) -> InUse:
+        kept = self._kept
+        # Danger: an answer kept for longer than its moment would outlive its lease.
+        if kept is not None and kept[0] == now and kept[1] == self.use.changes:
+            return kept[2]
+        found = self.use.at(now)
+        self._kept = now, self.use.changes, found
+        if found.documents is not self._view.documents:
+            self._view = _View(found.documents, self._tenants, self._tariffs)
+        return found
+
+    def gateways(self, now: int) -> int:
+        """By how many the shares are divided; 0: relay nothing."""
+        return self._at(now).gateways
+
+    def further(self, submission: Submission, now: int) -> float:
+        """Scales the budget of further relays, 0 to 1."""
+        return self._rule(submission, self._at(now)).further
+
+    def _rule(self, submission: Submission, use: InUse) -> TariffRule:
+        if use.mode is Mode.STOP:
+            return _STOPPED
+        index = submission.tariff.index
+        # What the deploy file has and no name is known of, no rule is about.
+        return self._view.tariffs[index] if index < len(self._view.tariffs) else TariffRule()
+
+    def _tenant(self, submission: Submission) -> TenantRule:
+        known = self._view.tenants
+        return known[submission.tenant] if 0 <= submission.tenant < len(known) else TenantRule()
+
+    def admits(self, submission: Submission, now: int) -> bool:
+        """Whether it is accepted at all, and counts it if so: to be asked once for each."""
+        against = self._against(submission, self._at(now), now)
+        if against:
+            self._counters.add(f"rules: denied, {against}")
+            return False
+        if self._view.capped:
+            work = _work(submission)
+            self._all.add(now, work)
+            if 0 <= submission.tenant < len(self._of):
+                self._of[submission.tenant].add(now, work)
+        return True
+
+    def _against(self, submission: Submission, use: InUse, now: int) -> str:
+        if use.mode is Mode.STOP:
+            return "this gateway is not named"
+        if self._rule(submission, use).stopped:
+            return "tariff stopped"
+        tenant = self._tenant(submission)
+        if tenant.barred:
+            return "tenant barred"
+        if tenant.share < 1 and self._over(submission, tenant.share, now):
+            return "tenant over its share"
+        if use.mode is not Mode.LEASE and str(submission.data_set) in self._view.shards:
+            return "placement without a lease"
+        return ""
+
+    def _over(self, submission: Submission, share: float, now: int) -> bool:
+        own, work = self._of[submission.tenant], _work(submission)
+        # Danger: sums of buckets are too long or too short. Its own are taken long, those of all short.
+        return (own.count.most(now) >= (_ALWAYS if share else 0)
+                and own.work.most(now) + work > share * (self._all.work.least(now) + work))
+
+    def takes(self, submission: Submission, engine: Engine, now: int) -> bool:
+        """Whether a relay of it may go to this engine now; what was held is judged anew."""
+        use = self._at(now)
+        if use.mode is Mode.STOP or self._rule(submission, use).stopped or self._tenant(submission).barred:
+            return False
+        name, shard = self._engine_id(engine), self._view.shards.get(str(submission.data_set))
+        if shard is not None:
+            # Danger: under an old placement it would write to a primary that is none any more, or read a copy
+            # that has been dropped. Without a lease nobody can say.
+            if use.mode is not Mode.LEASE or not name:
+                return False
+            read = getattr(submission, "read", None)
+            if name != shard.primary if read is None else (
+                    name not in shard.reads or not read.takes(name, now)):
+                return False
+        rule = use.documents.engines.items.get(name)
+        return rule is None or not rule.barred and (
+            rule.work >= 1 or self._room(submission, engine, name, rule, use))
+
+    def _room(self, submission: Submission, engine: Engine, name: str, rule: EngineRule, use: InUse) -> bool:
+        """All gateways together have at most that part of what the engine is given on it, and as much again
+        in seats, or one: where a gateway's part is less than a thread, a few of them have a whole."""
+        own, threads = engine.limiter.threads, submission.tariff.threads
+        whole = rule.work * _FULL * engine.limiter.cores
+        if own + threads <= whole / use.gateways:
+            return True
+        # Danger: one each for 230 gateways would be many times what a limited engine is to have.
+        return own == 0 and rule.work > 0 and self._rank(name) < max(1, int(whole / threads))
+
+    def _rank(self, engine: str) -> int:
+        ranks = self._view.ranks
+        if engine not in ranks:
+            # By a draw that all gateways make alike: others have the seats of another engine.
+            drawn = {one: _draw(engine, one) for one in self._view.documents.gateways.items}
+            mine = drawn.get(self.use.name)
+            ranks[engine] = len(drawn) if mine is None else sum(one < mine for one in drawn.values())
+        return ranks[engine]
+
+
+_STOPPED = TariffRule(stopped=True, further=0.0)
+
+
+def _work(submission: Submission) -> float:
+    return float(max(_LEAST, submission.expected) * submission.tariff.threads)
+
+
+def _draw(engine: str, gateway: str) -> bytes:
+    return blake2b(f"{engine} {gateway}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/cresstray/rules/checks.py
@@ -0,0 +1,111 @@
+"""Whether a change is fit to be proposed: every reason against it, in one answer."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+
+from cresstray.rules.documents import Documents, World
+from cresstray.rules.strictest import divisor
+
+_NAME = re.compile(r"[0-9A-Za-z_.:@-]{1,64}")
+# What a keeper sends to a gateway that knows nothing is so long at most: half of what fits into its parts.
+LONGEST = 8 * 1024 * 1024
+
+
+def checked(old: Documents, new: Documents, world: World, ghosts: int = 0) -> list[str]:
+    """Every refusal, in order; none: fit. `ghosts`: gateways not named any more that may still run."""
+    return [*_gateways(new, world, ghosts), *_engines(new, world), *_tenants(new, world),
+            *_tariffs(new, world), *_placement(old, new, world), *_replicas(new, world)]
+
+
+def _gateways(new: Documents, world: World, ghosts: int) -> list[str]:
+    given, told = new.gateways, []
+    named, needed = len(given.items), divisor(given, ghosts)
+    if not named:
+        told.append("gateways: none is named, and all would stop")
+    if given.count and given.count < named:
+        told.append(f"gateways: count {given.count} is less than the {named} that are named")
+    if given.count > world.most:
+        told.append(f"gateways: count {given.count} is more than the file's most, {world.most}")
+    elif needed > world.most:
+        behind = f" and {ghosts} not yet known to be out" if ghosts else ""
+        told.append(f"gateways: {named} named{behind} are more than the file's most, {world.most}")
+    if given.floor and given.floor < needed:
+        told.append(f"gateways: floor {given.floor} is less than the {needed} that count")
+    if given.floor > world.most:
+        told.append(f"gateways: floor {given.floor} is more than the file's most, {world.most}")
+    return told
+
+
+def _engines(new: Documents, world: World) -> list[str]:
+    if not world.engines:
+        return []
+    told = [f"engines: there is no engine {name!r}" for name in new.engines.items
+            if name not in world.engines]
+    # No work is as much as barred.
+    barred = Counter(world.engines[name] for name, rule in new.engines.items.items()
+                     if name in world.engines and (rule.barred or not rule.work))
+    zones = Counter(world.engines.values())
+    for zone, count in sorted(barred.items()):
+        # Danger: what the others of a zone can't carry fells them; barring is for a few. One always may be.
+        most = max(1, int(world.most_barred * zones[zone] + 1e-9))
+        if count > most:
+            told.append(f"engines: {count} of {zones[zone]} barred in zone {zone!r}, {most} may be")
+    return told
+
+
+def _tenants(new: Documents, world: World) -> list[str]:
+    return [f"tenants: there is no tenant {name!r}" for name in new.tenants.items
+            if world.tenants and name not in world.tenants]
+
+
+def _tariffs(new: Documents, world: World) -> list[str]:
+    return [f"tariffs: there is no tariff {name!r}" for name in new.tariffs.items
+            if world.tariffs and name not in world.tariffs]
+
+
+def _placement(old: Documents, new: Documents, world: World) -> list[str]:
+    told = []
+    for name, shard in new.placement.items.items():
+        at, before = f"placement: shard {name}: ", old.placement.items.get(name)
+        if shard == before:
+            continue
+        if not 1 <= len(shard.copies) <= 3 or len(set(shard.copies)) < len(shard.copies):
+            told.append(f"{at}{len(shard.copies)} copies, not one to three that differ")
+        told += [f"{at}there is no engine {copy!r}" for copy in shard.copies
+                 if world.engines and copy not in world.engines]
+        if shard.primary and shard.primary not in shard.copies:
+            told.append(f"{at}its primary {shard.primary} is none of its copies")
+        told += [f"{at}{copy} is to be read and is none of its copies" for copy in shard.reads
+                 if copy not in shard.copies]
+        if len(set(shard.reads)) < len(shard.reads):
+            told.append(f"{at}a copy to be read twice")
+        if before is not None and shard.epoch < before.epoch:
+            told.append(f"{at}epoch {shard.epoch} after {before.epoch}")
+        elif before is not None and shard.primary != before.primary and shard.epoch == before.epoch:
+            told.append(f"{at}another primary needs a higher epoch than {before.epoch}")
+    return told
+
+
+def _replicas(new: Documents, world: World) -> list[str]:
+    told = []
+    placed = {copy for shard in new.placement.items.values() for copy in shard.copies}
+    for name, pin in new.replicas.items.items():
+        at = f"replicas: pin {name}: "
+        if not _NAME.fullmatch(name):
+            told.append(f"{at}not a name")
+        if not pin.tariff and not pin.tenant:
+            told.append(f"{at}neither a tariff nor a tenant")
+        if pin.tariff and world.tariffs and pin.tariff not in world.tariffs:
+            told.append(f"{at}there is no tariff {pin.tariff!r}")
+        if pin.tenant and world.tenants and pin.tenant not in world.tenants:
+            told.append(f"{at}there is no tenant {pin.tenant!r}")
+        if bool(pin.copies) == bool(pin.zone):
+            told.append(f"{at}either copies or a zone, not both and not neither")
+        if pin.zone and world.engines and pin.zone not in world.engines.values():
+            told.append(f"{at}there is no zone {pin.zone!r}")
+        told += [f"{at}no shard has a copy on {copy}" for copy in pin.copies if copy not in placed]
+        if not pin.until:
+            told.append(f"{at}it has no end")
+    return told
--- /dev/null
+++ b/cresstray/rules/state.py
@@ -0,0 +1,407 @@
+"""The state that the log makes: contents in order, one change at a time on its way to be in force.
+
+proposed (accepted, waits) > joint (strictest of old and new) > in force. Deterministic: every keeper that has
+applied the same entries holds the same, whatever else it has seen.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from typing import Annotated, NamedTuple, Protocol
+
+import msgspec
+
+from cresstray.rules import checks
+from cresstray.rules.documents import EMPTY, NAMES, Documents, World, delta, patched, touched
+from cresstray.rules.strictest import divisor, strictest, unlisted
+
+# Requests that are known again: 1,024 clients ask again within seconds, each with a few under way.
+_REQUESTS, _REQUEST_BYTES = 4_096, 4 * 1024 * 1024
+# Changes that are told and can be gone back to; what comes first goes when they are longer than this.
+_PAST, _PAST_BYTES = 256, 4 * 1024 * 1024
+# Each needs two turns, a second or so of an operator's patience.
+_WAITING = 64
+# Turns that a follower may be behind before it gets the whole: some minutes of a busy day.
+_TURNS, _TURN_BYTES = 256, 1024 * 1024
+
+
+class Section(Protocol):
+    """State of another package in the same log; as deterministic as this."""
+
+    def apply(self, state: State, data: bytes) -> bytes: ...
+    def dump(self) -> bytes: ...
+    def restore(self, data: bytes) -> None: ...
+
+
+class Outcome(msgspec.Struct, array_like=True, frozen=True):
+    """What became of a proposal: the version that it will be in force as, or every reason against it."""
+
+    accepted: bool
+    version: int = 0
+    refused: list[str] = []
+
+
+_Word = Annotated[str, msgspec.Meta(max_length=128)]
+
+
+class Past(msgspec.Struct, array_like=True, frozen=True):
+    """A change that was accepted; `back` leads from its content to the one before."""
+
+    version: int
+    request: str
+    who: str
+    why: str
+    documents: tuple[str, ...]
+    change: bytes
+    back: bytes
+
+
+class Propose(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    request: _Word
+    bases: dict[str, int]
+    change: bytes
+    why: Annotated[str, msgspec.Meta(max_length=1024)]
+    who: _Word = ""
+    world: World | None = None
+
+
+class Advance(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    turn: int
+
+
+class Gone(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    gateway: _Word
+    why: str = ""
+
+
+class ForSection(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    name: _Word
+    request: _Word
+    data: bytes
+
+
+class Since(msgspec.Struct, array_like=True, frozen=True):
+    """What leads a follower from `base` (0: from nothing) to `turn`, delta by delta."""
+
+    base: int
+    turn: int
+    deltas: list[bytes]
+
+
+class Content(NamedTuple):
+    """One version's documents, and the gateways that they don't name and that may still run."""
+
+    version: int
+    documents: Documents
+    ghosts: frozenset[str]
+    least: int = 0  # by what to divide at least while it is joint
+
+    def acting(self) -> Documents:
+        return _counted(self.documents, divisor(self.documents.gateways, len(self.ghosts)))
+
+
+_encode = msgspec.msgpack.Encoder(order="sorted").encode
+_commands = msgspec.msgpack.Decoder(Propose | Advance | Gone | ForSection).decode
+_BROKEN = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
+outcome = msgspec.msgpack.Decoder(Outcome).decode
+
+
+def propose(request: str, bases: dict[str, int], change: bytes, why: str, who: str = "",
+            world: World | None = None) -> bytes:
+    """`bases`: the version of each document that the change was made for; `change`: a delta.
+
+    `world`: what it is checked by, the proposing keeper's. Danger: each by its own file, keepers whose files
+    differ, or that read their log again with a newer one, would come to different states.
+    """
+    return _encode(Propose(request, bases, change, why, who, world))
+
+
+def advance(turn: int) -> bytes:
+    return _encode(Advance(turn))
+
+
+def gone(gateway: str, why: str = "") -> bytes:
+    return _encode(Gone(gateway, why))
+
+
+def section(name: str, request: str, data: bytes) -> bytes:
+    return _encode(ForSection(name, request, data))
+
+
+def _counted(documents: Documents, count: int) -> Documents:
+    gateways = msgspec.structs.replace(documents.gateways, count=count)
+    return msgspec.structs.replace(documents, gateways=gateways)
+
+
+class _Dumped(msgspec.Struct, array_like=True):
+    """`force` and what waits, as deltas one behind the other, each with its version and ghosts."""
+
+    odd: bool
+    contents: list[tuple[int, bytes, list[str], int]]
+    requests: list[tuple[str, bytes]]
+    past: list[Past]
+    sections: dict[str, bytes]
+
+
+_dumped = msgspec.msgpack.Decoder(_Dumped).decode
+
+
+class State:
+    def __init__(self, world: World, sections: Mapping[str, Section] | None = None) -> None:
+        self.world, self.sections = world, dict(sections or {})
+        self.turn, self.acting = 0, EMPTY
+        self._force = Content(0, EMPTY, frozenset())
+        self._named = self._counting = frozenset[str]()
+        self._waiting: deque[Content] = deque()
+        self._requests: dict[str, bytes] = {}
+        self._request_bytes = self._past_bytes = self._turn_bytes = 0
+        self._past: deque[Past] = deque()
+        self._deltas: deque[bytes] = deque()  # of the last turns, the last one to `turn`
+
+    @property
+    def latest(self) -> Documents:
+        return self._latest().documents
+
+    @property
+    def version(self) -> int:
+        """The one that the next change will follow; in force is `turn // 2`."""
+        return self._latest().version
+
+    @property
+    def ghosts(self) -> frozenset[str]:
+        """Not named any more in what is in force or joint, and not known to be out."""
+        return self._force.ghosts | (self._waiting[0].ghosts if self.joint else frozenset())
+
+    @property
+    def joint(self) -> bool:
+        return self.turn % 2 == 1
+
+    def waiting(self) -> list[int]:
+        """Versions that are accepted and not in force."""
+        return [content.version for content in self._waiting]
+
+    def _latest(self) -> Content:
+        return self._waiting[-1] if self._waiting else self._force
+
+    # Commands, in the order of the log.
+
+    def apply(self, index: int, data: bytes) -> bytes:
+        """The command's outcome. What can't be read changes nothing, and says so."""
+        try:
+            command = _commands(data)
+        except _BROKEN as trouble:
+            return _encode(Outcome(False, self.version, [f"entry {index} can't be read: {trouble}"]))
+        if isinstance(command, Propose):
+            return self._once(command.request and f"= {command.request}",
+                              lambda: _encode(self._propose(command)))
+        if isinstance(command, Advance):
+            return _encode(self._advance(command.turn))
+        if isinstance(command, Gone):
+            return _encode(self._gone(command))
+        return self._for_section(command)
+
+    def _once(self, request: str, act: Callable[[], bytes]) -> bytes:
+        # Danger: an answer was lost, and the same is asked again. A second time would be a second change.
+        if request in self._requests:
+            return self._requests[request]
+        told = act()
+        if request:
+            self._requests[request] = told
+            self._request_bytes += len(request) + len(told)
+            while len(self._requests) > _REQUESTS or self._request_bytes > _REQUEST_BYTES:
+                oldest = next(iter(self._requests))
+                self._request_bytes -= len(oldest) + len(self._requests.pop(oldest))
+        return told
+
+    def _propose(self, asked: Propose) -> Outcome:
+        latest, refused = self._latest(), []
+        if not asked.request:
+            refused.append("a proposal needs the name of its request")
+        if len(self._waiting) >= _WAITING:
+            refused.append(f"{len(self._waiting)} changes wait already")
+        try:
+            given = patched(latest.documents, asked.change)
+            names = touched(asked.change)
+        except ValueError as trouble:
+            return Outcome(False, latest.version, [*refused, str(trouble)])
+        for name in names:
+            base, version = asked.bases.get(name, 0), latest.documents.version(name)
+            if base != version:
+                refused.append(f"{name}: the change is of version {base}, and the latest is {version}")
+        changed = tuple(name for name in NAMES
+                        if getattr(given, name) != getattr(latest.documents, name))
+        if not changed:
+            return Outcome(not refused, latest.version, refused)
+        version = latest.version + 1
+        versions = dict(latest.documents.versions) | dict.fromkeys(changed, version)
+        new = msgspec.structs.replace(given, versions=dict(sorted(versions.items())))
+        dropped = latest.documents.gateways.items.keys() - new.gateways.items.keys()
+        ghosts = frozenset((latest.ghosts | dropped) - new.gateways.items.keys())
+        world = asked.world or self.world
+        refused += checks.checked(latest.documents, new, world, len(ghosts))
+        if not refused and len(delta(EMPTY, new)) > checks.LONGEST:
+            refused.append(f"all documents together are more than {checks.LONGEST} bytes")
+        if refused:
+            return Outcome(False, latest.version, refused)
+        # Before the first list any gateway may run, each by the file's most.
+        least = world.most if unlisted(latest.documents) else 0
+        self._accept(Content(version, new, ghosts, least), asked.request, asked.who, asked.why, changed)
+        return Outcome(True, version)
+
+    def _gone(self, given: Gone) -> Outcome:
+        latest = self._latest()
+        # Danger: while a list that is acted on names it, it may act; and a later one may name it again.
+        if given.gateway not in self.ghosts & latest.ghosts - self._named:
+            return Outcome(False, latest.version, [f"{given.gateway} is not waited for"])
+        if len(self._waiting) >= _WAITING:
+            return Outcome(False, latest.version, [f"{len(self._waiting)} changes wait already"])
+        content = Content(latest.version + 1, latest.documents, latest.ghosts - {given.gateway})
+        self._accept(content, "", "", given.why or f"{given.gateway} is out", ())
+        return Outcome(True, content.version)
+
+    def _accept(self, content: Content, request: str, who: str, why: str, names: tuple[str, ...]) -> None:
+        before = self._latest().documents
+        change, back = delta(before, content.documents), delta(content.documents, before)
+        past = Past(content.version, request, who, why, names, change, back)
+        self._waiting.append(content)
+        self._past.append(past)
+        self._past_bytes += len(change) + len(back)
+        while len(self._past) > _PAST or self._past_bytes > _PAST_BYTES and len(self._past) > 1:
+            oldest = self._past.popleft()
+            self._past_bytes -= len(oldest.change) + len(oldest.back)
+
+    def _for_section(self, command: ForSection) -> bytes:
+        known = self.sections.get(command.name)
+        if known is None:
+            return _encode(Outcome(False, self.version, [f"there is no section {command.name!r}"]))
+        return self._once(command.request and f"{command.name} {command.request}",
+                          lambda: known.apply(self, command.data))
+
+    # Turns: one change at a time.
+
+    def wants_turn(self) -> int | None:
+        """The turn that waits to be committed, if any; the leader commits it when Leases.may_turn."""
+        return self.turn + 1 if self._waiting else None
+
+    def _advance(self, turn: int) -> Outcome:
+        # Danger: a turn committed twice, or by one who led before, would skip one that not all have taken.
+        if turn != self.turn + 1 or not self._waiting:
+            return Outcome(False, self.version, [f"turn {turn} is not wanted after {self.turn}"])
+        if self.joint:
+            self._force = self._waiting.popleft()
+            acting = self._force.acting()
+        else:
+            acting = self._joined()
+        told = delta(self.acting, acting)
+        self._deltas.append(told)
+        self._turn_bytes += len(told)
+        while len(self._deltas) > _TURNS or self._turn_bytes > _TURN_BYTES and self._deltas:
+            self._turn_bytes -= len(self._deltas.popleft())
+        self.turn, self.acting = turn, acting
+        self._count()
+        return Outcome(True, self.version)
+
+    def _count(self) -> None:
+        # Once a turn: asked for each renewal, it would make the leader's work grow by the square.
+        named = self._force.documents.gateways.items.keys()
+        if self.joint:
+            named = named | self._waiting[0].documents.gateways.items.keys()
+        self._named = frozenset(named)
+        self._counting = self._named | self.ghosts
+
+    def _joined(self) -> Documents:
+        old, new = self._force, self._waiting[0]
+        both = strictest(old.documents, new.documents)
+        return _counted(both, max(old.acting().gateways.count, new.acting().gateways.count, new.least))
+
+    def named(self) -> frozenset[str]:
+        """By the old or the new list: who may have a lease."""
+        return self._named
+
+    def gateways(self) -> frozenset[str]:
+        """Whose lease counts: named by the old or the new list, and those not known to be out."""
+        return self._counting
+
+    def listed(self) -> bool:
+        """Whether there is a list of gateways in what is acted on."""
+        return not unlisted(self.acting)
+
+    def touches_floor(self) -> bool:
+        """Whether the turn that is waited for changes what holds without a lease."""
+        return (self.joint and not unlisted(self._force.documents)
+                and self._force.documents.gateways.floor != self._waiting[0].documents.gateways.floor)
+
+    # Followers.
+
+    def since(self, turn: int) -> bytes:
+        """For one that acts at `turn`; empty if there is nothing newer. 0, or too old: the whole."""
+        if turn >= self.turn:
+            return b""
+        behind = self.turn - turn
+        if turn and behind <= len(self._deltas):
+            return _encode(Since(turn, self.turn, list(self._deltas)[-behind:]))
+        return _encode(Since(0, self.turn, [delta(EMPTY, self.acting)]))
+
+    # History.
+
+    def history(self) -> list[Past]:
+        """The changes that were accepted of late, the oldest first."""
+        return list(self._past)
+
+    def content(self, version: int) -> Documents | None:
+        """The documents as they were, or will be, at a version; None where that is no longer known."""
+        documents, at = self.latest, self.version
+        for past in reversed(self._past):
+            if at == version:
+                break
+            documents, at = patched(documents, past.back), at - 1
+        return documents if at == version else None
+
+    def back_to(self, version: int) -> tuple[dict[str, int], bytes]:
+        """Bases and change of a proposal that brings an earlier content back; LookupError if not known."""
+        earlier = self.content(version)
+        if earlier is None:
+            raise LookupError(f"version {version} is no longer known")
+        names = [name for name in NAMES if getattr(earlier, name) != getattr(self.latest, name)]
+        made = msgspec.structs.replace(self.latest, **{name: getattr(earlier, name) for name in names})
+        return {name: self.latest.version(name) for name in names}, delta(self.latest, made)
+
+    # Snapshots.
+
+    def dump(self) -> bytes:
+        before, contents = EMPTY, []
+        for content in (self._force, *self._waiting):
+            told = delta(before, content.documents)
+            contents.append((content.version, told, sorted(content.ghosts), content.least))
+            before = content.documents
+        sections = {name: self.sections[name].dump() for name in sorted(self.sections)}
+        requests = list(self._requests.items())
+        return _encode(_Dumped(self.joint, contents, requests, list(self._past), sections))
+
+    def restore(self, data: bytes) -> None:
+        """ValueError where it is no dump, or of sections that this program doesn't have."""
+        try:
+            given = _dumped(data)
+        except _BROKEN as trouble:
+            raise ValueError(f"not a state of the rules: {trouble}") from None
+        unknown = sorted(set(given.sections) - set(self.sections))
+        if unknown:
+            raise ValueError(f"the state has a section {unknown[0]!r} that this build doesn't know")
+        documents, contents = EMPTY, []
+        for version, told, ghosts, least in given.contents:
+            documents = patched(documents, told)
+            contents.append(Content(version, documents, frozenset(ghosts), least))
+        if not contents or given.odd and len(contents) < 2:
+            raise ValueError("not a state of the rules: no content")
+        self._force, self._waiting = contents[0], deque(contents[1:])
+        self.turn = 2 * self._force.version + given.odd
+        self.acting = self._joined() if given.odd else self._force.acting()
+        self._count()
+        self._requests, self._past = dict(given.requests), deque(given.past)
+        self._request_bytes = sum(len(name) + len(told) for name, told in given.requests)
+        self._past_bytes = sum(len(past.change) + len(past.back) for past in given.past)
+        self._deltas, self._turn_bytes = deque(), 0
+        for name, dumped in given.sections.items():
+            self.sections[name].restore(dumped)
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -27,7 +27,9 @@
 from cresstray.passage.take_in import TakeIn
 
 if TYPE_CHECKING:
+    from cresstray.conf.fleet import Fleet
     from cresstray.conf.operator import Halls, Operator
+    from cresstray.fleet import Member
     from cresstray.halls.connections import Hub
 
 # After SIGTERM new requests go on coming for 0.6 s at the most, and SIGKILL comes no sooner than after the
@@ -43,7 +45,8 @@
                  descriptors: int = 1024, operator: Operator | None = None,
                  operator_now: Callable[[], Operator] | None = None) -> None:
         self._listen, self._settings, self._coordinator_now = listen, settings, coordinator_now
-        self._clock, self.counters = Clock(), Counters()
+        member = operator.fleet if operator and operator.fleet and operator.fleet.member else None
+        self._clock, self.counters = Clock(sleeps=member is not None), Counters()
         self._log, self._timers = Log(name, self._clock), Timers(self._clock)
         self._book = Book(self.counters)
         self._back = Back(self._clock, self.counters, self._book)
@@ -70,6 +73,7 @@
         last = events[-1].number if events else 0
         self._operator, self._operator_now = operator, operator_now
         self._hub = self._make_hub(operator.halls, seed) if operator and operator.halls else None
+        self._member = self._make_member(member, settings, seed) if member else None
         self._feed = Feed(coordinator, last, self._told, self.counters, self._log)
         self._tasks: TaskGroup
 
@@ -87,6 +91,11 @@
         self._admit.share = hub.share
         return hub
 
+    def _make_member(self, given: Fleet, settings: Mapping[str, Any], seed: int) -> Member:
+        from cresstray.fleet import Member
+        return Member(given, settings, seed, self._clock, self._gateway, self._route, self._back,
+                      self._take_in, self.counters, self._log)
+
     def _make_pool(self, label: str, address: tuple[str, int]) -> Pool:
         return Pool(label, address, self._settings, self._quota, self._tasks, self._timers, self._clock.now,
                     self.counters, self._log)
@@ -106,6 +115,8 @@
             listener.setblocking(False)
             if self._hub is not None:
                 await self._start_hub(self._hub)
+            if self._member is not None:
+                self._member.start(self._tasks)
             self._tasks.start_soon(self._door.run, listener)
             host, port = listener.getsockname()
             self._log.say("service", f"serves on {host}:{port}")
--- a/cresstray/tables.py
+++ b/cresstray/tables.py
@@ -77,3 +77,11 @@
             lists[-1] = False
         before = lower
     return 0
+
+
+def first_comment(statement: str) -> str | None:
+    """The first comment of the statement with its signs, of either kind; None where it has none."""
+    for token in _TOKEN.finditer(statement):
+        if token.lastgroup is None and token[0][0] != "'":
+            return token[0]
+    return None
