Test: a gateway without an operator's file, once it has served, has loaded none of the fleet

Change: it starts one, ends it, and reads what was loaded; it fails where service.py imports fleet.py at its top. 1 test, passes.

--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -2,11 +2,13 @@
 
 import contextlib
 import io
+import json
 import os
 import re
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
@@ -23,7 +25,7 @@
 from cresstray.halls.connections import Hub
 from cresstray.log import Log
 from cresstray.standins.clients import draw
-from cresstray.standins.world import KINDS, World
+from cresstray.standins.world import KINDS, World, settings
 from tests.desk import TraceCase
 
 _GOOD = """# two halls
@@ -315,11 +317,25 @@
 
 class Loading(unittest.TestCase):
     def test_without_an_operators_file_none_of_it_is_loaded(self) -> None:
-        """The platform may give 32 MB. What asyncio loads by itself, ssl among it, is not ours."""
-        said = subprocess.run(
-            [sys.executable, "-c", "import sys; import cresstray.__main__; print(*sys.modules)"],
-            capture_output=True, text=True, check=True).stdout.split()
-        unwanted = ("click", "rich", "cryptography", "cresstray.halls", "cresstray.conf",
-                    "cresstray.commands", "cresstray.standins", "cresstray.passage.across")
+        """By a gateway that has served and ended. What asyncio loads by itself, ssl among it, is not ours."""
+        script = ("import atexit, sys; atexit.register(lambda: print(*sys.modules)); "
+                  "from cresstray.start import run; sys.exit(run())")
+        with tempfile.TemporaryDirectory() as folder:
+            path = f"{folder}/config.json"
+            with open(path, "w") as file:
+                json.dump({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "settings": settings(KINDS, 1, 4)},
+                          file)
+            env = {name: value for name, value in os.environ.items() if name != "GW_OPERATOR"}
+            with subprocess.Popen([sys.executable, "-c", script], env=env | {"GW_CONFIG": path}, text=True,
+                                  stdout=subprocess.PIPE, stderr=subprocess.PIPE) as gateway:
+                self.assertIn("serves on", gateway.stderr.readline())
+                time.sleep(0.5)  # it catches signals a moment later
+                gateway.terminate()
+                said = gateway.communicate(timeout=10)[0].split()
+        unwanted = ("click", "rich", "cryptography", "structlog", "sqlite3", "scipy", "cresstray.halls",
+                    "cresstray.conf", "cresstray.commands", "cresstray.standins", "cresstray.passage.across",
+                    "cresstray.passage.pinned", "cresstray.fleet", "cresstray.frames", "cresstray.peers",
+                    "cresstray.said", "cresstray.consensus", "cresstray.rules", "cresstray.keeper",
+                    "cresstray.placement", "cresstray.replicas")
         self.assertIn("cresstray.service", said)
         self.assertEqual([], [name for name in said if name.startswith(unwanted)])
