--- a/cresstray/consensus/raft.py
+++ b/cresstray/consensus/raft.py
@@ -36,7 +36,7 @@
 )
 from cresstray.consensus.log import Log
 from cresstray.consensus.peers import Peer, Way
-from cresstray.frames import BrokenError, Frame
+from cresstray.frames import BrokenError, Frame, encode
 
 # Rounds of one leader begin no closer than this: an older one only makes the lease shorter.
 _ROUND = 1_000
@@ -257,7 +257,7 @@
 
     def _new_term(self, term: int) -> None:
         assert term > self.term
-        self.term, self._voted_for, self._dirty = term, None, True
+        self.term, self._voted_for, self.leader, self._dirty = term, None, None, True
 
     def _follow(self, term: int, leader: str | None, now: int) -> None:
         """Steps down to a follower of that term, which is not an earlier one."""
@@ -657,6 +657,8 @@
                 self._applied, self._log.fingerprint(), tuple(sorted(self._votes)),
                 max(0, self._heard + self._times.election - now), self._deadline - now,
                 self._part and (self._part[0].index, self._part[0].check, len(self._part[1])),
-                tuple((name, *peer.fingerprint(), peer.acked and now - peer.acked)
+                tuple((name, *peer.fingerprint(), None if peer.acked is None else now - peer.acked)
                       for name, peer in self._peers.items()),
-                self._heir, self._sent_now, tuple(self._frames), self._term_stored == self.term)
+                self._heir, self._sent_now, tuple((to, encode(frame)) for to, frame in self._frames),
+                tuple(number for _, number in self._reads), self._open, self._term_stored == self.term,
+                tuple((number, now - at) for number, at in self._rounds))
--- a/cresstray/consensus/storage.py
+++ b/cresstray/consensus/storage.py
@@ -59,8 +59,11 @@
                 _set(base)
                 base.executescript(f"PRAGMA application_id = {_APPLICATION}; "
                                    f"PRAGMA user_version = {_FORMAT}; BEGIN; {_TABLES}")
-                _put_meta(base, name, 0, None)
-                _put_snapshot(base, Snapshot(0, 0, members, b""))
+                # Danger: the founders' list stands in no entry. Where it is behind the first one, whoever comes
+                # later and empty gets it as a snapshot, and never the entries without it.
+                begun = 1 if members.voters else 0
+                _put_meta(base, name, begun, None)
+                _put_snapshot(base, Snapshot(begun, begun, members, b""))
                 base.execute("COMMIT")
             finally:
                 base.close()
--- a/cresstray/fleet.py
+++ b/cresstray/fleet.py
@@ -13,7 +13,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from cresstray.clock import Clock
+from cresstray.clock import Clock, Timers
 from cresstray.conf.fleet import Fleet as Given
 from cresstray.counters import Counters
 from cresstray.frames import BrokenError
@@ -83,11 +83,13 @@
     """One gateway's part in its fleet."""
 
     def __init__(self, given: Given, settings: Mapping[str, Any], seed: int, clock: Clock, gateway: Gateway,
-                 route: Route, back: Back, take_in: TakeIn, counters: Counters, log: Log) -> None:
+                 route: Route, back: Back, take_in: TakeIn, timers: Timers, counters: Counters,
+                 log: Log) -> None:
+        self._timers, self._lease = timers, given.lease
         # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
         life = f"{seed & 0xffffffff:08x}{clock.now():014x}"
         chance = random.Random(seed).random
-        self.use = use = Use(given.member, given.lease, given.floor_lease, given.drift, given.most, life=life)
+        self.use = use = Use(given.member, given.lease, given.floor_lease, given.drift, given.most, True, life)
         self.directory = directory = Directory(settings.get("Localities", []))
         board = Board(lambda text: log.say("replicas", text), given.drift)
         reads = Reads(board, use, counters, chance, directory.cores, directory.zone_of, directory.full, time.time)
@@ -100,4 +102,7 @@
                                  lambda: Talk(board, reads.wanted, _MOST_SHARDS))
 
     def start(self, tasks: TaskGroup) -> None:
+        # Danger: one that no list names would relay beside all that are named. Keepers that can be reached say so
+        # within a lease; where none can, service goes on, by the smallest share there is.
+        self._timers.after(self._lease, lambda _: self.use.goes_on())
         tasks.start_soon(self.follower.run, tasks)
--- a/cresstray/rules/admission.py
+++ b/cresstray/rules/admission.py
@@ -8,7 +8,7 @@
 from cresstray.counters import Counters
 from cresstray.interface import Engine, Submission
 from cresstray.ring import Ring
-from cresstray.rules.documents import Documents, EngineRule, TariffRule, TenantRule
+from cresstray.rules.documents import Documents, EngineRule, Shard, TariffRule, TenantRule
 from cresstray.rules.use import InUse, Mode, Use
 
 # A tenant's share is of the work accepted over five seconds, as long as a burst lasts that is no trend.
@@ -54,6 +54,7 @@
         self._counters = counters or Counters()
         self._view = _View(use.documents, self._tenants, self._tariffs)
         self._kept: tuple[int, int, InUse] | None = None
+        self._judged: tuple[Submission | None, InUse | None, bool, Shard | None] = None, None, False, None
         self._all, self._of = _Taken(), [_Taken() for _ in self._tenants]
 
     def _at(self, now: int) -> InUse:
@@ -87,12 +88,12 @@
         return known[submission.tenant] if 0 <= submission.tenant < len(known) else TenantRule()
 
     def admits(self, submission: Submission, now: int) -> bool:
-        """Whether it is accepted at all, and counts it if so: to be asked once for each."""
+        """Whether it may go on, each time it is offered; its first time counts for its tenant's share."""
         against = self._against(submission, self._at(now), now)
         if against:
             self._counters.add(f"rules: denied, {against}")
             return False
-        if self._view.capped:
+        if self._view.capped and not submission.relays:
             work = _work(submission)
             self._all.add(now, work)
             if 0 <= submission.tenant < len(self._of):
@@ -107,8 +108,10 @@
         tenant = self._tenant(submission)
         if tenant.barred:
             return "tenant barred"
-        if tenant.share < 1 and self._over(submission, tenant.share, now):
+        if tenant.share < 1 and not submission.relays and self._over(submission, tenant.share, now):
             return "tenant over its share"
+        if submission.read is not None and not submission.read.admits(now):
+            return "no copy is fresh enough"
         if use.mode is not Mode.LEASE and str(submission.data_set) in self._view.shards:
             return "placement without a lease"
         return ""
@@ -122,18 +125,22 @@
     def takes(self, submission: Submission, engine: Engine, now: int) -> bool:
         """Whether a relay of it may go to this engine now; what was held is judged anew."""
         use = self._at(now)
-        if use.mode is Mode.STOP or self._rule(submission, use).stopped or self._tenant(submission).barred:
+        # Asked for one engine after the other: what is said of the submission is found once for a moment.
+        if self._judged[0] is not submission or self._judged[1] is not use:
+            may = not (use.mode is Mode.STOP or self._rule(submission, use).stopped
+                       or self._tenant(submission).barred)
+            self._judged = submission, use, may, self._view.shards.get(str(submission.data_set))
+        _, _, may, shard = self._judged
+        read = submission.read
+        if not may or shard is None and read is None and not use.documents.engines.items:
+            return may
+        name = self._engine_id(engine)
+        # Danger: under an old placement it would write to a primary that is none any more, or read a copy that
+        # has been dropped. Without a lease nobody can say.
+        if (shard is not None or read is not None) and (
+                use.mode is not Mode.LEASE or not name
+                or (name != shard.primary if read is None else not read.takes(name, now))):
             return False
-        name, shard = self._engine_id(engine), self._view.shards.get(str(submission.data_set))
-        if shard is not None:
-            # Danger: under an old placement it would write to a primary that is none any more, or read a copy
-            # that has been dropped. Without a lease nobody can say.
-            if use.mode is not Mode.LEASE or not name:
-                return False
-            read = getattr(submission, "read", None)
-            if name != shard.primary if read is None else (
-                    name not in shard.reads or not read.takes(name, now)):
-                return False
         rule = use.documents.engines.items.get(name)
         return rule is None or not rule.barred and (
             rule.work >= 1 or self._room(submission, engine, name, rule, use))
--- a/cresstray/rules/checks.py
+++ b/cresstray/rules/checks.py
@@ -14,9 +14,13 @@
 
 
 def checked(old: Documents, new: Documents, world: World, ghosts: int = 0) -> list[str]:
-    """Every refusal, in order; none: fit. `ghosts`: gateways not named any more that may still run."""
-    return [*_gateways(new, world, ghosts), *_engines(new, world), *_tenants(new, world),
-            *_tariffs(new, world), *_placement(old, new, world), *_replicas(new, world)]
+    """Every refusal, in order; none: fit. `ghosts`: gateways not named any more that may still run.
+
+    What does not change is not judged again: the file may have changed, and a move may leave a pin behind.
+    """
+    return [*_gateways(new, world, ghosts), *_engines(old, new, world),
+            *_named("tenant", old, new, world.tenants), *_named("tariff", old, new, world.tariffs),
+            *_placement(old, new, world), *_replicas(old, new, world)]
 
 
 def _gateways(new: Documents, world: World, ghosts: int) -> list[str]:
@@ -38,11 +42,11 @@
     return told
 
 
-def _engines(new: Documents, world: World) -> list[str]:
-    if not world.engines:
+def _engines(old: Documents, new: Documents, world: World) -> list[str]:
+    if not world.engines or old.engines == new.engines:
         return []
-    told = [f"engines: there is no engine {name!r}" for name in new.engines.items
-            if name not in world.engines]
+    told = [f"engines: there is no engine {name!r}" for name, rule in new.engines.items.items()
+            if name not in world.engines and old.engines.items.get(name) != rule]
     # No work is as much as barred.
     barred = Counter(world.engines[name] for name, rule in new.engines.items.items()
                      if name in world.engines and (rule.barred or not rule.work))
@@ -55,14 +59,10 @@
     return told
 
 
-def _tenants(new: Documents, world: World) -> list[str]:
-    return [f"tenants: there is no tenant {name!r}" for name in new.tenants.items
-            if world.tenants and name not in world.tenants]
-
-
-def _tariffs(new: Documents, world: World) -> list[str]:
-    return [f"tariffs: there is no tariff {name!r}" for name in new.tariffs.items
-            if world.tariffs and name not in world.tariffs]
+def _named(kind: str, old: Documents, new: Documents, known: tuple[str, ...]) -> list[str]:
+    before, after = getattr(old, f"{kind}s").items, getattr(new, f"{kind}s").items
+    return [f"{kind}s: there is no {kind} {name!r}" for name, rule in after.items()
+            if known and name not in known and before.get(name) != rule]
 
 
 def _placement(old: Documents, new: Documents, world: World) -> list[str]:
@@ -88,11 +88,13 @@
     return told
 
 
-def _replicas(new: Documents, world: World) -> list[str]:
+def _replicas(old: Documents, new: Documents, world: World) -> list[str]:
     told = []
     placed = {copy for shard in new.placement.items.values() for copy in shard.copies}
     for name, pin in new.replicas.items.items():
         at = f"replicas: pin {name}: "
+        if pin == old.replicas.items.get(name):
+            continue
         if not _NAME.fullmatch(name):
             told.append(f"{at}not a name")
         if not pin.tariff and not pin.tenant:
--- a/cresstray/rules/use.py
+++ b/cresstray/rules/use.py
@@ -19,6 +19,9 @@
 _TIMES = 3
 # When something was learnt, asked at once, though not more often than so many times in a lease.
 _AT_ONCE = 40
+# Refused for now, as when no leader is known: asked again so many times as often, so that one that is elected
+# hears of all within a fraction of a second, and turns go on.
+_REFUSED = 3
 # Asked and not answered: what comes back later than this is of no use, whatever the lease.
 _ASKED = 64
 # Lines for the log that nobody has taken yet.
@@ -62,7 +65,7 @@
         self._out = 0  # the highest turn of which it was told that it is not named
         self.changes = 0  # grows whenever the answer of `at` may be another, beside by time
         self._until = self._floor_until = 0
-        self.due = 0
+        self.due = self._spread_to = 0
         self._number = 0
         self._asked: dict[int, tuple[int, int]] = {}  # number: when, and at which turn
         self._asked_at = -self._every  # when it last asked
@@ -77,7 +80,8 @@
         self._parts.clear()
         # Danger: keepers are back, and all gateways ask in the same moment. Names spread them over a third.
         if now >= self._until:
-            self.due = max(self.due, now + crc32(self.name.encode()) % max(1, self._every))
+            self._spread_to = now + crc32(self.name.encode()) % max(1, self._every)
+            self.due = max(self.due, self._spread_to)
         else:
             self._soon(now)
 
@@ -104,7 +108,7 @@
 
     def _soon(self, now: int) -> None:
         # At once; a little later if it has only just asked.
-        self.due = min(self.due, max(now, self._asked_at + self._at_once))
+        self.due = min(self.due, max(now, self._asked_at + self._at_once, self._spread_to))
 
     # Hearing.
 
@@ -128,6 +132,8 @@
             self._out, self._until, self._floor_until = max(self._out, frame.turn), 0, 0
             self.changes += 1
             self._soon(now)
+        elif isinstance(frame, Refused):
+            self.due = min(self.due, self._asked_at + self._every // _REFUSED)
         elif isinstance(frame, Behind) and frame.turn < self.turn:
             # The leader is still on its way to our turn.
             self._soon(now)
@@ -182,6 +188,11 @@
     def _named(self) -> bool:
         return self.name in self.documents.gateways.items
 
+    def goes_on(self) -> None:
+        """No keeper could be reached for so long that service counts for more: it waits for no list."""
+        self._waits = False
+        self.changes += 1
+
     # Acting.
 
     def _mode_at(self, now: int) -> Mode:
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -94,7 +94,7 @@
     def _make_member(self, given: Fleet, settings: Mapping[str, Any], seed: int) -> Member:
         from cresstray.fleet import Member
         return Member(given, settings, seed, self._clock, self._gateway, self._route, self._back,
-                      self._take_in, self.counters, self._log)
+                      self._take_in, self._timers, self.counters, self._log)
 
     def _make_pool(self, label: str, address: tuple[str, int]) -> Pool:
         return Pool(label, address, self._settings, self._quota, self._tasks, self._timers, self._clock.now,
