--- a/cresstray/fleet.py
+++ b/cresstray/fleet.py
@@ -1,4 +1,4 @@
-"""What a gateway of a fleet has beside the rest: its follower of the keepers, the module's hook, pinned reads.
+"""What a gateway of a fleet has beside: its follower of the keepers, the module's hook, pinned reads.
 
 Loaded only where the operator's file names keepers and this gateway as a member.
 """
@@ -89,10 +89,12 @@
         # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
         life = f"{seed & 0xffffffff:08x}{clock.now():014x}"
         chance = random.Random(seed).random
-        self.use = use = Use(given.member, given.lease, given.floor_lease, given.drift, given.most, True, life)
+        self.use = use = Use(given.member, given.lease, given.floor_lease, given.drift, given.most,
+                             waits=True, life=life)
         self.directory = directory = Directory(settings.get("Localities", []))
         board = Board(lambda text: log.say("replicas", text), given.drift)
-        reads = Reads(board, use, counters, chance, directory.cores, directory.zone_of, directory.full, time.time)
+        reads = Reads(board, use, counters, chance, directory.cores, directory.zone_of, directory.full,
+                      time.time)
         admission = Admission(use, [tenant["Name"] for tenant in settings.get("Tenants", [])],
                               [service.get("Name", "") for service in settings.get("Services", [])],
                               lambda engine: directory.ids.get(engine, ""), counters)
@@ -102,7 +104,7 @@
                                  lambda: Talk(board, reads.wanted, _MOST_SHARDS))
 
     def start(self, tasks: TaskGroup) -> None:
-        # Danger: one that no list names would relay beside all that are named. Keepers that can be reached say so
-        # within a lease; where none can, service goes on, by the smallest share there is.
+        # Danger: one that no list names would relay beside all that are named. Keepers that can be reached say
+        # so within a lease; where none can, service goes on, by the smallest share there is.
         self._timers.after(self._lease, lambda _: self.use.goes_on())
         tasks.start_soon(self.follower.run, tasks)
--- a/cresstray/rules/admission.py
+++ b/cresstray/rules/admission.py
@@ -135,8 +135,8 @@
         if not may or shard is None and read is None and not use.documents.engines.items:
             return may
         name = self._engine_id(engine)
-        # Danger: under an old placement it would write to a primary that is none any more, or read a copy that
-        # has been dropped. Without a lease nobody can say.
+        # Danger: under an old placement it would write to a primary that is none any more, or read a copy
+        # that has been dropped. Without a lease nobody can say.
         if (shard is not None or read is not None) and (
                 use.mode is not Mode.LEASE or not name
                 or (name != shard.primary if read is None else not read.takes(name, now))):
