A hinted read may fall back to the primary, which need not be among the copies to be read

Cause: admission.py left out who is not in reads before asking the read, so that a fallback never went out where reads names the other copies only. Change: the primary counts beside them; replicas/ still bounds it.

--- a/cresstray/consensus/storage.py
+++ b/cresstray/consensus/storage.py
@@ -59,8 +59,8 @@
                 _set(base)
                 base.executescript(f"PRAGMA application_id = {_APPLICATION}; "
                                    f"PRAGMA user_version = {_FORMAT}; BEGIN; {_TABLES}")
-                # Danger: the founders' list stands in no entry. As it is behind the first one, who comes later
-                # and empty gets it as a snapshot, and never the entries without it.
+                # Danger: the founders' list stands in no entry. As it is behind the first one, who comes
+                # later and empty gets it as a snapshot, and never the entries without it.
                 begun = 1 if members.voters else 0
                 _put_meta(base, name, begun, None)
                 _put_snapshot(base, Snapshot(begun, begun, members, b""))
--- a/cresstray/fleet.py
+++ b/cresstray/fleet.py
@@ -104,7 +104,7 @@
                                  lambda: Talk(board, reads.wanted, _MOST_SHARDS))
 
     def start(self, tasks: TaskGroup) -> None:
-        # Danger: one that no list names would relay beside all that are named. Keepers that can be reached say
-        # so within a lease; where none can, service goes on, by the smallest share there is.
+        # Danger: one that no list names would relay beside all that are named. Keepers within reach say so in
+        # a lease; where there are none, service goes on, by the smallest share there is.
         self._timers.after(self._lease, lambda _: self.use.goes_on())
         tasks.start_soon(self.follower.run, tasks)
--- a/cresstray/rules/admission.py
+++ b/cresstray/rules/admission.py
@@ -139,7 +139,8 @@
         # that has been dropped. Without a lease nobody can say.
         if (shard is not None or read is not None) and (
                 use.mode is not Mode.LEASE or not name
-                or (name != shard.primary if read is None else not read.takes(name, now))):
+                or (name != shard.primary if read is None else
+                    shard is None or name not in (*shard.reads, shard.primary) or not read.takes(name, now))):
             return False
         rule = use.documents.engines.items.get(name)
         return rule is None or not rule.barred and (
