--- a/benchmarks/builds.py
+++ b/benchmarks/builds.py
@@ -1,8 +1,8 @@
 """This build beside an earlier one, in one run: CPU and memory of a gateway without an operator's file.
 
 `python -m benchmarks.builds REVISION [--seed N] [--seconds S] [--rounds N] [--json]`. Two halls that share
-nothing get like loads, one served by each build; the builds change places from round to round. Exit code 1 where
-this one answered less than the other by over a hundredth.
+nothing get like loads, one served by each build; the builds change places from round to round. Exit code 1
+where this one answered less than the other by over a hundredth.
 """
 
 from __future__ import annotations
--- a/cresstray/frames.py
+++ b/cresstray/frames.py
@@ -1,7 +1,8 @@
 """Frames of links between processes of this program, whichever package names their kinds. Knows no socket.
 
-A frame is its length (4 bytes, big-endian, counting all behind it), one byte of kind, and a msgpack array. The
-kinds 1 to 31 are of links between halls, 32 to 47 of the keepers' log, 48 to 79 of rules, reads and moves.
+A frame is its length (4 bytes, big-endian, counting all behind it), one byte of kind, and a msgpack array.
+The kinds 1 to 31 are of links between halls, 32 to 47 of the keepers' log, 48 to 79 of rules, reads and
+moves.
 """
 
 from __future__ import annotations
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -1,8 +1,8 @@
 """All decisions of one gateway; its types and the port it speaks through are in interface.py.
 
-An adapter makes one Gateway, hands it each event as a call with the clock in whole microseconds, and does what
-it asks of its Port. A submission goes down the chain accept > take turns > hold > choose > send; what comes back
-goes up it, came_back > learn > relay again or end > give up its turn > release. docs/design.md tells why.
+An adapter makes one Gateway, hands it each event as a call with the clock in whole microseconds, and does
+what it asks of its Port. A submission goes down the chain accept > take turns > hold > choose > send; what
+comes back goes up it, came_back > learn > relay again or end > give up its turn > release.
 """
 
 from __future__ import annotations
--- a/tests/test_fleet_rules.py
+++ b/tests/test_fleet_rules.py
@@ -505,6 +505,9 @@
 
     def test_placed_shards(self) -> None:
         class Read:
+            def admits(self, now: int) -> bool:
+                return True
+
             def takes(self, engine: str, now: int) -> bool:
                 return engine != "s-0"
 
