Pinned reads with bounded staleness, tested on a virtual clock; a waiting read holds up itself only

Cause in logic.py: a held submission speaks for its tariff, so a hinted read that waits for a copy held up all of its tariff, hinted or not (_offer, _release).

--- /dev/null
+++ b/benchmarks/replicas.py
@@ -0,0 +1,204 @@
+"""What sharing positions gains over each gateway alone, on a virtual clock: python -m benchmarks.replicas.
+
+200 gateways hear each copy rarely: all that reaches one alone is what its own work's answers tell. Both runs
+have the same work and true positions; `true_positions` is what full knowledge of these would allow.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import json
+import math
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from cresstray.replicas.choose import candidates
+from cresstray.replicas.hint import Hint
+from cresstray.replicas.positions import Board
+from cresstray.replicas.spread import Peer
+from cresstray.rules.documents import Shard
+
+_ENGINES, _KEEPERS, _ZONES = 80, 3, 2
+_WITHINS = (500_000, 2_000_000, 10_000_000)
+_EXPECTED, _PATIENCE = 50_000, 30_000
+_FRAME = 5  # length and kind
+
+
+class _Truth:
+    """One shard's true positions: even writes, copies that lag by 10 to 600 ms, one stalls at times."""
+
+    def __init__(self, number: int, chance: random.Random) -> None:
+        engines = chance.sample(range(_ENGINES), 3)
+        names = tuple(f"s-{engine:08x}" for engine in engines)
+        self.placed = Shard(names, names[0], 1, names)
+        self.rate = chance.uniform(0.5, 20) / 1e6
+        self.lags = {name: (chance.uniform(20_000, 400_000), chance.uniform(0, 6)) for name in names[1:]}
+        self.stalls = names[1] if number % 5 == 0 else ""
+        self.period = chance.uniform(6e6, 14e6)
+
+    def head(self, now: float) -> int:
+        return int(max(0.0, now) * self.rate)
+
+    def applied(self, name: str, now: float) -> int:
+        if name == self.placed.primary:
+            return self.head(now)
+        lag, phase = self.lags[name]
+        behind = lag * (1 + 0.5 * math.sin(phase + now / 3e6))
+        if name == self.stalls and now % self.period < self.period / 3:
+            behind += now % self.period  # it stands still for a third of the time
+        return self.head(now - behind)
+
+    def age(self, position: int, now: float) -> float:
+        """Of what a copy with this position shows."""
+        return max(0.0, now - (position + 1) / self.rate)
+
+
+class _Run:
+    def __init__(self, given: argparse.Namespace, shares: bool) -> None:
+        self.given, self.chance = given, random.Random(given.seed)
+        self.truths = {str(n + 1): _Truth(n, self.chance) for n in range(given.shards)}
+        placed = {name: truth.placed for name, truth in self.truths.items()}
+        self.boards, self.keepers = self._boards(given.gateways, False), self._boards(_KEEPERS, True)
+        for board in self.boards + self.keepers:
+            board.place(placed, 0)
+        self.names = list(self.truths)
+        self.heat = [1 / (n + 1) ** 0.8 for n in range(given.shards)]
+        # A gateway's clients ask for some of the shards, each gateway for others.
+        self.asked: list[dict[str, int]] = [{} for _ in self.boards]
+        self.now, self.queue, self.number = 0, [], 0
+        self.hinted = self.copies = self.possible = self.broken = self.bytes = 0
+        self.after(0, self._work)
+        self.links: list[tuple[Peer, Peer, int]] | None = None
+        if shares:
+            self.network = random.Random(given.seed + 1)
+            self.links = [(Peer(board), Peer(self.keepers[n % _KEEPERS]), n)
+                     for n, board in enumerate(self.boards)]
+            if given.poll:
+                for engine in range(_ENGINES):
+                    self.after(self.network.randrange(given.poll * 1000), self._poll, f"s-{engine:08x}")
+            for link in self.links:
+                self.after(self.network.randrange(given.every * 1000), self._exchange, *link)
+            for n in range(_KEEPERS):
+                for other in range(n):
+                    self.after(0, self._exchange, Peer(self.keepers[n]), Peer(self.keepers[other]), None)
+
+    @staticmethod
+    def _boards(count: int, passes_on: bool) -> list[Board]:
+        return [Board(passes_on=passes_on) for _ in range(count)]
+
+    def after(self, delay: float, act: Callable[..., None], *given: Any) -> None:
+        self.number += 1
+        heapq.heappush(self.queue, (self.now + int(delay), self.number, act, given))
+
+    def run(self) -> None:
+        end = (self.given.warm + self.given.seconds) * 1_000_000
+        while self.queue[0][0] < end:
+            self.now, _, act, given = heapq.heappop(self.queue)
+            act(*given)
+
+    def _work(self) -> None:
+        """One piece of work, of which a fifth is hinted; its answer tells the positions of its engine."""
+        chance = self.chance
+        self.after(chance.expovariate(self.given.rate / 1e6), self._work)
+        number, name = chance.randrange(len(self.boards)), chance.choices(self.names, self.heat)[0]
+        truth, board = self.truths[name], self.boards[number]
+        engine = truth.placed.primary if chance.random() < 0.5 else chance.choice(truth.placed.copies[1:])
+        hinted, within, draw = chance.random() < 0.2, chance.choice(_WITHINS), chance.random()
+        there, back = chance.uniform(1000, 5000), chance.uniform(5000, 40_000)
+        if hinted:
+            self.asked[number].pop(name, None)
+            self.asked[number][name] = self.now
+            self._read(number, name, within, draw, there, self.links is not None)
+            return
+        applied = truth.applied(engine, self.now + there)
+        head = applied if engine == truth.placed.primary else None
+        self.after(there + back, lambda at=self.now: board.heard(
+            name, engine, 1, applied, head, at, self.now))
+
+    def _read(self, number: int, name: str, within: int, draw: float, there: float, asks: bool) -> None:
+        """`asks`: where no copy is known to do, the keeper is asked at once, and it waits for that."""
+        truth, board = self.truths[name], self.boards[number]
+        found = candidates(Hint(False, within), name, truth.placed, board, self.now, _EXPECTED).copies
+        if not found and asks:
+            self._pass(*self.links[number][:2], number, 1)
+            self.after(_PATIENCE, self._read, number, name, within, draw, there, False)
+            return
+        engine = found[int(draw * len(found))] if found else truth.placed.primary
+        if self.now >= self.given.warm * 1_000_000:
+            self._count(truth, found, engine, within, there)
+        applied = truth.applied(engine, self.now + there)
+        head = applied if engine == truth.placed.primary else None
+        self.after(2 * there, lambda at=self.now: board.heard(name, engine, 1, applied, head, at, self.now))
+
+    def _count(self, truth: _Truth, found: tuple[str, ...], engine: str, within: int, there: float) -> None:
+        end = self.now + _EXPECTED
+        self.hinted += 1
+        self.copies += bool(found)
+        self.possible += any(truth.age(truth.applied(copy, self.now), end) <= within for copy in truth.lags)
+        if found:
+            self.broken += truth.age(truth.applied(engine, self.now + there), end) > within
+
+    def _exchange(self, here: Peer, there: Peer, number: int | None) -> None:
+        """A word, the answer to it, and the answer to that."""
+        self.after(self.given.every * 1000, self._exchange, here, there, number)
+        self._pass(here, there, number, 2)
+
+    def _poll(self, engine: str) -> None:
+        """A keeper asks an engine for all positions that it has."""
+        self.after(self.given.poll * 1000, self._poll, engine)
+        keeper, at = self.network.choice(self.keepers), self.now
+        told = [(name, truth.applied(engine, at + 1000)) for name, truth in self.truths.items()
+                if engine in truth.placed.copies]
+
+        def came() -> None:
+            for name, position in told:
+                primary = engine == self.truths[name].placed.primary
+                keeper.heard(name, engine, 1, position, position if primary else None, at, self.now)
+        self.after(3000, came)
+
+    def _wants(self, number: int) -> tuple[str, ...]:
+        return tuple(reversed(self.asked[number]))[:self.given.wants]
+
+    def _pass(self, speaker: Peer, hearer: Peer, number: int | None, left: int) -> None:
+        keepers = number is None
+        wants = None if keepers or speaker is not self.links[number][0] else self._wants(number)
+        word = speaker.says(self.given.most * (20 if keepers else 1), wants, self.now)
+        if not keepers and self.now >= self.given.warm * 1_000_000:
+            self.bytes += len(msgspec.msgpack.encode(word)) + _FRAME
+
+        def came() -> None:
+            hearer.hears(word, self.now)
+            if left:
+                self._pass(hearer, speaker, number, left - 1)
+        self.after(self.network.uniform(500, 5000), came)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    for name, usual in (("seed", 1), ("seconds", 10), ("warm", 5), ("gateways", 200), ("shards", 200),
+                        ("rate", 4000), ("every", 250), ("most", 4),
+                        ("wants", 4), ("poll", 0)):
+        parser.add_argument(f"--{name}", type=int, default=usual)
+    parser.add_argument("--json", action="store_true")
+    given, made = parser.parse_args(), {}
+    for name in ("alone", "shared"):
+        run, began = _Run(given, name == "shared"), time.process_time()
+        run.run()
+        made[name] = {"hinted": run.hinted, "by_replica": round(run.copies / run.hinted, 3),
+                      "true_positions": round(run.possible / run.hinted, 3), "bound_broken": run.broken,
+                      "bytes_a_second": round(run.bytes / given.gateways / given.seconds),
+                      "cpu_s": round(time.process_time() - began, 1)}
+        if not given.json:
+            print(f"{name:7}", "  ".join(f"{key} {value}" for key, value in made[name].items()), flush=True)
+    if given.json:
+        print(json.dumps(made))
+    raise SystemExit(any(one["bound_broken"] for one in made.values()))
+
+
+if __name__ == "__main__":
+    main()
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -256,9 +256,10 @@
 
     def _offer(self, submission: Submission, now: int) -> None:
         # Danger: in overload each arrival would try the whole fleet; behind its own tariff it waits.
-        alike = submission.tariff if not (submission.tariff.load or submission.tariff.ordered) else None
+        alike = (None if submission.tariff.load or submission.tariff.ordered
+                 else submission.read or submission.tariff)
         last = submission.foreign or bool(submission.relays)
-        behind = self.held if last else any(held.tariff is alike for held in self.held)
+        behind = self.held if last else any((held.read or held.tariff) is alike for held in self.held)
         # Danger: what has no time beyond the margin would only be sent to be given up, on links made for it.
         barred = self.agreed and not self.agreed.admits(submission, now)
         if (not (behind or barred) and now < submission.hard_stop - (MARGIN - SWEEP)
@@ -276,10 +277,11 @@
         for line in (self.held, self.further):
             stuck = set()
             for submission in line[:64] if freed else list(line):
-                # Danger: thousands held would be tried for each permit; one failure speaks for its tariff.
-                if (submission.tariff not in stuck and self._is_turn(submission, now)
+                # Danger: thousands held would be tried for each permit; one failure speaks for its like.
+                kind = submission.read or submission.tariff
+                if (kind not in stuck and self._is_turn(submission, now)
                         and not self._send(submission, now, freed)):
-                    stuck.add(submission.tariff)
+                    stuck.add(kind)
 
     # Choose: of two random engines that may take it, the less loaded.
 
@@ -353,8 +355,7 @@
         self._release(now)
 
     def hall_has_room(self, hall: Engine, now: int) -> None:
-        if self.held or self.further:
-            self._release(now, hall)
+        self._release(now, hall)
 
     def room(self, now: int) -> tuple[float, float, float]:
         """What other halls may be told: our part of the threads to spare and of all cores, and our pace."""
@@ -693,8 +694,7 @@
         self._release(now)
 
     def list_failed(self, now: int) -> None:
-        # Ask again a second later; the list is one service for all, and a failed call costs it too.
-        self.port.wake(WINDOW, lambda _: self.port.subscribe())
+        self.port.wake(WINDOW, lambda _: self.port.subscribe())  # a failed call costs the list too
 
     def probed(self, engine: Engine, ending: Ending, report: Mapping[str, float], now: int) -> None:
         limiter = engine.limiter
--- a/cresstray/passage/pinned.py
+++ b/cresstray/passage/pinned.py
@@ -76,7 +76,7 @@
             read.sent(name, now)
 
     def came_back(self, relay: Relay, report: Mapping[str, float] | None, now: int) -> None:
-        """Each relay that ends, before an answer goes out. An engine that is gone tells nothing of its copies."""
+        """Each relay that ends, before an answer goes out."""
         name, read = self.directory.ids.get(relay.engine), relay.submission.read
         if name is not None and report:
             self.reads.heard(name, report, relay.sent, now)
--- a/cresstray/replicas/fallback.py
+++ b/cresstray/replicas/fallback.py
@@ -1,11 +1,11 @@
-"""What falls back from copies to primaries, bounded over the whole fleet: no primary falls as all copies lag."""
+"""What falls back from copies to primaries, bounded over the fleet: no primary falls as all copies lag."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-# Of a primary's cores. Writes and its own reads were placed to fit without this; a tenth is what a well-filled
-# engine spares, and all gateways take it at once when copies lag for the same reason.
+# Of a primary's cores. Its own work was placed to fit without this; a tenth is what a well-filled engine
+# spares, and all gateways take it at once when copies lag for the same reason.
 SHARE = 0.1
 # What was not used is kept for so long: reads come in clumps.
 WINDOW = 1_000_000
@@ -23,15 +23,15 @@
         self._draws: dict[str, tuple[int, float]] = {}
 
     def admits(self, primary: str, cost: int, cores: float, gateways: int, now: int) -> bool:
-        """Whether a read of `cost` microseconds of threads may fall back now; `gateways` in force, 0: none may."""
+        """Whether a read of `cost` microseconds of threads may fall back; `gateways`: those in force."""
         if gateways <= 0 or cores <= 0:
             return False
         takes = cost * gateways / (SHARE * cores)  # for so long it uses up this gateway's part
         owed = max(0.0, self._paid.get(primary, 0.0) - now)
         if takes <= WINDOW:
             return owed + takes <= WINDOW
-        # Danger: reads wider than a gateway's part come from all gateways at once when all copies lag. A draw a
-        # window for each lets as much work through as its part is, summed over the fleet.
+        # Danger: reads wider than a gateway's part come from all gateways at once when all copies lag. A draw
+        # a window for each lets as much work through as its part is, summed over the fleet.
         return owed == 0 and self._draw(primary, now) * takes < WINDOW
 
     def _draw(self, primary: str, now: int) -> float:
--- a/cresstray/replicas/hint.py
+++ b/cresstray/replicas/hint.py
@@ -1,5 +1,5 @@
 """What a client asks of a read, in the first comment of its statement:
-`/*+ cresstray read=replica within=2s session=ab12 after=16.3.1yea.k else=primary */`."""
+`/*+ cresstray read=replica within=2s session=ab12 after=16.3.1yea.j else=primary */`."""
 
 from __future__ import annotations
 
--- a/cresstray/replicas/pins.py
+++ b/cresstray/replicas/pins.py
@@ -29,17 +29,17 @@
 
 def pinned(pin: Pin, copies: Iterable[str], reads: tuple[str, ...],
            zone_of: Callable[[str], str | None]) -> list[str]:
-    """Those of `copies` that the pin means. A named copy that the shard no longer has is followed into its zone."""
+    """Those of `copies` that the pin means; one that the shard no longer has is followed into its zone."""
     gone = [copy for copy in pin.copies if copy not in reads]
-    zones = {zone_of(copy) for copy in gone} | ({pin.zone} if pin.zone and (gone or not pin.copies) else set())
+    zones = {zone_of(copy) for copy in gone} | ({pin.zone} if gone or not pin.copies else set())
     zones -= {None, ""}
     return [copy for copy in copies if copy in pin.copies or zone_of(copy) in zones]
 
 
-def narrowed(pins: list[Pin], fresh: list[str], reads: tuple[str, ...], zone_of: Callable[[str], str | None],
-             full: Callable[[str], bool]) -> list[str]:
-    """What pins leave of the copies that are fresh enough. Of several strict ones all hold; the first preference
-    with a copy that has room counts."""
+def narrowed(pins: list[Pin], fresh: list[str], reads: tuple[str, ...],
+             zone_of: Callable[[str], str | None], full: Callable[[str], bool]) -> list[str]:
+    """What pins leave of the copies that are fresh enough: of several strict ones all hold, and the first
+    preference with a copy that has room counts."""
     for pin in pins:
         if pin.strict:
             fresh = pinned(pin, fresh, reads, zone_of)
@@ -52,8 +52,11 @@
 
 
 def overload(pin: Pin, heat: Mapping[str, float], cores: Mapping[str, float], work: float) -> str | None:
-    """Why this pin would be too much for its copies. `heat`: threads that are busy on each by other work, `cores`
-    of each, `work`: threads that the pinned reads keep busy. For the dry run, with the engines that it means."""
+    """Why this pin would be too much for its copies, for the dry run; None: it would not.
+
+    `heat`: threads that other work keeps busy on each engine, `cores` of each that may be meant, `work`:
+    threads that the pinned reads keep busy.
+    """
     named = sorted(engine for engine in cores if not pin.copies or engine in pin.copies)
     have = sum(cores[engine] for engine in named)
     busy = sum(heat.get(engine, 0.0) for engine in named) + work
--- a/cresstray/replicas/positions.py
+++ b/cresstray/replicas/positions.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import re
 from array import array
 from bisect import bisect_right
 from collections.abc import Callable, Iterable, Mapping
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import msgspec
 
@@ -21,6 +22,7 @@
 _TRIAL, _PLAUSIBLE = 10_000_000, 3
 # A head seldom moves four times as fast as it did lately; what is beyond waits for the primary's next word.
 _BURST = 4
+_ID = re.compile("s-[0-9a-f]{8}")
 # Positions are whole numbers that a float holds exactly, as engines' reports are read as floats.
 MOST_POSITION = 2**53 - 1
 
@@ -34,14 +36,27 @@
     reads: tuple[str, ...]
 
 
+# Danger: what a peer tells goes into our own reckoning; a time below 0 would make a copy fresh for good.
+_Age = Annotated[int, msgspec.Meta(ge=-1, le=2**40)]
+_Position = Annotated[int, msgspec.Meta(ge=-1, le=MOST_POSITION)]
+_Number = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+_Name = Annotated[str, msgspec.Meta(max_length=64)]
+
+
 class Item(msgspec.Struct, array_like=True, frozen=True):
-    """What one process tells another of a shard. Ages in microseconds when it was told."""
+    """What one process tells another of a shard. Ages in milliseconds when it was told, rounded up."""
+
+    shard: _Name
+    epoch: _Position
+    age: _Age  # of the newest word on the head
+    head: _Position  # -1: unknown
+    # Copy, applied, age of the moment at which it had all, -1: unknown; or -1, for how long it is left out.
+    copies: Annotated[tuple[tuple[_Number | _Name, _Position, _Age], ...], msgspec.Meta(max_length=16)]
 
-    shard: str
-    epoch: int
-    heads: tuple[tuple[int, int], ...]  # age, head; the newest last
-    # Copy, applied, age of the moment at which it had all (-1: unknown); or -1 and for how long it is left out.
-    copies: tuple[tuple[str, int, int], ...]
+
+def _short(copy: str) -> int | str:
+    """Engines' ids as numbers: most of an item's bytes would be their names."""
+    return int(copy[2:], 16) if _ID.fullmatch(copy) else copy
 
 
 class _Copy:
@@ -89,7 +104,7 @@
 class Board:
     """What one process knows of all shards. `drift`: by how much two clocks may differ in pace.
 
-    `say` hears of what can't be, a line each. `passes_on`: what peers have told is told to others, as keepers do.
+    `say` hears of what can't be, a line each. `passes_on`: what peers have told is told on, as keepers do.
     """
 
     def __init__(self, say: Callable[[str], None] = lambda text: None, drift: float = 0.01,
@@ -118,7 +133,7 @@
                 self._shards[name] = _Shard(placed)
             elif placed.epoch != known.placed.epoch:
                 # Danger: positions of two epochs can't be compared; nothing of the other one counts.
-                new = self._shards[name] = _Shard(placed)
+                self._shards[name] = _Shard(placed)
                 for copy, word in known.waiting.items():
                     self.heard(name, copy, *word)
             elif placed.epoch == known.placed.epoch and placed is not known.placed:
@@ -154,7 +169,7 @@
         """At `at` the head was no further than this."""
         if at >= known.top_at and head < known.top:
             # Danger: a primary that was set back has lost what its copies may show, or tells lies.
-            self._say(f"the primary of shard {shard} told head {head} after {known.top}; nothing is known now")
+            self._say(f"the primary of shard {shard} told head {head} after {known.top}; nothing is known")
             self.lies += 1
             del known.times[:], known.heads[:]
             known.copies, known.top = {}, -1
@@ -295,14 +310,13 @@
         return items
 
     def _item(self, name: str, known: _Shard, now: int) -> Item:
-        # The newest two: one to be reached soon, one that most copies have reached. What older ones show is
-        # in the copies' own moments.
-        heads = tuple((now - at, head) for at, head in zip(known.times[-2:], known.heads[-2:]))
+        # The newest head only: what older ones show is in the copies' own moments.
+        age, head = (_milli(now - known.times[-1]), known.heads[-1]) if known.heads else (0, -1)
         copies = tuple(
-            (copy, one.applied, -1 if one.fresh is None else now - one.fresh) if one.out is None
-            else (copy, -1, max(0, now - one.out))
+            (_short(copy), one.applied, -1 if one.fresh is None else _milli(now - one.fresh))
+            if one.out is None else (_short(copy), -1, _milli(max(0, now - one.out)))
             for copy, one in sorted(known.copies.items()) if one.applied >= 0 or one.out is not None)
-        return Item(name, known.placed.epoch, heads, copies)
+        return Item(name, known.placed.epoch, age, head, copies)
 
     def take(self, items: Iterable[Item], at: int, now: int) -> None:
         """What a peer has told. `at`: a moment before it told them: when that went out here which it has
@@ -312,10 +326,10 @@
             known = self._shards.get(item.shard)
             if known is None or item.epoch != known.placed.epoch:
                 continue
-            for age, head in item.heads:
-                if age >= 0 and head >= 0:
-                    self._observed(item.shard, known, head, self._moment(at, age), now)
+            if item.head >= 0:
+                self._observed(item.shard, known, item.head, self._moment(at, item.age), now)
             for name, applied, age in item.copies:
+                name = f"s-{name:08x}" if isinstance(name, int) else name
                 if name in known.placed.copies and name != known.placed.primary:
                     self._take_copy(item.shard, known, name, applied, age, at, now)
         self._taking = False
@@ -338,4 +352,8 @@
             self._changed(known)
 
     def _moment(self, at: int, age: int) -> int:
-        return at - age - int(age * self._drift) - 1
+        return at - int(1000 * max(0, age) * (1 + self._drift)) - 1
+
+
+def _milli(age: int) -> int:
+    return -(-age // 1000)
--- a/cresstray/replicas/read.py
+++ b/cresstray/replicas/read.py
@@ -20,13 +20,13 @@
 if TYPE_CHECKING:
     from cresstray.rules.use import Use
 
-# What a shard's hinted reads of late have asked for is asked of keepers for so long.
-_OF_LATE = 10_000_000
+# Positions of a shard are asked of keepers for so long after its last hinted read here.
+_OF_LATE = 60_000_000
 
 
 class Reads:
-    """`cores`, `zone_of` and `full` (whether the limits let no such work onto it now) by engine id; `wall`: Unix
-    seconds, for the ends of pins only."""
+    """`cores`, `zone_of`, and `full` (whether the limits let no such work onto it now) by engine id; `wall`:
+    Unix seconds, for the ends of pins only."""
 
     def __init__(self, board: Board, use: Use, counters: Counters, chance: Callable[[], float],
                  cores: Callable[[str], float], zone_of: Callable[[str], str | None],
@@ -35,8 +35,12 @@
         self.cores, self.zone_of, self.full, self.wall = cores, zone_of, full, wall
         self.share = Share(chance)
         self._asked: dict[str, int] = {}  # shards, and when a hinted read last asked for each
+        # For so long a read waits for what keepers know before it falls back; 0 where no keeper is linked.
+        self.patience = 0
+        self.urgent = False  # a read waits so: the keeper is to be asked at once, not at the next turn
 
-    def hint(self, statement: str, tariff: Tariff, now: int, named: str = "", tenant: str = "") -> Read | None:
+    def hint(self, statement: str, tariff: Tariff, now: int, named: str = "",
+             tenant: str = "") -> Read | None:
         """None where there is no hint; HintError where it can't be followed. The names are for pins."""
         hint = read_hint(statement)
         if hint is None:
@@ -57,8 +61,9 @@
         return Read(self, hint, shard, named, tenant)
 
     def wanted(self, now: int) -> tuple[str, ...]:
-        """The shards of hinted reads of late."""
-        return tuple(shard for shard, at in self._asked.items() if now - at < _OF_LATE)
+        """The shards of hinted reads of late, the last one first, to be asked for with the next word."""
+        self.urgent = False
+        return tuple(shard for shard, at in reversed(self._asked.items()) if now - at < _OF_LATE)
 
     def heard(self, engine: str, report: Mapping[str, float], sent_at: int, now: int) -> None:
         """From each answer; `sent_at`: when what it answers was sent, or before."""
@@ -95,24 +100,38 @@
         self.submission: Submission | None = None  # once it is made
         self._fell: tuple[str, int, float, int] | None = None  # primary, charged, its cores, gateways
         self._fresh_until = 0
+        self._wait_until: int | None = None  # for keepers' word, once no copy was known to do
         self._seen: Token | None = None
-        self._key: tuple | None = None
-        self._choice = Choice((), None)
+        self._moment: tuple | None = None  # of the last question, and what its answer was
+        self._allowed: tuple[str, ...] = ()
 
     def takes(self, engine: str, now: int) -> bool:
         """Whether it may be read there now."""
+        in_use = self._reads.use.at(now)
+        # The module asks for each engine in turn, at one moment.
+        key = (now, in_use.turn, in_use.mode)
+        if key != self._moment:
+            self._moment, self._allowed = key, self._may_serve(now)
+        return engine in self._allowed
+
+    def _may_serve(self, now: int) -> tuple[str, ...]:
         in_use = self._reads.placed(now)
         shard = self._shard(in_use)
         if shard is None:
-            return False
+            return ()
+        primary = (shard.primary,) if shard.primary and primary_has(self.hint.after, shard) else ()
         if self.hint.primary:
-            return engine == shard.primary and primary_has(self.hint.after, shard)
+            return primary
         choice = self._chosen(in_use, shard, now)
         if choice.copies:
-            return engine in choice.copies
-        return (choice.otherwise is Else.PRIMARY and bool(engine) and engine == shard.primary
-                and primary_has(self.hint.after, shard) and self._reads.share.admits(
-                    engine, self._cost(), self._reads.cores(engine), in_use.gateways, now))
+            return choice.copies
+        if self._wait_until is None:
+            self._wait_until = now + self._reads.patience
+            self._reads.urgent = self._reads.urgent or self._reads.patience > 0
+        if choice.otherwise is not Else.PRIMARY or now < self._wait_until:
+            return ()
+        return tuple(one for one in primary if self._reads.share.admits(
+            one, self._cost(), self._reads.cores(one), in_use.gateways, now))
 
     def admits(self, now: int) -> bool:
         """False: it is denied at once."""
@@ -134,7 +153,7 @@
         """It goes out to this engine, which it `takes` at this moment."""
         reads, in_use = self._reads, self._reads.placed(now)
         shard = self._shard(in_use)
-        self._fell, self._fresh_until = None, 0
+        self._fell, self._fresh_until, self._moment = None, 0, None
         if self.hint.primary or shard is None:
             return
         if engine == shard.primary:
@@ -173,15 +192,11 @@
         return in_use.documents.placement.items.get(self.shard) if in_use.mode is Mode.LEASE else None
 
     def _chosen(self, in_use: InUse, shard: Shard, now: int) -> Choice:
-        # The module asks for each engine in turn, at one moment.
-        key = (now, in_use.turn, self.submission.expected)
-        if key != self._key:
-            pins = self._pins(in_use)
-            self._key, self._choice = key, candidates(
-                self.hint, self.shard, shard, self._reads.board, now, self.submission.expected,
-                lambda fresh: narrowed(pins, fresh, shard.reads, self._reads.zone_of,
-                                       lambda copy: self._full(copy, now)))
-        return self._choice
+        pins = self._pins(in_use)
+        return candidates(
+            self.hint, self.shard, shard, self._reads.board, now, self.submission.expected,
+            lambda fresh: narrowed(pins, fresh, shard.reads, self._reads.zone_of,
+                                   lambda copy: self._full(copy, now)))
 
     def _pins(self, in_use: InUse) -> list:
         items = in_use.documents.replicas.items
--- a/cresstray/replicas/spread.py
+++ b/cresstray/replicas/spread.py
@@ -4,13 +4,16 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
 from cresstray.replicas.positions import Board, Cursor, Item
 
 # Shards that a gateway asks for: those of its hinted reads of late.
-MOST_WANTED = 256
+MOST_WANTED = 32
+_MOST_ITEMS = 256
+_Name = Annotated[str, msgspec.Meta(max_length=64)]
 # Words on their way at once; of older ones the moment is forgotten, and what refers to them is dropped.
 _MOST_KEPT = 64
 
@@ -18,10 +21,11 @@
 class Word(msgspec.Struct, array_like=True, frozen=True):
     """The body of a Heard frame. `echo`: number of the last one heard from who gets this, 0: none."""
 
-    number: int
-    echo: int
-    items: tuple[Item, ...]
-    wants: tuple[str, ...] | None = None  # None: all; from keeper to keeper
+    number: Annotated[int, msgspec.Meta(ge=1, le=2**53)]
+    echo: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+    items: Annotated[tuple[Item, ...], msgspec.Meta(max_length=_MOST_ITEMS)]
+    # None: all, as keepers do.
+    wants: Annotated[tuple[_Name, ...], msgspec.Meta(max_length=MOST_WANTED)] | None = None
 
 
 class Peer:
@@ -34,13 +38,16 @@
         self._wants: tuple[str, ...] | None = ()
 
     def says(self, most: int, wants: Iterable[str] | None, now: int) -> Word:
-        """The next word, with at most so many shards of what the peer wants."""
+        """The next word, with at most so many shards of what the peer wants. `wants`: here, from now on."""
         self._number += 1
         self._said[self._number] = now
         if len(self._said) > _MOST_KEPT:
             del self._said[next(iter(self._said))]
-        items = self._board.told(now, most, self._cursor, self._wants) if self._heard else []
-        return Word(self._number, self._heard, tuple(items), None if wants is None else tuple(wants))
+        items = []
+        if self._heard:
+            items = self._board.told(now, min(most, _MOST_ITEMS), self._cursor, self._wants)
+        named = None if wants is None else tuple(wants)[:MOST_WANTED]
+        return Word(self._number, self._heard, tuple(items), named)
 
     def hears(self, word: Word, now: int) -> None:
         """What is out of turn, or names a word that was never said, is dropped."""
@@ -48,9 +55,8 @@
             return
         self._heard = word.number
         wants = None if word.wants is None else word.wants[:MOST_WANTED]
-        if wants is None or set(wants) - set(self._wants or ()):
-            if wants != self._wants:
-                self._cursor = Cursor()  # what it did not want before has never been told
+        if self._wants is not None and (wants is None or set(wants) - set(self._wants)):
+            self._cursor = Cursor()  # what it did not want before may never have been told
         self._wants = wants
         at = self._said.get(word.echo)
         if at is not None:
