--- /dev/null
+++ b/cresstray/placement/carrier.py
@@ -0,0 +1,688 @@
+"""What a plan's moves need next: commands for engines, entries for the log. Pure; resumed by any leader.
+
+A Carrier is made when a keeper begins to lead, and asked only once an entry of its own term has been applied.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import msgspec
+
+from cresstray.placement import moves as log
+from cresstray.placement.model import Limits
+from cresstray.placement.moves import At, Event, Moves, Moving, Under
+from cresstray.placement.pace import Flow, Pace, between
+from cresstray.rules import documents
+from cresstray.rules import state as rules
+
+# A shard's reservation is a sixteenth more than it has, where there is room: what it grows by meanwhile.
+_SPARE = 16
+# It is told again how fast to copy when the rate has changed by a fifth; finer steps only cost commands.
+_NEWS = 0.2
+# Checkpoints in the log for each move: sixteen keep what a restart may not know small, and the log short.
+_CHECKPOINTS = 16
+
+
+class Times(NamedTuple):
+    """Microseconds."""
+
+    fresh: int = 3_000_000  # what a disk told is used for so long
+    resend: int = 1_000_000  # what shows no effect is said again
+    quiet: int = 5_000_000  # a source silent for so long: another copy is copied from
+    gone: int = 60_000_000  # an engine silent for so long counts as dead
+    stuck: int = 20_000_000  # a copy without a further byte
+    pause: int = 1_000_000  # before the next attempt; twice as long each time
+    longest_pause: int = 30_000_000
+    fenced: int = 15_000_000  # a shard stands without a primary for so long, then goes back
+    near: int = 5_000_000  # a copy has caught up when it has the head of so long ago at the most
+    catch: int = 600_000_000  # a copy that follows and does not reach the head
+    room: int = 60_000_000  # a move waits for room so long while nothing else moves
+
+
+_TIMES = Times()
+# Copies of a shard in a version.
+_MOST_COPIES = 3
+# Attempts before it goes back: with the pauses above about two minutes of failures in a row.
+_TRIES = 8
+
+
+class Copy(msgspec.Struct):
+    """What an engine holds of a shard; `fence`: the last number it was given for it."""
+
+    bytes: int
+    whole: bool = True
+    follows: bool = False
+    primary: bool = False  # it takes writes
+    epoch: int = 0
+    applied: int = 0
+    head: int = 0  # as far as it knows
+    fence: int = 0
+    reads: int = 0  # open on it now
+    growth: int = 0  # bytes a second, of a primary, as it was measured
+    trouble: str = ""  # why it copies no further: "source", "full" or another word
+
+
+class Disk(msgspec.Struct):
+    """What an engine last told; `at`: when it was asked. Sizes in bytes, pace in bytes a second."""
+
+    engine: str
+    zone: str
+    disk: int
+    free: int
+    headroom: int
+    pace: int
+    at: int
+    copies: dict[str, Copy]
+    numbers: dict[str, int] = {}  # the last number it was given of each shard, also of what it dropped
+    cores: float = 0.0
+    util: float = 0.0
+    inflight: float = 0.0
+    depth: float = 0.0
+
+
+class Command(NamedTuple):
+    """For an engine: each may be given twice, or late."""
+
+    engine: str
+    verb: str  # COPY, FOLLOW, SWITCH, DROP, CANCEL
+    shard: str
+    fence: int
+    peer: str = ""  # COPY, FOLLOW: from whom; SWITCH: the primary's engine, none: fenced
+    offset: int = 0
+    rate: int = 0
+    keep: int = 0  # COPY: bytes to be left free
+    epoch: int = 0
+
+
+class Entry(NamedTuple):
+    """For the log, as `Node.propose` takes it; `request` names a proposal, and is empty for a step."""
+
+    request: str
+    data: bytes
+
+
+class _Watch:
+    """What this leader has seen of a move in its present state."""
+
+    def __init__(self, key: tuple, now: int) -> None:
+        self.key, self.since = key, now
+        self.bytes, self.grew = -1, now
+        self.head, self.head_at = -1, 0
+        self.rate = 0
+        self.final = -1  # head of the old primary once nothing is written
+
+
+class Carrier:
+    def __init__(self, times: Times = _TIMES) -> None:
+        self._times, self.pace = times, Pace()
+        self._began: int | None = None
+        self._plan = ""
+        self._watches: dict[int, _Watch] = {}
+        self._sent: dict[tuple, int] = {}
+        # Danger: a version proposed for a move behind the entry that sends it back would be committed, and
+        # read where its copy is dropped. Nothing more is proposed for these; what stands before them in the
+        # log is looked at as they are applied.
+        self._withdrawn: dict[tuple[int, At, int], tuple[Event, dict]] = {}
+        self._offer: tuple[int, int, int] | None = None  # base version, how often, when
+        self.waits: dict[int, str] = {}  # by move: what it waits for, for operators
+
+    def next(self, state: rules.State, moves: Moves, told: Mapping[str, Disk],
+             now: int) -> list[Command | Entry]:
+        """All that is due now; what was asked for and shows no effect comes again after a while."""
+        if self._began is None:
+            self._began = now
+        self._state, self._moves, self._told, self._now = state, moves, told, now
+        self._steps: list[Command | Entry] = []
+        self._changes: dict[str, tuple[documents.Shard, str]] = {}
+        self.pace.heed(told, now)
+        self._pay()
+        plan = moves.plan
+        if plan is not None and plan.had == plan.parts:
+            if plan.id != self._plan:
+                self._plan, self._offer = plan.id, None
+                self._watches.clear()
+                self._sent.clear()
+                self._withdrawn.clear()
+            self.waits = {}
+            for index, move in self._reckon(plan):
+                self._NEXT[move.at](self, index, move)
+            self._propose()
+        return self._steps
+
+    # What is known.
+
+    def _reckon(self, plan: Under) -> list[tuple[int, Moving]]:
+        """What is under way, and what may begin; for all of it: who is busy, what is promised, how fast."""
+        planned, done, cancelled = At.PLANNED, At.DONE, At.CANCELLED  # looked up once, of thousands of moves
+        left = [(index, move) for index, move in enumerate(plan.moves)
+                if move.at is not done and move.at is not cancelled]
+        live = [(index, move) for index, move in left if move.at is not planned]
+        stage = min((move.stage for _, move in left), default=0)
+        self._busy: dict[str, int] = {}
+        self._borders: dict[tuple[str, str], int] = {}
+        self._promised: dict[str, int] = {}
+        for _, move in live:
+            self._count(move)
+        flows = [Flow(index, move.feed, move.target) for index, move in live if move.at is At.COPYING]
+        self._rates = self.pace.rates(flows, plan.limits, self._told)
+        self._short = self._too_full(live)
+        if plan.halted or plan.cancelled:
+            return live
+        return live + [(index, move) for index, move in left if move.stage == stage and move.at is planned]
+
+    def _count(self, move: Moving) -> None:
+        for engine in (move.source, move.target):
+            self._busy[engine] = self._busy.get(engine, 0) + 1
+        border = between(move.source, move.target, self._told)
+        self._borders[border] = self._borders.get(border, 0) + 1
+        self._promised[move.target] = self._promised.get(move.target, 0) + self._to_come(move)
+
+    def _to_come(self, move: Moving) -> int:
+        """Bytes of its reservation that the target has not taken yet, by its own word."""
+        if move.at is At.BACK:
+            return 0  # nothing more comes
+        disk = self._told.get(move.target)
+        copy = disk.copies.get(move.shard) if disk is not None else None
+        return max(0, move.held - (copy.bytes if copy is not None else 0))
+
+    def _room(self, engine: str) -> int:
+        """Bytes that may still be promised at an engine; below 0: too many are."""
+        disk = self._told[engine]
+        return disk.free - self._headroom(engine) - self._promised.get(engine, 0)
+
+    def _headroom(self, engine: str) -> int:
+        return max(self._told[engine].headroom, self._moves.plan.headroom.get(engine, 0))
+
+    def _too_full(self, live: list[tuple[int, Moving]]) -> set[int]:
+        """Moves to go back, since their target fills: the latest that still copy, until the rest fits."""
+        lacking = {engine: -self._room(engine) for engine in sorted(self._promised)
+                   if engine in self._told and self._room(engine) < 0}
+        for _, move in live:
+            if move.at is At.BACK and move.target in lacking:  # it makes room soon
+                copy = self._told[move.target].copies.get(move.shard)
+                lacking[move.target] -= copy.bytes if copy is not None else 0
+        gone: set[int] = set()
+        for index, move in reversed(live):
+            if lacking.get(move.target, 0) > 0 and (move.at is At.RESERVED or move.at is At.COPYING):
+                gone.add(index)
+                # Its promise and, soon, what it has taken.
+                lacking[move.target] -= move.held
+        return gone
+
+    def _fresh(self, engine: str) -> Disk | None:
+        disk = self._told.get(engine)
+        return disk if disk is not None and self._now - disk.at <= self._times.fresh else None
+
+    def _silent(self, engine: str) -> int:
+        disk = self._told.get(engine)
+        return self._now - max(self._began, disk.at if disk is not None else 0)
+
+    def _gone(self, engine: str) -> bool:
+        return self._silent(engine) > self._times.gone
+
+    def _watch(self, index: int, move: Moving) -> _Watch:
+        key = (move.at, move.fence, move.tries)
+        watch = self._watches.get(index)
+        if watch is None or watch.key != key:
+            watch = self._watches[index] = _Watch(key, self._now)
+        return watch
+
+    def _placed(self, move: Moving) -> documents.Shard | None:
+        return self._state.latest.placement.items.get(move.shard)
+
+    # What goes out.
+
+    def _due(self, key: tuple, every: int | None = None) -> bool:
+        """Whether it is to be said now: first, or again since it showed no effect."""
+        at = self._sent.get(key)
+        if at is not None and self._now - at < (every or self._times.resend):
+            return False
+        self._sent[key] = self._now
+        return True
+
+    def _command(self, index: int, command: Command) -> None:
+        if self._due((index, command.engine, command.verb, command.fence, command.rate, command.epoch)):
+            self._steps.append(command)
+
+    def _enter(self, index: int, move: Moving, event: Event, **facts: object) -> None:
+        if event in (Event.BACK, Event.RETRY, Event.UNFENCE):
+            event, facts = self._withdrawn.setdefault((index, move.at, move.fence), (event, facts))
+        if self._due((index, move.at, event, move.fence, *facts.values())):
+            self._log(log.Step(self._plan, index, move.at, event, move.fence, **facts))
+
+    def _log(self, entry: log.Step | log.Paid) -> None:
+        # It is compared and set, so it counts once without a name; names are kept for operators.
+        self._steps.append(Entry("", rules.section(log.NAME, "", log.encode(entry))))
+
+    def _goes_back(self, index: int, move: Moving) -> bool:
+        """Whether it was asked to; said again until the log has it."""
+        asked = self._withdrawn.get((index, move.at, move.fence))
+        if asked is not None:
+            self._enter(index, move, asked[0], **asked[1])
+        return asked is not None
+
+    def _want(self, index: int, move: Moving, shard: documents.Shard, why: str) -> None:
+        if (index, move.at, move.fence) not in self._withdrawn:
+            self._changes[move.shard] = (shard, why)
+
+    def _propose(self) -> None:
+        """One version for all that is ready: each costs the fleet a turn."""
+        state, now = self._state, self._now
+        base = state.latest.version("placement")
+        # One after the other: what comes to be ready while one waits for its turn goes together.
+        if not self._changes or base > state.turn // 2:
+            return
+        times = 0
+        if self._offer is not None and self._offer[0] == base:
+            if now - self._offer[2] < self._times.resend:
+                return
+            times = self._offer[1] + 1
+        self._offer = base, times, now
+        changes = self._changes
+        if times:
+            # Danger: one that the checks refuse would hold up all others. They go one by one, in turn.
+            names = sorted(changes)
+            changes = {name: changes[name] for name in [names[times % len(names)]]}
+        items = dict(state.latest.placement.items)
+        items.update((name, shard) for name, (shard, _) in sorted(changes.items()))
+        placement = documents.Placement(dict(sorted(items.items())))
+        after = msgspec.structs.replace(state.latest, placement=placement)
+        # Whatever is committed for this base is so only once; a leader behind asks under the same name.
+        request = f"moves/{self._plan}/placement/{base}/{times}"
+        why = f"plan {self._plan}: " + ", ".join(why for _, why in changes.values())
+        self._steps.append(Entry(request, rules.propose(
+            request, {"placement": base}, documents.delta(state.latest, after), why[:200])))
+
+    # States.
+
+    def _planned(self, index: int, move: Moving) -> None:
+        plan, times = self._moves.plan, self._times
+        watch = self._watch(index, move)
+        shard = self._placed(move)
+        if shard is None or move.source not in shard.copies or move.target in shard.copies:
+            self._enter(index, move, Event.BACK, why="the placement was changed by another")
+            return
+        feed = self._feed(move, shard)
+        if feed is None or self._fresh(move.target) is None:
+            silent = move.source if feed is None else move.target
+            self.waits[index] = f"{silent} does not answer, or does not hold it"
+            if self._gone(silent) or self._now - watch.since > times.gone:
+                self._enter(index, move, Event.BACK, why=self.waits[index])
+            return
+        copy = self._told[feed].copies[move.shard]
+        if not self._allowed(plan.limits, move):
+            return
+        size = max(move.bytes, copy.bytes)
+        room = self._room(move.target)
+        held = min(size + size // _SPARE + 1, room)
+        if held < size:
+            self.waits[index] = f"{move.target} lacks {size - room} bytes"
+            # Others that end may make room. If none are left, the order was proven on other figures.
+            if not self._busy and self._now - watch.since > times.room:
+                self._enter(index, move, Event.BACK, why=self.waits[index])
+            return
+        self._count(msgspec.structs.replace(move, held=held))
+        self._enter(index, move, Event.RESERVE, held=held, feed=feed)
+
+    def _allowed(self, limits: Limits, move: Moving) -> bool:
+        border = between(move.source, move.target, self._told)
+        return (max(self._busy.get(move.source, 0), self._busy.get(move.target, 0)) < limits.moves
+                and (border[0] == border[1] or self._borders.get(border, 0) < limits.border_moves))
+
+    def _reserved(self, index: int, move: Moving) -> None:
+        if index in self._short:
+            self._enter(index, move, Event.BACK, why=f"{move.target} has filled")
+        else:
+            self._enter(index, move, Event.COPY)
+
+    def _copying(self, index: int, move: Moving) -> None:
+        times, watch = self._times, self._watch(index, move)
+        if self._goes_back(index, move) or self._must_go_back(index, move):
+            return
+        target = self._fresh(move.target)
+        if target is None:
+            self.waits[index] = f"{move.target} does not answer"
+            return
+        copy = target.copies.get(move.shard)
+        have = copy.bytes if copy is not None else 0
+        if self._silent(move.feed) > times.quiet:
+            self._other_feed(index, move, have)
+            return
+        if not self._keeps_up(index, move):
+            return
+        stuck = times.stuck + self._pause(move)
+        if copy is not None and copy.fence == move.fence:
+            if copy.trouble == "full":
+                self._enter(index, move, Event.BACK, why=f"{move.target} is full")
+                return
+            if copy.whole:
+                self._enter(index, move, Event.COPIED, copied=have)
+                return
+            if have > watch.bytes:
+                watch.bytes, watch.grew = have, self._now
+            if copy.trouble or self._now - watch.grew > stuck:
+                self._again(index, move, have, copy.trouble or "no further byte")
+                return
+            if have - move.copied >= max(1, move.bytes // _CHECKPOINTS):
+                self._enter(index, move, Event.CHECKPOINT, copied=have)
+        elif self._now - watch.since > stuck:
+            self._again(index, move, have, "it is not begun")
+            return
+        if self._now - watch.since < self._pause(move):
+            return
+        rate = self._rates[index]
+        if copy is None or copy.fence != move.fence or abs(rate - watch.rate) > _NEWS * watch.rate:
+            if not watch.rate or abs(rate - watch.rate) > _NEWS * watch.rate:
+                watch.rate = rate
+            self._command(index, Command(move.target, "COPY", move.shard, move.fence, move.feed, move.copied,
+                                         watch.rate, self._headroom(move.target)))
+
+    def _pause(self, move: Moving) -> int:
+        if not move.tries:
+            return 0
+        return min(self._times.longest_pause, self._times.pause << min(move.tries - 1, 16))
+
+    def _must_go_back(self, index: int, move: Moving) -> bool:
+        """Of what copies or catches up."""
+        why = ""
+        shard = self._placed(move)
+        if self._moves.plan.cancelled:
+            why = "cancelled"
+        elif index in self._short:
+            why = f"{move.target} has filled"
+        elif shard is None or move.source not in shard.copies or move.target in shard.copies:
+            why = "the placement was changed by another"
+        elif self._gone(move.target):
+            why = f"{move.target} is gone"
+        elif move.primary and self._gone(move.source):
+            # Which of its last writes are to be given up is an operator's to say.
+            why = f"{move.source}, its primary, is gone"
+        elif move.tries >= _TRIES:
+            why = f"{move.tries} attempts failed"
+        if why:
+            self._enter(index, move, Event.BACK, why=why)
+        return bool(why)
+
+    def _other_feed(self, index: int, move: Moving, have: int) -> None:
+        """The copy that is copied from is silent: another goes on where it stopped."""
+        self.waits[index] = f"{move.feed} does not answer"
+        other = self._feed(move, self._placed(move), move.feed)
+        if other is not None:
+            self._enter(index, move, Event.RETRY, copied=have, feed=other)
+        elif self._gone(move.feed):
+            self._enter(index, move, Event.BACK, why=f"{move.feed} is gone, and no other copy is there")
+
+    def _feed(self, move: Moving, shard: documents.Shard, but: str = "") -> str | None:
+        """A copy that answers and is whole: the one that moves, else any other; not `but`."""
+        for engine in (move.source, *shard.copies):
+            if engine == but:
+                continue
+            disk = self._fresh(engine)
+            copy = disk.copies.get(move.shard) if disk is not None else None
+            if copy is not None and copy.whole:
+                return engine
+        return None
+
+    def _again(self, index: int, move: Moving, have: int, why: str) -> None:
+        self.waits[index] = why
+        if why == "source":
+            self._other_feed(index, move, have)
+            if self._silent(move.feed) > self._times.fresh:
+                return
+        self._enter(index, move, Event.RETRY, copied=have)
+
+    def _keeps_up(self, index: int, move: Moving) -> bool:
+        """What the shard has grown by is held too; False: it goes back, for there is no room."""
+        disk = self._fresh(move.feed)
+        copy = disk.copies.get(move.shard) if disk is not None else None
+        if copy is None or move.held - copy.bytes >= copy.bytes // (2 * _SPARE):
+            return True
+        wanted = copy.bytes + copy.bytes // _SPARE + 1
+        held = min(wanted, move.held + max(0, self._room(move.target)))
+        if held > move.held and held >= copy.bytes:
+            self._promised[move.target] += held - move.held
+            self._enter(index, move, Event.GROW, held=held)
+        elif copy.bytes > move.held:
+            self._enter(index, move, Event.BACK, why=f"it outgrew its room on {move.target}")
+            return False
+        return True
+
+    def _catching(self, index: int, move: Moving) -> None:
+        shard = self._placed(move)
+        if log.has_moved(move, shard):
+            self._enter(index, move, Event.SWITCH)
+            return
+        if self._goes_back(index, move) or self._must_go_back(index, move) or (
+                not self._keeps_up(index, move)):
+            return
+        target = self._fresh(move.target)
+        copy = target.copies.get(move.shard) if target is not None else None
+        if target is None:
+            self.waits[index] = f"{move.target} does not answer"
+            return
+        if copy is None or not copy.whole or copy.fence != move.fence:
+            # It lost its disk, or part of it.
+            self._enter(index, move, Event.RETRY, copied=copy.bytes if copy is not None else 0)
+            return
+        primary = shard.primary or move.source
+        if not copy.follows or copy.epoch < shard.epoch:
+            self._command(index, Command(move.target, "FOLLOW", move.shard, move.fence, primary,
+                                         epoch=shard.epoch))
+            return
+        if not self._near(index, move, target, primary):
+            self.waits.setdefault(index, f"it is at {copy.applied} and catches up")
+            if self._now - self._watch(index, move).since > self._times.catch:
+                self._enter(index, move, Event.BACK, why=f"no end in sight: {self.waits[index]}")
+        elif move.primary:
+            if move.source == primary:
+                self._enter(index, move, Event.FENCE)
+        else:
+            self._want(index, move, msgspec.structs.replace(
+                shard, copies=_replaced(shard.copies, move), reads=_replaced(shard.reads, move)), _what(move))
+
+    def _near(self, index: int, move: Moving, target: Disk, primary: str) -> bool:
+        """Whether the target has the head of a moment ago: told by the primary first, then reached."""
+        watch, disk = self._watch(index, move), self._fresh(primary)
+        copy = disk.copies.get(move.shard) if disk is not None else None
+        applied = target.copies[move.shard].applied
+        if not move.primary and self._gone(primary):
+            # Nobody knows the head: the new copy is as good as the one that it replaces.
+            source = self._fresh(move.feed)
+            old = source.copies.get(move.shard) if source is not None else None
+            return old is not None and applied >= old.applied
+        if copy is None or not copy.primary:
+            return False
+        if applied > copy.head and disk.at >= target.at:
+            # Danger: a position beyond the head is a lie; what it has is not known.
+            self.waits[index] = f"{move.target} claims {applied}, beyond the head {copy.head}"
+            return False
+        late = self._now - watch.head_at > self._times.near
+        if late or watch.head <= applied:
+            if not late and watch.head >= 0:
+                return True
+            watch.head, watch.head_at = copy.head, disk.at
+        return watch.head <= applied
+
+    def _fenced(self, index: int, move: Moving) -> None:
+        """Nobody writes; the target gets the last of it; then it is the primary."""
+        shard, watch = self._placed(move), self._watch(index, move)
+        if log.has_moved(move, shard):
+            self._enter(index, move, Event.SWITCH)
+            return
+        if self._goes_back(index, move):
+            return
+        if shard is None or shard.primary not in ("", move.source):
+            self._enter(index, move, Event.UNFENCE, why="the placement was changed by another")
+            return
+        if self._now - watch.since > self._times.fenced:
+            self._enter(index, move, Event.UNFENCE, why="its primary could not be switched in time")
+            return
+        if shard.primary:
+            # Where there is room for it, the new copy is read already: else nobody could read a shard of one
+            # copy while the next version is joint.
+            copies, reads = shard.copies, shard.reads
+            if len(copies) < _MOST_COPIES and move.source in reads:
+                copies, reads = _with(copies, move.target), _with(reads, move.target)
+            self._want(index, move, msgspec.structs.replace(
+                shard, primary="", epoch=shard.epoch + 1, copies=copies, reads=reads),
+                f"{_what(move)}: fenced")
+            return
+        if not log.in_force(self._state, move.shard):
+            return
+        source, target = self._fresh(move.source), self._fresh(move.target)
+        old = source.copies.get(move.shard) if source is not None else None
+        new = target.copies.get(move.shard) if target is not None else None
+        if old is not None and old.primary:
+            self._command(index, Command(move.source, "SWITCH", move.shard, move.fence, epoch=shard.epoch))
+        elif old is not None and old.fence == move.fence and source.at >= watch.since:
+            # Its own word that it takes no writes, given since: this is the last head there will be.
+            watch.final = max(watch.final, old.head)
+        if watch.final < 0 or new is None or not new.whole:
+            self.waits[index] = "the last writes of the old primary"
+            return
+        if new.applied == watch.final:
+            reads = _without(shard.reads, move.source)
+            if move.source in shard.reads:
+                reads = _with(reads, move.target)
+            self._want(index, move, msgspec.structs.replace(
+                shard, primary=move.target, epoch=shard.epoch + 1,
+                copies=_with(_without(shard.copies, move.source), move.target), reads=reads),
+                f"{_what(move)}: primary")
+        else:
+            self.waits[index] = f"{move.target} is at {new.applied}, the last write is {watch.final}"
+
+    def _unfencing(self, index: int, move: Moving) -> None:
+        shard = self._placed(move)
+        if log.has_moved(move, shard):
+            self._enter(index, move, Event.SWITCH)
+        elif shard is None:
+            self._enter(index, move, Event.BACK, why=move.why)
+        elif not shard.primary:
+            self._want(index, move, msgspec.structs.replace(
+                shard, primary=move.source, epoch=shard.epoch + 1,
+                copies=_with(_without(shard.copies, move.target), move.source),
+                reads=_without(shard.reads, move.target)), f"{_what(move)}: primary back")
+        else:
+            self._tell_primary(index, move, shard)
+            if log.in_force(self._state, move.shard):
+                self._enter(index, move, Event.BACK, why=move.why)
+
+    def _tell_primary(self, index: int, move: Moving, shard: documents.Shard) -> bool:
+        """All copies are told who is primary; whether that one knows."""
+        for engine in (shard.primary, *shard.copies, move.source):
+            disk = self._fresh(engine)
+            copy = disk.copies.get(move.shard) if disk is not None else None
+            if copy is not None and (
+                    copy.epoch < shard.epoch or copy.primary is not (engine == shard.primary)):
+                self._command(index, Command(engine, "SWITCH", move.shard, move.fence, shard.primary,
+                                             epoch=shard.epoch))
+        disk = self._fresh(shard.primary)
+        copy = disk.copies.get(move.shard) if disk is not None else None
+        return copy is not None and copy.primary and copy.epoch >= shard.epoch
+
+    def _switched(self, index: int, move: Moving) -> None:
+        shard = self._placed(move)
+        if not log.has_moved(move, shard):
+            self.waits[index] = "the placement was changed by another"
+            if log.in_force(self._state, move.shard):
+                self._enter(index, move, Event.DONE, why=self.waits[index])
+            return
+        knows = not move.primary or self._tell_primary(index, move, shard)
+        if not log.in_force(self._state, move.shard):
+            self.waits[index] = "leases under the old placement"
+            return
+        target, source = self._fresh(move.target), self._fresh(move.source)
+        copy = target.copies.get(move.shard) if target is not None else None
+        old = source.copies.get(move.shard) if source is not None else None
+        if copy is None or not copy.whole or not knows:
+            # Danger: the old copy may be the last that is whole. It stays until the new one is seen.
+            self.waits[index] = f"{move.target} does not show its copy; the old one is kept"
+            return
+        if source is None and not self._gone(move.source):
+            self.waits[index] = f"{move.source} does not answer"
+            return
+        if old is not None and old.reads:
+            self.waits[index] = f"{old.reads} reads on the old copy"
+            return
+        self._enter(index, move, Event.DROP)
+
+    def _dropped(self, index: int, move: Moving) -> None:
+        shard, source = self._placed(move), self._fresh(move.source)
+        if shard is not None and move.source in shard.copies:
+            self._enter(index, move, Event.DONE)  # placed there again by another: it is that one's now
+        elif source is not None and _clear(source, move.shard, move.fence):
+            self._enter(index, move, Event.DONE)
+        elif self._gone(move.source):
+            self._enter(index, move, Event.DONE, owed=True)
+        elif source is not None and move.shard in source.copies and not self._elsewhere(
+                move.shard, move.source):
+            self.waits[index] = f"no other copy of {move.shard} is seen: the old one is kept"
+        else:
+            self.waits[index] = f"{move.source} drops it"
+            self._command(index, Command(move.source, "DROP", move.shard, move.fence))
+
+    def _back(self, index: int, move: Moving) -> None:
+        shard, target = self._placed(move), self._fresh(move.target)
+        copy = target.copies.get(move.shard) if target is not None else None
+        if shard is not None and move.target in shard.copies:
+            self._enter(index, move, Event.FREED)  # placed there by another: not ours to drop
+        elif target is not None and _clear(target, move.shard, move.fence):
+            self._enter(index, move, Event.FREED)
+        elif self._gone(move.target):
+            self._enter(index, move, Event.FREED, owed=True)
+        elif copy is not None and copy.whole and not self._elsewhere(move.shard, move.target):
+            self.waits[index] = f"no other copy of {move.shard} is seen: the new one is kept"
+        else:
+            self.waits[index] = f"{move.target} drops what it has"
+            self._command(index, Command(move.target, "CANCEL", move.shard, move.fence))
+
+    def _elsewhere(self, name: str, engine: str) -> bool:
+        """Whether a whole copy is seen where it is placed. Danger: else the last one would be dropped."""
+        shard = self._state.latest.placement.items.get(name)
+        for other in shard.copies if shard is not None else ():
+            disk = self._fresh(other)
+            copy = disk.copies.get(name) if disk is not None else None
+            if other != engine and copy is not None and copy.whole:
+                return True
+        return False
+
+    def _pay(self) -> None:
+        """What engines that were gone still hold is dropped once they are back."""
+        for (engine, shard), fence in sorted(self._moves.owed.items()):
+            disk, placed = self._fresh(engine), self._state.latest.placement.items.get(shard)
+            if disk is None:
+                continue
+            if _clear(disk, shard, fence) or placed is not None and engine in placed.copies:
+                if self._due(("paid", engine, shard, fence)):
+                    self._log(log.Paid(engine, shard, fence))
+            elif shard in disk.copies and not self._elsewhere(shard, engine):
+                continue
+            elif self._due(("owed", engine, shard, fence)):
+                self._steps.append(Command(engine, "DROP", shard, fence))
+
+    _NEXT = {At.PLANNED: _planned, At.RESERVED: _reserved, At.COPYING: _copying, At.CATCHING: _catching,
+             At.FENCED: _fenced, At.UNFENCING: _unfencing, At.SWITCHED: _switched, At.DROPPED: _dropped,
+             At.BACK: _back}
+
+
+def _clear(disk: Disk, shard: str, fence: int) -> bool:
+    """Whether nothing is there, nor can come. Danger: a late COPY; it is refused under this number."""
+    return shard not in disk.copies and disk.numbers.get(shard, 0) >= fence
+
+
+def _replaced(names: tuple[str, ...], move: Moving) -> tuple[str, ...]:
+    return tuple(move.target if name == move.source else name for name in names)
+
+
+def _with(names: tuple[str, ...], name: str) -> tuple[str, ...]:
+    return names if name in names else (*names, name)
+
+
+def _without(names: tuple[str, ...], name: str) -> tuple[str, ...]:
+    return tuple(one for one in names if one != name)
+
+
+def _what(move: Moving) -> str:
+    return f"{move.shard} {move.source} > {move.target}"
--- /dev/null
+++ b/cresstray/placement/carry.py
@@ -0,0 +1,256 @@
+"""The carrier's hands: asks engines what their disks hold, gives them commands, puts entries into the log.
+
+RESP over TCP: a command is an array of strings, an answer one string of JSON. For the leader alone.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+
+import anyio
+import hiredis
+import msgspec
+from anyio.abc import TaskGroup
+
+from cresstray import streams
+from cresstray.counters import Counters
+from cresstray.frames import BrokenError
+from cresstray.placement.carrier import Command, Copy, Disk, Entry
+
+# Disks are asked so often, in microseconds: a switch waits for what they say. An engine at rest costs a few
+# hundred bytes for each.
+_ASK = 500_000
+# Growth is measured over so long, in microseconds: shorter, and a single large write would look like a trend.
+_GROWN = 30_000_000
+# An engine that does not answer for so long has its connection ended, in seconds.
+_PATIENCE = 3.0
+# Before a connection is tried again, in seconds; twice as long each time.
+_PAUSE, _LONGEST_PAUSE = 0.2, 5.0
+# An answer's bytes: 5,000 shards of 200 bytes, with room.
+_LONGEST = 4 * 1024 * 1024
+_LENGTH = re.compile(rb"\$(\d{1,7})\r\n")
+# Commands that wait for an answer on one connection; an engine that takes more is not answering.
+_MOST_ASKED = 256
+
+
+class _Told(msgspec.Struct):
+    """An engine's answer to SHARDS."""
+
+    zone: str
+    disk: int
+    free: int
+    headroom: int
+    pace: int
+    copies: dict[str, Copy]
+    numbers: dict[str, int] = {}
+    cores: float = 0.0
+    util: float = 0.0
+    inflight: float = 0.0
+    depth: float = 0.0
+
+
+class _Answer(msgspec.Struct):
+    """To any other command."""
+
+    refused: str = ""
+
+
+_told, _answer = msgspec.json.Decoder(_Told), msgspec.json.Decoder(_Answer)
+
+
+class Answers:
+    """Strings out of what is received, however it is cut. Danger: a length that lies would be waited for."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        self._buffer += data
+        found, at = [], 0
+        while at < len(self._buffer):
+            length = _LENGTH.match(self._buffer, at)
+            if length is None:
+                if len(self._buffer) - at < 10 and b"\n" not in self._buffer[at:]:
+                    break
+                raise BrokenError(f"not the length of a string: {bytes(self._buffer[at:at + 20])!r}")
+            start, size = length.end(), int(length[1])
+            if size > _LONGEST:
+                raise BrokenError(f"a string of {size} bytes")
+            if len(self._buffer) < start + size + 2:
+                break
+            if self._buffer[start + size:start + size + 2] != b"\r\n":
+                raise BrokenError("a string longer than its length")
+            found.append(bytes(self._buffer[start:start + size]))
+            at = start + size + 2
+        del self._buffer[:at]
+        return found
+
+
+def words(command: Command, address: str) -> tuple[str, ...]:
+    """As an engine takes it; `address` is the peer's, host:port."""
+    given = [command.verb, command.shard, "MOVE", str(command.fence)]
+    if command.verb == "COPY":
+        given += ["FROM", address, "AT", str(command.offset), "RATE", str(command.rate), "KEEP",
+                  str(command.keep)]
+    elif command.verb == "FOLLOW":
+        given += ["FROM", address, "EPOCH", str(command.epoch)]
+    elif command.verb == "SWITCH":
+        given += ["EPOCH", str(command.epoch), "PRIMARY", command.peer, "FROM", address]
+    return tuple(given)
+
+
+class Hands:
+    """`addresses`: engine to (host, port), as it is now. `told`: what each disk last said."""
+
+    def __init__(self, addresses: Callable[[], Mapping[str, tuple[str, int]]],
+                 propose: Callable[[Entry], None], leads: Callable[[], bool], clock: Callable[[], int],
+                 counters: Counters, say: Callable[..., None] = lambda *_, **__: None) -> None:
+        self._addresses, self._propose, self._leads, self._clock = addresses, propose, leads, clock
+        self._counters, self._say = counters, say
+        self.told: dict[str, Disk] = {}
+        self._lines: dict[str, _Line] = {}
+        self._tasks: TaskGroup | None = None
+        self._sizes: dict[str, tuple[int, int, int]] = {}  # of shards: bytes, when, and bytes a second
+
+    async def run(self) -> None:
+        """Keeps a connection to each engine while this keeper leads; ends with its task."""
+        try:
+            async with anyio.create_task_group() as self._tasks:
+                while True:
+                    self._look()
+                    await anyio.sleep(_ASK / 1e6)
+        finally:
+            self._tasks = None
+            self._lines.clear()
+
+    def _look(self) -> None:
+        known = dict(self._addresses()) if self._leads() else {}
+        for engine, line in list(self._lines.items()):
+            if known.get(engine) != line.address:
+                # Danger: what an earlier leader says must not go on; the next one has the same numbers.
+                del self._lines[engine]
+                self.told.pop(engine, None)
+                line.end()
+        for engine, address in sorted(known.items()):
+            if engine not in self._lines:
+                line = self._lines[engine] = _Line(engine, address, self._heard, self._clock, self._counters,
+                                                   self._say)
+                self._tasks.start_soon(line.run)
+            else:
+                self._lines[engine].ask()
+
+    def _heard(self, engine: str, told: _Told, at: int) -> None:
+        for name, copy in told.copies.items():
+            if copy.primary:
+                before = self._sizes.get(name)
+                if before is None:
+                    self._sizes[name] = copy.bytes, at, 0
+                elif at - before[1] >= _GROWN:
+                    rate = max(0, (copy.bytes - before[0]) * 1_000_000 // (at - before[1]))
+                    # The mean of what was and what is: a busy minute counts, and does not decide.
+                    self._sizes[name] = copy.bytes, at, (before[2] + rate) // 2 if before[2] else rate
+                copy.growth = self._sizes[name][2]
+        self.told[engine] = Disk(engine, told.zone, told.disk, told.free, told.headroom, told.pace, at,
+                                 told.copies, told.numbers, told.cores, told.util, told.inflight, told.depth)
+
+    def do(self, steps: Iterable[Command | Entry]) -> None:
+        """Carries out what the carrier decided; nothing of it once this keeper does not lead."""
+        addresses = self._addresses()
+        for step in steps:
+            if not self._leads():
+                return
+            if isinstance(step, Entry):
+                self._propose(step)
+                continue
+            line = self._lines.get(step.engine)
+            if line is None:
+                continue
+            host, port = addresses.get(step.peer, ("", 0))
+            if step.verb in ("COPY", "FOLLOW") and not host:
+                continue  # it comes again once its address is known
+            line.give(step, f"{host}:{port}" if host else "")
+
+
+class _Line:
+    """To one engine: connected, asked, and connected again."""
+
+    def __init__(self, engine: str, address: tuple[str, int], heard: Callable[[str, _Told, int], None],
+                 clock: Callable[[], int], counters: Counters, say: Callable[..., None]) -> None:
+        self._engine, self.address, self._heard, self._clock = engine, address, heard, clock
+        self._counters, self._say = counters, say
+        self._scope = anyio.CancelScope()
+        self._line: streams.Line | None = None
+        self._asked: deque[tuple[Command | None, int]] = deque()  # None: SHARDS; when
+
+    def end(self) -> None:
+        self._scope.cancel()
+
+    def ask(self) -> None:
+        if self._line is not None and not any(command is None for command, _ in self._asked):
+            self._put(None, hiredis.pack_command(("SHARDS",)))
+
+    def give(self, command: Command, address: str) -> None:
+        if self._line is not None and len(self._asked) < _MOST_ASKED:
+            self._counters.add(f"commands {command.verb.lower()}")
+            self._put(command, hiredis.pack_command(words(command, address)))
+
+    def _put(self, command: Command | None, message: bytes) -> None:
+        self._asked.append((command, self._clock()))
+        self._line.put(message)
+
+    async def run(self) -> None:
+        """Until its scope is cancelled."""
+        pause = _PAUSE
+        with self._scope:
+            while True:
+                began = self._clock()
+                try:
+                    await self._connected()
+                except (*streams.ENDED, TimeoutError):
+                    self._counters.add("links to disks lost")
+                except BrokenError as trouble:
+                    self._say("disk", "what it answers can't be used", engine=self._engine, why=str(trouble))
+                except Exception as trouble:
+                    # Danger: a fault of ours on one connection must end that one only.
+                    self._counters.add("faults")
+                    self._say("fault", "on the link to a disk", engine=self._engine, why=repr(trouble))
+                self._asked.clear()
+                # One that lived for a while is tried at once again.
+                pause = _PAUSE if self._clock() - began > 5_000_000 else min(_LONGEST_PAUSE, 2 * pause)
+                await anyio.sleep(pause)
+
+    async def _connected(self) -> None:
+        with anyio.fail_after(_PATIENCE):
+            made = await streams.connect(*self.address)
+        try:
+            async with anyio.create_task_group() as tasks:
+                with streams.Line(made, tasks, tasks.cancel_scope.cancel) as self._line:
+                    answers = Answers()
+                    self.ask()
+                    while True:
+                        for body in answers.feed(await self._line.receive(_PATIENCE)):
+                            self._take(body)
+        except BaseExceptionGroup as group:
+            # One cause at a time: the first says why it ended.
+            raise group.exceptions[0] from None
+        finally:
+            self._line = None
+
+    def _take(self, body: bytes) -> None:
+        if not self._asked:
+            raise BrokenError("an answer to nothing")
+        command, asked = self._asked.popleft()
+        try:
+            if command is None:
+                # As old as the question: what changed behind it may be missing.
+                self._heard(self._engine, _told.decode(body), asked)
+                return
+            refused = _answer.decode(body).refused
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as trouble:
+            raise BrokenError(f"an answer: {trouble}") from None
+        if refused:
+            self._counters.add("commands refused")
+            self._say("disk", "refused", engine=self._engine, command=command.verb, shard=command.shard,
+                      why=refused)
--- /dev/null
+++ b/cresstray/placement/check.py
@@ -0,0 +1,160 @@
+"""Plays a plan and tells what it breaks, apart from the code that made it: asked before it begins. Pure."""
+
+from __future__ import annotations
+
+from fractions import Fraction
+
+from cresstray.placement.model import Fleet, Place, Plan
+
+# More lines tell an operator nothing new.
+_MOST = 50
+
+
+def check(fleet: Fleet, plan: Plan) -> list[str]:
+    """Every breach, as lines; none: the plan keeps headroom at each moment and all other rules to its end."""
+    return _Play(fleet, plan).breaches()[:_MOST]
+
+
+class _Play:
+    def __init__(self, fleet: Fleet, plan: Plan) -> None:
+        self.fleet, self.plan = fleet, plan
+        self.places: dict[str, Place] = {place.engine: place for place in fleet.places}
+        self.shards = {shard.name: shard for shard in fleet.shards}
+        self.where: dict[str, list[str]] = {shard.name: list(shard.copies) for shard in fleet.shards}
+        self.leads = {shard.name: shard.primary for shard in fleet.shards}
+        self.zones = len({place.zone for place in fleet.places if not place.out})
+        self.told: list[str] = []
+        self.late: set[str] = set()  # engines that were over from the start, and are yet
+        self.came: set[str] = set()
+
+    def breaches(self) -> list[str]:
+        plan = self.plan
+        if sorted(at for stage in plan.stages for at in stage) != list(range(len(plan.moves))):
+            return ["the stages do not hold each move once"]
+        if plan.bytes != sum(move.bytes for move in plan.moves):
+            self.told.append(f"the moves do not add up to {plan.bytes} bytes")
+        if plan.bound > plan.bytes:
+            self.told.append(f"fewer bytes than the bound of {plan.bound}")
+        self.late = {engine for engine, free in self._free(0, []).items() if free < 0}
+        second = 0
+        for number, stage in enumerate(plan.stages):
+            lasts = self._stage(number, stage, second)
+            if lasts is None:
+                return self.told
+            second += lasts
+        if second != plan.seconds:
+            self.told.append(f"takes {second} s and says {plan.seconds}")
+        self._after(second)
+        return self.told
+
+    def _free(self, second: int, coming: list[tuple[str, str]]) -> dict[str, int]:
+        """Of each engine the bytes between what it holds and its headroom, summed anew from all copies."""
+        free = {place.engine: max(0, place.disk - place.headroom) for place in self.fleet.places}
+        for name, engines in self.where.items():
+            shard = self.shards[name]
+            for engine in engines:
+                free[engine] -= shard.size + shard.growth * second
+        for name, engine in coming:
+            free[engine] -= self.shards[name].size + self.shards[name].growth * second
+        return free
+
+    def _stage(self, number: int, stage: tuple[int, ...], second: int) -> int | None:
+        told, moves = self.told, [self.plan.moves[at] for at in stage]
+        before = len(told)
+        loads: dict[str, int] = {}
+        borders: dict[tuple[str, ...], int] = {}
+        reads: list[str] = []
+        for move in moves:
+            name, engines = move.shard, self.where.get(move.shard)
+            if engines is None or move.source not in engines or move.target not in self.places:
+                told.append(f"stage {number}: {move.shard} is not on {move.source}")
+                return None
+            if move.target in engines:
+                told.append(f"stage {number}: {move.target} has {name} already")
+            if self.places[move.target].out:
+                told.append(f"stage {number}: {move.target} is out and takes {name}")
+            if move.bytes != self.shards[name].size:
+                told.append(f"stage {number}: {name} has not {move.bytes} bytes")
+            if move.primary != (self.leads[name] == move.source):
+                told.append(f"stage {number}: {name} and its primary part")
+            alive = [one for one in [move.source, *sorted(engines)] if self.places[one].pace > 0]
+            if not alive:
+                told.append(f"stage {number}: no engine can send {name}")
+                return None
+            reads.append(alive[0])
+            for engine in (alive[0], move.target):
+                loads[engine] = loads.get(engine, 0) + 1
+            pair = tuple(sorted({self.places[alive[0]].zone, self.places[move.target].zone}))
+            if len(pair) > 1:
+                borders[pair] = borders.get(pair, 0) + 1
+        if len({move.shard for move in moves}) < len(moves):
+            told.append(f"stage {number}: a shard moves twice")
+        limits = self.fleet.limits
+        told += [f"stage {number}: {count} moves at once on {engine}"
+                 for engine, count in loads.items() if count > limits.moves]
+        told += [f"stage {number}: {count} moves at once between {' and '.join(pair)}"
+                 for pair, count in borders.items() if count > limits.border_moves]
+        lasts = 0
+        for move, reader in zip(moves, reads):
+            shard = self.shards[move.shard]
+            paces = [int(self.places[engine].pace * limits.share) // loads[engine]
+                     for engine in (reader, move.target)]
+            pair = tuple(sorted({self.places[reader].zone, self.places[move.target].zone}))
+            if len(pair) > 1 and limits.border_pace:
+                paces.append(limits.border_pace // borders[pair])
+            gain = min(paces) - shard.growth
+            if gain <= 0:
+                told.append(f"stage {number}: {move.shard} grows faster than it is copied")
+                return None
+            size = shard.size + shard.growth * second
+            lasts = max(lasts, 1, (size + gain - 1) // gain)
+        targets = {move.target for move in moves}
+        self.came |= targets
+        # All copies are there and no old one is dropped: what is held grows until then, and falls after it.
+        free = self._free(second + lasts, [(move.shard, move.target) for move in moves])
+        self._held(f"stage {number}", free, targets)
+        for move in moves:
+            engines = self.where[move.shard]
+            zones = {self.places[engine].zone for engine in engines}
+            engines.remove(move.source)
+            engines.append(move.target)
+            if self.zones > 1 and len(zones) > 1 == len({self.places[engine].zone for engine in engines}):
+                told.append(f"stage {number}: {move.shard} is left in one zone")
+            if self.leads[move.shard] == move.source:
+                self.leads[move.shard] = move.target
+        self.late -= {engine for engine, left in self._free(second + lasts, []).items() if left >= 0}
+        return None if len(told) > before + _MOST else lasts
+
+    def _held(self, when: str, free: dict[str, int], targets: set[str]) -> None:
+        for engine, left in free.items():
+            if left < 0 and engine in self.plan.late and engine not in self.came:
+                self.late.add(engine)  # told as such: it outgrows its headroom by itself
+            elif left < 0 and (engine in targets or engine not in self.late):
+                self.told.append(f"{when}: {engine} lacks {-left} bytes of its headroom")
+            elif left >= 0:
+                self.late.discard(engine)
+
+    def _after(self, second: int) -> None:
+        told, free = self.told, self._free(second, [])
+        held = {place.engine: 0 for place in self.fleet.places}
+        for name, engines in self.where.items():
+            told += [f"at the end: {name} is on {engine}, which is out"
+                     for engine in engines if self.places[engine].out]
+            if self.zones > 1 and len(engines) > 1 == len({self.places[engine].zone for engine in engines}):
+                told.append(f"at the end: {name} is in one zone")
+            for engine in engines:
+                held[engine] += self.shards[name].size
+        told += [f"at the end: {engine} lacks {-left} bytes of its headroom"
+                 for engine, left in free.items() if left < 0 and not self.places[engine].out]
+        stays = [place for place in self.fleet.places if not place.out]
+        usable = sum(max(0, place.disk - place.headroom) for place in stays)
+        if not usable or self.plan.tolerance >= 1:
+            return
+        mean = Fraction(sum(held[place.engine] for place in stays), usable)
+        # The tolerance to a millionth, as it is planned with.
+        near = Fraction(round(self.plan.tolerance * 1_000_000), 1_000_000)
+        for place in stays:
+            room = max(0, place.disk - place.headroom)
+            if abs(held[place.engine] - mean * room) > near * room:
+                told.append(f"at the end: {place.engine} is further than {self.plan.tolerance:g}"
+                            " from the mean fill")
--- /dev/null
+++ b/cresstray/placement/fleetmap.py
@@ -0,0 +1,145 @@
+"""Builds the fleet that is planned for, out of the placement in force and what disks have told. Pure.
+
+Also what a plan does to each engine, as lines for an operator.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Protocol
+
+import msgspec
+
+from cresstray.placement.model import Fleet, Limits, Place, Plan, Shard
+
+# Nothing grows on a dead engine, and nothing is put there: its disk is never the one that is full.
+_DEAD = 1 << 60
+
+
+class Placed(Protocol):
+    """rules.documents.Shard, as far as it is needed here."""
+
+    copies: tuple[str, ...]
+    primary: str
+
+
+class Disk(msgspec.Struct, frozen=True):
+    """What an engine told of itself: bytes that are free, those of each shard there, bytes a second."""
+
+    engine: str
+    zone: str
+    free: int
+    pace: int
+    sizes: dict[str, int]
+
+
+class Grown(msgspec.Struct, frozen=True):
+    """Of one shard, measured over time: bytes a second, and reads and writes a second."""
+
+    growth: int = 0
+    heat: float = 0.0
+
+
+class UnknownError(ValueError):
+    """A size or an engine that nobody told: a plan made on a guess could fill a disk."""
+
+
+def mapped(placement: Mapping[str, Placed], disks: Iterable[Disk], grown: Mapping[str, Grown],
+           out: Iterable[str], share: float, least: int, limits: Limits) -> Fleet:
+    """The fleet as of now. Headroom is a share of the disk, at least `least` bytes; `out` is to be emptied.
+
+    A shard is as large as the largest of its copies. An engine that told nothing (dead) is taken for one with
+    no pace, and is emptied from the other copies. UnknownError: nobody told the size of a shard.
+    """
+    told = {disk.engine: disk for disk in disks}
+    out = frozenset(out)
+    sizes: dict[str, int] = {}
+    for disk in told.values():
+        for name, size in disk.sizes.items():
+            sizes[name] = max(size, sizes.get(name, 0))
+    unknown = sorted(name for name in placement if name not in sizes)
+    if unknown:
+        raise UnknownError(f"no engine told the size of {len(unknown)} shards: {', '.join(unknown[:5])}")
+    none = Grown()
+    shards = tuple(Shard(name, sizes[name], grown.get(name, none).growth, grown.get(name, none).heat,
+                         tuple(placed.copies), placed.primary) for name, placed in sorted(placement.items()))
+    places = []
+    for engine in sorted(told.keys() | {copy for shard in shards for copy in shard.copies}):
+        disk = told.get(engine)
+        if disk is None:
+            places.append(Place(engine, "", _DEAD, 0, 0, True))
+            continue
+        placed = sum(size for name, size in disk.sizes.items()
+                     if name in placement and engine in placement[name].copies)
+        # What else lies there, such as a copy that is half dropped, is not ours: it takes from the disk.
+        space = disk.free + placed
+        whole = disk.free + sum(disk.sizes.values())
+        headroom = max(int(whole * share), least)
+        places.append(Place(engine, disk.zone, space, headroom, disk.pace, engine in out))
+    return Fleet(tuple(places), shards, limits)
+
+
+def after(fleet: Fleet, plan: Plan) -> Fleet:
+    """The fleet as it is when the plan has been carried out, sizes as of now."""
+    spots = {shard.name: list(shard.copies) for shard in fleet.shards}
+    leads = {shard.name: shard.primary for shard in fleet.shards}
+    for stage in plan.stages:
+        for at in stage:
+            move = plan.moves[at]
+            spots[move.shard][spots[move.shard].index(move.source)] = move.target
+            if leads[move.shard] == move.source:
+                leads[move.shard] = move.target
+    shards = tuple(msgspec.structs.replace(shard, copies=tuple(spots[shard.name]), primary=leads[shard.name])
+                   for shard in fleet.shards)
+    return Fleet(fleet.places, shards, fleet.limits)
+
+
+def fits(fleet: Fleet, plan: Plan) -> list[str]:
+    """Lines for an operator: the whole, then each engine that gets fuller or emptier, most bytes first."""
+    then = after(fleet, plan)
+    before, later = _held(fleet), _held(then)
+    came: dict[str, int] = dict.fromkeys(before, 0)
+    went = dict(came)
+    for move in plan.moves:
+        came[move.target] += 1
+        went[move.source] += 1
+    hops = [move for move in plan.moves if move.hop]
+    lines = [f"{len(plan.moves)} moves in {len(plan.stages)} stages, {_told(plan.bytes)},"
+             f" some {plan.seconds} s; no plan sends less than {_told(plan.bound)} ({plan.gap:.1%} beyond)"]
+    if hops:
+        lines.append(f"{len(hops)} of them are hops to make room, {_told(sum(move.bytes for move in hops))}")
+    if plan.tolerance > fleet.limits.tolerance:
+        lines.append(f"fills are within {plan.tolerance:.0%} of the mean: within {fleet.limits.tolerance:.0%}"
+                     " was not reached")
+    if plan.late:
+        lines.append(f"{len(plan.late)} engines outgrow their headroom before a copy can leave them:"
+                     f" {', '.join(plan.late)}")
+    changed = [place for place in fleet.places if came[place.engine] or went[place.engine]]
+    for place in sorted(changed, key=lambda place: (-abs(later[place.engine] - before[place.engine]),
+                                                    place.engine)):
+        old, new = before[place.engine], later[place.engine]
+        word = "is emptied" if place.out else "gets fuller" if new > old else "gets emptier"
+        lines.append(f"{place.engine} ({place.zone or 'no zone'}) {word}: {_fill(old, place)} >"
+                     f" {_fill(new, place)}, {_told(abs(new - old))}, {came[place.engine]} come,"
+                     f" {went[place.engine]} go")
+    return lines
+
+
+def _held(fleet: Fleet) -> dict[str, int]:
+    held = {place.engine: 0 for place in fleet.places}
+    for shard in fleet.shards:
+        for copy in shard.copies:
+            held[copy] += shard.size
+    return held
+
+
+def _fill(held: int, place: Place) -> str:
+    return f"{held / place.usable:.1%}" if place.usable else "no room"
+
+
+def _told(count: float) -> str:
+    for unit in ("B", "kB", "MB", "GB"):
+        if abs(count) < 1000:
+            return f"{count:.0f} {unit}" if unit == "B" else f"{count:.1f} {unit}"
+        count /= 1000
+    return f"{count:.1f} TB"
--- /dev/null
+++ b/cresstray/placement/greedy.py
@@ -0,0 +1,81 @@
+"""Plans to compare with: off the fullest engine until all are even, and one that hashes anew. Pure."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+
+from cresstray.placement.draft import Draft, Task
+from cresstray.placement.model import Fleet, Move
+from cresstray.placement.order import paired
+
+
+def fullest(fleet: Fleet) -> tuple[list[Move], bool]:
+    """Off engines that are out, then from the fullest to the emptiest engine, the largest copy that fits.
+
+    Ends when all are within the tolerance, or when nothing more can go; False if they are not within it.
+    """
+    task = Task(fleet, fleet.limits.tolerance)
+    draft = Draft(task, task.spots)
+    room = [max(1, place.usable) for place in task.places]
+
+    def put(number: int, source: int | None, targets: list[int]) -> bool:
+        for at in targets:
+            if (draft.held[at] + task.sizes[number] <= room[at] and draft.fair(number, source, at)):
+                draft.put(number, source, at)
+                return True
+        return False
+
+    def by_fill() -> list[int]:
+        return sorted(range(len(room)), key=lambda at: (draft.held[at] / room[at], at))
+
+    for number, (spot, count) in enumerate(zip(task.spots, task.counts)):
+        for _ in range(count - len(spot)):
+            if not put(number, None, by_fill()):
+                return [], False
+    for number in range(len(task.spots)):
+        if task.wide[number] and len({task.zone[at] for at in draft.spots[number]}) < 2:
+            put(number, min(draft.spots[number]), by_fill())
+    # Every step takes the fullest down, else the next fullest; as many steps as copies are enough.
+    for _ in range(sum(task.counts)):
+        order = by_fill()
+        if not any(draft.excess(at) or draft.lack(at) for at in order):
+            break
+        if not any(_off(draft, source, order) for source in reversed(order)):
+            break
+    return task.moves(draft.spots), draft.sound()
+
+
+def _off(draft: Draft, source: int, order: list[int]) -> bool:
+    task = draft.task
+    for target in order:
+        spare = task.places[source].usable or 1
+        for number in sorted(draft.here[source], key=lambda number: (-task.sizes[number], number)):
+            size = task.sizes[number]
+            usable = task.places[target].usable or 1
+            # It has to make the two more even, or the two would change places without end.
+            if (draft.held[target] + size) / usable < draft.held[source] / spare and draft.fair(
+                    number, source, target) and draft.held[target] + size <= usable:
+                draft.put(number, source, target)
+                return True
+    return False
+
+
+def hashed(fleet: Fleet) -> list[Move]:
+    """Rendezvous hashing of every shard over the engines that stay, by usable bytes, in two zones."""
+    places = [place for place in fleet.places if not place.out and place.pace and place.usable]
+    zones = len({place.zone for place in places})
+    moves: list[Move] = []
+    for shard in fleet.shards:
+        scores = {place.engine: _score(shard.name, place.engine, place.usable) for place in places}
+        ranked = sorted(places, key=lambda place: (-scores[place.engine], place.engine))
+        chosen = ranked[:len(shard.copies)]
+        if zones > 1 and len(chosen) > 1 and len({place.zone for place in chosen}) < 2:
+            chosen[-1] = next(place for place in ranked if place.zone != chosen[0].zone)
+        moves += paired(fleet, shard, [place.engine for place in chosen])
+    return moves
+
+
+def _score(shard: str, engine: str, weight: int) -> float:
+    drawn = int.from_bytes(hashlib.blake2b(f"{shard}/{engine}".encode(), digest_size=8).digest())
+    return -weight / math.log((drawn + 1) / (2**64 + 2))
--- /dev/null
+++ b/cresstray/placement/order.py
@@ -0,0 +1,469 @@
+"""The order of moves under headroom at every moment: stages, hops over a third engine, dead ends. Pure.
+
+A stage ends when all of its old copies are dropped, so space is held at both ends for all of it, and what
+grows meanwhile counts. Every order is played to its end before it is returned.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cresstray.placement.model import DeadEndError, Fleet, Move, Place, Shard, zones_in
+
+# States looked at before a search is given up: some seconds, and all there are in what a test tries.
+_STATES = 100_000
+# Placements of one shard beyond this many in all are too many to search them whole.
+_SEARCHED = 400
+
+Spot = tuple[str, ...]
+
+
+class Order(NamedTuple):
+    """`moves` in the order of their stages, hops among them; `seconds`: as estimated, growth held to it."""
+
+    moves: tuple[Move, ...]
+    stages: tuple[tuple[int, ...], ...]
+    seconds: int
+    late: tuple[str, ...] = ()
+
+
+class Ground:
+    """Where copies are at one moment of a plan, and what engines hold then."""
+
+    def __init__(self, fleet: Fleet, lenient: bool = False) -> None:
+        self.fleet, self.lenient = fleet, lenient
+        self.limits = fleet.limits
+        self.places: dict[str, Place] = {place.engine: place for place in fleet.places}
+        self.shards: dict[str, Shard] = {shard.name: shard for shard in fleet.shards}
+        self.spots: dict[str, set[str]] = {shard.name: set(shard.copies) for shard in fleet.shards}
+        self.primary: dict[str, str] = {shard.name: shard.primary for shard in fleet.shards}
+        self.zoned = len(zones_in(fleet)) > 1
+        self.base: Counter[str] = Counter({place.engine: 0 for place in fleet.places})
+        self.grows: Counter[str] = Counter({place.engine: 0 for place in fleet.places})
+        self.at = 0
+        for shard in fleet.shards:
+            for copy in shard.copies:
+                self.base[copy] += shard.size
+                self.grows[copy] += shard.growth
+        # Over from the start: such an engine takes nothing until it is under, and is no fault of the plan.
+        self.came: set[str] = set()
+        self.late: set[str] = set()
+        self.over = {place.engine for place in fleet.places if self.held(place.engine, 0) > place.usable}
+
+    def held(self, engine: str, at: int) -> int:
+        return self.base[engine] + self.grows[engine] * at
+
+    def room(self, engine: str, at: int) -> int:
+        return self.places[engine].usable - self.held(engine, at)
+
+    def lacking(self) -> dict[str, int]:
+        """Engines that stay and are over at this moment, with the bytes missing."""
+        return {engine: -self.room(engine, self.at) for engine, place in self.places.items()
+                if not place.out and self.room(engine, self.at) < 0}
+
+    def fair(self, shard: str, source: str, target: str) -> bool:
+        """Whether a shard may move so: to an engine that takes copies, and not out of its second zone."""
+        spots, places = self.spots[shard], self.places
+        if source not in spots or target in spots or places[target].out or not places[target].pace:
+            return False
+        if not self.zoned or len(spots) < 2 or len({places[spot].zone for spot in spots}) < 2:
+            return True
+        return len({places[spot].zone for spot in spots if spot != source} | {places[target].zone}) > 1
+
+    def reader(self, move: Move) -> str | None:
+        """Which engine sends: the source, or another copy's where the source is dead. None: nobody can."""
+        if self.places[move.source].pace:
+            return move.source
+        others = [spot for spot in sorted(self.spots[move.shard]) if self.places[spot].pace]
+        return others[0] if others else None
+
+    def border(self, reader: str, target: str) -> tuple[str, str] | None:
+        one, other = self.places[reader].zone, self.places[target].zone
+        return None if one == other else (min(one, other), max(one, other))
+
+    def lasts(self, move: Move, reader: str, reads: int, writes: int, crosses: int, at: int) -> int | None:
+        """Seconds, with so many moves beside it at both ends and on its border. None: it never catches up."""
+        limits, shard = self.limits, self.shards[move.shard]
+        pace = min(int(self.places[reader].pace * limits.share) // reads,
+                   int(self.places[move.target].pace * limits.share) // writes)
+        if crosses and limits.border_pace:
+            pace = min(pace, limits.border_pace // crosses)
+        if pace <= shard.growth:
+            return None
+        return max(1, -(-(shard.size + shard.growth * at) // (pace - shard.growth)))
+
+    def worst(self, move: Move) -> int | None:
+        """Seconds with as many beside it as the limits allow."""
+        reader = self.reader(move)
+        if reader is None:
+            return None
+        crosses = self.limits.border_moves if self.border(reader, move.target) else 0
+        return self.lasts(move, reader, self.limits.moves, self.limits.moves, crosses, self.at)
+
+    def seconds(self, stage: list[Move]) -> int | None:
+        """How long these last beside each other. None: one of them never ends."""
+        readers = [self.reader(move) for move in stage]
+        ends: Counter[str] = Counter(move.target for move in stage)
+        ends.update(reader for reader in readers if reader)
+        crosses: Counter[tuple[str, str]] = Counter()
+        for move, reader in zip(stage, readers):
+            if reader and (border := self.border(reader, move.target)):
+                crosses[border] += 1
+        longest = 0
+        for move, reader in zip(stage, readers):
+            if reader is None:
+                return None
+            border = self.border(reader, move.target)
+            lasts = self.lasts(move, reader, ends[reader], ends[move.target],
+                               crosses[border] if border else 0, self.at)
+            if lasts is None:
+                return None
+            longest = max(longest, lasts)
+        return longest
+
+    def pick(self, wanted: list[Move], until: int, whole: bool = True) -> list[Move]:
+        """As many of these, the first first, as limits and room allow up to that second.
+
+        `whole` False: stops at the first that has to wait.
+        """
+        picked: list[Move] = []
+        ends: Counter[str] = Counter()
+        crosses: Counter[tuple[str, str]] = Counter()
+        shards: set[str] = set()
+        room: dict[str, int] = {}
+        for move in wanted:
+            reader = self.reader(move)
+            border = self.border(reader, move.target) if reader else None
+            shard = self.shards[move.shard]
+            size = shard.size + shard.growth * until
+            free = room.get(move.target)
+            if free is None:
+                free = room[move.target] = self.room(move.target, until)
+            if (reader is None or move.shard in shards or size > free
+                    or max(ends[reader], ends[move.target]) >= self.limits.moves
+                    or (border and crosses[border] >= self.limits.border_moves)
+                    or not self.fair(move.shard, move.source, move.target)):
+                if not whole:
+                    break
+                continue
+            picked.append(move)
+            shards.add(move.shard)
+            ends.update((reader, move.target))
+            if border:
+                crosses[border] += 1
+            room[move.target] -= size
+        return picked
+
+    def play(self, stage: list[Move]) -> str | None:
+        """One stage to its end. What it breaks, if anything; the ground is of no use then."""
+        lasts = self.seconds(stage)
+        if lasts is None:
+            return "a shard grows faster than it is copied"
+        self.at += lasts
+        for move in stage:
+            shard = self.shards[move.shard]
+            if not self.fair(move.shard, move.source, move.target):
+                return f"shard {move.shard} may not be on {move.target}"
+            self.spots[move.shard].add(move.target)
+            self.base[move.target] += shard.size
+            self.grows[move.target] += shard.growth
+        targets = {move.target for move in stage}
+        self.came |= targets
+        for engine in self.places:
+            if self.room(engine, self.at) >= 0:
+                self.over.discard(engine)
+            elif self.lenient and engine not in self.came:
+                self.over.add(engine)
+                self.late.add(engine)
+            elif engine in targets or engine not in self.over:
+                return f"engine {engine} lacks {-self.room(engine, self.at)} bytes"
+        for move in stage:
+            shard = self.shards[move.shard]
+            self.spots[move.shard].discard(move.source)
+            self.base[move.source] -= shard.size
+            self.grows[move.source] -= shard.growth
+            if self.primary[move.shard] == move.source:
+                self.primary[move.shard] = move.target
+            if self.room(move.source, self.at) >= 0:
+                self.over.discard(move.source)
+        return None
+
+
+def paired(fleet: Fleet, shard: Shard, after: Spot | list[str]) -> list[Move]:
+    """The moves that bring a shard's copies to `after`; within a zone where that goes, to spare borders."""
+    zones = {place.engine: place.zone for place in fleet.places}
+    sources = sorted(set(shard.copies) - set(after))
+    targets = sorted(set(after) - set(shard.copies))
+    pairs: list[tuple[str, str]] = []
+    for source in list(sources):
+        near = [target for target in targets if zones[target] == zones[source]]
+        if near:
+            pairs.append((source, near[0]))
+            sources.remove(source)
+            targets.remove(near[0])
+    pairs += zip(sources, targets)
+    return [Move(shard.name, source, target, shard.size, source == shard.primary) for source, target in pairs]
+
+
+def ordered(fleet: Fleet, moves: list[Move] | tuple[Move, ...]) -> Order:
+    """Stages for these moves, with hops where it needs them.
+
+    An engine that outgrows its headroom before anything can leave it is told as late, and takes nothing till
+    then. DeadEndError names the engines and the bytes that they lack.
+    """
+    rest = list(moves)
+    stages, stuck = _staged(Ground(fleet), rest)
+    if not stuck:
+        return _told(fleet, stages)
+    after = {shard.name: set(shard.copies) for shard in fleet.shards}
+    for move in moves:
+        after[move.shard] -= {move.source}
+        after[move.shard] |= {move.target}
+    aim = [tuple(sorted(after[shard.name])) for shard in fleet.shards]
+    path, whole = searched(fleet, lambda spots: all(map(tuple.__eq__, spots, aim)),
+                           lambda number, spot: len(set(spot) - set(aim[number])))
+    if path is not None:
+        try:
+            return lined(fleet, path)
+        except DeadEndError as error:
+            missing = error.missing
+            why = str(error)
+    elif whole:
+        missing = _lacks(Ground(fleet), rest)
+        raise DeadEndError(_dead("no order of these moves exists", missing), missing, True)
+    else:
+        missing, why = {}, ""
+    for lenient in (False, True):
+        stages, stuck = _staged(Ground(fleet, lenient), rest, hops=True)
+        if not stuck:
+            return _told(fleet, stages, lenient)
+    missing = missing or _lacks(Ground(fleet), stuck)
+    raise DeadEndError(why or _dead(f"no order was found for {len(stuck)} of {len(rest)} moves", missing),
+                       missing, False)
+
+
+def lined(fleet: Fleet, path: list[Move]) -> Order:
+    """Stages for moves that have to begin in this order."""
+    ground, rest, stages = Ground(fleet), list(path), []
+    while rest:
+        lasts = max((ground.worst(move) or 0 for move in rest[:1]), default=0)
+        stage = ground.pick(rest, ground.at + lasts, whole=False) or rest[:1]
+        # A longer one beside it may let the first grow over its room: then the first goes alone.
+        kept = [move for move in stage if (ground.worst(move) or 0) <= lasts] if stage[1:] else stage
+        stage = kept if kept == stage[:len(kept)] and kept else stage[:1]
+        broken = ground.play(stage)
+        if broken:
+            missing = _lacks(ground, stage)
+            why = _dead(f"no order keeps headroom while shards grow: {broken}", missing)
+            raise DeadEndError(why, missing, False)
+        stages.append(stage)
+        rest = rest[len(stage):]
+    if missing := ground.lacking():
+        raise DeadEndError(_dead("no order keeps headroom while shards grow", missing), missing, False)
+    return _told(fleet, stages)
+
+
+def _staged(ground: Ground, moves: list[Move], hops: bool = False) -> tuple[list[list[Move]], list[Move]]:
+    """Stages as full as they may be, and the moves for which there is no stage."""
+    pending, stages = list(moves), []
+    hopped: Counter[str] = Counter()
+    while pending:
+        stage = _next(ground, pending)
+        going = [move for move in pending if move not in stage]
+        if not stage:
+            hop = _hop(ground, pending, hopped) if hops else None
+            if hop is None:
+                return stages, pending
+            stage, going = hop
+        if ground.play(stage):
+            return stages, pending
+        pending = going
+        stages.append(stage)
+    return stages, list(moves) if ground.lacking() else []
+
+
+def _next(ground: Ground, pending: list[Move]) -> list[Move]:
+    lasts = {id(move): ground.worst(move) for move in pending}
+    able = [move for move in pending if lasts[id(move)] is not None]
+    # The longest first: what runs beside each other then takes much the same time. Engines that are over, or
+    # will be when the longest ends, go before all others.
+    span = max((lasts[id(move)] or 0 for move in able), default=0)
+    hurried = {engine for engine in ground.places if ground.room(engine, ground.at + 2 * span) < 0}
+    # What is near its headroom cannot wait for a long stage, if there is something short to be moved off it.
+    until = min((ground.room(engine, ground.at) // ground.grows[engine] for engine in hurried
+                 if engine not in ground.over and ground.grows[engine]), default=span)
+    short = [move for move in able if (lasts[id(move)] or 0) <= until]
+    if until < span and any(move.source in hurried for move in short):
+        able = short
+    able.sort(key=lambda move: (move.source not in hurried, -(lasts[id(move)] or 0), move.shard, move.source))
+    while able:
+        longest = max(lasts[id(move)] or 0 for move in able)
+        stage = ground.pick(able, ground.at + longest)
+        if stage:
+            return stage
+        able = [move for move in able if (lasts[id(move)] or 0) < longest]
+    return []
+
+
+def _hop(ground: Ground, pending: list[Move], hopped: Counter[str]) -> tuple[list[Move], list[Move]] | None:
+    """The cheapest way to make room for a move that waits: copies leave its target for a third engine.
+
+    These moves, and what is pending then: a copy that was to leave goes on from there, another comes back.
+    """
+    best: tuple[int, list[Move], list[Move]] | None = None
+    leaving = {(move.shard, move.source): move for move in pending}
+    for move in sorted(pending, key=lambda move: (move.bytes, move.shard, move.source)):
+        shard, target = ground.shards[move.shard], move.target
+        lasts = ground.worst(move)
+        if lasts is None or ground.places[target].out:
+            continue
+        until = ground.at + 3 * lasts
+        lack = shard.size + shard.growth * until - ground.room(target, until)
+        found = _leave(ground, target, move.shard, lack, until, leaving, hopped) if lack > 0 else None
+        if found:
+            cost = sum(hop.bytes * (1 if (hop.shard, hop.source) in leaving else 2) for hop in found)
+            if best is None or cost < best[0]:
+                going = [one for one in pending if (one.shard, one.source) not in {
+                    (hop.shard, hop.source) for hop in found}]
+                going += [_after(hop, leaving) for hop in found if _after(hop, leaving).target != hop.target]
+                best = cost, found, going
+    if best is None:
+        return None
+    hopped.update(move.shard for move in best[1])
+    return best[1], best[2]
+
+
+def _after(hop: Move, leaving: dict[tuple[str, str], Move]) -> Move:
+    was = leaving.get((hop.shard, hop.source))
+    return Move(hop.shard, hop.target, was.target if was else hop.source, hop.bytes, hop.primary)
+
+
+def _leave(ground: Ground, engine: str, but: str, lack: int, until: int,
+           leaving: dict[tuple[str, str], Move], hopped: Counter[str]) -> list[Move] | None:
+    """Copies that give an engine so many bytes when they leave for others with room."""
+    # A copy that hops without end would keep the order from ending: twice is enough for any seen.
+    here = [ground.shards[name] for name in ground.spots
+            if name != but and engine in ground.spots[name] and hopped[name] < 2]
+    # Those that have to leave anyway first; then the smallest that is enough, else the largest.
+    here.sort(key=lambda shard: ((shard.name, engine) not in leaving, shard.size < lack,
+                                 shard.size if shard.size >= lack else -shard.size, shard.name))
+    found: list[Move] = []
+    taken: Counter[str] = Counter()
+    for shard in here:
+        size = shard.size + shard.growth * until
+        fits = [place.engine for place in ground.fleet.places
+                if ground.fair(shard.name, engine, place.engine)
+                and ground.room(place.engine, until) - taken[place.engine] >= size]
+        if not fits:
+            continue
+        zone = ground.places[engine].zone
+        third = min(fits, key=lambda name: (ground.places[name].zone != zone,
+                                            taken[name] - ground.room(name, until), name))
+        taken[third] += size
+        found.append(Move(shard.name, engine, third, shard.size, ground.primary[shard.name] == engine))
+        lack -= shard.size
+        if lack <= 0:
+            break
+        if len(found) >= ground.limits.moves:
+            return None
+    return found if lack <= 0 and ground.pick(found, ground.at) == found else None
+
+
+def searched(fleet: Fleet, goal: Callable[[list[Spot]], bool], away: Callable[[int, Spot], int],
+             most: int = _STATES) -> tuple[list[Move] | None, bool]:
+    """The moves of fewest bytes, one after the other and hops among them, to a placement that is a goal.
+
+    `away`: copies of a shard (by its number) that have to move yet. None, with True if every way was tried.
+    """
+    places = [place for place in fleet.places if not place.out and place.pace]
+    if len(fleet.shards) * len(places) > _SEARCHED:
+        return None, False
+    zone = {place.engine: place.zone for place in fleet.places}
+    usable = {place.engine: place.usable for place in places}
+    zoned, sizes = len(zones_in(fleet)) > 1, [shard.size for shard in fleet.shards]
+    readable = {place.engine for place in fleet.places if place.pace}
+    start = tuple(tuple(sorted(shard.copies)) for shard in fleet.shards)
+    costs, came = {start: 0}, {}
+    heap = [(sum(sizes[number] * away(number, spot) for number, spot in enumerate(start)), 0, start)]
+    done: set[tuple[Spot, ...]] = set()
+    while heap:
+        guess, cost, state = heapq.heappop(heap)
+        if state in done:
+            continue
+        if goal(list(state)):
+            return _path(fleet, came, state), True
+        done.add(state)
+        if len(done) > most:
+            return None, False
+        held: Counter[str] = Counter()
+        for size, spot in zip(sizes, state):
+            for engine in spot:
+                held[engine] += size
+        for number, spot in enumerate(state):
+            size = sizes[number]
+            if not readable.intersection(spot):
+                continue
+            wide = zoned and len({zone[engine] for engine in spot}) > 1
+            for place in places:
+                target = place.engine
+                if target in spot or held[target] + size > usable[target]:
+                    continue
+                for source in spot:
+                    after = tuple(sorted({*spot, target} - {source}))
+                    if wide and len({zone[engine] for engine in after}) < 2:
+                        continue
+                    new = (*state[:number], after, *state[number + 1:])
+                    if new in done or costs.get(new, cost + size + 1) <= cost + size:
+                        continue
+                    costs[new], came[new] = cost + size, (state, number, source, target)
+                    left = guess - cost + size * (away(number, after) - away(number, spot))
+                    heapq.heappush(heap, (cost + size + left, cost + size, new))
+    return None, True
+
+
+def _path(fleet: Fleet, came: dict, state: tuple[Spot, ...]) -> list[Move]:
+    path: list[Move] = []
+    while state in came:
+        state, number, source, target = came[state]
+        shard = fleet.shards[number]
+        path.append(Move(shard.name, source, target, shard.size))
+    return path[::-1]
+
+
+def _told(fleet: Fleet, stages: list[list[Move]], lenient: bool = False) -> Order:
+    """Numbered, hops and primaries marked, and once more played from the beginning."""
+    ground, told, numbers = Ground(fleet, lenient), [], []
+    later = [(move.shard, move.source) for stage in stages for move in stage]
+    for stage in stages:
+        numbers.append(tuple(range(len(told), len(told) + len(stage))))
+        del later[:len(stage)]
+        onward = set(later)
+        marked = [Move(move.shard, move.source, move.target, move.bytes,
+                       ground.primary[move.shard] == move.source, (move.shard, move.target) in onward)
+                  for move in stage]
+        told += marked
+        broken = ground.play(marked)
+        if broken:
+            raise AssertionError(f"an order that was played before breaks: {broken}")
+    return Order(tuple(told), tuple(numbers), ground.at, tuple(sorted(ground.late)))
+
+
+def _lacks(ground: Ground, moves: list[Move]) -> dict[str, int]:
+    """Of each target that has no room for the smallest move that waits for it: the bytes missing."""
+    missing: dict[str, int] = {}
+    for move in moves:
+        shard = ground.shards[move.shard]
+        lack = shard.size + shard.growth * ground.at - ground.room(move.target, ground.at)
+        if lack > 0:
+            missing[move.target] = min(lack, missing.get(move.target, lack))
+    return dict(sorted(missing.items()))
+
+
+def _dead(what: str, missing: dict[str, int]) -> str:
+    # More names would not make the line clearer; all are in the error's `missing`.
+    lacks = [f"engine {engine} lacks {count} bytes" for engine, count in list(missing.items())[:8]]
+    more = f" and {len(missing) - 8} further engines" if len(missing) > 8 else ""
+    return what + (": " + ", ".join(lacks) + more if lacks else ", for limits or zones")
--- /dev/null
+++ b/cresstray/placement/solve.py
@@ -0,0 +1,410 @@
+"""The plan: fewest bytes by scipy's milp (HiGHS), a bound that is proven, and always the best found so far.
+
+Runs in a process of its own (worker.py). Small fleets are solved whole; large ones by a relaxation that says
+what leaves, repairs, and a milp over the few copies and engines that matter.
+"""
+
+from __future__ import annotations
+
+import math
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+import numpy
+from scipy.optimize import Bounds, LinearConstraint, milp
+from scipy.sparse import csr_array
+
+from cresstray.placement.draft import Draft, Task
+from cresstray.placement.model import (
+    DeadEndError,
+    Fleet,
+    ImpossibleError,
+    Plan,
+    bands,
+    checked,
+    ladder,
+    zones_in,
+)
+from cresstray.placement.order import Order, Spot, lined, ordered, searched
+
+# Shards times engines up to which the whole problem is one milp: it proves its best within a second or so.
+_WHOLE = 600
+# HiGHS takes a row for kept that is broken by so much of its scale; what it says is checked in whole bytes.
+_SLACK = 1e-6
+# Beyond the bound: so near, a milp over what leaves finds little; so far, one over where copies go is worth
+# its time. With more shards or columns than these, neither finds anything in a minute.
+_NEAR, _FAR, _SHARDS, _COLUMNS = 0.005, 0.02, 1_500, 30_000
+
+
+class _Rows:
+    """A sparse matrix in the making: rows with their least and most."""
+
+    def __init__(self) -> None:
+        self.rows: list[int] = []
+        self.columns: list[int] = []
+        self.values: list[float] = []
+        self.least: list[float] = []
+        self.most: list[float] = []
+
+    def add(self, items: list[tuple[int, float]], least: float, most: float) -> None:
+        at = len(self.least)
+        for column, value in items:
+            self.rows.append(at)
+            self.columns.append(column)
+            self.values.append(value)
+        self.least.append(least)
+        self.most.append(most)
+
+    def matrix(self, width: int) -> LinearConstraint:
+        shape = (len(self.least), width)
+        return LinearConstraint(csr_array((self.values, (self.rows, self.columns)), shape=shape),
+                                numpy.array(self.least), numpy.array(self.most))
+
+
+class Answer(NamedTuple):
+    """Of one milp. `spots`: None if it found none. `bound` in bytes. `dead`: proven that there is none."""
+
+    spots: list[set[int]] | None
+    bound: int
+    dead: bool
+
+
+def solve(fleet: Fleet, seconds: float, found: Callable[[Plan], None] | None = None,
+          clock: Callable[[], float] = time.monotonic) -> Plan:
+    """The plan that sends the fewest bytes, as far as `seconds` go; `found` hears of each better one at once.
+
+    ValueError: no fleet. ImpossibleError: no placement keeps the rules. DeadEndError: no order leads there.
+    """
+    checked(fleet)
+    _possible(fleet)
+    ends = clock() + seconds
+    last: DeadEndError | None = None
+    for tolerance in ladder(fleet.limits.tolerance):
+        try:
+            plan = _Search(fleet, tolerance, ends, found, clock).run()
+        except DeadEndError as error:
+            last = error
+            continue
+        if plan is not None:
+            return plan
+    if last is not None:
+        raise last
+    raise ImpossibleError("no placement keeps headroom, zones and copies apart", _missing(fleet))
+
+
+class _Search:
+    """One tolerance."""
+
+    def __init__(self, fleet: Fleet, tolerance: float, ends: float,
+                 found: Callable[[Plan], None] | None, clock: Callable[[], float]) -> None:
+        self.fleet, self.tolerance, self.ends, self.found, self.clock = fleet, tolerance, ends, found, clock
+        self.task = Task(fleet, tolerance)
+        self.best: Plan | None = None
+        self.bound = 0
+        self.error: DeadEndError | None = None
+        self.spots: list[set[int]] | None = None  # of the best
+        self.tried: list[set[int]] | None = None  # the last placement for which an order was looked for
+
+    @property
+    def left(self) -> float:
+        return self.ends - self.clock()
+
+    def run(self) -> Plan | None:
+        """None: there is no placement at this tolerance, or none was found. DeadEndError: no order to any."""
+        whole = len(self.task.sizes) * len(self.task.places) <= _WHOLE
+        if whole:
+            self._whole()
+        else:
+            self._large()
+        if self.best is None and self.error and not self.error.proven:
+            self._ahead(whole)
+        if self.best is None and self.error:
+            raise self.error
+        return self.best and self._told(self.best)
+
+    def _whole(self) -> None:
+        answer = exact(self.task, None, max(1.0, self.left * 0.5))
+        if answer.dead:
+            return
+        self.bound = answer.bound
+        if answer.spots is not None:
+            self._offer(answer.spots)
+        if self.best is None or self.best.bytes > self.bound:
+            # Hops cost bytes that no milp counts: all ways are tried, if there are few.
+            band = bands(self.fleet, self.tolerance)
+            path, tried = searched(self.fleet, _goal(self.fleet, band), _away(self.fleet))
+            if path is not None:
+                self.bound = max(self.bound, sum(move.bytes for move in path))
+                try:
+                    self._take(lined(self.fleet, path))
+                except DeadEndError as error:
+                    self.error = self.error or error
+            elif tried and (self.error is None or not self.error.proven):
+                missing = self.error.missing if self.error else {}
+                self.error = DeadEndError("no order leads to any placement", missing, True)
+        if self.best is None and answer.spots is None:
+            self._large()
+
+    def _large(self) -> None:
+        self._mend(self.task.spots)
+        hint = relaxed(self.task, max(0.5, self.left * 0.5))
+        if hint.dead:
+            return
+        self.bound = max(self.bound, hint.bound)
+        self._told_better()
+        if hint.spots is not None:
+            self._mend(hint.spots)
+        if not self._near(_NEAR) and self.left > 1 and len(self.task.sizes) <= _SHARDS:
+            hint = relaxed(self.task, self.left * 0.5, whole=True)
+            self.bound = max(self.bound, hint.bound)
+            if hint.spots is not None:
+                self._mend(hint.spots)
+        if not self._near(_FAR) and self.left > 1:
+            self._columns(hint)
+
+    def _near(self, gap: float) -> bool:
+        return self.best is not None and self.best.bytes <= self.bound * (1 + gap)
+
+    def _columns(self, hint: Answer) -> None:
+        """A milp over the copies that move in any plan so far, and the engines that they may go to."""
+        task = self.task
+        drafts = [spots for spots in (hint.spots, self.spots) if spots is not None]
+        moving = {number for spots in drafts for number, spot in enumerate(spots)
+                  if spot != task.spots[number]}
+        every = len(task.sizes) * len(task.places) <= _COLUMNS
+        columns: list[tuple[int, int]] = []
+        for number in range(len(task.sizes)):
+            own = task.spots[number].union(*(spots[number] for spots in drafts))
+            columns += [(number, at) for at in range(len(task.places)) if at in own or (
+                (every or number in moving) and task.takes[at])]
+        if len(columns) > _COLUMNS:
+            return
+        answer = exact(task, columns, self.left * 0.8, self.best.bytes if self.best else None)
+        if answer.spots is not None:
+            self._offer(answer.spots)
+
+    def _ahead(self, whole: bool) -> None:
+        """What grows meanwhile breaks every order: room is left for it, for as long as the moves may take."""
+        if not any(shard.growth for shard in self.fleet.shards):
+            return
+        share, task = self.fleet.limits.share, self.task
+        slow = min((place.pace * share for place in task.places if place.pace), default=1.0)
+        moves = task.moves(self.tried) if self.tried else []
+        ends: Counter[str] = Counter()
+        for move in moves:
+            ends.update({move.source: move.bytes, move.target: move.bytes})
+        horizon = int(max(ends.values(), default=0) / max(1.0, slow)) + len(moves) // 100 + 1
+        # As long as the busiest engine takes, and longer where stages wait for each other.
+        for factor in (1, 2, 4):
+            self.task = Task(self.fleet, self.tolerance, horizon * factor)
+            if whole:
+                answer = exact(self.task, None, max(1.0, self.left * 0.3))
+                if answer.spots is not None:
+                    self._offer(answer.spots)
+            else:
+                self._mend(self.tried or self.task.spots)
+            if self.best is not None or self.left <= 0:
+                return
+
+    def _mend(self, spots: list[set[int]]) -> None:
+        draft = Draft(self.task, spots)
+        if draft.settle():
+            draft.save()
+            if draft.sound():
+                self._offer(draft.spots)
+
+    def _offer(self, spots: list[set[int]]) -> None:
+        moves = self.task.moves(spots)
+        self.tried = spots
+        if self.best is not None and sum(move.bytes for move in moves) >= self.best.bytes:
+            return
+        try:
+            order = ordered(self.fleet, moves)
+        except DeadEndError as error:
+            self.error = self.error or error
+            return
+        self.spots = spots
+        self._take(order)
+
+    def _take(self, order: Order) -> None:
+        total = sum(move.bytes for move in order.moves)
+        if self.best is None or total < self.best.bytes:
+            self.best = Plan(order.moves, total, self.bound, order.stages, order.seconds,
+                             self.tolerance, order.late)
+            self._told_better()
+
+    def _told_better(self) -> None:
+        if self.best is not None and self.found is not None:
+            self.found(self._told(self.best))
+
+    def _told(self, plan: Plan) -> Plan:
+        return Plan(plan.moves, plan.bytes, min(plan.bytes, self.bound), plan.stages, plan.seconds,
+                    plan.tolerance, plan.late)
+
+
+def relaxed(task: Task, seconds: float, whole: bool = False) -> Answer:
+    """What every placement sends at least: which copies leave, and how much comes to each engine and zone.
+
+    `whole`: copies leave whole or not at all. Else it is linear, done in seconds for the largest fleets, and
+    its bound is as good in all that was measured.
+
+    Which engine of a zone a copy goes to is left open: whatever any placement does, this may do. In its spots
+    copies that leave are on no engine yet.
+    """
+    rows = _Rows()
+    scale = max(1, sum(task.sizes) // max(1, len(task.sizes)))
+    stay: list[tuple[int, int]] = [(number, at) for number, spot in enumerate(task.spots)
+                                   for at in sorted(spot)]
+    column = {pair: at for at, pair in enumerate(stay)}
+    comes = len(stay)  # of each shard and zone
+    fills = comes + len(task.sizes) * task.zones  # of each engine
+    width = fills + len(task.places)
+    inside: list[list[tuple[int, float]]] = [[] for _ in task.places]
+    for number, at in stay:
+        inside[at].append((column[number, at], task.sizes[number] / scale))
+    in_zone = [task.zone.count(zone) for zone in range(task.zones)]
+    upper = numpy.full(width, numpy.inf)
+    upper[:comes] = 1
+    for number, spot in enumerate(task.spots):
+        own = [(column[number, at], 1.0) for at in sorted(spot)]
+        new = [(comes + number * task.zones + zone, 1.0) for zone in range(task.zones)]
+        rows.add(own + new, task.counts[number], task.counts[number])
+        for zone in range(task.zones):
+            near = [(column[number, at], 1.0) for at in sorted(spot) if task.zone[at] == zone]
+            # An engine that already has the shard takes no other copy of it.
+            upper[new[zone][0]] = min(task.counts[number], in_zone[zone] - len(near))
+            if task.wide[number]:
+                rows.add([*near, new[zone]], 0, task.counts[number] - 1)
+    for at in range(len(task.places)):
+        rows.add([*inside[at], (fills + at, 1.0)], task.least[at] / scale, task.most[at] / scale)
+        if not task.takes[at]:
+            upper[fills + at] = 0
+    for zone in range(task.zones):
+        coming = [(comes + number * task.zones + zone, size / scale)
+                  for number, size in enumerate(task.sizes)]
+        rows.add(coming + [(fills + at, -1.0) for at, where in enumerate(task.zone) if where == zone], 0, 0)
+    cost = numpy.zeros(width)
+    for number, size in enumerate(task.sizes):
+        cost[comes + number * task.zones:comes + (number + 1) * task.zones] = size / scale
+    integral = numpy.zeros(width)
+    integral[:comes] = int(whole)
+    # Nearer than a hundredth it takes minutes, and repairs and savings come much nearer in no time.
+    found = milp(cost, constraints=rows.matrix(width), bounds=Bounds(numpy.zeros(width), upper),
+                 integrality=integral, options={"time_limit": seconds, "mip_rel_gap": 0.01})
+    if found.status == 2:
+        return Answer(None, 0, True)
+    spots: list[set[int]] | None = None
+    if found.x is not None:
+        spots = [set() for _ in task.sizes]
+        for at, (number, where) in enumerate(stay):
+            if found.x[at] > 0.5:
+                spots[number].add(where)
+    # A linear problem proves nothing until it is done.
+    bound = found.mip_dual_bound if whole else found.fun if found.status == 0 else None
+    return Answer(spots, _bytes(bound, scale), False)
+
+
+def exact(task: Task, columns: list[tuple[int, int]] | None, seconds: float,
+          under: int | None = None) -> Answer:
+    """The fewest bytes over these pairs of shard and engine, or all; `under`: only what sends fewer."""
+    if columns is None:
+        columns = [(number, at) for number in range(len(task.sizes)) for at in range(len(task.places))
+                   if task.takes[at] or at in task.spots[number]]
+    rows = _Rows()
+    scale = max(1, sum(task.sizes) // max(1, len(task.sizes)))
+    of_shard: list[list[tuple[int, int]]] = [[] for _ in task.sizes]
+    inside: list[list[tuple[int, float]]] = [[] for _ in task.places]
+    later: list[list[tuple[int, float]]] = [[] for _ in task.places]
+    cost = numpy.zeros(len(columns))
+    for at, (number, where) in enumerate(columns):
+        of_shard[number].append((at, where))
+        inside[where].append((at, task.sizes[number] / scale))
+        later[where].append((at, task.grown[number] / scale))
+        if where not in task.spots[number]:
+            cost[at] = task.sizes[number] / scale
+    for number, pairs in enumerate(of_shard):
+        rows.add([(at, 1.0) for at, _ in pairs], task.counts[number], task.counts[number])
+        if task.wide[number]:
+            for zone in range(task.zones):
+                near = [(at, 1.0) for at, where in pairs if task.zone[where] == zone]
+                if len(near) >= task.counts[number]:
+                    rows.add(near, 0, task.counts[number] - 1)
+    for at, place in enumerate(task.places):
+        rows.add(inside[at], task.least[at] / scale, task.most[at] / scale)
+        if task.horizon:
+            rows.add(later[at], 0, place.usable / scale)
+    if under is not None:
+        rows.add([(at, value) for at, value in enumerate(cost) if value], 0, (under - 1) / scale)
+    width = len(columns)
+    if not width:
+        return Answer(None, 0, True) if any(task.counts) else Answer([], 0, False)
+    found = milp(cost, constraints=rows.matrix(width), bounds=Bounds(0, 1), integrality=numpy.ones(width),
+                 options={"time_limit": seconds, "mip_rel_gap": 0.0})
+    if found.status == 2:
+        return Answer(None, 0, True)
+    spots: list[set[int]] | None = None
+    if found.x is not None:
+        spots = [set() for _ in task.sizes]
+        for at, (number, where) in enumerate(columns):
+            if found.x[at] > 0.5:
+                spots[number].add(where)
+        if not Draft(task, spots).sound():
+            spots = None  # broken by a few bytes, inside HiGHS's tolerance
+    return Answer(spots, _bytes(found.mip_dual_bound, scale), False)
+
+
+def _bytes(bound: float | None, scale: int) -> int:
+    """A bound of HiGHS in whole bytes, on the safe side of its tolerance."""
+    if bound is None or not math.isfinite(bound) or bound <= 0:
+        return 0
+    return max(0, math.ceil((bound - _SLACK * max(1.0, bound)) * scale))
+
+
+def _goal(fleet: Fleet, band: dict[str, tuple[int, int]]) -> Callable[[list[Spot]], bool]:
+    zone = {place.engine: place.zone for place in fleet.places}
+    zoned = len(zones_in(fleet)) > 1
+
+    def reached(spots: list[Spot]) -> bool:
+        held = dict.fromkeys(band, 0)
+        for shard, spot in zip(fleet.shards, spots):
+            if zoned and len(spot) > 1 and len({zone[engine] for engine in spot}) < 2:
+                return False
+            for engine in spot:
+                if engine not in held:
+                    return False
+                held[engine] += shard.size
+        return all(least <= held[engine] <= most for engine, (least, most) in band.items())
+    return reached
+
+
+def _away(fleet: Fleet) -> Callable[[int, Spot], int]:
+    out = {place.engine for place in fleet.places if place.out}
+    return lambda number, spot: len(out.intersection(spot))
+
+
+def _possible(fleet: Fleet) -> None:
+    """ImpossibleError for what can be said without a search."""
+    places = [place for place in fleet.places if not place.out]
+    most = max((len(shard.copies) for shard in fleet.shards), default=0)
+    if most > len(places):
+        raise ImpossibleError(f"{most} copies on {len(places)} engines that are not out")
+    lives = {place.engine for place in fleet.places if place.pace}
+    stays = {place.engine for place in places}
+    lost = [shard.name for shard in fleet.shards
+            if not lives & set(shard.copies) and set(shard.copies) - stays]
+    if lost:
+        raise ImpossibleError(f"no copy is on an engine that lives, of {len(lost)} shards:"
+                              f" {', '.join(lost[:5])}")
+    missing = _missing(fleet)
+    if missing:
+        lacks = ", ".join(f"{name} lacks {count} bytes" for name, count in missing.items())
+        raise ImpossibleError(f"no placement keeps headroom: {lacks}", missing)
+
+
+def _missing(fleet: Fleet) -> dict[str, int]:
+    """Bytes that the engines that stay lack as a whole."""
+    lack = (sum(shard.size * len(shard.copies) for shard in fleet.shards)
+            - sum(place.usable for place in fleet.places if not place.out))
+    return {"all engines": lack} if lack > 0 else {}
--- /dev/null
+++ b/cresstray/placement/worker.py
@@ -0,0 +1,147 @@
+"""The solver in a process of its own: python -m cresstray.placement.worker reads a fleet and writes plans.
+
+msgpack on both pipes: a frame is four bytes of length, the highest first, and that many of a body. In: the
+seconds and the fleet. Out: each better plan at once, and at last the final one, or why there is none.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import threading
+from collections.abc import Callable
+from typing import BinaryIO
+
+import msgspec
+
+from cresstray.placement.model import DeadEndError, Fleet, ImpossibleError, PlacementError, Plan
+
+# Beyond the limit: to load scipy, to read the fleet, and to prove the order of what was found last.
+_MARGIN = 10.0
+# 5,000 shards are some 0.5 MB, their plan less. Danger: a length that is no length would take all memory.
+_LONGEST = 256_000_000
+
+
+class Asked(msgspec.Struct, array_like=True):
+    seconds: float
+    fleet: Fleet
+
+
+class Told(msgspec.Struct, array_like=True):
+    """One answer. `kind`: better, final, impossible, dead end or fault."""
+
+    kind: str
+    plan: Plan | None = None
+    why: str = ""
+    missing: dict[str, int] = {}
+    proven: bool = False
+
+
+class WorkerError(PlacementError):
+    """The process could not be started, died, or had no plan when its time was over."""
+
+
+def plan_in_worker(fleet: Fleet, seconds: float, margin: float = _MARGIN,
+                   heard: Callable[[Plan], None] | None = None) -> Plan:
+    """The best plan within `seconds`; the process is killed `margin` later, and what it had found counts.
+
+    Blocks: an event loop calls it in a thread. ImpossibleError, DeadEndError and ValueError as of solve();
+    WorkerError else. `heard` is called with each better plan, in another thread.
+    """
+    command = [sys.executable, "-m", "cresstray.placement.worker"]
+    try:
+        process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+                                   stderr=subprocess.PIPE)
+    except OSError as error:
+        raise WorkerError(f"the solver's process could not be started: {error.strerror}") from error
+    told: list[Told] = []
+    errors: list[bytes] = []
+    reads = threading.Thread(target=_hear, args=(process, told, heard), daemon=True)
+    # Read beside it, or a long traceback would fill the pipe and hold the process up.
+    complains = threading.Thread(target=lambda: errors.append(process.stderr.read()[-2000:]), daemon=True)
+    reads.start()
+    complains.start()
+    killed = threading.Timer(seconds + margin, process.kill)
+    killed.start()
+    try:
+        try:
+            _write(process.stdin, msgspec.msgpack.encode(Asked(seconds, fleet)))
+            process.stdin.close()
+        except BrokenPipeError:
+            pass  # it has died: its errors say why
+        reads.join()
+        process.wait()
+        complains.join()
+    finally:
+        killed.cancel()
+        process.kill()
+        process.wait()
+        process.stdout.close()
+        process.stderr.close()
+    return _answer(told, process.returncode, b"".join(errors), seconds + margin)
+
+
+def _hear(process: subprocess.Popen, told: list[Told], heard: Callable[[Plan], None] | None) -> None:
+    while (body := _read(process.stdout)) is not None:
+        try:
+            told.append(msgspec.msgpack.decode(body, type=Told))
+        except msgspec.DecodeError:
+            return
+        if heard and told[-1].kind == "better" and told[-1].plan is not None:
+            heard(told[-1].plan)
+
+
+def _answer(told: list[Told], code: int, errors: bytes, limit: float) -> Plan:
+    last = told[-1] if told else None
+    if last is not None and last.plan is not None:
+        return last.plan
+    if last is None:
+        why = errors.decode(errors="replace").strip().splitlines()
+        if code == -9:
+            raise WorkerError(f"no plan was found in {limit:g} s: the solver was killed")
+        raise WorkerError(f"the solver died with {code}: {why[-1] if why else 'it said nothing'}")
+    if last.kind == "impossible":
+        raise ImpossibleError(last.why, last.missing)
+    if last.kind == "dead end":
+        raise DeadEndError(last.why, last.missing, last.proven)
+    raise ValueError(last.why)
+
+
+def _read(source: BinaryIO) -> bytes | None:
+    """None at the end, in a torn frame, and at a length that cannot be."""
+    head = source.read(4)
+    length = int.from_bytes(head)
+    if len(head) < 4 or length > _LONGEST:
+        return None
+    body = source.read(length)
+    return body if len(body) == length else None
+
+
+def _write(sink: BinaryIO, body: bytes) -> None:
+    sink.write(len(body).to_bytes(4) + body)
+    sink.flush()
+
+
+def main() -> None:
+    from cresstray.placement.solve import solve  # loads scipy, which only this process needs
+
+    sink = sys.stdout.buffer
+    sys.stdout = sys.stderr  # what a library prints must not fall between the frames
+
+    def say(told: Told) -> None:
+        _write(sink, msgspec.msgpack.encode(told))
+
+    body = _read(sys.stdin.buffer)
+    try:
+        asked = msgspec.msgpack.decode(body or b"", type=Asked)
+        say(Told("final", solve(asked.fleet, asked.seconds, lambda plan: say(Told("better", plan)))))
+    except ImpossibleError as error:
+        say(Told("impossible", None, str(error), error.missing))
+    except DeadEndError as error:
+        say(Told("dead end", None, str(error), error.missing, error.proven))
+    except (ValueError, msgspec.DecodeError) as error:
+        say(Told("fault", None, str(error)))
+
+
+if __name__ == "__main__":
+    main()
