--- a/cresstray/commands/__init__.py
+++ b/cresstray/commands/__init__.py
@@ -8,7 +8,20 @@
 import click
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+class _Group(click.Group):
+    """Its commands, and those that are loaded only when they are typed."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), "placement"])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name == "placement":
+            from cresstray.commands import placement
+            return placement.placement
+        return super().get_command(ctx, cmd_name)
+
+
+@click.group(cls=_Group, context_settings={"help_option_names": ["-h", "--help"]})
 def group() -> None:
     """An admission gateway for queries on a pool of engines."""
 
@@ -38,13 +51,17 @@
     from cresstray.conf.lines import UnusableError
     try:
         given = operator.read(file)
-        if given.halls is not None and given.halls.tls is not None:
-            from cresstray.halls.tls import Contexts
-            Contexts(given.halls.tls)
+        for part in (given.halls, given.fleet):
+            if part is not None and part.tls is not None:
+                from cresstray.halls.tls import Contexts
+                Contexts(part.tls)
     except (UnusableError, OSError) as trouble:
         click.echo(str(trouble), err=True)
         sys.exit(2)
     click.echo(msgspec.json.format(msgspec.json.encode(given), indent=2).decode())
+    if given.fleet is not None:
+        click.echo(f"rules may contradict each other for {given.fleet.stated / 1e6:g} s at the longest",
+                   err=True)
 
 
 @group.command()
@@ -75,6 +92,99 @@
         click.echo(line)
 
 
+@group.command()
+@click.argument("file", type=click.Path())
+@click.option("--name", required=True, help="Which of the file's keepers this one is.")
+@click.option("--found", is_flag=True, help="Only write the file of a keeper of a new fleet; once each.")
+@click.option("--dump", is_flag=True, help="Only tell the documents in its file, as JSON; it must not run.")
+def keeper(file: str, name: str, found: bool, dump: bool) -> None:
+    """Run one keeper of the fleet in the foreground, by an operator's FILE."""
+    from cresstray.commands import fleet
+    sys.exit(fleet.keep(file, name, found, dump))
+
+
+@group.group()
+def rules() -> None:
+    """What all gateways of a fleet agree on: look at it, change it, see who has it."""
+
+
+_JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+_SECONDS = click.option("--seconds", default=15.0, show_default=True, type=click.FloatRange(0.1, 600),
+                        help="How long to try for an answer.")
+
+
+@rules.command()
+@click.argument("file", type=click.Path())
+@click.option("--document", type=click.Choice(
+    ["gateways", "engines", "tenants", "tariffs", "placement", "replicas"]), help="Only this one.")
+@click.option("--version", default=0, type=click.IntRange(0), help="Of this version; 0: the latest.")
+@click.option("--history", is_flag=True, help="The changes of late instead.")
+@_JSON
+@_SECONDS
+def show(file: str, document: str | None, version: int, history: bool, as_json: bool, seconds: float) -> None:
+    """Tell the documents, by the operator's FILE."""
+    from cresstray.commands import fleet
+    sys.exit(fleet.show(file, document, version, history, as_json, seconds))
+
+
+@rules.command()
+@click.argument("file", type=click.Path())
+@click.argument("change", type=click.File("rb"), required=False)
+@click.option("--dry-run", is_flag=True, help="Only tell what would differ, or every refusal.")
+@click.option("--whole", is_flag=True, help="CHANGE has whole documents, in place of what is there.")
+@click.option("--back-to", default=0, type=click.IntRange(0), help="This version's content, not CHANGE.")
+@click.option("--why", default="", help="Kept with the change.")
+@click.option("--request", default="", help="Its name: asked again by the same one, it is made once.")
+@click.option("--no-wait", is_flag=True, help="Don't wait until it is in force.")
+@_JSON
+@_SECONDS
+def propose(file: str, change: object, dry_run: bool, whole: bool, back_to: int, why: str, request: str,
+            no_wait: bool, as_json: bool, seconds: float) -> None:
+    """Propose a CHANGE: JSON of documents, merged into what is there; null takes out. - is standard input.
+
+    Exit code 1: refused. 2: wrong, or no answer. With "versions" it is taken only if they are the latest.
+    """
+    from cresstray.commands import fleet
+    sys.exit(fleet.change(file, change.read() if change is not None else None, dry_run, whole, back_to, why,
+                          request, not no_wait, as_json, seconds))
+
+
+@rules.command()
+@click.argument("file", type=click.Path())
+@click.option("--replace", default="", help="Make this keeper's new generation a member, not the old one.")
+@_JSON
+@_SECONDS
+def members(file: str, replace: str, as_json: bool, seconds: float) -> None:
+    """Tell the keepers' members and leader, or replace one that has lost its file."""
+    from cresstray.commands import fleet
+    sys.exit(fleet.members(file, replace, as_json, seconds))
+
+
+@rules.command()
+@click.argument("file", type=click.Path())
+@_JSON
+@_SECONDS
+def where(file: str, as_json: bool, seconds: float) -> None:
+    """Tell each gateway's turn, what is left of its lease, and when it was heard."""
+    from cresstray.commands import fleet
+    sys.exit(fleet.where(file, as_json, seconds))
+
+
+@rules.command()
+@click.argument("file", type=click.Path())
+@click.argument("gateway")
+@click.option("--why", default="", help="Kept with the change.")
+@_JSON
+@_SECONDS
+def forget(file: str, gateway: str, why: str, as_json: bool, seconds: float) -> None:
+    """Say that a GATEWAY which no list names any more is out for good, so that its share is given away.
+
+    Make sure of it: if it runs yet, engines get more than their share.
+    """
+    from cresstray.commands import fleet
+    sys.exit(fleet.forget(file, gateway, why, as_json, seconds))
+
+
 @group.command("try")
 @click.option("--seconds", default=20, show_default=True, type=click.IntRange(8, 120))
 @click.option("--seed", default=1, show_default=True)
--- a/cresstray/commands/placement.py
+++ b/cresstray/commands/placement.py
@@ -79,6 +79,7 @@
          as_json: bool, answer_in: float) -> None:
     """Make a plan from what is placed and what disks tell, by the operator's FILE; nothing moves yet."""
     def act() -> int:
+        from cresstray.placement.check import check
         from cresstray.placement.worker import plan_in_worker
         line = fleet.Line(fleet.read(file), answer_in)
         limits = Limits(tolerance, at_once, share, border_moves, border_pace)
@@ -86,6 +87,10 @@
         told = msgspec.convert(fleet.ask(line, "disks")["disks"], dict[str, Disk])
         world = _world(given, told, empty, keep_free, keep_free_bytes, limits)
         found = plan_in_worker(world, seconds)
+        # Danger: a plan that was wrongly ordered would be half carried out before it shows.
+        broken = check(world, found)
+        if broken:
+            raise ValueError("the plan breaks what it was to keep: " + "; ".join(broken[:5]))
         made = Made(f"{time.strftime('%Y%m%d-%H%M%S', time.gmtime())}-{secrets.token_hex(3)}",
                     given.version("placement"), limits,
                     {place.engine: place.headroom for place in world.places}, found)
--- a/cresstray/conf/operator.py
+++ b/cresstray/conf/operator.py
@@ -8,7 +8,7 @@
 
 from cresstray.conf import fleet as fleets
 from cresstray.conf import lines
-from cresstray.conf.fleet import Fleet, Keeper
+from cresstray.conf.fleet import Engine, Fleet, Keeper
 from cresstray.conf.lines import Section, Sheet, UnusableError, one_of
 
 
@@ -88,6 +88,7 @@
     found: dict[str, Section] = {}
     peers: list[tuple[int, Peer]] = []
     keepers: list[tuple[int, Keeper]] = []
+    engines: list[tuple[int, Engine]] = []
     for section in sheet.sections:
         keyword, words = section.words[0], section.words[1:]
         if keyword not in _KNOWN:
@@ -100,6 +101,10 @@
             keeper = fleets.keeper(sheet, section, words)
             if keeper is not None:
                 keepers.append((section.number, keeper))
+        elif keyword == "engine":
+            engine = fleets.engine(sheet, section, words)
+            if engine is not None:
+                engines.append((section.number, engine))
         elif keyword in found:
             sheet.fault(section.number, f"{keyword!r} once; it stands in line {found[keyword].number}")
         elif len(words) != (keyword in _NAMED):
@@ -110,7 +115,9 @@
     made = {keyword: sheet.values(section, _KNOWN[keyword]) for keyword, section in found.items()}
     tls = _tls(sheet, found.get("tls"), made.get("tls", {}))
     of_fleet = [keyword for keyword in found if keyword in fleets.KNOWN]
-    fleet = fleets.fleet(sheet, found, made, keepers, tls) if of_fleet or keepers else None
+    fleet = None
+    if of_fleet or keepers or engines:
+        fleet = fleets.fleet(sheet, found, made, keepers, engines, tls)
     of_halls = [keyword for keyword in found if keyword not in fleets.KNOWN and keyword != "tls"]
     if "tls" in found and not of_fleet and not keepers:
         of_halls.append("tls")
--- a/cresstray/peers.py
+++ b/cresstray/peers.py
@@ -10,7 +10,7 @@
 import socket
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Annotated, Any, Protocol
 
 import anyio
 import msgspec
@@ -43,14 +43,28 @@
 _NAME, _LIFE = re.compile(r"[0-9A-Za-z_.:@-]{1,64}"), re.compile(r"[0-9a-f]{1,32}")
 
 
+class Heard(Frame):
+    """What one has seen of copies' positions; the body is replicas/spread.py's, and so is what it means."""
+
+    kind = 55
+    body: Annotated[bytes, msgspec.Meta(max_length=32 * 1024)]
+
+
+class Talk(Protocol):
+    """What is said of positions on one link: made with it, gone with it. `hears`: BrokenError."""
+
+    def says(self, now: int) -> bytes: ...
+    def hears(self, body: bytes, now: int) -> None: ...
+
+
 UNLIKE = "another lease, floor-lease, drift, most or barred than in this file"
 
 
 def agreed(given: Fleet) -> bytes:
     """What all processes of one fleet must have the same, in 16 bytes.
 
-    Danger: a gateway with a longer lease would act when its leader takes it for stopped, and keepers that check
-    by another `most` would apply one log to different states.
+    Danger: a gateway with a longer lease would act when its leader takes it for stopped, and keepers that
+    check by another `most` would apply one log to different states.
     """
     told = msgspec.msgpack.encode([given.lease, given.floor_lease, given.drift, given.most, given.barred])
     return blake2b(told, digest_size=16).digest()
@@ -156,11 +170,11 @@
 
 
 class Ends:
-    """Makes and accepts the links of one process. `kinds`: what the other side may send, its greeting among it."""
+    """Makes and accepts the links of one process. `kinds`: what the other side may send, Greet among it."""
 
     def __init__(self, kinds: Iterable[type[Frame]], contexts: Contexts | None, chance: Callable[[], float],
                  said: Said, counters: Counters) -> None:
-        self._kinds, self._contexts, self._chance = tuple(kinds), contexts, chance
+        self._kinds, self.contexts, self._chance = tuple(kinds), contexts, chance
         self._said, self._counters = said, counters
         self._greeting = 0
         self._not_made: dict[str, str] = {}  # by whom it was not made, and why, as last told
@@ -239,7 +253,9 @@
             why = link if isinstance(link, str) else link.why or "broken"
             named = {} if isinstance(link, str) else {"name": getattr(link.greeting, "name", "")}
             self._counters.add("links ended")
-            self._said.say("link", "ended", of=host, **named, why=why)
+            # Danger: operators come and go with each question; their lines would leave out those of others.
+            role = "link" if isinstance(link, str) else link.greeting.role
+            self._said.say("operator" if role == "operator" else "link", "ended", of=host, **named, why=why)
 
         with listener:
             while True:
@@ -261,9 +277,9 @@
         names: set[str] | None = None
         try:
             with anyio.fail_after(_HANDSHAKE):
-                if self._contexts is not None:
+                if self.contexts is not None:
                     from cresstray.halls.tls import Sealed
-                    channel = Sealed(line, self._contexts, server)
+                    channel = Sealed(line, self.contexts, server)
                     names = await channel.shake_hands()
                 if not server:
                     channel.put(encode(hello(None)))
--- a/cresstray/rules/follower.py
+++ b/cresstray/rules/follower.py
@@ -133,7 +133,7 @@
         except BrokenError:
             raise
         except Exception:
-            # Danger: a fault of ours in the rules must not end the gateway; without a lease it goes by the floor.
+            # Danger: a fault of ours must not end the gateway; without a lease it goes by the floor.
             self.counters.add("faults")
             self._said.say("fault", traceback.format_exc())
             raise BrokenError("a fault of ours") from None
--- a/cresstray/said.py
+++ b/cresstray/said.py
@@ -1,7 +1,7 @@
 """Lines of keepers and of what follows them: key=value on standard error by structlog, rate-limited by kind.
 
-Danger: structlog takes memory that a gateway without an operator's file may not have; only what that file asks
-for imports this.
+Danger: structlog takes memory that a gateway without an operator's file may not have; only what that file
+asks for imports this.
 """
 
 from __future__ import annotations
@@ -16,15 +16,14 @@
 
 
 class Said:
-    """`said.say("link", "ended", name="k2")`: a line of that kind; `now` in microseconds, for the rate only."""
+    """`said.say("link", "ended", name="k2")`: a line of that kind. `now` in microseconds, for the rate."""
 
     def __init__(self, now: Callable[[], int], **always: object) -> None:
         self._now = now
+        rendered = structlog.processors.LogfmtRenderer(key_order=["timestamp", *always, "kind", "event"])
         self._log = structlog.wrap_logger(
             structlog.PrintLogger(sys.stderr),
-            processors=[structlog.processors.TimeStamper(fmt="iso", utc=True),
-                        structlog.processors.LogfmtRenderer(key_order=["timestamp", *always, "kind", "event"])],
-        ).bind(**always)
+            processors=[structlog.processors.TimeStamper(fmt="iso", utc=True), rendered]).bind(**always)
         self._second: dict[str, int] = {}
         self._count: dict[str, int] = {}
 
