Positions are asked for at once and heard from engines; turns go on as the last word comes

Change: keeper/core.py answers at once, 20 ms apart at the least, and looks for turns again; the leader's board hears what engines tell it for moves; a read without a copy waits 30 ms for the keepers' word. Proposals carry what they are checked by, or a log read with another file would come to another state. One Talk for both sides; Heard stands in rules/codec.py; a gateway that is not named repeats that with its renewals only.

--- a/cresstray/fleet.py
+++ b/cresstray/fleet.py
@@ -10,13 +10,11 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-import msgspec
 from anyio.abc import TaskGroup
 
 from cresstray.clock import Clock, Timers
 from cresstray.conf.fleet import Fleet as Given
 from cresstray.counters import Counters
-from cresstray.frames import BrokenError
 from cresstray.interface import Engine, Submission
 from cresstray.log import Log
 from cresstray.logic import Gateway
@@ -26,23 +24,24 @@
 from cresstray.passage.take_in import TakeIn
 from cresstray.replicas.positions import Board
 from cresstray.replicas.read import Reads
-from cresstray.replicas.spread import Peer, Word
+from cresstray.replicas.spread import Talk
 from cresstray.rules.admission import Admission
 from cresstray.rules.follower import Follower
 from cresstray.rules.use import Use
 
-# Shards in a word to a keeper, once a second: some kilobyte, as docs/replicas.md has measured.
-_MOST_SHARDS = 16
-
-_word = msgspec.msgpack.Decoder(Word).decode
-_encode = msgspec.msgpack.Encoder().encode
+# Shards in a word to a keeper, told and asked for: four times a second some kilobyte, as docs/replicas.md has
+# measured.
+_MOST_SHARDS = 4
+# A read for which no copy is known to do waits so long for what keepers know: some round trips within a site.
+_PATIENCE = 30_000
 
 
 class Agreed:
     """interface.Rules at the moment of acting, by this process's clock and not by when an event was read."""
 
-    def __init__(self, admission: Admission, now: Callable[[], int]) -> None:
-        self._admission, self._now = admission, now
+    def __init__(self, admission: Admission, reads: Reads, now: Callable[[], int],
+                 ask: Callable[[], None]) -> None:
+        self._admission, self._reads, self._now, self._ask = admission, reads, now, ask
         self._moment = 0  # of the send or the offer that is being decided
 
     def gateways(self, now: int) -> int:
@@ -55,37 +54,23 @@
         return self._admission.admits(submission, self._moment)
 
     def takes(self, submission: Submission, engine: Engine, now: int) -> bool:
-        return self._admission.takes(submission, engine, self._moment)
+        takes = self._admission.takes(submission, engine, self._moment)
+        if self._reads.urgent:
+            self._reads.urgent = False
+            self._ask()
+        return takes
 
     def further(self, submission: Submission, now: int) -> float:
         return self._admission.further(submission, self._now())
 
 
-class Talk:
-    """What is said of positions on one link to a keeper, as bodies of its frames."""
-
-    def __init__(self, board: Board, wants: Callable[[int], tuple[str, ...] | None], most: int) -> None:
-        self._peer, self._wants, self._most = Peer(board), wants, most
-
-    def says(self, now: int) -> bytes:
-        return _encode(self._peer.says(self._most, self._wants(now), now))
-
-    def hears(self, body: bytes, now: int) -> None:
-        """BrokenError where that is no word."""
-        try:
-            word = _word(body)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as trouble:
-            raise BrokenError(f"no word on positions: {trouble}") from None
-        self._peer.hears(word, now)
-
-
 class Member:
     """One gateway's part in its fleet."""
 
     def __init__(self, given: Given, settings: Mapping[str, Any], seed: int, clock: Clock, gateway: Gateway,
                  route: Route, back: Back, take_in: TakeIn, timers: Timers, counters: Counters,
                  log: Log) -> None:
-        self._timers, self._lease = timers, given.lease
+        self._timers, self._lease, self._gateway = timers, given.lease, gateway
         # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
         life = f"{seed & 0xffffffff:08x}{clock.now():014x}"
         chance = random.Random(seed).random
@@ -98,10 +83,18 @@
         admission = Admission(use, [tenant["Name"] for tenant in settings.get("Tenants", [])],
                               [service.get("Name", "") for service in settings.get("Services", [])],
                               lambda engine: directory.ids.get(engine, ""), counters)
-        gateway.agreed = Agreed(admission, clock.now)
+        self.follower = Follower(
+            given, given.member, use, chance, clock.now, counters,
+            lambda: Talk(board, _MOST_SHARDS, lambda now: reads.wanted(now)[:_MOST_SHARDS]),
+            lambda up: setattr(reads, "patience", _PATIENCE if up else 0))
+        gateway.agreed = Agreed(admission, reads, clock.now, self._ask)
         route.pinned = back.pinned = take_in.pinned = Pinned(reads, directory)
-        self.follower = Follower(given, given.member, use, chance, clock.now, counters,
-                                 lambda: Talk(board, reads.wanted, _MOST_SHARDS))
+
+    def _ask(self) -> None:
+        """Keepers are asked for positions at once, for a read that waits for no more than their answer."""
+        self.follower.asks_at_once()
+        # What waits is looked at then, and not with the next sweep only.
+        self._timers.after(_PATIENCE + 1000, lambda now: self._gateway.listed((), False, now))
 
     def start(self, tasks: TaskGroup) -> None:
         # Danger: one that no list names would relay beside all that are named. Keepers within reach say so in
--- a/cresstray/keeper/answers.py
+++ b/cresstray/keeper/answers.py
@@ -87,7 +87,9 @@
         # What this keeper's file alone refuses goes into the log as of no version: asked again by the same
         # request, it stays refused, and what was accepted under it before is told as it was.
         bases = dict.fromkeys(documents.NAMES, -1) if refused else ask.bases
-        self._log(commands.propose(ask.request, bases, ask.change, ask.why, ask.name), reply, refused)
+        # Danger: a log that is read again with a newer file would come to another state.
+        self._log(commands.propose(ask.request, bases, ask.change, ask.why, ask.name, self._core.state.world),
+                  reply, refused)
 
     def _too_much(self, change: bytes) -> list[str]:
         """What would be barred beyond a part of a zone; only a file that names engines knows zones."""
--- a/cresstray/keeper/codec.py
+++ b/cresstray/keeper/codec.py
@@ -11,9 +11,8 @@
 
 from cresstray.consensus import codec as log
 from cresstray.frames import BrokenError, Frame, Frames, encode
-from cresstray.peers import Heard
 from cresstray.rules import codec as rules
-from cresstray.rules.codec import PART, PARTS, Greet, Reply, Request
+from cresstray.rules.codec import PART, PARTS, Greet, Heard, Reply, Request
 
 _Text = Annotated[str, msgspec.Meta(max_length=128)]
 # Danger: a question without end would be kept without end. A change of documents fits into one entry.
--- a/cresstray/keeper/core.py
+++ b/cresstray/keeper/core.py
@@ -20,9 +20,9 @@
 from cresstray.keeper import codec
 from cresstray.keeper.answers import Answers
 from cresstray.keeper.codec import Alive, Gather
-from cresstray.peers import Heard
 from cresstray.rules import codec as rules
 from cresstray.rules import state as commands
+from cresstray.rules.codec import Heard
 from cresstray.rules.leases import Leases
 from cresstray.rules.state import Since, State
 
@@ -31,8 +31,9 @@
 # Whole documents, in bytes a second over all gateways, and the most at once. 230 gateways that return with
 # nothing get 20 kB each in some three seconds; what differs from a version that they know is never held up.
 _PACE, _BURST = 1_500_000, 256 * 1024
-# What was seen of copies: a word so often to each who talks of them, as docs/replicas.md has measured.
-_SPREAD = 1_000_000
+# What was seen of copies: a word so often to other keepers; who asks is answered at once, not more often than
+# this.
+_SPREAD, _AT_ONCE = 250_000, 20_000
 # Danger: what a gateway doesn't read would be kept; one that has so much unread gets nothing more.
 _LAGGING = 1024 * 1024
 
@@ -60,6 +61,7 @@
     renewed: int = -1  # the last renewal's number
     turn: int | None = None  # the turn whose content it has; None before it has told
     talk: Talk | None = None  # once it has told of positions
+    spoke: int = 0  # when it was last answered
     gathers: dict[str, Gather] = field(default_factory=dict)
 
 
@@ -157,6 +159,10 @@
                 guest.talk = self._talks()
             if guest.talk is not None:
                 guest.talk.hears(frame.body, now)
+                # At once: an age counts from the word that is answered. Danger: one that talks without end.
+                if now - guest.spoke >= _AT_ONCE and guest.far.unwritten < _LAGGING:
+                    guest.spoke = now
+                    guest.far.put(Heard(guest.talk.says(now)))
         elif isinstance(frame, Alive):
             guest.far.put(frame)
         elif isinstance(frame, rules.Carried):
@@ -273,6 +279,8 @@
         self._drain(now)
         self._lead(now)
         self._renewed(now)
+        # What has just been confirmed may be the last that a turn waited for.
+        self._lead(now)
         self._drain(now)
         self._push(now)
         self._spread(now)
@@ -416,9 +424,6 @@
         self._spread_at = now + _SPREAD
         for far, talk in self._talking.values():
             far.put(Heard(talk.says(now)))
-        for guest in self.guests.values():
-            if guest.talk is not None and guest.far.unwritten < _LAGGING:
-                guest.far.put(Heard(guest.talk.says(now)))
 
     def _tell(self) -> None:
         node = self.node
--- a/cresstray/keeper/joined.py
+++ b/cresstray/keeper/joined.py
@@ -9,40 +9,18 @@
 
 from cresstray.consensus.raft import Role
 from cresstray.counters import Counters
-from cresstray.frames import BrokenError
 from cresstray.keeper.core import Core
-from cresstray.placement.carrier import Carrier, Entry
+from cresstray.placement.carrier import Carrier, Disk, Entry
 from cresstray.placement.carry import Hands
 from cresstray.placement.moves import Moves
 from cresstray.replicas.positions import Board
-from cresstray.replicas.spread import Peer, Word
+from cresstray.replicas.spread import Talk
 
-# Shards in one word, once a second: some kilobyte, as docs/replicas.md has measured.
-_MOST_SHARDS = 16
+# Shards in one word to another keeper: 5,000 take some twenty seconds, those that change go first.
+_MOST_SHARDS = 64
 # A move's next step is looked for so often: a tenth of a second is little beside a copy, or a turn.
 _LOOK = 100_000
 
-_word = msgspec.msgpack.Decoder(Word).decode
-_encode = msgspec.msgpack.Encoder().encode
-
-
-class Talk:
-    """On one link, as bodies of its frames; a keeper wants to hear of all shards."""
-
-    def __init__(self, board: Board) -> None:
-        self._peer = Peer(board)
-
-    def says(self, now: int) -> bytes:
-        return _encode(self._peer.says(_MOST_SHARDS, None, now))
-
-    def hears(self, body: bytes, now: int) -> None:
-        """BrokenError where that is no word."""
-        try:
-            word = _word(body)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as trouble:
-            raise BrokenError(f"no word on positions: {trouble}") from None
-        self._peer.hears(word, now)
-
 
 class Positions:
     """Merged out of what all gateways tell, and told to those that want them."""
@@ -51,7 +29,13 @@
         self._board = Board(lambda text: say("replicas", text), drift, passes_on=True)
 
     def talk(self) -> Talk:
-        return Talk(self._board)
+        return Talk(self._board, _MOST_SHARDS)
+
+    def seen(self, disk: Disk, now: int) -> None:
+        """What an engine itself has told this keeper, as it leads: of all its copies at once."""
+        for name, copy in disk.copies.items():
+            head = copy.head if copy.primary else None
+            self._board.heard(name, disk.engine, copy.epoch, copy.applied, head, disk.at, now)
 
     def join(self, core: Core) -> None:
         core.turned.append(lambda now: self._board.place(core.state.acting.placement.items, now))
--- a/cresstray/keeper/process.py
+++ b/cresstray/keeper/process.py
@@ -32,9 +32,10 @@
 from cresstray.keeper.codec import Alive
 from cresstray.keeper.core import Core, Guest
 from cresstray.keeper.joined import Moving, Positions
-from cresstray.peers import Ends, Heard, Link
+from cresstray.peers import Ends, Link
 from cresstray.placement.moves import Moves
 from cresstray.rules import documents
+from cresstray.rules.codec import Heard
 from cresstray.rules.documents import World
 from cresstray.rules.leases import Leases
 from cresstray.rules.state import State
@@ -100,6 +101,7 @@
         self._core = Core(given, node, state, leases, self._write, self._say, self.counters, started,
                           positions.talk)
         positions.join(self._core)
+        self._moving.hands.seen = positions.seen
         self._moving.join(self._core)
         self._know_engines(given)
         self._address = given.keeper(name).address
--- a/cresstray/peers.py
+++ b/cresstray/peers.py
@@ -10,7 +10,7 @@
 import socket
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
-from typing import TYPE_CHECKING, Annotated, Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
 import msgspec
@@ -43,13 +43,6 @@
 _NAME, _LIFE = re.compile(r"[0-9A-Za-z_.:@-]{1,64}"), re.compile(r"[0-9a-f]{1,32}")
 
 
-class Heard(Frame):
-    """What one has seen of copies' positions; the body is replicas/spread.py's, and so is what it means."""
-
-    kind = 55
-    body: Annotated[bytes, msgspec.Meta(max_length=32 * 1024)]
-
-
 class Talk(Protocol):
     """What is said of positions on one link: made with it, gone with it. `hears`: BrokenError."""
 
--- a/cresstray/placement/carrier.py
+++ b/cresstray/placement/carrier.py
@@ -293,7 +293,8 @@
         request = f"moves/{self._plan}/placement/{base}/{times}"
         why = f"plan {self._plan}: " + ", ".join(why for _, why in changes.values())
         self._steps.append(Entry(request, rules.propose(
-            request, {"placement": base}, documents.delta(state.latest, after), why[:200])))
+            request, {"placement": base}, documents.delta(state.latest, after), why[:200],
+            world=state.world)))
 
     # States.
 
--- a/cresstray/placement/carry.py
+++ b/cresstray/placement/carry.py
@@ -110,6 +110,7 @@
         self._addresses, self._propose, self._leads, self._clock = addresses, propose, leads, clock
         self._counters, self._say = counters, say
         self.told: dict[str, Disk] = {}
+        self.seen: Callable[[Disk, int], None] = lambda disk, now: None  # hears each word as it comes
         self._lines: dict[str, _Line] = {}
         self._tasks: TaskGroup | None = None
         self._sizes: dict[str, tuple[int, int, int]] = {}  # of shards: bytes, when, and bytes a second
@@ -152,8 +153,10 @@
                     # The mean of what was and what is: a busy minute counts, and does not decide.
                     self._sizes[name] = copy.bytes, at, (before[2] + rate) // 2 if before[2] else rate
                 copy.growth = self._sizes[name][2]
-        self.told[engine] = Disk(engine, told.zone, told.disk, told.free, told.headroom, told.pace, at,
-                                 told.copies, told.numbers, told.cores, told.util, told.inflight, told.depth)
+        disk = self.told[engine] = Disk(engine, told.zone, told.disk, told.free, told.headroom, told.pace, at,
+                                        told.copies, told.numbers, told.cores, told.util, told.inflight,
+                                        told.depth)
+        self.seen(disk, self._clock())
 
     def do(self, steps: Iterable[Command | Entry]) -> None:
         """Carries out what the carrier decided; nothing of it once this keeper does not lead."""
--- a/cresstray/replicas/spread.py
+++ b/cresstray/replicas/spread.py
@@ -3,11 +3,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Annotated
 
 import msgspec
 
+from cresstray.frames import BrokenError
 from cresstray.replicas.positions import Board, Cursor, Item
 
 # Shards that a gateway asks for: those of its hinted reads of late.
@@ -63,3 +64,30 @@
             self._board.take(word.items, at, now)
             for number in [number for number in self._said if number < word.echo]:
                 del self._said[number]
+
+
+_word = msgspec.msgpack.Decoder(Word).decode
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class Talk:
+    """A peer's words as the bodies of frames, at most so many shards in each.
+
+    `wants`: the shards that this side wants to hear of at that moment; left out: all, as keepers do.
+    """
+
+    def __init__(self, board: Board, most: int,
+                 wants: Callable[[int], tuple[str, ...]] | None = None) -> None:
+        self._peer, self._most, self._wants = Peer(board), most, wants
+
+    def says(self, now: int) -> bytes:
+        wants = self._wants(now) if self._wants is not None else None
+        return _encode(self._peer.says(self._most, wants, now))
+
+    def hears(self, body: bytes, now: int) -> None:
+        """BrokenError where that is no word."""
+        try:
+            word = _word(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as trouble:
+            raise BrokenError(f"no word on positions: {trouble}") from None
+        self._peer.hears(word, now)
--- a/cresstray/rules/codec.py
+++ b/cresstray/rules/codec.py
@@ -17,12 +17,11 @@
 PART = 128 * 1024
 # Danger: parts without end would be kept without end. 16 MB hold ten times the documents of 5,000 shards.
 PARTS = 128
-# Positions in one frame: some 6 kB, well under a part.
-HEARD = 64
+# One word on positions: 256 shards of some 60 bytes, and room.
+WORD = 32 * 1024
 
 _Text = Annotated[str, msgspec.Meta(max_length=128)]
 _Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-_Position = Annotated[int, msgspec.Meta(ge=-1, le=2**63 - 1)]
 _Body = Annotated[bytes, msgspec.Meta(max_length=PART)]
 
 
@@ -92,20 +91,11 @@
     body: _Body
 
 
-class Position(msgspec.Struct, array_like=True, frozen=True):
-    """What a copy of a shard was seen to have; `head` is -1 where it is not the primary's word."""
-
-    shard: _Text
-    copy: _Text
-    epoch: _Number
-    applied: _Position
-    head: _Position
-    age: _Number  # microseconds since it was asked for, rounded up
-
-
 class Heard(Frame):
+    """What is known of copies' positions, both ways: a word of replicas/spread.py."""
+
     kind = 55
-    items: Annotated[list[Position], msgspec.Meta(max_length=HEARD)]
+    body: Annotated[bytes, msgspec.Meta(max_length=WORD)]
 
 
 class Carried(Frame):
--- a/cresstray/rules/follower.py
+++ b/cresstray/rules/follower.py
@@ -14,8 +14,8 @@
 from cresstray.conf.fleet import Fleet, Keeper
 from cresstray.counters import Counters
 from cresstray.frames import BrokenError, Frame
-from cresstray.peers import Ends, Heard, Link, Talk, agreed, greeted, hello
-from cresstray.rules.codec import Behind, Content, Granted, Greet, Refused
+from cresstray.peers import Ends, Link, Talk, agreed, greeted, hello
+from cresstray.rules.codec import Behind, Content, Granted, Greet, Heard, Refused
 from cresstray.rules.use import Mode, Use
 from cresstray.said import Said
 
@@ -29,8 +29,9 @@
 # After all keepers were tried in vain: doubled each time around, by chance from nothing to it. 230 gateways
 # that come back are some 80 links a second for all keepers together.
 _PAUSE, _PAUSE_MOST = 0.5, 3.0
-# What was seen of copies goes out so often: a word of some kilobyte, as docs/replicas.md has measured.
-_TELL = 1_000_000
+# What was seen of copies goes out so often, a word of some hundred bytes, as docs/replicas.md has measured;
+# asked at once, not more often than the latter.
+_TELL, _TELL_LEAST = 250_000, 20_000
 
 
 def boottime() -> int:
@@ -46,14 +47,14 @@
 class Follower:
     """`now` is the clock that the gateway acts by. `talks` makes what is said of positions on a new link.
 
-    `changed` is called when the turn or the mode has changed: what is held may be looked at again. OSError
-    where the keys can't be used.
+    `linked` hears whether there is a link now. OSError where the keys can't be used.
     """
 
     def __init__(self, given: Fleet, name: str, use: Use, chance: Callable[[], float],
                  now: Callable[[], int] = boottime, counters: Counters | None = None,
-                 talks: Callable[[], Talk] | None = None, changed: Callable[[], None] = lambda: None) -> None:
-        self._given, self.name, self.use, self._changed = given, name, use, changed
+                 talks: Callable[[], Talk] | None = None,
+                 linked: Callable[[bool], None] = lambda up: None) -> None:
+        self._given, self.name, self.use, self._linked = given, name, use, linked
         self._chance, self._now, self._talks = chance, now, talks
         self.counters = counters or Counters()
         self._said = Said(now, gateway=name)
@@ -67,7 +68,7 @@
         self._link: Link | None = None
         self._keeper = ""
         self._talk: Talk | None = None
-        self._heard_at = self._leader_at = self._tell_at = 0
+        self._heard_at = self._leader_at = self._tell_at = self._told_at = 0
         self._got = -1  # the turn for which the rest has been asked for on this link
         self._timer: asyncio.TimerHandle | None = None
         self._was: tuple[Mode, int] | None = None
@@ -107,6 +108,7 @@
         self._link, self._keeper, self._got = link, keeper.name, -1
         self._heard_at = self._leader_at = at
         self._talk = self._talks() if self._talks is not None else None
+        self._linked(True)
         self._said.say("link", "made", to=keeper.name)
         self.use.connected(at)
         link.put(self.use.gets())
@@ -115,6 +117,7 @@
     def _down(self, link: Link) -> None:
         if self._link is link:
             self._link, self._keeper, self._talk = None, "", None
+            self._linked(False)
 
     def _taken(self, link: Link, frame: Frame) -> None:
         at = self._heard_at = self._now()
@@ -169,8 +172,7 @@
             self._got = use.heard
             link.put(use.gets())
         if self._talk is not None and at >= self._tell_at:
-            self._tell_at = at + _TELL
-            link.put(Heard(self._talk.says(at)))
+            self._tell(link, self._talk, at)
         # A renewal goes out each third of a lease, so a third later its answer is overdue.
         quiet = 2 * self._given.lease // 3
         if at - self._heard_at > quiet:
@@ -178,6 +180,16 @@
         elif at - self._leader_at > max(quiet, 4 * self._given.election):
             link.end("it knows no leader")
 
+    def _tell(self, link: Link, talk: Talk, at: int) -> None:
+        self._told_at, self._tell_at = at, at + _TELL
+        link.put(Heard(talk.says(at)))
+
+    def asks_at_once(self) -> None:
+        """Tells, and so asks, what is known of copies now, where there is a keeper to hear it."""
+        at = self._now()
+        if self._link is not None and self._talk is not None and at - self._told_at >= _TELL_LEAST:
+            self._tell(self._link, self._talk, at)
+
     def _look(self, at: int) -> None:
         in_use = self.use.at(at)
         for line in self.use.told():
@@ -189,7 +201,6 @@
             if self._was is not None and now_is[0] is not self._was[0]:
                 self.counters.add(f"rules {now_is[0].value}")
             self._was = now_is
-            self._changed()
 
     def status(self) -> dict[str, Any]:
         at = self._now()
--- a/cresstray/rules/use.py
+++ b/cresstray/rules/use.py
@@ -127,11 +127,12 @@
         if isinstance(frame, Granted):
             self._granted(frame, *asked)
         elif isinstance(frame, Refused) and frame.reason == NOT_NAMED and frame.turn >= self.turn:
+            # That it has stopped is said at once, and then with each renewal.
             if self._out <= self.turn:
                 self._told.append(f"stopped: not named by the list of turn {frame.turn}")
+                self._soon(now)
             self._out, self._until, self._floor_until = max(self._out, frame.turn), 0, 0
             self.changes += 1
-            self._soon(now)
         elif isinstance(frame, Refused):
             self.due = min(self.due, self._asked_at + self._every // _REFUSED)
         elif isinstance(frame, Behind) and frame.turn < self.turn:
