--- a/cresstray/replicas/pins.py
+++ b/cresstray/replicas/pins.py
@@ -30,7 +30,7 @@
 def pinned(pin: Pin, copies: Iterable[str], reads: tuple[str, ...],
            zone_of: Callable[[str], str | None], joint: bool = False) -> list[str]:
     """Those of `copies` that the pin means; one that the shard no longer has is followed into its zone."""
-    # Danger: while joint a copy that moves is in neither's reads, and by the version in force it has not gone.
+    # Danger: while joint a copy that moves is in neither's reads; by the version in force it has not gone.
     gone = [] if joint and pin.strict else [copy for copy in pin.copies if copy not in reads]
     zones = {zone_of(copy) for copy in gone} | ({pin.zone} if gone or not pin.copies else set())
     zones -= {None, ""}
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -19,8 +19,8 @@
     "conf": ("halls", "rules", "keeper", "passage", "commands", "standins"),
     "standins": ("commands",),
 }
-# Where sockets, clocks, files or processes are; all else in these packages is free of them. The solver keeps to
-# a time of its own, in a process of its own.
+# Where sockets, clocks, files or processes are; all else in these packages is free of them. The solver keeps
+# to a time of its own, in a process of its own.
 CONNECTED = {"rules.follower", "placement.carry", "placement.worker", "placement.solve", "consensus.storage"}
 PURE = ("consensus", "rules", "placement", "replicas")
 OUTSIDE = {"anyio", "asyncio", "socket", "time", "os", "random", "subprocess", "threading", "sqlite3", "ssl"}
