--- a/cresstray/placement/carrier.py
+++ b/cresstray/placement/carrier.py
@@ -110,6 +110,8 @@
         self.key, self.since = key, now
         self.bytes, self.grew = -1, now
         self.head, self.head_at = -1, 0
+        self.claim = -1
+        self.claim_at: int | None = None  # of the target: a position, and when it was asked
         self.rate = 0
         self.final = -1  # head of the old primary once nothing is written
 
@@ -222,6 +224,11 @@
     def _gone(self, engine: str) -> bool:
         return self._silent(engine) > self._times.gone
 
+    def _barred(self, engine: str) -> bool:
+        """Danger: a primary on an engine that no gateway may send to takes no writes."""
+        rule = self._state.latest.engines.items.get(engine)
+        return rule is not None and (rule.barred or not rule.work)
+
     def _watch(self, index: int, move: Moving) -> _Watch:
         key = (move.at, move.fence, move.tries)
         watch = self._watches.get(index)
@@ -305,6 +312,9 @@
         if shard is None or move.source not in shard.copies or move.target in shard.copies:
             self._enter(index, move, Event.BACK, why="the placement was changed by another")
             return
+        if self._barred(move.target):
+            self._enter(index, move, Event.BACK, why=f"{move.target} is barred")
+            return
         feed = self._feed(move, shard)
         if feed is None or self._fresh(move.target) is None:
             silent = move.source if feed is None else move.target
@@ -397,6 +407,8 @@
             why = "the placement was changed by another"
         elif self._gone(move.target):
             why = f"{move.target} is gone"
+        elif self._barred(move.target):
+            why = f"{move.target} is barred"
         elif move.primary and self._gone(move.source):
             # Which of its last writes are to be given up is an operator's to say.
             why = f"{move.source}, its primary, is gone"
@@ -495,10 +507,16 @@
             return old is not None and applied >= old.applied
         if copy is None or not copy.primary:
             return False
-        if applied > copy.head and disk.at >= target.at:
+        if watch.claim_at is None or applied <= copy.head:
+            watch.claim, watch.claim_at = applied, target.at
+        if watch.claim > copy.head and disk.at < watch.claim_at:
+            return False  # the primary's next word says whether that can be
+        claim, watch.claim_at = watch.claim, None
+        if claim > copy.head:
             # Danger: a position beyond the head is a lie; what it has is not known.
-            self.waits[index] = f"{move.target} claims {applied}, beyond the head {copy.head}"
+            self.waits[index] = f"{move.target} claims {claim}, beyond the head {copy.head}"
             return False
+        applied = claim
         late = self._now - watch.head_at > self._times.near
         if late or watch.head <= applied:
             if not late and watch.head >= 0:
@@ -517,6 +535,9 @@
         if shard is None or shard.primary not in ("", move.source):
             self._enter(index, move, Event.UNFENCE, why="the placement was changed by another")
             return
+        if self._barred(move.target):
+            self._enter(index, move, Event.UNFENCE, why=f"{move.target} is barred")
+            return
         if self._now - watch.since > self._times.fenced:
             self._enter(index, move, Event.UNFENCE, why="its primary could not be switched in time")
             return
