--- /dev/null
+++ b/cresstray/kept/keep.py
@@ -0,0 +1,265 @@
+"""Joins beliefs, files and what was learnt to one gateway, as the service calls it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from anyio.abc import TaskGroup
+
+from cresstray.coordinator.known import Event, Member
+from cresstray.counters import Counters
+from cresstray.interface import Ending, Engine, Relay, Submission
+from cresstray.kept import learnt, record
+from cresstray.kept.behind import Behind
+from cresstray.kept.belief import Beliefs, How, Source, State
+from cresstray.kept.fade import HANDED, OLDEST, Moment, age
+from cresstray.kept.files import Found, Outcome, Writer
+from cresstray.kept.knock import knock
+from cresstray.logic import Gateway, Limiter, micros
+
+# What a relay's end says of a remembered engine. Faults of work say nothing: it runs work, so it is one. An
+# answer that can't be read may be another service's, which may be for a moment only.
+_HOW = {Ending.FULFILLED: How.SERVED, Ending.FULL: How.SERVED, Ending.ERROR: How.SERVED,
+        Ending.UNREACHABLE: How.REFUSED, Ending.TIMED_OUT: How.SILENT, Ending.RESET: How.SILENT,
+        Ending.SPOILT: How.SILENT}
+# Without a stated grace an engine is given so long to end.
+_GRACE = 10_000
+
+
+class Keep:
+    """`say` prints a line for operators; `moment` reads all clocks, `now` is the module's."""
+
+    def __init__(self, writer: Writer, settings: Mapping[str, Any], gateway: Gateway,
+                 chance: Callable[[], float], counters: Counters, say: Callable[[str], None],
+                 moment: Callable[[], Moment], now: int) -> None:
+        limits, safety = settings.get("Limits", {}), settings.get("Safety", {})
+        self._writer, self._gateway, self._chance, self._moment = writer, gateway, chance, moment
+        self._counters, self._say = counters, say
+        self._names = [service.get("Name", "") for service in settings.get("Services", [])]
+        self._zones, self._machines = settings.get("Localities", []), settings.get("Flavors", [])
+        self._patience = micros(limits.get("ConnectTimeout", 250))
+        self.beliefs = Beliefs(micros(safety.get("DrainGrace", _GRACE)),
+                               micros(limits.get("MaxRetryAfter", 0)), chance, now)
+        self.behind = Behind(chance, now)
+        self._pending: dict[int, Member] = {}  # to be listed at the next step
+        self._engines: dict[int, tuple[Engine, Limiter]] = {}
+        self._ids: dict[Engine, int] = {}
+        self._same: set[int] = set()  # told, in the life that they were remembered in
+        self._limits: dict[int, record.Limit] = {}
+        self._age, self._begun, self._serial, self._frames = OLDEST, now, 0, 0
+        self._last: list[str] | None = None  # marks of the last write, once this gateway ends
+        self._final = False  # the last write has begun
+        self._trouble = ""
+        self.done = False  # the last write is at its end
+        self.marks: list[str] = []  # handed over: names that were in use a few seconds ago
+
+    # The start, and what another process leaves while it ends.
+
+    def begin(self, now: int) -> None:
+        self._take(self._writer.folder.read(), now)
+
+    def _take(self, found: Found, now: int) -> None:
+        for line in found.skipped:
+            self._counters.add("kept files skipped")
+            self._say(line)
+        kept = found.record
+        if kept is None or found.serial <= self._serial:
+            return
+        self._serial, self._age = found.serial, age(kept.moment, self._moment())
+        members = [(member, min(OLDEST, self._age + before)) for member, before in
+                   record.members(kept, self._zones, self._machines)]
+        # Danger: only the reading that nobody sets says that a few seconds are a few seconds.
+        handed = kept.handed and kept.boot == self._moment().boot != "" and self._age < HANDED
+        self.beliefs.remembered(members, kept.number, kept.tombs, Source.DISK, now, handed)
+        self._limits = {one.id: one for one in kept.limits}
+        put = learnt.put_tariffs(self._gateway, self._names, kept.tariffs, self._age)
+        self.marks = kept.marks if handed else []
+        self._say(f"remembers {len(members)} engines and {put} tariffs, "
+                  + ("of an unknown age" if self._age >= OLDEST else f"{self._age / 1e6:.0f} s old")
+                  + (", handed over" if handed else ""))
+
+    # The list: before and after the module hears of it.
+
+    def told(self, event: Event, now: int) -> Event:
+        """The event as route and module may have it."""
+        before = {member.id: belief.member.started for member in event.members
+                  if (belief := self.beliefs.engines.get(member.id)) is not None
+                  and belief.state in (State.ON_TRIAL, State.CONFIRMED)}
+        passed = self.beliefs.told(event, now)
+        self._same = {member.id for member in passed.members if before.get(member.id) == member.started}
+        left_out = len(event.members) - len(passed.members)
+        if left_out:
+            self._counters.add("kept: members of old lists left out", left_out)
+        for member in passed.members:
+            self._pending.pop(member.id, None)
+        if passed.complete:
+            self._pending.clear()
+        self.behind.changed(now)
+        return passed
+
+    def listed(self, event: Event, engines: Mapping[int, Engine], now: int) -> None:
+        """After the module has heard of `event`; `engines`: the route's, by id. Limits start as they were."""
+        for member in event.members:
+            engine = engines.get(member.id)
+            if engine is None or engine.limiter is None:
+                continue
+            old = self._engines.get(member.id)
+            if old is None or old[0] is not engine or old[1] is not engine.limiter:
+                self._start(member, engine, old[1] if old and old[0] is engine else None, now)
+            self._engines[member.id], self._ids[engine] = (engine, engine.limiter), member.id
+        if len(self._engines) > len(engines):
+            self._engines = {number: held for number, held in self._engines.items() if number in engines}
+            self._ids = {held[0]: number for number, held in self._engines.items()}
+
+    def _start(self, member: Member, engine: Engine, old: Limiter | None, now: int) -> None:
+        told = self.beliefs.state(member.id) is State.TOLD
+        if old is not None and member.id in self._same:
+            learnt.carry(old, engine.limiter)
+            return
+        kept = self._limits.get(member.id)
+        if kept is not None:
+            passed = min(OLDEST, self._age + max(0, now - self._begun))
+            learnt.put_limit(engine.limiter, kept, member.started if told else None, passed)
+        if not told:
+            learnt.on_trial(engine.limiter, self._chance, now)
+
+    # What happens meanwhile.
+
+    def ended(self, relay: Relay, ending: Ending, now: int) -> None:
+        engine, how = self._ids.get(relay.engine), _HOW.get(ending)
+        if engine is not None and how is not None and self.beliefs.state(engine) is not State.TOLD:
+            self._answered(engine, how, now)
+
+    def _answered(self, engine: int, how: How, now: int) -> None:
+        before = self.beliefs.state(engine)
+        for member in self.beliefs.answered(engine, how, now):
+            self._pending[member.id] = member
+        after = self.beliefs.state(engine)
+        if before is not after and after is not None:
+            self._counters.add(f"kept: engines {after.value}")
+            self.behind.changed(now)
+
+    def refuses(self, submission: Submission, now: int) -> int | None:
+        """When to come back, in microseconds, where nothing is known well enough to send this to."""
+        tariff = submission.tariff
+        wait = self.beliefs.refuses(tariff.idempotent or tariff.deduplicated, now)
+        if wait is not None:
+            self._counters.add("kept: refused rather than guessed")
+        return wait
+
+    def on_trial(self, engine: Engine) -> bool:
+        number = self._ids.get(engine)
+        return number is not None and self.beliefs.state(number) is State.ON_TRIAL
+
+    def forget(self, engine: int, now: int) -> bool:
+        """An operator's word that it is gone. False: the register names it, or nobody does."""
+        if self.beliefs.state(engine) in (None, State.TOLD, State.GONE):
+            return False
+        self._pending.update((member.id, member) for member in self.beliefs.forget(engine, now))
+        self.behind.changed(now)
+        return True
+
+    def status(self, now: int) -> list[dict[str, Any]]:
+        """What is believed, a plain map for each engine; ages in seconds."""
+        ages = {member.id: before for member, before in self.beliefs.kept(now)}
+        return [{"id": f"s-{number:08x}", "address": f"{one.member.host}:{one.member.port}",
+                 "state": one.state.value, "source": one.source.value, "listed": one.listed,
+                 "age": None if ages.get(number, OLDEST) >= OLDEST else round(ages[number] / 1e6, 1),
+                 "failed": one.failed}
+                for number, one in self.beliefs.engines.items()]
+
+    def trials(self, tasks: TaskGroup, now: Callable[[], int]) -> None:
+        """Asks the engines whose trial is due, each in a task that ends within a link's patience."""
+        for member in self.beliefs.due(now()):
+            self._counters.add("kept: trials")
+            tasks.start_soon(self._trial, member, now)
+
+    async def _trial(self, member: Member, now: Callable[[], int]) -> None:
+        how = await knock(member.host, member.port, self._patience)
+        belief = self.beliefs.engines.get(member.id)
+        # It may have been told of meanwhile, at another address.
+        if belief is not None and (belief.member.host, belief.member.port) == (member.host, member.port):
+            self._answered(member.id, how, now())
+
+    def step(self, now: int) -> Event | None:
+        """Background work, ten times a second: starts and ends writes; what is to be listed, if anything."""
+        frames = self._counters.counts["coordinator frames"]
+        if frames != self._frames:
+            self._frames = frames
+            self.beliefs.alive(now)
+        settled = self.beliefs.settle(now)
+        if settled is not None:
+            self._say("the register stands by smaller numbers than those kept: what it has not named is gone")
+            self._pending.update((member.id, member) for member in settled.members)
+            self.behind.changed(now)
+        self._write(now)
+        members, self._pending = list(self._pending.values()), {}
+        return Event(0, False, members) if members else None
+
+    # Writing, and handing over.
+
+    def _write(self, now: int) -> None:
+        outcome = self._writer.poll()
+        if outcome is not None:
+            self._written(outcome, now)
+        if self._last is None:
+            if self.behind.wants(now):
+                self._begin_write(now, (), False)
+        elif not self._final and self.behind.writing is None:
+            self._final = True
+            self._begin_write(now, self._last, True)
+
+    def _written(self, outcome: Outcome, now: int) -> None:
+        if outcome.busy:
+            self.behind.locked_out(now)
+        else:
+            self.behind.ended(not outcome.trouble, outcome.took, now)
+            counts = self._counters.counts
+            self._counters.add("kept: writes failed" if outcome.trouble else "kept: writes")
+            counts["kept: bytes"] = outcome.size or counts["kept: bytes"]
+            counts["kept: slowest write us"] = max(outcome.took, counts["kept: slowest write us"])
+        if outcome.trouble != self._trouble:
+            self._trouble = outcome.trouble
+            self._say(f"can't be written: {outcome.trouble}; tried again" if outcome.trouble
+                      else "written again")
+        if outcome.found is not None and self._last is None:
+            self._take(outcome.found, now)
+            self.behind.changed(now)
+        self.done = self._final
+
+    def _begin_write(self, now: int, marks: Sequence[str], handed: bool) -> None:
+        self.behind.began(now)
+        self._writer.start(self.record(now, marks, handed), self._serial)
+
+    def record(self, now: int, marks: Sequence[str] = (),
+               handed: bool = False) -> Callable[[], record.Record]:
+        """All that is kept, as of now: gathered at once, and made by whoever calls what comes back."""
+        at, beliefs, folder = self._moment(), self.beliefs, self._writer.folder
+        evidence, limits = beliefs.evidence(now), learnt.limits(self._engines, beliefs.engines)
+        tombs, open_marks = record.bounded(beliefs.tombs.kept(now), list(marks))
+        number, tariffs = beliefs.numbers.highest, learnt.tariffs(self._gateway, self._names)
+
+        # Danger: made on the loop it would take a millisecond of it for 500 engines, at each write.
+        def make() -> record.Record:
+            return record.Record(
+                owner=folder.owner, wall=at.wall, boot=at.boot, ticked=at.ticked, number=number,
+                handed=handed, zones=list(self._zones), machines=list(self._machines),
+                engines=[record.engine(member, max(0, min(OLDEST, now - known)))
+                         for member, known in evidence if record.fits(member)],
+                tombs=tombs, tariffs=tariffs, limits=[record.Limit(*limit) for limit in limits],
+                marks=open_marks)
+        return make
+
+    def hand_over(self, marks: Sequence[str], now: int) -> None:
+        """The last write, for the successor; `step` is still to be called until `done`, or the time is up.
+
+        `marks`: names in use of late. Once nothing more is sent, so that what is learnt is complete.
+        """
+        self._last = list(marks)
+        self._write(now)
+
+    def close(self) -> None:
+        """Leaves the folder to the successor; while a write hangs it stays with this process."""
+        if self.behind.writing is None:
+            self._writer.folder.unlock()
--- /dev/null
+++ b/cresstray/kept/learnt.py
@@ -0,0 +1,74 @@
+"""What the module has learnt, taken out for the disk and put back into objects that are as new."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from cresstray.interface import Engine
+from cresstray.kept.belief import Belief
+from cresstray.kept.fade import LIMIT, PACE, TIMES, faded, faded_ratio, weight
+from cresstray.kept.record import Limit, Tariff
+from cresstray.logic import Gateway, Limiter
+
+# A tariff of which fewer than five answers are known weighs its soft limit on a cold engine. Danger: one that
+# was light a month ago may be heavy now; below a quarter of the trust the module starts knowing nothing.
+_TRUSTED = 0.25
+# A remembered engine that nobody has spoken for gets its first work within two turns of a cold one, not one.
+_TRIAL_SHARE = 0.5
+
+
+def tariffs(gateway: Gateway, names: Iterable[str]) -> list[Tariff]:
+    return [Tariff(name, tariff.usual.seen, tariff.usual.mean, tariff.usual.estimate, tariff.usual.factor)
+            for name, tariff in zip(names, gateway.tariffs) if tariff.usual.seen]
+
+
+def limits(engines: Mapping[int, tuple[Engine, Limiter]],
+           beliefs: Mapping[int, Belief]) -> list[tuple[int, int, float, float]]:
+    """Of those that have learnt anything, as record.Limit has it."""
+    return [(number, beliefs[number].member.started, limiter.limit / limiter.start, limiter.pace)
+            for number, (_, limiter) in engines.items() if limiter.seen >= 10 and number in beliefs]
+
+
+def put_tariffs(gateway: Gateway, names: Iterable[str], kept: Iterable[Tariff], age: int) -> int:
+    """Into tariffs that have seen nothing yet; how many."""
+    of, put, left = {one.name: one for one in kept}, 0, weight(age, TIMES)
+    for name, tariff in zip(names, gateway.tariffs):
+        usual, one = tariff.usual, of.get(name)
+        if one is None or usual.seen or left < _TRUSTED:
+            continue
+        usual.mean = faded(one.mean, usual.mean, age, TIMES)
+        usual.estimate, usual.factor = one.estimate, faded_ratio(one.factor, age, TIMES)
+        # Fewer count for as much: what is answered from now on moves it sooner.
+        usual.seen = int(min(one.seen, 200) * left)
+        put += 1
+    return put
+
+
+def put_limit(limiter: Limiter, kept: Limit, started: int | None, age: int) -> bool:
+    """Into a limiter that has seen nothing yet. `started`: as the register told it; None: nobody has.
+
+    What was learnt of one life of an engine says nothing of the next. Where its life is not known, only what
+    lowers a limit is kept: that is the safe side.
+    """
+    if limiter.seen or started is not None and started != kept.started:
+        return False
+    ratio = faded_ratio(kept.ratio, age, LIMIT)
+    if started is None:
+        ratio = min(1.0, ratio)
+    limiter.limit = min(max(ratio, 0.1), 1.99) * limiter.start
+    limiter.pace = faded(kept.pace, 1.0, age, PACE)
+    return True
+
+
+def carry(old: Limiter, new: Limiter) -> None:
+    """From a limiter of this process to the one that took its place, where the engine's life is the same."""
+    new.limit = old.limit / old.start * new.start
+    for name in ("pace", "seen", "average", "best", "heard", "lost", "fails", "answers", "doubted", "mute",
+                 "trial_at", "streak", "signs", "idle", "full_until", "blocked"):
+        setattr(new, name, getattr(old, name))
+
+
+def on_trial(limiter: Limiter, chance: Callable[[], float], now: int) -> None:
+    """Its first turn is drawn over twice as long: half of our part of what a cold engine may get."""
+    if limiter.cold > now:
+        limiter.cold = now + int((limiter.cold - now) / _TRIAL_SHARE * (0.5 + 0.5 * chance()))
