--- a/cresstray/rules/use.py
+++ b/cresstray/rules/use.py
@@ -18,7 +18,8 @@
 # A lease is renewed three times while it lasts: two answers may be lost.
 _TIMES = 3
 # When something was learnt, asked at once, though not more often than so many times in a lease.
-_AT_ONCE = 40
+# A change takes two turns, and each waits for what all gateways say at once: 20 ms of a lease of two seconds.
+_AT_ONCE = 100
 # Refused for now, as when no leader is known: asked again so many times as often, so that one that is elected
 # hears of all within a fraction of a second, and turns go on.
 _REFUSED = 3
