--- /dev/null
+++ b/tests/joined.py
@@ -0,0 +1,641 @@
+"""Rules, moves and pinned reads joined on one virtual clock: true times outside, own clocks inside.
+
+`python -m tests.joined FIRST COUNT` plays so many seeds and tells what broke.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import sys
+from bisect import bisect_right
+from types import SimpleNamespace
+
+import msgspec
+
+from cresstray.counters import Counters
+from cresstray.interface import Engine, Standing, Submission, Tariff
+from cresstray.placement import carrier, model, moves
+from cresstray.placement.carrier import Carrier, Command, Copy, Disk, Entry
+from cresstray.placement.moves import Moves
+from cresstray.replicas import fallback, pins
+from cresstray.replicas.positions import Board
+from cresstray.replicas.read import Reads
+from cresstray.replicas.spread import Peer
+from cresstray.rules import documents
+from cresstray.rules import state as rules
+from cresstray.rules.admission import Admission
+from cresstray.rules.codec import contents
+from cresstray.rules.leases import Leases
+from cresstray.rules.use import Mode, Use
+from cresstray.standins.shards import Held, RefusedError, Shelf
+
+MS, SECOND = 1_000, 1_000_000
+LEASE, FLOOR, DRIFT = 2 * SECOND, 6 * SECOND, 0.01
+CORES, EXPECTED = 8, 60 * MS
+TIMES = carrier.Times(gone=15 * SECOND, stuck=6 * SECOND, room=10 * SECOND, fenced=8 * SECOND)
+WRITES = Tariff(0, 1, SECOND, 0, 1, 0, False, False, "all", 0, False, None, None)
+READS = Tariff(1, 1, SECOND, 0, 1, 0, True, False, "all", 0, False, None, None)
+ENGINES = ("a1", "a2", "a3", "b1", "b2", "c1", "c2")
+PLACED = {"1": ("a1", "b1"), "2": ("b1", "c1", "a1"), "3": ("c1", "a1", "b2"), "4": ("c2",),
+          "5": ("b1", "a1", "a3")}
+SIZES = {"1": 3_000_000, "2": 2_000_000, "3": 2_000_000, "4": 1_000_000, "5": 1_000_000}
+PLANS = (
+    model.Plan((model.Move("1", "a1", "a2", 3_000_000, True), model.Move("2", "c1", "c2", 2_000_000),
+                model.Move("4", "c2", "b2", 1_000_000, True), model.Move("2", "b1", "b2", 2_000_000, True),
+                model.Move("5", "a1", "a2", 1_000_000)),
+               9_000_000, 9_000_000, ((0, 1), (2,), (3, 4))),
+    model.Plan((model.Move("1", "b1", "b2", 3_000_000), model.Move("2", "b2", "b1", 2_000_000, True),
+                model.Move("4", "b2", "a3", 1_000_000, True)), 6_000_000, 6_000_000, ((0, 1, 2),)),
+)
+
+
+class StoppedError(Exception):
+    """A property that this world was to stop at is broken."""
+
+
+class Clock:
+    def __init__(self, world: World) -> None:
+        self._world, self._began = world, world.now
+        self._first = world.chance.randrange(10**6, 10**12)
+        self._rate = 1 + world.chance.choice((-1, 0, 1)) * DRIFT * 0.49
+
+    def now(self) -> int:
+        return self._first + int((self._world.now - self._began) * self._rate)
+
+
+class Disked(Shelf):
+    """A stand-in's disk, which tells positions as `engines tell them` in docs/replicas.md."""
+
+    world: World
+
+    def switch(self, shard: str, fence: int, epoch: int, primary: str, feed: str) -> int:
+        head = super().switch(shard, fence, epoch, primary, feed)
+        if primary == self.engine:
+            self.world.began(shard, epoch, head)
+        return head
+
+    def report(self, shard: str) -> dict[str, float]:
+        """Its epoch is that of what it has applied, and its position counts from that epoch's first."""
+        held, of = self.shards[shard], self.world.epochs[shard]
+        epoch, first = next(one for one in reversed(of)
+                            if one[0] <= max(held.epoch, of[0][0]) and one[1] <= held.applied)
+        return {"shard": int(shard), "epoch": epoch, "applied": held.applied - first + self.lie,
+                "head": max(held.head, held.applied) - first}
+
+
+class Leader:
+    """One keeper while it leads: its leases, its carrier, its clock; what it has appended may be lost."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.clock = world, Clock(world)
+        self.leases, self.carrier = Leases(LEASE, FLOOR, DRIFT), Carrier(TIMES)
+        self.leases.lead(world.state.gateways(), self.clock.now())
+        self.told: dict[str, Disk] = {}
+        self.log: list[bytes] = []
+        self.turned = -1
+
+    def tick(self) -> None:
+        world, now = self.world, self.clock.now()
+        state = world.state
+        turn = state.wants_turn()
+        if turn is not None and turn != self.turned and self.leases.may_turn(state, now):
+            self.turned = turn
+            self.append(rules.advance(turn))
+        for step in self.carrier.next(state, world.moves, self.told, now):
+            if isinstance(step, Entry):
+                self.append(step.data)
+            else:
+                world.send(world.give, step)
+                if world.chance.random() < 0.1:
+                    world.after(world.chance.random() * 15 * SECOND, world.give, step)
+
+    def append(self, data: bytes) -> None:
+        self.log.append(data)
+        self.world.after(self.world.chance.uniform(5, 40) * MS, self.commit, data)
+
+    def commit(self, data: bytes) -> None:
+        if self.world.leader is self:
+            while data in self.log:  # in order
+                self.world.apply(self.log.pop(0))
+
+    def renewed(self, gateway: Gateway, frame) -> None:
+        answer = self.leases.renew(gateway.name, frame.number, frame.turn, self.world.state, True,
+                                   self.clock.now(), frame.life, frame.stopped)
+        self.world.send(gateway.take, answer)
+
+
+class Gateway:
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name, self.clock = world, name, Clock(world)
+        self.frozen = 0
+        self.use = Use(name, LEASE, FLOOR, DRIFT, 8, waits=True, life=f"{name} {world.now}")
+        self.counters, self.said = Counters(), []
+        board = Board(self.said.append, DRIFT)
+        self.reads = Reads(board, self.use, self.counters, world.chance.random, lambda _: CORES,
+                           lambda engine: engine[0], lambda *_: False, lambda: 1000)
+        self.engines = {engine: Engine(machine, standing=Standing.READY,
+                                       limiter=SimpleNamespace(threads=0, cores=CORES))
+                        for machine, engine in enumerate(ENGINES)}
+        self.admission = Admission(self.use, ["n"], ["writes", "reads"],
+                                   lambda engine: ENGINES[engine.machine], self.counters)
+        self.links = [(Peer(board), Peer(keeper)) for keeper in world.boards]
+
+    def when(self, act, *given) -> None:
+        """Now, or when this process runs again: a frozen one takes everything then."""
+        if self.frozen > self.world.now:
+            self.world.after(self.frozen - self.world.now, self.when, act, *given)
+        else:
+            act(*given)
+
+    def take(self, frame) -> None:
+        self.when(lambda: self.use.take(frame, self.clock.now()))
+
+    def tick(self) -> None:
+        world, now = self.world, self.clock.now()
+        if (renew := self.use.asks(now)) is not None:
+            world.send(lambda: world.leader and world.leader.renewed(self, renew))
+        if self.use.behind:
+            world.send(self.got, self.use.gets().turn)
+
+    def got(self, turn: int) -> None:
+        for frame in contents(*self._since(turn)):
+            self.world.send(self.take, frame)
+
+    def _since(self, turn: int) -> tuple[int, int, bytes]:
+        state = self.world.state
+        body = state.since(turn)
+        base = msgspec.msgpack.decode(body, type=rules.Since).base if body else turn
+        return base, state.turn, body
+
+    def gossip(self) -> None:
+        number = self.world.chance.randrange(len(self.links))
+        here, there = self.links[number]
+        self.reads.placed(self.clock.now())
+        self.world.passed(here, there, self.clock, self.world.clocks[number], self.reads.wanted, 2)
+
+    # Work.
+
+    def may_go(self, one: Submission) -> list[str]:
+        now = self.clock.now()
+        if self.admission.gateways(now) <= 0 or not self.admission.admits(one, now):
+            return []
+        return [name for name, engine in self.engines.items() if self.admission.takes(one, engine, now)]
+
+    def write(self, shard: str) -> None:
+        now = self.clock.now()
+        one = Submission(WRITES, now, now + SECOND, data_set=int(shard), expected=EXPECTED)
+        for name in self.may_go(one):
+            self.world.asked(self, name, shard, one, None)
+            break
+
+    def read(self, session: Session, tries: int = 0, one: Submission | None = None) -> None:
+        """Held, and asked again, as the module holds what nothing takes."""
+        world, now = self.world, self.clock.now()
+        if one is None:
+            one = Submission(READS, now, now + SECOND, data_set=int(session.shard), expected=EXPECTED)
+            one.read = self.reads.hint(session.statement(), READS, now, session.tariff, "n")
+            one.read.submission = one
+        names = self.may_go(one)
+        # What may hold it up between its offer and its going is asked about once more, as it goes.
+        if names and tries:
+            name = world.chance.choice(names)
+            one.read.sent(name, now)
+            world.asked(self, name, session.shard, one, session)
+        elif tries < 12:
+            world.after(world.chance.uniform(10, 60) * MS, self.when, self.read, session, tries + 1, one)
+        else:
+            session.busy = False
+
+
+class Session:
+    """A client: it goes from gateway to gateway with its token."""
+
+    def __init__(self, world: World, number: int) -> None:
+        chance = world.chance
+        self.shard, self.number, self.busy = sorted(PLACED)[number % len(PLACED)], number, False
+        self.within = chance.choice((300, 600, 1500)) * MS
+        self.otherwise = chance.choice(("primary", "primary", "wait", "deny"))
+        self.tariff = f"pinned {self.shard}" if self.shard in "35" and number % 2 else "reads"
+        self.token, self.seen, self.keeps = None, 0, number % 3 == 0
+        self.through: set[str] = set()  # gateways that a token came from or went to
+
+    def statement(self) -> str:
+        after = f" after={self.token}" if self.token else ""
+        keeps = f" session=s{self.number}" if self.keeps else ""
+        return (f"/*+ cresstray read=replica within={self.within // MS}ms{keeps}{after} "
+                f"else={self.otherwise} */ select 1 from t_{self.shard}.x")
+
+
+class World:
+    GATEWAYS, SESSIONS = 5, 16
+
+    def __init__(self, seed: int, faults: float = 1.0, shelf: type[Disked] = Disked) -> None:
+        self.chance, self.now, self.queue, self.number = random.Random(seed), 0, [], 0
+        self.broken: dict[str, list[str]] = {}
+        self.stops: tuple[str, ...] = ()
+        self.counts: dict[str, int] = {}
+        self.loss, self.slow = 0.02, 1
+        self.epochs = {name: [(1, 0)] for name in PLACED}
+        self.truth: dict[str, list[int]] = {name: [] for name in PLACED}  # when each write was accepted
+        self.acked: dict[str, int] = dict.fromkeys(PLACED, 0)
+        self.spent: list[tuple[int, str]] = []
+        self.down: dict[str, int] = {}
+        self.shelves = {name: shelf(name, name[0], 12_000_000, 1_000_000, 2_000_000, 0) for name in ENGINES}
+        for one in self.shelves.values():
+            one.world = self
+        for name, copies in PLACED.items():
+            for engine in copies:
+                first = engine == copies[0]
+                self.shelves[engine].shards[name] = Held(SIZES[name], primary=first, follows=not first,
+                                                         feed="" if first else copies[0], growth=1_000)
+        self.moves, self.state, self.applied = Moves(), None, 0
+        self._found()
+        self.clocks = [Clock(self) for _ in range(2)]
+        self.said: list[str] = []
+        self.boards = [Board(self.said.append, DRIFT, passes_on=True) for _ in self.clocks]
+        self._place()
+        self.between = Peer(self.boards[0]), Peer(self.boards[1])
+        self.leader: Leader | None = Leader(self)
+        self.gateways = [Gateway(self, f"g{number}") for number in range(self.GATEWAYS)]
+        self.sessions = [Session(self, number) for number in range(self.SESSIONS)]
+        for gateway in self.gateways:
+            self.every(100, gateway.when, gateway.tick)
+            self.every(300, gateway.when, gateway.gossip)
+        self.every(80, lambda: self.leader and self.leader.tick())
+        self.every(100, self.work)
+        self.every(400, self.poll)
+        self.every(200, lambda: self.passed(*self.between, *self.clocks, lambda _: None, 1))
+        self.every(70, self.some_write)
+        self.every(40, self.some_read)
+        for at in range(3, 28):
+            if self.chance.random() < 0.5 * faults:
+                self.after(at * SECOND + self.chance.randrange(SECOND), self.fault)
+        self.after(2 * SECOND, self.plan)
+        self.after(self.chance.uniform(4, 20) * SECOND, self.pins)
+
+    def _found(self) -> None:
+        self.state = rules.State(documents.World(most=8), {moves.NAME: self.moves})
+        items = {name: documents.Shard(copies, copies[0], 1, copies) for name, copies in PLACED.items()}
+        names = {f"g{number}": documents.Gateway() for number in range(self.GATEWAYS)}
+        pins = {f"p{shard}": documents.Pin(f"pinned {shard}", copies=("a1",), strict=True, until=10**9)
+                for shard in "35"}
+        new = documents.Documents(gateways=documents.Gateways(names),
+                                  placement=documents.Placement(items),
+                                  replicas=documents.Replicas(pins))
+        assert rules.outcome(self.state.apply(1, rules.propose(
+            "found", {}, documents.delta(self.state.latest, new), ""))).accepted
+        while self.state.wants_turn() is not None:
+            self.state.apply(1, rules.advance(self.state.wants_turn()))
+
+    # Time, and the network.
+
+    def after(self, delay: float, act, *given) -> None:
+        self.number += 1
+        heapq.heappush(self.queue, (self.now + max(1, int(delay)), self.number, act, given))
+
+    def every(self, mean: int, act, *given) -> None:
+        def once() -> None:
+            act(*given)
+            self.after(self.chance.uniform(0.7, 1.3) * mean * MS, once)
+        self.after(self.chance.uniform(0, mean) * MS, once)
+
+    def delay(self) -> float:
+        return self.chance.uniform(0.5, 6) * MS * self.slow * (10 if self.chance.random() < 0.02 else 1)
+
+    def send(self, act, *given) -> None:
+        if self.chance.random() >= self.loss:
+            self.after(self.delay(), act, *given)
+
+    def passed(self, speaker: Peer, hearer: Peer, clock: Clock, other: Clock, wants, left: int) -> None:
+        word = speaker.says(8, wants(clock.now()), clock.now())
+
+        def hear() -> None:
+            hearer.hears(word, other.now())
+            if left:
+                self.passed(hearer, speaker, other, clock, lambda _: None, left - 1)
+        self.send(hear)
+
+    def wrong(self, what: str, text: str) -> None:
+        if what in self.stops:
+            raise StoppedError(what)
+        self.broken.setdefault(what, []).append(f"{self.now / SECOND:.3f}: {text}")
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    # The log.
+
+    def apply(self, data: bytes) -> None:
+        self.applied += 1
+        turn = self.state.turn
+        self.state.apply(self.applied, data)
+        if self.state.turn != turn:
+            self._place()
+
+    def _place(self) -> None:
+        for board, clock in zip(self.boards, self.clocks, strict=True):
+            board.place(self.state.acting.placement.items, clock.now())
+
+    def plan(self) -> None:
+        plan = self.moves.plan
+        begun = int(plan.id) if plan is not None else 0
+        if self.leader is not None and (
+                plan is None or plan.over() and not plan.halted) and begun < len(PLANS):
+            for entry in moves.begin(f"{begun + 1}", "me", PLANS[begun], model.Limits(share=1.0)):
+                self.leader.append(rules.section(moves.NAME, "", entry))
+        self.after(2 * SECOND, self.plan)
+
+    def pins(self) -> None:
+        """An operator pins to another copy."""
+        latest = self.state.latest
+        pin = documents.Pin("pinned 3", copies=("b2",), strict=True, until=10**9)
+        items = latest.replicas.items | {"p3": pin}
+        new = msgspec.structs.replace(latest, replicas=documents.Replicas(items))
+        if self.leader is None:
+            self.after(SECOND, self.pins)
+        else:
+            self.leader.append(rules.propose("pin", {"replicas": latest.version("replicas")},
+                                             documents.delta(latest, new), ""))
+
+    def kill(self) -> None:
+        """What the leader had appended is committed by the next one, or lost, from some entry on."""
+        if self.leader is None:
+            return
+        left = self.leader.log[:self.chance.randint(0, len(self.leader.log))]
+        self.leader = None
+        self.after(self.chance.uniform(300, 1500) * MS, self.elect, left)
+
+    def elect(self, left: list[bytes]) -> None:
+        dumped = self.state.dump()
+        self.moves = Moves()
+        self.state = rules.State(documents.World(most=8), {moves.NAME: self.moves})
+        self.state.restore(dumped)
+        for data in left:
+            self.apply(data)
+        self.leader = Leader(self)
+
+    def fault(self) -> None:
+        chance = self.chance
+        what = chance.choice(("kill", "kill", "freeze", "freeze", "down", "lag", "loss", "slow", "lie"))
+        self.count(f"fault {what}")
+        if what == "kill":
+            self.kill()
+        elif what == "freeze":
+            chance.choice(self.gateways).frozen = self.now + int(chance.uniform(0.2, 4) * SECOND)
+        elif what == "down":
+            self.down[chance.choice(ENGINES)] = self.now + int(chance.uniform(0.5, 5) * SECOND)
+        elif what in ("lag", "lie"):
+            few = list(self.shelves.values()) if what == "lag" and chance.random() < 0.5 else [
+                self.shelves[chance.choice(ENGINES)]]
+            for shelf in few:
+                setattr(shelf, what, 3 * SECOND if what == "lag" else 1000)
+                self.after(chance.uniform(2, 5) * SECOND, setattr, shelf, what, 0)
+        else:
+            setattr(self, what, 0.3 if what == "loss" else 4)
+            self.after(3 * SECOND, setattr, self, what, 0.02 if what == "loss" else 1)
+
+    # Engines.
+
+    def up(self, engine: str) -> bool:
+        return self.down.get(engine, 0) <= self.now
+
+    def began(self, shard: str, epoch: int, head: int) -> None:
+        if epoch > self.epochs[shard][-1][0]:
+            self.epochs[shard].append((epoch, head))
+
+    def give(self, command: Command) -> None:
+        shelf = self.shelves[command.engine]
+        if not self.up(command.engine):
+            return
+        shelf.advance(self.now)
+        try:
+            shard, fence = command.shard, command.fence
+            if command.verb == "COPY":
+                shelf.copy(shard, fence, command.peer, command.offset, command.rate, command.keep)
+            elif command.verb == "FOLLOW":
+                shelf.follow(shard, fence, command.peer, command.epoch)
+            elif command.verb == "SWITCH":
+                shelf.switch(shard, fence, command.epoch, command.peer, command.peer)
+            else:
+                shelf.drop(shard, fence)
+        except RefusedError:
+            pass
+
+    def poll(self) -> None:
+        leader = self.leader
+        if leader is None:
+            return
+        for name, shelf in self.shelves.items():
+            self.send(self.polled, leader, name, shelf, leader.clock.now(), self.now)
+
+    def polled(self, leader: Leader, name: str, shelf: Disked, at: int, asked: int) -> None:
+        if self.up(name):
+            shelf.advance(self.now)
+            told = shelf.told({})
+            copies = {shard: Copy(**copy) for shard, copy in told.pop("copies").items()}
+            told["numbers"] = dict(told["numbers"])
+            self.send(self.positions, name, {shard: shelf.report(shard) for shard, copy in copies.items()
+                                               if copy.whole}, asked)
+            self.send(leader.told.__setitem__, name, Disk(engine=name, at=at, copies=copies, **told))
+
+    def positions(self, name: str, reports: dict[str, dict[str, float]], at: int) -> None:
+        """What a disk tells a keeper goes on its board; nobody else would ever ask a copy first."""
+        now = self.clocks[0].now()
+        for shard, report in reports.items():
+            self.boards[0].heard(shard, name, report["epoch"], report["applied"], report["head"],
+                                 now - int((self.now - at) * 1.01) - 1, now)
+
+    def work(self) -> None:
+        for name, shelf in self.shelves.items():
+            shelf.advance(self.now)
+            if not self.up(name):
+                continue
+            for shard, feed, offset, most in shelf.wanted():
+                try:
+                    if not self.up(feed):
+                        raise RefusedError
+                    shelf.fetched(shard, offset, *self.shelves[feed].give(shard, offset, most))
+                except RefusedError:
+                    shelf.stopped(shard, "source")
+            for shard, feed in shelf.followers():
+                try:
+                    if self.up(feed):
+                        head, epoch, size, _ = self.shelves[feed].head(shard)
+                        shelf.followed(shard, head, epoch, size, self.now)
+                except RefusedError:
+                    pass
+        for shard, copies in PLACED.items():
+            whole = [name for name, one in self.shelves.items()
+                     if shard in one.shards and one.shards[shard].whole]
+            if len(whole) < len(copies):
+                self.wrong("a copy is lost", f"{shard}: only {whole}")
+
+    # Clients.
+
+    def some_write(self) -> None:
+        gateway = self.chance.choice(self.gateways)
+        gateway.when(gateway.write, self.chance.choice(sorted(PLACED)))
+
+    def some_read(self) -> None:
+        session, gateway = self.chance.choice(self.sessions), self.chance.choice(self.gateways)
+        if not session.busy:
+            session.busy = True
+            gateway.when(gateway.read, session)
+
+    def asked(self, gateway: Gateway, name: str, shard: str, one: Submission,
+              session: Session | None) -> None:
+        """It has gone out; it comes to the engine, runs and is answered."""
+        sent, true_sent = gateway.clock.now(), self.now
+        lease = gateway.use.at(sent).mode is Mode.LEASE
+        placed = gateway.use.documents.placement.items.get(shard)
+        primary = placed.primary if placed is not None else ""
+        if session is not None:
+            if session.token is not None:
+                session.through.add(gateway.name)
+            self._judge_going(gateway, name, session, primary)
+        shelf = self.shelves[name]
+
+        def lost() -> None:
+            self.after(SECOND, gateway.when, back, None, 0)
+
+        def run() -> None:
+            if not self.up(name):
+                lost()
+                return
+            held = shelf.shards.get(shard)
+            if held is None or not held.whole:
+                self.count("refused, no such shard")
+                if lease:
+                    self.wrong("a dropped copy was reached", f"{shard} on {name} by {gateway.name}")
+                lost()
+                return
+            shelf.reads[shard] = shelf.reads.get(shard, 0) + 1
+            took = self.chance.uniform(1, 25) * MS
+            self.after(took, ended, held, held.applied)
+
+        def ended(held: Held, state: int) -> None:
+            shelf.reads[shard] -= 1
+            if not shelf.reads[shard]:
+                del shelf.reads[shard]
+            if session is None:
+                state = self._accepted(shelf, shard)
+            if not self.up(name) or self.chance.random() < self.loss or shard not in shelf.shards or (
+                    session is None and not state):
+                lost()
+            else:
+                self.after(self.delay(), gateway.when, back, shelf.report(shard), state)
+
+        def back(report: dict[str, float] | None, state: int) -> None:
+            now = gateway.clock.now()
+            if report is not None:
+                gateway.reads.heard(name, report, sent, now)
+            if one.read is not None:
+                one.read.came_back(report or {}, now - sent, now)
+            if session is not None:
+                if report is not None:
+                    self._judge_read(name, session, primary, state, true_sent, one.read.at())
+                session.busy = False
+            elif report is not None:
+                self.acked[shard] = max(self.acked[shard], state)
+                self.count("writes")
+        self.after(self.delay(), run)
+
+    def _accepted(self, shelf: Disked, shard: str) -> int:
+        """A write's end; its place in the history, 0: refused."""
+        if not shelf.written(shard):
+            self.count("writes refused, no primary")
+            return 0
+        self.truth[shard].append(self.now)
+        if shelf.shards[shard].head != len(self.truth[shard]):
+            self.wrong("two histories of a shard", f"{shard} on {shelf.engine}: write "
+                       f"{shelf.shards[shard].head}, {len(self.truth[shard])} were accepted")
+        return shelf.shards[shard].head
+
+    def _judge_going(self, gateway: Gateway, name: str, session: Session, primary: str) -> None:
+        if name == primary:
+            self.count("fallen back")
+            self.spent.append((self.now, name))
+        elif session.tariff.startswith("pinned"):
+            # What is in force holds at each moment, also while the next version is joint.
+            force = self.state.content(self.state.turn // 2)
+            reads = force.placement.items[session.shard].reads
+            may = pins.pinned(force.replicas.items[f"p{session.shard}"], reads, reads, lambda one: one[0])
+            self.count("pinned")
+            if name not in may:
+                self.wrong("a strict pin is broken", f"{session.shard} on {name} at turn {self.state.turn}, "
+                           f"the gateway at {gateway.use.turn}: {may}")
+
+    def _judge_read(self, name: str, session: Session, primary: str, state: int, sent: int,
+                    token: str | None) -> None:
+        truth = self.truth[session.shard]
+        if name != primary:
+            self.count("by copies")
+            # What a read takes longer than expected is counted elsewhere, and promised to nobody.
+            end = min(self.now, sent + EXPECTED)
+            age = max(0, end - truth[state]) if state < len(truth) else 0
+            if age > session.within * (1 + DRIFT):
+                self.wrong("older than within", f"{session.shard} on {name}: {age} us, {session.within}")
+        elif state < bisect_right(truth, sent):
+            self.wrong("a primary was behind", f"{session.shard} on {name}: {state}")
+        if state < session.seen:
+            self.wrong("a session went back", f"{session.shard} on {name}: {state} after {session.seen}")
+        if token is not None:
+            session.token, session.seen = token, max(state, session.seen)
+
+    # The end.
+
+    def run(self, seconds: int = 30) -> World:
+        """Faults and load for so long, and on until the plans are over, at most as long again."""
+        self.until(seconds * SECOND)
+        while self.now < (seconds + 60) * SECOND and not self.over():
+            self.until(self.now + SECOND)
+        self.until(self.now + 3 * SECOND)
+        self.judge_end()
+        return self
+
+    def over(self) -> bool:
+        plan = self.moves.plan
+        return plan is not None and plan.over() and (plan.id == str(len(PLANS)) or bool(plan.halted))
+
+    def until(self, end: int) -> None:
+        while self.now < end:
+            self.now, _, act, given = heapq.heappop(self.queue)
+            act(*given)
+
+    def judge_end(self) -> None:
+        items = self.state.latest.placement.items
+        held = {(shard, engine) for engine, shelf in self.shelves.items() for shard in shelf.shards}
+        placed = {(name, engine) for name, shard in items.items() for engine in shard.copies}
+        if not self.over():
+            self.wrong("not over", f"{self.moves.told()} {self.leader and self.leader.carrier.waits}")
+        elif held != placed:
+            self.wrong("other copies than placed", f"{sorted(held ^ placed)}")
+        for name, shard in items.items():
+            if len(shard.copies) != len(PLACED[name]):
+                self.wrong("other copies than planned", f"{name}: {shard.copies}")
+            last = self.shelves[shard.primary].shards.get(name) if shard.primary else None
+            if last is not None and last.applied < self.acked[name]:
+                self.wrong("a write is lost", f"{name}: {last.applied} of {self.acked[name]}")
+        if any(shelf.counted.headroom_broken for shelf in self.shelves.values()):
+            self.wrong("headroom broken", "")
+        for engine in ENGINES:
+            times = [at for at, name in self.spent if name == engine]
+            for first in range(len(times)):
+                for last in range(first, len(times)):
+                    most = fallback.SHARE * CORES * (times[last] - times[first] + fallback.WINDOW)
+                    if (last - first + 1) * EXPECTED > most * (1 + DRIFT):
+                        self.wrong("over the share", f"{engine}: {last - first + 1} reads")
+                        return
+
+
+def main(first: int, count: int) -> None:
+    for seed in range(first, first + count):
+        world = World(seed).run()
+        print(seed, "ok" if not world.broken else "", dict(sorted(world.counts.items())))
+        for what, lines in world.broken.items():
+            print("  ", what, len(lines), lines[:3])
+
+
+if __name__ == "__main__":
+    main(*map(int, sys.argv[1:]))
