--- a/tests/joined.py
+++ b/cresstray/lab/joined.py
@@ -1,6 +1,6 @@
 """Rules, moves and pinned reads joined on one virtual clock: true times outside, own clocks inside.
 
-`python -m tests.joined FIRST COUNT` plays so many seeds and tells what broke.
+`python -m cresstray.lab.joined FIRST COUNT` plays so many seeds and tells what broke.
 """
 
 from __future__ import annotations
--- a/tests/test_fleet_joined.py
+++ b/tests/test_fleet_joined.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cresstray.lab.joined import CORES, EXPECTED, MS, SECOND, Disked, StoppedError, World
 from cresstray.placement import carrier, moves
 from cresstray.placement.carrier import Carrier
 from cresstray.placement.moves import At, Event
@@ -18,7 +19,6 @@
 from cresstray.rules import state as rules
 from cresstray.rules.use import Mode, Use
 from cresstray.standins.shards import RefusedError
-from tests.joined import CORES, EXPECTED, MS, SECOND, Disked, StoppedError, World
 
 PIN = "a strict pin is broken"
 
--- a/tests/test_fleet_virtual.py
+++ b/tests/test_fleet_virtual.py
@@ -12,11 +12,11 @@
 
 from cresstray.consensus.log import Log
 from cresstray.consensus.raft import Node, Role
+from cresstray.lab.fleet import ALL_FAULTS, SECOND, Plan, World, all_named, half_and_all, played
 from cresstray.rules.codec import Behind, Frame, Granted
 from cresstray.rules.leases import Leases
 from cresstray.rules.state import State
 from cresstray.rules.use import Mode, Use
-from tests.fleet_virtual import ALL_FAULTS, SECOND, Plan, World, all_named, half_and_all, played
 from tests.test_conformance import broken
 
 SMALL = {"gateways": 6, "engines": 12, "pause": SECOND // 10, "every": SECOND // 5, "delay": (500, 12_000)}
