What may be used is looked up once until its time is over: less CPU at rest

Change: Use keeps its answer until a lease or the floor's is over or something was heard, each question still compares the time; the clock is a partial of the builtin. Tests of rules, virtual fleet, joined parts, reads and service pass.

--- a/cresstray/clock.py
+++ b/cresstray/clock.py
@@ -6,6 +6,7 @@
 import heapq
 import time
 from collections.abc import Callable
+from functools import partial
 from itertools import count
 
 
@@ -23,8 +24,7 @@
         return (self._offset + self._read()) // 1000
 
 
-def _with_sleep() -> int:
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+_with_sleep = partial(time.clock_gettime_ns, time.CLOCK_BOOTTIME)
 
 
 class Due:
--- a/cresstray/rules/admission.py
+++ b/cresstray/rules/admission.py
@@ -53,17 +53,11 @@
         self._tenants, self._tariffs = tuple(tenants), tuple(tariffs)
         self._counters = counters or Counters()
         self._view = _View(use.documents, self._tenants, self._tariffs)
-        self._kept: tuple[int, int, InUse] | None = None
         self._judged: tuple[Submission | None, InUse | None, bool, Shard | None] = None, None, False, None
         self._all, self._of = _Taken(), [_Taken() for _ in self._tenants]
 
     def _at(self, now: int) -> InUse:
-        kept = self._kept
-        # Danger: an answer kept for longer than its moment would outlive its lease.
-        if kept is not None and kept[0] == now and kept[1] == self.use.changes:
-            return kept[2]
         found = self.use.at(now)
-        self._kept = now, self.use.changes, found
         if found.documents is not self._view.documents:
             self._view = _View(found.documents, self._tenants, self._tariffs)
         return found
--- a/cresstray/rules/use.py
+++ b/cresstray/rules/use.py
@@ -25,6 +25,7 @@
 _REFUSED = 3
 # Asked and not answered: what comes back later than this is of no use, whatever the lease.
 _ASKED = 64
+_NEVER = 1 << 62
 # Lines for the log that nobody has taken yet.
 _TOLD = 64
 
@@ -72,6 +73,8 @@
         self._asked_at = -self._every  # when it last asked
         self._parts: list[Content] = []
         self._mode: Mode | None = None
+        # The last answer of `at`: of which changes, and until when it holds.
+        self._kept = (-1, 0, InUse(Mode.STOP, 0, 0, EMPTY))
         self._told: deque[str] = deque(maxlen=_TOLD)
 
     # Asking.
@@ -204,13 +207,23 @@
 
     def at(self, now: int) -> InUse:
         """What holds at this moment. Ask it when acting, each time: a lease ends without a word."""
+        # The same answer until something was heard, or its time is over: asked several times a submission.
+        changes, ends, kept = self._kept
+        if changes == self.changes and now < ends:
+            return kept
         mode = self._mode_at(now)
         if mode is not self._mode:
             if self._mode is not None or mode is not Mode.FLOOR:
                 before = self._mode.value if self._mode else "nothing"
                 self._told.append(f"{before} > {mode.value} at turn {self.turn}")
             self._mode = mode
-        return InUse(mode, self.turn, self._gateways(mode, now), self.documents)
+        made = InUse(mode, self.turn, self._gateways(mode, now), self.documents)
+        if mode is Mode.LEASE:
+            ends = self._until
+        else:
+            ends = self._floor_until if mode is Mode.FLOOR and now < self._floor_until else _NEVER
+        self._kept = self.changes, ends, made
+        return made
 
     def _gateways(self, mode: Mode, now: int) -> int:
         if mode is Mode.STOP:
