--- a/cresstray/commands/__init__.py
+++ b/cresstray/commands/__init__.py
@@ -12,12 +12,15 @@
     """Its commands, and those that are loaded only when they are typed."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted([*super().list_commands(ctx), "placement"])
+        return sorted([*super().list_commands(ctx), "kept", "placement"])
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
         if cmd_name == "placement":
             from cresstray.commands import placement
             return placement.placement
+        if cmd_name == "kept":
+            from cresstray.commands import kept
+            return kept.kept
         return super().get_command(ctx, cmd_name)
 
 
--- a/cresstray/conf/operator.py
+++ b/cresstray/conf/operator.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from cresstray.conf import fleet as fleets
+from cresstray.conf import kept as kepts
 from cresstray.conf import lines
 from cresstray.conf.fleet import Engine, Fleet, Keeper
+from cresstray.conf.kept import Kept
 from cresstray.conf.lines import Section, Sheet, UnusableError, one_of
 
 
@@ -56,6 +58,7 @@
 
     halls: Halls | None = None
     fleet: Fleet | None = None
+    kept: Kept | None = None
 
 
 def read(path: str) -> Operator:
@@ -78,9 +81,11 @@
     "tls": {"authority": _TEXT, "certificate": _TEXT, "key": _TEXT},
     "peer": {},
     **fleets.KNOWN,
+    **kepts.KNOWN,
 }
 # Those that have a word of their own behind the keyword.
-_NAMED = {"hall": "its name", "fleet": "its name", "member": "its name", "folder": "a path"}
+_NAMED = {"hall": "its name", "fleet": "its name", "member": "its name", "folder": "a path",
+          "kept": "a path"}
 
 
 def parse(path: str, text: str) -> Operator:
@@ -118,12 +123,14 @@
     fleet = None
     if of_fleet or keepers or engines:
         fleet = fleets.fleet(sheet, found, made, keepers, engines, tls)
-    of_halls = [keyword for keyword in found if keyword not in fleets.KNOWN and keyword != "tls"]
+    of_halls = [keyword for keyword in found
+                if keyword not in fleets.KNOWN and keyword not in kepts.KNOWN and keyword != "tls"]
     if "tls" in found and not of_fleet and not keepers:
         of_halls.append("tls")
     halls = _halls(sheet, found, made, peers, tls) if of_halls or peers else None
+    kept = kepts.kept(sheet, found["kept"]) if "kept" in found else None
     sheet.finish()
-    return Operator(halls, fleet)
+    return Operator(halls, fleet, kept)
 
 
 def _peer(sheet: Sheet, section: Section, words: list[str]) -> Peer | None:
--- a/cresstray/coordinator/feed.py
+++ b/cresstray/coordinator/feed.py
@@ -30,6 +30,7 @@
         self._address, self.last = _parts(address), last
         self._told, self._counters, self._log = told, counters, log
         self._scope: anyio.CancelScope | None = None  # of the coordinator that is followed
+        self.takes_older = False  # whoever is told can tell an old list from a new one, see docs/kept.md
 
     def move(self, address: str | None) -> None:
         """Leaves the coordinator that is followed for this one, at once; the numbers carry on."""
@@ -66,12 +67,17 @@
         # What breaks it while it is written to is heard of in the reading.
         with Line(made, tasks, lambda: None) as line:
             line.put(hello(self.last))
-            frames = Frames()
+            frames, first = Frames(), self.takes_older
             while True:
                 for event in frames.feed(await line.receive(_SILENCE)):
                     self._counters.add("coordinator frames")
+                    if event is None:
+                        continue
+                    # A coordinator that was founded anew, or is behind, begins with its whole list.
+                    older = first and event.complete and event.number < self.last
+                    first = False
                     # Danger: an event told twice is nothing new, and no reason to leave the link.
-                    if event is not None and event.number > self.last:
+                    if event.number > self.last or older:
                         self.last = event.number
                         self._counters.add("coordinator events")
                         self._told(event)
--- a/cresstray/passage/admit.py
+++ b/cresstray/passage/admit.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from cresstray.halls.credit import Share
+    from cresstray.kept.keep import Keep
 
 
 class Admit:
@@ -17,13 +18,26 @@
         self._book = book
         self.gateway: Gateway | None = None  # made with the port, which stands further down the chain
         self.share: Share | None = None  # of what may cross to other halls, where there are any
+        self.keep: Keep | None = None  # where a list is kept on disk
 
     def admit(self, errand: Errand, now: int) -> None:
         self._book.opened(errand)
+        if self.keep is not None and self._refused(errand, now):
+            return
         if self.share is not None and not errand.submission.foreign:
             self.share.taken(now)
         self.gateway.accept(errand.submission, now)
 
+    def _refused(self, errand: Errand, now: int) -> bool:
+        """Nothing is known well enough yet to send it anywhere; who asks from another hall counts on us."""
+        submission = errand.submission
+        wait = None if submission.foreign else self.keep.refuses(submission, now)
+        if wait is None:
+            return False
+        submission.ended = True
+        self._book.deny(submission, wait)
+        return True
+
     def leave(self, errand: Errand, now: int) -> None:
         """The client has left; the module gives up what is out."""
         self._book.left(errand)
--- a/cresstray/passage/relay.py
+++ b/cresstray/passage/relay.py
@@ -14,6 +14,7 @@
 from cresstray.passage.book import Book
 
 if TYPE_CHECKING:
+    from cresstray.kept.keep import Keep
     from cresstray.passage.pinned import Pinned
 
 _ENDINGS = {b"overload": Ending.FULL, b"crashed": Ending.ERROR, b"nobody": Ending.MOOT}
@@ -26,6 +27,7 @@
         self._clock, self._counters, self._book = clock, counters, book
         self.gateway: Gateway | None = None
         self.pinned: Pinned | None = None  # where the fleet's rules place shards
+        self.keep: Keep | None = None  # where a list is kept on disk
         self.out: dict[Relay, Exchange] = {}
         self._reports: dict[Relay, dict[str, float]] = {}  # told with a first page, for the relay's end
 
@@ -78,6 +80,8 @@
             self._book.tell_far(submission, ending)
         if self.pinned is not None:
             self.pinned.came_back(relay, report, now)
+        if self.keep is not None:
+            self.keep.ended(relay, ending, now)
         no_more = submission.ended
         if ending is Ending.FULFILLED and not no_more:
             self._book.fulfil(submission, result)
--- a/cresstray/passage/route.py
+++ b/cresstray/passage/route.py
@@ -23,6 +23,11 @@
         self._engines: dict[int, Engine] = {}
         self._pools: dict[Engine, Pool] = {}
 
+    @property
+    def engines(self) -> Mapping[int, Engine]:
+        """By the coordinator's ids."""
+        return self._engines
+
     def route(self, relay: Relay, statement_of: Mapping, patience: int) -> None:
         if relay.engine.far is not None:
             self.across.send(relay, statement_of[relay.submission], patience)
--- a/cresstray/passage/take_in.py
+++ b/cresstray/passage/take_in.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING, Protocol
 
 from cresstray.clock import Clock
@@ -85,6 +85,15 @@
         self._names.add(name)
         return True
 
+    def recent(self) -> list[str]:
+        """Names of late, the latest last by ten seconds' turns."""
+        return sorted(self._older) + sorted(self._names)
+
+    def used(self, names: Iterable[str]) -> None:
+        """By the process before this one, of late."""
+        self._older.update(names)
+        self._turn = self._turn or self._clock.now() + _MEMORY
+
     def withdraw(self, asker: Asker, number: int | None, name: str | None) -> None:
         """The client no longer waits for one of its submissions."""
         if number is None:
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import random
 import signal
 import socket
 from collections.abc import Callable, Mapping
@@ -31,11 +33,16 @@
     from cresstray.conf.operator import Halls, Operator
     from cresstray.fleet import Member
     from cresstray.halls.connections import Hub
+    from cresstray.kept.keep import Keep
 
 # After SIGTERM new requests go on coming for 0.6 s at the most, and SIGKILL comes no sooner than after the
 # longest time limit, three seconds at most, and 0.7 s: what is open has until half a second before that.
 _STILL_COMING = 0.8
 _LONGEST_LIMIT, _AFTER_LIMIT = 3_000_000, 200_000
+# What is written at the end takes some milliseconds; a disk that needs longer costs a successor freshness.
+_HAND_OVER = 0.3
+# Ten rounds of trials a second: the most that wait for one are asked within seconds, see docs/kept.md.
+_TEND = 100_000
 
 
 class Service:
@@ -75,6 +82,9 @@
         self._hub = self._make_hub(operator.halls, seed) if operator and operator.halls else None
         self._member = self._make_member(member, settings, seed) if member else None
         self._feed = Feed(coordinator, last, self._told, self.counters, self._log)
+        self._keep: Keep | None = None
+        if operator and operator.kept:
+            self._keep = self._make_keep(name, operator.kept.folder, settings, seed)
         self._tasks: TaskGroup
 
     def _make_hub(self, halls: Halls, seed: int) -> Hub:
@@ -96,18 +106,65 @@
         return Member(given, settings, seed, self._clock, self._gateway, self._route, self._back,
                       self._take_in, self._timers, self.counters, self._log)
 
+    def _make_keep(self, name: str, folder: str, settings: Mapping[str, Any], seed: int) -> Keep:
+        """After the fleet's rules, which it asks as well."""
+        from cresstray.kept.files import Folder, Writer, moment
+        from cresstray.kept.guard import Guard
+        from cresstray.kept.keep import Keep
+        now, kept = self._clock.now(), Folder(folder, name)
+        # Danger: until the first write an operator's `forget` would find it free, and change it beneath us. A
+        # process that still ends may hold it, and is asked again; what is wrong with the disk a write tells.
+        with contextlib.suppress(OSError):
+            kept.lock()
+        # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
+        chance = random.Random(f"{seed}{now}").random
+        keep = Keep(Writer(kept), settings, self._gateway, chance, self.counters,
+                    lambda text: self._log.say("kept", text), moment, now)
+        self._gateway.agreed = Guard(keep, self._gateway)
+        self._admit.keep = self._back.keep = keep
+        self._feed.takes_older = True
+        return keep
+
     def _make_pool(self, label: str, address: tuple[str, int]) -> Pool:
         return Pool(label, address, self._settings, self._quota, self._tasks, self._timers, self._clock.now,
                     self.counters, self._log)
 
     def _told(self, event: known.Event) -> None:
+        if self._keep is not None:
+            now = self._clock.now()
+            self._give(self._keep.told(event, now), now)
+            return
         self._gateway.listed(self._route.listed(event), event.complete, self._clock.now())
 
+    def _give(self, event: known.Event, now: int) -> None:
+        """What is kept has seen it: to route and module."""
+        self._gateway.listed(self._route.listed(event), event.complete, now)
+        self._keep.listed(event, self._route.engines, now)
+
+    def _tend(self, now: int) -> None:
+        """Ten times a second, where something is kept: trials, writes, and what came of both."""
+        self._keep.trials(self._tasks, self._clock.now)
+        self._step(now)
+        self._timers.after(_TEND, self._tend)
+
+    def _step(self, now: int) -> None:
+        event = self._keep.step(now)
+        if event is not None:
+            self._give(event, now)
+        if self._keep.marks:
+            # The one before may hand over after this one has begun.
+            self._take_in.used(self._keep.marks)
+            self._keep.marks = []
+
     async def run(self, *, task_status: TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until SIGTERM; `task_status` hears the address once it does."""
         async with anyio.create_task_group() as self._tasks:
+            if self._keep is not None:
+                self._keep.begin(self._clock.now())
             for event in self._events:
                 self._told(event)
+            if self._keep is not None:
+                self._tend(self._clock.now())
             self._tasks.start_soon(self._feed.run, self._tasks)
             self._tasks.start_soon(self._timers.run)
             host, port = self._listen
@@ -153,11 +210,22 @@
                 for connection in list(self._door.connections):
                     connection.close()
                 with anyio.move_on_after(0.5):
+                    if self._keep is not None:
+                        await self._hand_over(self._keep)
                     while self._door.connections:
                         await anyio.sleep(0.01)
                 signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
                 return
 
+    async def _hand_over(self, keep: Keep) -> None:
+        """While the last answers are written: the list, to the next process by the disk."""
+        keep.hand_over(self._take_in.recent(), self._clock.now())
+        with anyio.move_on_after(_HAND_OVER):
+            while not keep.done:
+                await anyio.sleep(0.005)
+                self._step(self._clock.now())
+        keep.close()
+
     def _reload(self) -> None:
         """The configuration has been replaced: its coordinator is followed from now on, all else goes on."""
         try:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -336,6 +336,6 @@
                     "cresstray.conf", "cresstray.commands", "cresstray.standins", "cresstray.passage.across",
                     "cresstray.passage.pinned", "cresstray.fleet", "cresstray.frames", "cresstray.peers",
                     "cresstray.said", "cresstray.consensus", "cresstray.rules", "cresstray.keeper",
-                    "cresstray.placement", "cresstray.replicas")
+                    "cresstray.placement", "cresstray.replicas", "cresstray.kept")
         self.assertIn("cresstray.service", said)
         self.assertEqual([], [name for name in said if name.startswith(unwanted)])
