Rules that say nothing of engines, tenants, tariffs or shards cost one look

Cause: the profile of a gateway at rest, on minus off: takes 21 us and admits 8 us a submission though no document barred anything. Change: a view of the documents knows whether all of these are empty. Tests of rules and hook pass.

--- a/cresstray/rules/admission.py
+++ b/cresstray/rules/admission.py
@@ -30,6 +30,9 @@
         self.tariffs = [documents.tariffs.items.get(name, TariffRule()) for name in tariffs]
         self.capped = any(rule.share < 1 for rule in self.tenants)
         self.shards = documents.placement.items
+        # Nothing is said of any engine, tenant, tariff or shard: most fleets' most of the time.
+        self.plain = not (documents.engines.items or documents.tenants.items or documents.tariffs.items
+                          or self.shards)
         self.ranks: dict[str, int] = {}  # of this gateway among all, for the seats of an engine
 
 
@@ -83,7 +86,10 @@
 
     def admits(self, submission: Submission, now: int) -> bool:
         """Whether it may go on, each time it is offered; its first time counts for its tenant's share."""
-        against = self._against(submission, self._at(now), now)
+        use = self._at(now)
+        if self._view.plain and submission.read is None and use.mode is not Mode.STOP:
+            return True
+        against = self._against(submission, use, now)
         if against:
             self._counters.add(f"rules: denied, {against}")
             return False
@@ -119,6 +125,8 @@
     def takes(self, submission: Submission, engine: Engine, now: int) -> bool:
         """Whether a relay of it may go to this engine now; what was held is judged anew."""
         use = self._at(now)
+        if self._view.plain and submission.read is None:
+            return use.mode is not Mode.STOP
         # Asked for one engine after the other: what is said of the submission is found once for a moment.
         if self._judged[0] is not submission or self._judged[1] is not use:
             may = not (use.mode is Mode.STOP or self._rule(submission, use).stopped
