--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -14,7 +14,7 @@
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 import anyio
@@ -55,6 +55,15 @@
     tenant,
 )
 from cresstray.standins.fleet.schedule import PROCESS, Fault, drawn
+from cresstray.standins.fleet.shards import (
+    ShardFleet,
+    carried,
+    copies_lost,
+    heads,
+    judged,
+    planned,
+)
+from cresstray.standins.world import KINDS
 
 _RATE = 120.0  # a second: a quarter of what the engines can do, so that payoff is not decided by one barred
 _REST = 2.0  # longer than the longest hard stop of kinds that are short, as in the other benchmarks
@@ -262,6 +271,84 @@
                         "stuck": [repr(one) for one in verdict.stuck[:3]]}}
 
 
+# Of each shard, the numbers of its copies, the primary first: each engine has some, the last one has none.
+_PLACED = {"17": (2, 1), "18": (0, 3), "19": (1, 2)}
+_BEFORE, _AFTER = 3.0, 2.0  # seconds of sessions without moves
+_SESSIONS, _PACE, _WITHIN = 12, 15.0, 0.5
+
+
+async def _shards(seed: int, folder: Path) -> dict:
+    """Sessions on shards while an engine is emptied; a target and a leader die on the way."""
+    fleet = ShardFleet(folder, _PLACED)
+    async with fleet.up(), anyio.create_task_group() as tasks:
+        ports = {keeper: one.port for keeper, one in fleet.keepers.items()}
+        operator, watch = Operator("operator", NAME, ports, tasks), Watch(NAME, ports, tasks)
+        tasks.start_soon(watch.run)
+        await listed(operator, watch, fleet.gateways)
+        await fleet.placed_first(operator, watch)
+        async with anyio.create_task_group() as sessions:
+            for number in range(_SESSIONS):
+                sessions.start_soon(fleet.session, f"s{number}", list(_PLACED)[number % len(_PLACED)],
+                                    seed * 1000 + number, _PACE, _WITHIN)
+            await anyio.sleep(_BEFORE)
+            plan = await planned(fleet, fleet.ids[2])
+            await carried(fleet, plan, operator)
+            await anyio.sleep(_AFTER)
+            sessions.cancel_scope.cancel()
+        await anyio.sleep(KINDS[3].hard + 0.2)  # what is out comes back, or is over
+        latest = await operator.documents(5)
+        verdict = judged(fleet.seen(), fleet.sessions, fleet.cores, heads(fleet, latest))
+        lost = copies_lost(fleet, latest)
+        await fleet.runs()
+        told = {"reads": verdict.reads(), "moves": plan.moves(fleet) | {"copies_lost": len(lost)},
+                "promises": fleet.account.promises(anyio.current_time()), "steps": plan.steps,
+                "over": bool(plan.told.get("over")), "payoff": round(fleet.account.payoff()[HALL], 4),
+                "told": verdict.lines[:5] + lost, "writes_by_two": verdict.twice, "writes_lost": verdict.lost}
+        tasks.cancel_scope.cancel()
+    counters = fleet.counters()
+    return told | {"faults": counters.get("faults", 0)}
+
+
+_QUICK = [replace(kind, work=kind.work / 5) for kind in FLEET_KINDS]  # so that engines have room for all
+_CALM, _GATEWAYS, _OF_EACH = 8.0, 2, 200.0
+
+
+async def _at_rest(seed: int, how: str, folder: Path) -> dict:
+    """No rule changes: `how` is off, on, or dead (all keepers, and leases are over)."""
+    fleet = Fleet(folder, 3, _GATEWAYS, on=how != "off")
+    load = draw(_QUICK, [(0.0, _OF_EACH * _GATEWAYS)], _CALM, seed)
+    async with fleet.up(), anyio.create_task_group() as tasks:
+        if how != "off":
+            ports = {keeper: one.port for keeper, one in fleet.keepers.items()}
+            watch = Watch(NAME, ports, tasks)
+            tasks.start_soon(watch.run)
+            await listed(Operator("operator", NAME, ports, tasks), watch, fleet.gateways)
+        if how == "dead":
+            for keeper in fleet.keepers.values():
+                keeper.kill()
+        await anyio.sleep(4.0)
+        before = fleet.cpu()
+        await fleet.play({HALL: load}, [], _REST)
+        told = {"cpu_us": 1e6 * (fleet.cpu() - before) / len(load)}
+        await fleet.runs()
+        tasks.cancel_scope.cancel()
+        return told | {"payoff": fleet.account.payoff()[HALL],
+                       "promises": fleet.account.promises(anyio.current_time())}
+
+
+def _compared(seed: int) -> dict:
+    """Beside each other, twice, begun in the opposite order: means of CPU and payoff."""
+    rounds: dict[str, list[dict]] = {"off": [], "on": [], "dead": []}
+    for order in (("off", "on", "dead"), ("dead", "on", "off")):
+        made = {how: _child(f"rest-{how}", seed + len(rounds["off"]), True) for how in order}
+        for how, child in made.items():
+            rounds[how].append(json.loads(child.communicate()[0].splitlines()[-1]))
+    told = {f"{what}_{how}": round(sum(one[what] for one in found) / len(found), 4)
+            for how, found in rounds.items() for what in ("cpu_us", "payoff")}
+    return told | {"promises": {promise: sum(one["promises"][promise] for found in rounds.values()
+                                             for one in found) for promise in PROMISES}}
+
+
 def _child(name: str, seed: int, on: bool) -> subprocess.Popen:
     words = ["--one", name, "--seed", str(seed), *["--off"] * (not on)]
     return subprocess.Popen([sys.executable, "-m", "benchmarks.fleet", *words], stdout=subprocess.PIPE)
@@ -269,7 +356,8 @@
 
 @click.command()
 @click.option("--seed", default=1, show_default=True)
-@click.option("--scenario", multiple=True, type=click.Choice([*SCENARIOS]), help="Only these.")
+@click.option("--scenario", multiple=True, help="Only these.",
+              type=click.Choice([*SCENARIOS, "shards", "rest"]))
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on the last line.")
 @click.option("--one", hidden=True)
 @click.option("--off", is_flag=True, hidden=True)
@@ -277,12 +365,16 @@
     """Play the scenarios; exit code 1 where a promise was broken."""
     if one:
         with tempfile.TemporaryDirectory() as folder:
-            print(json.dumps(anyio.run(_play, one, seed, not off, Path(folder))))
+            name, _, how = one.partition("rest-")
+            part = (_play, one, seed, not off) if name and name in SCENARIOS else (
+                (_at_rest, seed, how) if how else (_shards, seed))
+            print(json.dumps(anyio.run(*part, Path(folder))))
         return
     told: dict = {"scenarios": {}, "history": {"operations": 0, "linearizable": True},
                   "promises": dict.fromkeys(PROMISES, 0)}
     faults = 0
-    for name in scenario or SCENARIOS:
+    chosen = scenario or (*SCENARIOS, "shards", "rest")
+    for name in (one for one in chosen if one in SCENARIOS):
         both = [_child(name, seed, on) for on in (True, False)]
         on, plain = [json.loads(child.communicate()[0].splitlines()[-1]) for child in both]
         on |= {"payoff_off": plain["payoff"], "cpu_us_off": plain["cpu_us"]}
@@ -292,6 +384,19 @@
         told["history"]["linearizable"] &= on["history"]["linearizable"]
         told["scenarios"][name] = on
         faults += _say(name, on, plain)
+    if "shards" in chosen:
+        found = json.loads(_child("shards", seed, True).communicate()[0].splitlines()[-1])
+        told |= {"reads": found["reads"], "moves": found["moves"]}
+        told["promises"] = {one: told["promises"][one] + found["promises"][one] for one in PROMISES}
+        faults += _say_shards(found)
+    if "rest" in chosen:
+        told["rest"] = found = _compared(seed)
+        broken = found.pop("promises")
+        told["promises"] = {one: told["promises"][one] + broken[one] for one in PROMISES}
+        print(f"{'rest':18} off, on, all keepers dead: cpu us {found['cpu_us_off']:.1f} "
+              f"{found['cpu_us_on']:.1f} {found['cpu_us_dead']:.1f}  "
+              f"payoff {found['payoff_off']} {found['payoff_on']} "
+              f"{found['payoff_dead']}", flush=True)
     if as_json:
         print(json.dumps(told))
     sys.exit(1 if faults or any(told["promises"].values()) else 0)
@@ -318,5 +423,20 @@
     return len(bad)
 
 
+def _say_shards(found: dict) -> int:
+    """As `_say`."""
+    print(f"{'shards':18} reads {found['reads']}  moves {found['moves']}  payoff {found['payoff']}\n"
+          f"    {' > '.join(found['steps'])}", flush=True)
+    never = {what: found[part][what] for part, names in (
+        ("reads", ("bound_broken", "went_back", "primary_over_share")),
+        ("moves", ("headroom_broken", "copies_lost"))) for what in names}
+    never |= {what: found[what] for what in ("writes_by_two", "writes_lost", "faults")} | found["promises"]
+    bad = [f"{what}: {count}" for what, count in never.items() if count] + found["told"]
+    bad += [] if found["over"] else ["the plan is not over"]
+    for line in bad:
+        print(f"    BROKEN {line}", flush=True)
+    return len(bad)
+
+
 if __name__ == "__main__":
     main()
--- a/cresstray/standins/fleet/processes.py
+++ b/cresstray/standins/fleet/processes.py
@@ -105,6 +105,7 @@
                  on: bool = True, lines: str = "    most 8\n") -> None:
         """`lines`: of the file's section `fleet`, each indented."""
         self._folder, self.on, self.cores, self._lines = folder, on, cores, lines
+        self._more = ""  # sections of each file of a fleet
         self._given = given = settings(FLEET_KINDS, gateways, cores) | {
             "Tenants": [{"Name": "office"}, {"Name": "guest"}]}
         safety = given["Safety"]
@@ -144,7 +145,7 @@
                     self.mesh.way(source, target, keeper.port)
         for name in (*self.keepers, *self.gateways) if self.on else ():
             (self._folder / f"{name}.conf").write_text(
-                f"fleet {NAME}\n{self._lines}" +
+                f"fleet {NAME}\n{self._lines}{self._more}" +
                 (f"folder {self._folder}\n" if name in self.keepers else f"member {name}\n") + "".join(
                     f"keeper {other} 127.0.0.1:{self.port(name, other)}\n" for other in self.keepers))
         coordinator = self.halls[HALL].coordinator
@@ -158,11 +159,7 @@
 
     @contextlib.asynccontextmanager
     async def up(self):  # noqa: ANN201, an asynchronous context of this fleet
-        self._stand_in = subprocess.Popen(
-            [sys.executable, "-O", "-m", "cresstray.standins.fleet.engines", str(len(self.engines)),
-             str(self.cores), str(self._memory)], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
-        ports = json.loads(await anyio.to_thread.run_sync(self._stand_in.stdout.readline))
-        listed = [Listed(number + 1, port) for number, port in enumerate(ports)]
+        listed = await self._begin_engines()
         self.halls = {HALL: Hall(HALL, [], Coordinator(listed), list(self.gateways.values()), {}, {})}
         self._write()
         async with anyio.create_task_group() as self._tasks:
@@ -184,11 +181,22 @@
                     async with anyio.create_task_group() as stops:
                         for one in everyone:
                             stops.start_soon(one.stop)
-                self._stand_in.stdin.close()
-                self._stand_in.wait()
-                self._stand_in.stdout.close()
+                self._end_engines()
                 self._tasks.cancel_scope.cancel()
 
+    async def _begin_engines(self) -> list[Listed]:
+        """Starts them, and tells what the coordinator lists."""
+        self._stand_in = subprocess.Popen(
+            [sys.executable, "-O", "-m", "cresstray.standins.fleet.engines", str(len(self.engines)),
+             str(self.cores), str(self._memory)], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        ports = json.loads(await anyio.to_thread.run_sync(self._stand_in.stdout.readline))
+        return [Listed(number + 1, port) for number, port in enumerate(ports)]
+
+    def _end_engines(self) -> None:
+        self._stand_in.stdin.close()
+        self._stand_in.wait()
+        self._stand_in.stdout.close()
+
     async def found(self, name: str) -> None:
         """The file of a keeper of the first generation."""
         words = self.keepers[name].words
--- a/cresstray/standins/shards.py
+++ b/cresstray/standins/shards.py
@@ -291,6 +291,8 @@
             self._listener = listen(port)
             self.port = port
         self.shelf, self._path, self._written = shelf, path, b""
+        # What it took and what it answered outlives it: one line is one write, a second of CPU for 100,000.
+        self._journal = open(f"{path}.answers", "ab", buffering=0) if path else None  # noqa: SIM115
         self._shard_of: dict[_Job, tuple[str, bool]] = {}
         self._about = ""
         self._lines: dict[str, _Fetcher] = {}
@@ -424,6 +426,7 @@
         before = len(self._jobs)
         super()._ask(peer, name, fields, plain.encode())
         if shard and len(self._jobs) > before:
+            self._note("took", name, shard, writes)
             self._shard_of[self._jobs[-1]] = shard, writes
             self.shelf.reads[shard] = self.shelf.reads.get(shard, 0) + 1
 
@@ -444,10 +447,23 @@
         if writes and self._about and not self.shelf.written(self._about):
             # It lost its primary's place while this ran; nothing of it stays.
             job.run.effect = False
+            self._note("refused", job.name, self._about, writes)
             self._say(job.peer, job.name, "crashed", self._load(), "")
             return
+        if self._about:
+            # Danger: what it has told must be there after a kill, or its own fault would look like another's.
+            self._save()
+            self._note("answered", job.name, self._about, writes)
         super()._serve_result(job)
 
+    def _note(self, what: str, name: bytes, shard: str, writes: bool) -> None:
+        """One line of its account: when (seconds), and how far this copy was then."""
+        held = self.shelf.shards.get(shard)
+        if self._journal is not None and held is not None:
+            self._journal.write(msgspec.json.encode((
+                what, name.decode(), self._now(), shard, writes, held.epoch,
+                held.head if held.primary else held.applied, held.primary)) + b"\n")
+
     def _load(self) -> str:
         load, held = super()._load(), self.shelf.shards.get(self._about)
         if held is None:
