One function passes on what the stand-ins' disks copy, in the lab and in the test

Cause: cresstray/lab/joined.py and tests/test_placement_moves.py had the same loop over what a disk wants and follows. Change: standins/shards.py passed_on serves both; no behaviour changes. Tests of moves, joined parts and the kept list pass.

--- a/cresstray/kept/files.py
+++ b/cresstray/kept/files.py
@@ -220,7 +220,7 @@
                 size = self.folder.write(make())
         except (OSError, UnusableError) as fault:
             trouble = short(fault)
-        except Exception as fault:  # noqa: BLE001  Danger: a thread that dies unheard would never write again.
+        except Exception as fault:  # Danger: a thread that dies unheard would write no more.
             trouble = f"a fault of its own: {fault!r}"
         self._outcome = Outcome(trouble, (time.monotonic_ns() - begun) // 1000, size, busy, found)
 
--- a/cresstray/lab/joined.py
+++ b/cresstray/lab/joined.py
@@ -28,7 +28,7 @@
 from cresstray.rules.codec import contents
 from cresstray.rules.leases import Leases
 from cresstray.rules.use import Mode, Use
-from cresstray.standins.shards import Held, RefusedError, Shelf
+from cresstray.standins.shards import Held, RefusedError, Shelf, passed_on
 
 MS, SECOND = 1_000, 1_000_000
 LEASE, FLOOR, DRIFT = 2 * SECOND, 6 * SECOND, 0.01
@@ -451,20 +451,7 @@
             shelf.advance(self.now)
             if not self.up(name):
                 continue
-            for shard, feed, offset, most in shelf.wanted():
-                try:
-                    if not self.up(feed):
-                        raise RefusedError
-                    shelf.fetched(shard, offset, *self.shelves[feed].give(shard, offset, most))
-                except RefusedError:
-                    shelf.stopped(shard, "source")
-            for shard, feed in shelf.followers():
-                try:
-                    if self.up(feed):
-                        head, epoch, size, _ = self.shelves[feed].head(shard)
-                        shelf.followed(shard, head, epoch, size, self.now)
-                except RefusedError:
-                    pass
+            passed_on(shelf, self.shelves, self.up, self.now)
         for shard, copies in PLACED.items():
             whole = [name for name, one in self.shelves.items()
                      if shard in one.shards and one.shards[shard].whole]
--- a/cresstray/standins/shards.py
+++ b/cresstray/standins/shards.py
@@ -12,7 +12,7 @@
 import signal
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import anyio
 import click
@@ -280,6 +280,24 @@
         self.shards, self.fences, self.had, self.counted = kept.shards, kept.fences, kept.had, kept.counted
 
 
+def passed_on(shelf: Shelf, shelves: Mapping[str, Shelf], up: Callable[[str], bool], now: int) -> None:
+    """What a disk copies and follows, without sockets: straight from the others, as far as they are `up`."""
+    for shard, feed, offset, most in shelf.wanted():
+        try:
+            if not up(feed):
+                raise RefusedError
+            shelf.fetched(shard, offset, *shelves[feed].give(shard, offset, most))
+        except RefusedError:
+            shelf.stopped(shard, "source")
+    for shard, feed in shelf.followers():
+        try:
+            if up(feed):
+                head, epoch, size, _ = shelves[feed].head(shard)
+                shelf.followed(shard, head, epoch, size, now)
+        except RefusedError:
+            pass
+
+
 class ShardEngine(Engine):
     """An engine with a shelf; its state is in `path`, written before a command is answered, and each beat."""
 
--- a/tests/test_placement_moves.py
+++ b/tests/test_placement_moves.py
@@ -26,7 +26,7 @@
 from cresstray.placement.moves import At, Event, Moves
 from cresstray.rules import documents
 from cresstray.rules import state as rules
-from cresstray.standins.shards import Held, RefusedError, Shelf
+from cresstray.standins.shards import Held, RefusedError, Shelf, passed_on
 
 SECOND = 1_000_000
 TIMES = carrier.Times(gone=12 * SECOND, stuck=6 * SECOND, room=10 * SECOND, fenced=8 * SECOND)
@@ -172,20 +172,7 @@
             self.apply(rules.advance(turn))
 
     def work(self, shelf: Shelf) -> None:
-        for shard, feed, offset, most in shelf.wanted():
-            try:
-                if not self.up(feed):
-                    raise RefusedError
-                shelf.fetched(shard, offset, *self.shelves[feed].give(shard, offset, most))
-            except RefusedError:
-                shelf.stopped(shard, "source")
-        for shard, feed in shelf.followers():
-            try:
-                if self.up(feed):
-                    head, epoch, size, _ = self.shelves[feed].head(shard)
-                    shelf.followed(shard, head, epoch, size, self.now)
-            except RefusedError:
-                pass
+        passed_on(shelf, self.shelves, self.up, self.now)
 
     def disk(self, shelf: Shelf) -> Disk:
         told = shelf.told({})
