A switched copy whose new engine dies for good gets its old place back by itself

Cause: a move whose version was committed kept the old copy and waited for an operator if its target then died, though nothing is lost by going back: no write was taken by a copy that is not the primary, and the old one, not yet dropped, had gone on following (carrier.py, _switched). A primary still waits, since it may have taken writes.

--- a/cresstray/placement/carrier.py
+++ b/cresstray/placement/carrier.py
@@ -607,7 +607,9 @@
     def _switched(self, index: int, move: Moving) -> None:
         shard = self._placed(move)
         if not log.has_moved(move, shard):
-            self.waits[index] = "the placement was changed by another"
+            kept = shard is not None and move.source in shard.copies and move.target not in shard.copies
+            self.waits[index] = ("the old copy has its place again" if kept
+                                 else "the placement was changed by another")
             if log.in_force(self._state, move.shard):
                 self._enter(index, move, Event.DONE, why=self.waits[index])
             return
@@ -621,6 +623,12 @@
         if copy is None or not copy.whole or not knows:
             # Danger: the old copy may be the last that is whole. It stays until the new one is seen.
             self.waits[index] = f"{move.target} does not show its copy; the old one is kept"
+            if not move.primary and old is not None and old.whole and self._gone(move.target):
+                # No write was ever taken by what has moved here, and the old copy went on following. Danger:
+                # a dead primary has taken writes; whether to give them up is an operator's to say.
+                self._want(index, move, msgspec.structs.replace(
+                    shard, copies=_back(shard.copies, move), reads=_back(shard.reads, move)),
+                    f"{_what(move)}: back, {move.target} is gone")
             return
         if source is None and not self._gone(move.source):
             self.waits[index] = f"{move.source} does not answer"
@@ -698,6 +706,10 @@
     return tuple(move.target if name == move.source else name for name in names)
 
 
+def _back(names: tuple[str, ...], move: Moving) -> tuple[str, ...]:
+    return tuple(move.source if name == move.target else name for name in names)
+
+
 def _with(names: tuple[str, ...], name: str) -> tuple[str, ...]:
     return names if name in names else (*names, name)
 
