--- a/cresstray/conf/operator.py
+++ b/cresstray/conf/operator.py
@@ -9,9 +9,11 @@
 from cresstray.conf import fleet as fleets
 from cresstray.conf import kept as kepts
 from cresstray.conf import lines
+from cresstray.conf import store as stores
 from cresstray.conf.fleet import Engine, Fleet, Keeper
 from cresstray.conf.kept import Kept
 from cresstray.conf.lines import Section, Sheet, UnusableError, one_of
+from cresstray.conf.store import Store
 
 
 class Link(msgspec.Struct, frozen=True):
@@ -59,6 +61,7 @@
     halls: Halls | None = None
     fleet: Fleet | None = None
     kept: Kept | None = None
+    store: Store | None = None
 
 
 def read(path: str) -> Operator:
@@ -82,6 +85,7 @@
     "peer": {},
     **fleets.KNOWN,
     **kepts.KNOWN,
+    **stores.KNOWN,
 }
 # Those that have a word of their own behind the keyword.
 _NAMED = {"hall": "its name", "fleet": "its name", "member": "its name", "folder": "a path",
@@ -124,13 +128,14 @@
     if of_fleet or keepers or engines:
         fleet = fleets.fleet(sheet, found, made, keepers, engines, tls)
     of_halls = [keyword for keyword in found
-                if keyword not in fleets.KNOWN and keyword not in kepts.KNOWN and keyword != "tls"]
+                if keyword not in {*fleets.KNOWN, *kepts.KNOWN, *stores.KNOWN, "tls"}]
     if "tls" in found and not of_fleet and not keepers:
         of_halls.append("tls")
     halls = _halls(sheet, found, made, peers, tls) if of_halls or peers else None
     kept = kepts.kept(sheet, found["kept"]) if "kept" in found else None
+    store = stores.store(sheet, found["store"], made["store"]) if "store" in found else None
     sheet.finish()
-    return Operator(halls, fleet, kept)
+    return Operator(halls, fleet, kept, store)
 
 
 def _peer(sheet: Sheet, section: Section, words: list[str]) -> Peer | None:
--- /dev/null
+++ b/cresstray/store/joined.py
@@ -0,0 +1,618 @@
+"""Joins marks, their guard and the store to the passage of one gateway, as the stages call it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from functools import partial
+from typing import Any, Protocol
+
+import msgspec
+
+from cresstray.counters import Counters
+from cresstray.interface import Ending, Submission
+from cresstray.store import codec, marks
+from cresstray.store.behind import Behind, Item
+from cresstray.store.codec import Command, Refused, Reply
+from cresstray.store.guard import (
+    Claim, Decision, Deny, Found, Go, Guard, Guarded, Holder, Silence, Times, Unguarded, Wait, guarded)
+from cresstray.store.health import Health, StoreClock
+from cresstray.store.marks import Event, Kind, Mark, State
+
+# Endings that prove a relay never ran, as the module has them.
+_UNRUN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)
+# Marks are kept so long unless the operator says else: clients that ask again after an hour ask anew.
+_KEPT_S = 3_600
+# As the module does: what ends within this of the hard stop is ended by the sweep.
+_MARGIN = 200_000
+# Outcomes out at the store at once, and the time that each has there; nobody waits for them.
+_OUT, _PATIENCE = 32, 2_000_000
+# Danger: a flood of one tenant would take all questions that may be out, and others' would find no room. A
+# quarter.
+_OF_TENANT = 250
+# Danger: a clock that goes back while this gateway asks nothing would be noticed by none. Each looks at it so
+# often: a fleet of hundreds asks a hundred times a second so, in one command of a few bytes.
+_BEAT = 3_000_000
+# The disk is looked at so often while an intention waits for its sync; 1 to 10 ms are usual.
+_LOOK = 1_000
+# Danger: a mark that all gateways fight over would be tried for as long as there is time.
+_TRIES = 4
+
+
+class Client(Protocol):
+    """`call` is made once, by `by`, and never within `submit`; None: no answer, and it may have run."""
+
+    def submit(self, commands: Sequence[Command], by: int,
+               call: Callable[[list[Reply] | None], None]) -> object: ...
+
+
+class Clock(Protocol):
+    def now(self) -> int: ...
+
+
+class Timers(Protocol):
+    def after(self, delay: int, call: Callable[[int], None]) -> object: ...
+
+
+class Desk(Protocol):
+    """journal.Scribe, where there is a disk."""
+
+    trouble: str
+
+    def intend(self, digest: bytes, fence: int, tenant: int) -> int | None: ...
+    def settle(self, number: int) -> None: ...
+    def synced(self, number: int) -> bool | None: ...
+
+
+class Asked(Protocol):
+    """What is used of an errand."""
+
+    submission: Submission
+
+    @property
+    def query(self) -> Any: ...
+
+
+class _Held:
+    """One submission that needs a mark, until it has its answer and nothing of it is out."""
+
+    __slots__ = ("submission", "name", "kind", "times", "digest", "call", "by", "tries", "claimed", "until",
+                 "seen", "mark", "out", "over", "ran", "may_have_run", "first_sent", "outcome", "number",
+                 "fresh", "asking", "again")
+
+    def __init__(self, submission: Submission, name: str, kind: Guarded, times: Times, digest: bytes,
+                 call: Callable[[Decision], None]) -> None:
+        self.submission, self.name, self.kind, self.times, self.digest = submission, name, kind, times, digest
+        self.call: Callable[[Decision], None] | None = call  # None: it has been told
+        self.by, self.tries = 0, 0
+        self.claimed: Event | None = None  # an intention that is in the store, or may be
+        self.until = 0  # of our clock: no relay goes out from then on
+        self.seen, self.mark = b"", None  # of the mark: its bytes as last read or written, and what they say
+        self.out, self.over = 0, False
+        self.ran = self.may_have_run = False
+        self.first_sent, self.outcome = 0, b""
+        self.number: int | None = None  # in the journal
+        self.fresh = False  # its own claim is what stands in the store
+        self.asking = self.again = False  # a question of it is out; one was asked again for want of an answer
+
+
+class Marks:
+    """`lines`: the operator's, as a plain map; `life`: this process, and no other that ever had this name."""
+
+    def __init__(self, client: Client, lines: Mapping[str, Any], settings: Mapping[str, Any],
+                 tariffs: Sequence[Any], owner: str, life: str, chance: Callable[[], float], clock: Clock,
+                 timers: Timers, counters: Counters, desk: Desk | None = None,
+                 say: Callable[[str], None] = lambda _: None) -> None:
+        self._client, self._clock, self._timers, self._counters = client, clock, timers, counters
+        self._desk, self._say = desk, say
+        self._holder = Holder(owner, life)
+        self._namespace = lines.get("namespace", "cresstray")
+        self._kept = int(lines.get("kept_s", _KEPT_S) * 1000)
+        self._largest = lines.get("answers", 0)
+        limits = settings.get("Limits", {})
+        honoured = int(limits.get("MaxRetryAfter", 0) * 1000) if limits.get("RetryAfter") else 0
+        names = [service.get("Name", "") for service in settings.get("Services", [])]
+        self._kinds = [guarded(tariff, name, lines) for tariff, name in zip(tariffs, names)]
+        self._names = names
+        self._tenants = [str(tenant.get("Name", "")) for tenant in settings.get("Tenants", [])]
+        now = clock.now()
+        self.health = Health(lines, chance, now)
+        self.store_clock = StoreClock()
+        self.behind = Behind()
+        self._guard = Guard(lines, honoured, chance)
+        self._open: dict[Submission, _Held] = {}
+        self._asking: Counter[int] = Counter()  # questions of submissions that are out, by tenant
+        self._fence = 0  # of the last intention of this process
+        self._writing = 0  # outcomes out at the store
+        self._returned: list[Item] = []
+        # Not a mark's key: it says of what age marks are doubted.
+        self._clock_key = f"{self._namespace}:clock1".encode()
+        self._warned, self._warning, self._looked = 0, False, 0
+        self._jumps, self._dropped, self._trouble, self._told_open = 0, 0, "", True
+
+    # What the stages call.
+
+    def ask(self, errand: Asked, now: int, call: Callable[[Decision], None]) -> bool:
+        """False: it needs no mark. Else `call` is made once, perhaps within this, as its slack allows.
+
+        With Go or Unguarded it may be relayed; Deny, Abandon and Answer are its end.
+        """
+        submission = errand.submission
+        kind, name = self._kinds[submission.tariff.index], errand.query.mark
+        # One from another hall is asked for where it was accepted.
+        if kind is Guarded.FREE or not name or submission.foreign:
+            return False
+        tariff = submission.tariff
+        expected = tariff.usual.time_of(submission) if tariff.usual else tariff.soft_limit // 4
+        # What is too late for its soft limit may still be answered by its hard stop.
+        soft_stop = submission.arrived + int(tariff.soft_limit + tariff.soft_stretch * expected)
+        stop = min(submission.hard_stop - _MARGIN, soft_stop)
+        leave_by = max(stop - expected, now + (submission.hard_stop - now) // 10)
+        times = Times(now, min(leave_by, submission.hard_stop), submission.hard_stop, tariff.memory)
+        tenant = self._tenants[submission.tenant] if submission.tenant < len(self._tenants) else ""
+        group = self._names[tariff.index] + "/" + tariff.group
+        held = _Held(submission, self._names[tariff.index], kind, times,
+                     marks.digest(self._namespace, tenant, group, name), call)
+        self._open[submission] = held
+        self._counters.add("marks: asked")
+        self._look_up(held, now)
+        return True
+
+    def may_send(self, submission: Submission, now: int) -> bool:
+        """Asked at the moment of sending, with the clock of that moment. False: nothing may go out, and the
+        relay ends as one that no engine has seen."""
+        held = self._open.get(submission)
+        # Danger: a process that was stopped wakes up before any of its timers has run. Only the clock tells.
+        # What came from another hall is guarded there until its hard stop.
+        if (held is None and (not submission.foreign or now < submission.hard_stop)
+                or held is not None and held.call is None and now < held.until):
+            return True
+        self._counters.add("marks: intentions over before a relay")
+        return False
+
+    def left(self, submission: Submission, now: int) -> int | None:
+        """For how long it may still be sent by whoever has it from here, as another hall. None: no matter."""
+        held = self._open.get(submission)
+        return None if held is None else max(0, held.until - now)
+
+    def sent(self, submission: Submission, now: int) -> None:
+        """A relay goes out; `relay_ended` is owed for it."""
+        held = self._open.get(submission)
+        if held is None:
+            return
+        held.out += 1
+        if not held.first_sent:
+            held.first_sent = self._since(now)
+            if held.fresh:
+                self._behind(held, self._event(held, Kind.SENT), now)
+
+    def relay_ended(self, submission: Submission, ending: Ending, now: int) -> None:
+        held = self._open.get(submission)
+        if held is None:
+            return
+        held.out = max(0, held.out - 1)
+        held.ran = held.ran or ending is Ending.FULFILLED
+        held.may_have_run = held.may_have_run or ending not in _UNRUN
+        self._settle(held, now)
+
+    def ended(self, submission: Submission, how: str, result: bytes | None, now: int) -> None:
+        """The final answer is out already, or its client has left; `how`: as the book counts it."""
+        held = self._open.get(submission)
+        if held is None:
+            return
+        held.over, held.call = True, None
+        held.until = 0
+        if how == "fulfilled":
+            held.ran = True
+            held.outcome = marks.outcome_of(result, self._largest)
+        self._settle(held, now)
+
+    # Asking. At most two round trips where nobody else has the mark.
+
+    def _look_up(self, held: _Held, now: int) -> None:
+        held.by = now + self.health.budget(held.times.leave_by - now, now)
+        if self._asking[held.submission.tenant] >= _OF_TENANT:
+            self._silent(held, "too much of its tenant waits", now)
+        elif held.by <= now:
+            self._silent(held, "it is away or slow" if self.health.open else "no time to ask", now)
+        elif not self.store_clock.known(now):
+            self._read(held, now)
+        elif held.seen:
+            self._read(held, now)
+        else:
+            # Nearly always nothing is there: the intention itself is the question.
+            at = self.store_clock.low(now)
+            claim = self._guard.claim(held.kind, None, self._holder, at, held.times, now)
+            self._claim(held, b"", None, claim.event, now)
+
+    def _read(self, held: _Held, now: int) -> None:
+        key = codec.key(self._namespace, held.digest)
+        self._begin(held)
+        self._submit([codec.read(key), codec.now()], held.by, partial(self._was_read, held), now)
+
+    def _begin(self, held: _Held) -> None:
+        held.asking = True
+        self._asking[held.submission.tenant] += 1
+
+    def _heard(self, held: _Held) -> None:
+        held.asking = False
+        self._asking[held.submission.tenant] -= 1
+        if not self._asking[held.submission.tenant]:
+            del self._asking[held.submission.tenant]
+
+    def _was_read(self, held: _Held, replies: list[Reply] | None, began: int, now: int) -> None:
+        self._heard(held)
+        if replies is None:
+            self._unheard(held, now)
+            return
+        at = codec.time(replies[1])
+        self.store_clock.heard(at, began, now)
+        self._found(held, replies[0], at, began, now)
+
+    def _claim(self, held: _Held, seen: bytes, mark: Mark | None, event: Event, now: int) -> None:
+        # Danger: two submissions of one mark in the same millisecond would take one intention for that of
+        # both.
+        self._fence = max(event.fence, self._fence + 1)
+        event = msgspec.structs.replace(event, fence=self._fence)
+        made = marks.step(mark, event, self.store_clock.low(now))
+        if made is None or held.tries >= _TRIES:
+            self._silent(held, "others were always first", now)
+            return
+        held.tries += 1
+        # From here on it may be in the store, whatever is heard of it.
+        held.claimed = event
+        key, value = codec.key(self._namespace, held.digest), marks.encoded(made)
+        command = codec.cas(key, seen, value, marks.lasts(made, self._kept))
+        self._begin(held)
+        self._submit([command], held.by, partial(self._was_claimed, held, made, value), now)
+
+    def _was_claimed(self, held: _Held, made: Mark, value: bytes, replies: list[Reply] | None, began: int,
+                     now: int) -> None:
+        self._heard(held)
+        if replies is None:
+            self._unheard(held, now)
+            return
+        swapped = codec.swapped(replies[0])
+        jumps = self.store_clock.jumps
+        self.store_clock.heard(swapped.at, began, now)
+        if not swapped.done:
+            held.claimed = None if swapped.found != value else held.claimed
+            self._found(held, swapped.found, swapped.at, began, now)
+            return
+        held.seen, held.mark, held.fresh = value, made, True
+        if self.store_clock.jumps > jumps:
+            # Danger: it was written by a time that is not the store's any more; others would take it for
+            # young.
+            self._silent(held, "its clock went back", now)
+            return
+        self._go(held, made.fence, made.until, swapped.at, began, now)
+
+    def _unheard(self, held: _Held, now: int) -> None:
+        """Asked once more what is there: a connection may have ended, and our intention be there or not."""
+        half = held.times.asked + (held.times.leave_by - held.times.asked) // 2
+        if held.call is not None and not held.again and now < half:
+            held.again = True
+            held.by = now + self.health.budget(held.times.leave_by - now, now)
+            if held.by > now:
+                self._read(held, now)
+                return
+        self._silent(held, "it did not answer in time", now)
+
+    def _found(self, held: _Held, value: bytes | None, at: int, began: int, now: int) -> None:
+        if held.over:
+            self._settle(held, now)
+            return
+        mark = marks.decoded(value)
+        held.seen, held.mark = value or b"", mark
+        claimed = held.claimed
+        if claimed is not None and mark is not None and mark.state is State.INTENDED and (
+                (mark.owner, mark.life, mark.fence) == (*self._holder, claimed.fence)):
+            # Written after all, by a question whose answer was lost.
+            held.fresh = True
+            self._go(held, mark.fence, mark.until, at, began, now)
+            return
+        # What the store has not heard of yet counts as well.
+        known = mark
+        for item in self.behind.of(held.digest):
+            known = marks.step(known, item.event, at) or known
+        found = Found(known, at, self.store_clock.doubtful_before)
+        decision = self._guard.decide(held.kind, found, self._holder, held.times, now)
+        if isinstance(decision, Claim):
+            self._claim(held, held.seen, mark, decision.event, now)
+        elif isinstance(decision, Wait):
+            self._counters.add("marks: waits")
+            self._timers.after(decision.again_at - now, partial(self._again, held))
+        elif isinstance(decision, Go):
+            self._go(held, decision.fence, decision.until, at, began, now)
+        else:
+            self._tell(held, decision, now)
+
+    def _again(self, held: _Held, now: int) -> None:
+        if not held.over:
+            self._look_up(held, now)
+
+    def _go(self, held: _Held, fence: int, until: int, at: int, began: int, now: int) -> None:
+        # By our own clock from when the question left: the store's may differ, and only spans are compared.
+        held.until = began + (until - at) * 990
+        if now >= held.until:
+            self._tell(held, Deny(self._guard.come_back(0)), now)
+            return
+        self._tell(held, Go(fence, until), now)
+
+    def _tell(self, held: _Held, decision: Decision, now: int) -> None:
+        call, held.call = held.call, None
+        if call is None:
+            self._settle(held, now)
+            return
+        self._counters.add(f"marks: {type(decision).__name__.lower()}")
+        if not isinstance(decision, Go | Unguarded):
+            # It ends here; what was claimed for it is given back.
+            held.over, held.until = True, 0
+            self._settle(held, now)
+        call(decision)
+
+    # Without the store.
+
+    def _silent(self, held: _Held, why: str, now: int) -> None:
+        if held.call is None:
+            self._settle(held, now)
+            return
+        own = self._own(held, now)
+        if own is not None:
+            self._tell(held, own, now)
+            return
+        decision = self._guard.silent(Silence(why, self.health.silent_for(now)), held.name, now)
+        if isinstance(decision, Unguarded):
+            if self._desk is not None:
+                held.number = self._desk.intend(held.digest, 0, held.submission.tenant)
+                if held.number is not None:
+                    # Its own budget, as the store's: what is not synced by then is denied.
+                    by = now + max(0, (held.times.leave_by - now) // 4)
+                    self._synced(held, decision, by, now)
+                    return
+                decision = Deny(self._guard.come_back(0))
+            else:
+                held.until = held.times.hard_stop
+        self._tell(held, decision, now)
+
+    def _own(self, held: _Held, now: int) -> Decision | None:
+        """By what this gateway itself did of late and the store has not heard."""
+        mark, grounded, at = None, True, self.store_clock.low(now)
+        for item in self.behind.of(held.digest):
+            # By what the store was last known to have: from when the engines remember stands there.
+            there = marks.decoded(item.seen)
+            grounded = grounded and there is not None
+            known = marks.step(there, item.event, at) or there
+            if known is not None and mark is not None:
+                ended = known if known.state is State.ENDED else mark
+                known = msgspec.structs.replace(ended, since=min(known.since, mark.since))
+            mark = known or mark
+        if mark is None or mark.state not in (State.ENDED, State.UNKNOWN):
+            return None
+        # The store's time is only guessed at here; the later it may be, the sooner a memory is over.
+        at = self.store_clock.high(now)
+        decision = self._guard.decide(held.kind, Found(mark, at), self._holder, held.times, now)
+        if isinstance(decision, Go):
+            # Danger: what this gateway sent without the store's word may have been a repeat itself, of a run
+            # that the engines forget sooner.
+            if not grounded:
+                return None
+            held.until = now + (decision.until - at) * 990
+        return decision
+
+    def _synced(self, held: _Held, decision: Decision, by: int, now: int) -> None:
+        done = self._desk.synced(held.number)
+        if done is None and (now < by or held.call is None):
+            self._timers.after(_LOOK if now < by else 100 * _LOOK, partial(self._synced, held, decision, by))
+            return
+        if held.call is None:
+            # Told already, or its client has left: the disk has it by now, or never will.
+            self._settle(held, now)
+            return
+        if done:
+            held.until = held.times.hard_stop
+            self._tell(held, decision, now)
+        elif done is None:
+            self._timers.after(100 * _LOOK, partial(self._synced, held, decision, by))
+            self._tell(held, Deny(self._guard.come_back(0)), now)
+        else:
+            held.number = None
+            self._tell(held, Deny(self._guard.come_back(0)), now)
+
+    # What became of it: all of this is behind the final answer.
+
+    def _settle(self, held: _Held, now: int) -> None:
+        if not held.over or held.out or held.asking or self._open.get(held.submission) is not held:
+            return
+        del self._open[held.submission]
+        kind = Kind.RAN if held.ran else Kind.UNKNOWN if held.may_have_run else Kind.UNRUN
+        nothing = held.claimed is None and (
+            kind is Kind.UNRUN or held.mark is not None and (
+                held.mark.state is State.ENDED and (held.mark.outcome or not held.outcome)
+                or held.mark.state is State.UNKNOWN and kind is Kind.UNKNOWN))
+        if nothing:
+            if held.number is not None:
+                self._desk.settle(held.number)
+            return
+        self._behind(held, self._event(held, kind), now)
+
+    def _event(self, held: _Held, kind: Kind) -> Event:
+        claimed = held.claimed
+        fence, until = (claimed.fence, claimed.until) if claimed is not None else (0, 0)
+        since = held.first_sent
+        if not held.fresh or held.mark.doubted or not since:
+            # Danger: where another's relay may be out as well, or its own write is not known, it may have run
+            # before our first relay.
+            earlier = [one.since for one in (held.mark, claimed) if one is not None
+                       and not (one is held.mark and one.state is State.UNSEEN)]
+            since = min(earlier, default=since)
+        return Event(kind, *self._holder, fence, since, until, held.outcome if kind is Kind.RAN else b"")
+
+    def _behind(self, held: _Held, event: Event, now: int) -> None:
+        numbers = () if held.number is None else (held.number,)
+        self.behind.add(held.digest, event, held.submission.tenant, now + self._kept * 1000, now, held.seen,
+                        numbers)
+
+    def _since(self, now: int) -> int:
+        return max(1, self.store_clock.low(now)) if self.store_clock.known(now) else 0
+
+    def recover(self, entries: Iterable[Any], now: int) -> None:
+        """What an earlier process intended and never settled, from the journal: it may have run."""
+        for entry in entries:
+            event = Event(Kind.UNKNOWN, *self._holder, entry.fence)
+            self._counters.add("marks: unknown after a crash")
+            self.behind.add(entry.digest, event, entry.tenant, now + self._kept * 1000, now, b"",
+                            (entry.number,))
+
+    def step(self, now: int) -> bool:
+        """Background work, some fifty times a second while there is any; whether there is."""
+        if self._returned:
+            returned, self._returned = self._returned, []
+            self.behind.back(returned)
+        ticket = self.health.trial(now)
+        if ticket is None and not self.health.open and now - self._looked >= _BEAT:
+            ticket = self.health.began(now)
+        if ticket is not None:
+            self._looked = now
+            self._client.submit([codec.now(), codec.read(self._clock_key)], now + _PATIENCE,
+                                partial(self._tried, ticket, now))
+        self._tell_changes()
+        if self._warned < self.store_clock.doubtful_before and not self._warning and not self.health.open:
+            self._warning = True
+            self._warn(b"", _TRIES, now)
+        if not self.health.open and self._writing < _OUT:
+            for item in self.behind.take(_OUT - self._writing, now):
+                self._writing += 1
+                mark = marks.decoded(item.seen)
+                self._write(item, item.seen, mark, _TRIES, now)
+        return (len(self.behind) > 0 or self._writing > 0 or bool(self._returned) or self._warning
+                or self.health.open)
+
+    def _tried(self, ticket: int, began: int, replies: list[Reply] | None) -> None:
+        now = self._clock.now()
+        well = replies is not None and not any(isinstance(reply, Refused) for reply in replies)
+        if well:
+            self.store_clock.heard(codec.time(replies[0]), began, now)
+            self.store_clock.told(replies[1])
+        self.health.ended(ticket, well, now)
+
+    def _warn(self, seen: bytes, tries: int, now: int) -> None:
+        """Leaves word in the store of when its clock went back, for gateways that start later."""
+        before = self.store_clock.doubtful_before
+        command = codec.cas(self._clock_key, seen, b"%d" % before, self._kept)
+        self._submit([command], now + _PATIENCE, partial(self._was_warned, before, tries), now)
+
+    def _was_warned(self, before: int, tries: int, replies: list[Reply] | None, _began: int,
+                    now: int) -> None:
+        swapped = None if replies is None else codec.swapped(replies[0])
+        if swapped is not None and not swapped.done:
+            self.store_clock.told(swapped.found)
+            if self.store_clock.doubtful_before <= before and swapped.found != b"%d" % before and tries > 1:
+                self._warn(swapped.found or b"", tries - 1, now)
+                return
+        if swapped is not None:
+            self._warned = before
+        self._warning = False
+
+    def _write(self, item: Item, seen: bytes, mark: Mark | None, tries: int, now: int) -> None:
+        made = marks.step(mark, item.event, self.store_clock.low(now))
+        if made is None and mark is None and seen == item.seen:
+            # Not read yet, and nothing to write where nothing is: what is there must be read first.
+            key = codec.key(self._namespace, item.digest)
+            self._submit([codec.read(key), codec.now()], now + _PATIENCE,
+                         partial(self._read_for, item, tries), now)
+            return
+        if made is None:
+            self._written(item)
+            return
+        if not tries:
+            self._put_back(item)
+            return
+        key, value = codec.key(self._namespace, item.digest), marks.encoded(made)
+        command = codec.cas(key, seen, value, marks.lasts(made, self._kept))
+        self._submit([command], now + _PATIENCE, partial(self._was_written, item, tries, value), now)
+
+    def _read_for(self, item: Item, tries: int, replies: list[Reply] | None, began: int, now: int) -> None:
+        if replies is None:
+            self._put_back(item)
+            return
+        self.store_clock.heard(codec.time(replies[1]), began, now)
+        mark = marks.decoded(replies[0])
+        if mark is None:
+            self._written(item)  # nothing is there, and nothing is to be
+        else:
+            self._write(item, replies[0], mark, tries - 1, now)
+
+    def _was_written(self, item: Item, tries: int, value: bytes, replies: list[Reply] | None, began: int,
+                     now: int) -> None:
+        if replies is None:
+            self._put_back(item)
+            return
+        swapped = codec.swapped(replies[0])
+        self.store_clock.heard(swapped.at, began, now)
+        if swapped.done or swapped.found == value:
+            self._counters.add("marks: written")
+            self._written(item, value)
+            return
+        if swapped.found is None and item.seen:
+            self._counters.add("marks: lost by the store")
+        if swapped.found is None and marks.step(None, item.event, swapped.at) is None:
+            self._written(item)
+            return
+        self._write(item, swapped.found or b"", marks.decoded(swapped.found), tries - 1, now)
+
+    def _put_back(self, item: Item) -> None:
+        # Danger: whether it was written is not known; what it is to find there is not, either.
+        self._writing -= 1
+        self._returned.append(item)
+
+    def _written(self, item: Item, value: bytes | None = None) -> None:
+        self._writing -= 1
+        for number in item.numbers if self._desk is not None else ():
+            self._desk.settle(number)
+        if item.event.kind is Kind.SENT and value is not None:
+            # Its outcome comes later, and finds this.
+            for held in self._open.values():
+                if held.digest == item.digest and held.claimed and held.claimed.fence == item.event.fence:
+                    held.seen = value
+
+    # Round trips.
+
+    def _submit(self, commands: list[Command], by: int,
+                then: Callable[[list[Reply] | None, int, int], None], now: int) -> None:
+        ticket = self.health.began(now)
+        self._counters.add("marks: round trips")
+        self._client.submit(commands, by, partial(self._replied, ticket, now, then))
+
+    def _replied(self, ticket: int, began: int, then: Callable[[list[Reply] | None, int, int], None],
+                 replies: list[Reply] | None) -> None:
+        now = self._clock.now()
+        refused = replies is not None and any(isinstance(reply, Refused) for reply in replies)
+        if refused:
+            self._counters.add("marks: refused by the store")
+        self.health.ended(ticket, replies is not None and not refused, now)
+        then(None if refused else replies, began, now)
+
+    def _tell_changes(self) -> None:
+        """Lines for operators, once a change."""
+        if self.health.open != self._told_open:
+            self._told_open = self.health.open
+            self._counters.add("marks: breaker opened" if self.health.open else "marks: breaker closed")
+            self._say("the store is away or slow: nothing is asked of it until trials go well"
+                      if self.health.open else
+                      f"the store is asked again; {len(self.behind)} outcomes wait to be written")
+        if self.store_clock.jumps > self._jumps:
+            self._counters.add("marks: clock of the store went back", self.store_clock.jumps - self._jumps)
+            self._jumps = self.store_clock.jumps
+            self._say("the store's clock went back: older marks count as of unknown age")
+        if self.behind.dropped > self._dropped:
+            self._counters.add("marks: outcomes dropped", self.behind.dropped - self._dropped)
+            self._dropped = self.behind.dropped
+        if self._desk is not None and self._desk.trouble != self._trouble:
+            self._trouble = self._desk.trouble
+            self._say(f"the journal can't be written: {self._trouble}" if self._trouble
+                      else "the journal is written again")
+
+    def status(self) -> dict[str, Any]:
+        return {"open": len(self._open), "behind": len(self.behind), "dropped": self.behind.dropped,
+                "asked again": not self.health.open, "clock went back": self.store_clock.jumps}
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -47,6 +47,13 @@
     "no hall": "peer hall-b 127.0.0.1:1\n",
     "in the clear": "hall hall-a\n    gateway ga0\n    listen 0.0.0.0:7101\npeer hall-b 10.1.0.9:7201\n",
     "half of the keys": "hall hall-a\n    gateway ga0\ntls\n    key a.key\n",
+    "store": "store\n    addresses localhost:6379 127.0.0.1:6380\n    tariffs manifest-load ledger-post\n"
+             "    password /etc/store.password\n    answers 4k\n    unguarded manifest-load 20\n",
+    "store alone": "store\n",
+    "store, all that is wrong": "store\n    addresses 10.1.0.9:6379 10.1.0.8\n    tariffs a a\n    user x\n"
+                                "    slow 5s\n    tls store.pem\n    journal marks\n    answers 65k\n"
+                                "    unguarded b\n    kept 1s\n    namespace 'a b'\n    keys 3\n",
+    "store in the clear": "store\n    addresses 127.0.0.1:1 10.1.0.9:2\n    tariffs a\n    unguarded b 2\n",
     "twice": "hall hall-a\n    gateway ga0\npeer hall-b 127.0.0.1:1\npeer hall-b 127.0.0.1:1\n",
 }
 
@@ -68,7 +75,7 @@
             bad.write_text("hall\n")
             with contextlib.redirect_stderr(io.StringIO()) as said:
                 codes = []
-                for path in ("deploy/halls.conf", str(bad), f"{folder}/none.conf"):
+                for path in ("deploy/halls.conf", "deploy/store.conf", str(bad), f"{folder}/none.conf"):
                     try:
                         codes.append(cli(["check-config", path]))
                     except SystemExit as ended:
@@ -336,6 +343,6 @@
                     "cresstray.conf", "cresstray.commands", "cresstray.standins", "cresstray.passage.across",
                     "cresstray.passage.pinned", "cresstray.fleet", "cresstray.frames", "cresstray.peers",
                     "cresstray.said", "cresstray.consensus", "cresstray.rules", "cresstray.keeper",
-                    "cresstray.placement", "cresstray.replicas", "cresstray.kept")
+                    "cresstray.placement", "cresstray.replicas", "cresstray.kept", "cresstray.store", "redis")
         self.assertIn("cresstray.service", said)
         self.assertEqual([], [name for name in said if name.startswith(unwanted)])
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,892 @@
+"""Marks of deduplicated submissions: their life and guard, the store's limiter, the journal, random walks."""
+
+from __future__ import annotations
+
+import errno
+import heapq
+import itertools
+import os
+import random
+import tempfile
+import tomllib
+import unittest
+from collections import Counter, deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+from unittest.mock import patch
+
+import msgspec
+
+from cresstray.counters import Counters
+from cresstray.interface import Ending, Submission, Tariff
+from cresstray.store import codec, joined, journal, marks
+from cresstray.store.behind import Behind
+from cresstray.store.guard import (
+    Abandon, Answer, Claim, Deny, Found, Go, Guard, Guarded, Holder, Silence, Times, Unguarded, Wait, guarded)
+from cresstray.store.health import Health, StoreClock
+from cresstray.store.joined import Marks
+from cresstray.store.journal import BusyError, Entry, Journal, Scribe, System, UnusableError, What
+from cresstray.store.marks import Event, Kind, Mark, State, step
+
+SECOND, START = 1_000_000, 1_800_000_000_000_000
+MEMORY = 20 * SECOND
+TABLE = tomllib.loads((Path(__file__).parent / "conformance" / "marks.toml").read_text())
+A, B = Holder("a", "1"), Holder("b", "1")
+
+
+# The table of docs/store.md: every state with every event.
+
+def state(name: str) -> Mark | None:
+    words = name.split()
+    if words[0] == "none":
+        return None
+    if words[0] == "unreadable":
+        return marks.UNREADABLE
+    kind = State[words[0].upper()]
+    held = kind in (State.INTENDED, State.SENT)
+    outcome = b"+r" if "kept" in words else b""
+    return Mark(kind, *A, 10, 3000 if held else 0, 1000, "doubted" in words, outcome)
+
+
+def event(name: str) -> tuple[Event, int]:
+    """And the store's time. `older` and `newer` by the fence; `since` of an older one is before that."""
+    what, _, who = name.partition(", ")
+    if what.startswith("hand"):
+        fence, at = (9 if who == "of another fence" else 10), (2000 if who == "early" else 4000)
+        return Event(Kind["HAND_RAN" if what == "hand ran" else "HAND_UNRUN"], "", "", fence, until=3500), at
+    holder, fence, since = {"holder": (A, 10, 1500), "older": (B, 5, 500), "newer": (B, 20, 1500),
+                            "same fence": (B, 10, 1500)}[who]
+    return Event(Kind[what.upper()], *holder, fence, since, 5000, b"+r" if what == "ran" else b""), 2000
+
+
+def told(mark: Mark | None) -> str:
+    if mark is None:
+        return "-"
+    words = [mark.state.name.lower(), mark.owner, str(mark.fence), str(mark.since)]
+    return " ".join(words + ["doubted"] * mark.doubted + ["kept"] * bool(mark.outcome))
+
+
+class Life(unittest.TestCase):
+    def test_every_state_with_every_event(self) -> None:
+        states = ["none", "unseen", "unreadable", "ended", "ended kept"] + [
+            f"{one}{more}" for one in ("intended", "sent", "unknown") for more in ("", " doubted")]
+        self.assertEqual(sorted(states), sorted(TABLE["states"]))
+        for name, row in TABLE["states"].items():
+            self.assertEqual(row, [told(step(state(name), *event(one))) for one in TABLE["events"]], name)
+
+    def test_fences_grow_and_what_may_have_run_is_not_cleared(self) -> None:
+        chance, cleared = random.Random(5), 0
+        for _ in range(300):
+            mark, may_have_run = None, False
+            for kind in chance.choices([kind for kind in Kind if kind < Kind.HAND_RAN], k=12):
+                holder = chance.choice((A, B))
+                fence = (mark.fence if mark else 1) + chance.choice((-1, 0, 1, 3))
+                if mark is not None and chance.random() < 0.4:
+                    holder, fence = Holder(mark.owner, mark.life), mark.fence
+                after = step(mark, Event(kind, *holder, fence, 1000, 9000), 2000)
+                if after is None:
+                    continue
+                self.assertNotEqual(after, mark, "a change that changes nothing")
+                self.assertGreaterEqual(after.fence - (kind is Kind.INTEND), mark.fence if mark else -1)
+                may_have_run = may_have_run or kind in (Kind.RAN, Kind.UNKNOWN)
+                self.assertFalse(may_have_run and after.state is State.UNSEEN, (mark, kind, after))
+                cleared += after.state is State.UNSEEN
+                mark = after
+        self.assertGreater(cleared, 0)
+
+    def test_digests_and_bytes(self) -> None:
+        made = {marks.digest(*parts) for parts in (
+            ("n", "t", "g", "ab"), ("n", "ta", "g", "b"), ("n", "t", "ga", "b"), ("m", "t", "g", "ab"),
+            ("n", "t", "g", "ab"))}
+        self.assertEqual(4, len(made))
+        mark = Mark(State.SENT, "a", "1", 7, 8, 9, True, b"+x")
+        self.assertEqual(mark, marks.decoded(marks.encoded(mark)))
+        later = msgspec.msgpack.encode([9, "a", "1", 7])
+        for value in (b"\xff", b"no mark", later, msgspec.msgpack.encode([1, "a", "1", -4])):
+            self.assertIs(marks.UNREADABLE, marks.decoded(value))
+        self.assertEqual((None, b""), (marks.kept_result(b""), marks.kept_result(marks.outcome_of(b"", 1))))
+        self.assertEqual(b"", marks.outcome_of(b"12", 1))
+
+
+# The guard.
+
+def tariff(deduplicated: bool = True, group: str = "all", idempotent: bool = False, index: int = 0) -> Tariff:
+    return Tariff(index, 1, SECOND, 0.0, 1.0, 0.0, idempotent, deduplicated, group, MEMORY, False, None, None)
+
+
+class Guarding(unittest.TestCase):
+    def setUp(self) -> None:
+        self.guard = Guard({"unguarded": {"load": 2}, "unguarded_s": 10}, 2 * SECOND, random.Random(3).random)
+        self.times = Times(START, START + SECOND, START + 3 * SECOND, MEMORY)
+
+    def decide(self, kind: Guarded, mark: Mark | None, at: int = 10_000, now: int = START,
+               before: int = 0) -> Any:
+        return self.guard.decide(kind, Found(mark, at, before), B, self.times, now)
+
+    def test_who_needs_a_mark(self) -> None:
+        kinds = [guarded(one, "load", {"once": ["load"]}) for one in (
+            tariff(), tariff(group="cell"), tariff(False), tariff(False, idempotent=True))]
+        self.assertEqual([Guarded.SHARED, Guarded.APART, Guarded.ONCE, Guarded.FREE], kinds)
+        self.assertIs(Guarded.FREE, guarded(tariff(), "load", {}))
+
+    def test_each_doubt_by_kind(self) -> None:
+        """The table of doubts in docs/store.md: what is there, how old it is, and what each kind does."""
+        ran, kept = Mark(State.ENDED, *A, 4, 0, 5000), Mark(State.ENDED, *A, 4, 0, 5000, False, b"+r")
+        unknown, held = Mark(State.UNKNOWN, *A, 4, 0, 5000), Mark(State.INTENDED, *A, 4, 11_000, 5000)
+        late, past = START + 600_000, 5000 + 19_700  # half of the slack is over; the memory, but for a margin
+        rows = [(None, 10_000, START, Claim, Claim), (Mark(State.UNSEEN, *A, 4), 10_000, START, Claim, Claim),
+                (kept, 10_000, START, Answer, Answer), (kept, past, START, Answer, Answer),
+                (ran, 10_000, START, Go, Abandon), (ran, past, START, Abandon, Abandon),
+                (unknown, 10_000, START, Go, Abandon), (unknown, past, START, Abandon, Abandon),
+                (held, 10_000, START, Wait, Wait), (held, 10_000, late, Claim, Deny),
+                (held, 11_000, START, Claim, Abandon), (held, past, START, Abandon, Abandon),
+                (marks.UNREADABLE, past, START, Abandon, Abandon)]
+        for mark, at, now, shared, other in rows:
+            with self.subTest(mark=mark, at=at, now=now - START):
+                found = [type(self.decide(kind, mark, at, now)) for kind in (
+                    Guarded.SHARED, Guarded.APART, Guarded.ONCE)]
+                self.assertEqual([shared, other, other], found)
+        ahead = msgspec.structs.replace(ran, since=12_000)
+        self.assertIsInstance(self.decide(Guarded.SHARED, ahead), Abandon)
+        self.assertIsInstance(self.decide(Guarded.SHARED, ran, before=5_001), Abandon)
+
+    def test_a_takeover_keeps_the_first_time(self) -> None:
+        held = Mark(State.SENT, *A, 40_000, 9_000, 5000)
+        claim = self.decide(Guarded.SHARED, held).event
+        self.assertEqual((40_001, 5000, 13_000), (claim.fence, claim.since, claim.until))
+        claim = self.decide(Guarded.SHARED, held, 24_000).event
+        self.assertEqual(5000 + 19_700, claim.until)
+        self.assertEqual(10_000, self.decide(Guarded.SHARED, Mark(State.UNSEEN, *A, 4)).event.fence)
+
+    def test_without_the_store(self) -> None:
+        def silent(name: str, since: int = 0, now: int = START) -> Any:
+            return self.guard.silent(Silence("away", since), name, now)
+
+        found = [type(silent("load")) for _ in range(4)] + [type(one) for one in (
+            silent("post"), silent("load", 11 * SECOND, START + 2 * SECOND),
+            silent("load", SECOND, START + 2 * SECOND))]
+        self.assertEqual([Unguarded, Unguarded, Deny, Deny, Deny, Deny, Unguarded], found)
+        waits = [self.guard.come_back(least) for least in (0, SECOND, 9 * SECOND) for _ in range(50)]
+        self.assertTrue(all(SECOND <= wait <= 2 * SECOND for wait in waits))
+        self.assertGreater(max(waits[100:]) - min(waits[100:]), 400_000)
+
+
+# The limiter on the store, and its clock.
+
+class Limiting(unittest.TestCase):
+    def setUp(self) -> None:
+        self.health, self.now = Health({}, random.Random(1).random, START), START
+
+    def trip(self, took: int, well: bool = True) -> None:
+        ticket = self.health.began(self.now)
+        self.now += took
+        self.health.ended(ticket, well, self.now)
+
+    def close(self) -> int:
+        """Trials until it is closed; one is out at a time."""
+        tries = 0
+        while self.health.open:
+            ticket = self.health.trial(self.now)
+            if ticket is not None:
+                self.assertIsNone(self.health.trial(self.now))
+                self.health.ended(ticket, True, self.now + 500)
+                tries += 1
+            self.now += 10_000
+        return tries
+
+    def test_budget(self) -> None:
+        self.assertEqual(0, self.health.budget(SECOND, self.now), "nothing is known of it yet")
+        self.assertEqual(1, self.close())
+        budgets = [self.health.budget(slack, self.now) for slack in (SECOND, 20_000, 0)]
+        self.assertEqual([10_000, 5_000, 0], budgets)
+        for _ in range(10):
+            self.trip(20_000)
+        self.assertEqual(80_000, self.health.budget(SECOND, self.now))
+        self.assertEqual(0, self.health.budget(70_000, self.now), "less than one usual round trip")
+        for _ in range(1000):
+            self.health.began(self.now)
+        self.assertEqual(0, self.health.budget(SECOND, self.now))
+
+    def test_breaker(self) -> None:
+        for took, well, opens in ((500, False, 5), (60_000, True, 5), (500, True, 50), (40_000, True, 50)):
+            with self.subTest(took=took, well=well):
+                self.setUp()
+                self.close()
+                after = 0
+                while not self.health.open and after < 50:
+                    self.trip(took, well)
+                    after += 1
+                self.assertEqual(opens, after)
+                if opens < 50:
+                    self.assertEqual(0, self.health.budget(SECOND, self.now))
+                    self.assertEqual(3, self.close())
+
+    def test_failed_trials_come_seldom_and_spread(self) -> None:
+        def found(seed: int) -> list[int]:
+            health, times, now = Health({}, random.Random(seed).random, START), [], START
+            while len(times) < 6:
+                ticket = health.trial(now)
+                if ticket is not None:
+                    times.append(now)
+                    health.ended(ticket, False, now)
+                now += 1_000
+            return times
+        times = found(1)
+        self.assertTrue(2 * SECOND <= times[-1] - times[-2] <= 4 * SECOND + 1_000)
+        self.assertGreater(len({found(seed)[3] for seed in range(20)}), 15)
+
+    def test_a_clock_that_goes_back(self) -> None:
+        clock = StoreClock()
+        self.assertFalse(clock.known(START))
+        clock.heard(50_000, START, START + 2_000)
+        self.assertTrue(clock.low(START + 2_000) <= 50_000 <= clock.high(START + 2_000))
+        clock.heard(50_990, START + SECOND, START + SECOND + 1_000)
+        self.assertEqual((0, 0), (clock.jumps, clock.doubtful_before))
+        clock.heard(49_000, START + 2 * SECOND, START + 2 * SECOND)
+        self.assertEqual(1, clock.jumps)
+        self.assertGreaterEqual(clock.doubtful_before, 51_990)
+
+
+class WritingBehind(unittest.TestCase):
+    def add(self, behind: Behind, number: int, kind: Kind, tenant: int = 0, fence: int = 1, now: int = START,
+            **more: Any) -> bool:
+        return behind.add(b"%d" % number, Event(kind, *A, fence, **more), tenant, now + 60 * SECOND, now)
+
+    def test_bounds(self) -> None:
+        behind = Behind(most=6, most_of_tenant=4)
+        kinds = [Kind.RAN, Kind.SENT, Kind.UNRUN, Kind.UNKNOWN]
+        for number, kind in enumerate(kinds):
+            self.assertTrue(self.add(behind, number, kind))
+        self.assertTrue(self.add(behind, 4, Kind.UNKNOWN, fence=0))
+        self.assertFalse(self.add(behind, 5, Kind.SENT), "it is needed least itself")
+        self.assertTrue(self.add(behind, 6, Kind.RAN))
+        for number in (7, 8):
+            self.assertTrue(self.add(behind, number, Kind.RAN, tenant=1))
+        self.assertTrue(self.add(behind, 9, Kind.RAN, tenant=1), "the flood gives way")
+        left = [int(item.digest) for item in behind.take(9, START + SECOND)]
+        self.assertEqual(([3, 4, 6, 7, 8, 9], 4), (left, behind.dropped))
+
+    def test_order_and_merging(self) -> None:
+        behind = Behind()
+        self.add(behind, 1, Kind.SENT, since=5)
+        self.add(behind, 2, Kind.UNKNOWN, since=7)
+        ripe = [int(item.digest) for item in behind.take(9, START)]
+        self.assertEqual([2], ripe, "what is sent is not ripe")
+        self.add(behind, 1, Kind.RAN, since=6, outcome=b"+r")
+        self.add(behind, 3, Kind.UNRUN)
+        taken, merged = behind.take(1, START), Event(Kind.RAN, *A, 1, 5, 0, b"+r")
+        self.assertEqual(merged, taken[0].event)
+        self.add(behind, 1, Kind.UNKNOWN, since=6)
+        behind.back(taken)
+        self.assertEqual([merged], [item.event for item in behind.of(b"1")])
+        self.assertEqual([1, 3], [int(item.digest) for item in behind.take(9, START)])
+        self.add(behind, 4, Kind.RAN)
+        self.assertEqual(([], 0), (behind.take(9, START + 61 * SECOND), len(behind)), "no longer needed")
+
+
+# The journal.
+
+class Disk(System):
+    """Fails the call with that number, counted over all calls; writes half of it first."""
+
+    def __init__(self, fails: int = -1) -> None:
+        self.calls, self.fails = 0, fails
+
+    def _count(self) -> bool:
+        self.calls += 1
+        return self.calls - 1 == self.fails
+
+    def write(self, file: int, data: Any) -> int:
+        if self._count():
+            os.write(file, data[:len(data) // 2])
+            raise OSError(errno.ENOSPC, "no space")
+        return os.write(file, data)
+
+    def fsync(self, file: int) -> None:
+        if self._count():
+            raise OSError(errno.EIO, "lost")
+        os.fsync(file)
+
+    def rename(self, old: str, new: str) -> None:
+        if self._count():
+            raise OSError(errno.EIO, "lost")
+        os.rename(old, new)
+
+
+class Journals(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = f"{folder.name}/marks"
+
+    def opened(self, system: System | None = None) -> Journal:
+        made = Journal(self.path, system)
+        self.addCleanup(made.close)
+        made.open()
+        return made
+
+    def again(self) -> tuple[list[int], list[str]]:
+        made = Journal(self.path)
+        numbers = sorted(entry.number for entry in made.open())
+        made.close()
+        return numbers, [line.partition(": ")[2] for line in made.told]
+
+    @staticmethod
+    def intended(number: int) -> Entry:
+        return Entry(What.INTENDED, number, b"d" * 20, 0, 1)
+
+    @staticmethod
+    def settled(number: int) -> Entry:
+        return Entry(What.SETTLED, number, b"", 0, 0)
+
+    def test_what_is_not_settled_is_unknown(self) -> None:
+        made = self.opened()
+        made.append(map(self.intended, (1, 2, 3)))
+        made.append([self.settled(2)])
+        with self.assertRaises(BusyError):
+            Journal(self.path).open()
+        made.close()
+        self.assertEqual(([1, 3], []), self.again())
+        entry = self.intended(1)
+        self.assertEqual((Kind.UNKNOWN, 0), (journal.unknown(entry, "a", "2").kind,
+                                             journal.unknown(entry, "a", "2").since))
+
+    def test_tails_and_damage(self) -> None:
+        made = self.opened()
+        made.append(map(self.intended, (1, 2, 3)))
+        made.close()
+        whole, size = Path(self.path).read_bytes(), journal.SIZE
+        for length in range(len(whole) + 1):
+            Path(self.path).write_bytes(whole[:length])
+            kept = max(0, length // size - 1)
+            torn = f"a torn tail, {length % size} bytes cut at {length // size * size}"
+            told_of = [] if length % size == 0 else [torn]
+            if 0 < length < size:
+                told_of = ["torn in its first record; begun anew"]
+            self.assertEqual((list(range(1, kept + 1)), told_of), self.again())
+            self.assertEqual((list(range(1, kept + 1)), []), self.again())
+        Path(self.path).write_bytes(whole + bytes(2 * size))
+        self.assertEqual(([1, 2, 3], [f"a torn tail, {2 * size} bytes cut at {4 * size}"]), self.again())
+        for at in range(2 * size, 3 * size):
+            Path(self.path).write_bytes(whole[:at] + bytes([whole[at] ^ 4]) + whole[at + 1:])
+            damaged = f"1 damaged records left out, the first at {2 * size}; what they intended is not known"
+            self.assertEqual(([1, 3], [damaged]), self.again())
+        Path(self.path).write_bytes(b"x" + whole[1:])
+        with self.assertRaises(UnusableError):
+            self.again()
+
+    def test_every_failing_call(self) -> None:
+        for fails in range(4, 30):
+            self.path += "."
+            disk = Disk(fails)
+            made, safe, settled = self.opened(disk), set(), set()
+            for number in range(1, 9):
+                try:
+                    made.append([self.intended(number)])
+                    safe.add(number)
+                    if number % 2:
+                        made.append([self.settled(number)])
+                        settled.add(number)
+                except OSError:
+                    disk.fails = -1
+            made.close()
+            found = set(self.again()[0])
+            # What was acknowledged is there; beside it at most what the failed call was about.
+            kept = safe - settled
+            self.assertTrue(kept <= found and len(found - kept) <= 1, (fails, kept, found))
+
+    def test_compaction(self) -> None:
+        with patch.object(journal, "_COMPACT", 40 * journal.SIZE):
+            made = self.opened()
+            for number in range(1, 500):
+                made.append([self.intended(number)])
+                if number % 100:
+                    made.append([self.settled(number)])
+            self.assertLess(os.path.getsize(self.path), 60 * journal.SIZE)
+            made.close()
+        self.assertEqual(([100, 200, 300, 400], []), self.again())
+
+    def test_the_thread(self) -> None:
+        disk = Disk()
+        made = self.opened(disk)
+        scribe = Scribe(made)
+        first, second = scribe.intend(b"d" * 20, 0, 1), scribe.intend(b"e" * 20, 0, 1)
+        self.assertTrue(self.told_of(scribe, first) and self.told_of(scribe, second))
+        scribe.settle(first)
+        # The settlement may be one with the failed write; it then goes with the next.
+        disk.fails = disk.calls + 2
+        while scribe.trouble == "":
+            self.told_of(scribe, scribe.intend(b"f" * 20, 0, 1))
+        self.assertTrue(self.told_of(scribe, scribe.intend(b"g" * 20, 0, 1)))
+        scribe.stop()
+        self.assertTrue(scribe.join(5))
+        numbers = self.again()[0]
+        self.assertTrue(second in numbers and first not in numbers, numbers)
+
+    @staticmethod
+    def told_of(scribe: Scribe, number: int | None) -> bool:
+        while (outcome := scribe.synced(number)) is None:
+            os.sched_yield()
+        return outcome
+
+
+# Gateways on a model of the store, in virtual time.
+
+class World:
+    """`chance` decides all: delays, losses, what clients ask. Engines remember a mark from its first run."""
+
+    def __init__(self, seed: int = 0, gateways: int = 3, **faults: float) -> None:
+        self.chance, self.now, self.faults = random.Random(seed), START, faults
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.order = itertools.count()
+        self.data: dict[bytes, tuple[bytes, int]] = {}
+        self.log: list[tuple[int, bytes, tuple[bytes, int]]] = []
+        self.down, self.skew = False, 0  # ms
+        self.first: dict[str, int] = {}
+        self.runs: Counter[str] = Counter()
+        self.counts: Counter[str] = Counter()
+        self.gates = [Gate(self, f"g{n}", 0) for n in range(gateways)]
+
+    def at(self, delay: int, call: Callable[[], None]) -> None:
+        heapq.heappush(self.heap, (self.now + max(0, delay), next(self.order), call))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + int(seconds * SECOND)
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, call = heapq.heappop(self.heap)
+            call()
+        self.now = end
+
+    def roll(self, fault: str) -> bool:
+        return self.chance.random() < self.faults.get(fault, 0.0)
+
+    # The store.
+
+    def execute(self, command: codec.Command) -> Any:
+        words, ms = command.words, self.now // 1000 + self.skew
+        if words[0] == b"TIME":
+            return [b"%d" % (ms // 1000), b"%06d" % (ms % 1000 * 1000)]
+        key = words[1] if words[0] == b"GET" else words[3]
+        value, expires = self.data.get(key, (None, 0))
+        found = value if self.now < expires else None
+        if words[0] == b"GET":
+            return found
+        if words[0] != b"SET" and (found or b"") != words[4]:
+            return [0, found, ms]
+        self.data[key] = words[5], self.now + int(words[6]) * 1000
+        self.log.append((self.now, key, self.data[key]))
+        return [1, ms]
+
+    def fail_over(self, lag: int) -> None:
+        """To a copy that has not heard of the last `lag` microseconds."""
+        self.log = [line for line in self.log if line[0] <= self.now - lag]
+        self.data = {key: value for _, key, value in self.log}
+
+    # Engines, all with one memory.
+
+    def arrive(self, mark: str) -> None:
+        if self.now - self.first.get(mark, -MEMORY) >= MEMORY:
+            self.first[mark] = self.now
+            self.runs[mark] += 1
+
+    def second_runs(self) -> int:
+        return sum(runs - 1 for runs in self.runs.values())
+
+
+class Gate:
+    """A gateway's passage as far as marks see it; also its client to the store, its clock and its timers."""
+
+    def __init__(self, world: World, name: str, life: int) -> None:
+        self.world, self.name, self.life = world, name, life
+        self.dead, self.paused = False, 0
+        self.waiting: deque[Callable[[], None]] = deque()
+        service = {"Name": "load", "Effect": "deduplicated"}
+        settings = {"Limits": {"RetryAfter": True, "MaxRetryAfter": 1000}, "Services": [service]}
+        self.counters = Counters()
+        self.marks = Marks(self, {"once": ["load"], "answers": 64} | world.faults.get("lines", {}), settings,
+                           [tariff()], name, str(life), random.Random(f"{name} {life}").random, self, self,
+                           self.counters)
+        self.steps()
+
+    def now(self) -> int:
+        return self.world.now
+
+    def does(self, delay: int, call: Callable[[], None]) -> None:
+        def due() -> None:
+            if self.dead:
+                return
+            if self.world.now < self.paused:
+                self.waiting.append(call)
+            else:
+                call()
+        self.world.at(delay, due)
+
+    def after(self, delay: int, call: Callable[[int], None]) -> None:
+        self.does(delay, lambda: call(self.now()))
+
+    def pause(self, seconds: int) -> None:
+        """Stopped; what was to be sent goes out before any timer that is overdue, as it may."""
+        self.paused = self.now() + seconds * SECOND
+        self.world.at(seconds * SECOND, self.wake)
+
+    def wake(self) -> None:
+        waiting, self.waiting = sorted(self.waiting, key=lambda call: not hasattr(call, "sends")), deque()
+        for call in waiting:
+            if not self.dead:
+                call()
+
+    def steps(self) -> None:
+        self.does(50_000 if self.marks.step(self.now()) else 250_000, self.steps)
+
+    def submit(self, commands: list[codec.Command], by: int, call: Callable[[Any], None]) -> None:
+        world, chance, heard = self.world, self.world.chance, []
+
+        def tell(replies: Any) -> None:
+            if not heard:
+                heard.append(replies)
+                call(replies)
+
+        def reach() -> None:
+            if not world.down:
+                replies = [world.execute(command) for command in commands]
+                if not world.roll("reply lost"):
+                    self.does(int(chance.expovariate(1) * 500), lambda: tell(replies))
+
+        late = int(chance.random() * 3 * SECOND) if world.roll("late") else 0
+        if not world.roll("lost"):
+            world.at(late + int(chance.expovariate(1) * 500), reach)
+        self.does(by - self.now(), lambda: tell(None))
+
+    def ask(self, mark: str, hold: int = 0, ending: Ending = Ending.FULFILLED, work: int = 100_000,
+            tenant: int = 0) -> None:
+        now, world = self.now(), self.world
+        submission = Submission(tariff(), now, now + 3 * SECOND, tenant)
+
+        def told(decision: Any) -> None:
+            world.counts[type(decision).__name__] += 1
+            world.counts["decisions"] += 1
+            world.counts["late"] += self.now() > now + SECOND and self.paused < now
+            if isinstance(decision, Go | Unguarded):
+                self.does(hold, send)
+
+        def send() -> None:
+            if not self.marks.may_send(submission, self.now()):
+                world.counts["held back"] += 1
+                self.marks.ended(submission, "denied", None, self.now())
+                return
+            self.marks.sent(submission, self.now())
+            if ending is not Ending.FULL:
+                world.at(10_000, lambda: world.arrive(mark))
+            self.does(work, back)
+        send.sends = True
+
+        def back() -> None:
+            self.marks.relay_ended(submission, ending, self.now())
+            how = {Ending.FULFILLED: "fulfilled", Ending.FULL: "denied"}.get(ending, "abandoned")
+            self.marks.ended(submission, how, b"r" * self.world.faults.get("size", 50), self.now())
+
+        errand = SimpleNamespace(submission=submission, query=SimpleNamespace(mark=mark))
+        world.counts["asked"] += 1
+        world.counts["unmarked"] += not self.marks.ask(errand, now, told)
+
+
+def restart(world: World, at: int) -> None:
+    old = world.gates[at]
+    old.dead = True
+    world.gates[at] = Gate(world, old.name, old.life + 1)
+
+
+ASKED_AGAIN = (0, 0, 5_000, 300_000, SECOND, 19 * SECOND, 21 * SECOND, 25 * SECOND, 40 * SECOND, 60 * SECOND)
+
+
+def walk(seed: int, **faults: Any) -> World:
+    """Clients ask for each mark again and again, whatever was answered; gateways are killed and stopped."""
+    world = World(seed, **faults)
+    chance = world.chance
+    world.run(1)
+    for n in range(8):
+        begin = int(chance.random() * 10 * SECOND)
+        for again in chance.sample(ASKED_AGAIN, 6):
+            ending = chance.choice([Ending.FULFILLED] * 2 + [Ending.RESET] * 2 + [Ending.FULL])
+            hold = chance.choice((0, 0, 50_000, SECOND, 2 * SECOND))
+            work = chance.choice((30_000, 300_000, 2 * SECOND))
+
+            def ask(n: int = n, more: tuple[Any, ...] = (hold, ending, work)) -> None:
+                gate = chance.choice([one for one in world.gates if one.paused <= world.now] or [None])
+                if gate is not None:
+                    gate.ask(f"m{n}", *more)
+            world.at(begin + again, ask)
+    for _ in range(4):
+        if world.roll("kill"):
+            world.at(int(chance.random() * 40 * SECOND), lambda: restart(world, int(chance.random() * 3)))
+        if world.roll("pause"):
+            world.at(int(chance.random() * 15 * SECOND), lambda: chance.choice(world.gates).pause(30))
+    for _ in range(2):
+        begin = int(chance.random() * 50 * SECOND)
+        if world.roll("down"):
+            world.at(begin, lambda: setattr(world, "down", True))
+            world.at(begin + 4 * SECOND, lambda: setattr(world, "down", False))
+        if world.roll("fail over"):
+            world.at(begin, lambda: world.fail_over(10 * SECOND))
+        if world.roll("emptied"):
+            world.at(begin, lambda: world.fail_over(1000 * SECOND))
+        if world.roll("set back"):
+            world.at(begin, lambda: setattr(world, "skew", world.skew - 15_000))
+    world.run(120)
+    return world
+
+
+# Stores that keep what they acknowledged, whatever else they do.
+KEEPS = {
+    "well": {"kill": 0.0},
+    "killed and stopped": {"kill": 0.6, "pause": 0.4},
+    "losing": {"lost": 0.1, "reply lost": 0.1, "kill": 0.3, "pause": 0.3},
+    "late": {"late": 0.15, "reply lost": 0.05, "kill": 0.3, "pause": 0.3},
+    "away": {"down": 0.8, "kill": 0.3, "pause": 0.2},
+    "no outcomes": {"kill": 0.6, "pause": 0.4, "size": 1000, "reply lost": 0.05},
+}
+
+
+def second_runs(faults: dict[str, Any], seeds: range) -> int:
+    return sum(walk(seed, **faults).second_runs() for seed in seeds)
+
+
+def marked_after(self: Marks, errand: Any, now: int, call: Callable[[Any], None]) -> bool:
+    kept, self._look_up = self._look_up, lambda held, now: (setattr(held, "until", held.times.hard_stop),
+                                                            self._tell(held, Unguarded("later"), now))
+    try:
+        return ask(self, errand, now, call)
+    finally:
+        self._look_up = kept
+
+
+def go_by_timer(self: Marks, held: Any, fence: int, until: int, at: int, began: int, now: int) -> None:
+    go(self, held, fence, until, at, began, now)
+    ends, held.until = held.until, held.until and 1 << 62
+    self._timers.after(ends - now, lambda _: setattr(held, "until", 0))
+
+
+def since_anew(mark: Mark | None, event: Event, at: int) -> Mark | None:
+    made = step(mark, event, at)
+    return made and event.kind is Kind.INTEND and msgspec.structs.replace(made, since=event.since) or made
+
+
+def set_only(key: bytes, expected: bytes, new: bytes, px: int) -> codec.Command:
+    return codec.Command((b"SET", b"", b"1", key, expected, new, b"%d" % px), lambda _: True)
+
+
+ask, go, claim = Marks.ask, Marks._go, Guard.claim
+
+
+def claim_anew(self: Guard, kind: Guarded, mark: Mark | None, *more: Any) -> Claim:
+    """Takes over as if nobody could have sent it yet."""
+    fence = 0 if mark is None else mark.fence + 1
+    return claim(self, kind, mark and Mark(State.UNSEEN, "", "", fence), *more)
+
+
+@contextmanager
+def forgotten() -> Iterator[None]:
+    with patch.object(marks, "step", since_anew), patch.object(Guard, "claim", claim_anew):
+        yield
+
+
+BROKEN = {
+    "the mark written after the relay": ("well", lambda: patch.object(Marks, "ask", marked_after)),
+    "the lease checked by a timer alone": (
+        "killed and stopped", lambda: patch.object(Marks, "_go", go_by_timer)),
+    "unknown counted as unrun": ("no outcomes", lambda: patch.object(joined, "_UNRUN", tuple(Ending)[1:])),
+    "set in place of compare-and-set": ("killed and stopped", lambda: patch.object(codec, "cas", set_only)),
+    "a takeover that forgets the first time": ("no outcomes", forgotten),
+}
+
+
+class Scribbling:
+    """A desk whose disk syncs after some time, or never."""
+
+    trouble = ""
+
+    def __init__(self, world: World, takes: int) -> None:
+        self.world, self.takes, self.lines, self.due = world, takes, [], {}
+
+    def intend(self, digest: bytes, fence: int, tenant: int) -> int:
+        self.lines.append("intend")
+        self.due[len(self.due) + 1] = self.world.now + self.takes
+        return len(self.due)
+
+    def settle(self, number: int) -> None:
+        self.lines.append(f"settle {number}")
+
+    def synced(self, number: int) -> bool | None:
+        return self.world.now >= self.due[number] or None
+
+
+class Cases(unittest.TestCase):
+    def world(self, **faults: Any) -> World:
+        world = World(1, **faults)
+        world.run(1)
+        return world
+
+    def test_round_trips(self) -> None:
+        world = self.world()
+        gate, trips = world.gates[0], world.gates[0].counters.counts
+        for mark, ending, most in (("m", Ending.FULL, 1), ("m", Ending.FULFILLED, 2),
+                                   ("n", Ending.FULFILLED, 1)):
+            before = trips["marks: round trips"]
+            gate.ask(mark, hold=200_000, ending=ending)
+            world.run(0.1)
+            self.assertEqual(most, trips["marks: round trips"] - before)
+            world.run(1)
+        before = trips["marks: round trips"]
+        for kind, foreign in ((tariff(idempotent=True), False), (tariff(), True)):
+            submission = Submission(kind, world.now, world.now + SECOND, foreign=foreign)
+            errand = SimpleNamespace(submission=submission, query=SimpleNamespace(mark="m"))
+            gate.marks._kinds = [guarded(kind, "load", {"once": ["load"]})]
+            self.assertFalse(gate.marks.ask(errand, world.now, self.fail))
+            self.assertTrue(gate.marks.may_send(submission, world.now))
+        self.assertEqual(before, trips["marks: round trips"])
+
+    def test_one_mark_at_three_gateways_with_one_killed(self) -> None:
+        served, lost = ("Go", "Answer"), ("Abandon",)
+        for killed, again, decisions, runs in ((0.5, 5, served, 1), (0.5, 25, lost, 0), (1.5, 5, served, 1),
+                                               (1.5, 25, lost, 1)):
+            with self.subTest(killed=killed, again=again):
+                world = self.world()
+                world.gates[0].ask("m", hold=SECOND, work=2 * SECOND)  # sent after a second
+                world.run(killed)
+                restart(world, 0)
+                world.run(again)
+                world.counts.clear()
+                for gate in world.gates:
+                    gate.ask("m")
+                world.run(5)
+                self.assertEqual((3, runs), (sum(world.counts[one] for one in decisions), world.runs["m"]))
+
+    def test_a_gateway_that_was_stopped_sends_nothing(self) -> None:
+        world = self.world()
+        world.gates[0].ask("m", hold=100_000)
+        world.run(0.05)
+        world.gates[0].pause(30)
+        world.run(1)
+        world.gates[1].ask("m")
+        world.run(35)
+        self.assertEqual((1, 1), (world.runs["m"], world.counts["held back"]))
+
+    def late_release(self) -> int:
+        """One gateway's release is told twice; between, another one holds the mark, sends, and is killed."""
+        world = self.world()
+        first, second, third = world.gates
+        first.ask("m", ending=Ending.FULL, work=10_000)
+        world.run(0.009)
+        world.faults["reply lost"] = 1.0
+        world.run(0.2)
+        del world.faults["reply lost"]
+        second.ask("m", work=3 * SECOND)
+        world.run(2.9)
+        restart(world, 1)
+        world.run(25)
+        third.ask("m")
+        world.run(5)
+        return world.runs["m"]
+
+    def test_a_late_release_clears_nothing(self) -> None:
+        self.assertEqual(1, self.late_release())
+        with patch.object(marks, "_holds", lambda mark, event: True):
+            self.assertEqual(2, self.late_release())
+
+    def test_without_the_store(self) -> None:
+        lines = {"unguarded": {"load": 1}, "unguarded_s": 60}
+        for takes, decision in ((5_000, "Unguarded"), (60 * SECOND, "Deny")):
+            world = self.world(lines=lines)
+            gate, desk = world.gates[0], Scribbling(world, takes)
+            gate.marks._desk, world.down = desk, True
+            for n in range(8):  # until the breaker is open
+                gate.ask(f"x{n}")
+                world.run(0.1)
+            world.run(2)
+            del desk.lines[:]
+            before = world.counts[decision]
+            gate.ask("m")
+            self.assertEqual((0, ["intend"]), (world.counts[decision] - before, desk.lines))
+            world.run(1)
+            self.assertEqual(1, world.counts[decision] - before)
+            gate.ask("m")  # this gateway knows what it did
+            world.down = False
+            world.run(10)
+            if decision == "Unguarded":
+                self.assertEqual((1, "settle"), (world.runs["m"], desk.lines[1].split()[0]))
+            self.assertEqual(({}, 0), (gate.marks._open, len(gate.marks.behind)))
+
+    def test_who_starts_later_hears_of_a_clock_that_went_back(self) -> None:
+        world = self.world()
+        world.run(1)
+        world.skew, before = -15_000, world.now // 1000
+        world.run(5)
+        restart(world, 0)
+        world.run(1)
+        told = [gate.marks.store_clock.doubtful_before - before for gate in world.gates]
+        self.assertTrue(all(0 < one < 5_000 for one in told), told)
+        self.assertEqual(0, world.gates[0].marks.store_clock.jumps)
+
+    def test_a_flood_of_one_tenant(self) -> None:
+        world = self.world()
+        gate = world.gates[0]
+        for n in range(2_000):
+            gate.ask(f"f{n}")
+        self.assertEqual(1_750, world.counts["Deny"])
+        gate.ask("m", tenant=1)
+        world.run(30)
+        self.assertEqual((1, {}, 0), (world.runs["m"], gate.marks._open, len(gate.marks._asking)))
+
+    def test_what_a_crash_cut_off_is_unknown(self) -> None:
+        world = self.world()
+        gate, desk = world.gates[0], Scribbling(world, 0)
+        gate.marks._desk = desk
+        digest = marks.digest("cresstray", "", "load/all", "m")
+        gate.marks.recover([Entry(What.INTENDED, 7, digest, 0, 0)], world.now)
+        world.run(1)
+        self.assertEqual(["settle 7"], desk.lines)
+        world.gates[1].ask("m")
+        world.run(1)
+        self.assertEqual((1, 0), (world.counts["Abandon"], world.runs["m"]))
+
+
+class Walks(unittest.TestCase):
+    def test_no_second_run_while_the_store_keeps_what_it_acknowledged(self) -> None:
+        for name, faults in KEEPS.items():
+            totals: Counter[str] = Counter()
+            for seed in range(25):
+                with self.subTest(name, seed=seed):
+                    world = walk(seed, **faults)
+                    totals.update(world.counts)
+                    self.assertEqual(0, world.second_runs())
+                    if "kill" not in faults or not faults["kill"]:
+                        self.assertEqual(world.counts["asked"], world.counts["decisions"])
+                    self.assertEqual(0, world.counts["late"], "a decision beyond its slack")
+                    for gate in world.gates:
+                        kept = gate.marks._open, len(gate.marks.behind), gate.marks._writing
+                        self.assertEqual(({}, 0, 0), kept)
+            for what in ("Go", "Abandon"):
+                self.assertGreater(totals[what], 0, f"{name}: never {what}")
+
+    def test_a_store_that_loses_is_counted(self) -> None:
+        for faults in ({"emptied": 1.0}, {"fail over": 1.0}):
+            self.assertGreater(second_runs(faults, range(25)), 0, faults)
+
+    def test_a_clock_set_back_makes_no_mark_young(self) -> None:
+        faults = {"set back": 1.0, "size": 1000}
+        self.assertEqual(0, second_runs(faults, range(25)))
+        unseen = property(lambda self: 0, lambda self, value: None)
+        with patch.object(StoreClock, "doubtful_before", unseen, create=True):
+            self.assertGreater(second_runs(faults, range(25)), 0)
+
+    def test_broken_variants_are_caught(self) -> None:
+        for name, (faults, change) in BROKEN.items():
+            with self.subTest(name), change():
+                self.assertTrue(any(walk(seed, **KEEPS[faults]).second_runs() for seed in range(60)))
+
+
+if __name__ == "__main__":
+    unittest.main()
