--- a/benchmarks/replicas.py
+++ b/benchmarks/replicas.py
@@ -1,7 +1,8 @@
 """What sharing positions gains over each gateway alone, on a virtual clock: python -m benchmarks.replicas.
 
-200 gateways hear each copy rarely: all that reaches one alone is what its own work's answers tell. Both runs
-have the same work and true positions; `true_positions` is what full knowledge of these would allow.
+200 gateways hear each copy rarely: all that reaches one alone is what its own work's answers tell. `shared`
+is what keepers spread of that, `asked` with engines asked when positions are wanted. All runs have the same
+work and true positions; `true_positions` is what full knowledge of these would allow.
 """
 
 from __future__ import annotations
@@ -20,7 +21,8 @@
 from cresstray.replicas.choose import candidates
 from cresstray.replicas.hint import Hint
 from cresstray.replicas.positions import Board
-from cresstray.replicas.spread import Peer
+from cresstray.replicas.read import _PART, _TIGHT, _TOLD
+from cresstray.replicas.spread import Exchange, Peer, Word
 from cresstray.rules.documents import Shard
 
 _ENGINES, _KEEPERS, _ZONES = 80, 3, 2
@@ -59,7 +61,7 @@
 
 
 class _Run:
-    def __init__(self, given: argparse.Namespace, shares: bool) -> None:
+    def __init__(self, given: argparse.Namespace, shares: bool, asks: bool = False) -> None:
         self.given, self.chance = given, random.Random(given.seed)
         self.truths = {str(n + 1): _Truth(n, self.chance) for n in range(given.shards)}
         placed = {name: truth.placed for name, truth in self.truths.items()}
@@ -69,9 +71,16 @@
         self.names = list(self.truths)
         self.heat = [1 / (n + 1) ** 0.8 for n in range(given.shards)]
         # A gateway's clients ask for some of the shards, each gateway for others.
-        self.asked: list[dict[str, int]] = [{} for _ in self.boards]
+        self.asked: list[dict[str, list[int]]] = [{} for _ in self.boards]
         self.now, self.queue, self.number = 0, [], 0
-        self.hinted = self.copies = self.possible = self.broken = self.bytes = 0
+        self.broken = self.bytes = self.questions = 0
+        self.waiting: list[list[list]] = [[] for _ in self.boards]
+        self.waits: list[int] = []  # microseconds that reads waited for keepers
+        # By `within`: hinted, by copies, possible.
+        self.counts = {within: [0, 0, 0] for within in _WITHINS}
+        self.by_engine = dict.fromkeys((f"s-{engine:08x}" for engine in range(_ENGINES)), 0)
+        self.exchanges = [Exchange(board) for board in self.keepers] if asks else []
+        self.placed = placed
         self.after(0, self._work)
         self.links: list[tuple[Peer, Peer, int]] | None = None
         if shares:
@@ -83,9 +92,19 @@
                     self.after(self.network.randrange(given.poll * 1000), self._poll, f"s-{engine:08x}")
             for link in self.links:
                 self.after(self.network.randrange(given.every * 1000), self._exchange, *link)
+            # The first keeper leads. Of two, the first one talks.
+            self.far: dict[Peer, Peer] = {peer: far for here, there, _ in self.links
+                                          for peer, far in ((here, there), (there, here))}
+            self.at = {peer: n % _KEEPERS for _, peer, n in self.links}  # where a keeper's side of a link is
+            self.of = {peer: n for link in self.links for peer, n in zip(link, (link[2],) * 2)}
             for n in range(_KEEPERS):
                 for other in range(n):
-                    self.after(0, self._exchange, Peer(self.keepers[n]), Peer(self.keepers[other]), None)
+                    peer, far = Peer(self.keepers[n]), Peer(self.keepers[other])
+                    self.far |= {peer: far, far: peer}
+                    self.at |= {peer: n, far: other}
+                    self.after(0, self._exchange, peer, far, None)
+            if asks:
+                self.after(1000, self._ask)
 
     @staticmethod
     def _boards(count: int, passes_on: bool) -> list[Board]:
@@ -111,8 +130,10 @@
         hinted, within, draw = chance.random() < 0.2, chance.choice(_WITHINS), chance.random()
         there, back = chance.uniform(1000, 5000), chance.uniform(5000, 40_000)
         if hinted:
-            self.asked[number].pop(name, None)
-            self.asked[number][name] = self.now
+            tight, since = self.asked[number].pop(name, (within, 0, 0))[:2]
+            if within <= tight or self.now - since > _TIGHT:
+                tight, since = within, self.now
+            self.asked[number][name] = [tight, since, self.now]
             self._read(number, name, within, draw, there, self.links is not None)
             return
         applied = truth.applied(engine, self.now + there)
@@ -125,8 +146,13 @@
         truth, board = self.truths[name], self.boards[number]
         found = candidates(Hint(False, within), name, truth.placed, board, self.now, _EXPECTED).copies
         if not found and asks:
-            self._pass(*self.links[number][:2], number, 1)
-            self.after(_PATIENCE, self._read, number, name, within, draw, there, False)
+            asked = self.asked[number].pop(name)
+            self.asked[number][name] = asked
+            self._pass(*self.links[number][:2], number, 1, name)
+            # Looked at with each word that comes, and at last when its patience is over.
+            waits = [self.now, name, within, draw, there]
+            self.waiting[number].append(waits)
+            self.after(_PATIENCE, self._waited, number, waits)
             return
         engine = found[int(draw * len(found))] if found else truth.placed.primary
         if self.now >= self.given.warm * 1_000_000:
@@ -135,11 +161,23 @@
         head = applied if engine == truth.placed.primary else None
         self.after(2 * there, lambda at=self.now: board.heard(name, engine, 1, applied, head, at, self.now))
 
+    def _waited(self, number: int, waits: list, only_if_found: bool = False) -> None:
+        since, name, within, draw, there = waits
+        if waits not in self.waiting[number] or only_if_found and not candidates(
+                Hint(False, within), name, self.truths[name].placed, self.boards[number], self.now,
+                _EXPECTED).copies:
+            return
+        self.waiting[number].remove(waits)
+        if self.now >= self.given.warm * 1_000_000:
+            self.waits.append(self.now - since)
+        self._read(number, name, within, draw, there, False)
+
     def _count(self, truth: _Truth, found: tuple[str, ...], engine: str, within: int, there: float) -> None:
         end = self.now + _EXPECTED
-        self.hinted += 1
-        self.copies += bool(found)
-        self.possible += any(truth.age(truth.applied(copy, self.now), end) <= within for copy in truth.lags)
+        possible = any(truth.age(truth.applied(copy, self.now), end) <= within for copy in truth.lags)
+        counts = self.counts[within]
+        for place, counted in enumerate((True, bool(found), possible)):
+            counts[place] += counted
         if found:
             self.broken += truth.age(truth.applied(engine, self.now + there), end) > within
 
@@ -164,19 +202,72 @@
     def _wants(self, number: int) -> tuple[str, ...]:
         return tuple(reversed(self.asked[number]))[:self.given.wants]
 
-    def _pass(self, speaker: Peer, hearer: Peer, number: int | None, left: int) -> None:
+    def _needs(self, number: int, waits: str) -> list[tuple[int, int]]:
+        """As Reads.needs."""
+        asked = self.asked[number]
+        return [(place, young) for place, name in enumerate(self._wants(number))
+                for young in ((0,) if name == waits else ())
+                + ((asked[name][0] // (1000 * _PART),) if self.now - asked[name][2] < _TOLD else ())]
+
+    def _pass(self, speaker: Peer, hearer: Peer, number: int | None, left: int, waits: str = "") -> None:
         keepers = number is None
-        wants = None if keepers or speaker is not self.links[number][0] else self._wants(number)
-        word = speaker.says(self.given.most * (20 if keepers else 1), wants, self.now)
-        if not keepers and self.now >= self.given.warm * 1_000_000:
+        wants, needs = None, ()
+        if not keepers and speaker is self.links[number][0]:
+            wants = self._wants(number)
+            needs = self._needs(number, waits) if self.exchanges else ()
+        word = speaker.says(self.given.most * (20 if keepers else 1), wants, self.now, needs)
+        self._send(word, hearer, left, number)
+
+    def _send(self, word: Word, hearer: Peer, left: int, number: int | None) -> None:
+        if number is not None and self.now >= self.given.warm * 1_000_000:
             self.bytes += len(msgspec.msgpack.encode(word)) + _FRAME
 
         def came() -> None:
             hearer.hears(word, self.now)
+            for waits in list(self.waiting[number]) if number is not None else ():
+                self._waited(number, waits, True)
             if left:
-                self._pass(hearer, speaker, number, left - 1)
+                self._pass(hearer, self.far[hearer], number, left - 1)
+            at = self.at.get(hearer)
+            if self.exchanges and at is not None:
+                self.exchanges[at].wanted(hearer, at == 0, self.now)
+                self._look(at)
         self.after(self.network.uniform(500, 5000), came)
 
+    def _look(self, at: int) -> None:
+        """What keeper.joined does in each round."""
+        exchange = self.exchanges[at]
+        if at == 0:
+            for engine in exchange.due(self.placed, self.now):
+                self._question(engine)
+        elif needs := exchange.asking.carried(32, self.now):
+            leaders = next(peer for peer, n in self.at.items() if not n and self.at.get(self.far[peer]) == at)
+            self._send(self.far[leaders].asks(needs, self.now), leaders, 0, None)
+        for peer, word in exchange.tells(self.now):
+            self._send(word, self.far[peer], 0, self.of.get(peer))
+
+    def _ask(self) -> None:
+        self.after(2000, self._ask)
+        for at in range(_KEEPERS):
+            self._look(at)
+
+    def _question(self, engine: str) -> None:
+        """The leader asks an engine for all positions that it has."""
+        if self.now >= self.given.warm * 1_000_000:
+            self.questions += 1
+            self.by_engine[engine] += 1
+        asked, there = self.now, self.network.uniform(500, 5000)
+        told = [(name, truth.applied(engine, asked + there), engine == truth.placed.primary)
+                for name, truth in self.truths.items() if engine in truth.placed.copies]
+
+        def came() -> None:
+            self.exchanges[0].heard(engine, asked)
+            for name, position, is_primary in told:
+                head = position if is_primary else None
+                self.keepers[0].heard(name, engine, 1, position, head, asked, self.now)
+            self._look(0)
+        self.after(2 * there, came)
+
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
@@ -186,12 +277,19 @@
         parser.add_argument(f"--{name}", type=int, default=usual)
     parser.add_argument("--json", action="store_true")
     given, made = parser.parse_args(), {}
-    for name in ("alone", "shared"):
-        run, began = _Run(given, name == "shared"), time.process_time()
+    for name in ("alone", "shared", "asked"):
+        run, began = _Run(given, name != "alone", name == "asked"), time.process_time()
         run.run()
-        made[name] = {"hinted": run.hinted, "by_replica": round(run.copies / run.hinted, 3),
-                      "true_positions": round(run.possible / run.hinted, 3), "bound_broken": run.broken,
+        hinted, copies, possible = map(sum, zip(*run.counts.values(), strict=True))
+        made[name] = {"hinted": hinted, "by_replica": round(copies / hinted, 3),
+                      "true_positions": round(possible / hinted, 3), "of_these": round(copies / possible, 3),
+                      "by_within_s": {f"{within / 1e6:g}": round(one[1] / one[2], 3)
+                                      for within, one in run.counts.items()},
+                      "bound_broken": run.broken, "waited": round(len(run.waits) / hinted, 3),
+                      "wait_ms": round(sum(run.waits) / 1000 / max(1, len(run.waits)), 1),
                       "bytes_a_second": round(run.bytes / given.gateways / given.seconds),
+                      "questions_an_engine": round(run.questions / _ENGINES / given.seconds, 1),
+                      "most_of_one": round(max(run.by_engine.values()) / given.seconds, 1),
                       "cpu_s": round(time.process_time() - began, 1)}
         if not given.json:
             print(f"{name:7}", "  ".join(f"{key} {value}" for key, value in made[name].items()), flush=True)
--- a/cresstray/keeper/core.py
+++ b/cresstray/keeper/core.py
@@ -80,7 +80,7 @@
         self._write, self.say, self.counters, self._talks = write, say, counters, talks
         self.keepers: dict[str, Far] = {}  # links that we made, by the far keeper's name in the log
         self.guests: dict[str, Guest] = {}  # links that others made
-        self._talking: dict[str, tuple[Far, Talk]] = {}  # about positions, on links that we made
+        self.talking: dict[str, tuple[Far, Talk]] = {}  # about positions, on links that we made
         self.heard: dict[str, str] = {}  # the last generation that greeted, by keeper
         self.applied = 0
         self._entries = self._bytes = 0  # applied since the last snapshot
@@ -109,17 +109,17 @@
         self.keepers[name] = far
         # One of both talks for the two, or each would be told all twice.
         if self._talks is not None and self.node.name < name:
-            self._talking[name] = far, self._talks()
+            self.talking[name] = far, self._talks()
 
     def disconnected(self, name: str, far: Far) -> None:
         if self.keepers.get(name) is far:
             del self.keepers[name]
-            self._talking.pop(name, None)
+            self.talking.pop(name, None)
 
     def heard_back(self, name: str, frame: Heard, now: int) -> None:
         """On a link that we made."""
-        if name in self._talking:
-            self._talking[name][1].hears(frame.body, now)
+        if name in self.talking:
+            self.talking[name][1].hears(frame.body, now)
 
     def come(self, guest: Guest) -> None:
         before = self.guests.get(guest.key)
@@ -422,7 +422,7 @@
         if now < self._spread_at:
             return
         self._spread_at = now + _SPREAD
-        for far, talk in self._talking.values():
+        for far, talk in self.talking.values():
             far.put(Heard(talk.says(now)))
 
     def _tell(self) -> None:
--- a/cresstray/keeper/process.py
+++ b/cresstray/keeper/process.py
@@ -33,6 +33,7 @@
 from cresstray.keeper.core import Core, Guest
 from cresstray.keeper.joined import Moving, Positions
 from cresstray.peers import Ends, Link
+from cresstray.placement.carrier import Disk
 from cresstray.placement.moves import Moves
 from cresstray.rules import documents
 from cresstray.rules.codec import Heard
@@ -95,13 +96,13 @@
         moves = Moves()
         state = State(world(given), {"moves": moves})
         node = Node(durable, Times(given.beat, given.election, given.drift), chance, started)
-        positions = Positions(given.drift, self._say)
+        self._positions = Positions(given.drift, self._say, self.counters)
         self._moving = Moving(moves, now, self.counters, self._say)
         leases = Leases(given.lease, given.floor_lease, given.drift)
         self._core = Core(given, node, state, leases, self._write, self._say, self.counters, started,
-                          positions.talk)
-        positions.join(self._core)
-        self._moving.hands.seen = positions.seen
+                          self._positions.talk)
+        self._positions.join(self._core, self._moving.hands.ask)
+        self._moving.hands.seen = self._seen
         self._moving.join(self._core)
         self._know_engines(given)
         self._address = given.keeper(name).address
@@ -120,6 +121,10 @@
         self._moving.addresses = {one.id: one.address for one in given.engines}
         self._core.answers.zones = {one.id: one.zone for one in given.engines}
 
+    def _seen(self, disk: Disk, at: int) -> None:
+        if self._positions.seen(disk, at):
+            self._wake()  # who waits is told now, and not with the next round only
+
     def _write(self, keep: Keep) -> None:
         began = time.monotonic()
         self._storage.write(keep)
@@ -227,6 +232,7 @@
             nonlocal heard
             if isinstance(frame, Heard):
                 self._core.heard_back(full, frame, now())
+                self._wake()
             elif not isinstance(frame, Alive):
                 raise BrokenError(f"a {type(frame).__name__} on a link that this keeper made")
             heard = time.monotonic()
--- a/cresstray/lab/joined.py
+++ b/cresstray/lab/joined.py
@@ -21,7 +21,7 @@
 from cresstray.replicas import fallback, pins
 from cresstray.replicas.positions import Board
 from cresstray.replicas.read import Reads
-from cresstray.replicas.spread import Peer
+from cresstray.replicas.spread import Exchange, Peer, Word
 from cresstray.rules import documents
 from cresstray.rules import state as rules
 from cresstray.rules.admission import Admission
@@ -139,7 +139,10 @@
                         for machine, engine in enumerate(ENGINES)}
         self.admission = Admission(self.use, ["n"], ["writes", "reads"],
                                    lambda engine: ENGINES[engine.machine], self.counters)
+        self.reads.patience = 30 * MS
         self.links = [(Peer(board), Peer(keeper)) for keeper in world.boards]
+        for number, (here, there) in enumerate(self.links):
+            world.sides[there] = number, here, self
 
     def when(self, act, *given) -> None:
         """Now, or when this process runs again: a frozen one takes everything then."""
@@ -172,7 +175,9 @@
         number = self.world.chance.randrange(len(self.links))
         here, there = self.links[number]
         self.reads.placed(self.clock.now())
-        self.world.passed(here, there, self.clock, self.world.clocks[number], self.reads.wanted, 2)
+        now = self.clock.now()
+        wants, needs = self.reads.wanted(now), self.reads.needs(now, 8)
+        self.world.passed(here, there, self.clock, self.world.clocks[number], wants, 2, needs)
 
     # Work.
 
@@ -180,7 +185,10 @@
         now = self.clock.now()
         if self.admission.gateways(now) <= 0 or not self.admission.admits(one, now):
             return []
-        return [name for name, engine in self.engines.items() if self.admission.takes(one, engine, now)]
+        names = [name for name, engine in self.engines.items() if self.admission.takes(one, engine, now)]
+        if self.reads.urgent:
+            self.gossip()
+        return names
 
     def write(self, shard: str) -> None:
         now = self.clock.now()
@@ -255,7 +263,11 @@
         self.said: list[str] = []
         self.boards = [Board(self.said.append, DRIFT, passes_on=True) for _ in self.clocks]
         self._place()
-        self.between = Peer(self.boards[0]), Peer(self.boards[1])
+        self.exchanges = [Exchange(board) for board in self.boards]
+        # Of each keeper's side of a link: which keeper's it is, the other side, and whose that is.
+        self.sides: dict[Peer, tuple[int, Peer, Gateway | None]] = {}
+        first, second = self.between = Peer(self.boards[0]), Peer(self.boards[1])
+        self.sides |= {first: (0, second, None), second: (1, first, None)}
         self.leader: Leader | None = Leader(self)
         self.gateways = [Gateway(self, f"g{number}") for number in range(self.GATEWAYS)]
         self.sessions = [Session(self, number) for number in range(self.SESSIONS)]
@@ -265,7 +277,9 @@
         self.every(80, lambda: self.leader and self.leader.tick())
         self.every(100, self.work)
         self.every(400, self.poll)
-        self.every(200, lambda: self.passed(*self.between, *self.clocks, lambda _: None, 1))
+        self.every(200, lambda: self.passed(*self.between, *self.clocks, None, 1))
+        for number in range(len(self.boards)):
+            self.every(10, self.look, number)
         self.every(70, self.some_write)
         self.every(40, self.some_read)
         for at in range(3, 28):
@@ -307,15 +321,48 @@
         if self.chance.random() >= self.loss:
             self.after(self.delay(), act, *given)
 
-    def passed(self, speaker: Peer, hearer: Peer, clock: Clock, other: Clock, wants, left: int) -> None:
-        word = speaker.says(8, wants(clock.now()), clock.now())
+    def passed(self, speaker: Peer, hearer: Peer, clock: Clock, other: Clock, wants, left: int,
+               needs=()) -> None:
+        word = speaker.says(8, wants, clock.now(), needs)
 
         def hear() -> None:
-            hearer.hears(word, other.now())
+            self.hear(hearer, word, other)
             if left:
-                self.passed(hearer, speaker, other, clock, lambda _: None, left - 1)
+                self.passed(hearer, speaker, other, clock, None, left - 1)
         self.send(hear)
 
+    def hear(self, hearer: Peer, word: Word, clock: Clock) -> None:
+        hearer.hears(word, clock.now())
+        if hearer in self.sides:
+            number = self.sides[hearer][0]
+            self.exchanges[number].wanted(hearer, self.leads(number), clock.now())
+            self.look(number)
+
+    def leads(self, number: int) -> bool:
+        return number == 0 and self.leader is not None
+
+    def look(self, number: int) -> None:
+        """As keeper.joined's Positions does each round."""
+        exchange, now = self.exchanges[number], self.clocks[number].now()
+        if self.leads(number):
+            for engine in exchange.due(self.state.acting.placement.items, now):
+                self.count("asked for positions")
+                self.send(self.answers, engine, self.now)
+        elif (needs := exchange.asking.carried(32, now)) and number:
+            self.send(self.hear, self.between[0], self.between[1].asks(needs, now), self.clocks[0])
+        for peer, word in exchange.tells(now):
+            _, far, gateway = self.sides[peer]
+            clock = gateway.clock if gateway is not None else self.clocks[1 - number]
+            self.send(self.hear, far, word, clock)
+
+    def answers(self, engine: str, asked: int) -> None:
+        """An engine tells a keeper the positions of all its copies."""
+        shelf = self.shelves[engine]
+        if self.up(engine):
+            shelf.advance(self.now)
+            self.send(self.positions, engine, {shard: shelf.report(shard) for shard, held in
+                                               shelf.shards.items() if held.whole}, asked)
+
     def wrong(self, what: str, text: str) -> None:
         if what in self.stops:
             raise StoppedError(what)
@@ -442,9 +489,11 @@
     def positions(self, name: str, reports: dict[str, dict[str, float]], at: int) -> None:
         """What a disk tells a keeper goes on its board; nobody else would ever ask a copy first."""
         now = self.clocks[0].now()
+        asked = now - int((self.now - at) * 1.01) - 1
         for shard, report in reports.items():
-            self.boards[0].heard(shard, name, report["epoch"], report["applied"], report["head"],
-                                 now - int((self.now - at) * 1.01) - 1, now)
+            self.boards[0].heard(shard, name, report["epoch"], report["applied"], report["head"], asked, now)
+        self.exchanges[0].heard(name, asked)
+        self.look(0)
 
     def work(self) -> None:
         for name, shelf in self.shelves.items():
--- a/cresstray/placement/carry.py
+++ b/cresstray/placement/carry.py
@@ -142,6 +142,14 @@
             else:
                 self._lines[engine].ask()
 
+    def ask(self, engines: Iterable[str]) -> None:
+        """SHARDS at once, where none is out to an engine already; nothing once this keeper does not lead."""
+        if self._leads():
+            for engine in engines:
+                line = self._lines.get(engine)
+                if line is not None:
+                    line.ask()
+
     def _heard(self, engine: str, told: _Told, at: int) -> None:
         for name, copy in told.copies.items():
             if copy.primary:
--- a/cresstray/replicas/positions.py
+++ b/cresstray/replicas/positions.py
@@ -114,7 +114,7 @@
         self._shards: dict[str, _Shard] = {}
         self._order: list[str] = []
         self._placed: Mapping[str, Shard] | None = None
-        self._stamp = 0
+        self.stamp = 0  # grows with each change that peers are told of
         self.lies = 0  # how often a copy was left out
 
     # Placement in force: whose word counts.
@@ -284,8 +284,8 @@
 
     def _changed(self, known: _Shard) -> None:
         if not self._taking or self._passes_on:
-            self._stamp += 1
-            known.stamp = self._stamp
+            self.stamp += 1
+            known.stamp = self.stamp
 
     def told(self, now: int, most: int, cursor: Cursor, wanted: Iterable[str] | None = None) -> list[Item]:
         """At most so many shards that changed since this peer was told, the least recently told first.
@@ -298,9 +298,9 @@
             if cursor.at >= len(order):
                 cursor.at, cursor.since = 0, cursor.round
             if cursor.at == 0:
-                if cursor.since == self._stamp:
+                if cursor.since == self.stamp:
                     break
-                cursor.round = self._stamp
+                cursor.round = self.stamp
             if len(items) >= most:
                 break
             known = self._shards[order[cursor.at]]
@@ -309,6 +309,11 @@
             cursor.at += 1
         return items
 
+    def changed(self, since: Mapping[str, int], now: int) -> list[Item]:
+        """Of these shards, those of which more is known than at each one's stamp."""
+        return [self._item(name, self._shards[name], now) for name, stamp in since.items()
+                if name in self._shards and self._shards[name].stamp > stamp]
+
     def _item(self, name: str, known: _Shard, now: int) -> Item:
         # The newest head only: what older ones show is in the copies' own moments.
         age, head = (_milli(now - known.times[-1]), known.heads[-1]) if known.heads else (0, -1)
--- a/cresstray/replicas/read.py
+++ b/cresstray/replicas/read.py
@@ -22,6 +22,22 @@
 
 # Positions of a shard are asked of keepers for so long after its last hinted read here.
 _OF_LATE = 60_000_000
+# They are to be as young as this part of the tightest `within` of late: the rest is for how far a copy is
+# behind, for the read's own time and for words on their way. Told in the words of the next second, not later.
+_PART, _TOLD, _TIGHT = 5, 1_000_000, 5_000_000
+# A read that goes on waiting asks again each so often: a copy that lagged has come on since.
+_AGAIN = 150_000
+
+
+class _Asked:
+    """Of a shard that hinted reads ask for."""
+
+    __slots__ = ("at", "within", "within_at", "lacks")
+
+    def __init__(self) -> None:
+        self.at = self.within_at = 0  # of the last one; of the tightest of late
+        self.within = 2**62
+        self.lacks = False  # a read waits for it
 
 
 class Reads:
@@ -34,10 +50,11 @@
         self.board, self.use, self.counters = board, use, counters
         self.cores, self.zone_of, self.full, self.wall = cores, zone_of, full, wall
         self.share = Share(chance)
-        self._asked: dict[str, int] = {}  # shards, and when a hinted read last asked for each
+        self._asked: dict[str, _Asked] = {}  # by shard, the last one at the end
         # For so long a read waits for what keepers know before it falls back; 0 where no keeper is linked.
         self.patience = 0
         self.urgent = False  # a read waits so: the keeper is to be asked at once, not at the next turn
+        self._wait_until = 0  # the last of those that wait
 
     def hint(self, statement: str, tariff: Tariff, now: int, named: str = "",
              tenant: str = "") -> Read | None:
@@ -54,16 +71,50 @@
             raise HintError(f"after is of shard {hint.after.shard}, the statement of {group}")
         self.counters.add("reads hinted")
         shard = str(group)
-        self._asked.pop(shard, None)
-        self._asked[shard] = now
-        if len(self._asked) > MOST_WANTED:
-            del self._asked[next(iter(self._asked))]
+        if not hint.primary:
+            asked = self._asked.pop(shard, None) or _Asked()
+            asked.at = now
+            if hint.within <= asked.within or now - asked.within_at > _TIGHT:
+                asked.within, asked.within_at = hint.within, now
+            self._asked[shard] = asked
+            if len(self._asked) > MOST_WANTED:
+                del self._asked[next(iter(self._asked))]
         return Read(self, hint, shard, named, tenant)
 
     def wanted(self, now: int) -> tuple[str, ...]:
-        """The shards of hinted reads of late, the last one first, to be asked for with the next word."""
+        """The shards of hinted reads of late, to be asked for with the next word: those that a read waits
+        for, then the last one first."""
         self.urgent = False
-        return tuple(shard for shard, at in reversed(self._asked.items()) if now - at < _OF_LATE)
+        late = [shard for shard, asked in reversed(self._asked.items()) if now - asked.at < _OF_LATE]
+        return tuple(sorted(late, key=lambda shard: not self._asked[shard].lacks))
+
+    def needs(self, now: int, most: int) -> list[tuple[int, int]]:
+        """Of the first `most` wanted, by place, how old positions may be in milliseconds; 0: a read waits."""
+        found = []
+        for place, shard in enumerate(self.wanted(now)[:most]):
+            asked = self._asked[shard]
+            if asked.lacks:
+                found.append((place, 0))
+            if now - asked.at < _TOLD:
+                found.append((place, asked.within // (1000 * _PART)))
+            asked.lacks = False
+        return found
+
+    def lacks(self, shard: str, until: int) -> None:
+        """A read waits for what keepers know of this shard, until then."""
+        if self.patience and shard in self._asked:
+            asked = self._asked.pop(shard)
+            asked.lacks = self.urgent = True
+            self._asked[shard] = asked
+            self._wait_until = max(until, self._wait_until)
+
+    def untold(self) -> bool:
+        """Whether a read waits for a shard that no word has named since."""
+        return any(asked.lacks for asked in self._asked.values())
+
+    def waits(self, now: int) -> bool:
+        """Whether a read may wait for what keepers know."""
+        return now < self._wait_until
 
     def heard(self, engine: str, report: Mapping[str, float], sent_at: int, now: int) -> None:
         """From each answer; `sent_at`: when what it answers was sent, or before."""
@@ -101,6 +152,7 @@
         self._fell: tuple[str, int, float, int] | None = None  # primary, charged, its cores, gateways
         self._fresh_until = 0
         self._wait_until: int | None = None  # for keepers' word, once no copy was known to do
+        self._ask_at = 0  # keepers are asked then, while none is known to do
         self._seen: Token | None = None
         self._moment: tuple | None = None  # of the last question, and what its answer was
         self._allowed: tuple[str, ...] = ()
@@ -127,7 +179,9 @@
             return choice.copies
         if self._wait_until is None:
             self._wait_until = now + self._reads.patience
-            self._reads.urgent = self._reads.urgent or self._reads.patience > 0
+        if now >= self._ask_at:
+            self._ask_at = now + max(self._reads.patience, _AGAIN)
+            self._reads.lacks(self.shard, now + self._reads.patience)
         if choice.otherwise is not Else.PRIMARY or now < self._wait_until:
             return ()
         return tuple(one for one in primary if self._reads.share.admits(
--- a/tests/test_fleet_joined.py
+++ b/tests/test_fleet_joined.py
@@ -218,8 +218,15 @@
 
     def test_token_of_less_than_was_read(self) -> None:
         token = read.Token
+
+        def worse(world: World) -> None:
+            """One of two copies is behind the other, and fresh enough for those that read both."""
+            world.after(4 * SECOND, setattr, world.shelves["a1"], "lag", 2 * SECOND)
+            for session in world.sessions:
+                session.shard, session.within, session.tariff = "5", 8 * SECOND, "reads"
+
         self.caught("a session went back", mock.patch.object(
-            read, "Token", lambda shard, epoch, position: token(shard, epoch, max(0, position - 8))))
+            read, "Token", lambda shard, epoch, position: token(shard, epoch, max(0, position - 8))), worse)
 
     def test_lease_that_is_not_looked_at_when_acting(self) -> None:
         def ever(self: Use, now: int) -> Mode:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -6,6 +6,7 @@
 import unittest
 from itertools import accumulate
 from pathlib import Path
+from types import SimpleNamespace
 from unittest import mock
 
 import msgspec
@@ -15,14 +16,18 @@
 from cresstray.coordinator.known import Event, Member
 from cresstray.counters import Counters
 from cresstray.interface import Engine, Standing, Submission, Tariff
+from cresstray.keeper import joined
 from cresstray.passage.pinned import Directory
-from cresstray.replicas import choose, fallback, read
+from cresstray.placement.carrier import Copy, Disk
+from cresstray.placement.carry import Hands
+from cresstray.replicas import asking, choose, fallback, read
+from cresstray.replicas.asking import Asking
 from cresstray.replicas.hint import HintError, read_hint
 from cresstray.replicas.pins import matching, narrowed, overload
 from cresstray.replicas.positions import Board, Cursor
 from cresstray.replicas.read import Reads
 from cresstray.replicas.sessions import Token, parsed, rendezvous, token
-from cresstray.replicas.spread import Peer, Word
+from cresstray.replicas.spread import Peer, Talk, Word
 from cresstray.rules.documents import Documents, Pin, Placement, Replicas, Shard
 from cresstray.rules.use import InUse, Mode
 
@@ -92,6 +97,19 @@
                 self.assertEqual(bound, known)
                 self.assertEqual(board.lies, row.get("lies", 0))
 
+    def test_asking(self) -> None:
+        placed = {"1": Shard(("a", "b", "p"), "p", 1, ("a", "b")), "2": Shard(("a", "p"), "a", 1, ("p",))}
+        for row in TABLE["asking"]:
+            asks = Asking()
+            for what, now, *more in row["steps"]:
+                with self.subTest(row["place"], what=what, now=now):
+                    if what == "want":
+                        asks.wanted((more[0],), now * MS, more[1] * MS)
+                    elif what == "heard":
+                        asks.heard(more[0], now * MS)
+                    else:
+                        self.assertEqual(asks.due(placed, now * MS), more[0])
+
     def test_pins(self) -> None:
         for row in TABLE["pin"]:
             with self.subTest(row["place"]):
@@ -164,6 +182,21 @@
         one.came_back({"shard": 8, "epoch": 2, "head": 9}, 0, 32 * MS)
         self.assertIsNone(one.at())
 
+    def test_what_reads_wait_for_is_named_first(self) -> None:
+        reads = gateway(Use(Shard(("a1", "p"), "p", 2, ("a1",))))
+        reads.patience = 30 * MS
+        for shard, within in ((7, 500), (8, 2000), (9, 1000), (7, 600)):
+            hint = f"/*+ cresstray read=replica within={within}ms */"
+            reads.hint(f"{hint} select 1 from t_{shard}.x", TARIFF, 0)
+        reads.lacks("8", 30 * MS)
+        self.assertEqual(reads.wanted(MS), ("8", "7", "9"))
+        self.assertTrue(reads.untold() and reads.waits(30 * MS - 1))
+        self.assertFalse(reads.waits(30 * MS))
+        # By the tightest of late; told to wait once.
+        self.assertEqual(reads.needs(MS, 2), [(0, 0), (0, 400), (1, 100)])
+        self.assertEqual((reads.untold(), reads.needs(MS, 2)), (False, [(0, 400), (1, 100)]))
+        self.assertEqual(reads.needs(1_000 * MS, 9), [])
+
     def test_directory(self) -> None:
         directory, engines = Directory(("north", "south")), {}
         member = Member(42, "h", 1, Standing.READY, 1, 0, 0, 0)
@@ -208,12 +241,13 @@
 
     def test_words_are_checked(self) -> None:
         decode = msgspec.msgpack.Decoder(Word).decode
-        good = [1, 0, [["7", 1, 5, 9, [[42, 9, -1], ["x", 3, 7]]]], ["7"]]
+        good = [1, 0, [["7", 1, 5, 9, [[42, 9, -1], ["x", 3, 7]]]], ["7"], [[0, 0], ["x", 90]]]
         self.assertEqual(msgspec.msgpack.encode(decode(msgspec.msgpack.encode(good))),
                          msgspec.msgpack.encode(good))
         for wrong in ([0, 0, [], []], [1, -1, [], []], [1, 0, [["7", 1, -2, 9, []]], []],
                       [1, 0, [["7", 1, 5, 2**60, []]], []], [1, 0, [["7", 1, 5, 9, [[42, 9, 2**60]]]], []],
-                      [1, 0, [], ["7"] * 99], [1, 0, [["7", 1, 5, 9, [[42, 9, 1]] * 99]], []]):
+                      [1, 0, [], ["7"] * 99], [1, 0, [["7", 1, 5, 9, [[42, 9, 1]] * 99]], []],
+                      [1, 0, [], ["7"], [[99, 0]]], [1, 0, [], ["7"], [[0, -1]]]):
             with self.subTest(wrong), self.assertRaises(msgspec.ValidationError):
                 decode(msgspec.msgpack.encode(wrong))
 
@@ -266,6 +300,222 @@
                                                * MS * 2000) if widest * MS * count <= rate * 10**6 else 0)
 
 
+class OnDemand(unittest.TestCase):
+    """Engines are asked when positions are wanted."""
+
+    def play(self, placed, hung=(), seconds=4, wants=lambda now: ()) -> list[tuple[int, str]]:
+        """Wants each 5 ms, answers after 3 ms; when each engine was asked."""
+        asks, found, out = Asking(), [], []
+        for now in range(0, seconds * 1_000_000, 5 * MS):
+            for shard, young in wants(now):
+                asks.wanted((shard,), now, young)
+            for name, at in out:
+                asks.heard(name, at)
+            due = asks.due(placed, now) if asks.next is not None and now >= asks.next else []
+            self.assertEqual(len(set(due)), len(due))
+            out = [(name, now) for name in due if name not in hung]
+            found += [(now, name) for name in due]
+        self.assertEqual(asks.asked, len(found))
+        return found
+
+    def test_flood(self) -> None:
+        placed = {str(n): Shard((f"e{n % 20}", f"e{(n + 7) % 20}", f"e{(n + 13) % 20}"), f"e{n % 20}", 1,
+                                (f"e{(n + 7) % 20}", f"e{(n + 13) % 20}")) for n in range(1000)}
+        flood = self.play(placed, wants=lambda now: [(str(n), n % 3 * 10) for n in range(1200)])
+        few = self.play({"1": placed["1"]}, wants=lambda now: [("1", 0), ("x", 0)])
+        self.assertLessEqual(len(flood), 4 * asking._IN_ALL + asking._AT_ONCE)
+        self.assertGreater(len(flood), 0.9 * 4 * asking._IN_ALL)
+        for name in placed["1"].copies:
+            times = [at for at, one in few if one == name]
+            self.assertGreaterEqual(min(b - a for a, b in zip(times, times[1:])), asking._APART)
+            # All wait, each has its part.
+            self.assertGreater(sum(one == name for _, one in flood), 0.9 * len(flood) / 20)
+        self.assertEqual({one for _, one in few}, set(placed["1"].copies))
+        asks = Asking()
+        asks.wanted(map(str, range(99_999)), 0)
+        self.assertLessEqual(len(asks._came), asking._MOST)
+        asks.due(placed, 0)
+        asks.due({}, 20_000_000)
+        self.assertEqual((asks._came, asks._engines, asks.next), ({}, {}, None))
+
+    def test_an_engine_that_hangs(self) -> None:
+        placed = {"1": Shard(("a", "b", "p"), "p", 1, ("a", "b"))}
+        found = self.play(placed, hung=("a",), seconds=20, wants=lambda now: [("1", 0)])
+        times = [at for at, one in found if one == "a"]
+        self.assertTrue(all(c - b >= 2 * (b - a) for a, b, c in zip(times, times[1:], times[2:4])), times)
+        self.assertLess(len(times), 9)
+        self.assertEqual(sum(one == "b" for _, one in found), 20_000_000 // asking._APART)
+
+    def test_a_head_goes_first(self) -> None:
+        placed = {str(n): Shard((f"a{n}", f"p{n}"), f"p{n}", 1, (f"a{n}",)) for n in range(asking._AT_ONCE)}
+        asks = Asking()
+        asks.wanted(placed, 0, 0)
+        self.assertEqual(asks.due(placed, 0), sorted(f"p{n}" for n in range(asking._AT_ONCE)))
+        for n in range(asking._AT_ONCE):
+            asks.heard(f"p{n}", 0)
+        # Heads that are young are not asked for again, the copies are.
+        self.assertEqual(set(asks.due(placed, 100 * MS)), {f"a{n}" for n in range(asking._AT_ONCE)})
+
+    def test_what_is_carried_to_the_leader(self) -> None:
+        asks = Asking()
+        asks.wanted("abc", 0, 0)
+        asks.wanted("c", 0, 90 * MS)
+        self.assertEqual(asks.carried(3, 0), [("a", 0), ("b", 0)])
+        self.assertEqual(asks.carried(9, 0), [("c", 0), ("c", 90 * MS)])
+        for now, young, told in ((5, 0, []), (21, 0, [("a", 0)]), (22, 90, [("a", 90 * MS)]), (23, 95, []),
+                                 (24, 80, [("a", 80 * MS)]), (300, 80, [("a", 80 * MS)])):
+            asks.wanted("a", now * MS, young * MS)
+            self.assertEqual((now, asks.carried(9, now * MS)), (now, told))
+
+    def test_a_read_is_answered_by_a_copy(self) -> None:
+        for names in (("k1/1", "k2/1"), ("k2/1", "k1/1")):
+            with self.subTest(leader=names[0]):
+                fleet = TwoKeepers(*names)
+                reads = [fleet.read(number, 1_000 * MS) for number in range(2)]
+                fleet.run(1_030 * MS)
+                self.assertEqual([one.takes("a1", fleet.now) for one in reads], [True, True])
+                # Two links of 1 ms there and back for the second one, the engine's 2 ms, and what makes two
+                # answers one word.
+                self.assertLessEqual(max(fleet.served[one] for one in reads), 10 * MS)
+                asked = [name for at, name in fleet.asked if at >= 1_000 * MS]
+                self.assertEqual(sorted(asked), ["a1", "b1", "p"])  # for both of them, once
+
+    def test_not_answered_without_it(self) -> None:
+        for patch in (mock.patch.object(Reads, "needs", lambda *_: ()),
+                      mock.patch.object(joined.Exchange, "tells", lambda *_: []),
+                      mock.patch.object(Asking, "carried", lambda *_: [])):
+            with patch:
+                fleet = TwoKeepers("k1/1", "k2/1")
+                one = fleet.read(1, 1_000 * MS)
+                fleet.run(1_030 * MS)
+                self.assertFalse(one.takes("a1", fleet.now) or one.takes("b1", fleet.now))
+
+    def test_hands_ask_while_they_lead(self) -> None:
+        leads, asked = [True], []
+        hands = Hands(dict, lambda entry: None, lambda: leads[0], lambda: 0, Counters())
+        hands._lines["a"] = SimpleNamespace(ask=lambda: asked.append("a"))
+        hands.ask(["a", "gone"])
+        leads[0] = False
+        hands.ask(["a"])
+        self.assertEqual(asked, ["a"])
+
+    def test_a_hung_copy_does_not_hold_up_the_other(self) -> None:
+        fleet = TwoKeepers("k1/1", "k2/1", hung=("a1",))
+        one = fleet.read(1, 1_000 * MS)
+        fleet.run(1_030 * MS)
+        self.assertEqual((one.takes("a1", fleet.now), one.takes("b1", fleet.now)), (False, True))
+
+    def test_a_position_that_lies(self) -> None:
+        fleet = TwoKeepers("k1/1", "k2/1", lie={"a1": 5000})
+        fleet.read(1, 1_000 * MS)
+        fleet.read(1, 1_200 * MS)
+        fleet.run(1_300 * MS)
+        one = fleet.read(1, fleet.now + 1)
+        fleet.run(fleet.now + 30 * MS)
+        self.assertEqual((one.takes("a1", fleet.now), one.takes("b1", fleet.now)), (False, True))
+        self.assertIn("it is left out", " ".join(fleet.said))
+
+
+class TwoKeepers:
+    """A gateway at each of two keepers, engines that answer in 2 ms, links of 1 ms; a head that grows."""
+
+    SHARD = Shard(("a1", "b1", "p"), "p", 1, ("a1", "b1"))
+
+    def __init__(self, leader: str, follower: str, hung=(), lie=None) -> None:
+        self.now, self.queue, self.hung, self.lie = 0, [], hung, lie or {}
+        self.asked: list[tuple[int, str]] = []
+        self.began: dict[object, int] = {}
+        self.said: list[str] = []
+        self.served: dict[object, int] = {}  # reads, and after how long a copy was known to do
+        placed = {"7": self.SHARD}
+        self.keepers, self.cores = [], []
+        for name in (leader, follower):
+            one = joined.Positions(0.01, lambda kind, text: self.said.append(text), Counters())
+            core = SimpleNamespace(
+                node=SimpleNamespace(leader=leader, name=name), guests={}, talking={}, turned=[],
+                each_round=[], ready=lambda now, leads=name == leader: leads,
+                state=SimpleNamespace(acting=SimpleNamespace(placement=SimpleNamespace(items=placed))))
+            one.join(core, self.ask)
+            core.turned[0](0)
+            self.keepers.append(one)
+            self.cores.append(core)
+        first, second = sorted((0, 1), key=lambda at: (leader, follower)[at])
+        talks = self.keepers[first].talk(), self.keepers[second].talk()
+        far = self.far(talks[0], self.cores[first]), self.far(talks[1], self.cores[second])
+        self.cores[first].talking[self.cores[second].node.name] = far[1], talks[0]
+        self.cores[second].guests[f"keeper:{self.cores[first].node.name}"] = SimpleNamespace(
+            talk=talks[1], far=far[0])
+        self.talks, self.reads = [], []
+        for number, (keeper, core) in enumerate(zip(self.keepers, self.cores)):
+            reads = gateway(Use(self.SHARD, 2))
+            reads.patience = 30 * MS
+            reads.placed(0)
+            here, there = Talk(reads.board, 4, lambda now, reads=reads: reads.wanted(now)[:4],
+                               lambda now, reads=reads: reads.needs(now, 4)), keeper.talk()
+            core.guests[f"gateway:g{number}"] = SimpleNamespace(talk=there, far=self.far(here, None))
+            self.talks.append((here, there))
+            self.reads.append(reads)
+        for at in range(0, 2_000 * MS, 250 * MS):
+            self.after(at, self.words)
+
+    def after(self, delay: int, act, *given) -> None:
+        heapq.heappush(self.queue, (self.now + delay, len(self.queue), random.random(), act, given))
+
+    def run(self, until: int) -> None:
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, _, act, given = heapq.heappop(self.queue)
+            act(*given)
+        self.now = until
+
+    def far(self, talk: Talk, core) -> SimpleNamespace:
+        """The end from which frames go to this side."""
+        return SimpleNamespace(unwritten=0,
+                               put=lambda frame: self.after(MS, self.hear, talk, core, frame.body))
+
+    def hear(self, talk: Talk, core, body: bytes) -> None:
+        talk.hears(body, self.now)
+        if core is not None:
+            self.round(core)
+        for one, began in self.began.items():
+            if one.takes("a1", self.now):
+                self.served.setdefault(one, self.now - began)
+
+    def round(self, core) -> None:
+        due = core.each_round[0](self.now)
+        if due is not None:
+            self.after(max(0, due - self.now), lambda: core.each_round[0](self.now))
+
+    def words(self) -> None:
+        for (here, there), core in zip(self.talks, self.cores):
+            self.after(MS, self.hear, there, core, here.says(self.now))
+            self.after(MS, lambda here=here, there=there: self.after(MS, self.hear, here, None,
+                                                                      there.says(self.now)))
+
+    def read(self, number: int, at: int):
+        """Its first question at that moment; the gateway asks its keeper then."""
+        self.run(at)
+        one = ask(self.reads[number], "read=replica within=500ms", self.now)
+        one.takes("a1", self.now)
+        self.began[one] = self.now
+        here, there = self.talks[number]
+        if self.reads[number].urgent:
+            self.after(MS, self.hear, there, self.cores[number], here.says(self.now))
+        return one
+
+    def ask(self, engines: list[str]) -> None:
+        for name in engines:
+            self.asked.append((self.now, name))
+            if name not in self.hung:
+                head = self.now // (100 * MS)
+                copy = Copy(1, primary=name == "p", epoch=1, applied=head + self.lie.get(name, 0), head=head)
+                disk = Disk(name, name[0], 1, 1, 0, 1, self.now, {"7": copy})
+                self.after(2 * MS, self.answered, disk)
+
+    def answered(self, disk: Disk) -> None:
+        if self.keepers[0].seen(disk, self.now):
+            self.round(self.cores[0])
+
+
 class World:
     """True positions of one shard on a virtual clock, gateways that hear of them, and sessions that read."""
 
