One worker for all work behind submissions, with priorities that age and a budget

Cause: trials, listing, writes and dialling each had a timer or loop of their own and nothing bounded them together: up to 64 connections were begun in one piece, ten times a second, and live answers waited for them. Change: cresstray/background/, a schedule free of I/O (priorities that age, 0.25 ms of each 5 ms, pauses with spread, last turns) and the worker on the loop's timers. kept/, links between halls and a member's floor are its jobs now. What is held and may run once no longer goes to an engine in the moment in which it is listed. Without an operator's file none is imported.

--- a/cresstray/commands/__init__.py
+++ b/cresstray/commands/__init__.py
@@ -58,6 +58,9 @@
             if part is not None and part.tls is not None:
                 from cresstray.halls.tls import Contexts
                 Contexts(part.tls)
+        if given.store is not None:
+            from cresstray.store import client
+            client.check(given.store)
     except (UnusableError, OSError) as trouble:
         click.echo(str(trouble), err=True)
         sys.exit(2)
--- a/cresstray/fleet.py
+++ b/cresstray/fleet.py
@@ -12,6 +12,8 @@
 
 from anyio.abc import TaskGroup
 
+from cresstray.background.schedule import Priority
+from cresstray.background.worker import Worker
 from cresstray.clock import Clock, Timers
 from cresstray.conf.fleet import Fleet as Given
 from cresstray.counters import Counters
@@ -34,6 +36,8 @@
 _MOST_SHARDS = 4
 # A read for which no copy is known to do waits so long for what keepers know: some round trips within a site.
 _PATIENCE = 30_000
+# One that came too soon behind another's word is asked for so much later, until there is a word for it.
+_SOON = 5_000
 
 
 class Agreed:
@@ -64,13 +68,27 @@
         return self._admission.further(submission, self._now())
 
 
+class _Heard(Talk):
+    """What a keeper tells; reads that wait for it are looked at as it comes."""
+
+    def __init__(self, board: Board, reads: Reads, look: Callable[[], None]) -> None:
+        super().__init__(board, _MOST_SHARDS, lambda now: reads.wanted(now)[:_MOST_SHARDS],
+                         lambda now: reads.needs(now, _MOST_SHARDS))
+        self._reads, self._look = reads, look
+
+    def hears(self, body: bytes, now: int) -> None:
+        super().hears(body, now)
+        if self._reads.waits(now):
+            self._look()
+
+
 class Member:
     """One gateway's part in its fleet."""
 
     def __init__(self, given: Given, settings: Mapping[str, Any], seed: int, clock: Clock, gateway: Gateway,
-                 route: Route, back: Back, take_in: TakeIn, timers: Timers, counters: Counters,
-                 log: Log) -> None:
-        self._timers, self._lease, self._gateway = timers, given.lease, gateway
+                 route: Route, back: Back, take_in: TakeIn, timers: Timers, worker: Worker,
+                 counters: Counters, log: Log) -> None:
+        self._timers, self._lease, self._gateway, self._worker = timers, given.lease, gateway, worker
         # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
         life = f"{seed & 0xffffffff:08x}{clock.now():014x}"
         chance = random.Random(seed).random
@@ -80,24 +98,41 @@
         board = Board(lambda text: log.say("replicas", text), given.drift)
         reads = Reads(board, use, counters, chance, directory.cores, directory.zone_of, directory.full,
                       time.time)
+        self._reads, self._asks_again = reads, False
         admission = Admission(use, [tenant["Name"] for tenant in settings.get("Tenants", [])],
                               [service.get("Name", "") for service in settings.get("Services", [])],
                               lambda engine: directory.ids.get(engine, ""), counters)
         self.follower = Follower(
             given, given.member, use, chance, clock.now, counters,
-            lambda: Talk(board, _MOST_SHARDS, lambda now: reads.wanted(now)[:_MOST_SHARDS]),
+            lambda: _Heard(board, reads, lambda: timers.after(0, self._look)),
             lambda up: setattr(reads, "patience", _PATIENCE if up else 0))
         gateway.agreed = Agreed(admission, reads, clock.now, self._ask)
         route.pinned = back.pinned = take_in.pinned = Pinned(reads, directory)
 
     def _ask(self) -> None:
         """Keepers are asked for positions at once, for a read that waits for no more than their answer."""
-        self.follower.asks_at_once()
+        self._ask_now()
         # What waits is looked at then, and not with the next sweep only.
-        self._timers.after(_PATIENCE + 1000, lambda now: self._gateway.listed((), False, now))
+        self._timers.after(_PATIENCE + 1000, self._look)
+
+    def _ask_now(self) -> None:
+        self.follower.asks_at_once()
+        # Too soon behind another word: tried again, unless no keeper is there to hear it.
+        if self._reads.untold() and self._reads.patience and not self._asks_again:
+            self._asks_again = True
+            self._timers.after(_SOON, self._ask_again)
+
+    def _ask_again(self, now: int) -> None:
+        self._asks_again = False
+        if self._reads.untold():
+            self._ask_now()
+
+    def _look(self, now: int) -> None:
+        self._gateway.listed((), False, now)
 
     def start(self, tasks: TaskGroup) -> None:
         # Danger: one that no list names would relay beside all that are named. Keepers within reach say so in
         # a lease; where there are none, service goes on, by the smallest share there is.
-        self._timers.after(self._lease, lambda _: self.use.goes_on())
+        floor = self._worker.does("floor", Priority.SAFETY, 0, lambda now: self.use.goes_on())
+        self._worker.later(floor, self._lease)
         tasks.start_soon(self.follower.run, tasks)
--- a/cresstray/halls/connections.py
+++ b/cresstray/halls/connections.py
@@ -11,6 +11,8 @@
 import msgspec
 from anyio.abc import ByteStream, TaskGroup
 
+from cresstray.background.schedule import Job, Priority, Schedule
+from cresstray.background.worker import BUDGET, TICK, Worker
 from cresstray.clock import Clock, Due, Timers
 from cresstray.conf import operator
 from cresstray.counters import Counters
@@ -34,13 +36,17 @@
 _WORKED = 5_000_000
 # Danger: a peer that reads nothing would have all that is written to it kept.
 _MOST_UNWRITTEN = 8 * 1024 * 1024
-# A near gateway that has not come back for so long: nothing it had is kept, and its place is free.
-_ABSENT = 60_000_000
+# A near gateway that has not come back for so long: nothing it had is kept, and its place is free. Looked at
+# now and then only, as each look wakes up a gateway that has little to do.
+_ABSENT, _LOOK = 60_000_000, 10_000_000
+# Microseconds of the loop for one dialled: made and dropped with its hello 650; keys add a millisecond.
+_DIAL, _DIAL_SEALED = 650, 1_650
 # Room is shared among the near gateways that have offered anything for so long.
 _ASKS = 1_000_000
 # Gateways of other halls that may be connected at once, with some that are just leaving.
 _MOST_LINKS = 256
 
+
 class Channel(Protocol):
     """What a link is written to and read from: a line, or TLS on one."""
 
@@ -99,16 +105,29 @@
             return repr(trouble)
 
 
+class _Dialled:
+    """A link that we make, and when it is made again."""
+
+    def __init__(self, peer: operator.Peer, outward: Outward, pause: int) -> None:
+        self.peer, self.outward, self.pause = peer, outward, pause
+        self.job: Job
+
+
 class Hub:
     """All links of one gateway: those it makes to its peers, and those that others make to it."""
 
     def __init__(self, given: operator.Halls, incarnation: str, seed: int, front: Front, keeper: Keeper,
                  room: Callable[[], tuple[float, float, float]], clock: Clock, timers: Timers,
-                 counters: Counters, log: Log) -> None:
+                 counters: Counters, log: Log, worker: Worker | None = None) -> None:
+        """`worker`: the gateway's, already started or not; without one it makes one of its own."""
         self._given, self._front, self._keeper, self._spare = given, front, keeper, room
         self._clock, self._timers, self._counters, self._log = clock, timers, counters, log
         self._me = Place(given.hall, given.gateway, incarnation)
         self._random = random.Random(seed).random
+        if worker is None:
+            worker = Worker(Schedule(self._random, TICK, BUDGET), timers, clock, counters, log)
+            worker.start()
+        self._worker = worker
         self.share = Share(given.share)
         self._contexts: Contexts | None = None
         self._near: dict[tuple[str, str], Inward] = {}  # by hall and name
@@ -160,7 +179,11 @@
             tasks.start_soon(self._accept, listener)
             self._say(f"{given.gateway} of {given.hall} takes links on {self.address[0]}:{self.address[1]}")
         for peer, outward in self._links:
-            tasks.start_soon(self._keep_up, peer, outward)
+            link = _Dialled(peer, outward, given.link.retry)
+            link.job = self._worker.does(
+                "links", Priority.SERVICE, 0, lambda now, link=link: self._dial(link), given.link.retry_most)
+            self._worker.wake(link.job)
+        self._worker.does("absent", Priority.TIDY, _LOOK, self._look_for_absent)
         self._tick(self._clock.now())
 
     def _tick(self, now: int) -> None:
@@ -171,15 +194,17 @@
             if not end.tick(now) and wire is not None:
                 self._counters.add("links between halls silent")
                 wire.scope.cancel()
-        for place, inward in list(self._near.items()):
-            if inward not in self._wires and now - inward.silent_since > _ABSENT:
-                inward.end()
-                del self._near[place]
         # Half a beat: fine enough for beats, leases and what is hopeless. An idle beat where all is idle.
         beat = self._given.link.heartbeat
         self._busy = any(end.busy(now) for end in ends)
         self._due = self._timers.after(beat // 2 if self._busy else IDLE * beat, self._tick)
 
+    def _look_for_absent(self, now: int) -> None:
+        for place, inward in list(self._near.items()):
+            if inward not in self._wires and now - inward.silent_since > _ABSENT:
+                inward.end()
+                del self._near[place]
+
     def _wake(self) -> None:
         """Something is under way, or wants to be: not to wait for the next idle tick."""
         if not self._busy:
@@ -189,22 +214,24 @@
 
     # Links that we make.
 
-    async def _keep_up(self, peer: operator.Peer, outward: Outward) -> None:
-        link = self._given.link
-        pause = link.retry
-        while True:
-            began = self._clock.now()
-            why = ""
-            with contained("a link to another hall", self._counters, self._log):
-                why = await self._made(peer, outward)
-            now = self._clock.now()
-            outward.disconnected(now)
-            self._say(f"link to {outward.way.name} ended: {why}")
-            # Danger: on a link that flaps, or a hall that is gone, handshakes would cost both halls their
-            # time.
-            pause = link.retry if now - began > _WORKED else min(2 * pause, link.retry_most)
-            # Danger: all gateways of a hall find a cut at once, and would come back at once.
-            await anyio.sleep(pause * (0.75 + 0.5 * self._random()) / 1e6)
+    def _dial(self, link: _Dialled) -> None:
+        self._tasks.start_soon(self._keep_up, link)
+        # Danger: where all gateways of a hall come back at once, so many handshakes would hold up live work.
+        self._worker.begun(_DIAL if self._contexts is None else _DIAL_SEALED)
+
+    async def _keep_up(self, link: _Dialled) -> None:
+        given, outward = self._given.link, link.outward
+        began = self._clock.now()
+        why = ""
+        with contained("a link to another hall", self._counters, self._log):
+            why = await self._made(link.peer, outward)
+        now = self._clock.now()
+        outward.disconnected(now)
+        self._say(f"link to {outward.way.name} ended: {why}")
+        # Danger: on a link that flaps, or a hall that is gone, handshakes would cost both halls their time.
+        link.pause = given.retry if now - began > _WORKED else min(2 * link.pause, given.retry_most)
+        # Danger: all gateways of a hall find a cut at once, and would come back at once.
+        self._worker.later(link.job, int(link.pause * (0.75 + 0.5 * self._random())))
 
     async def _made(self, peer: operator.Peer, outward: Outward) -> str:
         try:
--- a/cresstray/kept/keep.py
+++ b/cresstray/kept/keep.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
@@ -9,7 +11,7 @@
 
 from cresstray.coordinator.known import Event, Member
 from cresstray.counters import Counters
-from cresstray.interface import Ending, Engine, Relay, Submission
+from cresstray.interface import Ending, Engine, Relay, Standing, Submission
 from cresstray.kept import learnt, record
 from cresstray.kept.behind import Behind
 from cresstray.kept.belief import Beliefs, How, Source, State
@@ -25,6 +27,14 @@
         Ending.SPOILT: How.SILENT}
 # Without a stated grace an engine is given so long to end.
 _GRACE = 10_000
+# Connections made and closed at once, and microseconds of the loop for each: a tick's budget of background
+# work. The 64 that a round may have took 6 ms of it in one piece, which live answers waited for.
+AT_ONCE, KNOCK = 2, 100
+# Engines that are listed at once: a quarter of a millisecond for route and module, of which a half is for
+# those listed before.
+LISTED_AT_ONCE = 8
+# Engines of which the record is made in one piece, some 80 us, and seconds for the loop in between.
+_PIECE, _BREATH = 50, 50e-6
 
 
 class Keep:
@@ -43,6 +53,7 @@
                                micros(limits.get("MaxRetryAfter", 0)), chance, now)
         self.behind = Behind(chance, now)
         self._pending: dict[int, Member] = {}  # to be listed at the next step
+        self._asked: deque[Member] = deque()  # on trial, and still to be connected to
         self._engines: dict[int, tuple[Engine, Limiter]] = {}
         self._ids: dict[Engine, int] = {}
         self._same: set[int] = set()  # told, in the life that they were remembered in
@@ -150,7 +161,10 @@
 
     def on_trial(self, engine: Engine) -> bool:
         number = self._ids.get(engine)
-        return number is not None and self.beliefs.state(number) is State.ON_TRIAL
+        if number is None:
+            # Danger: what is held may be sent while the module hears of it, before `listed` here.
+            return engine.far is None
+        return self.beliefs.state(number) is State.ON_TRIAL
 
     def forget(self, engine: int, now: int) -> bool:
         """An operator's word that it is gone. False: the register names it, or nobody does."""
@@ -169,11 +183,19 @@
                  "failed": one.failed}
                 for number, one in self.beliefs.engines.items()]
 
-    def trials(self, tasks: TaskGroup, now: Callable[[], int]) -> None:
-        """Asks the engines whose trial is due, each in a task that ends within a link's patience."""
-        for member in self.beliefs.due(now()):
+    def asks(self, now: int) -> bool:
+        """A round of trials: who is due is asked by `knocks`. Whether there is any to be asked."""
+        for member in self.beliefs.due(now):
             self._counters.add("kept: trials")
-            tasks.start_soon(self._trial, member, now)
+            self._asked.append(member)
+        return bool(self._asked)
+
+    def knocks(self, tasks: TaskGroup, now: Callable[[], int]) -> int:
+        """Connects to some of them, each in a task that ends within a link's patience; to how many."""
+        begun = min(AT_ONCE, len(self._asked))
+        for _ in range(begun):
+            tasks.start_soon(self._trial, self._asked.popleft(), now)
+        return begun
 
     async def _trial(self, member: Member, now: Callable[[], int]) -> None:
         how = await knock(member.host, member.port, self._patience)
@@ -183,7 +205,16 @@
             self._answered(member.id, how, now())
 
     def step(self, now: int) -> Event | None:
-        """Background work, ten times a second: starts and ends writes; what is to be listed, if anything."""
+        """`look` and `write`, for all there is."""
+        event = self.look(now)
+        self.write(now)
+        return event
+
+    def look(self, now: int, most: int | None = None) -> Event | None:
+        """What is to be listed, if anything, and what the register stands by; ten times a second.
+
+        `most`: engines in it that are not gone; the rest is for the next look, see `more`.
+        """
         frames = self._counters.counts["coordinator frames"]
         if frames != self._frames:
             self._frames = frames
@@ -193,13 +224,24 @@
             self._say("the register stands by smaller numbers than those kept: what it has not named is gone")
             self._pending.update((member.id, member) for member in settled.members)
             self.behind.changed(now)
-        self._write(now)
-        members, self._pending = list(self._pending.values()), {}
+        members = list(self._pending.values())
+        if most is not None and len(members) > most:
+            # Danger: what is gone must not wait behind others to be listed.
+            gone = [member for member in members if member.standing is Standing.GONE]
+            members = gone + [member for member in members if member.standing is not Standing.GONE][:most]
+        for member in members:
+            del self._pending[member.id]
         return Event(0, False, members) if members else None
 
+    @property
+    def more(self) -> bool:
+        """Whether anything is still to be listed."""
+        return bool(self._pending)
+
     # Writing, and handing over.
 
-    def _write(self, now: int) -> None:
+    def write(self, now: int) -> None:
+        """Ends and begins writes; ten times a second, more often once the last one is under way."""
         outcome = self._writer.poll()
         if outcome is not None:
             self._written(outcome, now)
@@ -240,24 +282,33 @@
         tombs, open_marks = record.bounded(beliefs.tombs.kept(now), list(marks))
         number, tariffs = beliefs.numbers.highest, learnt.tariffs(self._gateway, self._names)
 
-        # Danger: made on the loop it would take a millisecond of it for 500 engines, at each write.
+        # Danger: made on the loop it would take a millisecond of it for 500 engines, at each write. So does a
+        # thread that holds the interpreter for as long.
         def make() -> record.Record:
+            engines: list[record.Engine] = []
+            for begin in range(0, len(evidence), _PIECE):
+                engines += [record.engine(member, max(0, min(OLDEST, now - known)))
+                            for member, known in evidence[begin:begin + _PIECE] if record.fits(member)]
+                time.sleep(_BREATH)
             return record.Record(
                 owner=folder.owner, wall=at.wall, boot=at.boot, ticked=at.ticked, number=number,
-                handed=handed, zones=list(self._zones), machines=list(self._machines),
-                engines=[record.engine(member, max(0, min(OLDEST, now - known)))
-                         for member, known in evidence if record.fits(member)],
+                handed=handed, zones=list(self._zones), machines=list(self._machines), engines=engines,
                 tombs=tombs, tariffs=tariffs, limits=[record.Limit(*limit) for limit in limits],
                 marks=open_marks)
         return make
 
     def hand_over(self, marks: Sequence[str], now: int) -> None:
-        """The last write, for the successor; `step` is still to be called until `done`, or the time is up.
+        """The last write, for the successor; `write` is still to be called until `done`, or the time is up.
 
         `marks`: names in use of late. Once nothing more is sent, so that what is learnt is complete.
         """
         self._last = list(marks)
-        self._write(now)
+        self.write(now)
+
+    @property
+    def handing(self) -> bool:
+        """Whether the last write has been asked for."""
+        return self._last is not None
 
     def close(self) -> None:
         """Leaves the folder to the successor; while a write hangs it stays with this process."""
--- /dev/null
+++ b/cresstray/marked.py
@@ -0,0 +1,192 @@
+"""What a gateway has beside where marks are kept in a store: a part of the passage, the client, the journal.
+
+Loaded only where the operator's file names a store.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+from functools import partial
+from typing import Any
+
+import anyio
+import anyio.to_thread
+from anyio.abc import TaskGroup
+
+from cresstray.background.schedule import Outcome, Priority
+from cresstray.background.worker import Worker
+from cresstray.clock import Clock, Timers
+from cresstray.conf.store import Store
+from cresstray.counters import Counters
+from cresstray.interface import Ending, Engine, Relay, Rules, Submission
+from cresstray.log import Log
+from cresstray.logic import Gateway
+from cresstray.passage.book import Book
+from cresstray.passage.errand import Errand
+from cresstray.store.client import Client
+from cresstray.store.guard import Abandon, Answer, Decision, Deny
+from cresstray.store.joined import Marks
+from cresstray.store.journal import BusyError, Journal, Scribe, UnusableError
+
+# Microseconds: while outcomes wait to be written, and while there is nothing but the store to be looked at.
+_BUSY, _QUIET = 20_000, 500_000
+# The one before this process lets go of the journal within some seconds; a lock is one system call.
+_LOCKED = 1.0
+
+
+class Shut:
+    """A journal that can't be written yet, or at all: nothing goes out on the strength of it."""
+
+    def __init__(self, trouble: str) -> None:
+        self.trouble = trouble
+
+    def intend(self, digest: bytes, fence: int, tenant: int) -> int | None:
+        return None
+
+    def settle(self, number: int) -> None:
+        pass
+
+    def synced(self, number: int) -> bool | None:
+        return False
+
+
+class Marked:
+    """Beside the stages: who is asked for at the store before the module hears of it, and what came of it."""
+
+    def __init__(self, given: Store, settings: Mapping[str, Any], name: str, seed: int, clock: Clock,
+                 timers: Timers, counters: Counters, log: Log, gateway: Gateway, book: Book,
+                 worker: Worker) -> None:
+        self._given, self._clock, self._book, self._log, self._worker = given, clock, book, log, worker
+        self._scribe: Scribe | None = None
+        self._waiting: set[Submission] = set()  # the module has not heard of these yet
+        # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
+        life = f"{seed & 0xffffffff:08x}{clock.now():014x}"
+        chance = random.Random(f"{seed}{clock.now()}").random
+        self._client = Client(given, chance, clock, timers, counters, log)
+        desk = Shut("") if given.journal else None
+        self.marks = Marks(self._client, given.lines(), settings, gateway.tariffs, name, life, chance, clock,
+                           timers, counters, desk, lambda text: log.say("marks", text))
+        worker.does("store links", Priority.SERVICE, Client.EVERY, self._client.look)
+        self._writing = worker.does("marks", Priority.STATE, 0, self._step, last=self._ends)
+        worker.wake(self._writing)
+        gateway.agreed = _Guard(self.marks, gateway, clock.now)
+
+    def start(self, tasks: TaskGroup) -> None:
+        tasks.start_soon(self._client.run)
+        if self._given.journal:
+            tasks.start_soon(self._open, self._given.journal)
+
+    async def _open(self, path: str) -> None:
+        """In a thread: a disk that hangs holds up nobody, and until then nothing goes out unguarded."""
+        while True:
+            journal = Journal(path)
+            try:
+                entries = await anyio.to_thread.run_sync(journal.open, abandon_on_cancel=True)
+            except BusyError as trouble:
+                self.marks.writes_to(Shut(str(trouble)))
+                await anyio.sleep(_LOCKED)
+                continue
+            except (UnusableError, OSError) as trouble:
+                self.marks.writes_to(Shut(str(trouble)))
+                return
+            for line in journal.told:
+                self._log.say("marks", line)
+            self._scribe = Scribe(journal)
+            self.marks.writes_to(self._scribe)
+            self.marks.recover(entries, self._clock.now())
+            return
+
+    # Behind submissions.
+
+    def _step(self, now: int) -> None:
+        self._worker.later(self._writing, _BUSY if self.marks.step(now) else _QUIET)
+
+    def _ends(self, now: int) -> Outcome:
+        """Before this process goes: what the store and the disk take of it within the time there is."""
+        if self.marks.last(now):
+            return Outcome.MORE
+        if self._scribe is None:
+            return Outcome.DONE
+        self._scribe.stop()
+        return Outcome.DONE if self._scribe.join(0) else Outcome.MORE
+
+    # What the stages call.
+
+    def holds(self, errand: Errand, now: int, onward: Callable[[int], None]) -> bool:
+        """Whether it is to be asked for; `onward` is called once it may be relayed, if it may."""
+        submission = errand.submission
+        self._waiting.add(submission)
+        asked = self.marks.ask(errand, now, partial(self._told, submission, onward))
+        if not asked:
+            self._waiting.discard(submission)
+        return asked
+
+    def leaves(self, submission: Submission) -> bool:
+        """Its client has left, before the module has heard of it."""
+        if submission not in self._waiting:
+            return False
+        self._waiting.discard(submission)
+        submission.ended = True
+        return True
+
+    def _told(self, submission: Submission, onward: Callable[[int], None], decision: Decision) -> None:
+        if submission not in self._waiting:
+            return  # its client has left
+        self._waiting.discard(submission)
+        if isinstance(decision, Deny | Abandon | Answer):
+            submission.ended = True
+        if isinstance(decision, Deny):
+            self._book.deny(submission, decision.come_back)
+        elif isinstance(decision, Abandon):
+            self._book.abandon(submission)
+        elif isinstance(decision, Answer):
+            self._book.fulfil(submission, decision.result)
+        else:
+            onward(self._clock.now())
+
+    def may_send(self, submission: Submission) -> bool:
+        # Danger: a process that was stopped in the middle of a turn still holds the time from before.
+        return self.marks.may_send(submission, self._clock.now())
+
+    def until(self, submission: Submission) -> int | None:
+        """When nothing of it may leave any more; None: no mark sets a time."""
+        now = self._clock.now()
+        left = self.marks.left(submission, now)
+        return None if left is None else now + left
+
+    def sent(self, submission: Submission) -> None:
+        self.marks.sent(submission, self._clock.now())
+
+    def relay_ended(self, relay: Relay, ending: Ending, now: int) -> None:
+        self.marks.relay_ended(relay.submission, ending, now)
+
+    def ended(self, submission: Submission, how: str, result: bytes | None = None) -> None:
+        """Its final answer is out, or its client has left."""
+        self.marks.ended(submission, how, result, self._clock.now())
+        if len(self.marks.behind):
+            self._worker.later(self._writing, _BUSY)
+
+
+class _Guard:
+    """interface.Rules: nothing is sent, or crosses to another hall, for longer than its mark is ours."""
+
+    def __init__(self, marks: Marks, gateway: Gateway, now: Callable[[], int]) -> None:
+        self._marks, self._gateway, self._now = marks, gateway, now
+        self._inner: Rules | None = gateway.agreed
+
+    def gateways(self, now: int) -> int:
+        return self._inner.gateways(now) if self._inner else self._gateway.gateways
+
+    def admits(self, submission: Submission, now: int) -> bool:
+        return self._inner is None or self._inner.admits(submission, now)
+
+    def takes(self, submission: Submission, engine: Engine, now: int) -> bool:
+        left = self._marks.left(submission, self._now())
+        # Danger: another hall relays it until its hard stop, and knows nothing of our intention's end.
+        if left is not None and left < (submission.hard_stop - now if engine.far is not None else 1):
+            return False
+        return self._inner is None or self._inner.takes(submission, engine, now)
+
+    def further(self, submission: Submission, now: int) -> float:
+        return self._inner.further(submission, now) if self._inner else 1.0
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -29,20 +29,26 @@
 from cresstray.passage.take_in import TakeIn
 
 if TYPE_CHECKING:
+    from cresstray.background.schedule import Outcome
+    from cresstray.background.worker import Worker
     from cresstray.conf.fleet import Fleet
     from cresstray.conf.operator import Halls, Operator
+    from cresstray.conf.store import Store
     from cresstray.fleet import Member
     from cresstray.halls.connections import Hub
     from cresstray.kept.keep import Keep
+    from cresstray.marked import Marked
 
 # After SIGTERM new requests go on coming for 0.6 s at the most, and SIGKILL comes no sooner than after the
 # longest time limit, three seconds at most, and 0.7 s: what is open has until half a second before that.
 _STILL_COMING = 0.8
 _LONGEST_LIMIT, _AFTER_LIMIT = 3_000_000, 200_000
 # What is written at the end takes some milliseconds; a disk that needs longer costs a successor freshness.
-_HAND_OVER = 0.3
+_HAND_OVER = 300_000
 # Ten rounds of trials a second: the most that wait for one are asked within seconds, see docs/kept.md.
 _TEND = 100_000
+# What was wrong with a round of trials may be over by the next; a gateway without a list waits for them.
+_TRIALS_AGAIN = 1_000_000
 
 
 class Service:
@@ -53,7 +59,9 @@
                  operator_now: Callable[[], Operator] | None = None) -> None:
         self._listen, self._settings, self._coordinator_now = listen, settings, coordinator_now
         member = operator.fleet if operator and operator.fleet and operator.fleet.member else None
-        self._clock, self.counters = Clock(sleeps=member is not None), Counters()
+        store = operator.store if operator else None
+        # What is leased, a name in the fleet or a mark, goes on ageing while the machine sleeps.
+        self._clock, self.counters = Clock(sleeps=member is not None or store is not None), Counters()
         self._log, self._timers = Log(name, self._clock), Timers(self._clock)
         self._book = Book(self.counters)
         self._back = Back(self._clock, self.counters, self._book)
@@ -79,14 +87,25 @@
         self._events = events
         last = events[-1].number if events else 0
         self._operator, self._operator_now = operator, operator_now
+        self._worker: Worker | None = None
+        if operator and (operator.halls or member or operator.kept or store):
+            self._worker = self._make_worker(seed)
         self._hub = self._make_hub(operator.halls, seed) if operator and operator.halls else None
         self._member = self._make_member(member, settings, seed) if member else None
         self._feed = Feed(coordinator, last, self._told, self.counters, self._log)
         self._keep: Keep | None = None
         if operator and operator.kept:
             self._keep = self._make_keep(name, operator.kept.folder, settings, seed)
+        self._marked = self._make_marked(name, store, settings, seed) if store else None
         self._tasks: TaskGroup
 
+    def _make_worker(self, seed: int) -> Worker:
+        from cresstray.background import schedule, worker
+        # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
+        chance = random.Random(f"{seed}{self._clock.now()}").random
+        return worker.Worker(schedule.Schedule(chance, worker.TICK, worker.BUDGET), self._timers, self._clock,
+                             self.counters, self._log)
+
     def _make_hub(self, halls: Halls, seed: int) -> Hub:
         # Danger: the platform may give 32 MB; what links to other halls need is loaded only where there are
         # any.
@@ -97,14 +116,14 @@
         incarnation = f"{seed & 0xffffffff:08x}{self._clock.now():014x}"
         hub = Hub(halls, incarnation, seed, self._take_in, across,
                   lambda: self._gateway.room(self._clock.now()),
-                  self._clock, self._timers, self.counters, self._log)
+                  self._clock, self._timers, self.counters, self._log, self._worker)
         self._admit.share = hub.share
         return hub
 
     def _make_member(self, given: Fleet, settings: Mapping[str, Any], seed: int) -> Member:
         from cresstray.fleet import Member
         return Member(given, settings, seed, self._clock, self._gateway, self._route, self._back,
-                      self._take_in, self._timers, self.counters, self._log)
+                      self._take_in, self._timers, self._worker, self.counters, self._log)
 
     def _make_keep(self, name: str, folder: str, settings: Mapping[str, Any], seed: int) -> Keep:
         """After the fleet's rules, which it asks as well."""
@@ -125,6 +144,16 @@
         self._feed.takes_older = True
         return keep
 
+    def _make_marked(self, name: str, given: Store, settings: Mapping[str, Any], seed: int) -> Marked:
+        """After the other rules, which it asks as well."""
+        from cresstray.marked import Marked
+        marked = Marked(given, settings, name, seed, self._clock, self._timers, self.counters, self._log,
+                        self._gateway, self._book, self._worker)
+        self._admit.marked = self._book.marked = self._back.marked = self._send.marked = marked
+        if self._route.across is not None:
+            self._route.across.marked = marked
+        return marked
+
     def _make_pool(self, label: str, address: tuple[str, int]) -> Pool:
         return Pool(label, address, self._settings, self._quota, self._tasks, self._timers, self._clock.now,
                     self.counters, self._log)
@@ -141,20 +170,48 @@
         self._gateway.listed(self._route.listed(event), event.complete, now)
         self._keep.listed(event, self._route.engines, now)
 
-    def _tend(self, now: int) -> None:
-        """Ten times a second, where something is kept: trials, writes, and what came of both."""
-        self._keep.trials(self._tasks, self._clock.now)
-        self._step(now)
-        self._timers.after(_TEND, self._tend)
-
-    def _step(self, now: int) -> None:
-        event = self._keep.step(now)
-        if event is not None:
-            self._give(event, now)
-        if self._keep.marks:
-            # The one before may hand over after this one has begun.
-            self._take_in.used(self._keep.marks)
-            self._keep.marks = []
+    def _tend(self, keep: Keep, worker: Worker) -> None:
+        """What is kept, behind submissions: what came of trials, trials, and writes with a last one."""
+        from cresstray.background.schedule import Outcome, Priority
+        from cresstray.kept.keep import KNOCK, LISTED_AT_ONCE
+
+        def lists(now: int) -> Outcome:
+            event = keep.look(now, LISTED_AT_ONCE)
+            if event is not None:
+                self._give(event, now)
+            return Outcome.MORE if keep.more else Outcome.DONE
+
+        def asks(now: int) -> None:
+            if keep.asks(now):
+                worker.wake(knocking)
+
+        def knocks(now: int) -> Outcome:
+            begun = keep.knocks(self._tasks, self._clock.now)
+            worker.begun(KNOCK * begun)
+            return Outcome.MORE if begun else Outcome.DONE
+
+        def writes(now: int) -> None:
+            keep.write(now)
+            self._know(keep)
+
+        def hands_over(now: int) -> Outcome:
+            if keep.handing:
+                keep.write(now)
+            else:
+                keep.hand_over(self._take_in.recent(), now)
+            return Outcome.DONE if keep.done else Outcome.MORE
+
+        self._know(keep)
+        worker.does("listing", Priority.SAFETY, _TEND, lists, _TRIALS_AGAIN)
+        worker.does("trials", Priority.SAFETY, _TEND, asks, _TRIALS_AGAIN)
+        knocking = worker.does("knocks", Priority.SAFETY, 0, knocks, _TRIALS_AGAIN)
+        worker.does("kept list", Priority.STATE, _TEND, writes, last=hands_over)
+
+    def _know(self, keep: Keep) -> None:
+        """Names that were in use: the one before may hand them over after this one has begun."""
+        if keep.marks:
+            self._take_in.used(keep.marks)
+            keep.marks = []
 
     async def run(self, *, task_status: TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until SIGTERM; `task_status` hears the address once it does."""
@@ -164,9 +221,13 @@
             for event in self._events:
                 self._told(event)
             if self._keep is not None:
-                self._tend(self._clock.now())
+                self._tend(self._keep, self._worker)
             self._tasks.start_soon(self._feed.run, self._tasks)
             self._tasks.start_soon(self._timers.run)
+            if self._marked is not None:
+                self._marked.start(self._tasks)
+            if self._worker is not None:
+                self._worker.start()
             host, port = self._listen
             listener = socket.create_server((host, port), backlog=1024)
             listener.setblocking(False)
@@ -210,21 +271,21 @@
                 for connection in list(self._door.connections):
                     connection.close()
                 with anyio.move_on_after(0.5):
-                    if self._keep is not None:
-                        await self._hand_over(self._keep)
+                    if self._worker is not None:
+                        await self._end(self._worker)
                     while self._door.connections:
                         await anyio.sleep(0.01)
                 signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
                 return
 
-    async def _hand_over(self, keep: Keep) -> None:
-        """While the last answers are written: the list, to the next process by the disk."""
-        keep.hand_over(self._take_in.recent(), self._clock.now())
-        with anyio.move_on_after(_HAND_OVER):
-            while not keep.done:
+    async def _end(self, worker: Worker) -> None:
+        """While the last answers are written: last turns of what is done behind, as the successor's list."""
+        worker.stop(self._clock.now(), _HAND_OVER)
+        with anyio.move_on_after(_HAND_OVER / 1e6):
+            while not worker.over:
                 await anyio.sleep(0.005)
-                self._step(self._clock.now())
-        keep.close()
+        if self._keep is not None:
+            self._keep.close()
 
     def _reload(self) -> None:
         """The configuration has been replaced: its coordinator is followed from now on, all else goes on."""
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -13,6 +13,8 @@
     "rules": ("placement", "replicas", "keeper", "passage", "commands", "standins"),
     "placement": ("replicas", "keeper", "passage", "commands", "standins"),
     "replicas": ("placement", "keeper", "passage", "commands", "standins"),
+    "store": ("passage", "halls", "rules", "keeper", "commands", "standins"),
+    "background": ("passage", "halls", "rules", "keeper", "kept", "store", "commands", "standins"),
     "kept": ("passage", "halls", "rules", "keeper", "commands", "standins"),
     "halls": ("passage", "rules", "keeper", "commands", "standins"),
     "passage": ("keeper", "commands", "standins"),
@@ -23,8 +25,9 @@
 # Where sockets, clocks, files or processes are; all else in these packages is free of them. The solver keeps
 # to a time of its own, in a process of its own.
 CONNECTED = {"rules.follower", "placement.carry", "placement.worker", "placement.solve", "consensus.storage",
-             "kept.files", "kept.keep", "kept.knock"}
-PURE = ("consensus", "rules", "placement", "replicas", "kept")
+             "kept.files", "kept.keep", "kept.knock", "store.client", "store.journal",
+             "background.worker"}
+PURE = ("consensus", "rules", "placement", "replicas", "kept", "store", "background")
 OUTSIDE = {"anyio", "asyncio", "socket", "time", "os", "random", "subprocess", "threading", "sqlite3", "ssl"}
 
 
--- a/tests/test_kept_join.py
+++ b/tests/test_kept_join.py
@@ -11,6 +11,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from types import SimpleNamespace
 
 import anyio
 from anyio.abc import TaskGroup
@@ -19,14 +20,18 @@
 from cresstray.commands import cli
 from cresstray.conf import operator
 from cresstray.coordinator.feed import Feed
+from cresstray.coordinator.known import Event
 from cresstray.counters import Counters
+from cresstray.kept.belief import How
 from cresstray.kept.files import NAMES, Folder
+from cresstray.kept.keep import AT_ONCE
 from cresstray.log import Log
 from cresstray.standins.account import Account
 from cresstray.standins.coordinator import Coordinator, Listed
 from cresstray.standins.engine import Engine, Marks
 from cresstray.standins.world import KINDS, Gateway, settings
 from tests.desk import ClientStandIn
+from tests.test_kept import Fleet, member
 
 FLEET = """fleet balancer
     beat 5ms
@@ -205,6 +210,8 @@
             counts = stage.counts()
             self.assertEqual(1, counts["kept: members of old lists left out"])
             self.assertGreaterEqual(counts["kept: engines contradicted"], 1)
+            self.assertTrue(all(counts[f"background: {job} turns"] for job in ("knocks", "kept list")))
+            self.assertFalse(any(amount for name, amount in counts.items() if name.endswith("failures")))
             tasks.cancel_scope.cancel()
 
     def test_planned_restart_hands_over(self) -> None:
@@ -297,6 +304,31 @@
         self.play(scene, before=False)
 
 
+class InTurns(unittest.TestCase):
+    def test_a_long_list_is_listed_and_asked_piece_by_piece(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            first = Fleet(folder)
+            first.tell(Event(50, True, [member(number) for number in range(1, 21)]))
+            first.written()
+            first.keep.close()
+            fleet, asked = Fleet(folder), []
+            keep = fleet.keep
+            self.assertTrue(keep.asks(fleet.now))
+            tasks = SimpleNamespace(start_soon=lambda _, one, now: asked.append(one.id))
+            pieces = [keep.knocks(tasks, None) for _ in range(8 // AT_ONCE + 1)]
+            self.assertEqual([AT_ONCE] * (8 // AT_ONCE) + [0], pieces)
+            self.assertEqual((8, fleet.counters.counts["kept: trials"]), (len(set(asked)), len(asked)))
+            for number in asked:
+                keep._answered(number, How.LISTENS, fleet.now)
+            fleet.give(keep.look(fleet.now, 3))
+            gone = asked[0]
+            keep._answered(gone, How.REFUSED, fleet.now)
+            told = keep.look(fleet.now, 3)
+            self.assertEqual((gone, 4), (told.members[0].id, len(told.members)), "what is gone has waited")
+            self.assertTrue(keep.more)
+            self.assertEqual([2, None], [len(keep.look(fleet.now, 3).members), keep.look(fleet.now, 3)])
+
+
 class Older(unittest.TestCase):
     """A coordinator that was founded anew begins with a whole list of a smaller number."""
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -343,6 +343,7 @@
                     "cresstray.conf", "cresstray.commands", "cresstray.standins", "cresstray.passage.across",
                     "cresstray.passage.pinned", "cresstray.fleet", "cresstray.frames", "cresstray.peers",
                     "cresstray.said", "cresstray.consensus", "cresstray.rules", "cresstray.keeper",
-                    "cresstray.placement", "cresstray.replicas", "cresstray.kept", "cresstray.store", "redis")
+                    "cresstray.placement", "cresstray.replicas", "cresstray.kept", "cresstray.store",
+                    "cresstray.marked", "cresstray.background", "redis")
         self.assertIn("cresstray.service", said)
         self.assertEqual([], [name for name in said if name.startswith(unwanted)])
