--- a/cresstray/engines/exchanges.py
+++ b/cresstray/engines/exchanges.py
@@ -14,20 +14,24 @@
 _MOST_MOVES = 2
 # Danger: names given up pile up on a link that lives for days; some hundred are no burden.
 _MOST_GIVEN_UP = 500
+# A second copy comes soon after the first: some seconds of refusals on one link.
+_MOST_REFUSED = 200
 
 
 class Keeper(Protocol):
-    """Who is told of an exchange. After `unreached` and `cut` nothing more comes of it."""
+    """Who is told of an exchange. After `unreached`, `cut` and `overdue` nothing more comes of it."""
 
     def answered(self, exchange: Exchange, answer: codec.Answer) -> bool: ...
     def unreached(self, exchange: Exchange) -> None: ...
     def cut(self, exchange: Exchange, spoilt: bool) -> None: ...
+    def overdue(self, exchange: Exchange) -> None: ...
 
 
 class Exchange:
     """One request on one link, from its first byte to its end or until it is given up."""
 
-    __slots__ = ("name", "message", "keeper", "link", "written", "heard", "moves", "pages", "relay", "due")
+    __slots__ = ("name", "message", "keeper", "link", "written", "heard", "moves", "pages", "relay", "due",
+                 "until")
 
     def __init__(self, name: bytes, message: bytes, keeper: Keeper, relay: object) -> None:
         self.name, self.message, self.keeper, self.relay = name, message, keeper, relay
@@ -37,6 +41,7 @@
         self.moves = 0  # links that it found dead
         self.pages = None  # of its result, once the first has come
         self.due = None  # the call at its time limit
+        self.until: int | None = None  # nothing of it may leave from then on
 
 
 class Fate(Enum):
@@ -56,12 +61,15 @@
         # Danger: an answer that crosses its QUIT would be taken for that of a second relay of the same name.
         # A name once given up is not used again on this link, and what still comes under it is dropped.
         self.given_up: set[bytes] = set()
+        # Danger: a second copy of a refusal would be taken for the answer to the next relay of that name,
+        # which runs, and may be denied or sent again for it. That one takes another link.
+        self.refused: dict[bytes, None] = {}
         self.ended = self.retired = False
         self.heard = 0  # how often something was received
 
     def room_for(self, name: bytes) -> bool:
         return not (self.ended or self.retired or len(self.open) >= self._streams or name in self.open
-                    or name in self.given_up)
+                    or name in self.given_up or name in self.refused)
 
     def begin(self, exchange: Exchange) -> None:
         self.open[exchange.name] = exchange
@@ -71,9 +79,15 @@
         exchange.written, exchange.heard = left, self.heard
 
     def finish(self, exchange: Exchange) -> None:
-        """All that was to come has come."""
+        """All that was to come has come, or nothing has left."""
         del self.open[exchange.name]
 
+    def refuse(self, exchange: Exchange) -> None:
+        """The engine's answer is no result; its keeper is still to be told."""
+        self.refused[exchange.name] = None
+        if len(self.refused) > _MOST_REFUSED:
+            del self.refused[next(iter(self.refused))]
+
     def give_up(self, exchange: Exchange) -> bytes | None:
         """What tells the engine; None where it has never heard of it. What still comes is dropped."""
         del self.open[exchange.name]
--- a/cresstray/halls/outward.py
+++ b/cresstray/halls/outward.py
@@ -109,6 +109,9 @@
                 self._put(codec.Forget([number]))
         for crossing, outcome in settled:
             self._end(crossing, outcome, outcome is not Outcome.UNRUN)
+            if resumed:
+                # Danger: what was given up there would count against our credit until it is too old.
+                self._forget(crossing.number)
         for crossing in self.ledger.open.values():
             if crossing.withdrawn:
                 self._put(codec.Withdraw(crossing.number))
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -3,11 +3,28 @@
 import base64
 import json
 import struct
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as some
 
 from cresstray.clients import codec as rpc
+from cresstray.clients.talk import House, Next, Talk
+from cresstray.conf import lines as conf_lines
+from cresstray.conf import operator
+from cresstray.consensus import codec as consensus
 from cresstray.coordinator import frames, known
+from cresstray.counters import Counters
 from cresstray.engines import codec as resp
 from cresstray.engines.pages import Pages
+from cresstray.frames import LONGEST, BrokenError, Frames, encode
+from cresstray.halls import codec as halls
+from cresstray.keeper import codec as keeper
+from cresstray.kept import record
+from cresstray.rules import codec as rules
 from cresstray.tables import group_of
 from tests.desk import TraceCase
 
@@ -188,3 +205,259 @@
             "select 'open from a_1.b", "", "select 1 from x_y.z", "select 1 from lake_0.z",
             "from . from ) ( ,",
         )])
+
+
+usually = settings(derandomize=True, database=None, deadline=None, max_examples=150,
+                   phases=(Phase.generate, Phase.shrink), suppress_health_check=list(HealthCheck))
+# All that frames are made of: those of a fleet go over links of keepers, gateways and operators.
+HALLS = halls._KINDS
+FLEET = (*consensus.KINDS, *rules.KINDS, keeper.Alive)
+
+
+def value(kind: Any) -> some.SearchStrategy:
+    """Values of a type as msgspec describes it, within its bounds."""
+    of = msgspec.inspect
+    if isinstance(kind, of.IntType):
+        low = kind.ge if kind.ge is not None else -2**63 if kind.gt is None else kind.gt + 1
+        high = kind.le if kind.le is not None else 2**63 - 1 if kind.lt is None else kind.lt - 1
+        return some.integers(low, high)
+    if isinstance(kind, of.FloatType):
+        return some.floats(kind.ge, kind.le, allow_nan=False, allow_infinity=False)
+    if isinstance(kind, of.BoolType):
+        return some.booleans()
+    if isinstance(kind, of.StrType):
+        longest = min(20, kind.max_length or 20)
+        return (some.from_regex(kind.pattern.replace("$", r"\Z"), fullmatch=True) if kind.pattern
+                else some.text(min_size=kind.min_length or 0, max_size=longest))
+    if isinstance(kind, of.BytesType):
+        return some.binary(min_size=kind.min_length or 0, max_size=min(50, kind.max_length or 50))
+    if isinstance(kind, of.ListType):
+        return some.lists(value(kind.item_type), max_size=4)
+    if isinstance(kind, of.VarTupleType):
+        return some.lists(value(kind.item_type), max_size=4).map(tuple)
+    if isinstance(kind, of.TupleType):
+        return some.tuples(*map(value, kind.item_types))
+    if isinstance(kind, of.DictType):
+        return some.dictionaries(value(kind.key_type), value(kind.value_type), max_size=3)
+    if isinstance(kind, of.UnionType):
+        return some.one_of([value(one) for one in kind.types])
+    if isinstance(kind, of.NoneType):
+        return some.none()
+    if isinstance(kind, of.LiteralType):
+        return some.sampled_from(kind.values)
+    assert isinstance(kind, of.StructType), kind
+    return some.builds(kind.cls, **{field.name: value(field.type) for field in kind.fields})
+
+
+def made(*kinds: type) -> some.SearchStrategy:
+    return some.one_of([value(msgspec.inspect.type_info(kind)) for kind in kinds])
+
+
+def almost(right: some.SearchStrategy) -> some.SearchStrategy:
+    """Bytes that are right but for some of them: changed, left out, doubled, or put in."""
+    def changed(given: tuple[bytes, list[tuple[int, int, bytes]]]) -> bytes:
+        data, changes = given
+        for at, left_out, put_in in changes:
+            at %= len(data) + 1
+            data = data[:at] + put_in + data[at + left_out:]
+        return data
+
+    change = some.tuples(some.integers(0, 2**16), some.integers(0, 3), some.binary(max_size=4))
+    return some.tuples(right, some.lists(change, max_size=3)).map(changed)
+
+
+def cut(data: bytes, sizes: list[int]) -> list[bytes]:
+    found, at = [], 0
+    for size in sizes:
+        found.append(data[at:at + size])
+        at += size
+    return [*found, data[at:]]
+
+
+CUTS = some.lists(some.integers(0, 40), max_size=8)
+NAMES = some.from_regex(r"[0-9a-f]{16}", fullmatch=True)
+REQUESTS = some.builds(
+    lambda name, number, statement, mark: call(id=number, params={
+        "req": name, "opkey": mark, "data": base64.b64encode(statement).decode()}),
+    NAMES, some.integers(1, 2**63 - 1), some.binary(min_size=1, max_size=60),
+    some.from_regex(r"[0-9A-Za-z_.:-]{0,16}", fullmatch=True))
+ANSWERS = some.builds(array, some.binary(max_size=64), some.sampled_from(sorted(resp.WORDS)),
+                      some.sampled_from((b"-", b"sheets=2", b"sheet=1", b"load=util:0.5;inflight:2")),
+                      some.binary(max_size=60))
+EVENTS = some.builds(lambda number, kind, records: frame(number, kind, *records), some.integers(0, 2**64 - 1),
+                     some.sampled_from((1, 2)), some.lists(some.tuples(
+                         some.integers(0, 2**32 - 1), some.integers(0, 2**32 - 1), some.integers(0, 65_535),
+                         some.integers(0, 2), some.integers(0, 255), some.integers(0, 255),
+                         some.integers(0, 65_535), some.integers(0, 2**32 - 1), some.integers(0, 2**50)),
+                         max_size=3))
+
+
+class AnyBytes(TraceCase):
+    """Arbitrary and almost right bytes in any pieces: the stated error or values, memory within a bound."""
+
+    def read(self, feed: Callable[[bytes], list], data: bytes, sizes: list[int], error: type[Exception],
+             kept: Callable[[], int], most: int) -> list | None:
+        """What comes of it; None where the reader says that it can't be read."""
+        found = []
+        try:
+            for piece in cut(data, sizes):
+                found += feed(piece)
+                self.assertLessEqual(kept(), most)
+        except error:
+            return None
+        return found
+
+    def test_requests(self) -> None:
+        @usually
+        @given(almost(REQUESTS) | some.binary(max_size=80))
+        def never_fails(line: bytes) -> None:
+            try:
+                rpc.decode(line, frozenset(("report",)))
+            except rpc.MalformedError as trouble:
+                self.assertTrue(trouble.number is None or trouble.number >= 1)
+
+        @usually
+        @given(REQUESTS)
+        def round_trip(line: bytes) -> None:
+            number, query = rpc.decode(line, frozenset(("report",)))
+            told = json.loads(line)
+            self.assertEqual((told["id"], told["params"]["req"], base64.b64decode(told["params"]["data"])),
+                             (number, query.name, query.statement))
+            answer = json.loads(rpc.fulfilled(number, query.statement))
+            self.assertEqual(query.statement, base64.b64decode(answer["result"]["data"]))
+
+        never_fails()
+        round_trip()
+
+    def test_a_connection_of_lines(self) -> None:
+        """What is taken does not rest on how it is cut; nothing but half a line is kept."""
+        def talked(data: bytes, sizes: list[int]) -> list[str]:
+            lines: list[str] = []
+            front = type("Front", (), {
+                "take": lambda self, talk, number, query: lines.append(f"{number} {query}"),
+                "withdraw": lambda self, talk, number, name: lines.append(f"withdraw {number} {name}"),
+                "gone": lambda self, talk: lines.append("gone")})()
+            wire = type("Wire", (), {"waiting": b"", "put": lambda self, line: lines.append(line.decode())})()
+            house = House(frozenset(("report",)), front, lambda: 1, 1, lambda: 0, Counters(), lambda *_: None)
+            talk = Talk(house, wire)
+            for piece in cut(data, sizes):
+                if talk.receive(piece) is not Next.READ:
+                    break
+                self.assertEqual(house.unfinished, len(talk._buffer))
+                self.assertNotIn(b"\n", talk._buffer)
+            talk.gone()
+            self.assertEqual(0, house.unfinished)
+            return lines
+
+        @usually
+        @given(some.lists(almost(REQUESTS) | some.binary(max_size=20), max_size=4).map(b"\n".join), CUTS)
+        def any_cut(data: bytes, sizes: list[int]) -> None:
+            self.assertEqual(talked(data, []), talked(data, sizes))
+
+        any_cut()
+
+    def test_answers(self) -> None:
+        most = 64 + 16 + 1024 + 6_000 + 4 + 4 * 9 + 2 * 4  # the longest of each part, with what is round it
+
+        @usually
+        @given(almost(some.lists(ANSWERS, max_size=3).map(b"".join)) | some.binary(max_size=60), CUTS)
+        def never_fails(data: bytes, sizes: list[int]) -> None:
+            reader = resp.Answers()
+            self.read(reader.feed, data, sizes, resp.BrokenError, lambda: len(reader._buffer), most)
+
+        @usually
+        @given(some.lists(ANSWERS, max_size=3), CUTS)
+        def any_cut(answers: list[bytes], sizes: list[int]) -> None:
+            data = b"".join(answers)
+            whole, pieces = resp.Answers(), resp.Answers()
+            found = self.read(whole.feed, data, [], resp.BrokenError, lambda: len(whole._buffer), 0)
+            told = self.read(pieces.feed, data, sizes, resp.BrokenError, lambda: len(pieces._buffer), most)
+            self.assertEqual(found, told)
+            if found is not None:
+                self.assertEqual((len(answers), False), (len(found), pieces.begun()))
+
+        never_fails()
+        any_cut()
+
+    def test_events(self) -> None:
+        @usually
+        @given(almost(some.lists(EVENTS, max_size=3).map(b"".join)) | some.binary(max_size=60), CUTS)
+        def never_fails(data: bytes, sizes: list[int]) -> None:
+            reader = frames.Frames()
+            self.read(reader.feed, data, sizes, known.MalformedError, lambda: len(reader._buffer), 4_000_004)
+
+        @usually
+        @given(some.lists(EVENTS, max_size=3), CUTS)
+        def any_cut(events: list[bytes], sizes: list[int]) -> None:
+            whole, pieces = frames.Frames(), frames.Frames()
+            found = whole.feed(b"".join(events))
+            told = [one for piece in cut(b"".join(events), sizes) for one in pieces.feed(piece)]
+            self.assertEqual(found, told)
+            self.assertEqual([struct.unpack_from(">Q", one, 4)[0] for one in events],
+                             [one.number for one in found])
+
+        never_fails()
+        any_cut()
+
+    def test_frames(self) -> None:
+        """Of links between halls, and of a fleet's."""
+        def checked(kinds: tuple[type, ...]) -> None:
+            @usually
+            @given(almost(some.lists(made(*kinds).map(encode), max_size=3).map(b"".join))
+                   | some.binary(max_size=60), CUTS)
+            def never_fails(data: bytes, sizes: list[int]) -> None:
+                reader = Frames(kinds)
+                self.read(reader.feed, data, sizes, BrokenError, lambda: len(reader._buffer), LONGEST + 4)
+
+            @usually
+            @given(some.lists(made(*kinds), max_size=3), CUTS)
+            def round_trip(told: list, sizes: list[int]) -> None:
+                reader, data = Frames(kinds), b"".join(map(encode, told))
+                self.assertEqual(told, [one for piece in cut(data, sizes) for one in reader.feed(piece)])
+                self.assertEqual(0, len(reader._buffer))
+
+            never_fails()
+            round_trip()
+
+        checked(HALLS)
+        checked(FLEET)
+
+    def test_kept_records(self) -> None:
+        @usually
+        @given(made(record.Record), some.integers(0, 2**64 - 1))
+        def round_trip(given: record.Record, serial: int) -> None:
+            try:
+                data = record.encoded(given, serial)
+            except record.UnusableError:
+                return
+            self.assertEqual((serial, given), record.decoded(data, given.owner))
+            with self.assertRaises(record.UnusableError):
+                record.decoded(data[:-1], given.owner)
+
+        @usually
+        @given(almost(made(record.Record).map(lambda one: record.encoded(one, 7))) | some.binary(max_size=60))
+        def never_fails(data: bytes) -> None:
+            try:
+                record.decoded(data, "n0")
+            except record.UnusableError as trouble:
+                self.assertNotIn("\n", str(trouble))
+
+        round_trip()
+        never_fails()
+
+    def test_operators_files(self) -> None:
+        right = [path.read_text() for path in sorted(Path(__file__).parent.parent.glob("deploy/*.conf"))]
+        words = some.sampled_from(sorted({word for text in right for word in text.split()}))
+        line = some.builds(lambda indent, found: indent + " ".join(found), some.sampled_from(("", "    ")),
+                           some.lists(words, max_size=4))
+
+        @usually
+        @given(almost(some.sampled_from(right).map(str.encode)).map(lambda one: one.decode(errors="replace"))
+               | some.text(max_size=80) | some.lists(line, max_size=8).map("\n".join))
+        def never_fails(text: str) -> None:
+            try:
+                self.assertIsInstance(operator.parse("FILE", text), operator.Operator)
+            except conf_lines.UnusableError as trouble:
+                self.assertTrue(all(fault.startswith("FILE:") for fault in trouble.faults))
+
+        never_fails()
