--- a/cresstray/kept/belief.py
+++ b/cresstray/kept/belief.py
@@ -64,6 +64,7 @@
     due: int = 0  # when it may be tried
     failed: int = 0  # trials in a row
     listed: bool = False  # the module may send to it
+    since: int = 0  # the start that it was listed with on no word but ours
     drained: int = 0  # when its drain was first told to this process; 0: it was not
 
 
@@ -97,9 +98,16 @@
     # What lists of others than the register say: each engine with the age of what is known of it.
 
     def remembered(self, given: Iterable[tuple[Member, int]], number: int, tombs: list[Tomb], source: Source,
-                   now: int, handed: bool = False) -> None:
-        """`number`: the register's, when the list was made. What this process knows better stays."""
-        self.tombs.restore([tomb for tomb in tombs if self._older(tomb)], now)
+                   now: int, handed: bool = False) -> list[Member]:
+        """`number`: the register's, when the list was made. What this process knows better stays.
+
+        What is to be listed because of it: who was listed on trial and is gone by the word in it.
+        """
+        buried = [self.engines[tomb.id].member for tomb in tombs
+                  if self._older(tomb) and tomb.id in self.engines and self.engines[tomb.id].listed]
+        for tomb in filter(self._older, tombs):
+            self._drop(tomb.id)
+            self.tombs.bury(tomb.id, tomb.started, tomb.number, now, tomb.lived)
         if source is Source.DISK:
             self.numbers.highest = max(self.numbers.highest, number)
             self.handed = handed
@@ -112,10 +120,13 @@
         for last in range(len(self._order) - 1, 0, -1):
             other = int(self._chance() * (last + 1))
             self._order[last], self._order[other] = self._order[other], self._order[last]
+        return [_gone(member) for member in buried]
 
     def _older(self, tomb: Tomb) -> bool:
+        # Danger: a successor lists by what the one before wrote last but one. The register's word in the last
+        # write, that an engine is gone, counts before whatever listens or serves there.
         belief = self.engines.get(tomb.id)
-        return belief is None or belief.state in (State.REMEMBERED, State.CONTRADICTED)
+        return belief is None or belief.state is not State.TOLD and belief.member.started <= tomb.started
 
     def _remember(self, member: Member, age: int, number: int, source: Source, now: int) -> bool:
         known = self.engines.get(member.id)
@@ -129,7 +140,9 @@
             return False  # the address has gone to another one, of which more is known
         # Danger: a drain of the list is over or not, nobody here knows. A grace after our start it is.
         due = now + self._grace if member.standing is Standing.DRAINING else now
-        self._put(Belief(member, State.REMEMBERED, source, now - age, due))
+        # Danger: whoever wrote this saw it well, and this process has seen it refuse since: it may start anew.
+        failed = 0 if known is None else known.failed
+        self._put(Belief(member, State.REMEMBERED, source, now - age, max(due, known.due if failed else 0), failed))
         self.tombs.raised(member.id)
         return True
 
@@ -149,9 +162,10 @@
             elif not (self.tombs.bars(member.id, member.started, event.number)
                       or self._outdated(member, event.number)):
                 members += self._claim(member, named, event.number, now)
-                self._put(self._told(member, now))
+                started = self._started(member, event.number, now)
+                self._put(self._told(member, started, now))
                 self.tombs.raised(member.id)
-                members.append(member)
+                members.append(msgspec.structs.replace(member, started=started))
         if whole:
             for engine in [engine for engine in self.engines if engine not in named]:
                 self._bury(engine, 0, event.number, now)
@@ -164,13 +178,28 @@
         known = self.engines.get(member.id)
         return number < self.numbers.highest and known is not None and known.member.started > member.started
 
-    def _told(self, member: Member, now: int) -> Belief:
+    def _started(self, member: Member, number: int, now: int) -> int:
+        """Since when the module may take it to be up.
+
+        Danger: a register that was down, or is behind, names starts from before a loss of power. All gateways
+        hear of it at once, and would push engines that are still cold.
+        """
+        known = self.engines.get(member.id)
+        if known is not None and known.listed:
+            return max(member.started, known.since)
+        # Danger: one that refused us is asked again by now, and still is as cold.
+        if number < self.numbers.highest or known is not None and known.failed:
+            return max(member.started, now)
+        return member.started
+
+    def _told(self, member: Member, started: int, now: int) -> Belief:
         known, drained = self.engines.get(member.id), 0
         if member.standing is Standing.DRAINING:
             # Said again, it is the same drain; its grace counts from when this process first heard of it.
             same = known and known.state is State.TOLD and known.member.started == member.started
             drained = known.drained if same and known.drained else now
-        return Belief(member, State.TOLD, Source.REGISTER, now, listed=True, drained=drained)
+        return Belief(member, State.TOLD, Source.REGISTER, now, listed=True, drained=drained,
+                      since=started if started != member.started else 0)
 
     def _claim(self, member: Member, named: set[int], number: int, now: int) -> list[Member]:
         """Whoever was believed at this address, and is not told of together with the one that has it now."""
@@ -260,8 +289,8 @@
         # on, unless it was seen warm a few seconds ago by the gateway that handed over.
         warm = (self.handed and now - self.begun < HANDED and belief.failed == 0
                 and belief.member.standing is Standing.READY)
-        started = belief.member.started if warm else now
-        return [msgspec.structs.replace(belief.member, standing=Standing.READY, started=started)]
+        belief.since = belief.member.started if warm else now
+        return [msgspec.structs.replace(belief.member, standing=Standing.READY, started=belief.since)]
 
     # What it means for work.
 
--- a/cresstray/kept/learnt.py
+++ b/cresstray/kept/learnt.py
@@ -10,9 +10,11 @@
 from cresstray.kept.record import Limit, Tariff
 from cresstray.logic import Gateway, Limiter
 
-# A tariff of which fewer than five answers are known weighs its soft limit on a cold engine. Danger: one that
-# was light a month ago may be heavy now; below a quarter of the trust the module starts knowing nothing.
-_TRUSTED = 0.25
+# Danger: a tariff with fewer than five known answers weighs its soft limit on a cold engine. With many
+# gateways that alone may be over our part: nothing at all would be sent until engines must be warm. Of an old
+# list as few as that count, so that if it has become heavy since, the first answers tell. Until they come a
+# listed engine gets half of our part, and bears work half as heavy again as it was: docs/kept.md.
+_KNOWN = 5
 # A remembered engine that nobody has spoken for gets its first work within two turns of a cold one, not one.
 _TRIAL_SHARE = 0.5
 
@@ -30,16 +32,16 @@
 
 
 def put_tariffs(gateway: Gateway, names: Iterable[str], kept: Iterable[Tariff], age: int) -> int:
-    """Into tariffs that have seen nothing yet; how many."""
+    """Into tariffs that have seen nothing yet, unless nobody knows how old they are; how many."""
     of, put, left = {one.name: one for one in kept}, 0, weight(age, TIMES)
     for name, tariff in zip(names, gateway.tariffs):
         usual, one = tariff.usual, of.get(name)
-        if one is None or usual.seen or left < _TRUSTED:
+        if one is None or usual.seen or one.seen < _KNOWN or not left:
             continue
-        usual.mean = faded(one.mean, usual.mean, age, TIMES)
-        usual.estimate, usual.factor = one.estimate, faded_ratio(one.factor, age, TIMES)
+        usual.mean, usual.estimate = one.mean, one.estimate
+        usual.factor = faded_ratio(one.factor, age, TIMES)
         # Fewer count for as much: what is answered from now on moves it sooner.
-        usual.seen = int(min(one.seen, 200) * left)
+        usual.seen = max(_KNOWN, int(min(one.seen, 200) * left))
         put += 1
     return put
 
--- /dev/null
+++ b/tests/test_cold_start.py
@@ -0,0 +1,304 @@
+"""Starts with nobody to ask, as processes: docs/kept.md's hard cases, and the power loss in virtual time."""
+
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from unittest import mock
+
+import anyio
+
+from benchmarks import cold_start
+from cresstray.kept import record
+from cresstray.kept.record import Tariff
+from cresstray.lab.cold import SECOND, Cold, to_ninety
+from cresstray.standins import world
+from cresstray.standins.account import PROMISES
+from cresstray.standins.clients import draw
+from cresstray.standins.cold import Fragile, Plan, Register
+from cresstray.standins.coordinator import ZONES
+from cresstray.standins.world import KINDS, Gateway, Hall, World
+from tests import test_kept_join as join
+
+DAY = 86_400
+KEPT_WITHIN = 8
+# Runs a gateway whose folder can't be written to, or whose machine has started anew with a clock set back.
+LAUNCH = {
+    "read-only": """
+def opened(path, flags, mode=0o777, real=files.System.open):
+    if flags & (os.O_WRONLY | os.O_RDWR):
+        raise OSError(errno.EROFS, os.strerror(errno.EROFS))
+    return real(path, flags, mode)
+files.System.open = staticmethod(opened)
+""",
+    "set back": """
+def moment(real=files.moment):
+    now = real()
+    return now._replace(wall=now.wall - 86_400_000_000, boot="another", ticked=5_000_000)
+files.moment = moment
+"""}
+
+
+class Odd(Gateway):
+    """One gateway's process, in a world that is not as it should be."""
+
+    how = ""
+
+    def start(self) -> None:
+        code = ("import errno, os, runpy\nfrom cresstray.kept import files\n" + LAUNCH[self.how]
+                + "runpy.run_module('cresstray', run_name='__main__', alter_sys=True)\n")
+        with open(self.folder / f"{self.name}.log", "a") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-O", "-c", code], stderr=log, stdout=log,
+                env=world.os.environ | {"GW_CONFIG": str(self.folder / f"{self.name}.json"),
+                                        "GW_OPERATOR": str(self.folder / f"{self.name}.conf")})
+
+
+class Lists(unittest.TestCase):
+    """Two gateways, two dozen engines that fall when pushed, lists of some age, a register that returns."""
+
+    def started(self, age: float | None, changed: float, seconds: float, **more: object) -> dict:
+        usual = [Tariff(kind.name, 50, *[kind.work / kind.threads * 1e6] * 2, 1.0) for kind in KINDS]
+        left = {name: record.Record(
+            owner=name, wall=0, boot="", ticked=0, number=0, handed=False, zones=list(ZONES),
+            machines=["std"], engines=[], tombs=[], tariffs=usual, limits=[], marks=[])
+            for name in ("g0", "g1")}
+        with tempfile.TemporaryDirectory() as place:
+            for name in left:
+                (Path(place) / f"kept-{name}").mkdir()
+            return anyio.run(lambda: cold_start.start(Path(place), left, age, changed, seconds, 3, 2, **more))
+
+    def test_a_week_old_list_and_a_register_that_contradicts_it(self) -> None:
+        made = self.started(7 * DAY, 0.5, 2.0)
+        told = made["told"]
+        self.assertEqual({}, {name: count for name, count in made["promises"].items() if count})
+        self.assertEqual((0, 0), (told["late"], told["fallen"]))
+        self.assertTrue(0 < told["peak"] < cold_start.PEAK)
+        # Fifteen of 24 are where the list has them, the register's return brings the others; one is gone.
+        self.assertGreater(made["payoff"], 0.3)
+        self.assertEqual((1, 0), (sum(got == 0 for got in told["got"]), told["got"][-1]))
+
+    def test_strangers_are_found_out_by_what_may_be_asked_twice(self) -> None:
+        strangers = self.started(7 * DAY, 0.5, 2.0, after=0)["told"]["strangers"]
+        self.assertGreater(sum(strangers.values()), 0)
+        self.assertNotIn("ledger-post", strangers)
+
+    def test_without_a_list_what_is_gone_is_sent_to_and_counted(self) -> None:
+        self.assertGreater(self.started(None, 0.0, 0.5, after=0, trusts=True)["told"]["late"], 0)
+
+
+class Halls(World):
+    """Both halls' gateways keep lists; their engines fall when pushed cold, their registers can be down."""
+
+    def _write(self, hall: Hall, given: dict, link: str) -> None:
+        hall.coordinator._listener.close()
+        hall.coordinator = Register(world._free_port())
+        hall.coordinator.known = {}
+        given["Safety"]["WarmUp"] = 4000
+        super()._write(hall, given, link)
+        for gateway in hall.gateways:
+            kept = self._folder / f"kept-{gateway.name}"
+            kept.mkdir()
+            with open(self._folder / f"{gateway.name}.conf", "a") as file:
+                file.write(f"kept {kept}\n")
+
+    def registers(self, number: int) -> None:
+        for hall in self.halls.values():
+            hall.coordinator.up(number, list(hall.listed.values()))
+
+
+class PowerLoss(unittest.TestCase):
+    def test_all_gateways_of_both_halls_restart_at_once_on_cold_engines(self) -> None:
+        mean = sum(kind.share * kind.work for kind in KINDS)
+        plan = Plan(4, bears=4 * 0.85 * 0.9 / mean, work=mean, warm_up=4.0)
+
+        async def main(folder: Path) -> None:
+            halls = Halls(folder)
+            gateways = [one for hall in halls.halls.values() for one in hall.gateways]
+            halls.registers(1000)
+            async with halls.up():
+                await halls.play({hall: draw(KINDS, [(0.0, 150.0)], 1.5, at)
+                                  for at, hall in enumerate(halls.halls)}, [], 0.3)
+                for gateway in gateways:
+                    await gateway.stop()
+                engines = [engine for hall in halls.halls.values() for engine in hall.engines]
+                for hall in halls.halls.values():
+                    hall.coordinator.down()
+                for engine in engines:
+                    engine.die()
+                await anyio.sleep(0.1)
+                for engine in engines:
+                    engine.start_again()
+                    engine.peak, engine.got = 0.0, 0
+                for file in folder.glob("kept-*/engines.?"):
+                    self.age(file)
+                for gateway in gateways:
+                    gateway.start()
+                for gateway in gateways:
+                    await gateway.ready()
+                halls.account.asked.clear()
+                halls.account.runs.clear()
+                await halls.play({hall: draw(KINDS, [(0.0, 100.0)], 3.0, 5 + at)
+                                  for at, hall in enumerate(halls.halls)},
+                                 [(2.0, lambda: halls.registers(1001))], 2.0)
+                self.assertEqual(dict.fromkeys(PROMISES, 0), halls.account.promises(anyio.current_time()))
+                self.assertEqual(0, sum(engine.fallen for engine in engines))
+                peaks = [engine.peak for engine in engines]
+                self.assertTrue(0 < min(peaks) and max(peaks) < cold_start.PEAK, peaks)
+                for hall, share in halls.account.payoff().items():
+                    self.assertGreater(share, 0.6, hall)
+                for hall in halls.halls.values():
+                    hall.coordinator.down()
+            for gateway in gateways:
+                self.assertIn("remembers 4 engines", (folder / f"{gateway.name}.log").read_text())
+                self.assertEqual(0, gateway.process.returncode)
+
+        with tempfile.TemporaryDirectory() as place, mock.patch.object(
+                world, "Engine", lambda label, _, marks, account, most: Fragile(label, plan, marks, account)):
+            anyio.run(main, Path(place))
+
+    def age(self, file: Path) -> None:
+        """As before a loss of power: by another boot's clock, and not handed over."""
+        name = file.parent.name.removeprefix("kept-")
+        kept = cold_start.Folder(str(file.parent), name)
+        left = kept.read().record
+        self.assertTrue(kept.lock())
+        kept.write(cold_start.msgspec.structs.replace(left, boot="before", handed=False, marks=[]))
+        kept.unlock()
+
+    def test_in_virtual_time_none_falls_and_nothing_goes_to_who_is_gone(self) -> None:
+        before = Cold(3, 10, 24, None, 0.5, 4.0).run(8)
+        after = [Cold(3, 10, 24, 7 * DAY * SECOND, 0.5, 4.0).run(8) for _ in range(2)]
+        self.assertEqual(*after)
+        self.assertEqual((0, 0), (after[0].known_gone, after[0].fallen))
+        self.assertTrue(after[0].strangers > 0 and 0 < after[0].peak < 1.6)
+        self.assertTrue(before.share < 0.5 < 0.8 < after[0].share <= after[0].share_bound, after[0])
+        # Work that is half as heavy again as when it was learnt, and more of it than all can do.
+        self.assertEqual(0, Cold(3, 10, 24, 7 * DAY * SECOND, 0.0, 4.0, 1.2, 1.5).run(4).fallen)
+
+    def test_a_register_that_is_behind_pushes_no_cold_engine(self) -> None:
+        """Back in a second, with starts from before the loss of power; more is asked than all can do."""
+        told = Cold(3, 10, 24, 10 * SECOND, 0.0, 1.0, load=1.5).run(4)
+        self.assertEqual((0, 0), (told.fallen, told.known_gone))
+        self.assertGreater(told.peak, 0)
+        with mock.patch("cresstray.kept.belief.Beliefs._started", lambda self, member, *_: member.started):
+            self.assertGreater(Cold(3, 10, 24, 10 * SECOND, 0.0, 1.0, load=1.5).run(4).fallen, 0)
+
+    def test_engines_fall_where_nobody_minds_that_they_are_cold(self) -> None:
+        with mock.patch("cresstray.logic.Gateway._cold_room", lambda *_: True):
+            self.assertGreater(Cold(3, 10, 24, 10 * SECOND, 0.0, 4.0, load=2.0).run(3).fallen, 0)
+
+    def test_seconds_to_nine_tenths(self) -> None:
+        could = [1.0] * 20
+        self.assertEqual(0.0, to_ninety(could, could, 0.5))
+        self.assertEqual(0.5, to_ninety([0.0, 0.6] + [1.0] * 18, could, 0.5))
+        # A dip of half a second is none in five; one of two seconds is.
+        self.assertEqual(0.0, to_ninety([1.0] * 10 + [0.1] + [1.0] * 9, could, 0.5))
+        self.assertEqual(4.0, to_ninety([1.0] * 6 + [0.5] * 4 + [1.0] * 10, could, 0.5))
+        self.assertIsNone(to_ninety([1.0] * 17 + [0.5] * 3, could, 0.5))
+
+
+class Folders(unittest.TestCase):
+    def play(self, scene: Callable[[join.Stage], Awaitable], draining: bool = False) -> None:
+        """A gateway has been told of four engines, one of them draining or gone, and was killed."""
+        async def main() -> None:
+            with tempfile.TemporaryDirectory() as folder:
+                stage = join.Stage(folder)
+                async with anyio.create_task_group() as tasks:
+                    for engine in stage.engines:
+                        tasks.start_soon(engine.run)
+                    stage.listed[2].state = "terminating" if draining else "in_service"
+                    try:
+                        await stage.first(tasks)
+                        await stage.on_disk([1, 2, 3], [4])
+                        stage.gateway.kill()
+                        await scene(stage)
+                        await stage.gateway.stop()
+                        self.assertEqual(0, stage.gateway.process.returncode)
+                        self.assertNotIn("Traceback", stage.log())
+                    finally:
+                        if stage.gateway.lives():
+                            stage.gateway.kill()
+                        tasks.cancel_scope.cancel()
+        anyio.run(main)
+
+    def odd(self, stage: join.Stage, how: str) -> None:
+        stage.gateway = Odd("g0", stage.path)
+        stage.gateway.how = how
+
+    def files(self, stage: join.Stage) -> dict[str, bytes]:
+        return {file.name: file.read_bytes() for file in stage.kept.glob("engines.*")}
+
+    def test_a_folder_that_cannot_be_written_costs_freshness_only(self) -> None:
+        async def scene(stage: join.Stage) -> None:
+            before = self.files(stage)
+            self.odd(stage, "read-only")
+            await stage.start()
+            await stage.served(12, 5)
+            await anyio.sleep(2.5)  # beyond the first write
+            await stage.served(1, 1)
+            self.assertEqual(before, self.files(stage))
+            self.assertIn("can't be written: Read-only file system", stage.log())
+            self.assertIn("remembers 3 engines", stage.log())
+
+        self.play(scene)
+
+    def test_a_clock_set_back_by_a_day_after_a_power_loss(self) -> None:
+        async def scene(stage: join.Stage) -> None:
+            self.odd(stage, "set back")
+            await stage.start(known=True)  # the configuration still names the one that is gone
+            before = stage.got()
+            await stage.served(12, 5)
+            self.assertEqual(before[3], stage.got()[3], "a clock has raised the dead")
+            self.assertIn("remembers 3 engines and 0 tariffs, of an unknown age", stage.log())
+
+        self.play(scene)
+
+    def test_two_processes_on_one_folder(self) -> None:
+        async def scene(stage: join.Stage) -> None:
+            await stage.start()
+            first, stage.gateway = stage.gateway, Gateway("g0", stage.path)
+            try:
+                await stage.start()
+                await stage.served(4, 5)
+                with anyio.fail_after(KEPT_WITHIN):
+                    while "another process keeps this folder" not in stage.log():
+                        await anyio.sleep(0.1)
+                self.assertTrue(first.lives())
+                before = self.files(stage)
+                stage.gateway.kill()  # it takes nothing with it
+                self.assertEqual(before, self.files(stage))
+                stage.gateway = first
+                await stage.served(4, 5)
+                await stage.gateway.stop()
+                found = join.Folder(str(stage.kept), "g0").read()
+                self.assertEqual((True, []), (found.record.handed, found.skipped))
+            finally:
+                if first.lives():
+                    first.kill()
+
+        self.play(scene)
+
+    def test_draining_when_it_was_written_and_started_anew_since(self) -> None:
+        async def scene(stage: join.Stage) -> None:
+            engine, grace = stage.engines[2], 1.0
+            engine.die()
+            await anyio.sleep(0.05)
+            engine.start_again()
+            before, begun = engine.got, await stage.start()
+            while time.monotonic() < begun + 0.9 * grace:
+                await stage.served(1, 5)
+            self.assertEqual(before, engine.got, "asked before its drain must be over")
+            await anyio.sleep(max(0.0, begun + grace + 0.5 - time.monotonic()))
+            await stage.served(24, 5)
+            self.assertGreater(engine.got, before)
+            self.assertIn("remembers 3 engines", stage.log())
+
+        self.play(scene, draining=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
