--- /dev/null
+++ b/cresstray/check/crossing.py
@@ -0,0 +1,594 @@
+"""Two gateways with an engine each, the link between them, and submissions that may cross.
+
+Modules, stages, both ends of the link, ledgers, credit and health are the real ones; the network carries
+their frames one by one and may fall silent, be cut at every boundary between two, and heal; the far gateway
+may start anew. The near engine drains at first, so that what comes crosses, and is back at any moment. The
+worlds: `halls`, of two submissions; `resumed`, of one; `leases`, of one and more faults.
+"""
+
+from __future__ import annotations
+
+import copyreg
+from collections.abc import Callable
+from functools import cache
+from sys import intern
+from typing import Any, NamedTuple
+
+from cresstray.check.patching import Mutant, lines
+from cresstray.check.world import Bounds, VirtualClock, VirtualTimers, digest, freeze
+from cresstray.counters import Counters
+from cresstray.engines.codec import Answer
+from cresstray.engines.exchanges import Exchange
+from cresstray.halls import codec, ledger
+from cresstray.halls.codec import BrokenError
+from cresstray.halls.credit import Credit, Share
+from cresstray.halls.decide import AHEAD, Way
+from cresstray.halls.ends import Place
+from cresstray.halls.health import Health
+from cresstray.halls.inward import Inward
+from cresstray.halls.outward import Outward
+from cresstray.interface import Engine, Standing
+from cresstray.logic import Gateway
+from cresstray.passage.across import Across
+from cresstray.passage.admit import Admit
+from cresstray.passage.book import Book
+from cresstray.passage.port import SocketPort
+from cresstray.passage.relay import Back
+from cresstray.passage.route import Route
+from cresstray.passage.send import Send
+from cresstray.passage.take_in import TakeIn
+
+# Clocks of two halls are never compared: the far one is four minutes ahead.
+START, AHEAD_BY = 1_000_000_000_000, 240_000_000
+MILLI = 1_000
+# Leases of some ticks, so that they end within a submission's time; ticks where the modules sweep.
+_TICK, _BEAT, _SLOW, _LEASE, _HEAL = 100 * MILLI, 200 * MILLI, 250 * MILLI, 500 * MILLI, 100 * MILLI
+
+
+class Asked(NamedTuple):
+    name: str
+    tariff: str
+    patience: int  # milliseconds
+
+
+# One that may not run again, and one that engines know again.
+ASKED = Asked("a", "post", 1200), Asked("b", "put", 1600)
+_EFFECTS = {"post": "at_most_once", "put": "deduplicated"}
+
+
+class Given(dict):
+    """Settings, the same in all states: a copy holds no more than where they are."""
+
+    part: str
+
+    def __reduce__(self) -> tuple:
+        return _given, (self.part,)
+
+
+@cache
+def _given(part: str) -> Given:
+    made = {
+        "FamilyInfo": {"CpuOfKind": [4]}, "Safety": {}, "Limits": {"MaxAttempts": 3, "Cancel": True},
+        "Services": [{"Name": name, "Effect": effect, "GoalTime": 400, "GiveUp": 5000, "Worth": 1,
+                      "Group": "all", "KeyTtl": 20_000, "LateValue": 0.5}
+                     for name, effect in _EFFECTS.items()]}
+    parts = ("FamilyInfo", "Safety", "Limits")
+    found = Given(made[part] if part in parts else {
+        "Balancers": 1, "CrossingAhead": AHEAD / 1000, "Services": made["Services"],
+        **{one: _given(one) for one in parts}})
+    found.part = part
+    return found
+
+
+def _frames(left: bytes) -> codec.Frames:
+    made = codec.Frames()
+    made._buffer += left
+    return made
+
+
+# What reads frames can't be written down, and all of it but what is left of a frame is the same everywhere.
+copyreg.pickle(codec.Frames, lambda frames: (_frames, (bytes(frames._buffer),)))
+
+
+class Uncounted(Counters):
+    """What must hold is asserted; counts would part states that are otherwise the same."""
+
+    def add(self, name: str, amount: int = 1) -> None:
+        """Nothing."""
+
+
+class NoLog:
+    def say(self, kind: str, text: str) -> None:
+        """Nothing."""
+
+
+def fixed() -> float:
+    """The modules' chance."""
+    return 0.5
+
+
+def _nothing(*_: object) -> None:
+    """What is said for operators, and wakes what ticks here by itself."""
+
+
+class Query:
+    def __init__(self, asked: Asked) -> None:
+        self.name, self.tariff, self.patience = asked.name * 16, asked.tariff, asked.patience
+        self.tenant, self.mark, self.statement = "", asked.name, b"select 1"
+        self.estimate = self.megabytes = 0.0
+
+
+class Account:
+    """What the world knows of one submission by what went over its seams."""
+
+    __slots__ = ("asked", "stop", "over", "crossed", "out", "may_have_run")
+
+    def __init__(self, asked: Asked) -> None:
+        self.asked = asked
+        self.stop = 0
+        self.over = ""  # how it was answered, or "left"
+        self.crossed = 0  # offers
+        self.out: list[str] = []  # halls whose engine has it
+        self.may_have_run = False
+
+
+class Asker:
+    """The clients, all at the near hall."""
+
+    def __init__(self, world: Halls) -> None:
+        self._world = world
+        self.open: dict[int, object] = {}
+
+    def _told(self, number: int, how: str) -> Account:
+        del self.open[number]
+        account = self._world.accounts[number - 1]
+        self._world.answered(account, how)
+        return account
+
+    def fulfil(self, number: int, result: bytes, at: str | None = None) -> None:
+        account = self._told(number, "fulfilled")
+        if result != _row(account.asked.name):
+            self._world.breaks("own_name", f"{account.asked.name} is answered with {result!r}")
+
+    def deny(self, number: int, come_back: int) -> None:
+        account = self._told(number, "denied")
+        if account.may_have_run and account.asked.tariff == "post":
+            self._world.breaks("unrepeatable", f"{account.asked.name} may have run and is denied")
+
+    def abandon(self, number: int) -> None:
+        self._told(number, "abandoned")
+
+    def reject(self, number: int | None, text: str) -> None:
+        self._world.breaks("sound", f"a good request is rejected: {text}")
+
+
+class Links:
+    """All links to the engine of one hall, as the stages see them."""
+
+    address = ("", 0)
+
+    def __init__(self, world: Halls, hall: str) -> None:
+        self._world, self.hall = world, hall
+        self.open: dict[bytes, Exchange] = {}
+
+    def start(self, exchange: Exchange) -> None:
+        exchange.link, exchange.message = self, b""
+        self._world.runs(self.hall, chr(exchange.name[0]))
+        self.open[exchange.name] = exchange
+
+    def send(self, message: bytes) -> None:
+        """Further pages are asked for."""
+
+    def finish(self, exchange: Exchange) -> None:
+        del self.open[exchange.name]
+
+    def give_up(self, exchange: Exchange) -> bool:
+        del self.open[exchange.name]
+        self._world.ends(self.hall, chr(exchange.name[0]))
+        return True
+
+
+class Hall:
+    """One gateway, its stages put together as service.py does."""
+
+    def __init__(self, world: Halls, name: str, clock: VirtualClock, ready: bool) -> None:
+        self.name, self.clock = name, clock
+        self.timers, counters = VirtualTimers(clock), Uncounted()
+        self.counters = counters
+        self.book = Book(counters)
+        self.back = Back(clock, counters, self.book)
+        send = Send(clock, self.timers, counters, self.back)
+        self.route = Route(None, send)
+        self.across = self.route.across = Across(clock, self.timers, counters, self.back, send)
+        port = SocketPort(self.route, send, self.book, self.timers, counters, NoLog())
+        given = _given("")
+        self.gateway = Gateway(port, given, 0, clock.now())
+        self.gateway.random = fixed
+        admit = Admit(self.book)
+        self.back.gateway = admit.gateway = self.gateway
+        self.share = admit.share = Share(1.0)
+        self.take_in = TakeIn(given, self.gateway.tariffs, clock, admit)
+        self.engine, self.links = Engine(), Links(world, name)
+        self.route._pools[self.engine] = self.links
+        self.listed(ready)
+
+    def listed(self, ready: bool) -> None:
+        standing = Standing.READY if ready else Standing.DRAINING
+        self.gateway.listed([(self.engine, (0, 0, 0, 0, standing))], True, self.clock.now())
+
+    def room(self) -> tuple[float, float, float]:
+        return self.gateway.room(self.clock.now())
+
+    def is_due(self) -> bool:
+        return bool(self.timers.line) and self.timers.line[0].at <= self.clock.at
+
+
+def _open() -> int:
+    """For how long nothing is taken."""
+    return 0
+
+
+class Halls:
+    """`names`: what is asked; `faults`, `leaves` unless the bounds say so."""
+
+    def __init__(self, bounds: Bounds, names: str, faults: int, leaves: int) -> None:
+        self.broken: list[str] = []
+        asked = [one for one in ASKED if one.name in names]
+        self.accounts = [Account(one) for one in asked[:bounds.submissions]]
+        self.faults = self.leaves = 0
+        near, far = VirtualClock(START), VirtualClock(START + AHEAD_BY)
+        self.near, self.far = Hall(self, "near", near, False), Hall(self, "far", far, True)
+        self.asker, self.life, self.back_again = Asker(self), 1, False
+        way = Way("far", Health(_BEAT, _SLOW, _LEASE, _HEAL), Credit(16, 1 << 20), self.near.share)
+        self.outward = Outward(Place("hall-a", "ga", "a1"), "hall-b", way, self.near.across,
+                               self.near.counters, _nothing, near.now, _nothing)
+        self.near.across.add(self.outward)
+        self.inward = self._inward()
+        self.link, self.greeted = "down", False  # "up", "silent"
+        self.there: list[bytes] = []  # frames in the network
+        self.back: list[bytes] = []
+        self.frames = codec.Frames()
+        # Up, and of late heard, before the first choice.
+        self._connect()
+        for _ in range(5):
+            while self.there or self.back:
+                self._arrives("back" if self.back else "there")
+            self._pass_time()
+        self.outward._send_beat(near.now())
+        while self.there or self.back:
+            self._arrives("back" if self.back else "there")
+        self.faults = faults if bounds.faults is None else bounds.faults
+        self.leaves = leaves if bounds.leaves is None else bounds.leaves
+        self.delays = 1  # times that the clock goes on over frames that are on their way
+        self.began = near.at
+
+    def _inward(self) -> Inward:
+        far = self.far
+        return Inward(Place("hall-b", "gb", f"b{self.life}"), Place("hall-a", "ga", "a1"),
+                      Health(_BEAT, _SLOW, _LEASE, _HEAL), 16, 1 << 20, far.take_in, far.room, _open,
+                      far.clock.now, _nothing, far.timers.after, far.counters, _nothing)
+
+    def breaks(self, name: str, seen: str) -> None:
+        self.broken.append(f"{name}: {seen}")
+
+    # What goes over the seams.
+
+    def _account(self, name: str) -> Account:
+        return next(one for one in self.accounts if one.asked.name == name)
+
+    def answered(self, account: Account, how: str) -> None:
+        name, now = account.asked.name, self.near.clock.at
+        if account.over:
+            self.breaks("one_answer", f"{name} is {how} after it was {account.over}")
+        if now > account.stop:
+            self.breaks("by_hard_stop", f"{name} is answered {(now - account.stop) // MILLI} ms late")
+        account.over = how
+
+    def runs(self, hall: str, name: str) -> None:
+        account = self._account(name)
+        if account.over and hall == "near":
+            self.breaks("nothing_after", f"{name} is sent after it was {account.over}")
+        if account.out:
+            self.breaks("one_outstanding",
+                        f"{name} is sent to the {hall} engine while the {account.out[0]} one has it")
+        if account.may_have_run and account.asked.tariff == "post":
+            self.breaks("unrepeatable", f"{name} may have run and is sent to the {hall} engine")
+        account.out.append(hall)
+        account.may_have_run = True
+
+    def ends(self, hall: str, name: str) -> None:
+        account = self._account(name)
+        if hall in account.out:
+            account.out.remove(hall)
+
+    def _put_there(self, data: bytes, at_once: bool) -> None:
+        for frame in codec.Frames().feed(data):
+            if isinstance(frame, codec.Offer):
+                account = self._account(frame.name[0])
+                account.crossed += 1
+                if account.crossed > 1:
+                    self.breaks("one_crossing", f"{account.asked.name} is offered again")
+        if self.link != "down":
+            self.there.append(data)
+
+    def _put_back(self, data: bytes, at_once: bool) -> None:
+        if self.link != "down":
+            self.back.append(data)
+
+    # Choices.
+
+    def choices(self) -> list[str]:
+        early = self.near.clock.at < self.began + _TICK
+        over = all(account.over or not (account.stop or early) for account in self.accounts)
+        frames = ["there arrives"] * bool(self.there) + ["back arrives"] * bool(self.back)
+        if over and self.quiet():
+            # Only what is still on its way, or comes when the link heals, is left to come.
+            return {"up": frames, "down": ["link heals"], "silent": ["link goes on"]}[self.link]
+        found: list[str] = []
+        for account in self.accounts:
+            name = account.asked.name
+            if not account.stop and early:
+                found.append(f"{name} asks")
+            elif self.leaves and account.stop and not account.over:
+                found.append(f"{name} leaves")
+        for hall in (self.near, self.far):
+            for exchange in hall.links.open.values():
+                name = chr(exchange.name[0])
+                found.append(f"{hall.name} serves {name}")
+                if self.faults:
+                    found += [f"{hall.name} {how} {name}" for how in ("refuses", "fails", "cuts")]
+        if not over and not self.back_again:
+            found.append("near returns")
+        due = [hall.name for hall in (self.near, self.far) if hall.is_due()]
+        found += [f"{name} due" for name in due]
+        moving = self.link == "up" and bool(frames)
+        if self.link == "up":
+            found += frames
+        if self.link == "down":
+            found.append("link heals")
+        elif self.faults:
+            found.append("link is cut")
+            if self.link == "up":
+                found.append("link falls silent")
+        if self.link == "silent":
+            found.append("link goes on")
+        if self.faults and self.life < 2 and any(account.crossed for account in self.accounts):
+            found.append("far restarts")
+        if not due and (not moving or self.delays):
+            found.append("clock")
+        return found
+
+    # Steps.
+
+    def do(self, choice: str) -> None:
+        """One step. What leaves the code as an exception is a breach as well."""
+        try:
+            self._do(*choice.split(" "))
+        except Exception as trouble:
+            self.breaks("sound", f"{type(trouble).__name__} {trouble}".rstrip())
+        self._tidy()
+        if not self.broken:
+            self._mind_always()
+            if self.quiet():
+                self._mind_rest()
+
+    def _do(self, who: str, verb: str = "", *what: str) -> None:
+        if verb == "asks":
+            account = self._account(who)
+            account.stop = self.near.clock.at + account.asked.patience * MILLI
+            self.near.take_in.take(self.asker, self.accounts.index(account) + 1, Query(account.asked))
+        elif verb == "leaves":
+            self.leaves -= 1
+            account = self._account(who)
+            account.over = "left"
+            self.near.take_in.withdraw(self.asker, self.accounts.index(account) + 1, None)
+        elif verb == "arrives":
+            self._arrives(who)
+        elif verb == "due":
+            (self.near if who == "near" else self.far).timers.run_due()
+        elif verb == "returns":
+            self.back_again = True
+            self.near.listed(True)
+        elif verb == "restarts":
+            self.faults -= 1
+            self._restart()
+        elif who == "clock":
+            if self.link == "up" and (self.there or self.back):
+                self.delays -= 1
+            self._pass_time()
+        elif who == "link":
+            self._link(verb, *what)
+        else:
+            self._engine(self.near if who == "near" else self.far, verb, what[0])
+
+    def _link(self, verb: str, *what: str) -> None:
+        if verb == "heals":
+            self._connect()
+        elif verb == "goes":
+            self.link = "up"
+        else:
+            self.faults -= 1
+            if verb == "falls":
+                self.link = "silent"
+            else:
+                self._cut()
+
+    def _connect(self) -> None:
+        self.link, self.greeted, self.frames = "up", False, codec.Frames()
+        self.outward.connected(self._put_there)
+
+    def _cut(self) -> None:
+        """What is on its way is lost; both ends see it."""
+        self.link = "down"
+        self.there.clear()
+        self.back.clear()
+        self.outward.disconnected(self.near.clock.at)
+        self.inward.disconnected()
+
+    def _arrives(self, way: str) -> None:
+        try:
+            if way == "back":
+                self.outward.receive(self.back.pop(0), self.near.clock.at)
+                return
+            for frame in self.frames.feed(self.there.pop(0)):
+                if self.greeted:
+                    self.inward.receive(frame)
+                else:
+                    self.greeted = True
+                    self.inward.welcome(frame, self._put_back)
+        except BrokenError as trouble:
+            # Both ends are ours: neither may say what the other can't take.
+            self.breaks("sound", f"the link is dropped: {trouble}")
+
+    def _restart(self) -> None:
+        """The far gateway is killed; a new life of it knows nothing, and its engine ends what it had."""
+        if self.link != "down":
+            self._cut()
+        for exchange in self.far.links.open.values():
+            self.ends("far", chr(exchange.name[0]))
+        self.life += 1
+        self.far = Hall(self, "far", self.far.clock, True)
+        self.inward = self._inward()
+
+    def _engine(self, hall: Hall, verb: str, name: str) -> None:
+        exchange = hall.links.open[name.encode() * 16]
+        self.ends(hall.name, name)
+        self.faults -= verb != "serves"
+        if verb == "cuts":
+            del hall.links.open[exchange.name]
+            exchange.keeper.cut(exchange, False)
+            return
+        if verb == "refuses":
+            self._account(name).may_have_run = False
+        word = {"serves": b"served", "refuses": b"overload", "fails": b"crashed"}[verb]
+        exchange.keeper.answered(exchange, Answer(exchange.name, word, 1, 0, {}, _row(name)))
+
+    def _pass_time(self) -> None:
+        """To the next tick or call, whichever comes first; ticks are made at once."""
+        near, far = self.near, self.far
+        step = _TICK - near.clock.at % _TICK
+        for hall in (near, far):
+            if hall.timers.line:
+                step = min(step, max(0, hall.timers.line[0].at - hall.clock.at))
+        near.clock.at += step
+        far.clock.at += step
+        for account in self.accounts:
+            if account.stop and not account.over and near.clock.at > account.stop:
+                self.breaks("by_hard_stop", f"{account.asked.name} is not answered by its hard stop")
+        near.timers.run_due()
+        far.timers.run_due()
+        if near.clock.at % _TICK == 0:
+            lives = self.outward.tick(near.clock.at)
+            if not (self.inward.tick(far.clock.at) and lives) and self.link != "down":
+                self._cut()
+            # In service a tick is a call of the timers: what it has due at once comes before all else.
+            near.timers.run_due()
+            far.timers.run_due()
+
+    # States.
+
+    def _tidy(self) -> None:
+        """What is remembered and no longer has a future is dropped, so that states are the same that are."""
+        for hall in (self.near, self.far):
+            hall.take_in._names.clear()
+            hall.take_in._turn = 0
+            for errand in hall.book.open.values():
+                # How decoders share what they read is no part of a state.
+                query = errand.query
+                query.tariff, query.tenant, query.mark = map(intern, (query.tariff, query.tenant, query.mark))
+        for entry in self.inward.ledger.open.values():
+            entry.how = intern(entry.how)
+        for account in self.accounts:
+            if account.over and not account.out:
+                account.stop = 1
+
+    def __setstate__(self, state: dict[str, Any]) -> None:
+        # Danger: strings are written once and referred to after that. Those of a copy are others than those
+        # of the code, and states that are the same would be written in two ways.
+        self.__dict__.update((intern(name), value) for name, value in state.items())
+        self.link = intern(self.link)
+        for account in self.accounts:
+            account.asked = Asked(*(intern(one) if type(one) is str else one for one in account.asked))
+            account.over, account.out = intern(account.over), list(map(intern, account.out))
+        for hall in (self.near, self.far):
+            hall.name = hall.links.hall = intern(hall.name)
+        self._tidy()
+
+    def _mind_always(self) -> None:
+        credit, near, far = self.outward.way.credit, self.outward.ledger, self.inward.ledger
+        sizes = [one.relay.submission.size for one in near.open.values()]
+        if (credit.held, credit.held_size) != (len(sizes), sum(sizes)):
+            self.breaks("credit", f"{credit.held} and {credit.held_size} bytes are held for {len(sizes)} "
+                                  f"crossings of {sum(sizes)} bytes")
+        if credit.held < 0 or credit.held > credit.submissions:
+            self.breaks("credit", f"{credit.held} are held of {credit.submissions}")
+        if far.size != sum(entry.size for entry in far.open.values()):
+            self.breaks("credit", f"{far.size} bytes are counted in the far hall")
+
+    def quiet(self) -> bool:
+        return (all(account.over or not account.stop for account in self.accounts)
+                and not any(account.out for account in self.accounts) and not self.near.back.out
+                and not self.far.back.out and not self.near.is_due() and not self.far.is_due())
+
+    def _mind_rest(self) -> None:
+        way, near, far = self.outward.way, self.near, self.far
+        kept: dict[str, Any] = {"owed": len(self.asker.open)}
+        for hall in (near, far):
+            gateway = hall.gateway
+            kept |= {f"open in the {hall.name} hall": len(hall.book.open),
+                     f"held in the {hall.name} hall": len(gateway.held + gateway.further),
+                     f"threads in the {hall.name} hall": hall.engine.limiter.threads + gateway.fleet.threads,
+                     f"calls to come in the {hall.name} hall": len(hall.timers.line) - 1}
+        if self.link == "up" and self.outward.greeted and not (self.there or self.back):
+            left = set(self.inward.ledger.open) - set(self.outward._forgets)
+            kept |= {"far entries that nobody forgets": len(left), "far errands": len(self.inward.open),
+                     "under way": way.open, "threads under way": way.used,
+                     "crossings": len(self.outward.ledger.open)}
+        for name, count in kept.items():
+            if count:
+                self.breaks("nothing_kept", f"{count} {name}")
+
+    def freeze(self) -> bytes:
+        return freeze(self)
+
+    def fingerprint(self) -> bytes:
+        return digest(freeze(self))
+
+    def moment(self) -> float:
+        """Milliseconds since the first choice, by the near hall's clock."""
+        return (self.near.clock.at - self.began) / MILLI
+
+
+def _row(name: str) -> bytes:
+    return f"{name}\t\t\n".encode()
+
+
+CONFIGURATIONS: dict[str, Callable[[Bounds], Halls]] = {
+    "halls": lambda bounds: Halls(bounds, "ab", 1, 1), "resumed": lambda bounds: Halls(bounds, "b", 1, 0),
+    "leases": lambda bounds: Halls(bounds, "b", 2, 0)}
+
+MUTANTS: tuple[Mutant, ...] = (
+    Mutant("trusts_an_old_life", "unrepeatable", "halls", lines(
+        (Outward._greet, "frame.resumed and frame.incarnation == self._knew", "frame.resumed"),
+        (Inward.welcome, "hello.knew == self._me.incarnation", "True"))),
+    Mutant("credit_given_back_twice", "credit", "halls", lines(
+        (Credit.give, "self.held -= 1", "self.held = max(0, self.held - 2)"))),
+    Mutant("relayed_before_the_lease_is_over", "one_outstanding", "resumed", lines(
+        (Health.lease_end, "self.heard_at + self.lease + self.lease // 20 + 100_000", "self.heard_at"))),
+    Mutant("lease_that_nobody_ends", "one_outstanding", "resumed", lines(
+        (Inward.tick, "fenced = self._health.fenced(now)", "fenced = False"))),
+    Mutant("lease_renewed_by_a_welcome", "one_outstanding", "leases", lines(
+        (Health.connected, "self._echoed, self._zero_at = 0, now, 0, 0, now",
+         "self._echoed, self._zero_at, self.echoed_at = 0, now, 0, 0, now, now"))),
+    Mutant("crosses_again", "one_crossing", "halls", lines(
+        (Gateway._cross, "submission.crossed or submission.foreign", "submission.foreign"))),
+    Mutant("an_error_is_told_as_not_run", "unrepeatable", "halls", lines(
+        (Inward.relay_ended, "ending not in UNRUN, ending.value", "False, ending.value"))),
+    Mutant("what_was_fenced_is_kept", "nothing_kept", "resumed", lines(
+        (Outward._greet, "self._forget(crossing.number)", "pass"))),
+    Mutant("a_cut_that_was_not_marked", "unrepeatable", "halls", lines(
+        (ledger.Outgoing.settle, "settled.append((crossing, Outcome.UNKNOWN))",
+         "settled.append((crossing, Outcome.UNRUN))"))),
+    Mutant("a_threads_share_is_kept", "nothing_kept", "halls", lines(
+        (Way.over, "self.open -= 1", "pass"))),
+)
--- /dev/null
+++ b/cresstray/check/gateway.py
@@ -0,0 +1,733 @@
+"""Worlds of one gateway: the module and all its stages, with a model of links to engines at the seam to them.
+
+An engine may do with an exchange what it will, at any moment: serve it in one page or two, refuse it, fail,
+cut its link, never be reached. Falling silent is to do none of that while time passes. The account of what
+went over the seams is the world's own, and all but `nothing_kept` is judged by it alone.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import cache
+from sys import intern
+from typing import Any, NamedTuple
+
+from cresstray.check.patching import Mutant, lines
+from cresstray.check.world import Bounds, VirtualClock, VirtualTimers, digest, freeze
+from cresstray.coordinator.known import Event, Member
+from cresstray.counters import Counters
+from cresstray.engines.codec import Answer
+from cresstray.engines.exchanges import Exchange
+from cresstray.interface import Standing
+from cresstray.logic import Gateway, Usual
+from cresstray.passage.admit import Admit
+from cresstray.passage.book import Book
+from cresstray.passage.errand import Errand
+from cresstray.passage.port import SocketPort
+from cresstray.passage.relay import Back
+from cresstray.passage.route import Route
+from cresstray.passage.send import Send
+from cresstray.passage.take_in import TakeIn
+
+# The first moment: a multiple of all widths of rings, so that their buckets turn with the ticks.
+START = 1_000_000_000_000
+MILLI = 1_000
+
+
+class Asked(NamedTuple):
+    """A submission that may be asked: its name, tariff, time limit in ms and key."""
+
+    name: str
+    tariff: str
+    patience: float
+    key: int = 0
+
+
+@dataclass(frozen=True)
+class Shape:
+    """A configuration. In ms: `asking`, until when clients ask; `late`, by how much the loop is late once."""
+
+    name: str
+    services: tuple[dict[str, Any], ...]
+    asked: tuple[Asked, ...]
+    faults: tuple[str, ...]  # ways in which an exchange may fail
+    most_faults: int
+    leaves: int = 0
+    words: tuple[str, ...] = ()
+    most_words: int = 0
+    engines: int = 2
+    asking: int = 150
+    late: int = 0
+    limits: dict[str, Any] = field(default_factory=dict)
+    safety: dict[str, Any] = field(default_factory=dict)
+    cells: tuple[int, ...] = (0, 1, 0)
+
+    def __reduce__(self) -> tuple:
+        return _shape, (self.name,)
+
+    def __hash__(self) -> int:
+        return hash(self.name)
+
+
+def _shape(name: str) -> Shape:
+    return SHAPES[name]
+
+
+class Given(dict):
+    """Settings, the same in all states of a configuration: a copy holds no more than where they are."""
+
+    place: tuple[str, str]
+
+    def __reduce__(self) -> tuple:
+        return _given, self.place
+
+
+@cache
+def _given(shape: str, part: str) -> Given:
+    of = SHAPES[shape]
+    if part == "FamilyInfo":
+        made = Given({"CpuOfKind": [4], "Dop": [1] * len(of.services)})
+    elif part == "Limits":
+        made = Given({"Cancel": True, "MaxAttempts": 3} | of.limits)
+    elif part == "Safety":
+        made = Given(of.safety)
+    else:
+        made = Given({part: _given(shape, part) for part in ("FamilyInfo", "Limits", "Safety")}
+                     | {"Balancers": 1, "Services": of.services})
+    made.place = shape, part
+    return made
+
+
+class Query:
+    def __init__(self, asked: Asked) -> None:
+        self.name, self.tariff, self.patience, self.key = map(_one, asked)
+        self.tenant, self.mark, self.statement = "", asked.name, b"select 1"
+        self.estimate = self.megabytes = 0.0
+
+    def __reduce__(self) -> tuple:
+        return Query, (Asked(self.name, self.tariff, self.patience, self.key),)
+
+
+class Keyed(Admit):
+    """Keys are no part of the protocol's requests; the module has them from the wire."""
+
+    def admit(self, errand: Errand, now: int) -> None:
+        errand.submission.key = errand.query.key
+        super().admit(errand, now)
+
+
+class Uncounted(Counters):
+    """What must hold is asserted; counts would part states that are otherwise the same."""
+
+    def add(self, name: str, amount: int = 1) -> None:
+        """Nothing."""
+
+
+class NoLog:
+    def say(self, kind: str, text: str) -> None:
+        """Nothing."""
+
+
+def fixed() -> float:
+    """The module's chance in a search that is exhaustive."""
+    return 0.5
+
+
+class Sent(NamedTuple):
+    """A relay in the account. `how`: None while it is out, else how it ended over the seam."""
+
+    engine: str
+    cell: int
+    at: int
+    how: str | None
+
+
+# After these nothing of it has run; all else may have.
+UNRUN = ("refuses", "unreached", "unknown")
+# After these it may run on.
+RUNNING_ON = ("cuts", "spoils", "given up")
+
+
+class Account:
+    """What the world knows of one submission."""
+
+    __slots__ = ("asked", "arrived", "stop", "over", "sent", "out", "free")
+
+    def __init__(self, asked: Asked) -> None:
+        self.asked = asked
+        self.arrived = self.stop = 0
+        self.over = ""  # how it was answered, or "left"
+        self.sent: list[Sent] = []
+        self.out: Exchange | None = None
+        self.free = 0  # from when on the next of its key may run
+
+    def may_have_run(self) -> list[Sent]:
+        return [sent for sent in self.sent if sent.how not in UNRUN]
+
+    def end(self, how: str) -> None:
+        self.out = None
+        self.sent[-1] = self.sent[-1]._replace(how=intern(how))
+
+
+class Asker:
+    """All clients on one connection."""
+
+    def __init__(self, world: Passage) -> None:
+        self._world = world
+        self.open: dict[int, object] = {}
+
+    def _told(self, number: int, how: str) -> Account:
+        account = self._world.accounts[number]
+        self.open.pop(number, None)
+        self._world.answered(account, how)
+        return account
+
+    def fulfil(self, number: int, result: bytes, at: str | None = None) -> None:
+        account = self._told(number, "fulfilled")
+        name = account.asked.name
+        if set(result.split()) != {name.encode()}:
+            self._world.breaks("own_name", f"{name} is answered with {result!r}")
+
+    def deny(self, number: int, come_back: int) -> None:
+        account = self._told(number, "denied")
+        effect = self._world.effect(account)
+        if effect != "idempotent" and account.may_have_run() and (
+                effect == "at_most_once" or self._world.service(account).get("Group", "all") != "all"):
+            self._world.breaks("unrepeatable" if effect == "at_most_once" else "deduplicated",
+                               f"{account.asked.name} may have run and is denied")
+
+    def abandon(self, number: int) -> None:
+        self._told(number, "abandoned")
+
+    def reject(self, number: int | None, text: str) -> None:
+        self._world.breaks("sound", f"a good request is rejected: {text}")
+
+
+class Links:
+    """All links to one engine, as stages see them: what is open on them, until it ends or is given up."""
+
+    def __init__(self, world: Passage, name: str, address: tuple[str, int]) -> None:
+        self._world, self.name, self.address = world, name, address
+        self.open: dict[bytes, Exchange] = {}
+
+    def start(self, exchange: Exchange) -> None:
+        exchange.link, exchange.message = self, b""
+        self._world.sends(exchange, self)
+        self.open[exchange.name] = exchange
+
+    def send(self, message: bytes) -> None:
+        """Further pages are asked for."""
+
+    def finish(self, exchange: Exchange) -> None:
+        del self.open[exchange.name]
+
+    def give_up(self, exchange: Exchange) -> bool:
+        del self.open[exchange.name]
+        account = self._world.account(exchange.name.decode())
+        if account.out is exchange:
+            account.end("given up")
+            self._world.runs_on(account)
+        return True
+
+    def move(self, address: tuple[str, int]) -> None:
+        self.address = address
+
+    def retire(self) -> None:
+        """What is open goes on."""
+
+
+class Passage:
+    """One gateway, its clients, its engines and the coordinator."""
+
+    def __init__(self, shape: Shape, bounds: Bounds) -> None:
+        self.shape = shape
+        self.clock = clock = VirtualClock(START)
+        self.timers = timers = VirtualTimers(clock)
+        counters = Uncounted()
+        self.links: list[Links] = []
+        self.book = Book(counters)
+        self.back = Back(clock, counters, self.book)
+        send = Send(clock, timers, counters, self.back)
+        self.route = Route(self._make_links, send)
+        settings = _given(shape.name, "")
+        port = SocketPort(self.route, send, self.book, timers, counters, NoLog())
+        self.gateway = Gateway(port, settings, 0, START)
+        self.gateway.random = fixed if bounds.seed is None else random.Random(bounds.seed).random
+        admit = Keyed(self.book)
+        self.back.gateway = admit.gateway = self.gateway
+        self.take_in = TakeIn(settings, self.gateway.tariffs, clock, admit)
+        self.asker = Asker(self)
+        self.broken: list[str] = []
+        more = (bounds.submissions or len(shape.asked)) - len(shape.asked)
+        asked = shape.asked + tuple(shape.asked[n % len(shape.asked)]._replace(name="vwxyz"[n])
+                                    for n in range(more))
+        self.accounts = [Account(one) for one in asked]
+        self.accepted: list[int] = []  # arrivals of clients that have not left, and further relays
+        self.further: list[int] = []
+        self.faults = _or(bounds.faults, shape.most_faults)  # these are left
+        self.leaves, self.words = _or(bounds.leaves, shape.leaves), _or(bounds.words, shape.most_words)
+        self.lates = int(shape.late > 0)
+        self.reduced = bounds.reduced
+        # Many submissions come over a longer time, or none would meet what became of the first.
+        self.asking = START + MILLI * (shape.asking if bounds.submissions is None else 800)
+        self.members: dict[int, Member] = {}
+        self.last: Event | None = None
+        count = bounds.engines or shape.engines
+        self._word(Event(0, True, [Member(n, "e", n, Standing.READY, 0, 0, shape.cells[n], 0)
+                                   for n in range(count)]))
+        self.last = None
+        self._tidy()
+
+    # What the stages call, by way of the seams.
+
+    def _make_links(self, label: str, address: tuple[str, int]) -> Links:
+        links = Links(self, intern(f"e{int(label[-8:], 16)}"), address)
+        self.links.append(links)
+        return links
+
+    def breaks(self, name: str, seen: str) -> None:
+        self.broken.append(f"{name}: {seen}")
+
+    def account(self, name: str) -> Account:
+        return next(one for one in self.accounts if one.asked.name == name)
+
+    def service(self, account: Account) -> dict[str, Any]:
+        return next(one for one in self.shape.services if one["Name"] == account.asked.tariff)
+
+    def effect(self, account: Account) -> str:
+        return self.service(account)["Effect"]
+
+    def answered(self, account: Account, how: str) -> None:
+        name, now = account.asked.name, self.clock.at
+        if account.over:
+            self.breaks("one_answer", f"{name} is {how} after it was {account.over}")
+        if now > account.stop:
+            self.breaks("by_hard_stop", f"{name} is answered {(now - account.stop) // MILLI} ms late")
+        account.over = how
+
+    def sends(self, exchange: Exchange, links: Links) -> None:
+        account, now = self.account(exchange.name.decode()), self.clock.at
+        name, effect = account.asked.name, self.effect(account)
+        member = self.members[int(links.name[1:])]
+        if account.over:
+            self.breaks("nothing_after", f"{name} is sent to {links.name} after it was {account.over}")
+        if account.out is not None:
+            self.breaks("one_outstanding", f"{name} is sent to {links.name} while it is out")
+        if member.standing is not Standing.READY:
+            drains = member.standing is Standing.DRAINING
+            self.breaks("drained" if drains else "gone", f"{name} is sent to {links.name}")
+        earlier = account.may_have_run()
+        if earlier and effect == "at_most_once":
+            self.breaks("unrepeatable", f"{name} may have run on {earlier[-1].engine} and is sent again")
+        elif earlier and effect == "deduplicated":
+            service = self.service(account)
+            if service.get("Group", "all") == "cell" and any(one.cell != member.cell for one in earlier):
+                self.breaks("deduplicated", f"{name} may have run in another cell than that of {links.name}")
+            if any(now >= one.at + service["KeyTtl"] * MILLI for one in earlier):
+                self.breaks("deduplicated", f"{name} may have run longer ago than engines remember")
+        self._mind_key(account)
+        if account.sent:
+            self._mind_budget(name)
+        account.sent.append(Sent(links.name, member.cell, now, None))
+        account.out = exchange
+
+    def _mind_budget(self, name: str) -> None:
+        self.further.append(self.clock.at)
+        safety = self.shape.safety
+        if "BudgetWindow" in safety:
+            since = self.clock.at - safety["BudgetWindow"] * MILLI
+            most = safety["FreeResends"] + safety["ResendRatio"] * sum(at > since for at in self.accepted)
+            sent = sum(at > since for at in self.further)
+            if sent > most:
+                self.breaks("further_budget", f"{name} is further relay {sent} in a window that has {most:g}")
+
+    def _mind_key(self, account: Account) -> None:
+        key = account.asked.key
+        if not key or account.sent:
+            return
+        for other in self.accounts:
+            if other is not account and other.asked.key == key and other.arrived and (
+                    other.out is not None or self.clock.at < other.free
+                    or other.arrived <= account.arrived and not other.over and self._before(other, account)):
+                self.breaks("key_order", f"{account.asked.name} is sent beside or before {other.asked.name}")
+
+    def _before(self, one: Account, other: Account) -> bool:
+        # Those of a key are asked in the order of their names.
+        return one.asked.name < other.asked.name
+
+    def runs_on(self, account: Account) -> None:
+        account.free = self.clock.at + self.shape.safety.get("TurnGap", 0) * MILLI
+
+    # Choices.
+
+    def choices(self) -> list[str]:
+        now = self.clock.at
+        asking = now < self.asking
+        found, first = [], True
+        for account in self.accounts:
+            asked = account.asked
+            if not account.arrived:
+                # Like submissions are asked in one order: any other is the same under other names. Unlike
+                # ones are as well, or each order would be a world of its own.
+                if asking and first:
+                    found.append(f"{asked.name} asks")
+                first = False
+                continue
+            if not account.over and self.leaves:
+                found.append(f"{asked.name} leaves")
+            if account.out is not None:
+                engine = account.out.link.name
+                found.append(f"{engine} serves {asked.name}")
+                if self.faults:
+                    begun = account.out.pages is not None
+                    found += [f"{engine} {how} {asked.name}" for how in self.shape.faults
+                              if not begun or how in ("fails", "cuts", "spoils")]
+        if not found and not asking and self.quiet():
+            return []
+        if self.words:
+            found += self._words()
+        due = self.timers.line[0].at
+        if due > now:
+            return found + ["clock", "moment"]
+        return found + ["due", "late"] if self.lates else found + ["due"]
+
+    def _words(self) -> list[str]:
+        found, known = [], self.members
+        for number, member in known.items():
+            if member.standing is Standing.GONE:
+                continue
+            for word in self.shape.words:
+                if (word == "drains" and member.standing is Standing.READY or word in ("goes", "anew")
+                        or word == "returns" and len(known) < 4):
+                    found.append(f"e{number} {word}")
+        if self.last is not None and "again" in self.shape.words:
+            found.append("word again")
+        return found
+
+    def do(self, choice: str) -> None:
+        """One step. What leaves the code as an exception is a breach as well."""
+        try:
+            self._do(*choice.split(" "))
+        except Exception as trouble:
+            frame = trouble.__traceback__
+            while frame.tb_next is not None:
+                frame = frame.tb_next
+            self.breaks("sound", f"{type(trouble).__name__} in {frame.tb_frame.f_code.co_qualname}")
+        self._tidy()
+        if not self.broken and self.quiet():
+            self._mind_rest()
+
+    def _do(self, who: str, verb: str = "", name: str = "") -> None:
+        if verb == "asks":
+            self._ask(self.account(who))
+        elif verb == "leaves":
+            self._leave(self.account(who))
+        elif who == "due":
+            self.timers.run_due()
+        elif who in ("clock", "moment", "late"):
+            self._pass_time(who)
+        elif who == "word":
+            self.words -= 1
+            self._word(self.last)
+        elif name:
+            self._engine(verb, self.account(name))
+        else:
+            self._engine_word(int(who[1:]), verb)
+
+    def _ask(self, account: Account) -> None:
+        now, asked = self.clock.at, account.asked
+        account.arrived, account.stop = now, now + int(asked.patience * MILLI)
+        self.accepted.append(now)
+        self.take_in.take(self.asker, self.accounts.index(account), Query(asked))
+
+    def _leave(self, account: Account) -> None:
+        self.leaves -= 1
+        self.accepted.remove(account.arrived)
+        account.over = "left"
+        self.take_in.withdraw(self.asker, self.accounts.index(account), None)
+
+    def _pass_time(self, how: str) -> None:
+        """To what is due next, `moment` without doing it yet; `late`: on, though something is due."""
+        if how == "late":
+            self.lates -= 1
+            self.clock.at += self.shape.late * MILLI
+            return
+        self.clock.at = self.timers.line[0].at
+        for account in self.accounts:
+            if account.arrived and not account.over and self.clock.at > account.stop:
+                self.breaks("by_hard_stop", f"{account.asked.name} is not answered by its hard stop")
+        if how == "clock":
+            self.timers.run_due()
+
+    def _engine(self, verb: str, account: Account) -> None:
+        exchange, name = account.out, account.asked.name.encode()
+        if verb != "serves":
+            self.faults -= verb != "begins"
+        if verb == "begins":
+            exchange.keeper.answered(exchange, Answer(name, b"served", 2, 0, {}, name + b"\t\t\n"))
+            return
+        begun = exchange.pages is not None
+        word = {"serves": b"rows" if begun else b"served", "refuses": b"overload", "fails": b"crashed",
+                "unknown": b"nobody"}.get(verb)
+        account.end(verb)
+        if word is not None:
+            exchange.keeper.answered(exchange, Answer(name, word, 1, int(begun), {}, name + b"\t\t\n"))
+            return
+        del exchange.link.open[exchange.name]
+        if verb == "unreached":
+            exchange.keeper.unreached(exchange)
+        else:
+            self.runs_on(account)
+            exchange.keeper.cut(exchange, verb == "spoils")
+
+    def _engine_word(self, number: int, verb: str) -> None:
+        self.words -= 1
+        member, now = self.members[number], self.clock.at
+        if verb == "drains":
+            told = Event(0, False, [_changed(member, standing=Standing.DRAINING)])
+        elif verb == "goes":
+            told = Event(0, False, [_changed(member, standing=Standing.GONE)])
+        elif verb == "anew":
+            told = Event(0, False, [_changed(member, started=now)])
+        else:  # at the same address under a new id, in a list that is whole
+            new = _changed(member, id=len(self.members), started=now, standing=Standing.READY)
+            rest = [one for one in self.members.values()
+                    if one is not member and one.standing is not Standing.GONE]
+            told = Event(0, True, [*rest, new])
+        self._word(told)
+
+    def _word(self, told: Event) -> None:
+        self.last = told
+        if told.complete:
+            named = {member.id for member in told.members}
+            self.members = {number: member if number in named else _changed(member, standing=Standing.GONE)
+                            for number, member in self.members.items()}
+        self.members |= {member.id: member for member in told.members}
+        self.gateway.listed(self.route.listed(told), told.complete, self.clock.at)
+
+    # States.
+
+    def _tidy(self) -> None:
+        """What is remembered and no longer has a future is dropped, so that states are the same that are."""
+        # Names are new by the world's making; a set's order is not that of its making.
+        self.take_in._names.clear()
+        self.take_in._turn = 0
+        if not self.words:
+            self.last = None
+        window = self.shape.safety.get("BudgetWindow", 0) * MILLI
+        self.further = [at for at in self.further if at > self.clock.at - window]
+        if self.reduced and (self.clock.at >= self.asking
+                             or all(account.arrived for account in self.accounts)):
+            for account in self.accounts:
+                if account.over and account.out is None and not account.asked.key:
+                    account.sent, account.arrived, account.stop = [], 1, 0
+            if "anew" not in self.shape.words and "returns" not in self.shape.words:
+                # What tariffs have learnt is asked for as a submission comes, or to a cold engine only.
+                for tariff in self.gateway.tariffs:
+                    if tariff.usual.seen:
+                        tariff.usual = Usual(tariff)
+                self.gateway.payoff = self.gateway.work = self.gateway.time = 1.0
+
+    def freeze(self) -> bytes:
+        return freeze(self)
+
+    def __setstate__(self, state: dict[str, Any]) -> None:
+        # Danger: strings are written once and referred to after that. Those of a copy are others than those
+        # of the code, and states that are the same would be written in two ways.
+        self.__dict__.update((intern(name), value) for name, value in state.items())
+        for account in self.accounts:
+            account.asked, account.over = Asked(*map(_one, account.asked)), intern(account.over)
+            account.sent = [Sent(*map(_one, sent)) for sent in account.sent]
+        for tariff in self.gateway.tariffs:
+            tariff.group = intern(tariff.group)
+        self.take_in._tariffs = {intern(name): known for name, known in self.take_in._tariffs.items()}
+        for member in self.members.values():
+            member.host = intern(member.host)
+        for links in self.links:
+            links.name, links.address = intern(links.name), (intern(links.address[0]), links.address[1])
+
+    def fingerprint(self) -> bytes:
+        return digest(freeze(self))
+
+    def moment(self) -> float:
+        """Milliseconds since the start, for traces."""
+        return (self.clock.at - START) / MILLI
+
+    def quiet(self) -> bool:
+        line = self.timers.line
+        return (all(account.out is None and (account.over or not account.arrived)
+                    for account in self.accounts)
+                and (not line or line[0].at > self.clock.at))
+
+    def _mind_rest(self) -> None:
+        gateway, engines = self.gateway, self.gateway.engines
+        kept = {
+            "held": gateway.held + gateway.further, "turns": gateway.queues, "open": self.book.open,
+            "out": self.back.out, "pages told": self.back._reports, "owed": self.asker.open,
+            "on links": [one for links in self.route._pools.values() for one in links.open],
+            "on engines": [one for engine in engines for one in engine.limiter.out],
+            "threads": [engine for engine in engines if engine.limiter.threads],
+            "calls to come": self.timers.line[1:]}
+        for name, what in kept.items():
+            if what:
+                self.breaks("nothing_kept", f"{len(what)} {name}")
+
+    def independent(self, one: str, other: str) -> bool:
+        """Whether the two, both possible now, lead to the same state in either order, whatever that is.
+
+        A client that leaves while its relay is out changes its own errand, the count of what was accepted and
+        the line of calls. An answer for another touches none of these, where no budget and no key joins them.
+        """
+        if one.endswith(" leaves"):
+            one, other = other, one
+        who, _, verb = other.partition(" ")
+        if verb != "leaves" or "BudgetWindow" in self.shape.safety:
+            return False
+        account = self.account(who)
+        if account.out is None or account.asked.key:
+            return False
+        parts = one.split(" ")
+        return len(parts) == 3 and parts[2] != who and not self.gateway.held
+
+
+def _one(value: object) -> object:
+    return intern(value) if type(value) is str else value
+
+
+def _or(given: int | None, usual: int) -> int:
+    return usual if given is None else given
+
+
+def _changed(member: Member, **changes: object) -> Member:
+    fields = {name: getattr(member, name) for name in member.__struct_fields__}
+    return Member(**fields | changes)
+
+
+# Soft limits of 4 ms make expected times of one: what is out for 204 ms is overdue. Late answers still count,
+# so that further relays are worth while until the hard stop.
+_IDEMPOTENT = {"Name": "read", "Effect": "idempotent", "GoalTime": 4, "GiveUp": 5000, "Worth": 1.0,
+               "LateValue": 0.5}
+_DEDUPLICATED = _IDEMPOTENT | {"Name": "put", "Effect": "deduplicated", "Group": "cell", "KeyTtl": 200}
+_UNREPEATABLE = _IDEMPOTENT | {"Name": "post", "Effect": "at_most_once"}
+_ORDERED = _IDEMPOTENT | {"Name": "step", "ByArrival": True}
+
+SHAPES = {shape.name: shape for shape in (
+    Shape("attempt", (_IDEMPOTENT, _DEDUPLICATED, _UNREPEATABLE),
+          (Asked("a", "read", 450), Asked("b", "put", 450), Asked("c", "post", 250)),
+          ("begins", "refuses", "fails", "cuts", "spoils", "unreached"), 1, leaves=1, asking=1, late=90),
+    # Small ones, so that they go deep: one that is sent again and again, and an engine fallen silent.
+    Shape("repeat", (_DEDUPLICATED,), (Asked("a", "put", 450),),
+          ("begins", "refuses", "fails", "cuts", "spoils", "unreached", "unknown"), 3, leaves=1, asking=1,
+          late=90, cells=(0, 1, 0), engines=3),
+    Shape("silent", (_IDEMPOTENT,),
+          (Asked("a", "read", 550), Asked("b", "read", 550), Asked("c", "read", 550)),
+          ("unreached",), 1, asking=1, late=90),
+    Shape("drain", (_IDEMPOTENT,), (Asked("a", "read", 450), Asked("b", "read", 450)),
+          ("cuts",), 1, leaves=1, words=("drains", "goes", "anew", "returns", "again"), most_words=1,
+          asking=50, safety={"WarmUp": 300}),
+    Shape("words", (_IDEMPOTENT,), (Asked("a", "read", 450),),
+          ("cuts",), 1, words=("drains", "goes", "anew", "returns", "again"), most_words=2,
+          asking=50, safety={"WarmUp": 300}),
+    Shape("budget", (_IDEMPOTENT,),
+          (Asked("a", "read", 450), Asked("b", "read", 450), Asked("c", "read", 450)),
+          ("cuts",), 2, leaves=1, asking=150,
+          safety={"BudgetWindow": 300, "FreeResends": 0, "ResendRatio": 0.7}),
+    Shape("order", (_ORDERED,),
+          (Asked("a", "step", 450, 7), Asked("b", "step", 450, 7), Asked("c", "step", 450, 7)),
+          ("refuses", "cuts"), 2, leaves=1, asking=50, safety={"TurnGap": 150}),
+)}
+
+CONFIGURATIONS: dict[str, Callable[[Bounds], Passage]] = {
+    name: (lambda bounds, shape=shape: Passage(shape, bounds)) for name, shape in SHAPES.items()}
+
+_AS_READY = (Gateway.listed, "if engine.standing is Standing.READY]",
+             "if engine.standing is not Standing.GONE]")
+MUTANTS: tuple[Mutant, ...] = (
+    Mutant("no_answer_when_worthless", "by_hard_stop", "silent", lines(
+        (Gateway.came_back, "else:\n        self._end(submission, now)", "else:\n        pass"))),
+    Mutant("reset_never_ran", "unrepeatable", "attempt", lines(
+        (Gateway._may_deny, "in UNRUN", "in UNRUN | {Ending.RESET}"))),
+    Mutant("spoilt_never_ran", "unrepeatable", "attempt", lines(
+        (Gateway._may_deny, "in UNRUN", "in UNRUN | {Ending.SPOILT}"))),
+    Mutant("failure_never_ran", "unrepeatable", "attempt", lines(
+        (Back.answered, "self.ended(exchange, _ENDINGS[answer.word], answer.report)",
+         "self.ended(exchange, Ending.FULL, answer.report)"))),
+    Mutant("time_out_never_ran", "unrepeatable", "attempt", lines(
+        (Gateway._may_deny, "in UNRUN", "in UNRUN | {Ending.TIMED_OUT}"))),
+    Mutant("all_denied", "unrepeatable", "attempt", lines(
+        (Gateway._end, "not self._may_deny(submission)", "False"))),
+    Mutant("group_unasked", "deduplicated", "attempt", lines(
+        (Gateway._may_take, "not group.get(tariff.group) or ", ""))),
+    Mutant("memory_unasked", "deduplicated", "repeat", lines(
+        (Gateway._may_take, "now >= relay.sent + tariff.memory - 50_000", "False"))),
+    Mutant("memory_from_now", "deduplicated", "repeat", lines(
+        (Gateway._may_take, "now >= relay.sent + tariff.memory - 50_000",
+         "now >= submission.relays[-1].sent + tariff.memory - 50_000"))),
+    Mutant("denied_outside_group", "deduplicated", "repeat", lines(
+        (Gateway._may_deny, 'tariff.deduplicated and tariff.group == "all"', "tariff.deduplicated"))),
+    Mutant("no_margin_out", "by_hard_stop", "silent", lines(
+        (Gateway._send, "submission.hard_stop - now - (MARGIN - SWEEP)", "submission.hard_stop - now"))),
+    Mutant("no_margin_held", "by_hard_stop", "budget", lines(
+        (Gateway.came_back, "min(submission.hard_stop - MARGIN, max(", "min(submission.hard_stop, max("))),
+    Mutant("sent_stays_held", "one_outstanding", "order", lines(
+        (Gateway._send, "self._unhold(submission)", "pass"))),
+    Mutant("ended_stays_held", "sound", "budget", lines(
+        (Gateway._close, "self._unhold(submission)", "pass"))),
+    Mutant("sent_before_heard", "one_outstanding", "silent", lines(
+        (Send.give_up, "exchange.link is None or exchange.link.give_up(exchange)", "True"))),
+    Mutant("late_result_answers", "one_answer", "attempt", lines(
+        (Back.ended, "if ending is Ending.FULFILLED and not no_more:", "if ending is Ending.FULFILLED:"),
+        (Book._answer, 'self._counters.must(not errand.answered, "a submission is answered once")\n'
+                       "    if errand.answered:", "if False:"))),
+    Mutant("left_is_relayed_again", "nothing_after", "attempt", lines(
+        (Back.ended, "no_more = submission.ended", "no_more = False"),
+        (Gateway.came_back, "if no_more or submission.ended:", "if no_more:"))),
+    Mutant("answers_in_order", "own_name", "attempt", lines(
+        (Book._answer, "self.open.get(submission)", "next(iter(self.open.values()), None)"))),
+    Mutant("report_kept", "nothing_kept", "attempt", lines(
+        (Back.ended, "self._reports.pop(relay, None)", "pass"))),
+    Mutant("call_kept", "nothing_kept", "attempt", lines(
+        (Back.ended, "exchange.due.cancel()", "pass"))),
+    Mutant("errand_kept", "nothing_kept", "attempt", lines(
+        (Back.ended, "self._book.settle(submission)", "pass"))),
+    Mutant("threads_kept", "nothing_kept", "attempt", lines(
+        (Gateway.came_back, "limiter.threads -= submission.tariff.threads", "pass"))),
+    Mutant("checked_at_choice", "drained", "drain", lines(
+        (SocketPort.relay, "self._route.route(relay, self._book.open, patience)",
+         "self._timers.after(0, lambda _: self._route.route(relay, self._book.open, patience))"))),
+    Mutant("grace_used", "drained", "drain", lines(
+        _AS_READY, (Gateway._may_take, "engine.standing is not Standing.READY",
+                    "engine.standing is Standing.GONE"))),
+    Mutant("omission_unheard", "gone", "drain", lines(
+        (Gateway.listed, "if complete and engine not in named:", "if False:"),
+        (Route.listed, "self._pools.pop(engine).retire()", "self._pools[engine].retire()"))),
+    Mutant("restart_forgets_out", "sound", "drain", lines(
+        (Gateway.listed, "if engine.limiter is not None:", "if False:"))),
+    Mutant("left_keeps_budget", "further_budget", "budget", lines(
+        (Gateway.client_left, "self.accepted.add(submission.arrived, -1)", "pass"))),
+    Mutant("budget_rounded_up", "further_budget", "budget", lines(
+        (Gateway._budget_left, "self.accepted.least(now)", "self.accepted.most(now)"))),
+    Mutant("budget_without_this", "further_budget", "budget", lines(
+        (Gateway._budget_left, "self.relayed_again.most(now) + 1", "self.relayed_again.most(now)"))),
+    Mutant("further_uncounted", "further_budget", "budget", lines(
+        (Gateway._send, "(self.relayed_again if again else tariff.usual.sent).add(now)",
+         "tariff.usual.sent.add(now)"))),
+    Mutant("budget_unasked_held", "further_budget", "budget", lines(
+        (Gateway._send, "again and not self._budget_left(submission, now)",
+         "again and not submission.held and not self._budget_left(submission, now)"))),
+    Mutant("turn_given_up_early", "key_order", "order", lines(
+        (Gateway._give_up_turn, "submission.ended and not submission.relay", "submission.ended"))),
+    Mutant("no_gap", "key_order", "order", lines(
+        (Gateway._is_turn, "now >= self.key_free.get(submission.key, 0)", "True"))),
+    Mutant("gap_not_after_reset", "key_order", "order", lines(
+        (Gateway.came_back, "if ending in RUNNING_ON and", "if ending in RUNNING_ON - {Ending.RESET} and"))),
+    Mutant("gap_not_after_left", "key_order", "order", lines(
+        (Gateway.came_back, "if ending in RUNNING_ON and",
+         "if ending in RUNNING_ON - {Ending.WITHDRAWN} and"))),
+    Mutant("turn_unasked", "key_order", "order", lines(
+        (Gateway._is_turn, "self.queues[submission.key][0] is submission", "True"))),
+    Mutant("turn_kept", "nothing_kept", "order", lines(
+        (Gateway._give_up_turn, "queue.remove(submission)", "pass"))),
+)
--- /dev/null
+++ b/cresstray/check/lines.py
@@ -0,0 +1,785 @@
+"""One client on one connection, one engine on its links, and all between but the module.
+
+talk.py, pool.py, exchanges.py, both codecs and the stages are the real ones. In the module's place stands
+one that may do whatever its port allows at any moment, so that nothing rests on what the module happens to
+choose. Bytes lie in the network until they are read, whole or up to a cut within a message; the engine may
+answer twice, under a name that nobody gave, with noise, and close or reset its link at any moment. Worlds:
+`connection`; `exchange`, of one request with more faults; `ending`, where the gateway is told to end at any
+moment.
+"""
+
+from __future__ import annotations
+
+import json
+from base64 import b64encode
+from collections.abc import Callable
+from sys import intern
+from typing import Any, NamedTuple
+
+import hiredis
+
+from cresstray.check.patching import Mutant, lines
+from cresstray.check.world import Bounds, VirtualClock, VirtualTimers, digest, freeze
+from cresstray.clients.talk import House, Next, Talk
+from cresstray.counters import Counters
+from cresstray.engines.codec import BrokenError
+from cresstray.engines.exchanges import Exchanges
+from cresstray.engines.pool import AnyLink, AnyPool, Quota
+from cresstray.interface import Ending, Engine, Relay, Standing, Submission, Tariff
+from cresstray.logic import UNRUN
+from cresstray.passage.admit import Admit
+from cresstray.passage.book import Book
+from cresstray.passage.port import SocketPort
+from cresstray.passage.relay import Back
+from cresstray.passage.route import Route
+from cresstray.passage.send import Send
+from cresstray.passage.take_in import TakeIn
+
+START = 1_000_000_000_000
+MILLI = 1_000
+# As the service ends: so long requests still come, then all that is owed is waited for, then what is written.
+_STILL_COMING, _AFTER_LIMIT, _WRITTEN = 800 * MILLI, 200 * MILLI, 500 * MILLI
+_LATEST = 100 * MILLI  # before its hard stop the module has ended what it still holds
+_SETTINGS = {"Limits": {"Cancel": True}, "Services": [
+    {"Name": "read", "Effect": "idempotent", "GiveUp": 750},
+    {"Name": "post", "Effect": "at_most_once", "GiveUp": 750}]}
+
+
+class Asked(NamedTuple):
+    name: str
+    number: int
+    tariff: str
+    patience: int  # milliseconds
+
+
+# One that may run again, and one that may not.
+ASKED = Asked("a", 1, "read", 600), Asked("b", 2, "post", 1200)
+_TARIFFS = [Tariff(place, 1, 100 * MILLI, 0.0, 1.0, 0.0, idempotent, False, "all", 0, False, None, None)
+            for place, idempotent in enumerate((True, False))]
+
+
+class Uncounted(Counters):
+    """What must hold is asserted; counts would part states that are otherwise the same."""
+
+    def add(self, name: str, amount: int = 1) -> None:
+        """Nothing."""
+
+
+class NoLog:
+    def say(self, kind: str, text: str) -> None:
+        """Nothing."""
+
+
+class Names(set):
+    """Written in an order that is not that of hashes."""
+
+    def __reduce__(self) -> tuple:
+        return Names, (sorted(self),)
+
+
+class Account:
+    """What the world knows of one request by what went over its seams."""
+
+    __slots__ = ("asked", "stop", "taken", "withdrawn", "heard", "runs", "out", "may_have_run", "called")
+
+    def __init__(self, asked: Asked) -> None:
+        self.asked = asked
+        self.stop = 0
+        self.taken = self.withdrawn = False  # by the gateway
+        self.heard = ""  # the final answer
+        self.runs = 0  # sent so often
+        self.out = False  # the engine has it, and neither answered nor was told to quit
+        self.may_have_run = self.called = False  # called: back, once
+
+
+class Module:
+    """In the module's place: it relays, calls back and ends what it holds when the world says so."""
+
+    def __init__(self, world: Lines) -> None:
+        self._world, self.port = world, None
+        self.held: list[Submission] = []
+        self.out: list[Relay] = []
+        self.engine = Engine(standing=Standing.READY)
+
+    def accept(self, submission: Submission, now: int) -> None:
+        self.held.append(submission)
+        self.tidy(now)
+
+    def client_left(self, submission: Submission, now: int) -> None:
+        submission.ended = True
+        if submission in self.held:
+            self.held.remove(submission)
+        if submission.relay is not None:
+            self.port.withdraw(submission.relay)
+
+    def came_back(self, relay: Relay, ending: Ending, latency: int, no_more: bool, report: dict,
+                  now: int) -> None:
+        if relay.ending is not None:
+            return
+        submission = relay.submission
+        relay.ending, submission.relay = ending, None
+        self.out.remove(relay)
+        if no_more or submission.ended:
+            submission.ended = True
+        else:
+            self.held.append(submission)
+            self.tidy(now)
+
+    def may_run(self, submission: Submission) -> bool:
+        return submission.tariff.idempotent or all(relay.ending in UNRUN for relay in submission.relays)
+
+    def relay(self, submission: Submission, now: int) -> None:
+        self.held.remove(submission)
+        relay = submission.relay = Relay(submission, self.engine, len(submission.relays), now)
+        submission.relays.append(relay)
+        self.out.append(relay)
+        self.port.relay(relay, max(MILLI, submission.hard_stop - now - _LATEST))
+
+    def end(self, submission: Submission) -> None:
+        self.held.remove(submission)
+        submission.ended = True
+        if self.may_run(submission):
+            self.port.deny(submission, 0)
+        else:
+            self.port.abandon(submission)
+
+    def due(self) -> int | None:
+        return min((one.hard_stop - _LATEST for one in self.held), default=None)
+
+    def tidy(self, now: int) -> None:
+        """What is held can no longer be answered but with its end."""
+        for submission in list(self.held):
+            if now >= submission.hard_stop - _LATEST:
+                self.end(submission)
+
+
+class ClientWire:
+    """The client's connection, as its socket would be."""
+
+    def __init__(self, world: Lines) -> None:
+        self._world = world
+        self.waiting = bytearray()
+        self.unread = b""  # of the client, in the network
+        self.stalls = self.shut = self.dead = False  # the client reads nothing; has shut; has reset
+        self.ended = self.closed = self._finishing = False
+
+    def put(self, message: bytes) -> bool:
+        if self.dead or self.closed:
+            self.ended = True
+            return False
+        if self.stalls:
+            self.waiting += message
+        self._world.client_hears(message)
+        return True
+
+    def flushed(self) -> None:
+        self.waiting.clear()
+        self.ended = self.ended or self._finishing
+
+    def finish(self) -> None:
+        self._finishing = True
+        if not self.waiting:
+            self.ended = True
+
+    def close(self) -> None:
+        self.closed = True
+
+    def has_more(self) -> bool:
+        return bool(self.unread)
+
+
+class EngineLink(AnyLink):
+    """One link, with the engine at its other end. `has`: what it runs there; `told`: in the network."""
+
+    def __init__(self, pool: AnyPool, name: str) -> None:
+        super().__init__(pool)
+        self.name = name
+        self.life.given_up = Names()
+        self.hung_up = self.dead = self.shut = False
+        self.has: list[str] = []
+        self.told: list[bytes] = []
+        self.last = ""  # what it answered last, for a second copy
+
+    def hang_up(self) -> None:
+        self.hung_up = True
+
+    def put(self, message: bytes) -> bool:
+        if self.dead or self.hung_up:
+            self.hung_up = True
+            return False
+        self.pool.world.engine_hears(self, message)
+        return True
+
+    def has_ended(self) -> bool:
+        return self.dead or self.shut and not self.told
+
+
+class EnginePool(AnyPool):
+    def __init__(self, world: Lines) -> None:
+        super().__init__(("e", 1), _SETTINGS, Quota(1, 3), world.timers, world.clock.now, world.counters)
+        self.world = world
+        self._swept = True  # what is idle for ten seconds is beyond this world
+
+    def dial(self) -> EngineLink:
+        taken = {link.name for link in self.links}
+        return EngineLink(self, next(name for name in ("l1", "l2", "l3", "l4", "l5") if name not in taken))
+
+
+def _most() -> int:
+    return 4
+
+
+class Lines:
+    """`ends`: whether the gateway may begin to end; the others hold unless the bounds say so."""
+
+    def __init__(self, bounds: Bounds, submissions: int, faults: int, leaves: int, ends: bool) -> None:
+        self.clock = clock = VirtualClock(START)
+        self.timers = timers = VirtualTimers(clock)
+        self.counters = counters = Uncounted()
+        self.book = Book(counters)
+        self.back = Back(clock, counters, self.book)
+        self.send = send = Send(clock, timers, counters, self.back)
+        self.route = Route(None, send)
+        self.module = module = Module(self)
+        module.port = SocketPort(self.route, send, self.book, timers, counters, NoLog())
+        self.back.gateway = module
+        admit = Admit(self.book)
+        admit.gateway = module
+        self.take_in = TakeIn(_SETTINGS, _TARIFFS, clock, admit)
+        self.pool = self.route._pools[module.engine] = EnginePool(self)
+        self.house = House(frozenset(("read", "post")), self.take_in, _most, 4, clock.now, counters,
+                           NoLog().say)
+        self.wire = ClientWire(self)
+        self.talk: Talk | None = Talk(self.house, self.wire)
+        self.house.connections[self.talk] = None
+        self.then = Next.READ
+        self.accounts = [Account(asked) for asked in ASKED[:bounds.submissions or submissions]]
+        self.cuts = 1
+        self.faults = faults if bounds.faults is None else bounds.faults
+        self.leaves = leaves if bounds.leaves is None else bounds.leaves
+        self.ends = ends
+        self.ending, self.ends_at = "", 0  # "coming", "owed", "written", "over"; the next step's time
+        self.broken: list[str] = []
+
+    def breaks(self, name: str, seen: str) -> None:
+        self.broken.append(f"{name}: {seen}")
+
+    # What goes over the seams.
+
+    def client_hears(self, message: bytes) -> None:
+        told = json.loads(message)
+        account = next((one for one in self.accounts if one.asked.number == told["id"]), None)
+        if account is None or not account.taken:
+            self.breaks("one_answer", f"the client is answered what it did not ask, {told}")
+            return
+        name, how = account.asked.name, "fulfilled" if "result" in told else told["error"]["message"]
+        if account.heard:
+            self.breaks("one_answer", f"{name} is answered {how} after {account.heard}")
+        if account.withdrawn:
+            self.breaks("one_answer", f"{name} is answered {how} after it was withdrawn")
+        if self.clock.at > account.stop > 1:
+            late = (self.clock.at - account.stop) // MILLI
+            self.breaks("by_hard_stop", f"{name} is answered {late} ms late")
+        if "result" in told and told["result"]["data"] != b64encode(_row(name)).decode():
+            self.breaks("own_name", f"{name} is answered with {told['result']['data']}")
+        if how == "refused" and account.may_have_run and account.asked.tariff == "post":
+            self.breaks("unrepeatable", f"{name} may have run and is denied")
+        account.heard = how
+
+    def engine_hears(self, link: EngineLink, message: bytes) -> None:
+        reader = hiredis.Reader()
+        reader.feed(message)
+        while (command := reader.gets()) is not False:
+            word, name = command[0], chr(command[1][0])
+            account = next(one for one in self.accounts if one.asked.name == name)
+            if word in (b"QUIT", b"FREE"):
+                if name in link.has:
+                    link.has.remove(name)
+                    account.out = False
+            elif word == b"ASK":
+                self._runs(link, account)
+            elif account.heard or account.withdrawn:
+                self.breaks("nothing_after", f"{name} gets {word.decode()} after its end")
+
+    def _runs(self, link: EngineLink, account: Account) -> None:
+        name = account.asked.name
+        # A link that comes up in the turn of the loop in which a withdrawal was read may still send: the
+        # QUIT is due by then and follows at once.
+        if account.heard or account.withdrawn and not self._is_due():
+            self.breaks("nothing_after", f"{name} is sent on {link.name} after its end")
+        if account.out:
+            self.breaks("one_outstanding", f"{name} is sent on {link.name} while it is out")
+        if account.may_have_run and account.asked.tariff == "post":
+            self.breaks("unrepeatable", f"{name} may have run and is sent again")
+        account.out = account.may_have_run = True
+        account.runs += 1
+        link.has.append(name)
+
+    # Choices.
+
+    def choices(self) -> list[str]:
+        over = self.talk is None or not self.wire.waiting and all(
+            one.heard or one.withdrawn for one in self.accounts)
+        if self.ending == "over" or over and self.quiet() and not self.module.held:
+            return []
+        found: list[str] = []
+        soon = False  # whether something comes before time passes
+        found += self._client_choices()
+        for submission in self.module.held:
+            name = self._name(submission)
+            if len(submission.relays) < 3 and self.module.may_run(submission):
+                found.append(f"gateway relays {name}")
+            found.append(f"gateway ends {name}")
+        for relay in self.module.out:
+            account = self._account(self._name(relay.submission))
+            if relay.submission.tariff.idempotent and not account.called and not relay.submission.ended:
+                found.append(f"gateway calls back {account.asked.name}")
+        for link in self.pool.links:
+            more, pending = self._link_choices(link)
+            found += more
+            soon = soon or pending
+        if self.talk is not None and (self.wire.ended or self.wire.closed or self.then is Next.CLOSE):
+            found.append("connection ends")
+            soon = True
+        if self.ends and not self.ending and not over:
+            found.append("gateway begins to end")
+        elif self.ending and self._may_step():
+            found.append("gateway goes on ending")
+            soon = True
+        if not soon:
+            if self._is_due():
+                found.append("due")
+            elif self._next() is not None:
+                found.append("clock")
+        return found
+
+    def _client_choices(self) -> list[str]:
+        wire, found = self.wire, []
+        if self.talk is None:
+            return found
+        if not (wire.shut or wire.dead):
+            coming = not self.ending or self.ending == "coming" or wire.stalls
+            asking = [one.asked.name for one in self.accounts if not one.stop] if coming else []
+            found += [f"client asks {name}" for name in asking]
+            if len(asking) > 1:
+                found.append("client asks both")
+            if self.cuts and self._reads():
+                found += [f"client asks {name} in part" for name in asking]
+            if self.leaves:
+                found += [f"client withdraws {one.asked.name}" for one in self.accounts
+                          if one.stop and not one.heard and not one.withdrawn]
+                found += ["client shuts", "client resets"]
+                if not wire.stalls:
+                    found.append("client stalls")
+        if wire.stalls and not wire.dead:
+            found.append("client reads")
+        if self._reads():
+            if wire.unread:
+                found.append("gateway reads")
+            elif wire.shut or wire.dead:
+                found.append("gateway reads the end")
+        return found
+
+    def _reads(self) -> bool:
+        """Whether the gateway reads from the client."""
+        return not (self.wire.ended or self.wire.closed) and self.then is Next.READ and self.talk.may_read()
+
+    def _link_choices(self, link: EngineLink) -> tuple[list[str], bool]:
+        found, name = [], link.name
+        if link.hung_up:
+            # What has come may still be read before the end is seen.
+            if link.told and link.line is not None:
+                found.append(f"{name} is read")
+            return [*found, f"{name} is gone"], True
+        if link.line is None:
+            found.append(f"{name} is up")
+            if self.faults:
+                found.append(f"{name} is not reached")
+            return found, False
+        if not (link.dead or link.shut):
+            for one in link.has:
+                found.append(f"{name} serves {one}")
+                if self.faults:
+                    found += [f"{name} {how} {one}" for how in ("refuses", "spoils", "mixes up")]
+            if self.faults:
+                if link.last:
+                    found.append(f"{name} repeats {link.last}")
+                found += [f"{name} resets", f"{name} shuts"]
+        if link.told:
+            found.append(f"{name} is read")
+            if self.cuts and not link._answers.begun():
+                found.append(f"{name} is read in part")
+        elif link.dead or link.shut:
+            found.append(f"{name} is gone")
+        return found, False
+
+    def _may_step(self) -> bool:
+        if self.ending == "owed":
+            return not self.book.owed()
+        return self.clock.at >= self.ends_at or self.ending == "written" and not self.house.connections
+
+    def _is_due(self) -> bool:
+        return bool(self.timers.line) and self.timers.line[0].at <= self.clock.at
+
+    def _next(self) -> int | None:
+        """When anything is due by itself."""
+        at = [due.at for due in self.timers.line[:1]]
+        if self.module.held:
+            at.append(self.module.due())
+        at += [link._due for link in self.pool.links if link._answers.begun() and not link.told]
+        if self.ending in ("coming", "written"):
+            at.append(self.ends_at)
+        if self.talk is not None and self.talk in self.house.connections and not self.talk.open:
+            limit = -self.talk.silent_for(self.clock.at)
+            at.append(self.clock.at + (limit if limit > 0 else limit + 1_000_000))
+        return max(self.clock.at, min(at)) if at else None
+
+    # Steps.
+
+    def do(self, choice: str) -> None:
+        """One step. What leaves the code as an exception is a breach as well."""
+        try:
+            self._do(*choice.split(" ", 2))
+        except Exception as trouble:
+            self.breaks("sound", f"{type(trouble).__name__} {trouble}".rstrip())
+        self._tidy()
+        if not self.broken:
+            self._mind_time()
+            if self.quiet():
+                self._mind_rest()
+
+    def _do(self, who: str, verb: str = "", what: str = "") -> None:
+        if who == "clock":
+            self.clock.at = self._next()
+            for link in list(self.pool.links):
+                if link._answers.begun() and not link.told and self.clock.at >= link._due:
+                    self._read(link, None)
+            self.module.tidy(self.clock.at)
+            if self.talk is not None and self.talk.silent_for(self.clock.at) >= 0:
+                self.house.close_silent()
+        elif who == "due":
+            self.timers.run_due()
+        elif who == "client":
+            self._client(verb, what)
+        elif who == "connection":
+            self._connection_ends()
+        elif who == "gateway":
+            self._gateway(verb, what)
+        else:
+            self._engine(next(one for one in self.pool.links if one.name == who), verb, what)
+
+    def _client(self, verb: str, what: str) -> None:
+        wire = self.wire
+        if verb == "asks":
+            for account in self.accounts if what == "both" else [self._account(what[0])]:
+                asked = account.asked
+                account.stop = 1  # until it is read
+                wire.unread += _line(asked.tariff, asked.number, {
+                    "req": asked.name * 16, "timeout": asked.patience,
+                    "data": b64encode(b"select 1").decode()})
+            if self._reads():
+                # What lies in the network longer is no other case: the gateway's time runs from its reading.
+                self._gateway_reads("in part" if what.endswith("in part") else "")
+        elif verb == "withdraws":
+            self.leaves -= 1
+            wire.unread += _line("withdraw", None, {"id": self._account(what).asked.number})
+            if self._reads():
+                self._gateway_reads("")
+        elif verb == "reads":
+            wire.stalls = False
+            wire.flushed()
+        else:
+            self.leaves -= 1
+            if verb == "stalls":
+                wire.stalls = True
+            elif verb == "shuts":
+                wire.shut = True
+            else:
+                wire.dead, wire.unread = True, b""
+
+    def _gateway(self, verb: str, what: str) -> None:
+        if verb == "reads":
+            self._gateway_reads(what)
+        elif verb == "relays":
+            self.module.relay(self._held(what), self.clock.at)
+        elif verb == "ends":
+            self.module.end(self._held(what))
+        elif verb == "calls":
+            name = what.removeprefix("back ")
+            self._account(name).called = True
+            relay = next(one for one in self.module.out if self._name(one.submission) == name)
+            self.module.port.withdraw(relay)
+        else:
+            self._end()
+
+    def _gateway_reads(self, what: str) -> None:
+        wire = self.wire
+        if what == "the end":
+            self._connection_ends()
+            return
+        data = wire.unread
+        if what == "in part":
+            self.cuts -= 1
+            # Within the last line: what is before it comes with half of it.
+            data = data[:(data.rfind(b"\n", 0, -1) + 1 + len(data)) // 2]
+        wire.unread = wire.unread[len(data):]
+        for account in self.accounts:
+            # A request's time runs from when the gateway has all of it; a withdrawal counts from there on.
+            if account.stop and not account.taken:
+                account.stop = self.clock.at + account.asked.patience * MILLI
+                if self.ending in ("coming", "owed"):
+                    account.stop = min(account.stop, self.take_in.last_stop)
+        left = self._mark_taken(data)
+        self.then = self.talk.receive(data)
+        for account in left:
+            account.withdrawn = not account.heard
+        if self.then is Next.ANSWER and not self.talk.owes():
+            self.then = Next.CLOSE
+
+    def _mark_taken(self, data: bytes) -> list[Account]:
+        """Which requests are whole with this piece; returns those that are withdrawn by it."""
+        left, whole = [], bytes(self.talk._buffer) + data
+        for line in whole[:whole.rfind(b"\n") + 1].splitlines():
+            told = json.loads(line)
+            number = told.get("id") or told["params"]["id"]
+            account = next(one for one in self.accounts if one.asked.number == number)
+            if "id" in told:
+                account.taken = True
+            else:
+                left.append(account)
+        return left
+
+    def _connection_ends(self) -> None:
+        wire = self.wire
+        left = wire.dead or wire.shut or wire.stalls
+        for account in self.accounts:
+            if account.taken and not account.heard and not account.withdrawn:
+                if not left:
+                    self.breaks("one_answer", f"the connection ends and {account.asked.name} gets no answer")
+                account.withdrawn = True
+        talk, self.talk = self.talk, None
+        wire.closed, wire.unread = True, b""
+        wire.waiting.clear()
+        talk.gone()
+
+    def _engine(self, link: EngineLink, verb: str, what: str) -> None:
+        if verb == "is":
+            self._link(link, what)
+            return
+        if verb != "serves":
+            self.faults -= 1
+        if verb == "resets":
+            link.dead, link.told = True, []
+            self._lost(link)
+        elif verb == "shuts":
+            link.shut = True
+            self._lost(link)
+        elif verb == "repeats":
+            link.told.append(_answer(link.last[-1], link.last.split(" ")[0]))
+        else:
+            how, _, name = f"{verb} {what}".rpartition(" ")
+            account = self._account(name)
+            if how != "mixes up":
+                link.has.remove(name)
+                account.out = False
+            if how == "refuses":
+                account.may_have_run = False
+            link.told.append(_answer(name, how))
+            if how in ("serves", "refuses"):
+                link.last = f"{how} {name}"
+
+    def _link(self, link: EngineLink, what: str) -> None:
+        if what == "up":
+            link.up(link)
+        elif what == "not reached":
+            self.faults -= 1
+            link.gone()
+        elif what == "gone":
+            if link.hung_up or self._read(link, b""):
+                self._lost(link)
+                link.gone()
+        else:
+            data = link.told.pop(0) if what == "read in part" else b"".join(link.told)
+            if what == "read in part":
+                self.cuts -= 1
+                link.told.insert(0, data[len(data) // 2:])
+                data = data[:len(data) // 2]
+            else:
+                link.told = []
+            self._read(link, data)
+
+    def _lost(self, link: EngineLink) -> None:
+        """What an engine had is ended with its link; it may have run."""
+        for name in link.has:
+            self._account(name).out = False
+        link.has = []
+
+    def _read(self, link: EngineLink, data: bytes | None) -> bool:
+        """As the reader of a link does: what came, b"" for its end, None for the time being over.
+
+        False where the link has been dropped for it.
+        """
+        try:
+            if data is None:
+                link.stopped()
+            elif data:
+                link.received(data)
+            else:
+                link.cut_short()
+        except BrokenError:
+            link.spoilt = True
+            self._lost(link)
+            link.gone()
+            return False
+        return True
+
+    def _end(self) -> None:
+        """The next step of the service's end."""
+        now = self.clock.at
+        if not self.ending:
+            self.ending, self.ends_at = "coming", now + _STILL_COMING
+            left = 750 * MILLI + _AFTER_LIMIT
+            self.take_in.last_stop = now + left
+            for account in self.accounts:
+                account.stop = min(account.stop, now + left)
+            self.book.close(now + left)
+            self.timers.after(left, self.send.give_up_all)
+        elif self.ending == "coming":
+            self.ending = "owed"
+        elif self.ending == "owed":
+            self.ending, self.ends_at = "written", now + _WRITTEN
+            for connection in list(self.house.connections):
+                connection.close()
+        else:
+            self.ending = "over"
+            if self.talk is not None:
+                self._connection_ends()
+
+    # States.
+
+    def _name(self, submission: Submission) -> str:
+        errand = self.book.open.get(submission)
+        return errand.query.name[0] if errand is not None else "?"
+
+    def _held(self, name: str) -> Submission:
+        return next(one for one in self.module.held if self._name(one) == name)
+
+    def _account(self, name: str) -> Account:
+        return next(one for one in self.accounts if one.asked.name == name)
+
+    def _mind_time(self) -> None:
+        for account in self.accounts:
+            if (account.taken and not account.heard and not account.withdrawn and self.talk is not None
+                    and self.clock.at > account.stop):
+                self.breaks("by_hard_stop", f"{account.asked.name} is not answered by its hard stop")
+
+    def quiet(self) -> bool:
+        return (all(one.heard or one.withdrawn or not one.taken for one in self.accounts)
+                and not any(link.told or link.hung_up for link in self.pool.links)
+                and not self.back.out and not self._is_due())
+
+    def _mind_rest(self) -> None:
+        links = self.pool.links
+        kept = {"open": self.book.open, "pages told": self.back._reports, "held": self.module.held,
+                "out": self.module.out, "on links": [one for link in links for one in link.life.open],
+                "idle and no link": [link for link in self.pool.quota.idle if link not in links],
+                "owed": self.talk.open if self.talk is not None else (),
+                "half lines": self.house.unfinished and self.talk is None and "some" or ""}
+        for name, what in kept.items():
+            if what:
+                self.breaks("nothing_kept", f"{len(what)} {name}")
+        if self.pool.quota.used != len(links):
+            self.breaks("nothing_kept", f"{self.pool.quota.used} links counted, {len(links)} there")
+        idle = [link for link in links if not link.life.open and not link.life.ended
+                and link not in self.pool.quota.idle]
+        if idle:
+            self.breaks("nothing_kept", f"{idle[0].name} is idle and not known to be")
+
+    def _tidy(self) -> None:
+        """What is remembered and no longer has a future is dropped, so that states are the same that are."""
+        self.take_in._names.clear()
+        self.take_in._turn = 0
+        for errand in self.book.open.values():
+            # How decoders share what they read is no part of a state.
+            query = errand.query
+            query.tariff, query.tenant, query.mark = map(intern, (query.tariff, query.tenant, query.mark))
+        for account in self.accounts:
+            if (account.heard or account.withdrawn) and not account.out:
+                account.heard = intern(account.heard)
+                account.runs, account.called, account.may_have_run, account.stop = 0, False, False, 1
+        for link in self.pool.links:
+            # Of how often it was heard, only what is the same is asked.
+            life = link.life
+            ranks = sorted({life.heard, *(one.heard for one in life.open.values())})
+            for one in life.open.values():
+                one.heard = ranks.index(one.heard)
+            life.heard = ranks.index(life.heard)
+
+    def __setstate__(self, state: dict[str, Any]) -> None:
+        # Danger: strings are written once and referred to after that. Those of a copy are others than those
+        # of the code, and states that are the same would be written in two ways.
+        self.__dict__.update((intern(name), value) for name, value in state.items())
+        self.ending = intern(self.ending)
+        for account in self.accounts:
+            account.asked = Asked(*(intern(one) if type(one) is str else one for one in account.asked))
+            account.heard = intern(account.heard)
+        for link in self.pool.links:
+            link.name, link.last, link.has = intern(link.name), intern(link.last), list(map(intern, link.has))
+        self._tidy()
+
+    def freeze(self) -> bytes:
+        return freeze(self)
+
+    def fingerprint(self) -> bytes:
+        return digest(freeze(self))
+
+    def moment(self) -> float:
+        """Milliseconds since the start, for traces."""
+        return (self.clock.at - START) / MILLI
+
+
+def _row(name: str) -> bytes:
+    return f"{name}\t\t\n".encode()
+
+
+def _line(method: str, number: int | None, params: dict[str, Any]) -> bytes:
+    told = {"jsonrpc": "2.0", "method": method, "params": params} | ({} if number is None else {"id": number})
+    return json.dumps(told).encode() + b"\n"
+
+
+def _answer(name: str, how: str) -> bytes:
+    parts = {"serves": (name * 16, "served", "sheets=1", _row(name)),
+             "refuses": (name * 16, "overload", "-", ""),
+             "spoils": (name * 16, "served", "sheets=1", b"\x00noise"),
+             "mixes up": ("f" * 16, "served", "-", _row("f"))}[how]
+    return hiredis.pack_command(parts)
+
+
+CONFIGURATIONS: dict[str, Callable[[Bounds], Lines]] = {
+    "connection": lambda bounds: Lines(bounds, 2, 1, 1, False),
+    "exchange": lambda bounds: Lines(bounds, 1, 3, 0, False),
+    "ending": lambda bounds: Lines(bounds, 2, 0, 1, True)}
+
+MUTANTS: tuple[Mutant, ...] = (
+    Mutant("answer_that_crosses_its_quit", "one_outstanding", "exchange", lines(
+        (Exchanges.room_for, "name in self.given_up or ", ""))),
+    Mutant("second_copy_of_a_refusal", "one_outstanding", "exchange", lines(
+        (Exchanges.room_for, " or name in self.refused", ""))),
+    Mutant("taken_in_after_the_close", "one_answer", "ending", lines(
+        (Talk._take, "elif self._closing:", "elif False:"))),
+    Mutant("reset_counted_as_never_run", "unrepeatable", "connection", lines(
+        (Exchanges._fate, "return Fate.CUT",
+         "return Fate.CUT if self.heard > exchange.heard else Fate.UNREACHED"))),
+    Mutant("spoilt_counted_as_refused", "unrepeatable", "connection", lines(
+        (Back.cut, "Ending.SPOILT if spoilt else Ending.RESET", "Ending.FULL if spoilt else Ending.RESET"))),
+    Mutant("the_last_stop_is_not_told", "by_hard_stop", "ending", lines(
+        (Book.close, "min(submission.hard_stop, last_stop)", "submission.hard_stop"))),
+    Mutant("who_has_left_is_not_told", "nothing_kept", "connection", lines(
+        (Talk.gone, "self._house.front.gone(self)", "pass"))),
+    Mutant("half_lines_are_counted_on", "nothing_kept", "connection", lines(
+        (Talk.gone, "self._house.unfinished -= len(self._buffer)", "pass"))),
+    Mutant("idle_and_forgotten", "nothing_kept", "connection", lines(
+        (AnyLink._mind_idle, "self.pool.quota.idle[self] = None", "pass"))),
+    Mutant("quit_that_is_not_sent", "one_outstanding", "exchange", lines(
+        (AnyLink.give_up, "if told is not None:", "if False:"))),
+)
