Marks joined to the passage: asked for before the module hears, looked at as bytes leave

Admit asks within the submission's slack and hands it to the module on a yes; send and the link look once more, at the moment at which bytes leave, whether the mark is still this gateway's, so that a process that was stopped sends nothing on an old one; book and relay tell the outcome behind the final answer; nothing crosses to another hall for longer than its mark. The module counts the soft limit from when a submission came (logic.py, accept). Without an operator's file none of it is imported.

--- a/cresstray/conf/store.py
+++ b/cresstray/conf/store.py
@@ -52,7 +52,7 @@
 
     def lines(self) -> dict[str, Any]:
         """As a plain map, for what decides about marks."""
-        return {"namespace": self.namespace, "once": list(self.tariffs), "answers": self.answers,
+        return {"namespace": self.namespace, "tariffs": list(self.tariffs), "answers": self.answers,
                 "unguarded": dict(self.unguarded), "unguarded_s": self.unguarded_for / 1e6,
                 "ask_most_ms": self.ask_most / 1000, "slow_ms": self.slow / 1000, "kept_s": self.kept / 1e6}
 
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -208,9 +208,9 @@
     # Accept: from here on the submission is owed one final answer.
 
     def accept(self, submission: Submission, now: int) -> None:
-        tariff = submission.tariff
+        tariff, arrived = submission.tariff, submission.arrived
         submission.expected = tariff.usual.time_of(submission)
-        submission.soft_stop = now + int(tariff.soft_limit + tariff.soft_stretch * submission.expected)
+        submission.soft_stop = arrived + int(tariff.soft_limit + tariff.soft_stretch * submission.expected)
         # Held until it can no longer be answered within its soft limit, a tenth of its time at the least.
         submission.leave_by = min(submission.hard_stop - MARGIN, max(
             now + (submission.hard_stop - now) // 10, submission.soft_stop - 3 * submission.expected // 2))
@@ -220,7 +220,7 @@
             # It counts, and earns further relays, where it was accepted; here it gives way to our own.
             submission.leave_by = min(submission.leave_by, now + (0 if self.held else submission.hold))
         else:
-            self.accepted.add(now)
+            self.accepted.add(arrived)
             # Danger: many gateways' probes at a fixed rate cost more than they tell. One for two of these.
             self.probes = min(self.probes + 0.5, 1 + len(self.ready) / 5)
             # Danger: many gateways' trials alone are as much as a fair share of work. One for ten of these.
--- a/cresstray/passage/across.py
+++ b/cresstray/passage/across.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from cresstray.clock import Clock, Timers
 from cresstray.counters import Counters
 from cresstray.halls.ledger import Crossing, Outcome
@@ -11,6 +13,9 @@
 from cresstray.passage.relay import Back
 from cresstray.passage.send import Send
 
+if TYPE_CHECKING:
+    from cresstray.marked import Marked
+
 
 class Across:
     """The keeper of all crossings. Each link is one engine to the module, whose `far` is the way to it."""
@@ -18,6 +23,7 @@
     def __init__(self, clock: Clock, timers: Timers, counters: Counters, back: Back, send: Send) -> None:
         self._clock, self._timers, self._counters = clock, timers, counters
         self._back, self._send = back, send
+        self.marked: Marked | None = None  # where marks are kept in a store
         self._engines: dict[Outward, Engine] = {}
         self._links: dict[Engine, Outward] = {}
 
@@ -29,6 +35,8 @@
     def send(self, relay: Relay, errand: Errand, patience: int) -> None:
         crossing = self._links[relay.engine].offer(relay, errand.query, self._clock.now())
         self._back.out[relay] = crossing
+        if self.marked is not None:
+            self.marked.sent(relay.submission)
         crossing.due = self._timers.after(
             patience, lambda _: self._send.give_up(relay, Ending.TIMED_OUT))
 
--- a/cresstray/passage/admit.py
+++ b/cresstray/passage/admit.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from cresstray.halls.credit import Share
     from cresstray.kept.keep import Keep
+    from cresstray.marked import Marked
 
 
 class Admit:
@@ -19,11 +20,17 @@
         self.gateway: Gateway | None = None  # made with the port, which stands further down the chain
         self.share: Share | None = None  # of what may cross to other halls, where there are any
         self.keep: Keep | None = None  # where a list is kept on disk
+        self.marked: Marked | None = None  # where marks are kept in a store
 
     def admit(self, errand: Errand, now: int) -> None:
         self._book.opened(errand)
         if self.keep is not None and self._refused(errand, now):
             return
+        if self.marked is not None and self.marked.holds(errand, now, lambda now: self._accept(errand, now)):
+            return
+        self._accept(errand, now)
+
+    def _accept(self, errand: Errand, now: int) -> None:
         if self.share is not None and not errand.submission.foreign:
             self.share.taken(now)
         self.gateway.accept(errand.submission, now)
@@ -41,5 +48,6 @@
     def leave(self, errand: Errand, now: int) -> None:
         """The client has left; the module gives up what is out."""
         self._book.left(errand)
-        self.gateway.client_left(errand.submission, now)
+        if self.marked is None or not self.marked.leaves(errand.submission):
+            self.gateway.client_left(errand.submission, now)
         self._book.settle(errand.submission)
--- a/cresstray/passage/book.py
+++ b/cresstray/passage/book.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from cresstray.counters import Counters
 from cresstray.interface import Ending, Submission
 from cresstray.passage.errand import Errand
 
+if TYPE_CHECKING:
+    from cresstray.marked import Marked
+
 
 class Book:
     def __init__(self, counters: Counters) -> None:
         self._counters = counters
+        self.marked: Marked | None = None  # where marks are kept in a store
         self.open: dict[Submission, Errand] = {}  # until answered and nothing of it is out
 
     def opened(self, errand: Errand) -> None:
@@ -32,22 +38,31 @@
         if errand is not None:
             read = submission.read
             errand.asker.fulfil(errand.number, result, read.at() if read is not None else None)
+            self._tell(submission, "fulfilled", result)
 
     def deny(self, submission: Submission, come_back: int) -> None:
         errand = self._answer(submission, "denied")
         if errand is not None:
             errand.asker.deny(errand.number, come_back)
+            self._tell(submission, "denied")
 
     def abandon(self, submission: Submission) -> None:
         errand = self._answer(submission, "abandoned")
         if errand is not None:
             errand.asker.abandon(errand.number)
+            self._tell(submission, "abandoned")
 
     def left(self, errand: Errand) -> None:
         """Nothing is owed any more."""
         errand.answered = True
         del errand.asker.open[errand.number]
         self._counters.add("submissions left")
+        self._tell(errand.submission, "left")
+
+    def _tell(self, submission: Submission, how: str, result: bytes | None = None) -> None:
+        """Behind the answer, which waits for no mark."""
+        if self.marked is not None:
+            self.marked.ended(submission, how, result)
 
     def _answer(self, submission: Submission, how: str) -> Errand | None:
         errand = self.open.get(submission)
--- a/cresstray/passage/relay.py
+++ b/cresstray/passage/relay.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from cresstray.kept.keep import Keep
+    from cresstray.marked import Marked
     from cresstray.passage.pinned import Pinned
 
 _ENDINGS = {b"overload": Ending.FULL, b"crashed": Ending.ERROR, b"nobody": Ending.MOOT}
@@ -28,6 +29,7 @@
         self.gateway: Gateway | None = None
         self.pinned: Pinned | None = None  # where the fleet's rules place shards
         self.keep: Keep | None = None  # where a list is kept on disk
+        self.marked: Marked | None = None  # where marks are kept in a store
         self.out: dict[Relay, Exchange] = {}
         self._reports: dict[Relay, dict[str, float]] = {}  # told with a first page, for the relay's end
 
@@ -65,6 +67,10 @@
         # Danger: part of its bytes may have gone out; it may have run.
         self.ended(exchange, Ending.SPOILT if spoilt else Ending.RESET)
 
+    def overdue(self, exchange: Exchange) -> None:
+        """Nothing of it has left, and nothing may any more."""
+        self.ended(exchange, Ending.MOOT)
+
     def ended(self, exchange: Exchange, ending: Ending, report: dict[str, float] | None = None,
               result: bytes | None = None, travel: int = 0) -> None:
         """Books the ending, answers the client if that was the result, and tells the module.
@@ -82,6 +88,8 @@
             self.pinned.came_back(relay, report, now)
         if self.keep is not None:
             self.keep.ended(relay, ending, now)
+        if self.marked is not None:
+            self.marked.relay_ended(relay, ending, now)
         no_more = submission.ended
         if ending is Ending.FULFILLED and not no_more:
             self._book.fulfil(submission, result)
--- a/cresstray/passage/send.py
+++ b/cresstray/passage/send.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from cresstray.clock import Clock, Timers
 from cresstray.counters import Counters
 from cresstray.engines import codec
@@ -11,20 +13,31 @@
 from cresstray.passage.errand import Errand
 from cresstray.passage.relay import Back
 
+if TYPE_CHECKING:
+    from cresstray.marked import Marked
+
 
 class Send:
     def __init__(self, clock: Clock, timers: Timers, counters: Counters, back: Back) -> None:
         self._clock, self._timers, self._counters, self._back = clock, timers, counters, back
+        self.marked: Marked | None = None  # where marks are kept in a store
 
     def send(self, relay: Relay, errand: Errand, pool: Pool, patience: int) -> None:
         query, name = errand.query, errand.query.name.encode()
         message = codec.ask(name, query.tariff, max(1, patience // 1000), query.mark, query.statement)
         exchange = Exchange(name, message, self._back, relay)
         self._back.out[relay] = exchange
+        if self.marked is not None and not self.marked.may_send(relay.submission):
+            # The module hears of it once it has finished what it is about.
+            exchange.due = self._timers.after(0, lambda _: self._back.ended(exchange, Ending.MOOT))
+            return
         exchange.due = self._timers.after(patience, lambda _: self.give_up(relay, Ending.TIMED_OUT))
         self._counters.add("relays sent")
         if relay.submission.foreign:
             errand.asker.sent(errand.number)
+        if self.marked is not None:
+            exchange.until = self.marked.until(relay.submission)
+            self.marked.sent(relay.submission)
         pool.start(exchange)
 
     def withdraw(self, relay: Relay) -> None:
@@ -39,7 +52,7 @@
     def give_up(self, relay: Relay, ending: Ending) -> None:
         exchange = self._back.out.get(relay)
         if exchange is not None:
-            surely = exchange.link.give_up(exchange)
+            surely = exchange.link is None or exchange.link.give_up(exchange)
             # Danger: what another hall has runs on until it has heard of it, and may not be relayed
             # meanwhile. At its time limit nothing more is relayed, and the client is owed the answer.
             if surely or ending is Ending.TIMED_OUT:
--- a/cresstray/store/guard.py
+++ b/cresstray/store/guard.py
@@ -39,8 +39,8 @@
 
 
 def guarded(tariff: Tariff, name: str, lines: Mapping[str, Any]) -> Guarded:
-    """`lines["once"]`: the names of the tariffs that the operator has marked."""
-    if tariff.idempotent or name not in lines.get("once", ()):
+    """`lines["tariffs"]`: the names of the tariffs that the operator has marked."""
+    if tariff.idempotent or name not in lines.get("tariffs", ()):
         return Guarded.FREE
     if not tariff.deduplicated:
         return Guarded.ONCE
@@ -54,7 +54,10 @@
 
 
 class Times(NamedTuple):
-    """Of one submission, microseconds of this gateway's clock; `memory`: how long engines remember it."""
+    """Of one submission, microseconds of this gateway's clock; `memory`: how long engines remember it.
+
+    `hard_stop`: so long an intention must hold.
+    """
 
     asked: int
     leave_by: int  # until then it can be sent and answered within its soft limit
--- a/cresstray/store/health.py
+++ b/cresstray/store/health.py
@@ -14,9 +14,9 @@
 _SPAN, _PARTS = 2_000_000, 10
 # Of a submission's slack at most a quarter goes to the store, whatever it asks there.
 _SHARE = 4
-# Four usual round trips: two that are needed, and as much again for spread. A store on the same network
-# answers in under a millisecond; ten are left to one that is busy for a moment.
-_TRIPS, _FLOOR = 4, 10_000
+# Four usual round trips: two that are needed, and as much again for spread. What counts as slow is waited for
+# in any case: a loop that was busy for some milliseconds is no fault of the store.
+_TRIPS = 4
 # Faults of late that open it, if they are half of the answers as well: fewer are stray, and more would cost
 # the slack of that many submissions.
 _FAULTS, _HALF = 5, 0.5
@@ -53,7 +53,7 @@
             return 0
         count = self._count.least(now)
         usual = self._sum.least(now) / count if count else 0.0
-        budget = min(self._most, slack // _SHARE, max(_FLOOR, int(_TRIPS * usual)))
+        budget = min(self._most, slack // _SHARE, max(self._slow, int(_TRIPS * usual)))
         return budget if budget > usual else 0
 
     def began(self, now: int) -> int:
--- a/cresstray/store/joined.py
+++ b/cresstray/store/joined.py
@@ -15,7 +15,20 @@
 from cresstray.store.behind import Behind, Item
 from cresstray.store.codec import Command, Refused, Reply
 from cresstray.store.guard import (
-    Claim, Decision, Deny, Found, Go, Guard, Guarded, Holder, Silence, Times, Unguarded, Wait, guarded)
+    Claim,
+    Decision,
+    Deny,
+    Found,
+    Go,
+    Guard,
+    Guarded,
+    Holder,
+    Silence,
+    Times,
+    Unguarded,
+    Wait,
+    guarded,
+)
 from cresstray.store.health import Health, StoreClock
 from cresstray.store.marks import Event, Kind, Mark, State
 
@@ -25,6 +38,10 @@
 _KEPT_S = 3_600
 # As the module does: what ends within this of the hard stop is ended by the sweep.
 _MARGIN = 200_000
+# Danger: what crosses to another hall may be relayed there until its hard stop; an intention that ends
+# before that, as this gateway reckons it, would let nothing cross. A fiftieth of it for the speeds of two
+# clocks, and a tenth of a second for the store's time, which is only guessed at when it is written.
+_FIFTIETH, _BEYOND = 50, 100_000
 # Outcomes out at the store at once, and the time that each has there; nobody waits for them.
 _OUT, _PATIENCE = 32, 2_000_000
 # Danger: a flood of one tenant would take all questions that may be out, and others' would find no room. A
@@ -148,7 +165,8 @@
         soft_stop = submission.arrived + int(tariff.soft_limit + tariff.soft_stretch * expected)
         stop = min(submission.hard_stop - _MARGIN, soft_stop)
         leave_by = max(stop - expected, now + (submission.hard_stop - now) // 10)
-        times = Times(now, min(leave_by, submission.hard_stop), submission.hard_stop, tariff.memory)
+        beyond = _BEYOND + (submission.hard_stop - now) // _FIFTIETH
+        times = Times(now, min(leave_by, submission.hard_stop), submission.hard_stop + beyond, tariff.memory)
         tenant = self._tenants[submission.tenant] if submission.tenant < len(self._tenants) else ""
         group = self._names[tariff.index] + "/" + tariff.group
         held = _Held(submission, self._names[tariff.index], kind, times,
@@ -372,7 +390,7 @@
                     return
                 decision = Deny(self._guard.come_back(0))
             else:
-                held.until = held.times.hard_stop
+                held.until = held.submission.hard_stop
         self._tell(held, decision, now)
 
     def _own(self, held: _Held, now: int) -> Decision | None:
@@ -410,7 +428,7 @@
             self._settle(held, now)
             return
         if done:
-            held.until = held.times.hard_stop
+            held.until = held.submission.hard_stop
             self._tell(held, decision, now)
         elif done is None:
             self._timers.after(100 * _LOOK, partial(self._synced, held, decision, by))
@@ -456,6 +474,10 @@
     def _since(self, now: int) -> int:
         return max(1, self.store_clock.low(now)) if self.store_clock.known(now) else 0
 
+    def writes_to(self, desk: Desk) -> None:
+        """From here on; nothing is kept of what went before."""
+        self._desk = desk
+
     def recover(self, entries: Iterable[Any], now: int) -> None:
         """What an earlier process intended and never settled, from the journal: it may have run."""
         for entry in entries:
@@ -488,6 +510,10 @@
         return (len(self.behind) > 0 or self._writing > 0 or bool(self._returned) or self._warning
                 or self.health.open)
 
+    def last(self, now: int) -> bool:
+        """As `step`, before the process ends: whether there is more that the store would take."""
+        return self.step(now) and not self.health.open
+
     def _tried(self, ticket: int, began: int, replies: list[Reply] | None) -> None:
         now = self._clock.now()
         well = replies is not None and not any(isinstance(reply, Refused) for reply in replies)
