--- a/tests/test_placement_moves.py
+++ b/tests/test_placement_moves.py
@@ -312,7 +312,7 @@
         fleet.judge(self)
 
     def test_target_is_gone_for_good_behind_the_switch(self) -> None:
-        """A copy's place goes back by itself, also under another leader; a primary's waits for an operator."""
+        """A copy's place goes back by itself, also under another leader; a primary waits for an operator."""
         for number, crash in ((1, False), (1, True), (0, False)):
             fleet, kept = Fleet(11), MOVES[number]
 
