Kept: a successor heeds the last write, and a refusal stays one while it is asked again

Cause, found by exploring what is kept (check/beliefs.py): an engine that refused us, was on trial again and then told was warm by its old start; the last write of the process before was not heard for engines on trial, neither who is gone nor who has started anew, and it wiped out a refusal that this process saw; after a relay on trial failed, what may run once could still go there (belief.py _started, _remember, _older, remembered; keep.py on_trial, _take).

--- a/cresstray/kept/belief.py
+++ b/cresstray/kept/belief.py
@@ -101,10 +101,11 @@
                    now: int, handed: bool = False) -> list[Member]:
         """`number`: the register's, when the list was made. What this process knows better stays.
 
-        What is to be listed because of it: who was listed on trial and is gone by the word in it.
+        What is to be listed because of it: who was listed on trial, and is gone by the word in it or has
+        started anew.
         """
-        buried = [self.engines[tomb.id].member for tomb in tombs
-                  if self._older(tomb) and tomb.id in self.engines and self.engines[tomb.id].listed]
+        listed = {number: (belief.member, belief.since) for number, belief in self.engines.items()
+                  if belief.listed and belief.state is not State.TOLD}
         for tomb in filter(self._older, tombs):
             self._drop(tomb.id)
             self.tombs.bury(tomb.id, tomb.started, tomb.number, now, tomb.lived)
@@ -120,7 +121,15 @@
         for last in range(len(self._order) - 1, 0, -1):
             other = int(self._chance() * (last + 1))
             self._order[last], self._order[other] = self._order[other], self._order[last]
-        return [_gone(member) for member in buried]
+        told = []
+        for number, (member, since) in listed.items():
+            belief = self.engines.get(number)
+            if belief is None:
+                told.append(_gone(member))
+            elif belief.since > since:
+                told.append(msgspec.structs.replace(
+                    belief.member, standing=Standing.READY, started=belief.since))
+        return told
 
     def _older(self, tomb: Tomb) -> bool:
         # Danger: a successor lists by what the one before wrote last but one. The register's word in the last
@@ -130,6 +139,11 @@
 
     def _remember(self, member: Member, age: int, number: int, source: Source, now: int) -> bool:
         known = self.engines.get(member.id)
+        if (known is not None and known.state in (State.ON_TRIAL, State.CONFIRMED)
+                and member.started > known.member.started):
+            # Danger: it is asked by what an earlier list said, and would be warm by its start of then.
+            known.member = msgspec.structs.replace(known.member, started=member.started)
+            known.since = max(known.since, member.started)
         if (member.standing is Standing.GONE or self.tombs.bars(member.id, member.started, number)
                 or known is not None and (known.state not in (State.REMEMBERED, State.CONTRADICTED)
                                           or known.at >= now - age)
@@ -140,9 +154,10 @@
             return False  # the address has gone to another one, of which more is known
         # Danger: a drain of the list is over or not, nobody here knows. A grace after our start it is.
         due = now + self._grace if member.standing is Standing.DRAINING else now
-        # Danger: whoever wrote this saw it well, and this process has seen it refuse since: it may start anew.
+        # Danger: whoever wrote this saw it well, and this process has seen it refuse: it may start anew.
         failed = 0 if known is None else known.failed
-        self._put(Belief(member, State.REMEMBERED, source, now - age, max(due, known.due if failed else 0), failed))
+        due = max(due, known.due) if failed else due
+        self._put(Belief(member, State.REMEMBERED, source, now - age, due, failed))
         self.tombs.raised(member.id)
         return True
 
--- a/cresstray/kept/keep.py
+++ b/cresstray/kept/keep.py
@@ -82,7 +82,8 @@
                    record.members(kept, self._zones, self._machines)]
         # Danger: only the reading that nobody sets says that a few seconds are a few seconds.
         handed = kept.handed and kept.boot == self._moment().boot != "" and self._age < HANDED
-        self.beliefs.remembered(members, kept.number, kept.tombs, Source.DISK, now, handed)
+        told = self.beliefs.remembered(members, kept.number, kept.tombs, Source.DISK, now, handed)
+        self._pending.update((member.id, member) for member in told)
         self._limits = {one.id: one for one in kept.limits}
         put = learnt.put_tariffs(self._gateway, self._names, kept.tariffs, self._age)
         self.marks = kept.marks if handed else []
@@ -164,7 +165,8 @@
         if number is None:
             # Danger: what is held may be sent while the module hears of it, before `listed` here.
             return engine.far is None
-        return self.beliefs.state(number) is State.ON_TRIAL
+        # Danger: a relay that has just failed makes it contradicted, and the module sends on before it hears.
+        return self.beliefs.state(number) not in (State.TOLD, State.CONFIRMED)
 
     def forget(self, engine: int, now: int) -> bool:
         """An operator's word that it is gone. False: the register names it, or nobody does."""
--- a/cresstray/kept/reconcile.py
+++ b/cresstray/kept/reconcile.py
@@ -35,10 +35,6 @@
     def __len__(self) -> int:
         return len(self._tombs)
 
-    def restore(self, tombs: list[Tomb], now: int) -> None:
-        for tomb in tombs:
-            self.bury(tomb.id, tomb.started, tomb.number, now, tomb.lived)
-
     def bury(self, engine: int, started: int, number: int, now: int, lived: int = 0) -> None:
         old = self._tombs.pop(engine, None)
         if old is not None:
