One place for rules beside rules, and for what worlds share

Change: interface.Beside and check/world.py have them; a broken variant may patch a method that calls super(). No behaviour changes.

--- a/cresstray/check/beliefs.py
+++ b/cresstray/check/beliefs.py
@@ -9,14 +9,20 @@
 from __future__ import annotations
 
 from functools import cache
-from sys import intern
 from typing import Any, NamedTuple
 from unittest import mock
 
 from cresstray.check.patching import Mutant, lines
-from cresstray.check.world import Bounds, VirtualClock, VirtualTimers, digest, freeze
+from cresstray.check.world import (
+    Bounds,
+    Copied,
+    Uncounted,
+    VirtualClock,
+    VirtualTimers,
+    fixed,
+    untold,
+)
 from cresstray.coordinator.known import Event, Member
-from cresstray.counters import Counters
 from cresstray.interface import Ending, Relay, Standing, Submission
 from cresstray.kept import keep as keeping
 from cresstray.kept import record
@@ -66,19 +72,6 @@
     return found
 
 
-class Uncounted(Counters):
-    def add(self, name: str, amount: int = 1) -> None:
-        """Nothing: counts would part states that are otherwise the same."""
-
-
-def _fixed() -> float:
-    return 0.5
-
-
-def _say(_text: str) -> None:
-    """Nothing."""
-
-
 class Pool:
     """Links to one engine, as the route sees them."""
 
@@ -200,7 +193,7 @@
         self.submission: Submission | None = None
 
 
-class Believed:
+class Believed(Copied):
     """One gateway, its disk, its engines and the register. The world is the module's port as well."""
 
     def __init__(self, bounds: Bounds, faults: int, words: int, changes: int, steps: int) -> None:
@@ -233,8 +226,8 @@
         self.counters = Uncounted()
         self.route = Route(Pool, self)
         self.gateway = Gateway(self, _given(""), 0, now)
-        self.gateway.random = _fixed
-        self.keep = Keep(self.disk, _given(""), self.gateway, _fixed, self.counters, _say, self._moment, now)
+        self.gateway.random = fixed
+        self.keep = Keep(self.disk, _given(""), self.gateway, fixed, self.counters, untold, self._moment, now)
         self.gateway.agreed = Guard(self.keep, self.gateway)
         self.asked = [Asked(kind) for kind in range(len(_NAMES))]
         self.trials: list[Member] = []
@@ -538,16 +531,6 @@
     def quiet(self) -> bool:
         return not self.out and not self.trials
 
-    def freeze(self) -> bytes:
-        return freeze(self)
-
-    def __setstate__(self, state: dict[str, Any]) -> None:
-        # Danger: strings are written once and referred to after that; a copy's are others than the code's.
-        self.__dict__.update((intern(name), value) for name, value in state.items())
-
-    def fingerprint(self) -> bytes:
-        return digest(freeze(self))
-
     def moment(self) -> float:
         """Milliseconds since the start, for traces."""
         return (self.clock.at - START) / MILLI
--- a/cresstray/check/crossing.py
+++ b/cresstray/check/crossing.py
@@ -15,8 +15,7 @@
 from typing import Any, NamedTuple
 
 from cresstray.check.patching import Mutant, lines
-from cresstray.check.world import Bounds, VirtualClock, VirtualTimers, digest, freeze
-from cresstray.counters import Counters
+from cresstray.check.world import Bounds, NoLog, Uncounted, VirtualClock, VirtualTimers, digest, fixed, freeze
 from cresstray.engines.codec import Answer
 from cresstray.engines.exchanges import Exchange
 from cresstray.halls import codec, ledger
@@ -90,23 +89,6 @@
 copyreg.pickle(codec.Frames, lambda frames: (_frames, (bytes(frames._buffer),)))
 
 
-class Uncounted(Counters):
-    """What must hold is asserted; counts would part states that are otherwise the same."""
-
-    def add(self, name: str, amount: int = 1) -> None:
-        """Nothing."""
-
-
-class NoLog:
-    def say(self, kind: str, text: str) -> None:
-        """Nothing."""
-
-
-def fixed() -> float:
-    """The modules' chance."""
-    return 0.5
-
-
 def _nothing(*_: object) -> None:
     """What is said for operators, and wakes what ticks here by itself."""
 
--- a/cresstray/check/gateway.py
+++ b/cresstray/check/gateway.py
@@ -15,9 +15,8 @@
 from typing import Any, NamedTuple
 
 from cresstray.check.patching import Mutant, lines
-from cresstray.check.world import Bounds, VirtualClock, VirtualTimers, digest, freeze
+from cresstray.check.world import Bounds, NoLog, Uncounted, VirtualClock, VirtualTimers, digest, fixed, freeze
 from cresstray.coordinator.known import Event, Member
-from cresstray.counters import Counters
 from cresstray.engines.codec import Answer
 from cresstray.engines.exchanges import Exchange
 from cresstray.interface import Standing
@@ -118,23 +117,6 @@
         super().admit(errand, now)
 
 
-class Uncounted(Counters):
-    """What must hold is asserted; counts would part states that are otherwise the same."""
-
-    def add(self, name: str, amount: int = 1) -> None:
-        """Nothing."""
-
-
-class NoLog:
-    def say(self, kind: str, text: str) -> None:
-        """Nothing."""
-
-
-def fixed() -> float:
-    """The module's chance in a search that is exhaustive."""
-    return 0.5
-
-
 class Sent(NamedTuple):
     """A relay in the account. `how`: None while it is out, else how it ended over the seam."""
 
--- a/cresstray/check/lines.py
+++ b/cresstray/check/lines.py
@@ -19,9 +19,8 @@
 import hiredis
 
 from cresstray.check.patching import Mutant, lines
-from cresstray.check.world import Bounds, VirtualClock, VirtualTimers, digest, freeze
+from cresstray.check.world import Bounds, NoLog, Uncounted, VirtualClock, VirtualTimers, digest, freeze
 from cresstray.clients.talk import House, Next, Talk
-from cresstray.counters import Counters
 from cresstray.engines.codec import BrokenError
 from cresstray.engines.exchanges import Exchanges
 from cresstray.engines.pool import AnyLink, AnyPool, Quota
@@ -58,18 +57,6 @@
             for place, idempotent in enumerate((True, False))]
 
 
-class Uncounted(Counters):
-    """What must hold is asserted; counts would part states that are otherwise the same."""
-
-    def add(self, name: str, amount: int = 1) -> None:
-        """Nothing."""
-
-
-class NoLog:
-    def say(self, kind: str, text: str) -> None:
-        """Nothing."""
-
-
 class Names(set):
     """Written in an order that is not that of hashes."""
 
--- a/cresstray/check/marked.py
+++ b/cresstray/check/marked.py
@@ -14,8 +14,16 @@
 from typing import Any, NamedTuple
 
 from cresstray.check.patching import Mutant, lines
-from cresstray.check.world import Bounds, VirtualClock, VirtualDue, VirtualTimers, digest, freeze
-from cresstray.counters import Counters
+from cresstray.check.world import (
+    Bounds,
+    Copied,
+    Uncounted,
+    VirtualClock,
+    VirtualDue,
+    VirtualTimers,
+    fixed,
+    untold,
+)
 from cresstray.interface import Ending, Submission, Tariff
 from cresstray.store import codec, guard, marks
 from cresstray.store.codec import Command
@@ -34,19 +42,6 @@
 _ENDS = {"serve": Ending.FULFILLED, "cut off": Ending.RESET}
 
 
-class Uncounted(Counters):
-    def add(self, name: str, amount: int = 1) -> None:
-        """Nothing: counts would part states that are otherwise the same."""
-
-
-def _fixed() -> float:
-    return 0.5
-
-
-def _say(_text: str) -> None:
-    """Nothing."""
-
-
 class Query:
     mark = "m"
 
@@ -102,8 +97,8 @@
         self.timers = VirtualTimers(world.clock)
         self.stopped = False
         self.asked: Asked | None = None
-        self.marks = Marks(self, _LINES, _SETTINGS, [world.tariff], self.name, str(life), _fixed, world.clock,
-                           self.timers, Uncounted(), None, _say)
+        self.marks = Marks(self, _LINES, _SETTINGS, [world.tariff], self.name, str(life), fixed, world.clock,
+                           self.timers, Uncounted(), None, untold)
 
     def submit(self, commands: list[Command], by: int, call: Callable[[list | None], None]) -> None:
         world, words = self.world, tuple(command.words for command in commands)
@@ -116,7 +111,7 @@
         world.questions.append(Question(number, self.number, self.life, words, call, None, due))
 
 
-class Marked:
+class Marked(Copied):
     """Both gateways, the store and the engines."""
 
     def __init__(self, bounds: Bounds) -> None:
@@ -363,16 +358,6 @@
     def quiet(self) -> bool:
         return not self.questions and all(gate.asked is None or gate.asked.over for gate in self.gates)
 
-    def freeze(self) -> bytes:
-        return freeze(self)
-
-    def __setstate__(self, state: dict[str, Any]) -> None:
-        # Danger: strings are written once and referred to after that; a copy's are others than the code's.
-        self.__dict__.update((intern(name), value) for name, value in state.items())
-
-    def fingerprint(self) -> bytes:
-        return digest(freeze(self))
-
     def moment(self) -> float:
         """Milliseconds since the start, for traces."""
         return (self.clock.at - START) / MILLI
--- a/cresstray/check/patching.py
+++ b/cresstray/check/patching.py
@@ -39,11 +39,14 @@
         # Danger: a variant that changes nothing would be taken for one that nothing catches.
         raise ValueError(f"{function.__qualname__} has {old!r} {source.count(old)} times")
     made: dict[str, object] = {}
-    # In the module's own names, so that it calls what the others call; behind its lines, as copies of a state
-    # know functions by module and line.
-    code = compile("\n" * 10_000 + source.replace(old, new), inspect.getfile(function), "exec")
-    exec(code, vars(module), made)  # noqa: S102
     owner = module
     for name in function.__qualname__.split(".")[:-1]:
         owner = getattr(owner, name)
-    return mock.patch.object(owner, function.__name__, made[function.__name__])
+    source, name = source.replace(old, new), function.__name__
+    if "super()" in source:
+        # It looks for its class in the function around it.
+        source = f"def made(__class__):\n{textwrap.indent(source, '    ')}\n    return {name}\n"
+    # In the module's own names, so that it calls what the others call; behind its lines, as copies of a state
+    # know functions by module and line.
+    exec(compile("\n" * 10_000 + source, inspect.getfile(function), "exec"), vars(module), made)  # noqa: S102
+    return mock.patch.object(owner, name, made[name] if name in made else made["made"](owner))
--- a/cresstray/check/world.py
+++ b/cresstray/check/world.py
@@ -11,8 +11,11 @@
 from bisect import insort
 from collections.abc import Callable, Iterator
 from hashlib import blake2b
+from sys import intern
 from types import CellType, CodeType, FunctionType
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
+
+from cresstray.counters import Counters
 
 
 class Bounds(NamedTuple):
@@ -47,6 +50,41 @@
     return blake2b(state, digest_size=8).digest()
 
 
+class Uncounted(Counters):
+    """What must hold is asserted; counts would part states that are otherwise the same."""
+
+    def add(self, name: str, amount: int = 1) -> None:
+        """Nothing."""
+
+
+class NoLog:
+    def say(self, kind: str, text: str) -> None:
+        """Nothing."""
+
+
+def fixed() -> float:
+    """The modules' chance in a search that is exhaustive."""
+    return 0.5
+
+
+def untold(_text: str) -> None:
+    """What is said for operators."""
+
+
+class Copied:
+    """A world that is copied whole, and told apart by what it would be copied as."""
+
+    def freeze(self) -> bytes:
+        return freeze(self)
+
+    def __setstate__(self, state: dict[str, Any]) -> None:
+        # Danger: strings are written once and referred to after that; a copy's are others than the code's.
+        self.__dict__.update((intern(name), value) for name, value in state.items())
+
+    def fingerprint(self) -> bytes:
+        return digest(freeze(self))
+
+
 class VirtualClock:
     def __init__(self, now: int) -> None:
         self.at = now
--- a/cresstray/interface.py
+++ b/cresstray/interface.py
@@ -151,3 +151,23 @@
 
     def further(self, submission: Submission, now: int) -> float:
         """What scales the budget of further relays, for this one."""
+
+
+class Beside:
+    """Rules beside those that a module had before, which say all that a subclass does not."""
+
+    def __init__(self, gateway: Any) -> None:
+        self._gateway = gateway
+        self._inner: Rules | None = gateway.agreed
+
+    def gateways(self, now: int) -> int:
+        return self._inner.gateways(now) if self._inner else self._gateway.gateways
+
+    def admits(self, submission: Submission, now: int) -> bool:
+        return self._inner is None or self._inner.admits(submission, now)
+
+    def takes(self, submission: Submission, engine: Engine, now: int) -> bool:
+        return self._inner is None or self._inner.takes(submission, engine, now)
+
+    def further(self, submission: Submission, now: int) -> float:
+        return self._inner.further(submission, now) if self._inner else 1.0
--- a/cresstray/marked.py
+++ b/cresstray/marked.py
@@ -19,7 +19,7 @@
 from cresstray.clock import Clock, Timers
 from cresstray.conf.store import Store
 from cresstray.counters import Counters
-from cresstray.interface import Ending, Engine, Relay, Rules, Submission
+from cresstray.interface import Beside, Ending, Engine, Relay, Submission
 from cresstray.log import Log
 from cresstray.logic import Gateway
 from cresstray.passage.book import Book
@@ -168,25 +168,16 @@
             self._worker.later(self._writing, _BUSY)
 
 
-class _Guard:
-    """interface.Rules: nothing is sent, or crosses to another hall, for longer than its mark is ours."""
+class _Guard(Beside):
+    """Nothing is sent, or crosses to another hall, for longer than its mark is ours."""
 
     def __init__(self, marks: Marks, gateway: Gateway, now: Callable[[], int]) -> None:
-        self._marks, self._gateway, self._now = marks, gateway, now
-        self._inner: Rules | None = gateway.agreed
-
-    def gateways(self, now: int) -> int:
-        return self._inner.gateways(now) if self._inner else self._gateway.gateways
-
-    def admits(self, submission: Submission, now: int) -> bool:
-        return self._inner is None or self._inner.admits(submission, now)
+        super().__init__(gateway)
+        self._marks, self._now = marks, now
 
     def takes(self, submission: Submission, engine: Engine, now: int) -> bool:
         left = self._marks.left(submission, self._now())
         # Danger: another hall relays it until its hard stop, and knows nothing of our intention's end.
         if left is not None and left < (submission.hard_stop - now if engine.far is not None else 1):
             return False
-        return self._inner is None or self._inner.takes(submission, engine, now)
-
-    def further(self, submission: Submission, now: int) -> float:
-        return self._inner.further(submission, now) if self._inner else 1.0
+        return super().takes(submission, engine, now)
