Worlds share how they are copied; a hub gets its worker; what nothing calls is gone

Cause: three files of worlds wrote freeze, fingerprint and the interning of names once more; Hub made a worker of its own only for a test; store/codec.py and joined.py had calls for a command that is not built. Change: check/world.py's Copied serves all five, the test hands in a worker, codec.scan, codec.delete and Marks.status go.

--- a/cresstray/check/crossing.py
+++ b/cresstray/check/crossing.py
@@ -15,7 +15,7 @@
 from typing import Any, NamedTuple
 
 from cresstray.check.patching import Mutant, lines
-from cresstray.check.world import Bounds, NoLog, Uncounted, VirtualClock, VirtualTimers, digest, fixed, freeze
+from cresstray.check.world import Bounds, Copied, NoLog, Uncounted, VirtualClock, VirtualTimers, fixed
 from cresstray.engines.codec import Answer
 from cresstray.engines.exchanges import Exchange
 from cresstray.halls import codec, ledger
@@ -210,7 +210,7 @@
     return 0
 
 
-class Halls:
+class Halls(Copied):
     """`names`: what is asked; `faults`, `leaves` unless the bounds say so."""
 
     def __init__(self, bounds: Bounds, names: str, faults: int, leaves: int) -> None:
@@ -485,9 +485,7 @@
                 account.stop = 1
 
     def __setstate__(self, state: dict[str, Any]) -> None:
-        # Danger: strings are written once and referred to after that. Those of a copy are others than those
-        # of the code, and states that are the same would be written in two ways.
-        self.__dict__.update((intern(name), value) for name, value in state.items())
+        super().__setstate__(state)
         self.link = intern(self.link)
         for account in self.accounts:
             account.asked = Asked(*(intern(one) if type(one) is str else one for one in account.asked))
@@ -530,12 +528,6 @@
             if count:
                 self.breaks("nothing_kept", f"{count} {name}")
 
-    def freeze(self) -> bytes:
-        return freeze(self)
-
-    def fingerprint(self) -> bytes:
-        return digest(freeze(self))
-
     def moment(self) -> float:
         """Milliseconds since the first choice, by the near hall's clock."""
         return (self.near.clock.at - self.began) / MILLI
--- a/cresstray/check/gateway.py
+++ b/cresstray/check/gateway.py
@@ -15,7 +15,7 @@
 from typing import Any, NamedTuple
 
 from cresstray.check.patching import Mutant, lines
-from cresstray.check.world import Bounds, NoLog, Uncounted, VirtualClock, VirtualTimers, digest, fixed, freeze
+from cresstray.check.world import Bounds, Copied, NoLog, Uncounted, VirtualClock, VirtualTimers, fixed
 from cresstray.coordinator.known import Event, Member
 from cresstray.engines.codec import Answer
 from cresstray.engines.exchanges import Exchange
@@ -220,7 +220,7 @@
         """What is open goes on."""
 
 
-class Passage:
+class Passage(Copied):
     """One gateway, its clients, its engines and the coordinator."""
 
     def __init__(self, shape: Shape, bounds: Bounds) -> None:
@@ -512,13 +512,8 @@
                         tariff.usual = Usual(tariff)
                 self.gateway.payoff = self.gateway.work = self.gateway.time = 1.0
 
-    def freeze(self) -> bytes:
-        return freeze(self)
-
     def __setstate__(self, state: dict[str, Any]) -> None:
-        # Danger: strings are written once and referred to after that. Those of a copy are others than those
-        # of the code, and states that are the same would be written in two ways.
-        self.__dict__.update((intern(name), value) for name, value in state.items())
+        super().__setstate__(state)
         for account in self.accounts:
             account.asked, account.over = Asked(*map(_one, account.asked)), intern(account.over)
             account.sent = [Sent(*map(_one, sent)) for sent in account.sent]
@@ -530,9 +525,6 @@
         for links in self.links:
             links.name, links.address = intern(links.name), (intern(links.address[0]), links.address[1])
 
-    def fingerprint(self) -> bytes:
-        return digest(freeze(self))
-
     def moment(self) -> float:
         """Milliseconds since the start, for traces."""
         return (self.clock.at - START) / MILLI
--- a/cresstray/check/lines.py
+++ b/cresstray/check/lines.py
@@ -19,7 +19,7 @@
 import hiredis
 
 from cresstray.check.patching import Mutant, lines
-from cresstray.check.world import Bounds, NoLog, Uncounted, VirtualClock, VirtualTimers, digest, freeze
+from cresstray.check.world import Bounds, Copied, NoLog, Uncounted, VirtualClock, VirtualTimers
 from cresstray.clients.talk import House, Next, Talk
 from cresstray.engines.codec import BrokenError
 from cresstray.engines.exchanges import Exchanges
@@ -216,7 +216,7 @@
     return 4
 
 
-class Lines:
+class Lines(Copied):
     """`ends`: whether the gateway may begin to end; the others hold unless the bounds say so."""
 
     def __init__(self, bounds: Bounds, submissions: int, faults: int, leaves: int, ends: bool) -> None:
@@ -703,9 +703,7 @@
             life.heard = ranks.index(life.heard)
 
     def __setstate__(self, state: dict[str, Any]) -> None:
-        # Danger: strings are written once and referred to after that. Those of a copy are others than those
-        # of the code, and states that are the same would be written in two ways.
-        self.__dict__.update((intern(name), value) for name, value in state.items())
+        super().__setstate__(state)
         self.ending = intern(self.ending)
         for account in self.accounts:
             account.asked = Asked(*(intern(one) if type(one) is str else one for one in account.asked))
@@ -714,12 +712,6 @@
             link.name, link.last, link.has = intern(link.name), intern(link.last), list(map(intern, link.has))
         self._tidy()
 
-    def freeze(self) -> bytes:
-        return freeze(self)
-
-    def fingerprint(self) -> bytes:
-        return digest(freeze(self))
-
     def moment(self) -> float:
         """Milliseconds since the start, for traces."""
         return (self.clock.at - START) / MILLI
--- a/cresstray/halls/connections.py
+++ b/cresstray/halls/connections.py
@@ -11,8 +11,8 @@
 import msgspec
 from anyio.abc import ByteStream, TaskGroup
 
-from cresstray.background.schedule import Job, Priority, Schedule
-from cresstray.background.worker import BUDGET, TICK, Worker
+from cresstray.background.schedule import Job, Priority
+from cresstray.background.worker import Worker
 from cresstray.clock import Clock, Due, Timers
 from cresstray.conf import operator
 from cresstray.counters import Counters
@@ -118,15 +118,12 @@
 
     def __init__(self, given: operator.Halls, incarnation: str, seed: int, front: Front, keeper: Keeper,
                  room: Callable[[], tuple[float, float, float]], clock: Clock, timers: Timers,
-                 counters: Counters, log: Log, worker: Worker | None = None) -> None:
-        """`worker`: the gateway's, already started or not; without one it makes one of its own."""
+                 counters: Counters, log: Log, worker: Worker) -> None:
+        """`worker`: the gateway's, already started or not."""
         self._given, self._front, self._keeper, self._spare = given, front, keeper, room
         self._clock, self._timers, self._counters, self._log = clock, timers, counters, log
         self._me = Place(given.hall, given.gateway, incarnation)
         self._random = random.Random(seed).random
-        if worker is None:
-            worker = Worker(Schedule(self._random, TICK, BUDGET), timers, clock, counters, log)
-            worker.start()
         self._worker = worker
         self.share = Share(given.share)
         self._contexts: Contexts | None = None
--- a/cresstray/store/codec.py
+++ b/cresstray/store/codec.py
@@ -115,17 +115,6 @@
     return Command((b"TIME",), _fits_time)
 
 
-def delete(key: bytes) -> Command:
-    """The reply: how many there were."""
-    return Command((b"DEL", key), _fits_count)
-
-
-def scan(cursor: bytes, namespace: str, most: int = 100) -> Command:
-    """A page of the keys of all marks, b"0" first. The reply: the next cursor, b"0" at the end, and keys."""
-    pattern = b"%s:%s:*" % (namespace.encode(), _VERSION)
-    return Command((b"SCAN", cursor, b"MATCH", pattern, b"COUNT", b"%d" % most), _fits_scan)
-
-
 def ping(token: bytes) -> Command:
     """Its reply is the token: who gets another is out of step."""
     return Command((b"PING", token), lambda reply: reply == token)
@@ -178,15 +167,6 @@
             and all(type(one) is bytes and one.isdigit() for one in reply))
 
 
-def _fits_count(reply: Reply) -> bool:
-    return _is_count(reply)
-
-
-def _fits_scan(reply: Reply) -> bool:
-    return (type(reply) is list and len(reply) == 2 and type(reply[0]) is bytes and type(reply[1]) is list
-            and all(type(one) is bytes for one in reply[1]))
-
-
 def _fits_role(reply: Reply) -> bool:
     return type(reply) is list and bool(reply) and type(reply[0]) is bytes
 
--- a/cresstray/store/joined.py
+++ b/cresstray/store/joined.py
@@ -638,7 +638,3 @@
             self._trouble = self._desk.trouble
             self._say(f"the journal can't be written: {self._trouble}" if self._trouble
                       else "the journal is written again")
-
-    def status(self) -> dict[str, Any]:
-        return {"open": len(self._open), "behind": len(self.behind), "dropped": self.behind.dropped,
-                "asked again": not self.health.open, "clock went back": self.store_clock.jumps}
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -16,6 +16,7 @@
 
 import anyio
 
+from cresstray.background import schedule, worker
 from cresstray.clock import Clock, Timers
 from cresstray.commands import authority, cli
 from cresstray.conf import operator
@@ -114,8 +115,12 @@
         counters, clock = Counters(), Clock()
         timers = Timers(clock)
         given = operator.parse("file.conf", text).halls
+        log = Log(given.gateway, clock)
+        turns = schedule.Schedule(lambda: 0.5, worker.TICK, worker.BUDGET)
+        behind = worker.Worker(turns, timers, clock, counters, log)
+        behind.start()
         return Hub(given, "life", 7, None, FakeAcross(), lambda: (1.0, 4.0, 1.0), clock, timers, counters,
-                   Log(given.gateway, clock)), counters, timers
+                   log, behind), counters, timers
 
     def meet(self, folder: str, near: str, far: str, authority_of_near: str = "keys") -> str:
         """Whether a link comes up between two hubs with these certificates, and what is counted if not."""
