Module: conditions by named steps, formatted; what it decides stays

No decision changes: the traces and tables of the decisions, conformance and links between halls pass unchanged.

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -124,8 +124,9 @@
         # What is known of it goes over into what is known of the fleet, by half in two seconds.
         fleet, own = self.fleet, self.signs
         kept = 0.5 ** ((now - own.at) / WINDOW / 2)
-        return (fleet.others + (own.others - fleet.others) * kept,
-                fleet.strain + (own.strain - fleet.strain) * kept, kept)
+        others = fleet.others + (own.others - fleet.others) * kept
+        strain = fleet.strain + (own.strain - fleet.strain) * kept
+        return others, strain, kept
 
     def pressed(self, now: int) -> bool:
         """Whether the limit binds: lately full, or busy by its reports, or without them slow for once."""
@@ -135,8 +136,8 @@
             # Three threads for two cores if they are busy or nothing tells of late, up to two a core if not,
             # as some wait for disks. Half of those not known are busier than the mean: a quarter sooner.
             others, strain, kept = self.by_now(now)
-            return (self.threads / self.cores + others >= 1.5 + 0.5 * kept * self.idle
-                    or strain >= 0.75 + 0.25 * kept)
+            busy = self.threads / self.cores + others >= 1.5 + 0.5 * kept * self.idle
+            return busy or strain >= 0.75 + 0.25 * kept
         return self.average > 1.5 * self.best > 0
 
     def spare(self, now: int, most: float) -> float:
@@ -166,7 +167,8 @@
         self.settings, self.zone = settings, settings.get("Zone")
         self.random = random.Random(seed).random
         self.family, self.rules, self.limits = (
-            settings.get(part, {}) for part in ("FamilyInfo", "Safety", "Limits"))
+            settings.get(part, {}) for part in ("FamilyInfo", "Safety", "Limits")
+        )
         self.agreed: Rules | None = None  # what the fleet has agreed on, where it does
         self.gateways = max(1, settings.get("Balancers", 1))
         self.tariffs = [self._tariff(n, given) for n, given in enumerate(settings.get("Services", []))]
@@ -195,11 +197,20 @@
         zones, machines = given.get("StaysIn"), given.get("FlavorsOpen")
         loads, waits = self.family.get("Loads", []), self.family.get("WaitsForLoads", [])
         tariff = Tariff(
-            index, threads[index] if index < len(threads) else 1, micros(given.get("GoalTime", 1000)),
-            given.get("AimStretch", 0.0), given.get("Worth", 1.0), given.get("LateValue", 0.0),
-            given.get("Effect") == "idempotent", given.get("Effect") == "deduplicated",
-            given.get("Group", "all"), micros(given.get("KeyTtl", 0)), bool(given.get("ByArrival")),
-            None if zones is None else frozenset(zones), None if machines is None else frozenset(machines))
+            index,
+            threads[index] if index < len(threads) else 1,
+            micros(given.get("GoalTime", 1000)),
+            given.get("AimStretch", 0.0),
+            given.get("Worth", 1.0),
+            given.get("LateValue", 0.0),
+            given.get("Effect") == "idempotent",
+            given.get("Effect") == "deduplicated",
+            given.get("Group", "all"),
+            micros(given.get("KeyTtl", 0)),
+            bool(given.get("ByArrival")),
+            None if zones is None else frozenset(zones),
+            None if machines is None else frozenset(machines),
+        )
         tariff.load = index < len(loads) and loads[index]
         tariff.waits = tariff.load or index < len(waits) and waits[index]
         tariff.usual = Usual(tariff)
@@ -212,10 +223,11 @@
         submission.expected = tariff.usual.time_of(submission)
         submission.soft_stop = arrived + int(tariff.soft_limit + tariff.soft_stretch * submission.expected)
         # Held until it can no longer be answered within its soft limit, a tenth of its time at the least.
-        submission.leave_by = min(submission.hard_stop - MARGIN, max(
-            now + (submission.hard_stop - now) // 10, submission.soft_stop - 3 * submission.expected // 2))
-        submission.rank = (PASSED_OVER * self._passed_over(tariff, now)
-                           - tariff.payoff / (submission.expected * tariff.threads))
+        tenth = now + (submission.hard_stop - now) // 10
+        in_time = submission.soft_stop - 3 * submission.expected // 2
+        submission.leave_by = min(submission.hard_stop - MARGIN, max(tenth, in_time))
+        density = tariff.payoff / (submission.expected * tariff.threads)
+        submission.rank = PASSED_OVER * self._passed_over(tariff, now) - density
         if submission.foreign:
             # It counts, and earns further relays, where it was accepted; here it gives way to our own.
             submission.leave_by = min(submission.leave_by, now + (0 if self.held else submission.hold))
@@ -240,9 +252,10 @@
     # Turns: submissions of one key run one after another, in the order they were accepted.
 
     def _is_turn(self, submission: Submission, now: int) -> bool:
-        return not (submission.tariff.ordered and submission.key) or (
-            self.queues[submission.key][0] is submission
-            and (bool(submission.relays) or now >= self.key_free.get(submission.key, 0)))
+        if not (submission.tariff.ordered and submission.key):
+            return True
+        rested = bool(submission.relays) or now >= self.key_free.get(submission.key, 0)
+        return rested and self.queues[submission.key][0] is submission
 
     def _give_up_turn(self, submission: Submission) -> None:
         # Danger: an ended submission whose relay is still out keeps its turn, or two of a key would run.
@@ -256,14 +269,14 @@
 
     def _offer(self, submission: Submission, now: int) -> None:
         # Danger: in overload each arrival would try the whole fleet; behind its own tariff it waits.
-        alike = (None if submission.tariff.load or submission.tariff.ordered
-                 else submission.read or submission.tariff)
-        last = submission.foreign or bool(submission.relays)
+        tariff, last = submission.tariff, submission.foreign or bool(submission.relays)
+        alike = None if tariff.load or tariff.ordered else submission.read or tariff
         behind = self.held if last else any((held.read or held.tariff) is alike for held in self.held)
         # Danger: what has no time beyond the margin would only be sent to be given up, on links made for it.
         barred = self.agreed and not self.agreed.admits(submission, now)
-        if (not (behind or barred) and now < submission.hard_stop - (MARGIN - SWEEP)
-                and self._is_turn(submission, now) and self._send(submission, now)):
+        in_time = now < submission.hard_stop - (MARGIN - SWEEP)
+        goes = in_time and not (behind or barred) and self._is_turn(submission, now)
+        if goes and self._send(submission, now):
             return
         if barred or now >= submission.leave_by:
             self._end(submission, now)
@@ -279,8 +292,9 @@
             for submission in line[:64] if freed else list(line):
                 # Danger: thousands held would be tried for each permit; one failure speaks for its like.
                 kind = submission.read or submission.tariff
-                if (kind not in stuck and self._is_turn(submission, now)
-                        and not self._send(submission, now, freed)):
+                if kind in stuck or not self._is_turn(submission, now):
+                    continue
+                if not self._send(submission, now, freed):
                     stuck.add(kind)
 
     # Choose: of two random engines that may take it, the less loaded.
@@ -294,16 +308,18 @@
             at = left - 1 if left > len(self.ready) else int(self.random() * left)
             engine, pool[at] = pool[at], pool[left - 1]
             limiter = engine.limiter
-            if (len(drawn) == picks and engine.zone != self.zone or not limiter.permits(submission, now)
-                    or not self._may_take(submission, engine, now)
-                    or submission.foreign and limiter.spare(now, 1.0) < submission.tariff.threads):
+            if len(drawn) == picks and engine.zone != self.zone:
+                continue
+            if not limiter.permits(submission, now) or not self._may_take(submission, engine, now):
+                continue
+            if submission.foreign and limiter.spare(now, 1.0) < submission.tariff.threads:
                 continue
             # A doubted engine gets one relay at a time that may safely run again, now and then. Danger: while
             # the others are full, one that fails has room, and fails all that could still wait for them. If
             # it answers, it gets what has no other chance left, as part of that ends well.
-            awaited = limiter.doubted and self.doubt_counts and (now < limiter.trial_at or self.trials < 1)
-            if limiter.doubted and self.doubt_counts and (
-                    not idempotent or awaited and (limiter.mute or now < submission.leave_by)):
+            doubted = limiter.doubted and self.doubt_counts
+            awaited = doubted and (now < limiter.trial_at or self.trials < 1)
+            if doubted and not idempotent or awaited and (limiter.mute or now < submission.leave_by):
                 continue
             if awaited or engine in tried or self._stalls(submission, engine, now):
                 spare = spare or engine
@@ -322,23 +338,26 @@
         own = min(near, default=best)
         return own[-1] if own[0] <= best[0] + 0.6 else best[-1]
 
-    def _cross(self, submission: Submission, near: Engine | None, freed: Engine | None,
-               now: int) -> Engine | None:
+    def _cross(
+        self, submission: Submission, near: Engine | None, freed: Engine | None, now: int
+    ) -> Engine | None:
         """A far hall in place of the near engine, if any, where the way to it takes the submission."""
         tariff, relays = submission.tariff, submission.relays
         # Danger: halls that each believe the other idle would pass work back and forth: one crossing in a
         # life. What must run in order, or on certain engines only, stays, as the far hall knows neither from
         # here.
-        if (submission.crossed or submission.foreign or tariff.ordered or freed and not freed.far
-                or tariff.zones is not None or tariff.machines is not None
-                or relays and not self._budget_left(submission, now)):
+        stays = submission.crossed or submission.foreign or freed and not freed.far
+        if stays or tariff.ordered or tariff.zones is not None or tariff.machines is not None:
+            return near
+        if relays and not self._budget_left(submission, now):
             return near
         load = near.limiter.load(tariff.threads, now) if near else None
         for hall in self.halls:
             limiter = hall.limiter
-            if (self._may_take(submission, hall, now) and limiter.threads + tariff.threads <= limiter.limit
-                    and (not limiter.doubted or now >= limiter.trial_at)
-                    and hall.far.takes(submission, load, now)):
+            permitted = limiter.threads + tariff.threads <= limiter.limit
+            permitted = permitted and self._may_take(submission, hall, now)
+            believed = not limiter.doubted or now >= limiter.trial_at
+            if permitted and believed and hall.far.takes(submission, load, now):
                 submission.crossed = True
                 return hall
         return near
@@ -373,31 +392,40 @@
     def _may_take(self, submission: Submission, engine: Engine, now: int) -> bool:
         tariff = submission.tariff
         # Danger: an engine that drains still reports, and may be the idlest.
-        if (engine.standing is not Standing.READY
-                or self.agreed and not self.agreed.takes(submission, engine, now)
-                or tariff.zones is not None and engine.zone not in tariff.zones
-                or tariff.machines is not None and engine.machine not in tariff.machines):
+        if engine.standing is not Standing.READY:
+            return False
+        if tariff.zones is not None and engine.zone not in tariff.zones:
+            return False
+        if tariff.machines is not None and engine.machine not in tariff.machines:
+            return False
+        if self.agreed and not self.agreed.takes(submission, engine, now):
             return False
         for relay in submission.relays:
             if relay.ending not in UNRUN and tariff.deduplicated:
                 # Danger: a repeat outside the group, or past its memory, would take effect twice.
-                group = {"all": True, "zone": engine.zone == relay.engine.zone,
-                         "cell": engine.cell == relay.engine.cell}
-                if not group.get(tariff.group) or now >= relay.sent + tariff.memory - 50_000:
+                same = {"zone": engine.zone == relay.engine.zone, "cell": engine.cell == relay.engine.cell}
+                if (
+                    not same.get(tariff.group, tariff.group == "all")
+                    or now >= relay.sent + tariff.memory - 50_000
+                ):
                     return False
         return self._cold_room(engine, tariff, now)
 
     def _stalls(self, submission: Submission, engine: Engine, now: int) -> bool:
         # Danger: beside a load of its data set it would stand still, and keep its memory and our permit.
         data_set, limiter = submission.data_set, engine.limiter
-        return submission.tariff.waits and (now < limiter.blocked.get(data_set, 0) or any(
-            relay.submission.tariff.load and relay.submission.data_set == data_set for relay in limiter.out))
+        if not submission.tariff.waits:
+            return False
+        ours = (relay.submission for relay in limiter.out)
+        held = any(other.tariff.load and other.data_set == data_set for other in ours)
+        return held or now < limiter.blocked.get(data_set, 0)
 
     def _load_must_wait(self, submission: Submission, now: int) -> bool:
         # Danger: loads of a hot data set, spread over all engines, leave nowhere to read it. A third of the
         # engines may hold one, where other tariffs stand still for it.
-        return (submission.tariff.load and any(other.waits and not other.load for other in self.tariffs)
-                and 3 * sum(self._stalls(submission, one, now) for one in self.ready) >= len(self.ready))
+        if not submission.tariff.load or not any(one.waits and not one.load for one in self.tariffs):
+            return False
+        return 3 * sum(self._stalls(submission, one, now) for one in self.ready) >= len(self.ready)
 
     def _cold_room(self, engine: Engine, tariff: Tariff, now: int) -> bool:
         if not engine.limiter.cold or now >= engine.started + micros(self.rules.get("WarmUp", 0)):
@@ -410,8 +438,8 @@
     def _cold_ration(self, engine: Engine) -> float:
         # Danger: together the gateways may push a cold engine over. Its capacity is taken as what it starts
         # with until it must be warm, at 0.85 busy and 0.9 of nominal speed, and 0.7 of the budget is used.
-        return (self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0.1)
-                * engine.limiter.cores * 0.85 * 0.9 * 0.7 / self.gateways)
+        most = self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0.1)
+        return most * engine.limiter.cores * 0.85 * 0.9 * 0.7 / self.gateways
 
     def _cold_weight(self, tariff: Tariff) -> float:
         # Unlearnt, a tariff weighs as heavily as its soft limit lets it: silence is no proof of light work.
@@ -462,8 +490,9 @@
         # Danger: relays beyond the first are rationed over any window; the ring rounds to the safe side.
         most = self.rules.get("FreeResends", 0) + self.rules.get("ResendRatio", 0) * self.accepted.least(now)
         scale = self.agreed.further(submission, now) if self.agreed else 1
-        return scale > 0 and ("BudgetWindow" not in self.rules
-                              or self.relayed_again.most(now) + 1 <= most * scale)
+        if scale <= 0 or "BudgetWindow" not in self.rules:
+            return scale > 0
+        return self.relayed_again.most(now) + 1 <= most * scale
 
     def _terms(self, submission: Submission) -> None:
         # Three tenths over the estimate: enough for a close one, little taken from others.
@@ -475,8 +504,9 @@
         if megabytes or priority != 1:
             self.port.grant(submission, megabytes, priority)
 
-    def came_back(self, relay: Relay, ending: Ending, latency: int, no_more: bool,
-                  report: Mapping[str, float], now: int) -> None:
+    def came_back(
+        self, relay: Relay, ending: Ending, latency: int, no_more: bool, report: Mapping[str, float], now: int
+    ) -> None:
         if relay.ending is not None:
             return
         submission, limiter = relay.submission, relay.engine.limiter
@@ -579,8 +609,8 @@
                 # Danger: an engine cut off, dead or stuck, or a link that loses answers, gives no samples.
                 # Four times the expected time, as work spreads widely, at the fleet's pace, no note of late.
                 expected, age = relay.submission.expected, now - relay.sent
-                overdue = (age > 4 * expected * max(1.0, self.pace) + 200_000
-                           and now - relay.noted > 1.5 * micros(self.family.get("TellsEvery", 0)))
+                silent = now - relay.noted > 1.5 * micros(self.family.get("TellsEvery", 0))
+                overdue = silent and age > 4 * expected * max(1.0, self.pace) + 200_000
                 if overdue and not relay.overdue:
                     relay.overdue = True
                     self._fault(engine, limiter.heard < relay.sent, False, now)
@@ -588,26 +618,31 @@
                     self._call_back(relay, now)
 
     def _call_back(self, relay: Relay, now: int) -> None:
-        if (self.limits.get("Cancel") and not (relay.called_off or relay.ending or relay.submission.ended)
-                and self._worth_again(relay.submission, now) and self._budget_left(relay.submission, now)
-                and self.doubt_counts):
+        submission = relay.submission
+        if relay.called_off or relay.ending or submission.ended or not self.limits.get("Cancel"):
+            return
+        again = self._worth_again(submission, now) and self._budget_left(submission, now)
+        if again and self.doubt_counts:
             relay.called_off = True
             self.port.withdraw(relay)
 
     def _worth_again(self, submission: Submission, now: int) -> bool:
         stop = submission.hard_stop if submission.tariff.late_payoff > 0 else submission.soft_stop
-        return (now + submission.expected < stop and now < submission.hard_stop - MARGIN
-                and (submission.tariff.deduplicated or self._may_deny(submission))
-                # Danger: what no engine can run would use up the ration; two of them have said so by then.
-                and [relay.ending for relay in submission.relays].count(Ending.ERROR) < 2
-                and len(submission.relays) < self.limits.get("MaxAttempts", 1)
-                and not (submission.foreign and submission.relays))
+        if now + submission.expected >= stop or now >= submission.hard_stop - MARGIN:
+            return False
+        most = 1 if submission.foreign else self.limits.get("MaxAttempts", 1)
+        # Danger: what no engine can run would use up the ration; two of them have said so by then.
+        errors = [relay.ending for relay in submission.relays].count(Ending.ERROR)
+        if len(submission.relays) >= most or errors >= 2:
+            return False
+        return submission.tariff.deduplicated or self._may_deny(submission)
 
     def _may_deny(self, submission: Submission) -> bool:
         # Danger: an unrepeatable submission that may have run must not be sent or denied again.
         tariff = submission.tariff
-        return (tariff.idempotent or tariff.deduplicated and tariff.group == "all"
-                or all(relay.ending in UNRUN for relay in submission.relays))
+        if tariff.idempotent or tariff.deduplicated and tariff.group == "all":
+            return True
+        return all(relay.ending in UNRUN for relay in submission.relays)
 
     def _end(self, submission: Submission, now: int) -> None:
         """The final answer: a denial where a repeat does no harm, else an abandonment; at once."""
@@ -645,12 +680,12 @@
         if topic is Topic.WAITS and value == 2:
             # Minded for two notes' time; what waits may run elsewhere, and has lost nothing yet.
             relay.engine.limiter.blocked[submission.data_set] = now + 2 * micros(self.family["TellsEvery"])
-            if len(submission.relays) == 1 and any(
-                    engine.limiter.permits(submission, now)
-                    and not self._stalls(submission, engine, now) for engine in self.ready):
+            others = (one for one in self.ready if not self._stalls(submission, one, now))
+            if len(submission.relays) == 1 and any(one.limiter.permits(submission, now) for one in others):
                 self._call_back(relay, now)
-        if (topic is not Topic.SHARE_DONE or relay.ending or submission.ended
-                or submission.tariff.usual.seen < 10):
+        if topic is not Topic.SHARE_DONE or submission.tariff.usual.seen < 10:
+            return
+        if relay.ending or submission.ended:
             return
         # Danger: a bad plan, drawn for each relay anew, holds threads and memory many times as long. Four
         # times the expected time; work that was as heavy on an earlier relay is heavy by itself.
@@ -713,16 +748,17 @@
                 engine.limiter.draw = self.random()
         # Where half of the engines are in doubt, they are not the odd ones out, and doubt decides nothing.
         # With another hall to go to, those of this one need not be the measure: most of them may be dead.
-        self.doubt_counts = (2 * sum(engine.limiter.doubted for engine in self.ready) <= len(self.ready)
-                             or any(hall.standing is Standing.READY for hall in self.halls))
+        elsewhere = any(hall.standing is Standing.READY for hall in self.halls)
+        doubted = sum(engine.limiter.doubted for engine in self.ready)
+        self.doubt_counts = elsewhere or 2 * doubted <= len(self.ready)
         # Danger: what engines that have fallen silent hold would leave no room for any other.
         self.fleet.threads = sum(engine.limiter.threads for engine in self.ready if not engine.limiter.mute)
         self.fleet.limit = sum(engine.limiter.limit for engine in self.ready)
         self._listen(now)
         failing = [engine for engine in self.ready if engine.limiter.doubted and not engine.limiter.mute]
         for submission in [held for held in self.held + self.further if now >= held.leave_by]:
-            if not (self._is_turn(submission, now)
-                    and any(self._send(submission, now, engine) for engine in failing)):
+            turn = self._is_turn(submission, now)
+            if not (turn and any(self._send(submission, now, engine) for engine in failing)):
                 self._end(submission, now)
         self.key_free = {key: free for key, free in self.key_free.items() if now < free}
         if self.settings.get("Report", {}).get("Source") == "on_probe" and self.limits.get("Probes"):
