--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 lint: tools
 	$(PYTHON) -m pip -q install -r .ci/requirements.txt
+	$(PYTHON) -m ruff format --no-cache --check .
 	$(PYTHON) -m ruff check --no-cache .
 
 # GW_CONFIG names the configuration, as README.md has it.
--- a/benchmarks/background.py
+++ b/benchmarks/background.py
@@ -99,8 +99,9 @@
         if (self.folder / f"{self.name}.conf").exists():
             env["GW_OPERATOR"] = str(self.folder / f"{self.name}.conf")
         with open(self.folder / f"{self.name}.log", "a") as log:
-            self.process = subprocess.Popen([sys.executable, "-O", "-c", _TIMED], env=env, stderr=log,
-                                            stdout=log, cwd=self.tree)
+            self.process = subprocess.Popen(
+                [sys.executable, "-O", "-c", _TIMED], env=env, stderr=log, stdout=log, cwd=self.tree
+            )
 
     @property
     def turns(self) -> str:
@@ -149,18 +150,30 @@
             tasks.start_soon(engine.run)
         for hall in halls:
             tasks.start_soon(drop, hall)
-        print(json.dumps({"live": [engine.port for engine in live],
-                          "kept": [engine.port for engine in engines], "hall": port}), flush=True)
+        print(
+            json.dumps(
+                {
+                    "live": [engine.port for engine in live],
+                    "kept": [engine.port for engine in engines],
+                    "hall": port,
+                }
+            ),
+            flush=True,
+        )
         await anyio.wait_readable(sys.stdin)
         tasks.cancel_scope.cancel()
-    runs = [(name, run.engine, run.began, run.ended, run.effect, run.never)
-            for name, made in account.runs.items() for run in made]
+    runs = [
+        (name, run.engine, run.began, run.ended, run.effect, run.never)
+        for name, made in account.runs.items()
+        for run in made
+    ]
     print(json.dumps({"runs": runs, "late": account.late_sends, "dropped": dropped}), flush=True)
 
 
 class Bench:
-    def __init__(self, folder: Path, given: argparse.Namespace, far: dict[str, Any],
-                 tree: Path | None) -> None:
+    def __init__(
+        self, folder: Path, given: argparse.Namespace, far: dict[str, Any], tree: Path | None
+    ) -> None:
         self._folder, self._given, self._far, self._tree = folder, given, far, tree
         self.account = _account()
         # One that is off as well tells by how much two that are the same differ on this machine.
@@ -172,25 +185,53 @@
 
     def _write(self, gateway: Gateway, coordinator: Coordinator, on: bool) -> None:
         given = settings([_KIND], len(self._sides), _CORES)
-        (self._folder / f"{gateway.name}.json").write_text(json.dumps({
-            "name": gateway.name, "listen": f"127.0.0.1:{gateway.port}", "seed": "7", "settings": given,
-            "coordinator": coordinator.address, "known": coordinator.known}))
+        (self._folder / f"{gateway.name}.json").write_text(
+            json.dumps(
+                {
+                    "name": gateway.name,
+                    "listen": f"127.0.0.1:{gateway.port}",
+                    "seed": "7",
+                    "settings": given,
+                    "coordinator": coordinator.address,
+                    "known": coordinator.known,
+                }
+            )
+        )
         operator = self._folder / f"{gateway.name}.conf"
         operator.unlink(missing_ok=True)
         if not on:
             return
         kept = Path(tempfile.mkdtemp(dir=self._folder))
-        operator.write_text(f"kept {kept}\n{_HALL}" + "".join(
-            f"peer hall-b 127.0.0.{number}:{self._far['hall']}\n" for number in range(1, _PEERS + 1)))
+        operator.write_text(
+            f"kept {kept}\n{_HALL}"
+            + "".join(
+                f"peer hall-b 127.0.0.{number}:{self._far['hall']}\n" for number in range(1, _PEERS + 1)
+            )
+        )
         at, folder = moment(), Folder(str(kept), gateway.name)
         assert folder.lock()
         # A higher number than the coordinator's: what that names is a part, and the others stay remembered.
         # In the zone that is not ours, so that live work stays where it is without them.
-        folder.write(Record(
-            owner=gateway.name, wall=at.wall, boot=at.boot, ticked=at.ticked, number=100, handed=False,
-            zones=list(ZONES), machines=given["Flavors"], tombs=[], tariffs=[], limits=[], marks=[],
-            engines=[Kept(1000 + number, "127.0.0.1", port, False, 1, 0, 0, 1, 0)
-                     for number, port in enumerate(self._far["kept"])]))
+        folder.write(
+            Record(
+                owner=gateway.name,
+                wall=at.wall,
+                boot=at.boot,
+                ticked=at.ticked,
+                number=100,
+                handed=False,
+                zones=list(ZONES),
+                machines=given["Flavors"],
+                tombs=[],
+                tariffs=[],
+                limits=[],
+                marks=[],
+                engines=[
+                    Kept(1000 + number, "127.0.0.1", port, False, 1, 0, 0, 1, 0)
+                    for number, port in enumerate(self._far["kept"])
+                ],
+            )
+        )
         folder.unlock()
 
     async def run(self) -> None:
@@ -204,8 +245,9 @@
             tasks.cancel_scope.cancel()
 
     async def _round(self, sides: list[str], number: int, coordinator: Coordinator) -> None:
-        gateways = {side: _Timed(side, self._folder, tree=self._tree if side == "earlier" else None)
-                    for side in sides}
+        gateways = {
+            side: _Timed(side, self._folder, tree=self._tree if side == "earlier" else None) for side in sides
+        }
         asked: dict[str, list[Asked]] = {side: [] for side in sides}
         for side, gateway in gateways.items():
             self._write(gateway, coordinator, side in ("on", "earlier"))
@@ -216,8 +258,13 @@
                 await gateway.ready()
             cpu = {side: gateway.cpu() for side, gateway in gateways.items()}
             async with anyio.create_task_group() as tasks:
-                clients = {side: [Client(side, side, ("127.0.0.1", gateway.port), self.account, tasks)
-                                  for _ in range(_CONNECTIONS)] for side, gateway in gateways.items()}
+                clients = {
+                    side: [
+                        Client(side, side, ("127.0.0.1", gateway.port), self.account, tasks)
+                        for _ in range(_CONNECTIONS)
+                    ]
+                    for side, gateway in gateways.items()
+                }
                 began = anyio.current_time()
                 load = draw([_KIND], [(0.0, _RATE)], self._given.seconds, self._given.seed * 1000 + number)
                 for count, one in enumerate(load):
@@ -236,8 +283,9 @@
                 await gateway.stop()
         for side in sides:
             # The first ones are the start's own: connections that are made, code that runs first.
-            self.took[side].append(sorted(one.answers[0][0] - one.asked for one in asked[side][_FIRST:]
-                                          if one.answers))
+            self.took[side].append(
+                sorted(one.answers[0][0] - one.asked for one in asked[side][_FIRST:] if one.answers)
+            )
             self.cpu[side].append(spent[side] / self._given.seconds)
             with open(gateways[side].turns) as file:
                 self.turns[side] += [took for at, took in json.load(file) if began <= at < until]
@@ -264,18 +312,26 @@
         waits = _waits(bench.turns[side], given.seconds * given.rounds, random.Random(given.seed))
         pooled, counts = sorted(one for times in rounds for one in times), bench.counts[side]
         told[side] = {
-            "answers": len(pooled), "p50_us": round(_share(pooled, 0.5)),
+            "answers": len(pooled),
+            "p50_us": round(_share(pooled, 0.5)),
             "p99_us": round(_share(pooled, 0.99)),
             "p99_us_by_round": [round(_share(times, 0.99)) for times in rounds],
             "p999_us": round(_share(pooled, 0.999)),
-            "wait_p50_us": round(waits[_DRAWN // 2]), "wait_p99_us": round(waits[_DRAWN * 99 // 100]),
+            "wait_p50_us": round(waits[_DRAWN // 2]),
+            "wait_p99_us": round(waits[_DRAWN * 99 // 100]),
             "longest_turn_us": max(bench.turns[side]),
             "cpu_share": round(statistics.fmean(bench.cpu[side]), 4),
-            "trials": counts.get("kept: trials", 0), "writes": counts.get("kept: writes", 0),
-            "background": {name.removeprefix("background: "): amount for name, amount in counts.items()
-                           if name.startswith("background")},
-            "broken": {name: amount for name, amount in counts.items()
-                       if name.startswith(("broken", "faults"))}}
+            "trials": counts.get("kept: trials", 0),
+            "writes": counts.get("kept: writes", 0),
+            "background": {
+                name.removeprefix("background: "): amount
+                for name, amount in counts.items()
+                if name.startswith("background")
+            },
+            "broken": {
+                name: amount for name, amount in counts.items() if name.startswith(("broken", "faults"))
+            },
+        }
     off = told["off"]
     for side in [side for side in bench.took if side != "off"]:
         one = told[side]
@@ -298,13 +354,21 @@
     if given.far:
         anyio.run(_far, given.far)
         return 0
-    with (tempfile.TemporaryDirectory() as folder, tempfile.TemporaryDirectory() as before,
-          subprocess.Popen([sys.executable, "-m", "benchmarks.background", "--far", str(_KEPT)], text=True,
-                           stdin=subprocess.PIPE, stdout=subprocess.PIPE) as far):
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        tempfile.TemporaryDirectory() as before,
+        subprocess.Popen(
+            [sys.executable, "-m", "benchmarks.background", "--far", str(_KEPT)],
+            text=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        ) as far,
+    ):
         tree = None
         if given.earlier:
-            packed = subprocess.run(["git", "archive", given.earlier, "cresstray"], check=True,
-                                    capture_output=True)
+            packed = subprocess.run(
+                ["git", "archive", given.earlier, "cresstray"], check=True, capture_output=True
+            )
             with tarfile.open(fileobj=io.BytesIO(packed.stdout)) as archive:
                 archive.extractall(before, filter="data")
             tree = Path(before)
@@ -317,18 +381,29 @@
         bench.account.runs[name].append(Run(*run))
     bench.account.late_sends = elsewhere["late"]
     on_kept = sum(run[1].startswith("kept") for run in elsewhere["runs"])
-    told = _told(bench, given) | {"runs_on_kept": on_kept, "links_dropped": elsewhere["dropped"],
-                           "promises": bench.account.promises(until)}
+    told = _told(bench, given) | {
+        "runs_on_kept": on_kept,
+        "links_dropped": elsewhere["dropped"],
+        "promises": bench.account.promises(until),
+    }
     for side in bench.took:
         one = told[side]
-        print(f"{side:8} p50 {one['p50_us']} us, p99 {one['p99_us']} us, by round {one['p99_us_by_round']}, "
-              f"CPU {one['cpu_share']:.3f}, trials {one['trials']}, writes {one['writes']}")
-        print(f"{'':8} waits for turns of the loop: p99 {one['wait_p99_us']} us, longest turn "
-              f"{one['longest_turn_us']} us", flush=True)
+        print(
+            f"{side:8} p50 {one['p50_us']} us, p99 {one['p99_us']} us, by round {one['p99_us_by_round']}, "
+            f"CPU {one['cpu_share']:.3f}, trials {one['trials']}, writes {one['writes']}"
+        )
+        print(
+            f"{'':8} waits for turns of the loop: p99 {one['wait_p99_us']} us, longest turn "
+            f"{one['longest_turn_us']} us",
+            flush=True,
+        )
         if side != "off":
-            print(f"{'':8} added wait at p99 {one['added_wait_p99_us']} us; by the clock "
-                  f"{one['added_p99_us']} us, median of the rounds' "
-                  f"{one['added_p99_us_median_of_rounds']} us", flush=True)
+            print(
+                f"{'':8} added wait at p99 {one['added_wait_p99_us']} us; by the clock "
+                f"{one['added_p99_us']} us, median of the rounds' "
+                f"{one['added_p99_us_median_of_rounds']} us",
+                flush=True,
+            )
     if given.json:
         print(json.dumps(told))
     return int(any(told["promises"].values()) or set(told["promises"]) != set(PROMISES))
--- a/benchmarks/bound.py
+++ b/benchmarks/bound.py
@@ -14,8 +14,9 @@
 _BUCKET = 0.05
 
 
-def bound(loads: dict[str, list[Drawn]], cores: Callable[[str, float], float],
-          seconds: float) -> dict[str, float]:
+def bound(
+    loads: dict[str, list[Drawn]], cores: Callable[[str, float], float], seconds: float
+) -> dict[str, float]:
     """Of each hall, the payoff that could be in time over that asked for; `cores` of a hall at a time."""
     count = int(seconds / _BUCKET) + 1
     free = {hall: [cores(hall, at * _BUCKET) * _BUCKET for at in range(count)] for hall in loads}
--- a/benchmarks/builds.py
+++ b/benchmarks/builds.py
@@ -42,15 +42,20 @@
         async with world.up():
             await anyio.sleep(_WARM)
             # A hall's load stays where it is while the builds change places.
-            loads = {hall: draw(KINDS, [(0.0, _RATE)], seconds, seed + place)
-                     for place, hall in enumerate(world.halls)}
+            loads = {
+                hall: draw(KINDS, [(0.0, _RATE)], seconds, seed + place)
+                for place, hall in enumerate(world.halls)
+            }
             before = {hall: world.halls[hall].gateways[0].cpu() for hall in halls}
             await world.play(loads, [], 1.0)
             payoff, made = world.account.payoff(), {}
             for name, hall in zip(("earlier", "this"), halls):
                 gateway = world.halls[hall].gateways[0]
-                made[name] = {"cpu_us": 1e6 * (gateway.cpu() - before[hall]) / len(loads[hall]),
-                              "memory": gateway.memory(), "payoff": payoff[hall]}
+                made[name] = {
+                    "cpu_us": 1e6 * (gateway.cpu() - before[hall]) / len(loads[hall]),
+                    "memory": gateway.memory(),
+                    "payoff": payoff[hall],
+                }
             return made
 
 
@@ -64,15 +69,20 @@
     given = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
         tree = _tree(given.revision, Path(folder))
-        rounds = [anyio.run(_round, tree, bool(number % 2), given.seed + number // 2 * 10, given.seconds)
-                  for number in range(given.rounds)]
+        rounds = [
+            anyio.run(_round, tree, bool(number % 2), given.seed + number // 2 * 10, given.seconds)
+            for number in range(given.rounds)
+        ]
     told: dict[str, object] = {"revision": given.revision, "rounds": given.rounds}
     for what, digits in (("cpu_us", 1), ("memory", 0), ("payoff", 4)):
         means = {name: statistics.fmean(one[name][what] for one in rounds) for name in ("earlier", "this")}
         told[what] = {name: round(mean, digits) for name, mean in means.items()} | {
-            "ratio": round(means["this"] / means["earlier"], 4)}
-        print(f"{what:8} earlier {means['earlier']:.6g}, this {means['this']:.6g}, "
-              f"ratio {means['this'] / means['earlier']:.4f}")
+            "ratio": round(means["this"] / means["earlier"], 4)
+        }
+        print(
+            f"{what:8} earlier {means['earlier']:.6g}, this {means['this']:.6g}, "
+            f"ratio {means['this'] / means['earlier']:.4f}"
+        )
     if given.json:
         print(json.dumps(told))
     return int(told["payoff"]["ratio"] < 0.99)
--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -57,7 +57,10 @@
     def __init__(self, plan: Plan) -> None:
         self._process = subprocess.Popen(
             [sys.executable, "-O", "-m", "cresstray.standins.cold", msgspec.json.encode(plan).decode()],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
         self.ports: dict[str, list[int]] = json.loads(self._process.stdout.readline())
 
     def say(self, line: str) -> None:
@@ -93,8 +96,9 @@
     @contextlib.asynccontextmanager
     async def life(self, keeps: bool = True, known: dict | None = None):  # noqa: ANN201
         """All gateways, from their start on until they have ended as planned."""
-        self.account = Account({kind.name: kind.effect for kind in KINDS},
-                               self.given["Limits"]["MaxAttempts"], self._budget)
+        self.account = Account(
+            {kind.name: kind.effect for kind in KINDS}, self.given["Limits"]["MaxAttempts"], self._budget
+        )
         names = [f"g{number}" for number in range(self._number)]
         gateways = [Gateway(name, self._folder) for name in names]
         self.halls = {HALL: Hall(HALL, [], self.register, gateways, {}, {})}
@@ -121,9 +125,18 @@
         if keeps:
             self.kept(gateway.name).mkdir(exist_ok=True)
             conf.write_text(f"kept {self.kept(gateway.name)}\n")
-        (self._folder / f"{gateway.name}.json").write_text(json.dumps({
-            "name": gateway.name, "listen": f"127.0.0.1:{gateway.port}", "seed": f"{number + 1:016x}",
-            "coordinator": self.register.address, "known": known or {}, "settings": self.given}))
+        (self._folder / f"{gateway.name}.json").write_text(
+            json.dumps(
+                {
+                    "name": gateway.name,
+                    "listen": f"127.0.0.1:{gateway.port}",
+                    "seed": f"{number + 1:016x}",
+                    "coordinator": self.register.address,
+                    "known": known or {},
+                    "settings": self.given,
+                }
+            )
+        )
 
     def kept(self, name: str) -> Path:
         return self._folder / f"kept-{name}"
@@ -142,8 +155,9 @@
         """A first life with warm engines and the register up; what each gateway left on its disk."""
         engines = Engines(self.plan)
         engines.say("warm")
-        self.register.up(NUMBER, [Listed(number + 1, port)
-                                  for number, port in enumerate(engines.ports["engines"])])
+        self.register.up(
+            NUMBER, [Listed(number + 1, port) for number, port in enumerate(engines.ports["engines"])]
+        )
         try:
             async with self.life():
                 # As much as warm engines do well: of the rarest tariff each gateway must see five.
@@ -174,8 +188,8 @@
     """Which ones have changed goes round with `seed`."""
     part, count = round(changed * ENGINES / 4), ENGINES
     places = list(range(count))
-    order = places[seed % count:] + places[:seed % count]
-    removed, moved, given = order[:part], order[part:2 * part], order[2 * part:3 * part]
+    order = places[seed % count :] + places[: seed % count]
+    removed, moved, given = order[:part], order[part : 2 * part], order[2 * part : 3 * part]
     ports, dead, strangers = (list(engines.ports[name]) for name in ("engines", "dead", "strangers"))
     zombie = ports[plan.engines - 1]
     listed, true = [], []
@@ -191,25 +205,67 @@
         listed.append(record.Engine(number, "127.0.0.1", address, False, 0, 0, 0, 0))
         true.append(Listed(truly, at, started=int(time.time() * 1000)))
     gone = Listed(99, zombie)
-    known = {"index": 1, "updates": [{"index": 1, "endpoints": {"complete": False, "members": [
-        {"id": f"s-{gone.id:08x}", "host_port": f"127.0.0.1:{zombie}", "locality": "here", "flavor": "std",
-         "cell": 0, "phase": "in_service", "up_since_ms": 0}]}}]}
+    known = {
+        "index": 1,
+        "updates": [
+            {
+                "index": 1,
+                "endpoints": {
+                    "complete": False,
+                    "members": [
+                        {
+                            "id": f"s-{gone.id:08x}",
+                            "host_port": f"127.0.0.1:{zombie}",
+                            "locality": "here",
+                            "flavor": "std",
+                            "cell": 0,
+                            "phase": "in_service",
+                            "up_since_ms": 0,
+                        }
+                    ],
+                },
+            }
+        ],
+    }
     stale = [Listed(one.id, one.port) for one in listed] + [gone]
     taken_back = next(place for place in places if place not in removed + moved + given)
-    return Fleet(listed, [Tomb(99, 0, NUMBER - 10, 0)], [one for one in true if one is not true[taken_back]],
-                 stale, known, taken_back)
+    return Fleet(
+        listed,
+        [Tomb(99, 0, NUMBER - 10, 0)],
+        [one for one in true if one is not true[taken_back]],
+        stale,
+        known,
+        taken_back,
+    )
 
 
 def aged(left: record.Record, age: float, now: Fleet) -> record.Record:
     """What a gateway left, as it would have been written so long ago on another boot."""
     # What was learnt of engines stays by their ids; the first life's are numbered alike.
-    return msgspec.structs.replace(left, wall=int((time.time() - age) * 1e6), boot="", ticked=0, handed=False,
-                                   number=NUMBER, engines=now.listed, tombs=now.tombs, marks=[])
-
-
-async def start(folder: Path, left: dict[str, record.Record], age: float | None, changed: float,
-                seconds: float, seed: int, gateways: int = GATEWAYS, after: float = _RETURN,
-                trusts: bool = False) -> dict:
+    return msgspec.structs.replace(
+        left,
+        wall=int((time.time() - age) * 1e6),
+        boot="",
+        ticked=0,
+        handed=False,
+        number=NUMBER,
+        engines=now.listed,
+        tombs=now.tombs,
+        marks=[],
+    )
+
+
+async def start(
+    folder: Path,
+    left: dict[str, record.Record],
+    age: float | None,
+    changed: float,
+    seconds: float,
+    seed: int,
+    gateways: int = GATEWAYS,
+    after: float = _RETURN,
+    trusts: bool = False,
+) -> dict:
     """`age` None: without a list; `trusts`: then what the configuration names is all that there is.
 
     `after`: seconds of load once the register returns; 0: it does not.
@@ -254,8 +310,9 @@
         stage.register.down()
         engines.end()
     down = [one for one in drawn if one.at < seconds]
-    most = bound({HALL: down}, lambda hall, at: ENGINES * (stage.bears if at < WARM_UP else CORES),
-                 seconds + 1)[HALL]
+    most = bound(
+        {HALL: down}, lambda hall, at: ENGINES * (stage.bears if at < WARM_UP else CORES), seconds + 1
+    )[HALL]
     return {"promises": promises, "told": told, "bound": most, **by_piece(stage, began, seconds, most)}
 
 
@@ -267,8 +324,11 @@
         if 0 <= piece < len(asked):
             asked[piece] += one.payoff
             got[piece] += one.payoff * one.in_time()
-    return {"payoff": sum(got) / sum(asked), "pieces": [part / whole for part, whole in zip(got, asked)],
-            "to_ninety": to_ninety(got, [most * part for part in asked], _PIECE)}
+    return {
+        "payoff": sum(got) / sum(asked),
+        "pieces": [part / whole for part, whole in zip(got, asked)],
+        "to_ninety": to_ninety(got, [most * part for part in asked], _PIECE),
+    }
 
 
 async def cost(folder: Path, seconds: float) -> tuple[float, int]:
@@ -279,8 +339,9 @@
     stage = Stage(folder, 2, engines=4, warm_up=0.0)
     engines = Engines(stage.plan)
     rest = [Listed(1000 + number, 9, "terminating") for number in range(496)]
-    stage.register.up(1, [Listed(number + 1, port) for number, port in enumerate(engines.ports["engines"])]
-                      + rest)
+    stage.register.up(
+        1, [Listed(number + 1, port) for number, port in enumerate(engines.ports["engines"])] + rest
+    )
 
     async def news() -> None:
         while True:
@@ -298,8 +359,10 @@
             tasks.start_soon(news)
             await anyio.sleep(1)
             began = anyio.current_time()
-            drawn = [Drawn(number / 400, f"{number:016x}", KINDS[0], 0.002, 0.002)
-                     for number in range(int(400 * seconds))]
+            drawn = [
+                Drawn(number / 400, f"{number:016x}", KINDS[0], 0.002, 0.002)
+                for number in range(int(400 * seconds))
+            ]
             await stage.load(HALL, drawn)
             await anyio.sleep(0.5)
             tasks.cancel_scope.cancel()
@@ -309,8 +372,7 @@
     slices: dict[tuple[int, str], list[float]] = {}
     for one in stage.account.asked.values():
         if one.answers and one.answers[0][1] == "fulfilled":
-            slices.setdefault((int(one.asked - began), one.gateway), []).append(
-                one.answers[0][0] - one.asked)
+            slices.setdefault((int(one.asked - began), one.gateway), []).append(one.answers[0][0] - one.asked)
     p99 = {key: statistics.quantiles(times, n=100)[98] for key, times in slices.items() if len(times) > 150}
     added = [p99[at, "g0"] - p99[at, "g1"] for at, gateway in p99 if gateway == "g0" and (at, "g1") in p99]
     # The newer one was written at the end, with the names that were in use.
@@ -323,8 +385,9 @@
     missed = [f"{name} broken {count} times" for name, count in told["promises"].items() if count]
     for age, one in told["ages"].items():
         if one["sends_to_known_gone"] or one["engines_fallen"]:
-            missed.append(f"{age}: {one['sends_to_known_gone']} sends to known gone, "
-                          f"{one['engines_fallen']} fallen")
+            missed.append(
+                f"{age}: {one['sends_to_known_gone']} sends to known gone, {one['engines_fallen']} fallen"
+            )
         if one["peak_share_of_cold_capacity"] > PEAK:
             missed.append(f"{age}: a peak of {one['peak_share_of_cold_capacity']:.2f}")
         if one["seconds_to_90_percent"] is None or one["seconds_to_90_percent"] > WITHIN[age]:
@@ -349,26 +412,39 @@
             folder.mkdir()
         left = anyio.run(Stage(folders[0], GATEWAYS).learn, 12.0, seed)
         without = anyio.run(start, folders[0], left, None, 0.0, seconds, seed)
-        print(f"without a list: {without['payoff']:.3f} of the payoff while the register was down, "
-              f"bound {without['bound']:.3f}", flush=True)
+        print(
+            f"without a list: {without['payoff']:.3f} of the payoff while the register was down, "
+            f"bound {without['bound']:.3f}",
+            flush=True,
+        )
         for age in only or AGES:
             one = anyio.run(start, folders[0], left, *AGES[age], seconds, seed)
             for name in PROMISES:
                 told["promises"][name] += one["promises"][name]
             seen = one["told"]
             told["ages"][age] = {
-                "payoff_60s": round(one["payoff"], 4), "payoff_without_list": round(without["payoff"], 4),
-                "bound": round(one["bound"], 4), "sends_to_known_gone": seen["late"],
-                "engines_fallen": seen["fallen"], "peak_share_of_cold_capacity": round(seen["peak"], 3),
-                "seconds_to_90_percent": one["to_ninety"]}
-            print(f"{age:7} {json.dumps(told['ages'][age])}\n"
-                  f"        sent to strangers {sum(seen['strangers'].values())}; "
-                  + " ".join(f"{share:.2f}" for share in one["pieces"][:40]), flush=True)
+                "payoff_60s": round(one["payoff"], 4),
+                "payoff_without_list": round(without["payoff"], 4),
+                "bound": round(one["bound"], 4),
+                "sends_to_known_gone": seen["late"],
+                "engines_fallen": seen["fallen"],
+                "peak_share_of_cold_capacity": round(seen["peak"], 3),
+                "seconds_to_90_percent": one["to_ninety"],
+            }
+            print(
+                f"{age:7} {json.dumps(told['ages'][age])}\n"
+                f"        sent to strangers {sum(seen['strangers'].values())}; "
+                + " ".join(f"{share:.2f}" for share in one["pieces"][:40]),
+                flush=True,
+            )
         told["added_p99_us"], told["snapshot_bytes"] = anyio.run(cost, folders[1], 20.0)
         told["added_p99_us"] = round(told["added_p99_us"])
     missed = judged(told)
-    print(f"{told['snapshot_bytes']} bytes of 500 engines, {told['added_p99_us']} us more at the 99th "
-          f"percentile; missed: {'; '.join(missed) or 'nothing'}", flush=True)
+    print(
+        f"{told['snapshot_bytes']} bytes of 500 engines, {told['added_p99_us']} us more at the 99th "
+        f"percentile; missed: {'; '.join(missed) or 'nothing'}",
+        flush=True,
+    )
     if as_json:
         print(json.dumps(told))
     sys.exit(1 if missed else 0)
--- a/benchmarks/cold_virtual.py
+++ b/benchmarks/cold_virtual.py
@@ -24,12 +24,17 @@
 
 def _told(told: Told, down: float) -> dict:
     first = round(down * SECOND / PIECE)
-    return {"payoff": round(told.share, 4), "bound": round(told.share_bound, 4),
-            "payoff_while_down": round(sum(told.payoff[:first]) / first, 4),
-            "sends_to_known_gone": told.known_gone, "sends_to_strangers": told.strangers,
-            "engines_fallen": told.fallen, "peak_share_of_plan": round(told.peak, 3),
-            "peak_share_of_cold_capacity": round(told.peak * BEARS / FALLS, 3),
-            "seconds_to_90_percent": told.to_ninety}
+    return {
+        "payoff": round(told.share, 4),
+        "bound": round(told.share_bound, 4),
+        "payoff_while_down": round(sum(told.payoff[:first]) / first, 4),
+        "sends_to_known_gone": told.known_gone,
+        "sends_to_strangers": told.strangers,
+        "engines_fallen": told.fallen,
+        "peak_share_of_plan": round(told.peak, 3),
+        "peak_share_of_cold_capacity": round(told.peak * BEARS / FALLS, 3),
+        "seconds_to_90_percent": told.to_ninety,
+    }
 
 
 @click.command()
@@ -42,8 +47,9 @@
 def main(down: float, seed: int, gateways: int, engines: int, load: float, as_json: bool) -> None:
     runs: dict[str, dict] = {}
 
-    def play(name: str, age: int | None, changed: float, wait: float, asked: float,
-             heavier: float = 1.0) -> None:
+    def play(
+        name: str, age: int | None, changed: float, wait: float, asked: float, heavier: float = 1.0
+    ) -> None:
         begun = time.process_time()
         age = age if age is None else age * SECOND
         cold = Cold(seed, gateways, engines, age, changed, wait, asked, heavier)
@@ -55,8 +61,14 @@
         play(name, age, changed, down, load)
     play("heavier, and a surge", AGES["7 days"][0], 0.0, 2.0, 1.2, 1.5)
     play("behind, and a surge", AGES["10 s"][0], 0.0, 1.0, 1.5)
-    bad = [name for name, one in runs.items() if one["engines_fallen"] or one["sends_to_known_gone"]
-           or name in AGES and one["payoff"] < runs["no list"]["payoff"]]
+    bad = [
+        name
+        for name, one in runs.items()
+        if one["engines_fallen"]
+        or one["sends_to_known_gone"]
+        or name in AGES
+        and one["payoff"] < runs["no list"]["payoff"]
+    ]
     print(f"missed: {', '.join(bad) or 'nothing'}")
     if as_json:
         print(json.dumps({"runs": runs, "missed": bad}))
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -128,8 +128,12 @@
 async def _all_killed(trial: Trial) -> None:
     """All at once, and one disk is lost; service goes on for four seconds without any."""
     await anyio.sleep(1.0)
-    await trial.faults.all([Fault(0.0, 4.0, "disk" if number == 0 else "kill", (name,))
-                            for number, name in enumerate(trial.fleet.keepers)])
+    await trial.faults.all(
+        [
+            Fault(0.0, 4.0, "disk" if number == 0 else "kill", (name,))
+            for number, name in enumerate(trial.fleet.keepers)
+        ]
+    )
 
 
 async def _slow_links(trial: Trial) -> None:
@@ -153,9 +157,14 @@
 
 
 SCENARIOS: dict[str, tuple[float, Callable[[Trial], Awaitable[None]]]] = {
-    "calm": (6.0, _calm), "leader-killed": (6.5, _leader_killed), "leader-frozen": (11.5, _leader_frozen),
-    "split": (8.5, _split), "all-keepers-killed": (8.0, _all_killed), "slow-links": (6.5, _slow_links),
-    "storm": (15.0, _storm)}
+    "calm": (6.0, _calm),
+    "leader-killed": (6.5, _leader_killed),
+    "leader-frozen": (11.5, _leader_frozen),
+    "split": (8.5, _split),
+    "all-keepers-killed": (8.0, _all_killed),
+    "slow-links": (6.5, _slow_links),
+    "storm": (15.0, _storm),
+}
 
 
 async def _change(trial: Trial) -> None:
@@ -165,7 +174,8 @@
         what, name, edit, back = (
             ("engine", one := next(engines), *_both("engines", trial.fleet.engine_id(one), EngineRule(True))),
             ("tariff", CANARY.name, *_both("tariffs", CANARY.name, TariffRule(True))),
-            ("tenant", "guest", *_both("tenants", "guest", TenantRule(True))))[turn % 3]
+            ("tenant", "guest", *_both("tenants", "guest", TenantRule(True))),
+        )[turn % 3]
         made = await trial.operator.change(edit, 20)
         if made is not None:
             trial.changes.append(made)
@@ -206,18 +216,32 @@
     async with fleet.up(), anyio.create_task_group() as tasks:
         ports = {keeper: one.port for keeper, one in fleet.keepers.items()}
         helper = Operator("helper", NAME, ports, tasks)
-        trial = Trial(fleet, Faults(fleet, lambda keeper: admitted(helper, keeper)),
-                      Operator("changer", NAME, ports, tasks),
-                      Operator("asker", NAME, ports, tasks), Watch(NAME, ports, tasks), seed, seconds)
+        trial = Trial(
+            fleet,
+            Faults(fleet, lambda keeper: admitted(helper, keeper)),
+            Operator("changer", NAME, ports, tasks),
+            Operator("asker", NAME, ports, tasks),
+            Watch(NAME, ports, tasks),
+            seed,
+            seconds,
+        )
         if on:
             tasks.start_soon(trial.watch.run)
             await listed(trial.operator, trial.watch, fleet.gateways)
             rng = random.Random(seed)
             for keeper in fleet.keepers:
-                reader, ticker = (Operator(f"{what}-{keeper}", NAME, ports, tasks)
-                                  for what in ("client", "ticker"))
-                tasks.start_soon(client, reader, keeper, trial.history,
-                                 lambda: rng.uniform(0.5, 1.5) * _READER, trial.commits, trial.changes)
+                reader, ticker = (
+                    Operator(f"{what}-{keeper}", NAME, ports, tasks) for what in ("client", "ticker")
+                )
+                tasks.start_soon(
+                    client,
+                    reader,
+                    keeper,
+                    trial.history,
+                    lambda: rng.uniform(0.5, 1.5) * _READER,
+                    trial.commits,
+                    trial.changes,
+                )
                 tasks.start_soon(_tick, ticker, keeper, trial.commits)
             tasks.start_soon(_change, trial)
         await anyio.sleep(1.0)
@@ -228,8 +252,11 @@
                 await script(trial)
             elif name == "storm":
                 # Gateways suffer alike without rules; there is nothing else that could fail.
-                await trial.faults.all(fault for fault in _stormy(trial)
-                                       if fault.kind in PROCESS and fault.who[0] in fleet.gateways)
+                await trial.faults.all(
+                    fault
+                    for fault in _stormy(trial)
+                    if fault.kind in PROCESS and fault.who[0] in fleet.gateways
+                )
 
         async with anyio.create_task_group() as both:
             both.start_soon(harm)
@@ -239,14 +266,18 @@
         await anyio.sleep(_REST)
         told = {"submissions": len(load), "cpu_us": round(1e6 * (fleet.cpu() - before) / len(load))}
         await fleet.runs()
-        told |= {"payoff": round(fleet.account.payoff()[HALL], 4),
-                 "promises": fleet.account.promises(anyio.current_time())}
+        told |= {
+            "payoff": round(fleet.account.payoff()[HALL], 4),
+            "promises": fleet.account.promises(anyio.current_time()),
+        }
         if on:
             told |= await _told(trial, began, until)
         tasks.cancel_scope.cancel()
     counters = fleet.counters()
-    return told | {"faults": counters.get("faults", 0), "broken": {
-        line: count for line, count in counters.items() if line.startswith("broken")}}
+    return told | {
+        "faults": counters.get("faults", 0),
+        "broken": {line: count for line, count in counters.items() if line.startswith("broken")},
+    }
 
 
 async def _told(trial: Trial, began: float, until: float) -> dict:
@@ -257,18 +288,31 @@
     oldest = min(kept, default=0)
     lost = [one.version for one in trial.changes if one.version not in kept and one.version > oldest]
     bans = [trial.watch.ban(*ban) for ban in trial.bans]
-    found = contradictions(bans, fleet.account.runs, fleet.account.asked, tenant, fleet.out,
-                           fleet.looking)
+    found = contradictions(bans, fleet.account.runs, fleet.account.asked, tenant, fleet.out, fleet.looking)
     times = [at - one.asked for one in trial.changes if (at := trial.watch.told(2 * one.version)) is not None]
     verdict = trial.history.checked()
-    return {"changes": len(trial.changes), "contradiction_ms": round(1000 * found.since_in_force, 1),
-            "stated_ms": answer["stated_us"] / 1000, "in_force_ms": spread(times),
-            "without_commit_ms": round(1000 * without_commit(fleet.majority, trial.commits, began, until), 1),
-            "since_joint_ms": round(1000 * found.since_joint, 1), "forbidden": {
-                "joint": found.joint, "after": found.after, "looking": found.looking, "kept": found.kept},
-            "told": found.told[:5], "lost": lost, "barred": len(bans),
-            "history": {"operations": verdict.operations, "linearizable": verdict.linearizable,
-                        "stuck": [repr(one) for one in verdict.stuck[:3]]}}
+    return {
+        "changes": len(trial.changes),
+        "contradiction_ms": round(1000 * found.since_in_force, 1),
+        "stated_ms": answer["stated_us"] / 1000,
+        "in_force_ms": spread(times),
+        "without_commit_ms": round(1000 * without_commit(fleet.majority, trial.commits, began, until), 1),
+        "since_joint_ms": round(1000 * found.since_joint, 1),
+        "forbidden": {
+            "joint": found.joint,
+            "after": found.after,
+            "looking": found.looking,
+            "kept": found.kept,
+        },
+        "told": found.told[:5],
+        "lost": lost,
+        "barred": len(bans),
+        "history": {
+            "operations": verdict.operations,
+            "linearizable": verdict.linearizable,
+            "stuck": [repr(one) for one in verdict.stuck[:3]],
+        },
+    }
 
 
 # Of each shard, the numbers of its copies, the primary first: each engine has some, the last one has none.
@@ -288,8 +332,14 @@
         await fleet.placed_first(operator, watch)
         async with anyio.create_task_group() as sessions:
             for number in range(_SESSIONS):
-                sessions.start_soon(fleet.session, f"s{number}", list(_PLACED)[number % len(_PLACED)],
-                                    seed * 1000 + number, _PACE, _WITHIN)
+                sessions.start_soon(
+                    fleet.session,
+                    f"s{number}",
+                    list(_PLACED)[number % len(_PLACED)],
+                    seed * 1000 + number,
+                    _PACE,
+                    _WITHIN,
+                )
             await anyio.sleep(_BEFORE)
             plan = await planned(fleet, fleet.ids[2])
             await carried(fleet, plan, operator)
@@ -300,10 +350,17 @@
         verdict = judged(fleet.seen(), fleet.sessions, fleet.cores, heads(fleet, latest))
         lost = copies_lost(fleet, latest)
         await fleet.runs()
-        told = {"reads": verdict.reads(), "moves": plan.moves(fleet) | {"copies_lost": len(lost)},
-                "promises": fleet.account.promises(anyio.current_time()), "steps": plan.steps,
-                "over": bool(plan.told.get("over")), "payoff": round(fleet.account.payoff()[HALL], 4),
-                "told": verdict.lines[:5] + lost, "writes_by_two": verdict.twice, "writes_lost": verdict.lost}
+        told = {
+            "reads": verdict.reads(),
+            "moves": plan.moves(fleet) | {"copies_lost": len(lost)},
+            "promises": fleet.account.promises(anyio.current_time()),
+            "steps": plan.steps,
+            "over": bool(plan.told.get("over")),
+            "payoff": round(fleet.account.payoff()[HALL], 4),
+            "told": verdict.lines[:5] + lost,
+            "writes_by_two": verdict.twice,
+            "writes_lost": verdict.lost,
+        }
         tasks.cancel_scope.cancel()
     counters = fleet.counters()
     return told | {"faults": counters.get("faults", 0)}
@@ -332,8 +389,10 @@
         told = {"cpu_us": 1e6 * (fleet.cpu() - before) / len(load)}
         await fleet.runs()
         tasks.cancel_scope.cancel()
-        return told | {"payoff": fleet.account.payoff()[HALL],
-                       "promises": fleet.account.promises(anyio.current_time())}
+        return told | {
+            "payoff": fleet.account.payoff()[HALL],
+            "promises": fleet.account.promises(anyio.current_time()),
+        }
 
 
 def _compared(seed: int) -> dict:
@@ -343,10 +402,17 @@
         made = {how: _child(f"rest-{how}", seed + len(rounds["off"]), True) for how in order}
         for how, child in made.items():
             rounds[how].append(json.loads(child.communicate()[0].splitlines()[-1]))
-    told = {f"{what}_{how}": round(sum(one[what] for one in found) / len(found), 4)
-            for how, found in rounds.items() for what in ("cpu_us", "payoff")}
-    return told | {"promises": {promise: sum(one["promises"][promise] for found in rounds.values()
-                                             for one in found) for promise in PROMISES}}
+    told = {
+        f"{what}_{how}": round(sum(one[what] for one in found) / len(found), 4)
+        for how, found in rounds.items()
+        for what in ("cpu_us", "payoff")
+    }
+    return told | {
+        "promises": {
+            promise: sum(one["promises"][promise] for found in rounds.values() for one in found)
+            for promise in PROMISES
+        }
+    }
 
 
 def _child(name: str, seed: int, on: bool) -> subprocess.Popen:
@@ -356,8 +422,9 @@
 
 @click.command()
 @click.option("--seed", default=1, show_default=True)
-@click.option("--scenario", multiple=True, help="Only these.",
-              type=click.Choice([*SCENARIOS, "shards", "rest"]))
+@click.option(
+    "--scenario", multiple=True, help="Only these.", type=click.Choice([*SCENARIOS, "shards", "rest"])
+)
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on the last line.")
 @click.option("--one", hidden=True)
 @click.option("--off", is_flag=True, hidden=True)
@@ -366,12 +433,18 @@
     if one:
         with tempfile.TemporaryDirectory() as folder:
             name, _, how = one.partition("rest-")
-            part = (_play, one, seed, not off) if name and name in SCENARIOS else (
-                (_at_rest, seed, how) if how else (_shards, seed))
+            part = (
+                (_play, one, seed, not off)
+                if name and name in SCENARIOS
+                else ((_at_rest, seed, how) if how else (_shards, seed))
+            )
             print(json.dumps(anyio.run(*part, Path(folder))))
         return
-    told: dict = {"scenarios": {}, "history": {"operations": 0, "linearizable": True},
-                  "promises": dict.fromkeys(PROMISES, 0)}
+    told: dict = {
+        "scenarios": {},
+        "history": {"operations": 0, "linearizable": True},
+        "promises": dict.fromkeys(PROMISES, 0),
+    }
     faults = 0
     chosen = scenario or (*SCENARIOS, "shards", "rest")
     for name in (one for one in chosen if one in SCENARIOS):
@@ -393,10 +466,13 @@
         told["rest"] = found = _compared(seed)
         broken = found.pop("promises")
         told["promises"] = {one: told["promises"][one] + broken[one] for one in PROMISES}
-        print(f"{'rest':18} off, on, all keepers dead: cpu us {found['cpu_us_off']:.1f} "
-              f"{found['cpu_us_on']:.1f} {found['cpu_us_dead']:.1f}  "
-              f"payoff {found['payoff_off']} {found['payoff_on']} "
-              f"{found['payoff_dead']}", flush=True)
+        print(
+            f"{'rest':18} off, on, all keepers dead: cpu us {found['cpu_us_off']:.1f} "
+            f"{found['cpu_us_on']:.1f} {found['cpu_us_dead']:.1f}  "
+            f"payoff {found['payoff_off']} {found['payoff_on']} "
+            f"{found['payoff_dead']}",
+            flush=True,
+        )
     if as_json:
         print(json.dumps(told))
     sys.exit(1 if faults or any(told["promises"].values()) else 0)
@@ -404,20 +480,29 @@
 
 def _say(name: str, on: dict, plain: dict) -> int:
     """One scenario's line, and one for each thing that must not be; how many of these."""
-    print(f"{name:18} changes {on['changes']:3}  in force ms {' '.join(map(str, on['in_force_ms'].values()))}"
-          f"  contradiction ms {on['contradiction_ms']} of {on['stated_ms']:.0f}"
-          f"  without commit ms {on['without_commit_ms']}  payoff {on['payoff_off']:.4f} > {on['payoff']:.4f}"
-          f"  cpu us {on['cpu_us_off']} > {on['cpu_us']}  forbidden {on['forbidden']}", flush=True)
-    broken = {promise: [plain["promises"][promise], count] for promise, count in on["promises"].items()
-              if count or plain["promises"][promise]}
+    print(
+        f"{name:18} changes {on['changes']:3}  in force ms {' '.join(map(str, on['in_force_ms'].values()))}"
+        f"  contradiction ms {on['contradiction_ms']} of {on['stated_ms']:.0f}"
+        f"  without commit ms {on['without_commit_ms']}  payoff {on['payoff_off']:.4f} > {on['payoff']:.4f}"
+        f"  cpu us {on['cpu_us_off']} > {on['cpu_us']}  forbidden {on['forbidden']}",
+        flush=True,
+    )
+    broken = {
+        promise: [plain["promises"][promise], count]
+        for promise, count in on["promises"].items()
+        if count or plain["promises"][promise]
+    }
     bad = [f"promises (off, on) {broken}"] if broken else []
     bad += [f"acknowledged and lost: {on['lost']}"] if on["lost"] else []
     bad += [f"not linearizable: {on['history']['stuck']}"] if not on["history"]["linearizable"] else []
     if on["contradiction_ms"] > on["stated_ms"]:
         bad.append("a contradiction longer than stated")
     bad += [f"contradiction: {line}" for line in on["told"]]
-    bad += [f"in the gateways: faults {one['faults']}, {one['broken']}" for one in (on, plain)
-            if one["faults"] or one["broken"]]
+    bad += [
+        f"in the gateways: faults {one['faults']}, {one['broken']}"
+        for one in (on, plain)
+        if one["faults"] or one["broken"]
+    ]
     for line in bad:
         print(f"    BROKEN {line}", flush=True)
     return len(bad)
@@ -425,11 +510,19 @@
 
 def _say_shards(found: dict) -> int:
     """As `_say`."""
-    print(f"{'shards':18} reads {found['reads']}  moves {found['moves']}  payoff {found['payoff']}\n"
-          f"    {' > '.join(found['steps'])}", flush=True)
-    never = {what: found[part][what] for part, names in (
-        ("reads", ("bound_broken", "went_back", "primary_over_share")),
-        ("moves", ("headroom_broken", "copies_lost"))) for what in names}
+    print(
+        f"{'shards':18} reads {found['reads']}  moves {found['moves']}  payoff {found['payoff']}\n"
+        f"    {' > '.join(found['steps'])}",
+        flush=True,
+    )
+    never = {
+        what: found[part][what]
+        for part, names in (
+            ("reads", ("bound_broken", "went_back", "primary_over_share")),
+            ("moves", ("headroom_broken", "copies_lost")),
+        )
+        for what in names
+    }
     never |= {what: found[what] for what in ("writes_by_two", "writes_lost", "faults")} | found["promises"]
     bad = [f"{what}: {count}" for what, count in never.items() if count] + found["told"]
     bad += [] if found["over"] else ["the plan is not over"]
--- a/benchmarks/fleet_virtual.py
+++ b/benchmarks/fleet_virtual.py
@@ -19,8 +19,16 @@
 
 def settled(seed: int, gateways: int, pause: int) -> World:
     """A fleet whose gateways all have a lease; an operator's next changes come by `pause`."""
-    world = World(Plan(seed=seed, gateways=gateways, most=max(1024, gateways), pause=pause, acts=500 * MS,
-                       changes=all_named))
+    world = World(
+        Plan(
+            seed=seed,
+            gateways=gateways,
+            most=max(1024, gateways),
+            pause=pause,
+            acts=500 * MS,
+            changes=all_named,
+        )
+    )
     world.run(8)
     return world
 
@@ -36,8 +44,11 @@
     before, frames = figures.bytes_to.copy(), figures.frames_of[leader]
     world.run(REST)
     rates = [(figures.bytes_to[gateway.name] - before[gateway.name]) / REST for gateway in world.gateways]
-    return {"bytes_a_second_mean": statistics.mean(rates), "bytes_a_second_most": max(rates),
-            "leader_frames_a_second": (figures.frames_of[leader] - frames) / REST}
+    return {
+        "bytes_a_second_mean": statistics.mean(rates),
+        "bytes_a_second_most": max(rates),
+        "leader_frames_a_second": (figures.frames_of[leader] - frames) / REST,
+    }
 
 
 def changes(seed: int, gateways: int) -> tuple[World, dict[str, Any]]:
@@ -48,8 +59,10 @@
     world.run(3)
     # What came while the first leader waited for leases that it could not know of is not counted.
     made = [change for change in world.changes_of.values() if change.accepted >= began]
-    return world, {"in_force_ms": spread([change.in_force - change.accepted for change in made]),
-                   "at_all_ms": spread([change.at_all - change.accepted for change in made])}
+    return world, {
+        "in_force_ms": spread([change.in_force - change.accepted for change in made]),
+        "at_all_ms": spread([change.at_all - change.accepted for change in made]),
+    }
 
 
 def leaders(seed: int, gateways: int) -> tuple[World, dict[str, float]]:
@@ -91,11 +104,13 @@
 
 def storms(seed: int) -> tuple[list[World], dict[str, Any]]:
     worlds = [played(Plan(seed=1000 * seed + n, faults=ALL_FAULTS), 60) for n in range(STORMS)]
-    return worlds, {"steps": sum(world.steps for world in worlds),
-                    "turns": sum(world.turn for world in worlds),
-                    "acknowledged": sum(len(world.acked) for world in worlds),
-                    "contradiction_ms": max(world.contradicted for world in worlds) / MS,
-                    "stated_ms": worlds[0].given.stated / MS}
+    return worlds, {
+        "steps": sum(world.steps for world in worlds),
+        "turns": sum(world.turn for world in worlds),
+        "acknowledged": sum(len(world.acked) for world in worlds),
+        "contradiction_ms": max(world.contradicted for world in worlds) / MS,
+        "stated_ms": worlds[0].given.stated / MS,
+    }
 
 
 def measured(seed: int, gateways: int) -> tuple[dict[str, Any], dict[str, str]]:
@@ -121,15 +136,19 @@
     """The aims that these figures miss."""
     rest = list(told["rest"].items())
     # Frames that the leader has for each further gateway; linear: between the larger two no more than below.
-    slopes = [(second["leader_frames_a_second"] - first["leader_frames_a_second"]) / (int(more) - int(few))
-              for (few, first), (more, second) in zip(rest, rest[1:])]
+    slopes = [
+        (second["leader_frames_a_second"] - first["leader_frames_a_second"]) / (int(more) - int(few))
+        for (few, first), (more, second) in zip(rest, rest[1:])
+    ]
     told["frames_a_gateway"] = slopes
-    aims = {"2 kB a second at rest": rest[-1][1]["bytes_a_second_most"] < 2_000,
-            "a change at all within a second": told["changes"]["at_all_ms"]["most"] < 1_000,
-            "a leader within 3 s": told["leader_ms"]["most"] < 3_000,
-            "linear": slopes[1] < 1.5 * slopes[0],
-            "no contradiction beyond what is stated":
-                told["storms"]["contradiction_ms"] <= told["storms"]["stated_ms"]}
+    aims = {
+        "2 kB a second at rest": rest[-1][1]["bytes_a_second_most"] < 2_000,
+        "a change at all within a second": told["changes"]["at_all_ms"]["most"] < 1_000,
+        "a leader within 3 s": told["leader_ms"]["most"] < 3_000,
+        "linear": slopes[1] < 1.5 * slopes[0],
+        "no contradiction beyond what is stated": told["storms"]["contradiction_ms"]
+        <= told["storms"]["stated_ms"],
+    }
     return [aim for aim, held in aims.items() if not held]
 
 
--- a/benchmarks/halls.py
+++ b/benchmarks/halls.py
@@ -44,8 +44,10 @@
         if self.surge:
             rate += [(self.surge[0], 3 * _RATE), (self.surge[1], _RATE)]
         kinds = list(self.kinds)
-        return {"hall-a": draw(kinds, rate, _SECONDS, 2 * seed),
-                "hall-b": draw(kinds, [(0.0, _RATE)], _SECONDS, 2 * seed + 1)}
+        return {
+            "hall-a": draw(kinds, rate, _SECONDS, 2 * seed),
+            "hall-b": draw(kinds, [(0.0, _RATE)], _SECONDS, 2 * seed + 1),
+        }
 
     def cores(self, hall: str, at: float) -> float:
         lost = self.lost and hall == "hall-a" and self.lost[0] <= at < self.lost[1]
@@ -54,8 +56,10 @@
     def script(self, world: World) -> list[tuple[float, Callable[[], None]]]:
         steps: list[tuple[float, Callable[[], None]]] = []
         if self.lost:
-            steps += [(self.lost[0], lambda: world.lose("hall-a", 3)),
-                      (self.lost[1], lambda: world.restore("hall-a"))]
+            steps += [
+                (self.lost[0], lambda: world.lose("hall-a", 3)),
+                (self.lost[1], lambda: world.restore("hall-a")),
+            ]
         if self.cut:
             steps += [(self.cut[0], world.cut), (self.cut[1], world.heal)]
         if self.silent:
@@ -80,27 +84,44 @@
 
 # Beside those above, with far engines through a tunnel in place of links: docs/halls.md, option a.
 # Its reports take seconds, so that some are under way whatever happens to the link.
-_SILENT = Scenario(lost=(1.0, 5.0), silent=(2.5, 4.0), kinds=(
-    KINDS[0], Kind("report", 0.04, 1.5, 2, 4.0, 9.0, 5.0, "idempotent"),
-    Kind("manifest-load", 0.02, 1.5, 2, 4.0, 9.0, 10.0, "deduplicated"), KINDS[3]))
+_SILENT = Scenario(
+    lost=(1.0, 5.0),
+    silent=(2.5, 4.0),
+    kinds=(
+        KINDS[0],
+        Kind("report", 0.04, 1.5, 2, 4.0, 9.0, 5.0, "idempotent"),
+        Kind("manifest-load", 0.02, 1.5, 2, 4.0, 9.0, 10.0, "deduplicated"),
+        KINDS[3],
+    ),
+)
 
 
 async def _play(name: str, crossing: bool, seed: int, folder: Path, tunnel: bool = False) -> dict:
     scenario = SCENARIOS.get(name, _SILENT)
     loads = scenario.loads(seed)
-    world = World(folder, crossing and not tunnel, engines=_ENGINES, cores=_CORES,
-                  kinds=list(scenario.kinds), tunnel=tunnel)
+    world = World(
+        folder,
+        crossing and not tunnel,
+        engines=_ENGINES,
+        cores=_CORES,
+        kinds=list(scenario.kinds),
+        tunnel=tunnel,
+    )
     async with world.up():
         await anyio.sleep(_BEFORE)
         before = world.cpu()
         await world.play(loads, scenario.script(world), _REST)
         spent, until = world.cpu() - before, anyio.current_time()
     counters = world.counters()
-    return {"payoff": world.account.payoff(), "promises": world.account.promises(until),
-            "submissions": len(world.account.asked), "crossed": counters.get("crossings offered", 0),
-            "cpu_us_per_submission": round(1e6 * spent / len(world.account.asked)),
-            "broken": {line: count for line, count in counters.items() if line.startswith("broken")},
-            "faults": counters.get("faults", 0)}
+    return {
+        "payoff": world.account.payoff(),
+        "promises": world.account.promises(until),
+        "submissions": len(world.account.asked),
+        "crossed": counters.get("crossings offered", 0),
+        "cpu_us_per_submission": round(1e6 * spent / len(world.account.asked)),
+        "broken": {line: count for line, count in counters.items() if line.startswith("broken")},
+        "faults": counters.get("faults", 0),
+    }
 
 
 # Cost of a crossing: one gateway a hall, and look-ups that are over at once.
@@ -119,10 +140,13 @@
         await world.play({"hall-a": draw(_TINY, [(0.0, rate)], seconds, 1)}, [], 1.5)
         spent, until = world.cpu() - before, anyio.current_time()
     asked = list(world.account.asked.values())
-    return {"submissions": len(asked), "cpu_us": round(1e6 * spent / len(asked)),
-            "fulfilled": sum(one.answers[0][1] == "fulfilled" for one in asked if one.answers) / len(asked),
-            "crossed": world.counters().get("crossings offered", 0) / len(asked),
-            "promises": world.account.promises(until)}
+    return {
+        "submissions": len(asked),
+        "cpu_us": round(1e6 * spent / len(asked)),
+        "fulfilled": sum(one.answers[0][1] == "fulfilled" for one in asked if one.answers) / len(asked),
+        "crossed": world.counters().get("crossings offered", 0) / len(asked),
+        "promises": world.account.promises(until),
+    }
 
 
 def _child(*words: str) -> subprocess.Popen:
@@ -144,13 +168,17 @@
 @click.option("--tunnel", is_flag=True, help="Links against far engines that are reached straight.")
 @click.option("--one", hidden=True)
 @click.option("--off", is_flag=True, hidden=True)
-def main(seed: int, only: tuple[str, ...], as_json: bool, link: bool, one: str | None,
-         off: bool, tunnel: bool) -> None:
+def main(
+    seed: int, only: tuple[str, ...], as_json: bool, link: bool, one: str | None, off: bool, tunnel: bool
+) -> None:
     """Play the scenarios; exit code 1 where a promise was broken."""
     if one:
         with tempfile.TemporaryDirectory() as folder:
-            made = (anyio.run(_cost, not off, 1000.0, 5.0, Path(folder)) if one == "link"
-                    else anyio.run(_play, one, not off, seed, Path(folder), tunnel))
+            made = (
+                anyio.run(_cost, not off, 1000.0, 5.0, Path(folder))
+                if one == "link"
+                else anyio.run(_play, one, not off, seed, Path(folder), tunnel)
+            )
         print(json.dumps(made))
         return
     told = _link_cost() if link else _tunnels(seed) if tunnel else _scenarios(seed, only)
@@ -161,12 +189,20 @@
 
 def _link_cost() -> dict:
     on, off = _both("link")
-    print(f"a crossing, both gateways together: {on['cpu_us']} us of CPU, {on['crossed']:.3f} crossed, "
-          f"{on['fulfilled']:.3f} fulfilled")
-    print(f"the same served where it came in:   {off['cpu_us']} us, {off['fulfilled']:.3f} fulfilled; "
-          f"{on['cpu_us'] / off['cpu_us']:.2f} times")
-    return {"crossing": on, "local": off, "times": round(on["cpu_us"] / off["cpu_us"], 3),
-            "promises": {name: on["promises"][name] + off["promises"][name] for name in PROMISES}}
+    print(
+        f"a crossing, both gateways together: {on['cpu_us']} us of CPU, {on['crossed']:.3f} crossed, "
+        f"{on['fulfilled']:.3f} fulfilled"
+    )
+    print(
+        f"the same served where it came in:   {off['cpu_us']} us, {off['fulfilled']:.3f} fulfilled; "
+        f"{on['cpu_us'] / off['cpu_us']:.2f} times"
+    )
+    return {
+        "crossing": on,
+        "local": off,
+        "times": round(on["cpu_us"] / off["cpu_us"], 3),
+        "promises": {name: on["promises"][name] + off["promises"][name] for name in PROMISES},
+    }
 
 
 def _tunnels(seed: int) -> dict:
@@ -181,8 +217,11 @@
         for how, one in zip(("links", "tunnel"), made):
             broken = {promise: count for promise, count in one["promises"].items() if count}
             payoff = ", ".join(f"{hall} {share:.3f}" for hall, share in one["payoff"].items())
-            print(f"{name:13} {how:7} {payoff}, cpu us {one['cpu_us_per_submission']}, "
-                  f"broken {broken or 'none'}", flush=True)
+            print(
+                f"{name:13} {how:7} {payoff}, cpu us {one['cpu_us_per_submission']}, "
+                f"broken {broken or 'none'}",
+                flush=True,
+            )
     return told
 
 
@@ -193,22 +232,35 @@
         on, off = _both(name, "--seed", str(seed))
         most = bound(scenario.loads(seed), scenario.cores, _SECONDS + _REST)
         told["scenarios"][name] = {
-            "payoff_on": on["payoff"], "payoff_off": off["payoff"], "bound": most, "crossed": on["crossed"],
+            "payoff_on": on["payoff"],
+            "payoff_off": off["payoff"],
+            "bound": most,
+            "crossed": on["crossed"],
             "cpu_us_per_submission_on": on["cpu_us_per_submission"],
-            "cpu_us_per_submission_off": off["cpu_us_per_submission"]}
+            "cpu_us_per_submission_off": off["cpu_us_per_submission"],
+        }
         for promise in PROMISES:
             told["promises"][promise] += on["promises"][promise] + off["promises"][promise]
         told["submissions"] += on["submissions"] + off["submissions"]
         gap = most["hall-a"] - off["payoff"]["hall-a"]
         won = (on["payoff"]["hall-a"] - off["payoff"]["hall-a"]) / gap if gap > 0.02 else None
         told["gap_won"][name] = won
-        halls = "  ".join(f"{hall} off {off['payoff'][hall]:.3f} on {on['payoff'][hall]:.3f} "
-                          f"bound {most[hall]:.3f}" for hall in _HALLS)
-        print(f"{name:13} {halls}  crossed {on['crossed']}"
-              + (f"  gap won {won:.2f}" if won is not None else "")
-              + f"  cpu us {off['cpu_us_per_submission']} > {on['cpu_us_per_submission']}", flush=True)
-        broken = {key: value for one in (on, off) for key, value in (one["promises"] | one["broken"]).items()
-                  if value}
+        halls = "  ".join(
+            f"{hall} off {off['payoff'][hall]:.3f} on {on['payoff'][hall]:.3f} bound {most[hall]:.3f}"
+            for hall in _HALLS
+        )
+        print(
+            f"{name:13} {halls}  crossed {on['crossed']}"
+            + (f"  gap won {won:.2f}" if won is not None else "")
+            + f"  cpu us {off['cpu_us_per_submission']} > {on['cpu_us_per_submission']}",
+            flush=True,
+        )
+        broken = {
+            key: value
+            for one in (on, off)
+            for key, value in (one["promises"] | one["broken"]).items()
+            if value
+        }
         if broken or on["faults"] or off["faults"]:
             print(f"              BROKEN {broken}, faults {on['faults']} {off['faults']}", flush=True)
     return told
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -25,8 +25,9 @@
 SIZES = {"medium": (40, 600, 20.0, 0.02), "large": (300, 5_000, 60.0, 0.1)}
 
 
-def drawn(engines: int, shards: int, seed: int, fill: float = 0.6, out: float = 0.05,
-          new: float = 0.05) -> Fleet:
+def drawn(
+    engines: int, shards: int, seed: int, fill: float = 0.6, out: float = 0.05, new: float = 0.05
+) -> Fleet:
     """A fleet in three zones, `fill` of its old disks in use; a share of engines is out, another new."""
     chance = random.Random(seed)
     leaving, empty = max(1, int(engines * out)), max(1, int(engines * new))
@@ -35,8 +36,10 @@
     each = sum(size * count for size, count in zip(sizes, counts)) / (engines - empty) / fill
     disks = [int(each * chance.choice((0.8, 1.0, 1.0, 1.2))) for _ in range(engines)]
     names = [f"e{at:03}" for at in range(engines)]
-    places = tuple(Place(name, f"z{at % 3}", disk, disk // 10, 200_000_000, at >= engines - leaving)
-                   for at, (name, disk) in enumerate(zip(names, disks)))
+    places = tuple(
+        Place(name, f"z{at % 3}", disk, disk // 10, 200_000_000, at >= engines - leaving)
+        for at, (name, disk) in enumerate(zip(names, disks))
+    )
     # Some engines were filled faster than others: up to a third more or less than the mean.
     taste = [chance.uniform(0.7, 1.3) for _ in range(engines)]
     used = [0] * engines
@@ -48,13 +51,24 @@
             tried = chance.sample(range(empty, engines), min(engines - empty, 8))
             for at in sorted(tried, key=lambda at: used[at] / disks[at] / taste[at]):
                 last = len(picked) == count - 1
-                if (len(picked) < count and used[at] + size <= places[at].usable
-                        and not (last and picked and len({other % 3 for other in [*picked, at]}) < 2)):
+                if (
+                    len(picked) < count
+                    and used[at] + size <= places[at].usable
+                    and not (last and picked and len({other % 3 for other in [*picked, at]}) < 2)
+                ):
                     picked.append(at)
         for at in picked:
             used[at] += size
-        told.append(Shard(f"s{number:04}", size, chance.choice((0, 1_000, 20_000)), chance.random(),
-                          tuple(names[at] for at in picked), names[picked[0]]))
+        told.append(
+            Shard(
+                f"s{number:04}",
+                size,
+                chance.choice((0, 1_000, 20_000)),
+                chance.random(),
+                tuple(names[at] for at in picked),
+                names[picked[0]],
+            )
+        )
     return Fleet(places, tuple(told), Limits())
 
 
@@ -79,19 +93,30 @@
     first: list[tuple[float, int]] = []
     told: dict = {"engines": engines, "shards": shards, "limit_s": seconds, "aim": aim}
     try:
-        plan = plan_in_worker(fleet, seconds,
-                              heard=lambda plan: first.append((time.monotonic() - began, plan.bytes)))
+        plan = plan_in_worker(
+            fleet, seconds, heard=lambda plan: first.append((time.monotonic() - began, plan.bytes))
+        )
     except PlacementError as error:
         return {**told, "error": str(error)}, fleet, None
     took = time.monotonic() - began
     breaches = check(fleet, plan)
-    told |= {"bytes": plan.bytes, "bound": plan.bound, "gap": round(plan.gap, 4), "seconds": round(took, 1),
-             "first_s": round(first[0][0], 1) if first else None, "tolerance": plan.tolerance,
-             "moves": len(plan.moves), "hops": sum(move.hop for move in plan.moves),
-             "stages": len(plan.stages), "carried_out_s": plan.seconds,
-             "late": len(plan.late),
-             "headroom_broken": sum("headroom" in line for line in breaches), "breaches": breaches[:5],
-             "greedy": _compared(fleet, *fullest(fleet)), "hashed": _compared(fleet, hashed(fleet), None)}
+    told |= {
+        "bytes": plan.bytes,
+        "bound": plan.bound,
+        "gap": round(plan.gap, 4),
+        "seconds": round(took, 1),
+        "first_s": round(first[0][0], 1) if first else None,
+        "tolerance": plan.tolerance,
+        "moves": len(plan.moves),
+        "hops": sum(move.hop for move in plan.moves),
+        "stages": len(plan.stages),
+        "carried_out_s": plan.seconds,
+        "late": len(plan.late),
+        "headroom_broken": sum("headroom" in line for line in breaches),
+        "breaches": breaches[:5],
+        "greedy": _compared(fleet, *fullest(fleet)),
+        "hashed": _compared(fleet, hashed(fleet), None),
+    }
     return told, fleet, plan
 
 
@@ -117,12 +142,16 @@
         click.echo(f"  no plan: {told['error']}")
         return
     click.echo(f"  {fits(fleet, plan)[0]}")
-    click.echo(f"  found in {told['seconds']} s, the first plan after {told['first_s']} s;"
-               f" aim {told['aim']:.0%}; {len(told['breaches'])} breaches")
+    click.echo(
+        f"  found in {told['seconds']} s, the first plan after {told['first_s']} s;"
+        f" aim {told['aim']:.0%}; {len(told['breaches'])} breaches"
+    )
     for other in ("greedy", "hashed"):
         one = told[other]
-        click.echo(f"  {other}: {one['bytes'] / plan.bytes:.2f} times the bytes, {one['moves']} moves,"
-                   f" {'with' if one['ordered'] else 'WITHOUT'} an order under headroom")
+        click.echo(
+            f"  {other}: {one['bytes'] / plan.bytes:.2f} times the bytes, {one['moves']} moves,"
+            f" {'with' if one['ordered'] else 'WITHOUT'} an order under headroom"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/replicas.py
+++ b/benchmarks/replicas.py
@@ -85,16 +85,18 @@
         self.links: list[tuple[Peer, Peer, int]] | None = None
         if shares:
             self.network = random.Random(given.seed + 1)
-            self.links = [(Peer(board), Peer(self.keepers[n % _KEEPERS]), n)
-                     for n, board in enumerate(self.boards)]
+            self.links = [
+                (Peer(board), Peer(self.keepers[n % _KEEPERS]), n) for n, board in enumerate(self.boards)
+            ]
             if given.poll:
                 for engine in range(_ENGINES):
                     self.after(self.network.randrange(given.poll * 1000), self._poll, f"s-{engine:08x}")
             for link in self.links:
                 self.after(self.network.randrange(given.every * 1000), self._exchange, *link)
             # The first keeper leads. Of two, the first one talks.
-            self.far: dict[Peer, Peer] = {peer: far for here, there, _ in self.links
-                                          for peer, far in ((here, there), (there, here))}
+            self.far: dict[Peer, Peer] = {
+                peer: far for here, there, _ in self.links for peer, far in ((here, there), (there, here))
+            }
             self.at = {peer: n % _KEEPERS for _, peer, n in self.links}  # where a keeper's side of a link is
             self.of = {peer: n for link in self.links for peer, n in zip(link, (link[2],) * 2)}
             for n in range(_KEEPERS):
@@ -138,8 +140,9 @@
             return
         applied = truth.applied(engine, self.now + there)
         head = applied if engine == truth.placed.primary else None
-        self.after(there + back, lambda at=self.now: board.heard(
-            name, engine, 1, applied, head, at, self.now))
+        self.after(
+            there + back, lambda at=self.now: board.heard(name, engine, 1, applied, head, at, self.now)
+        )
 
     def _read(self, number: int, name: str, within: int, draw: float, there: float, asks: bool) -> None:
         """`asks`: where no copy is known to do, the keeper is asked at once, and it waits for that."""
@@ -163,9 +166,13 @@
 
     def _waited(self, number: int, waits: list, only_if_found: bool = False) -> None:
         since, name, within, draw, there = waits
-        if waits not in self.waiting[number] or only_if_found and not candidates(
-                Hint(False, within), name, self.truths[name].placed, self.boards[number], self.now,
-                _EXPECTED).copies:
+        if (
+            waits not in self.waiting[number]
+            or only_if_found
+            and not candidates(
+                Hint(False, within), name, self.truths[name].placed, self.boards[number], self.now, _EXPECTED
+            ).copies
+        ):
             return
         self.waiting[number].remove(waits)
         if self.now >= self.given.warm * 1_000_000:
@@ -190,24 +197,31 @@
         """A keeper asks an engine for all positions that it has."""
         self.after(self.given.poll * 1000, self._poll, engine)
         keeper, at = self.network.choice(self.keepers), self.now
-        told = [(name, truth.applied(engine, at + 1000)) for name, truth in self.truths.items()
-                if engine in truth.placed.copies]
+        told = [
+            (name, truth.applied(engine, at + 1000))
+            for name, truth in self.truths.items()
+            if engine in truth.placed.copies
+        ]
 
         def came() -> None:
             for name, position in told:
                 primary = engine == self.truths[name].placed.primary
                 keeper.heard(name, engine, 1, position, position if primary else None, at, self.now)
+
         self.after(3000, came)
 
     def _wants(self, number: int) -> tuple[str, ...]:
-        return tuple(reversed(self.asked[number]))[:self.given.wants]
+        return tuple(reversed(self.asked[number]))[: self.given.wants]
 
     def _needs(self, number: int, waits: str) -> list[tuple[int, int]]:
         """As Reads.needs."""
         asked = self.asked[number]
-        return [(place, young) for place, name in enumerate(self._wants(number))
-                for young in ((0,) if name == waits else ())
-                + ((asked[name][0] // (1000 * _PART),) if self.now - asked[name][2] < _TOLD else ())]
+        return [
+            (place, young)
+            for place, name in enumerate(self._wants(number))
+            for young in ((0,) if name == waits else ())
+            + ((asked[name][0] // (1000 * _PART),) if self.now - asked[name][2] < _TOLD else ())
+        ]
 
     def _pass(self, speaker: Peer, hearer: Peer, number: int | None, left: int, waits: str = "") -> None:
         keepers = number is None
@@ -232,6 +246,7 @@
             if self.exchanges and at is not None:
                 self.exchanges[at].wanted(hearer, at == 0, self.now)
                 self._look(at)
+
         self.after(self.network.uniform(500, 5000), came)
 
     def _look(self, at: int) -> None:
@@ -257,8 +272,11 @@
             self.questions += 1
             self.by_engine[engine] += 1
         asked, there = self.now, self.network.uniform(500, 5000)
-        told = [(name, truth.applied(engine, asked + there), engine == truth.placed.primary)
-                for name, truth in self.truths.items() if engine in truth.placed.copies]
+        told = [
+            (name, truth.applied(engine, asked + there), engine == truth.placed.primary)
+            for name, truth in self.truths.items()
+            if engine in truth.placed.copies
+        ]
 
         def came() -> None:
             self.exchanges[0].heard(engine, asked)
@@ -266,14 +284,24 @@
                 head = position if is_primary else None
                 self.keepers[0].heard(name, engine, 1, position, head, asked, self.now)
             self._look(0)
+
         self.after(2 * there, came)
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
-    for name, usual in (("seed", 1), ("seconds", 10), ("warm", 5), ("gateways", 200), ("shards", 200),
-                        ("rate", 4000), ("every", 250), ("most", 4),
-                        ("wants", 4), ("poll", 0)):
+    for name, usual in (
+        ("seed", 1),
+        ("seconds", 10),
+        ("warm", 5),
+        ("gateways", 200),
+        ("shards", 200),
+        ("rate", 4000),
+        ("every", 250),
+        ("most", 4),
+        ("wants", 4),
+        ("poll", 0),
+    ):
         parser.add_argument(f"--{name}", type=int, default=usual)
     parser.add_argument("--json", action="store_true")
     given, made = parser.parse_args(), {}
@@ -281,16 +309,22 @@
         run, began = _Run(given, name != "alone", name == "asked"), time.process_time()
         run.run()
         hinted, copies, possible = map(sum, zip(*run.counts.values(), strict=True))
-        made[name] = {"hinted": hinted, "by_replica": round(copies / hinted, 3),
-                      "true_positions": round(possible / hinted, 3), "of_these": round(copies / possible, 3),
-                      "by_within_s": {f"{within / 1e6:g}": round(one[1] / one[2], 3)
-                                      for within, one in run.counts.items()},
-                      "bound_broken": run.broken, "waited": round(len(run.waits) / hinted, 3),
-                      "wait_ms": round(sum(run.waits) / 1000 / max(1, len(run.waits)), 1),
-                      "bytes_a_second": round(run.bytes / given.gateways / given.seconds),
-                      "questions_an_engine": round(run.questions / _ENGINES / given.seconds, 1),
-                      "most_of_one": round(max(run.by_engine.values()) / given.seconds, 1),
-                      "cpu_s": round(time.process_time() - began, 1)}
+        made[name] = {
+            "hinted": hinted,
+            "by_replica": round(copies / hinted, 3),
+            "true_positions": round(possible / hinted, 3),
+            "of_these": round(copies / possible, 3),
+            "by_within_s": {
+                f"{within / 1e6:g}": round(one[1] / one[2], 3) for within, one in run.counts.items()
+            },
+            "bound_broken": run.broken,
+            "waited": round(len(run.waits) / hinted, 3),
+            "wait_ms": round(sum(run.waits) / 1000 / max(1, len(run.waits)), 1),
+            "bytes_a_second": round(run.bytes / given.gateways / given.seconds),
+            "questions_an_engine": round(run.questions / _ENGINES / given.seconds, 1),
+            "most_of_one": round(max(run.by_engine.values()) / given.seconds, 1),
+            "cpu_s": round(time.process_time() - began, 1),
+        }
         if not given.json:
             print(f"{name:7}", "  ".join(f"{key} {value}" for key, value in made[name].items()), flush=True)
     if given.json:
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -42,18 +42,26 @@
 
 
 def settings(gateways: int) -> dict:
-    return {"Balancers": gateways, "Zone": 1, "Localities": [f"hall-{number}" for number in range(ZONES)],
-            "FamilyInfo": {"CpuOfKind": [12, 8], "Dop": [1, 2]},
-            "Limits": {"Cancel": True, "MaxAttempts": 4, "RetryAfter": True, "MaxRetryAfter": 1000.0},
-            "Safety": {"ColdShare": 0.33, "WarmUp": 13000.0, "OverloadFactor": 2.0, "Fall": 1000.0},
-            "Services": [{"Effect": "idempotent", "GoalTime": 800.0, "GiveUp": 4000.0, "Worth": 1.0},
-                         {"Effect": "idempotent", "GoalTime": 2000.0, "GiveUp": 9000.0, "Worth": 5.0}]}
+    return {
+        "Balancers": gateways,
+        "Zone": 1,
+        "Localities": [f"hall-{number}" for number in range(ZONES)],
+        "FamilyInfo": {"CpuOfKind": [12, 8], "Dop": [1, 2]},
+        "Limits": {"Cancel": True, "MaxAttempts": 4, "RetryAfter": True, "MaxRetryAfter": 1000.0},
+        "Safety": {"ColdShare": 0.33, "WarmUp": 13000.0, "OverloadFactor": 2.0, "Fall": 1000.0},
+        "Services": [
+            {"Effect": "idempotent", "GoalTime": 800.0, "GiveUp": 4000.0, "Worth": 1.0},
+            {"Effect": "idempotent", "GoalTime": 2000.0, "GiveUp": 9000.0, "Worth": 5.0},
+        ],
+    }
 
 
 def frame(number: int, first: int, count: int) -> bytes:
     """A whole list of so many engines, its ids from `first` on."""
-    records = b"".join(struct.pack(">IIHBBBHIQ", first + one, 0x7f000001, 9000 + one, 0, one % ZONES, one % 2,
-                                   0, 1000, 0) for one in range(count))
+    records = b"".join(
+        struct.pack(">IIHBBBHIQ", first + one, 0x7F000001, 9000 + one, 0, one % ZONES, one % 2, 0, 1000, 0)
+        for one in range(count)
+    )
     body = struct.pack(">QB", number, 1) + records
     return struct.pack(">I", len(body)) + body
 
@@ -73,12 +81,13 @@
     timers, log = Timers(clock), Log("n0", clock)
     quota = Quota(64, 200)
     gateway = Gateway(port, settings(GATEWAYS), seed, clock.now())
-    route = Route(lambda label, address: Pool(label, address, {}, quota, None, timers, clock.now, counters,
-                                              log), None)
+    route = Route(
+        lambda label, address: Pool(label, address, {}, quota, None, timers, clock.now, counters, log), None
+    )
     frames = Frames()
 
     def told(raw: bytes) -> Event:
-        event, = frames.feed(raw)
+        (event,) = frames.feed(raw)
         gateway.listed(route.listed(event), event.complete, clock.now())
         return event
 
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -148,11 +148,17 @@
 
 
 SCENARIOS = {
-    "calm": Scenario(_calm), "slow": Scenario(_slow), "late": Scenario(_late), "frozen": Scenario(_frozen),
-    "killed": Scenario(_killed), "gateways-stopped": Scenario(_stopped),
-    "gateways-killed": Scenario(_gateways, lines="    slow 1s\n"), "emptied": Scenario(_emptied, keeps=False),
+    "calm": Scenario(_calm),
+    "slow": Scenario(_slow),
+    "late": Scenario(_late),
+    "frozen": Scenario(_frozen),
+    "killed": Scenario(_killed),
+    "gateways-stopped": Scenario(_stopped),
+    "gateways-killed": Scenario(_gateways, lines="    slow 1s\n"),
+    "emptied": Scenario(_emptied, keeps=False),
     "failed-over": Scenario(_failed_over, keeps=False, lag=0.5),
-    "unguarded": Scenario(_unguarded, keeps=False, lines=f"    unguarded {MARKED} 20\n")}
+    "unguarded": Scenario(_unguarded, keeps=False, lines=f"    unguarded {MARKED} 20\n"),
+}
 
 
 async def _play(name: str, with_store: bool, seed: int, seconds: float, memory: float, folder: Path) -> dict:
@@ -177,14 +183,23 @@
     firsts = {one.name: one for one in drawn if mark_of.get(one.name) == one.name * 2}
     counters = fleet.counters()
     return {
-        "submissions": len(asked), "marked": sum(name in mark_of for name in asked),
+        "submissions": len(asked),
+        "marked": sum(name in mark_of for name in asked),
         "repeats": sum(name in mark_of and name not in firsts for name in asked),
-        "second_runs": ran_again(fleet.account, mark_of), "bound": trial.bound, "commands": commands,
-        "unguarded": counters.get("marks: unguarded", 0), "payoff": payoff(fleet.account, mark_of),
-        "promises": fleet.account.promises(until), "faults": counters.get("faults", 0),
+        "second_runs": ran_again(fleet.account, mark_of),
+        "bound": trial.bound,
+        "commands": commands,
+        "unguarded": counters.get("marks: unguarded", 0),
+        "payoff": payoff(fleet.account, mark_of),
+        "promises": fleet.account.promises(until),
+        "faults": counters.get("faults", 0),
         "marks": {line: count for line, count in counters.items() if line.startswith("marks")},
-        "took": {name: asked[name].answers[0][0] - asked[name].asked for name in firsts
-                 if name in asked and asked[name].answers and asked[name].answers[0][1] == "fulfilled"}}
+        "took": {
+            name: asked[name].answers[0][0] - asked[name].asked
+            for name in firsts
+            if name in asked and asked[name].answers and asked[name].answers[0][1] == "fulfilled"
+        },
+    }
 
 
 # The load of `--cost`: work that is over at once, so that what is measured is the gateway.
@@ -213,14 +228,17 @@
             await fleet.runs()
             told["promises"] = fleet.account.promises(anyio.current_time())
             told["fulfilled"] = sum(one.in_time() for one in fleet.account.asked.values()) / len(
-                fleet.account.asked)
+                fleet.account.asked
+            )
     return told
 
 
 def _both(*words: str) -> tuple[dict, dict]:
     """The same with a store and without, side by side."""
-    made = [subprocess.Popen([sys.executable, "-m", "benchmarks.store", *words, *more],
-                             stdout=subprocess.PIPE) for more in ((), ("--off",))]
+    made = [
+        subprocess.Popen([sys.executable, "-m", "benchmarks.store", *words, *more], stdout=subprocess.PIPE)
+        for more in ((), ("--off",))
+    ]
     told = [one.communicate()[0].splitlines() for one in made]
     if any(one.returncode for one in made):
         sys.exit(2)
@@ -236,14 +254,26 @@
 @click.option("--cost", is_flag=True, help="A submission's CPU, in place of the scenarios.")
 @click.option("--one", hidden=True)
 @click.option("--off", is_flag=True, hidden=True)
-def main(seed: int, seconds: float, memory: float, only: tuple[str, ...], as_json: bool, cost: bool,
-         one: str | None, off: bool) -> None:
+def main(
+    seed: int,
+    seconds: float,
+    memory: float,
+    only: tuple[str, ...],
+    as_json: bool,
+    cost: bool,
+    one: str | None,
+    off: bool,
+) -> None:
     """Play the scenarios; exit code 1 where a promise was broken."""
     if one:
         with tempfile.TemporaryDirectory() as folder:
-            print(json.dumps(
-                anyio.run(_cost, not off, seed, Path(folder)) if one == "cost"
-                else anyio.run(_play, one, not off, seed, seconds, memory, Path(folder))))
+            print(
+                json.dumps(
+                    anyio.run(_cost, not off, seed, Path(folder))
+                    if one == "cost"
+                    else anyio.run(_play, one, not off, seed, seconds, memory, Path(folder))
+                )
+            )
         return
     words = ("--seed", str(seed), "--seconds", str(seconds), "--memory", str(memory))
     told = _costs(words) if cost else _scenarios(words, only)
@@ -255,11 +285,16 @@
 def _costs(words: tuple[str, ...]) -> dict:
     on, off = _both("--one", "cost", *words)
     for name in (MARKED, "lookup"):
-        print(f"{name}: {on[name]['cpu_us']} us of CPU with a store, {off[name]['cpu_us']} without; "
-              f"{on[name]['store_ops']} commands to the store each")
+        print(
+            f"{name}: {on[name]['cpu_us']} us of CPU with a store, {off[name]['cpu_us']} without; "
+            f"{on[name]['store_ops']} commands to the store each"
+        )
     print(f"fulfilled in time: {on['fulfilled']:.3f} with a store, {off['fulfilled']:.3f} without")
-    return {"on": on, "off": off,
-            "promises": {name: on["promises"][name] + off["promises"][name] for name in PROMISES}}
+    return {
+        "on": on,
+        "off": off,
+        "promises": {name: on["promises"][name] + off["promises"][name] for name in PROMISES},
+    }
 
 
 def _added(on: dict, off: dict, share: float) -> int:
@@ -276,24 +311,35 @@
     for name in only or SCENARIOS:
         on, off = _both("--one", name, *words)
         told["scenarios"][name] = {
-            "submissions": on["submissions"], "repeats": on["repeats"], "second_runs": on["second_runs"],
-            "second_runs_without_store": off["second_runs"], "unguarded": on["unguarded"],
-            "past_deadline": on["promises"]["past_deadline"], "payoff": round(on["payoff"], 4),
+            "submissions": on["submissions"],
+            "repeats": on["repeats"],
+            "second_runs": on["second_runs"],
+            "second_runs_without_store": off["second_runs"],
+            "unguarded": on["unguarded"],
+            "past_deadline": on["promises"]["past_deadline"],
+            "payoff": round(on["payoff"], 4),
             "payoff_without_store": round(off["payoff"], 4),
             "store_ops_per_submission": round(on["commands"] / on["marked"], 3),
-            "added_p50_us": _added(on, off, 0.5), "added_p99_us": _added(on, off, 0.99)}
+            "added_p50_us": _added(on, off, 0.5),
+            "added_p99_us": _added(on, off, 0.99),
+        }
         for promise in PROMISES:
             told["promises"][promise] += on["promises"][promise] + off["promises"][promise]
         # What the note allows: none, but one for each write that was lost, and for each let go without it.
         allowed = 0 if SCENARIOS[name].keeps else on["bound"] + on["unguarded"]
         told["promises"]["second_run"] += max(0, on["second_runs"] - allowed)
         shown = told["scenarios"][name]
-        print(f"{name:16} second runs {shown['second_runs']} of {allowed} allowed, without a store "
-              f"{off['second_runs']}; payoff {on['payoff']:.3f}, {off['payoff']:.3f}; "
-              f"{shown['store_ops_per_submission']} commands each; added p50 {shown['added_p50_us']} us, "
-              f"p99 {shown['added_p99_us']} us; unguarded {on['unguarded']}", flush=True)
-        broken = {how: {key: value for key, value in run["promises"].items() if value}
-                  for how, run in (("with", on), ("without", off))}
+        print(
+            f"{name:16} second runs {shown['second_runs']} of {allowed} allowed, without a store "
+            f"{off['second_runs']}; payoff {on['payoff']:.3f}, {off['payoff']:.3f}; "
+            f"{shown['store_ops_per_submission']} commands each; added p50 {shown['added_p50_us']} us, "
+            f"p99 {shown['added_p99_us']} us; unguarded {on['unguarded']}",
+            flush=True,
+        )
+        broken = {
+            how: {key: value for key, value in run["promises"].items() if value}
+            for how, run in (("with", on), ("without", off))
+        }
         if any(broken.values()) or on["faults"] or off["faults"]:
             print(f"                 BROKEN {broken}, faults {on['faults']} {off['faults']}", flush=True)
     return told
--- a/cresstray/__main__.py
+++ b/cresstray/__main__.py
@@ -11,6 +11,7 @@
     """Exit code of a command line; without words, of one gateway."""
     if words:
         from cresstray.commands import cli
+
         return cli(words)
     return run()
 
--- a/cresstray/background/schedule.py
+++ b/cresstray/background/schedule.py
@@ -46,8 +46,19 @@
 class Job:
     """`every`: microseconds from the end of a turn to the next; 0: only where woken."""
 
-    __slots__ = ("name", "priority", "every", "longest_pause", "at_end", "due", "late", "failed", "running",
-                 "order", "_next")
+    __slots__ = (
+        "name",
+        "priority",
+        "every",
+        "longest_pause",
+        "at_end",
+        "due",
+        "late",
+        "failed",
+        "running",
+        "order",
+        "_next",
+    )
 
     def __init__(self, name: str, priority: Priority, every: int, longest_pause: int, at_end: bool) -> None:
         self.name, self.priority, self.every = name, priority, every
@@ -88,8 +99,15 @@
         self.put_off = 0  # turns that were due, and had to wait for a later tick's budget
         self.stopped = False
 
-    def add(self, name: str, priority: Priority, every: int, now: int, longest_pause: int = _LONGEST,
-            at_end: bool = False) -> Job:
+    def add(
+        self,
+        name: str,
+        priority: Priority,
+        every: int,
+        now: int,
+        longest_pause: int = _LONGEST,
+        at_end: bool = False,
+    ) -> Job:
         """Due at once, or, with an `every` of 0, once it is woken. `at_end`: it has a last turn."""
         job = Job(name, priority, every, longest_pause, at_end)
         self.jobs.append(job)
--- a/cresstray/background/worker.py
+++ b/cresstray/background/worker.py
@@ -34,8 +34,15 @@
     `spent`: microseconds so far, by which turns are paid for.
     """
 
-    def __init__(self, schedule: Schedule, timers: Timers, clock: Clock, counters: Counters, log: Log,
-                 spent: Callable[[], int] = _spent) -> None:
+    def __init__(
+        self,
+        schedule: Schedule,
+        timers: Timers,
+        clock: Clock,
+        counters: Counters,
+        log: Log,
+        spent: Callable[[], int] = _spent,
+    ) -> None:
         self._schedule, self._timers, self._clock = schedule, timers, clock
         self._counters, self._log, self._spent = counters, log, spent
         self._calls: dict[Job, Call] = {}
@@ -47,8 +54,15 @@
         self._until = self._job_until = 0
         self.over = False  # all last turns are
 
-    def does(self, name: str, priority: Priority, every: int, call: Call,
-             longest_pause: int = 60_000_000, last: Call | None = None) -> Job:
+    def does(
+        self,
+        name: str,
+        priority: Priority,
+        every: int,
+        call: Call,
+        longest_pause: int = 60_000_000,
+        last: Call | None = None,
+    ) -> Job:
         """`call` each `every` microseconds, or, with 0, when woken; what takes long it begins only.
 
         None is DONE. What it raises is told once, and it is tried again after a pause of `longest_pause` at
--- a/cresstray/check/__main__.py
+++ b/cresstray/check/__main__.py
@@ -36,9 +36,23 @@
 @click.option("--replay", "file", type=click.Path(exists=True, dir_okay=False), help="A trace from a file.")
 @click.option("--save", type=click.Path(dir_okay=False), help="Where the trace of a breach goes.")
 @click.option("--json", "as_json", is_flag=True)
-def main(name: str | None, depth: int, states: int, memory: int, faults: int | None, leaves: int | None,
-         words: int | None, workers: int, plain: bool, walks: int, seed: int, mutant: str | None,
-         file: str | None, save: str | None, as_json: bool) -> None:
+def main(
+    name: str | None,
+    depth: int,
+    states: int,
+    memory: int,
+    faults: int | None,
+    leaves: int | None,
+    words: int | None,
+    workers: int,
+    plain: bool,
+    walks: int,
+    seed: int,
+    mutant: str | None,
+    file: str | None,
+    save: str | None,
+    as_json: bool,
+) -> None:
     bounds = Bounds(depth, states, memory, workers, not plain, faults, leaves, words)
     known = {one.name: one for one in MUTANTS}
     if mutant is not None and mutant != "all" and mutant not in known:
@@ -55,15 +69,25 @@
             results[one] = _explored(one, bounds, walks, seed)
             _show(one, results[one])
     if mutant is not None or name == "all" and not walks:
-        chosen = [known[mutant]] if mutant in known else [
-            one for one in MUTANTS if name in (None, "all", one.seen_in)]
+        chosen = (
+            [known[mutant]]
+            if mutant in known
+            else [one for one in MUTANTS if name in (None, "all", one.seen_in)]
+        )
         told, traces = _variants(chosen, bounds)
     broken = [result.violation for result in results.values() if result.violation is not None]
     if save and broken + traces:
         Path(save).write_text("\n".join((broken + traces)[0].lines()) + "\n")
     if as_json:
-        print(json.dumps({"configurations": {one: result.told() for one, result in results.items()},
-                          "violations": len(broken), "mutants": told}))
+        print(
+            json.dumps(
+                {
+                    "configurations": {one: result.told() for one, result in results.items()},
+                    "violations": len(broken),
+                    "mutants": told,
+                }
+            )
+        )
     sys.exit(1 if broken or told["caught"] < told["tried"] else 0)
 
 
@@ -74,9 +98,11 @@
 
 
 def _show(name: str, result: Result) -> None:
-    to_stderr(f"{name}: {result.states} states, {result.transitions} transitions ({result.asleep} left out), "
-              f"depth {result.depth}, {'complete' if result.complete else 'cut by a bound'}, "
-              f"{result.memory} MB, {result.seconds:.1f} s")
+    to_stderr(
+        f"{name}: {result.states} states, {result.transitions} transitions ({result.asleep} left out), "
+        f"depth {result.depth}, {'complete' if result.complete else 'cut by a bound'}, "
+        f"{result.memory} MB, {result.seconds:.1f} s"
+    )
     if result.violation is not None:
         _tell(result.violation)
 
@@ -108,9 +134,15 @@
             trace = result.violation
             if trace is not None:
                 traces.append(trace)
-            to_stderr(f"{one}: " + (f"caught after {result.states} states, {len(trace.choices)} choices: "
-                                    f"{', '.join(trace.choices)}; {trace.broken[0]}"
-                                    if trace else f"not caught in {result.states} states"))
+            to_stderr(
+                f"{one}: "
+                + (
+                    f"caught after {result.states} states, {len(trace.choices)} choices: "
+                    f"{', '.join(trace.choices)}; {trace.broken[0]}"
+                    if trace
+                    else f"not caught in {result.states} states"
+                )
+            )
     return {"tried": len(chosen), "caught": len(traces)}, traces
 
 
@@ -124,8 +156,14 @@
         if mutant.name in SCHEDULES:
             trace = replay(CONFIGURATIONS[mutant.seen_in], bounds, mutant.seen_in, SCHEDULES[mutant.name])
             if any(one.startswith(mutant.breaks) for one in trace.broken):
-                return Result(len(trace.choices), len(trace.choices), len(trace.choices), False, 0.0,
-                              trace._replace(mutant=mutant.name))
+                return Result(
+                    len(trace.choices),
+                    len(trace.choices),
+                    len(trace.choices),
+                    False,
+                    0.0,
+                    trace._replace(mutant=mutant.name),
+                )
         found = explore(CONFIGURATIONS[mutant.seen_in], bounds, mutant.seen_in, None, mutant.breaks)
     return found._replace(violation=found.violation and found.violation._replace(mutant=mutant.name))
 
--- a/cresstray/check/beliefs.py
+++ b/cresstray/check/beliefs.py
@@ -61,13 +61,32 @@
 @cache
 def _given(part: str) -> Given:
     parts = {
-        "FamilyInfo": {"CpuOfKind": [4]}, "Limits": {"MaxAttempts": 2, "MaxRetryAfter": 2000},
+        "FamilyInfo": {"CpuOfKind": [4]},
+        "Limits": {"MaxAttempts": 2, "MaxRetryAfter": 2000},
         "Safety": {"WarmUp": 3000, "DrainGrace": 1000},
-        "Services": [{"Name": name, "Effect": effect, "GoalTime": 20, "GiveUp": 10_000, "KeyTtl": 20_000,
-                      "LateValue": 0.5} for name, effect in zip(_NAMES, _EFFECTS)]}
-    found = Given(parts[part] if part in ("FamilyInfo", "Limits", "Safety") else {
-        **parts, **{name: _given(name) for name in ("FamilyInfo", "Limits", "Safety")},
-        "Balancers": 1, "Localities": ["z"], "Flavors": ["m"]})
+        "Services": [
+            {
+                "Name": name,
+                "Effect": effect,
+                "GoalTime": 20,
+                "GiveUp": 10_000,
+                "KeyTtl": 20_000,
+                "LateValue": 0.5,
+            }
+            for name, effect in zip(_NAMES, _EFFECTS)
+        ],
+    }
+    found = Given(
+        parts[part]
+        if part in ("FamilyInfo", "Limits", "Safety")
+        else {
+            **parts,
+            **{name: _given(name) for name in ("FamilyInfo", "Limits", "Safety")},
+            "Balancers": 1,
+            "Localities": ["z"],
+            "Flavors": ["m"],
+        }
+    )
     found.part = part
     return found
 
@@ -129,9 +148,17 @@
 
     def __getstate__(self) -> tuple:
         # In one order, whatever came first.
-        return (self.number, sorted(self.named.items()), sorted(self.gone.items()), sorted(self.told),
-                sorted(self.served), sorted(self.failed), sorted(self.heard.items()),
-                sorted(self.cold.items()), self.handed)
+        return (
+            self.number,
+            sorted(self.named.items()),
+            sorted(self.gone.items()),
+            sorted(self.told),
+            sorted(self.served),
+            sorted(self.failed),
+            sorted(self.heard.items()),
+            sorted(self.cold.items()),
+            self.handed,
+        )
 
     def __setstate__(self, state: tuple) -> None:
         number, named, gone, told, served, failed, heard, cold, handed = state
@@ -169,8 +196,14 @@
             word, known = self.gone.get(member.id), self.named.get(member.id)
             if member.standing is Standing.GONE:
                 self.bury(member.id, member.started, event.number)
-            elif not (word and member.started <= word.started and event.number <= word.number
-                      or older and known and known[0] > member.started):
+            elif not (
+                word
+                and member.started <= word.started
+                and event.number <= word.number
+                or older
+                and known
+                and known[0] > member.started
+            ):
                 for other, (started, port) in list(self.named.items()):
                     if port == member.port and other not in ids:
                         self.bury(other, started, event.number)
@@ -211,11 +244,23 @@
         self.handed_at: int | None = None  # when what is on disk was handed over
         self.unread: tuple[record.Record, tuple, int] | None = None  # the last write of one that still ends
         self._begin()
-        self.disk.write(record.Record(
-            owner=Disk.owner, wall=START - 5_000 * MILLI, boot="b", ticked=START - 5_000 * MILLI,
-            number=_LISTED, handed=False, zones=["z"],
-            machines=["m"], engines=[record.engine(one, 0) for one in self.before],
-            tombs=[], tariffs=[], limits=[], marks=[]))
+        self.disk.write(
+            record.Record(
+                owner=Disk.owner,
+                wall=START - 5_000 * MILLI,
+                boot="b",
+                ticked=START - 5_000 * MILLI,
+                number=_LISTED,
+                handed=False,
+                zones=["z"],
+                machines=["m"],
+                engines=[record.engine(one, 0) for one in self.before],
+                tombs=[],
+                tariffs=[],
+                limits=[],
+                marks=[],
+            )
+        )
         self._start()
 
     # A process.
@@ -276,8 +321,12 @@
         """Whether it was found to listen as one that was handed over, and has not failed since."""
         account = self.account
         found = account.heard.get(engine)
-        return (account.handed and found is not None and found - self.begun < HANDED
-                and engine not in account.failed)
+        return (
+            account.handed
+            and found is not None
+            and found - self.begun < HANDED
+            and engine not in account.failed
+        )
 
     def breaks(self, seen: str, name: str = "belief") -> None:
         self.broken.append(f"{name}: {seen}")
@@ -326,15 +375,29 @@
     # Choices.
 
     def choices(self) -> list[str]:
-        found = [f"{_name(member.id)} {how} the trial" for member in self.trials for how in _TRIALS
-                 if how == "listens to" or self.faults]
-        found += [f"{_name(engine)} {how} {_NAMES[relay.submission.tariff.index]}"
-                  for relay, engine in self.out.items() for how in _ENDS if how == "serves" or self.faults]
+        found = [
+            f"{_name(member.id)} {how} the trial"
+            for member in self.trials
+            for how in _TRIALS
+            if how == "listens to" or self.faults
+        ]
+        found += [
+            f"{_name(engine)} {how} {_NAMES[relay.submission.tariff.index]}"
+            for relay, engine in self.out.items()
+            for how in _ENDS
+            if how == "serves" or self.faults
+        ]
         # In one order: any other is the same, or comes of another moment.
         last = max((asked.kind for asked in self.asked if asked.submission), default=-1)
         found += [f"{_NAMES[kind]} is asked" for kind in range(last + 1, len(_NAMES)) if self.asking]
-        if not (self.words or self.lives or self.asking or self.out or self.unread
-                or any(asked.submission and not asked.over for asked in self.asked)):
+        if not (
+            self.words
+            or self.lives
+            or self.asking
+            or self.out
+            or self.unread
+            or any(asked.submission and not asked.over for asked in self.asked)
+        ):
             return []  # nothing can be sent any more
         if self.keep.more:
             found.append("gateway lists")
@@ -356,8 +419,9 @@
         if self.steps:
             found.append("time passes")
         # It ends what was handed over, drains and warm-ups; a last write is over within seconds.
-        drains = any(belief.member.standing is Standing.DRAINING
-                     for belief in self.keep.beliefs.engines.values())
+        drains = any(
+            belief.member.standing is Standing.DRAINING for belief in self.keep.beliefs.engines.values()
+        )
         if self.longs and self.unread is None and (self.account.handed or drains):
             found.append("long time passes")
         return found
@@ -463,8 +527,10 @@
             self.list[2] = _changed(member, id=2, started=now, standing=Standing.READY)
             self.news = [self.list[2]]
         else:
-            new = {"starts anew": {"started": now, "standing": Standing.READY},
-                   "drains": {"standing": Standing.DRAINING}}[how]
+            new = {
+                "starts anew": {"started": now, "standing": Standing.READY},
+                "drains": {"standing": Standing.DRAINING},
+            }[how]
             self.list[engine] = _changed(member, **new)
             self.news = [self.list[engine]]
 
@@ -472,19 +538,25 @@
         self.words -= 1
         # The register's link brings frames.
         self.counters.counts["coordinator frames"] ^= 1
-        event = {"all": Event(self.number, True, list(self.list.values())),
-                 "news": Event(self.number, False, self.news),
-                 "before": Event(_LISTED - 1, True, self.before)}[what]
+        event = {
+            "all": Event(self.number, True, list(self.list.values())),
+            "news": Event(self.number, False, self.news),
+            "before": Event(_LISTED - 1, True, self.before),
+        }[what]
         older, before = event.number < self.account.number, self.account.failed.copy()
         cold = dict(self.account.cold)
         self.account.hear(event)
         passed = self.keep.told(event, self.clock.at)
         for member in passed.members:
             # What only an older list names, or what has failed us, may have started since the register knew.
-            if (member.standing is not Standing.GONE and (older or member.id in before)
-                    and member.id not in cold
-                    and self.route.engines.get(member.id) is None and not self._warm(member.id)
-                    and member.started < self.clock.at):
+            if (
+                member.standing is not Standing.GONE
+                and (older or member.id in before)
+                and member.id not in cold
+                and self.route.engines.get(member.id) is None
+                and not self._warm(member.id)
+                and member.started < self.clock.at
+            ):
                 self.breaks(f"{_name(member.id)} is warm by the word of a list that is behind")
         self._give(passed)
 
@@ -548,41 +620,119 @@
 CONFIGURATIONS = {
     # What the register tells and what is read again; and engines that fail while it is heard of once.
     "belief": lambda bounds: Believed(bounds, 0, 2, 1, 1),
-    "trials": lambda bounds: Believed(bounds, 1, 1, 0, 3)}
+    "trials": lambda bounds: Believed(bounds, 1, 1, 0, 3),
+}
 
 MUTANTS = (
-    Mutant("tombstones_forgotten_at_restart", "belief", "belief", lines(
-        (Keep.record, "record.bounded(beliefs.tombs.kept(now), list(marks))",
-         "record.bounded([], list(marks))"))),
-    Mutant("older_list_taken_as_newer", "belief", "belief", lines(
-        (Numbers.take, "if number >= self.highest:", "if True:"))),
-    Mutant("warm_though_not_handed_over", "belief", "belief", lines(
-        (Beliefs._list, "(self.handed and now - self.begun < HANDED and", "("))),
-    Mutant("once_only_sent_on_trial", "belief", "belief", lines(
-        (Guard.takes, "or not self._keep.on_trial(engine)", "or True"))),
-    Mutant("just_listed_is_no_trial", "belief", "belief", lines(
-        (Keep.on_trial, "return engine.far is None", "return False"))),
-    Mutant("refused_is_no_trial", "belief", "trials", lines(
-        (Keep.on_trial, "not in (State.TOLD, State.CONFIRMED)", "is State.ON_TRIAL"))),
-    Mutant("newer_start_unheard", "belief", "belief", lines(
-        (Beliefs._remember, "and member.started > known.member.started", "and False"))),
-    Mutant("left_out_is_kept", "belief", "belief", lines(
-        (Beliefs.told, "if engine not in named]", "if False]"))),
-    Mutant("older_start_believed", "belief", "belief", lines(
-        (Beliefs._outdated, "return number < self.numbers.highest and", "return False and"))),
-    Mutant("address_of_another_kept", "belief", "belief", lines(
-        (Beliefs._claim, "if owner == member.id or owner in named:", "if True:"))),
-    Mutant("listed_though_told_gone", "belief", "belief", lines(
-        (Keep.told, "self._pending.pop(member.id, None)\n    if passed.complete:\n"
-         "        self._pending.clear()", "pass"))),
-    Mutant("warm_as_the_register_had_it", "belief", "belief", lines(
-        (Beliefs._started, "return max(member.started, known.since)", "return member.started"))),
-    Mutant("last_write_unheard", "belief", "belief", lines(
-        (Beliefs._older, "belief.state is not State.TOLD",
-         "belief.state in (State.REMEMBERED, State.CONTRADICTED)"))),
-    Mutant("refusal_forgotten_once_asked_again", "belief", "trials", lines(
-        (Beliefs._started, "known is not None and known.failed",
-         "known is not None and known.state is State.CONTRADICTED"))),
-    Mutant("refusal_forgotten_with_the_last_write", "belief", "trials", lines(
-        (Beliefs._remember, "0 if known is None else known.failed", "0"))),
+    Mutant(
+        "tombstones_forgotten_at_restart",
+        "belief",
+        "belief",
+        lines(
+            (
+                Keep.record,
+                "record.bounded(beliefs.tombs.kept(now), list(marks))",
+                "record.bounded([], list(marks))",
+            )
+        ),
+    ),
+    Mutant(
+        "older_list_taken_as_newer",
+        "belief",
+        "belief",
+        lines((Numbers.take, "if number >= self.highest:", "if True:")),
+    ),
+    Mutant(
+        "warm_though_not_handed_over",
+        "belief",
+        "belief",
+        lines((Beliefs._list, "self.handed\n        and now - self.begun < HANDED\n        and ", "")),
+    ),
+    Mutant(
+        "once_only_sent_on_trial",
+        "belief",
+        "belief",
+        lines((Guard.takes, "or not self._keep.on_trial(engine)", "or True")),
+    ),
+    Mutant(
+        "just_listed_is_no_trial",
+        "belief",
+        "belief",
+        lines((Keep.on_trial, "return engine.far is None", "return False")),
+    ),
+    Mutant(
+        "refused_is_no_trial",
+        "belief",
+        "trials",
+        lines((Keep.on_trial, "not in (State.TOLD, State.CONFIRMED)", "is State.ON_TRIAL")),
+    ),
+    Mutant(
+        "newer_start_unheard",
+        "belief",
+        "belief",
+        lines((Beliefs._remember, "and member.started > known.member.started", "and False")),
+    ),
+    Mutant(
+        "left_out_is_kept", "belief", "belief", lines((Beliefs.told, "if engine not in named]", "if False]"))
+    ),
+    Mutant(
+        "older_start_believed",
+        "belief",
+        "belief",
+        lines((Beliefs._outdated, "return number < self.numbers.highest and", "return False and")),
+    ),
+    Mutant(
+        "address_of_another_kept",
+        "belief",
+        "belief",
+        lines((Beliefs._claim, "if owner == member.id or owner in named:", "if True:")),
+    ),
+    Mutant(
+        "listed_though_told_gone",
+        "belief",
+        "belief",
+        lines(
+            (
+                Keep.told,
+                "self._pending.pop(member.id, None)\n    if passed.complete:\n        self._pending.clear()",
+                "pass",
+            )
+        ),
+    ),
+    Mutant(
+        "warm_as_the_register_had_it",
+        "belief",
+        "belief",
+        lines((Beliefs._started, "return max(member.started, known.since)", "return member.started")),
+    ),
+    Mutant(
+        "last_write_unheard",
+        "belief",
+        "belief",
+        lines(
+            (
+                Beliefs._older,
+                "belief.state is not State.TOLD",
+                "belief.state in (State.REMEMBERED, State.CONTRADICTED)",
+            )
+        ),
+    ),
+    Mutant(
+        "refusal_forgotten_once_asked_again",
+        "belief",
+        "trials",
+        lines(
+            (
+                Beliefs._started,
+                "known is not None and known.failed",
+                "known is not None and known.state is State.CONTRADICTED",
+            )
+        ),
+    ),
+    Mutant(
+        "refusal_forgotten_with_the_last_write",
+        "belief",
+        "trials",
+        lines((Beliefs._remember, "0 if known is None else known.failed", "0")),
+    ),
 )
--- a/cresstray/check/crossing.py
+++ b/cresstray/check/crossing.py
@@ -67,14 +67,34 @@
 @cache
 def _given(part: str) -> Given:
     made = {
-        "FamilyInfo": {"CpuOfKind": [4]}, "Safety": {}, "Limits": {"MaxAttempts": 3, "Cancel": True},
-        "Services": [{"Name": name, "Effect": effect, "GoalTime": 400, "GiveUp": 5000, "Worth": 1,
-                      "Group": "all", "KeyTtl": 20_000, "LateValue": 0.5}
-                     for name, effect in _EFFECTS.items()]}
+        "FamilyInfo": {"CpuOfKind": [4]},
+        "Safety": {},
+        "Limits": {"MaxAttempts": 3, "Cancel": True},
+        "Services": [
+            {
+                "Name": name,
+                "Effect": effect,
+                "GoalTime": 400,
+                "GiveUp": 5000,
+                "Worth": 1,
+                "Group": "all",
+                "KeyTtl": 20_000,
+                "LateValue": 0.5,
+            }
+            for name, effect in _EFFECTS.items()
+        ],
+    }
     parts = ("FamilyInfo", "Safety", "Limits")
-    found = Given(made[part] if part in parts else {
-        "Balancers": 1, "CrossingAhead": AHEAD / 1000, "Services": made["Services"],
-        **{one: _given(one) for one in parts}})
+    found = Given(
+        made[part]
+        if part in parts
+        else {
+            "Balancers": 1,
+            "CrossingAhead": AHEAD / 1000,
+            "Services": made["Services"],
+            **{one: _given(one) for one in parts},
+        }
+    )
     found.part = part
     return found
 
@@ -216,14 +236,22 @@
     def __init__(self, bounds: Bounds, names: str, faults: int, leaves: int) -> None:
         self.broken: list[str] = []
         asked = [one for one in ASKED if one.name in names]
-        self.accounts = [Account(one) for one in asked[:bounds.submissions]]
+        self.accounts = [Account(one) for one in asked[: bounds.submissions]]
         self.faults = self.leaves = 0
         near, far = VirtualClock(START), VirtualClock(START + AHEAD_BY)
         self.near, self.far = Hall(self, "near", near, False), Hall(self, "far", far, True)
         self.asker, self.life, self.back_again = Asker(self), 1, False
         way = Way("far", Health(_BEAT, _SLOW, _LEASE, _HEAL), Credit(16, 1 << 20), self.near.share)
-        self.outward = Outward(Place("hall-a", "ga", "a1"), "hall-b", way, self.near.across,
-                               self.near.counters, _nothing, near.now, _nothing)
+        self.outward = Outward(
+            Place("hall-a", "ga", "a1"),
+            "hall-b",
+            way,
+            self.near.across,
+            self.near.counters,
+            _nothing,
+            near.now,
+            _nothing,
+        )
         self.near.across.add(self.outward)
         self.inward = self._inward()
         self.link, self.greeted = "down", False  # "up", "silent"
@@ -246,9 +274,21 @@
 
     def _inward(self) -> Inward:
         far = self.far
-        return Inward(Place("hall-b", "gb", f"b{self.life}"), Place("hall-a", "ga", "a1"),
-                      Health(_BEAT, _SLOW, _LEASE, _HEAL), 16, 1 << 20, far.take_in, far.room, _open,
-                      far.clock.now, _nothing, far.timers.after, far.counters, _nothing)
+        return Inward(
+            Place("hall-b", "gb", f"b{self.life}"),
+            Place("hall-a", "ga", "a1"),
+            Health(_BEAT, _SLOW, _LEASE, _HEAL),
+            16,
+            1 << 20,
+            far.take_in,
+            far.room,
+            _open,
+            far.clock.now,
+            _nothing,
+            far.timers.after,
+            far.counters,
+            _nothing,
+        )
 
     def breaks(self, name: str, seen: str) -> None:
         self.broken.append(f"{name}: {seen}")
@@ -271,8 +311,10 @@
         if account.over and hall == "near":
             self.breaks("nothing_after", f"{name} is sent after it was {account.over}")
         if account.out:
-            self.breaks("one_outstanding",
-                        f"{name} is sent to the {hall} engine while the {account.out[0]} one has it")
+            self.breaks(
+                "one_outstanding",
+                f"{name} is sent to the {hall} engine while the {account.out[0]} one has it",
+            )
         if account.may_have_run and account.asked.tariff == "post":
             self.breaks("unrepeatable", f"{name} may have run and is sent to the {hall} engine")
         account.out.append(hall)
@@ -498,32 +540,46 @@
         credit, near, far = self.outward.way.credit, self.outward.ledger, self.inward.ledger
         sizes = [one.relay.submission.size for one in near.open.values()]
         if (credit.held, credit.held_size) != (len(sizes), sum(sizes)):
-            self.breaks("credit", f"{credit.held} and {credit.held_size} bytes are held for {len(sizes)} "
-                                  f"crossings of {sum(sizes)} bytes")
+            self.breaks(
+                "credit",
+                f"{credit.held} and {credit.held_size} bytes are held for {len(sizes)} "
+                f"crossings of {sum(sizes)} bytes",
+            )
         if credit.held < 0 or credit.held > credit.submissions:
             self.breaks("credit", f"{credit.held} are held of {credit.submissions}")
         if far.size != sum(entry.size for entry in far.open.values()):
             self.breaks("credit", f"{far.size} bytes are counted in the far hall")
 
     def quiet(self) -> bool:
-        return (all(account.over or not account.stop for account in self.accounts)
-                and not any(account.out for account in self.accounts) and not self.near.back.out
-                and not self.far.back.out and not self.near.is_due() and not self.far.is_due())
+        return (
+            all(account.over or not account.stop for account in self.accounts)
+            and not any(account.out for account in self.accounts)
+            and not self.near.back.out
+            and not self.far.back.out
+            and not self.near.is_due()
+            and not self.far.is_due()
+        )
 
     def _mind_rest(self) -> None:
         way, near, far = self.outward.way, self.near, self.far
         kept: dict[str, Any] = {"owed": len(self.asker.open)}
         for hall in (near, far):
             gateway = hall.gateway
-            kept |= {f"open in the {hall.name} hall": len(hall.book.open),
-                     f"held in the {hall.name} hall": len(gateway.held + gateway.further),
-                     f"threads in the {hall.name} hall": hall.engine.limiter.threads + gateway.fleet.threads,
-                     f"calls to come in the {hall.name} hall": len(hall.timers.line) - 1}
+            kept |= {
+                f"open in the {hall.name} hall": len(hall.book.open),
+                f"held in the {hall.name} hall": len(gateway.held + gateway.further),
+                f"threads in the {hall.name} hall": hall.engine.limiter.threads + gateway.fleet.threads,
+                f"calls to come in the {hall.name} hall": len(hall.timers.line) - 1,
+            }
         if self.link == "up" and self.outward.greeted and not (self.there or self.back):
             left = set(self.inward.ledger.open) - set(self.outward._forgets)
-            kept |= {"far entries that nobody forgets": len(left), "far errands": len(self.inward.open),
-                     "under way": way.open, "threads under way": way.used,
-                     "crossings": len(self.outward.ledger.open)}
+            kept |= {
+                "far entries that nobody forgets": len(left),
+                "far errands": len(self.inward.open),
+                "under way": way.open,
+                "threads under way": way.used,
+                "crossings": len(self.outward.ledger.open),
+            }
         for name, count in kept.items():
             if count:
                 self.breaks("nothing_kept", f"{count} {name}")
@@ -538,31 +594,80 @@
 
 
 CONFIGURATIONS: dict[str, Callable[[Bounds], Halls]] = {
-    "halls": lambda bounds: Halls(bounds, "ab", 1, 1), "resumed": lambda bounds: Halls(bounds, "b", 1, 0),
-    "leases": lambda bounds: Halls(bounds, "b", 2, 0)}
+    "halls": lambda bounds: Halls(bounds, "ab", 1, 1),
+    "resumed": lambda bounds: Halls(bounds, "b", 1, 0),
+    "leases": lambda bounds: Halls(bounds, "b", 2, 0),
+}
 
 MUTANTS: tuple[Mutant, ...] = (
-    Mutant("trusts_an_old_life", "unrepeatable", "halls", lines(
-        (Outward._greet, "frame.resumed and frame.incarnation == self._knew", "frame.resumed"),
-        (Inward.welcome, "hello.knew == self._me.incarnation", "True"))),
-    Mutant("credit_given_back_twice", "credit", "halls", lines(
-        (Credit.give, "self.held -= 1", "self.held = max(0, self.held - 2)"))),
-    Mutant("relayed_before_the_lease_is_over", "one_outstanding", "resumed", lines(
-        (Health.lease_end, "self.heard_at + self.lease + self.lease // 20 + 100_000", "self.heard_at"))),
-    Mutant("lease_that_nobody_ends", "one_outstanding", "resumed", lines(
-        (Inward.tick, "fenced = self._health.fenced(now)", "fenced = False"))),
-    Mutant("lease_renewed_by_a_welcome", "one_outstanding", "leases", lines(
-        (Health.connected, "self._echoed, self._zero_at = 0, now, 0, 0, now",
-         "self._echoed, self._zero_at, self.echoed_at = 0, now, 0, 0, now, now"))),
-    Mutant("crosses_again", "one_crossing", "halls", lines(
-        (Gateway._cross, "submission.crossed or submission.foreign", "submission.foreign"))),
-    Mutant("an_error_is_told_as_not_run", "unrepeatable", "halls", lines(
-        (Inward.relay_ended, "ending not in UNRUN, ending.value", "False, ending.value"))),
-    Mutant("what_was_fenced_is_kept", "nothing_kept", "resumed", lines(
-        (Outward._greet, "self._forget(crossing.number)", "pass"))),
-    Mutant("a_cut_that_was_not_marked", "unrepeatable", "halls", lines(
-        (ledger.Outgoing.settle, "settled.append((crossing, Outcome.UNKNOWN))",
-         "settled.append((crossing, Outcome.UNRUN))"))),
-    Mutant("a_threads_share_is_kept", "nothing_kept", "halls", lines(
-        (Way.over, "self.open -= 1", "pass"))),
+    Mutant(
+        "trusts_an_old_life",
+        "unrepeatable",
+        "halls",
+        lines(
+            (Outward._greet, "frame.resumed and frame.incarnation == self._knew", "frame.resumed"),
+            (Inward.welcome, "hello.knew == self._me.incarnation", "True"),
+        ),
+    ),
+    Mutant(
+        "credit_given_back_twice",
+        "credit",
+        "halls",
+        lines((Credit.give, "self.held -= 1", "self.held = max(0, self.held - 2)")),
+    ),
+    Mutant(
+        "relayed_before_the_lease_is_over",
+        "one_outstanding",
+        "resumed",
+        lines((Health.lease_end, "self.heard_at + self.lease + self.lease // 20 + 100_000", "self.heard_at")),
+    ),
+    Mutant(
+        "lease_that_nobody_ends",
+        "one_outstanding",
+        "resumed",
+        lines((Inward.tick, "fenced = self._health.fenced(now)", "fenced = False")),
+    ),
+    Mutant(
+        "lease_renewed_by_a_welcome",
+        "one_outstanding",
+        "leases",
+        lines(
+            (
+                Health.connected,
+                "self._echoed, self._zero_at = 0, now, 0, 0, now",
+                "self._echoed, self._zero_at, self.echoed_at = 0, now, 0, 0, now, now",
+            )
+        ),
+    ),
+    Mutant(
+        "crosses_again",
+        "one_crossing",
+        "halls",
+        lines((Gateway._cross, "submission.crossed or submission.foreign", "submission.foreign")),
+    ),
+    Mutant(
+        "an_error_is_told_as_not_run",
+        "unrepeatable",
+        "halls",
+        lines((Inward.relay_ended, "ending not in UNRUN, ending.value", "False, ending.value")),
+    ),
+    Mutant(
+        "what_was_fenced_is_kept",
+        "nothing_kept",
+        "resumed",
+        lines((Outward._greet, "self._forget(crossing.number)", "pass")),
+    ),
+    Mutant(
+        "a_cut_that_was_not_marked",
+        "unrepeatable",
+        "halls",
+        lines(
+            (
+                ledger.Outgoing.settle,
+                "settled.append((crossing, Outcome.UNKNOWN))",
+                "settled.append((crossing, Outcome.UNRUN))",
+            )
+        ),
+    ),
+    Mutant("a_threads_share_is_kept", "nothing_kept", "halls", lines((Way.over, "self.open -= 1", "pass"))),
 )
--- a/cresstray/check/explore.py
+++ b/cresstray/check/explore.py
@@ -37,8 +37,9 @@
 
     def lines(self) -> list[str]:
         moments = self.moments or (None,) * len(self.choices)
-        told = [f"{'' if at is None else f'{at:g}':>8} ms  {choice}"
-                for at, choice in zip(moments, self.choices)]
+        told = [
+            f"{'' if at is None else f'{at:g}':>8} ms  {choice}" for at, choice in zip(moments, self.choices)
+        ]
         head = [f"configuration: {self.configuration}"] + [f"mutant: {self.mutant}"] * bool(self.mutant)
         return head + told + [f"broken: {one}" for one in self.broken]
 
@@ -72,8 +73,13 @@
     asleep: int = 0  # transitions that the reduction left out
 
     def told(self) -> dict[str, Any]:
-        return {"states": self.states, "transitions": self.transitions, "depth": self.depth,
-                "complete": self.complete, "seconds": round(self.seconds, 1)}
+        return {
+            "states": self.states,
+            "transitions": self.transitions,
+            "depth": self.depth,
+            "complete": self.complete,
+            "seconds": round(self.seconds, 1),
+        }
 
 
 class Entry(NamedTuple):
@@ -97,8 +103,13 @@
 _AWAKE: frozenset[str] = frozenset()
 
 
-def explore(make: Make, bounds: Bounds, name: str = "", progress: Callable[[str], None] | None = None,
-            wanted: str = "") -> Result:
+def explore(
+    make: Make,
+    bounds: Bounds,
+    name: str = "",
+    progress: Callable[[str], None] | None = None,
+    wanted: str = "",
+) -> Result:
     """All schedules within the bounds, or those up to the first breach, of the wanted property if one is."""
     began, spoken = time.monotonic(), time.monotonic()
     # Copies are circles, and each brings hundreds of objects: collected by dozens, not one by one.
@@ -110,8 +121,15 @@
         gc.set_threshold(*thresholds)
 
 
-def _search(make: Make, bounds: Bounds, name: str, progress: Callable[[str], None] | None, wanted: str,
-            began: float, spoken: float) -> Result:
+def _search(
+    make: Make,
+    bounds: Bounds,
+    name: str,
+    progress: Callable[[str], None] | None,
+    wanted: str,
+    began: float,
+    spoken: float,
+) -> Result:
     world = make(bounds)
     # By fingerprint: what was left asleep as it was expanded.
     seen: dict[bytes, frozenset[str]] = {world.fingerprint(): _AWAKE}
@@ -135,8 +153,16 @@
                         if not any(one.startswith(wanted) for one in step.broken):
                             continue
                         trace = replay(make, bounds, name, _choices((entry.path, step.choice)))
-                        return Result(len(seen), transitions, depth + 1, False, time.monotonic() - began,
-                                      trace, _memory(), asleep)
+                        return Result(
+                            len(seen),
+                            transitions,
+                            depth + 1,
+                            False,
+                            time.monotonic() - began,
+                            trace,
+                            _memory(),
+                            asleep,
+                        )
                     before = seen.get(step.found)
                     path = (entry.path, step.choice)
                     if before is None:
@@ -152,12 +178,15 @@
                         elif waits.only is None:
                             layer[step.found] = waits._replace(asleep=before & step.asleep)
                         else:
-                            layer[step.found] = waits._replace(asleep=before & step.asleep,
-                                                               only=waits.only | (before - step.asleep))
+                            layer[step.found] = waits._replace(
+                                asleep=before & step.asleep, only=waits.only | (before - step.asleep)
+                            )
                 if progress is not None and time.monotonic() - spoken >= _EVERY:
                     spoken = time.monotonic()
-                    progress(f"{name}: layer {depth + 1}, {len(seen)} states, {transitions} transitions, "
-                             f"{len(layer)} to come, {_memory()} MB, {spoken - began:.0f} s")
+                    progress(
+                        f"{name}: layer {depth + 1}, {len(seen)} states, {transitions} transitions, "
+                        f"{len(layer)} to come, {_memory()} MB, {spoken - began:.0f} s"
+                    )
             depth += fresh > 0
     return Result(len(seen), transitions, depth, complete, time.monotonic() - began, None, _memory(), asleep)
 
@@ -216,12 +245,22 @@
         found, slept, tried = [], 0, []
         now = world.choices()
         # Which pairs do not mind each other is asked in the state before.
-        apart = {choice: {other for other in (*entry.asleep, *now)
-                          if other != choice and independent(choice, other)}
-                 for choice in now} if independent else {}
+        apart = (
+            {
+                choice: {
+                    other for other in (*entry.asleep, *now) if other != choice and independent(choice, other)
+                }
+                for choice in now
+            }
+            if independent
+            else {}
+        )
         for choice in now:
-            if choice in entry.asleep and (entry.only is None or choice not in entry.only) or (
-                    entry.only is not None and choice not in entry.only):
+            if (
+                choice in entry.asleep
+                and (entry.only is None or choice not in entry.only)
+                or (entry.only is not None and choice not in entry.only)
+            ):
                 slept += entry.only is None
                 continue
             if world is None:
@@ -280,8 +319,9 @@
     return Trace(name, tuple(done), tuple(world.broken), tuple(moments))
 
 
-def walk(make: Make, bounds: Bounds, name: str, walks: int,
-         progress: Callable[[str], None] | None = None) -> Result:
+def walk(
+    make: Make, bounds: Bounds, name: str, walks: int, progress: Callable[[str], None] | None = None
+) -> Result:
     """Random schedules, the module's chance drawn as well; what breaks is shortened as far as it goes."""
     began, spoken, transitions, depth = time.monotonic(), time.monotonic(), 0, 0
     for number in range(walks):
@@ -307,7 +347,7 @@
     at = len(trace.choices) - 1
     while at >= 0:
         try:
-            found = replay(make, bounds, trace.configuration, trace.choices[:at] + trace.choices[at + 1:])
+            found = replay(make, bounds, trace.configuration, trace.choices[:at] + trace.choices[at + 1 :])
         except ValueError:
             found = None
         if found is not None and found.broken and found.broken[0].split(":")[0] == name:
--- a/cresstray/check/gateway.py
+++ b/cresstray/check/gateway.py
@@ -93,8 +93,10 @@
     elif part == "Safety":
         made = Given(of.safety)
     else:
-        made = Given({part: _given(shape, part) for part in ("FamilyInfo", "Limits", "Safety")}
-                     | {"Balancers": 1, "Services": of.services})
+        made = Given(
+            {part: _given(shape, part) for part in ("FamilyInfo", "Limits", "Safety")}
+            | {"Balancers": 1, "Services": of.services}
+        )
     made.place = shape, part
     return made
 
@@ -175,10 +177,15 @@
     def deny(self, number: int, come_back: int) -> None:
         account = self._told(number, "denied")
         effect = self._world.effect(account)
-        if effect != "idempotent" and account.may_have_run() and (
-                effect == "at_most_once" or self._world.service(account).get("Group", "all") != "all"):
-            self._world.breaks("unrepeatable" if effect == "at_most_once" else "deduplicated",
-                               f"{account.asked.name} may have run and is denied")
+        if (
+            effect != "idempotent"
+            and account.may_have_run()
+            and (effect == "at_most_once" or self._world.service(account).get("Group", "all") != "all")
+        ):
+            self._world.breaks(
+                "unrepeatable" if effect == "at_most_once" else "deduplicated",
+                f"{account.asked.name} may have run and is denied",
+            )
 
     def abandon(self, number: int) -> None:
         self._told(number, "abandoned")
@@ -243,8 +250,9 @@
         self.asker = Asker(self)
         self.broken: list[str] = []
         more = (bounds.submissions or len(shape.asked)) - len(shape.asked)
-        asked = shape.asked + tuple(shape.asked[n % len(shape.asked)]._replace(name="vwxyz"[n])
-                                    for n in range(more))
+        asked = shape.asked + tuple(
+            shape.asked[n % len(shape.asked)]._replace(name="vwxyz"[n]) for n in range(more)
+        )
         self.accounts = [Account(one) for one in asked]
         self.accepted: list[int] = []  # arrivals of clients that have not left, and further relays
         self.further: list[int] = []
@@ -257,8 +265,9 @@
         self.members: dict[int, Member] = {}
         self.last: Event | None = None
         count = bounds.engines or shape.engines
-        self._word(Event(0, True, [Member(n, "e", n, Standing.READY, 0, 0, shape.cells[n], 0)
-                                   for n in range(count)]))
+        self._word(
+            Event(0, True, [Member(n, "e", n, Standing.READY, 0, 0, shape.cells[n], 0) for n in range(count)])
+        )
         self.last = None
         self._tidy()
 
@@ -330,9 +339,18 @@
         if not key or account.sent:
             return
         for other in self.accounts:
-            if other is not account and other.asked.key == key and other.arrived and (
-                    other.out is not None or self.clock.at < other.free
-                    or other.arrived <= account.arrived and not other.over and self._before(other, account)):
+            if (
+                other is not account
+                and other.asked.key == key
+                and other.arrived
+                and (
+                    other.out is not None
+                    or self.clock.at < other.free
+                    or other.arrived <= account.arrived
+                    and not other.over
+                    and self._before(other, account)
+                )
+            ):
                 self.breaks("key_order", f"{account.asked.name} is sent beside or before {other.asked.name}")
 
     def _before(self, one: Account, other: Account) -> bool:
@@ -364,8 +382,11 @@
                 found.append(f"{engine} serves {asked.name}")
                 if self.faults:
                     begun = account.out.pages is not None
-                    found += [f"{engine} {how} {asked.name}" for how in self.shape.faults
-                              if not begun or how in ("fails", "cuts", "spoils")]
+                    found += [
+                        f"{engine} {how} {asked.name}"
+                        for how in self.shape.faults
+                        if not begun or how in ("fails", "cuts", "spoils")
+                    ]
         if not found and not asking and self.quiet():
             return []
         if self.words:
@@ -381,8 +402,13 @@
             if member.standing is Standing.GONE:
                 continue
             for word in self.shape.words:
-                if (word == "drains" and member.standing is Standing.READY or word in ("goes", "anew")
-                        or word == "returns" and len(known) < 4):
+                if (
+                    word == "drains"
+                    and member.standing is Standing.READY
+                    or word in ("goes", "anew")
+                    or word == "returns"
+                    and len(known) < 4
+                ):
                     found.append(f"e{number} {word}")
         if self.last is not None and "again" in self.shape.words:
             found.append("word again")
@@ -451,8 +477,12 @@
             exchange.keeper.answered(exchange, Answer(name, b"served", 2, 0, {}, name + b"\t\t\n"))
             return
         begun = exchange.pages is not None
-        word = {"serves": b"rows" if begun else b"served", "refuses": b"overload", "fails": b"crashed",
-                "unknown": b"nobody"}.get(verb)
+        word = {
+            "serves": b"rows" if begun else b"served",
+            "refuses": b"overload",
+            "fails": b"crashed",
+            "unknown": b"nobody",
+        }.get(verb)
         account.end(verb)
         if word is not None:
             exchange.keeper.answered(exchange, Answer(name, word, 1, int(begun), {}, name + b"\t\t\n"))
@@ -475,8 +505,11 @@
             told = Event(0, False, [_changed(member, started=now)])
         else:  # at the same address under a new id, in a list that is whole
             new = _changed(member, id=len(self.members), started=now, standing=Standing.READY)
-            rest = [one for one in self.members.values()
-                    if one is not member and one.standing is not Standing.GONE]
+            rest = [
+                one
+                for one in self.members.values()
+                if one is not member and one.standing is not Standing.GONE
+            ]
             told = Event(0, True, [*rest, new])
         self._word(told)
 
@@ -484,8 +517,10 @@
         self.last = told
         if told.complete:
             named = {member.id for member in told.members}
-            self.members = {number: member if number in named else _changed(member, standing=Standing.GONE)
-                            for number, member in self.members.items()}
+            self.members = {
+                number: member if number in named else _changed(member, standing=Standing.GONE)
+                for number, member in self.members.items()
+            }
         self.members |= {member.id: member for member in told.members}
         self.gateway.listed(self.route.listed(told), told.complete, self.clock.at)
 
@@ -500,8 +535,9 @@
             self.last = None
         window = self.shape.safety.get("BudgetWindow", 0) * MILLI
         self.further = [at for at in self.further if at > self.clock.at - window]
-        if self.reduced and (self.clock.at >= self.asking
-                             or all(account.arrived for account in self.accounts)):
+        if self.reduced and (
+            self.clock.at >= self.asking or all(account.arrived for account in self.accounts)
+        ):
             for account in self.accounts:
                 if account.over and account.out is None and not account.asked.key:
                     account.sent, account.arrived, account.stop = [], 1, 0
@@ -531,19 +567,24 @@
 
     def quiet(self) -> bool:
         line = self.timers.line
-        return (all(account.out is None and (account.over or not account.arrived)
-                    for account in self.accounts)
-                and (not line or line[0].at > self.clock.at))
+        return all(
+            account.out is None and (account.over or not account.arrived) for account in self.accounts
+        ) and (not line or line[0].at > self.clock.at)
 
     def _mind_rest(self) -> None:
         gateway, engines = self.gateway, self.gateway.engines
         kept = {
-            "held": gateway.held + gateway.further, "turns": gateway.queues, "open": self.book.open,
-            "out": self.back.out, "pages told": self.back._reports, "owed": self.asker.open,
+            "held": gateway.held + gateway.further,
+            "turns": gateway.queues,
+            "open": self.book.open,
+            "out": self.back.out,
+            "pages told": self.back._reports,
+            "owed": self.asker.open,
             "on links": [one for links in self.route._pools.values() for one in links.open],
             "on engines": [one for engine in engines for one in engine.limiter.out],
             "threads": [engine for engine in engines if engine.limiter.threads],
-            "calls to come": self.timers.line[1:]}
+            "calls to come": self.timers.line[1:],
+        }
         for name, what in kept.items():
             if what:
                 self.breaks("nothing_kept", f"{len(what)} {name}")
@@ -581,127 +622,375 @@
 
 # Soft limits of 4 ms make expected times of one: what is out for 204 ms is overdue. Late answers still count,
 # so that further relays are worth while until the hard stop.
-_IDEMPOTENT = {"Name": "read", "Effect": "idempotent", "GoalTime": 4, "GiveUp": 5000, "Worth": 1.0,
-               "LateValue": 0.5}
+_IDEMPOTENT = {
+    "Name": "read",
+    "Effect": "idempotent",
+    "GoalTime": 4,
+    "GiveUp": 5000,
+    "Worth": 1.0,
+    "LateValue": 0.5,
+}
 _DEDUPLICATED = _IDEMPOTENT | {"Name": "put", "Effect": "deduplicated", "Group": "cell", "KeyTtl": 200}
 _UNREPEATABLE = _IDEMPOTENT | {"Name": "post", "Effect": "at_most_once"}
 _ORDERED = _IDEMPOTENT | {"Name": "step", "ByArrival": True}
 
-SHAPES = {shape.name: shape for shape in (
-    Shape("attempt", (_IDEMPOTENT, _DEDUPLICATED, _UNREPEATABLE),
-          (Asked("a", "read", 450), Asked("b", "put", 450), Asked("c", "post", 250)),
-          ("begins", "refuses", "fails", "cuts", "spoils", "unreached"), 1, leaves=1, asking=1, late=90),
-    # Small ones, so that they go deep: one that is sent again and again, and an engine fallen silent.
-    Shape("repeat", (_DEDUPLICATED,), (Asked("a", "put", 450),),
-          ("begins", "refuses", "fails", "cuts", "spoils", "unreached", "unknown"), 3, leaves=1, asking=1,
-          late=90, cells=(0, 1, 0), engines=3),
-    Shape("silent", (_IDEMPOTENT,),
-          (Asked("a", "read", 550), Asked("b", "read", 550), Asked("c", "read", 550)),
-          ("unreached",), 1, asking=1, late=90),
-    Shape("drain", (_IDEMPOTENT,), (Asked("a", "read", 450), Asked("b", "read", 450)),
-          ("cuts",), 1, leaves=1, words=("drains", "goes", "anew", "returns", "again"), most_words=1,
-          asking=50, safety={"WarmUp": 300}),
-    Shape("words", (_IDEMPOTENT,), (Asked("a", "read", 450),),
-          ("cuts",), 1, words=("drains", "goes", "anew", "returns", "again"), most_words=2,
-          asking=50, safety={"WarmUp": 300}),
-    Shape("budget", (_IDEMPOTENT,),
-          (Asked("a", "read", 450), Asked("b", "read", 450), Asked("c", "read", 450)),
-          ("cuts",), 2, leaves=1, asking=150,
-          safety={"BudgetWindow": 300, "FreeResends": 0, "ResendRatio": 0.7}),
-    Shape("order", (_ORDERED,),
-          (Asked("a", "step", 450, 7), Asked("b", "step", 450, 7), Asked("c", "step", 450, 7)),
-          ("refuses", "cuts"), 2, leaves=1, asking=50, safety={"TurnGap": 150}),
-)}
+SHAPES = {
+    shape.name: shape
+    for shape in (
+        Shape(
+            "attempt",
+            (_IDEMPOTENT, _DEDUPLICATED, _UNREPEATABLE),
+            (Asked("a", "read", 450), Asked("b", "put", 450), Asked("c", "post", 250)),
+            ("begins", "refuses", "fails", "cuts", "spoils", "unreached"),
+            1,
+            leaves=1,
+            asking=1,
+            late=90,
+        ),
+        # Small ones, so that they go deep: one that is sent again and again, and an engine fallen silent.
+        Shape(
+            "repeat",
+            (_DEDUPLICATED,),
+            (Asked("a", "put", 450),),
+            ("begins", "refuses", "fails", "cuts", "spoils", "unreached", "unknown"),
+            3,
+            leaves=1,
+            asking=1,
+            late=90,
+            cells=(0, 1, 0),
+            engines=3,
+        ),
+        Shape(
+            "silent",
+            (_IDEMPOTENT,),
+            (Asked("a", "read", 550), Asked("b", "read", 550), Asked("c", "read", 550)),
+            ("unreached",),
+            1,
+            asking=1,
+            late=90,
+        ),
+        Shape(
+            "drain",
+            (_IDEMPOTENT,),
+            (Asked("a", "read", 450), Asked("b", "read", 450)),
+            ("cuts",),
+            1,
+            leaves=1,
+            words=("drains", "goes", "anew", "returns", "again"),
+            most_words=1,
+            asking=50,
+            safety={"WarmUp": 300},
+        ),
+        Shape(
+            "words",
+            (_IDEMPOTENT,),
+            (Asked("a", "read", 450),),
+            ("cuts",),
+            1,
+            words=("drains", "goes", "anew", "returns", "again"),
+            most_words=2,
+            asking=50,
+            safety={"WarmUp": 300},
+        ),
+        Shape(
+            "budget",
+            (_IDEMPOTENT,),
+            (Asked("a", "read", 450), Asked("b", "read", 450), Asked("c", "read", 450)),
+            ("cuts",),
+            2,
+            leaves=1,
+            asking=150,
+            safety={"BudgetWindow": 300, "FreeResends": 0, "ResendRatio": 0.7},
+        ),
+        Shape(
+            "order",
+            (_ORDERED,),
+            (Asked("a", "step", 450, 7), Asked("b", "step", 450, 7), Asked("c", "step", 450, 7)),
+            ("refuses", "cuts"),
+            2,
+            leaves=1,
+            asking=50,
+            safety={"TurnGap": 150},
+        ),
+    )
+}
 
 CONFIGURATIONS: dict[str, Callable[[Bounds], Passage]] = {
-    name: (lambda bounds, shape=shape: Passage(shape, bounds)) for name, shape in SHAPES.items()}
+    name: (lambda bounds, shape=shape: Passage(shape, bounds)) for name, shape in SHAPES.items()
+}
 
-_AS_READY = (Gateway.listed, "if engine.standing is Standing.READY]",
-             "if engine.standing is not Standing.GONE]")
+_AS_READY = (
+    Gateway.listed,
+    "if engine.standing is Standing.READY]",
+    "if engine.standing is not Standing.GONE]",
+)
 MUTANTS: tuple[Mutant, ...] = (
-    Mutant("no_answer_when_worthless", "by_hard_stop", "silent", lines(
-        (Gateway.came_back, "else:\n        self._end(submission, now)", "else:\n        pass"))),
-    Mutant("reset_never_ran", "unrepeatable", "attempt", lines(
-        (Gateway._may_deny, "in UNRUN", "in UNRUN | {Ending.RESET}"))),
-    Mutant("spoilt_never_ran", "unrepeatable", "attempt", lines(
-        (Gateway._may_deny, "in UNRUN", "in UNRUN | {Ending.SPOILT}"))),
-    Mutant("failure_never_ran", "unrepeatable", "attempt", lines(
-        (Back.answered, "self.ended(exchange, _ENDINGS[answer.word], answer.report)",
-         "self.ended(exchange, Ending.FULL, answer.report)"))),
-    Mutant("time_out_never_ran", "unrepeatable", "attempt", lines(
-        (Gateway._may_deny, "in UNRUN", "in UNRUN | {Ending.TIMED_OUT}"))),
-    Mutant("all_denied", "unrepeatable", "attempt", lines(
-        (Gateway._end, "not self._may_deny(submission)", "False"))),
-    Mutant("group_unasked", "deduplicated", "attempt", lines(
-        (Gateway._may_take, "not group.get(tariff.group) or ", ""))),
-    Mutant("memory_unasked", "deduplicated", "repeat", lines(
-        (Gateway._may_take, "now >= relay.sent + tariff.memory - 50_000", "False"))),
-    Mutant("memory_from_now", "deduplicated", "repeat", lines(
-        (Gateway._may_take, "now >= relay.sent + tariff.memory - 50_000",
-         "now >= submission.relays[-1].sent + tariff.memory - 50_000"))),
-    Mutant("denied_outside_group", "deduplicated", "repeat", lines(
-        (Gateway._may_deny, 'tariff.deduplicated and tariff.group == "all"', "tariff.deduplicated"))),
-    Mutant("no_margin_out", "by_hard_stop", "silent", lines(
-        (Gateway._send, "submission.hard_stop - now - (MARGIN - SWEEP)", "submission.hard_stop - now"))),
-    Mutant("no_margin_held", "by_hard_stop", "budget", lines(
-        (Gateway.came_back, "min(submission.hard_stop - MARGIN, max(", "min(submission.hard_stop, max("))),
-    Mutant("sent_stays_held", "one_outstanding", "order", lines(
-        (Gateway._send, "self._unhold(submission)", "pass"))),
-    Mutant("ended_stays_held", "sound", "budget", lines(
-        (Gateway._close, "self._unhold(submission)", "pass"))),
-    Mutant("sent_before_heard", "one_outstanding", "silent", lines(
-        (Send.give_up, "exchange.link is None or exchange.link.give_up(exchange)", "True"))),
-    Mutant("late_result_answers", "one_answer", "attempt", lines(
-        (Back.ended, "if ending is Ending.FULFILLED and not no_more:", "if ending is Ending.FULFILLED:"),
-        (Book._answer, 'self._counters.must(not errand.answered, "a submission is answered once")\n'
-                       "    if errand.answered:", "if False:"))),
-    Mutant("left_is_relayed_again", "nothing_after", "attempt", lines(
-        (Back.ended, "no_more = submission.ended", "no_more = False"),
-        (Gateway.came_back, "if no_more or submission.ended:", "if no_more:"))),
-    Mutant("answers_in_order", "own_name", "attempt", lines(
-        (Book._answer, "self.open.get(submission)", "next(iter(self.open.values()), None)"))),
-    Mutant("report_kept", "nothing_kept", "attempt", lines(
-        (Back.ended, "self._reports.pop(relay, None)", "pass"))),
-    Mutant("call_kept", "nothing_kept", "attempt", lines(
-        (Back.ended, "exchange.due.cancel()", "pass"))),
-    Mutant("errand_kept", "nothing_kept", "attempt", lines(
-        (Back.ended, "self._book.settle(submission)", "pass"))),
-    Mutant("threads_kept", "nothing_kept", "attempt", lines(
-        (Gateway.came_back, "limiter.threads -= submission.tariff.threads", "pass"))),
-    Mutant("checked_at_choice", "drained", "drain", lines(
-        (SocketPort.relay, "self._route.route(relay, self._book.open, patience)",
-         "self._timers.after(0, lambda _: self._route.route(relay, self._book.open, patience))"))),
-    Mutant("grace_used", "drained", "drain", lines(
-        _AS_READY, (Gateway._may_take, "engine.standing is not Standing.READY",
-                    "engine.standing is Standing.GONE"))),
-    Mutant("omission_unheard", "gone", "drain", lines(
-        (Gateway.listed, "if complete and engine not in named:", "if False:"),
-        (Route.listed, "self._pools.pop(engine).retire()", "self._pools[engine].retire()"))),
-    Mutant("restart_forgets_out", "sound", "drain", lines(
-        (Gateway.listed, "if engine.limiter is not None:", "if False:"))),
-    Mutant("left_keeps_budget", "further_budget", "budget", lines(
-        (Gateway.client_left, "self.accepted.add(submission.arrived, -1)", "pass"))),
-    Mutant("budget_rounded_up", "further_budget", "budget", lines(
-        (Gateway._budget_left, "self.accepted.least(now)", "self.accepted.most(now)"))),
-    Mutant("budget_without_this", "further_budget", "budget", lines(
-        (Gateway._budget_left, "self.relayed_again.most(now) + 1", "self.relayed_again.most(now)"))),
-    Mutant("further_uncounted", "further_budget", "budget", lines(
-        (Gateway._send, "(self.relayed_again if again else tariff.usual.sent).add(now)",
-         "tariff.usual.sent.add(now)"))),
-    Mutant("budget_unasked_held", "further_budget", "budget", lines(
-        (Gateway._send, "again and not self._budget_left(submission, now)",
-         "again and not submission.held and not self._budget_left(submission, now)"))),
-    Mutant("turn_given_up_early", "key_order", "order", lines(
-        (Gateway._give_up_turn, "submission.ended and not submission.relay", "submission.ended"))),
-    Mutant("no_gap", "key_order", "order", lines(
-        (Gateway._is_turn, "now >= self.key_free.get(submission.key, 0)", "True"))),
-    Mutant("gap_not_after_reset", "key_order", "order", lines(
-        (Gateway.came_back, "if ending in RUNNING_ON and", "if ending in RUNNING_ON - {Ending.RESET} and"))),
-    Mutant("gap_not_after_left", "key_order", "order", lines(
-        (Gateway.came_back, "if ending in RUNNING_ON and",
-         "if ending in RUNNING_ON - {Ending.WITHDRAWN} and"))),
-    Mutant("turn_unasked", "key_order", "order", lines(
-        (Gateway._is_turn, "self.queues[submission.key][0] is submission", "True"))),
-    Mutant("turn_kept", "nothing_kept", "order", lines(
-        (Gateway._give_up_turn, "queue.remove(submission)", "pass"))),
+    Mutant(
+        "no_answer_when_worthless",
+        "by_hard_stop",
+        "silent",
+        lines((Gateway.came_back, "else:\n        self._end(submission, now)", "else:\n        pass")),
+    ),
+    Mutant(
+        "reset_never_ran",
+        "unrepeatable",
+        "attempt",
+        lines((Gateway._may_deny, "in UNRUN", "in UNRUN | {Ending.RESET}")),
+    ),
+    Mutant(
+        "spoilt_never_ran",
+        "unrepeatable",
+        "attempt",
+        lines((Gateway._may_deny, "in UNRUN", "in UNRUN | {Ending.SPOILT}")),
+    ),
+    Mutant(
+        "failure_never_ran",
+        "unrepeatable",
+        "attempt",
+        lines(
+            (
+                Back.answered,
+                "self.ended(exchange, _ENDINGS[answer.word], answer.report)",
+                "self.ended(exchange, Ending.FULL, answer.report)",
+            )
+        ),
+    ),
+    Mutant(
+        "time_out_never_ran",
+        "unrepeatable",
+        "attempt",
+        lines((Gateway._may_deny, "in UNRUN", "in UNRUN | {Ending.TIMED_OUT}")),
+    ),
+    Mutant(
+        "all_denied",
+        "unrepeatable",
+        "attempt",
+        lines((Gateway._end, "not self._may_deny(submission)", "False")),
+    ),
+    Mutant(
+        "group_unasked",
+        "deduplicated",
+        "attempt",
+        lines((Gateway._may_take, ' or not same.get(tariff.group, tariff.group == "all")', "")),
+    ),
+    Mutant(
+        "memory_unasked",
+        "deduplicated",
+        "repeat",
+        lines((Gateway._may_take, "now >= relay.sent + tariff.memory - 50_000", "False")),
+    ),
+    Mutant(
+        "memory_from_now",
+        "deduplicated",
+        "repeat",
+        lines(
+            (
+                Gateway._may_take,
+                "now >= relay.sent + tariff.memory - 50_000",
+                "now >= submission.relays[-1].sent + tariff.memory - 50_000",
+            )
+        ),
+    ),
+    Mutant(
+        "denied_outside_group",
+        "deduplicated",
+        "repeat",
+        lines((Gateway._may_deny, 'tariff.deduplicated and tariff.group == "all"', "tariff.deduplicated")),
+    ),
+    Mutant(
+        "no_margin_out",
+        "by_hard_stop",
+        "silent",
+        lines((Gateway._send, "submission.hard_stop - now - (MARGIN - SWEEP)", "submission.hard_stop - now")),
+    ),
+    Mutant(
+        "no_margin_held",
+        "by_hard_stop",
+        "budget",
+        lines(
+            (Gateway.came_back, "min(submission.hard_stop - MARGIN, max(", "min(submission.hard_stop, max(")
+        ),
+    ),
+    Mutant(
+        "sent_stays_held",
+        "one_outstanding",
+        "order",
+        lines((Gateway._send, "self._unhold(submission)", "pass")),
+    ),
+    Mutant(
+        "ended_stays_held", "sound", "budget", lines((Gateway._close, "self._unhold(submission)", "pass"))
+    ),
+    Mutant(
+        "sent_before_heard",
+        "one_outstanding",
+        "silent",
+        lines((Send.give_up, "exchange.link is None or exchange.link.give_up(exchange)", "True")),
+    ),
+    Mutant(
+        "late_result_answers",
+        "one_answer",
+        "attempt",
+        lines(
+            (Back.ended, "if ending is Ending.FULFILLED and not no_more:", "if ending is Ending.FULFILLED:"),
+            (
+                Book._answer,
+                'self._counters.must(not errand.answered, "a submission is answered once")\n'
+                "    if errand.answered:",
+                "if False:",
+            ),
+        ),
+    ),
+    Mutant(
+        "left_is_relayed_again",
+        "nothing_after",
+        "attempt",
+        lines(
+            (Back.ended, "no_more = submission.ended", "no_more = False"),
+            (Gateway.came_back, "if no_more or submission.ended:", "if no_more:"),
+        ),
+    ),
+    Mutant(
+        "answers_in_order",
+        "own_name",
+        "attempt",
+        lines((Book._answer, "self.open.get(submission)", "next(iter(self.open.values()), None)")),
+    ),
+    Mutant(
+        "report_kept",
+        "nothing_kept",
+        "attempt",
+        lines((Back.ended, "self._reports.pop(relay, None)", "pass")),
+    ),
+    Mutant("call_kept", "nothing_kept", "attempt", lines((Back.ended, "exchange.due.cancel()", "pass"))),
+    Mutant(
+        "errand_kept", "nothing_kept", "attempt", lines((Back.ended, "self._book.settle(submission)", "pass"))
+    ),
+    Mutant(
+        "threads_kept",
+        "nothing_kept",
+        "attempt",
+        lines((Gateway.came_back, "limiter.threads -= submission.tariff.threads", "pass")),
+    ),
+    Mutant(
+        "checked_at_choice",
+        "drained",
+        "drain",
+        lines(
+            (
+                SocketPort.relay,
+                "self._route.route(relay, self._book.open, patience)",
+                "self._timers.after(0, lambda _: self._route.route(relay, self._book.open, patience))",
+            )
+        ),
+    ),
+    Mutant(
+        "grace_used",
+        "drained",
+        "drain",
+        lines(
+            _AS_READY,
+            (Gateway._may_take, "engine.standing is not Standing.READY", "engine.standing is Standing.GONE"),
+        ),
+    ),
+    Mutant(
+        "omission_unheard",
+        "gone",
+        "drain",
+        lines(
+            (Gateway.listed, "if complete and engine not in named:", "if False:"),
+            (Route.listed, "self._pools.pop(engine).retire()", "self._pools[engine].retire()"),
+        ),
+    ),
+    Mutant(
+        "restart_forgets_out",
+        "sound",
+        "drain",
+        lines((Gateway.listed, "if engine.limiter is not None:", "if False:")),
+    ),
+    Mutant(
+        "left_keeps_budget",
+        "further_budget",
+        "budget",
+        lines((Gateway.client_left, "self.accepted.add(submission.arrived, -1)", "pass")),
+    ),
+    Mutant(
+        "budget_rounded_up",
+        "further_budget",
+        "budget",
+        lines((Gateway._budget_left, "self.accepted.least(now)", "self.accepted.most(now)")),
+    ),
+    Mutant(
+        "budget_without_this",
+        "further_budget",
+        "budget",
+        lines((Gateway._budget_left, "self.relayed_again.most(now) + 1", "self.relayed_again.most(now)")),
+    ),
+    Mutant(
+        "further_uncounted",
+        "further_budget",
+        "budget",
+        lines(
+            (
+                Gateway._send,
+                "(self.relayed_again if again else tariff.usual.sent).add(now)",
+                "tariff.usual.sent.add(now)",
+            )
+        ),
+    ),
+    Mutant(
+        "budget_unasked_held",
+        "further_budget",
+        "budget",
+        lines(
+            (
+                Gateway._send,
+                "again and not self._budget_left(submission, now)",
+                "again and not submission.held and not self._budget_left(submission, now)",
+            )
+        ),
+    ),
+    Mutant(
+        "turn_given_up_early",
+        "key_order",
+        "order",
+        lines((Gateway._give_up_turn, "submission.ended and not submission.relay", "submission.ended")),
+    ),
+    Mutant(
+        "no_gap",
+        "key_order",
+        "order",
+        lines((Gateway._is_turn, "now >= self.key_free.get(submission.key, 0)", "True")),
+    ),
+    Mutant(
+        "gap_not_after_reset",
+        "key_order",
+        "order",
+        lines(
+            (Gateway.came_back, "if ending in RUNNING_ON and", "if ending in RUNNING_ON - {Ending.RESET} and")
+        ),
+    ),
+    Mutant(
+        "gap_not_after_left",
+        "key_order",
+        "order",
+        lines(
+            (
+                Gateway.came_back,
+                "if ending in RUNNING_ON and",
+                "if ending in RUNNING_ON - {Ending.WITHDRAWN} and",
+            )
+        ),
+    ),
+    Mutant(
+        "turn_unasked",
+        "key_order",
+        "order",
+        lines((Gateway._is_turn, "self.queues[submission.key][0] is submission", "True")),
+    ),
+    Mutant(
+        "turn_kept",
+        "nothing_kept",
+        "order",
+        lines((Gateway._give_up_turn, "queue.remove(submission)", "pass")),
+    ),
 )
--- a/cresstray/check/lines.py
+++ b/cresstray/check/lines.py
@@ -39,9 +39,13 @@
 # As the service ends: so long requests still come, then all that is owed is waited for, then what is written.
 _STILL_COMING, _AFTER_LIMIT, _WRITTEN = 800 * MILLI, 200 * MILLI, 500 * MILLI
 _LATEST = 100 * MILLI  # before its hard stop the module has ended what it still holds
-_SETTINGS = {"Limits": {"Cancel": True}, "Services": [
-    {"Name": "read", "Effect": "idempotent", "GiveUp": 750},
-    {"Name": "post", "Effect": "at_most_once", "GiveUp": 750}]}
+_SETTINGS = {
+    "Limits": {"Cancel": True},
+    "Services": [
+        {"Name": "read", "Effect": "idempotent", "GiveUp": 750},
+        {"Name": "post", "Effect": "at_most_once", "GiveUp": 750},
+    ],
+}
 
 
 class Asked(NamedTuple):
@@ -53,8 +57,10 @@
 
 # One that may run again, and one that may not.
 ASKED = Asked("a", 1, "read", 600), Asked("b", 2, "post", 1200)
-_TARIFFS = [Tariff(place, 1, 100 * MILLI, 0.0, 1.0, 0.0, idempotent, False, "all", 0, False, None, None)
-            for place, idempotent in enumerate((True, False))]
+_TARIFFS = [
+    Tariff(place, 1, 100 * MILLI, 0.0, 1.0, 0.0, idempotent, False, "all", 0, False, None, None)
+    for place, idempotent in enumerate((True, False))
+]
 
 
 class Names(set):
@@ -99,8 +105,9 @@
         if submission.relay is not None:
             self.port.withdraw(submission.relay)
 
-    def came_back(self, relay: Relay, ending: Ending, latency: int, no_more: bool, report: dict,
-                  now: int) -> None:
+    def came_back(
+        self, relay: Relay, ending: Ending, latency: int, no_more: bool, report: dict, now: int
+    ) -> None:
         if relay.ending is not None:
             return
         submission = relay.submission
@@ -234,13 +241,14 @@
         admit.gateway = module
         self.take_in = TakeIn(_SETTINGS, _TARIFFS, clock, admit)
         self.pool = self.route._pools[module.engine] = EnginePool(self)
-        self.house = House(frozenset(("read", "post")), self.take_in, _most, 4, clock.now, counters,
-                           NoLog().say)
+        self.house = House(
+            frozenset(("read", "post")), self.take_in, _most, 4, clock.now, counters, NoLog().say
+        )
         self.wire = ClientWire(self)
         self.talk: Talk | None = Talk(self.house, self.wire)
         self.house.connections[self.talk] = None
         self.then = Next.READ
-        self.accounts = [Account(asked) for asked in ASKED[:bounds.submissions or submissions]]
+        self.accounts = [Account(asked) for asked in ASKED[: bounds.submissions or submissions]]
         self.cuts = 1
         self.faults = faults if bounds.faults is None else bounds.faults
         self.leaves = leaves if bounds.leaves is None else bounds.leaves
@@ -305,8 +313,11 @@
     # Choices.
 
     def choices(self) -> list[str]:
-        over = self.talk is None or not self.wire.waiting and all(
-            one.heard or one.withdrawn for one in self.accounts)
+        over = (
+            self.talk is None
+            or not self.wire.waiting
+            and all(one.heard or one.withdrawn for one in self.accounts)
+        )
         if self.ending == "over" or over and self.quiet() and not self.module.held:
             return []
         found: list[str] = []
@@ -353,8 +364,11 @@
             if self.cuts and self._reads():
                 found += [f"client asks {name} in part" for name in asking]
             if self.leaves:
-                found += [f"client withdraws {one.asked.name}" for one in self.accounts
-                          if one.stop and not one.heard and not one.withdrawn]
+                found += [
+                    f"client withdraws {one.asked.name}"
+                    for one in self.accounts
+                    if one.stop and not one.heard and not one.withdrawn
+                ]
                 found += ["client shuts", "client resets"]
                 if not wire.stalls:
                     found.append("client stalls")
@@ -461,9 +475,15 @@
             for account in self.accounts if what == "both" else [self._account(what[0])]:
                 asked = account.asked
                 account.stop = 1  # until it is read
-                wire.unread += _line(asked.tariff, asked.number, {
-                    "req": asked.name * 16, "timeout": asked.patience,
-                    "data": b64encode(b"select 1").decode()})
+                wire.unread += _line(
+                    asked.tariff,
+                    asked.number,
+                    {
+                        "req": asked.name * 16,
+                        "timeout": asked.patience,
+                        "data": b64encode(b"select 1").decode(),
+                    },
+                )
             if self._reads():
                 # What lies in the network longer is no other case: the gateway's time runs from its reading.
                 self._gateway_reads("in part" if what.endswith("in part") else "")
@@ -508,8 +528,8 @@
         if what == "in part":
             self.cuts -= 1
             # Within the last line: what is before it comes with half of it.
-            data = data[:(data.rfind(b"\n", 0, -1) + 1 + len(data)) // 2]
-        wire.unread = wire.unread[len(data):]
+            data = data[: (data.rfind(b"\n", 0, -1) + 1 + len(data)) // 2]
+        wire.unread = wire.unread[len(data) :]
         for account in self.accounts:
             # A request's time runs from when the gateway has all of it; a withdrawal counts from there on.
             if account.stop and not account.taken:
@@ -526,7 +546,7 @@
     def _mark_taken(self, data: bytes) -> list[Account]:
         """Which requests are whole with this piece; returns those that are withdrawn by it."""
         left, whole = [], bytes(self.talk._buffer) + data
-        for line in whole[:whole.rfind(b"\n") + 1].splitlines():
+        for line in whole[: whole.rfind(b"\n") + 1].splitlines():
             told = json.loads(line)
             number = told.get("id") or told["params"]["id"]
             account = next(one for one in self.accounts if one.asked.number == number)
@@ -589,8 +609,8 @@
             data = link.told.pop(0) if what == "read in part" else b"".join(link.told)
             if what == "read in part":
                 self.cuts -= 1
-                link.told.insert(0, data[len(data) // 2:])
-                data = data[:len(data) // 2]
+                link.told.insert(0, data[len(data) // 2 :])
+                data = data[: len(data) // 2]
             else:
                 link.told = []
             self._read(link, data)
@@ -656,29 +676,45 @@
 
     def _mind_time(self) -> None:
         for account in self.accounts:
-            if (account.taken and not account.heard and not account.withdrawn and self.talk is not None
-                    and self.clock.at > account.stop):
+            if (
+                account.taken
+                and not account.heard
+                and not account.withdrawn
+                and self.talk is not None
+                and self.clock.at > account.stop
+            ):
                 self.breaks("by_hard_stop", f"{account.asked.name} is not answered by its hard stop")
 
     def quiet(self) -> bool:
-        return (all(one.heard or one.withdrawn or not one.taken for one in self.accounts)
-                and not any(link.told or link.hung_up for link in self.pool.links)
-                and not self.back.out and not self._is_due())
+        return (
+            all(one.heard or one.withdrawn or not one.taken for one in self.accounts)
+            and not any(link.told or link.hung_up for link in self.pool.links)
+            and not self.back.out
+            and not self._is_due()
+        )
 
     def _mind_rest(self) -> None:
         links = self.pool.links
-        kept = {"open": self.book.open, "pages told": self.back._reports, "held": self.module.held,
-                "out": self.module.out, "on links": [one for link in links for one in link.life.open],
-                "idle and no link": [link for link in self.pool.quota.idle if link not in links],
-                "owed": self.talk.open if self.talk is not None else (),
-                "half lines": self.house.unfinished and self.talk is None and "some" or ""}
+        kept = {
+            "open": self.book.open,
+            "pages told": self.back._reports,
+            "held": self.module.held,
+            "out": self.module.out,
+            "on links": [one for link in links for one in link.life.open],
+            "idle and no link": [link for link in self.pool.quota.idle if link not in links],
+            "owed": self.talk.open if self.talk is not None else (),
+            "half lines": self.house.unfinished and self.talk is None and "some" or "",
+        }
         for name, what in kept.items():
             if what:
                 self.breaks("nothing_kept", f"{len(what)} {name}")
         if self.pool.quota.used != len(links):
             self.breaks("nothing_kept", f"{self.pool.quota.used} links counted, {len(links)} there")
-        idle = [link for link in links if not link.life.open and not link.life.ended
-                and link not in self.pool.quota.idle]
+        idle = [
+            link
+            for link in links
+            if not link.life.open and not link.life.ended and link not in self.pool.quota.idle
+        ]
         if idle:
             self.breaks("nothing_kept", f"{idle[0].name} is idle and not known to be")
 
@@ -727,38 +763,88 @@
 
 
 def _answer(name: str, how: str) -> bytes:
-    parts = {"serves": (name * 16, "served", "sheets=1", _row(name)),
-             "refuses": (name * 16, "overload", "-", ""),
-             "spoils": (name * 16, "served", "sheets=1", b"\x00noise"),
-             "mixes up": ("f" * 16, "served", "-", _row("f"))}[how]
+    parts = {
+        "serves": (name * 16, "served", "sheets=1", _row(name)),
+        "refuses": (name * 16, "overload", "-", ""),
+        "spoils": (name * 16, "served", "sheets=1", b"\x00noise"),
+        "mixes up": ("f" * 16, "served", "-", _row("f")),
+    }[how]
     return hiredis.pack_command(parts)
 
 
 CONFIGURATIONS: dict[str, Callable[[Bounds], Lines]] = {
     "connection": lambda bounds: Lines(bounds, 2, 1, 1, False),
     "exchange": lambda bounds: Lines(bounds, 1, 3, 0, False),
-    "ending": lambda bounds: Lines(bounds, 2, 0, 1, True)}
+    "ending": lambda bounds: Lines(bounds, 2, 0, 1, True),
+}
 
 MUTANTS: tuple[Mutant, ...] = (
-    Mutant("answer_that_crosses_its_quit", "one_outstanding", "exchange", lines(
-        (Exchanges.room_for, "name in self.given_up or ", ""))),
-    Mutant("second_copy_of_a_refusal", "one_outstanding", "exchange", lines(
-        (Exchanges.room_for, " or name in self.refused", ""))),
-    Mutant("taken_in_after_the_close", "one_answer", "ending", lines(
-        (Talk._take, "elif self._closing:", "elif False:"))),
-    Mutant("reset_counted_as_never_run", "unrepeatable", "connection", lines(
-        (Exchanges._fate, "return Fate.CUT",
-         "return Fate.CUT if self.heard > exchange.heard else Fate.UNREACHED"))),
-    Mutant("spoilt_counted_as_refused", "unrepeatable", "connection", lines(
-        (Back.cut, "Ending.SPOILT if spoilt else Ending.RESET", "Ending.FULL if spoilt else Ending.RESET"))),
-    Mutant("the_last_stop_is_not_told", "by_hard_stop", "ending", lines(
-        (Book.close, "min(submission.hard_stop, last_stop)", "submission.hard_stop"))),
-    Mutant("who_has_left_is_not_told", "nothing_kept", "connection", lines(
-        (Talk.gone, "self._house.front.gone(self)", "pass"))),
-    Mutant("half_lines_are_counted_on", "nothing_kept", "connection", lines(
-        (Talk.gone, "self._house.unfinished -= len(self._buffer)", "pass"))),
-    Mutant("idle_and_forgotten", "nothing_kept", "connection", lines(
-        (AnyLink._mind_idle, "self.pool.quota.idle[self] = None", "pass"))),
-    Mutant("quit_that_is_not_sent", "one_outstanding", "exchange", lines(
-        (AnyLink.give_up, "if told is not None:", "if False:"))),
+    Mutant(
+        "answer_that_crosses_its_quit",
+        "one_outstanding",
+        "exchange",
+        lines((Exchanges.room_for, "or name in self.given_up", "")),
+    ),
+    Mutant(
+        "second_copy_of_a_refusal",
+        "one_outstanding",
+        "exchange",
+        lines((Exchanges.room_for, " or name in self.refused", "")),
+    ),
+    Mutant(
+        "taken_in_after_the_close",
+        "one_answer",
+        "ending",
+        lines((Talk._take, "elif self._closing:", "elif False:")),
+    ),
+    Mutant(
+        "reset_counted_as_never_run",
+        "unrepeatable",
+        "connection",
+        lines(
+            (
+                Exchanges._fate,
+                "return Fate.CUT",
+                "return Fate.CUT if self.heard > exchange.heard else Fate.UNREACHED",
+            )
+        ),
+    ),
+    Mutant(
+        "spoilt_counted_as_refused",
+        "unrepeatable",
+        "connection",
+        lines(
+            (Back.cut, "Ending.SPOILT if spoilt else Ending.RESET", "Ending.FULL if spoilt else Ending.RESET")
+        ),
+    ),
+    Mutant(
+        "the_last_stop_is_not_told",
+        "by_hard_stop",
+        "ending",
+        lines((Book.close, "min(submission.hard_stop, last_stop)", "submission.hard_stop")),
+    ),
+    Mutant(
+        "who_has_left_is_not_told",
+        "nothing_kept",
+        "connection",
+        lines((Talk.gone, "self._house.front.gone(self)", "pass")),
+    ),
+    Mutant(
+        "half_lines_are_counted_on",
+        "nothing_kept",
+        "connection",
+        lines((Talk.gone, "self._house.unfinished -= len(self._buffer)", "pass")),
+    ),
+    Mutant(
+        "idle_and_forgotten",
+        "nothing_kept",
+        "connection",
+        lines((AnyLink._mind_idle, "self.pool.quota.idle[self] = None", "pass")),
+    ),
+    Mutant(
+        "quit_that_is_not_sent",
+        "one_outstanding",
+        "exchange",
+        lines((AnyLink.give_up, "if told is not None:", "if False:")),
+    ),
 )
--- a/cresstray/check/marked.py
+++ b/cresstray/check/marked.py
@@ -36,8 +36,10 @@
 # Short ones, so that memories end within few choices; a slack of 100 ms bounds what may be asked and waited.
 _MEMORY, _SOFT, _HARD, _MARGIN = 2_000 * MILLI, 120 * MILLI, 1_000 * MILLI, 200 * MILLI
 _LINES = {"tariffs": ["load"], "answers": 64}
-_SETTINGS = {"Limits": {"RetryAfter": True, "MaxRetryAfter": 1000},
-             "Services": [{"Name": "load", "Effect": "deduplicated"}]}
+_SETTINGS = {
+    "Limits": {"RetryAfter": True, "MaxRetryAfter": 1000},
+    "Services": [{"Name": "load", "Effect": "deduplicated"}],
+}
 # Ways in which what has been sent may come back; `cut` may have run.
 _ENDS = {"serve": Ending.FULFILLED, "cut off": Ending.RESET}
 
@@ -97,8 +99,20 @@
         self.timers = VirtualTimers(world.clock)
         self.stopped = False
         self.asked: Asked | None = None
-        self.marks = Marks(self, _LINES, _SETTINGS, [world.tariff], self.name, str(life), fixed, world.clock,
-                           self.timers, Uncounted(), None, untold)
+        self.marks = Marks(
+            self,
+            _LINES,
+            _SETTINGS,
+            [world.tariff],
+            self.name,
+            str(life),
+            fixed,
+            world.clock,
+            self.timers,
+            Uncounted(),
+            None,
+            untold,
+        )
 
     def submit(self, commands: list[Command], by: int, call: Callable[[list | None], None]) -> None:
         world, words = self.world, tuple(command.words for command in commands)
@@ -166,8 +180,9 @@
     # Choices.
 
     def choices(self) -> list[str]:
-        if not self.asks and all(gate.asked is None or gate.asked.over or gate.asked.sent
-                                 for gate in self.gates):
+        if not self.asks and all(
+            gate.asked is None or gate.asked.over or gate.asked.sent for gate in self.gates
+        ):
             return []  # nothing can be sent any more
         found = []
         for gate in self.gates:
@@ -185,8 +200,10 @@
         if self.fail_overs and self.copy != self.data:
             found.append("store fails over")
         # Time that passes while a question waits is a fault of the store.
-        waits = any(one.call is not None and not self._gate(one).stopped and one.heard is None
-                    for one in self.questions)
+        waits = any(
+            one.call is not None and not self._gate(one).stopped and one.heard is None
+            for one in self.questions
+        )
         if self._moment() is not None and (self.faults or not waits):
             found.append("time passes")
         return found
@@ -195,8 +212,11 @@
         name, asked, found = gate.name, gate.asked, []
         if gate.stopped:
             return [f"{name} wakes"] + [f"{name} is killed"] * (self.lives > 0)
-        if self.asks and (asked is None or asked.over and (not asked.sent or asked.back)) and (
-                gate.number == 1 or self.gates[0].asked is not None or self.gates[0].life > 1):
+        if (
+            self.asks
+            and (asked is None or asked.over and (not asked.sent or asked.back))
+            and (gate.number == 1 or self.gates[0].asked is not None or self.gates[0].life > 1)
+        ):
             # The two are alike: the first that is asked is g1.
             found.append(f"{name} is asked")
         if asked is not None:
@@ -316,14 +336,19 @@
     def _kill(self, gate: Gate) -> None:
         self.lives -= 1
         # What it has asked may still reach the store.
-        self.questions = [one._replace(call=None) if one.gate == gate.number else one
-                          for one in self.questions if one.gate != gate.number or one.heard is None]
+        self.questions = [
+            one._replace(call=None) if one.gate == gate.number else one
+            for one in self.questions
+            if one.gate != gate.number or one.heard is None
+        ]
         self.gates[gate.number - 1] = gate = Gate(self, gate.number, gate.life + 1)
         self._settle(gate)
 
     def _pass_time(self) -> None:
-        waits = any(one.call is not None and not self._gate(one).stopped and one.heard is None
-                    for one in self.questions)
+        waits = any(
+            one.call is not None and not self._gate(one).stopped and one.heard is None
+            for one in self.questions
+        )
         self.faults -= waits
         self.clock.at = now = self._moment()
         for gate in self.gates:
@@ -370,26 +395,79 @@
 CONFIGURATIONS = {"marks": Marked}
 
 MUTANTS = (
-    Mutant("marked_after_the_relay", "deduplicated", "marks", lines(
-        (Marks.ask, "self._look_up(held, now)",
-         "held.until = held.times.hard_stop; self._tell(held, Go(0, 0), now)"))),
-    Mutant("fence_ignored", "deduplicated", "marks", lines(
-        (marks._holds, "(mark.fence, mark.owner, mark.life) == (event.fence, event.owner, event.life)",
-         "True"))),
-    Mutant("lease_by_timer_alone", "deduplicated", "marks", lines(
-        (Marks.may_send, "held.call is None and now < held.until", "held.call is None"))),
-    Mutant("unknown_is_unrun", "deduplicated", "marks", lines(
-        (Marks._settle, "Kind.UNKNOWN if held.may_have_run else Kind.UNRUN", "Kind.UNRUN"))),
-    Mutant("set_for_compare_and_set", "deduplicated", "marks", lines(
-        (codec.cas, '(b"EVALSHA", CAS_SHA, *rest)', '(b"SET", CAS_SHA, *rest)'))),
-    Mutant("takeover_forgets_the_first", "deduplicated", "marks", lines(
-        (Guard.claim, "min(mark.since, at) if taken_over else at", "at"),
-        (marks._intended, "min(mark.since, event.since) if taken_over else event.since", "event.since"))),
-    Mutant("doubt_is_cleared", "deduplicated", "marks", lines(
-        (marks.step, "State.UNKNOWN if mark.doubted else State.UNSEEN", "State.UNSEEN"))),
-    Mutant("asked_until_the_hard_stop", "by_hard_stop", "marks", lines(
-        (Marks._look_up, "held.by = now + self.health.budget(held.times.leave_by - now, now)",
-         "held.by = held.times.hard_stop"))),
-    Mutant("memory_without_its_margin", "deduplicated", "marks", lines(
-        (guard.margin, "_TRAVEL + memory // _DRIFT", "-2 * memory"))),
+    Mutant(
+        "marked_after_the_relay",
+        "deduplicated",
+        "marks",
+        lines(
+            (
+                Marks.ask,
+                "self._look_up(held, now)",
+                "held.until = held.times.hard_stop; self._tell(held, Go(0, 0), now)",
+            )
+        ),
+    ),
+    Mutant(
+        "fence_ignored",
+        "deduplicated",
+        "marks",
+        lines(
+            (
+                marks._holds,
+                "(mark.fence, mark.owner, mark.life) == (event.fence, event.owner, event.life)",
+                "True",
+            )
+        ),
+    ),
+    Mutant(
+        "lease_by_timer_alone",
+        "deduplicated",
+        "marks",
+        lines((Marks.may_send, "and now < held.until", "")),
+    ),
+    Mutant(
+        "unknown_is_unrun",
+        "deduplicated",
+        "marks",
+        lines((Marks._settle, "Kind.UNKNOWN if held.may_have_run else Kind.UNRUN", "Kind.UNRUN")),
+    ),
+    Mutant(
+        "set_for_compare_and_set",
+        "deduplicated",
+        "marks",
+        lines((codec.cas, '(b"EVALSHA", CAS_SHA, *rest)', '(b"SET", CAS_SHA, *rest)')),
+    ),
+    Mutant(
+        "takeover_forgets_the_first",
+        "deduplicated",
+        "marks",
+        lines(
+            (Guard.claim, "min(mark.since, at) if taken_over else at", "at"),
+            (marks._intended, "min(mark.since, event.since) if taken_over else event.since", "event.since"),
+        ),
+    ),
+    Mutant(
+        "doubt_is_cleared",
+        "deduplicated",
+        "marks",
+        lines((marks.step, "State.UNKNOWN if mark.doubted else State.UNSEEN", "State.UNSEEN")),
+    ),
+    Mutant(
+        "asked_until_the_hard_stop",
+        "by_hard_stop",
+        "marks",
+        lines(
+            (
+                Marks._look_up,
+                "held.by = now + self.health.budget(held.times.leave_by - now, now)",
+                "held.by = held.times.hard_stop",
+            )
+        ),
+    ),
+    Mutant(
+        "memory_without_its_margin",
+        "deduplicated",
+        "marks",
+        lines((guard.margin, "_TRAVEL + memory // _DRIFT", "-2 * memory")),
+    ),
 )
--- a/cresstray/check/mutants.py
+++ b/cresstray/check/mutants.py
@@ -12,4 +12,5 @@
 # By a variant's name, choices that show it, where a search takes long to come to them.
 SCHEDULES: dict[str, list[str]] = {
     row["name"]: row["choices"]
-    for row in tomllib.loads((Path(__file__).parent / "schedules.toml").read_text())["caught"]}
+    for row in tomllib.loads((Path(__file__).parent / "schedules.toml").read_text())["caught"]
+}
--- a/cresstray/clients/codec.py
+++ b/cresstray/clients/codec.py
@@ -18,9 +18,18 @@
         self.code, self.text, self.number = code, text, number
 
 
-class Query(msgspec.Struct, rename={
-        "name": "req", "patience": "timeout", "tenant": "owner", "mark": "opkey", "estimate": "ms",
-        "megabytes": "est_mb", "statement": "data"}):
+class Query(
+    msgspec.Struct,
+    rename={
+        "name": "req",
+        "patience": "timeout",
+        "tenant": "owner",
+        "mark": "opkey",
+        "estimate": "ms",
+        "megabytes": "est_mb",
+        "statement": "data",
+    },
+):
     """What a client asks for; times in milliseconds. `tariff` is the method, `mark` tells repeats apart."""
 
     name: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{16}$")]
--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -50,8 +50,16 @@
 class Door(House):
     """Where clients connect."""
 
-    def __init__(self, tariffs: frozenset[str], front: Front, most: Callable[[], int], many: int,
-                 now: Callable[[], int], counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        tariffs: frozenset[str],
+        front: Front,
+        most: Callable[[], int],
+        many: int,
+        now: Callable[[], int],
+        counters: Counters,
+        log: Log,
+    ) -> None:
         super().__init__(tariffs, front, most, many, now, counters, log.say)
         self._log = log
 
--- a/cresstray/clients/talk.py
+++ b/cresstray/clients/talk.py
@@ -107,8 +107,8 @@
         before, end = len(buffer), data.rfind(b"\n")
         buffer += data
         if end >= 0:
-            lines = bytes(buffer[:before + end]).split(b"\n")
-            del buffer[:before + end + 1]
+            lines = bytes(buffer[: before + end]).split(b"\n")
+            del buffer[: before + end + 1]
             self.since = house.now()
             self._take_all(lines)
         house.unfinished += len(buffer) - before
@@ -187,8 +187,16 @@
 class House:
     """All connections of one door: `most()` at once, and not `many` that only stay."""
 
-    def __init__(self, tariffs: frozenset[str], front: Front, most: Callable[[], int], many: int,
-                 now: Callable[[], int], counters: Counters, say: Callable[[str, str], None]) -> None:
+    def __init__(
+        self,
+        tariffs: frozenset[str],
+        front: Front,
+        most: Callable[[], int],
+        many: int,
+        now: Callable[[], int],
+        counters: Counters,
+        say: Callable[[str, str], None],
+    ) -> None:
         self.tariffs, self.front, self.now, self.counters, self.say = tariffs, front, now, counters, say
         self._most, self._many = most, many
         self.connections: dict[Talk, None] = {}  # in the order they came
@@ -214,5 +222,7 @@
         # Danger: of a crowd that says nothing, the last may be about to send their first request. A client
         # speaks at once.
         now = self.now()
-        return sorted(self.connections, key=lambda one: (
-            one.spoken if now - one.since > _PAUSE else 2 - one.spoken, one.since))
+        return sorted(
+            self.connections,
+            key=lambda one: (one.spoken if now - one.since > _PAUSE else 2 - one.spoken, one.since),
+        )
--- a/cresstray/commands/__init__.py
+++ b/cresstray/commands/__init__.py
@@ -17,9 +17,11 @@
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
         if cmd_name == "placement":
             from cresstray.commands import placement
+
             return placement.placement
         if cmd_name == "kept":
             from cresstray.commands import kept
+
             return kept.kept
         return super().get_command(ctx, cmd_name)
 
@@ -30,13 +32,24 @@
 
 
 @group.command()
-@click.option("--config", type=click.Path(), envvar="GW_CONFIG", show_envvar=True,
-              help="The gateway's configuration, as JSON.")
-@click.option("--operator", type=click.Path(), envvar="GW_OPERATOR", show_envvar=True,
-              help="The operator's file; without one, no optional part is on.")
+@click.option(
+    "--config",
+    type=click.Path(),
+    envvar="GW_CONFIG",
+    show_envvar=True,
+    help="The gateway's configuration, as JSON.",
+)
+@click.option(
+    "--operator",
+    type=click.Path(),
+    envvar="GW_OPERATOR",
+    show_envvar=True,
+    help="The operator's file; without one, no optional part is on.",
+)
 def run(config: str | None, operator: str | None) -> None:
     """Start one gateway and stay in the foreground."""
     from cresstray import start
+
     if config:
         os.environ["GW_CONFIG"] = config
     if operator:
@@ -52,22 +65,26 @@
 
     from cresstray.conf import operator
     from cresstray.conf.lines import UnusableError
+
     try:
         given = operator.read(file)
         for part in (given.halls, given.fleet):
             if part is not None and part.tls is not None:
                 from cresstray.halls.tls import Contexts
+
                 Contexts(part.tls)
         if given.store is not None:
             from cresstray.store import client
+
             client.check(given.store)
     except (UnusableError, OSError) as trouble:
         click.echo(str(trouble), err=True)
         sys.exit(2)
     click.echo(msgspec.json.format(msgspec.json.encode(given), indent=2).decode())
     if given.fleet is not None:
-        click.echo(f"rules may contradict each other for {given.fleet.stated / 1e6:g} s at the longest",
-                   err=True)
+        click.echo(
+            f"rules may contradict each other for {given.fleet.stated / 1e6:g} s at the longest", err=True
+        )
 
 
 @group.command()
@@ -77,6 +94,7 @@
 def keys(folder: str, halls: tuple[str, ...], days: int) -> None:
     """Make a private authority in FOLDER, unless there is one, and a key and certificate for each hall."""
     from cresstray.commands import authority
+
     try:
         for path in authority.make(folder, halls, days):
             click.echo(path)
@@ -90,6 +108,7 @@
 def links(socket: str, as_json: bool) -> None:
     """Tell the state of a running gateway's links and ledgers, by its control SOCKET."""
     from cresstray.halls import status
+
     try:
         told = status.ask(socket)
     except (OSError, ValueError) as trouble:
@@ -106,6 +125,7 @@
 def keeper(file: str, name: str, found: bool, dump: bool) -> None:
     """Run one keeper of the fleet in the foreground, by an operator's FILE."""
     from cresstray.commands import fleet
+
     sys.exit(fleet.keep(file, name, found, dump))
 
 
@@ -115,14 +135,22 @@
 
 
 _JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
-_SECONDS = click.option("--seconds", default=15.0, show_default=True, type=click.FloatRange(0.1, 600),
-                        help="How long to try for an answer.")
+_SECONDS = click.option(
+    "--seconds",
+    default=15.0,
+    show_default=True,
+    type=click.FloatRange(0.1, 600),
+    help="How long to try for an answer.",
+)
 
 
 @rules.command()
 @click.argument("file", type=click.Path())
-@click.option("--document", type=click.Choice(
-    ["gateways", "engines", "tenants", "tariffs", "placement", "replicas"]), help="Only this one.")
+@click.option(
+    "--document",
+    type=click.Choice(["gateways", "engines", "tenants", "tariffs", "placement", "replicas"]),
+    help="Only this one.",
+)
 @click.option("--version", default=0, type=click.IntRange(0), help="Of this version; 0: the latest.")
 @click.option("--history", is_flag=True, help="The changes of late instead.")
 @_JSON
@@ -130,6 +158,7 @@
 def show(file: str, document: str | None, version: int, history: bool, as_json: bool, seconds: float) -> None:
     """Tell the documents, by the operator's FILE."""
     from cresstray.commands import fleet
+
     sys.exit(fleet.show(file, document, version, history, as_json, seconds))
 
 
@@ -144,15 +173,38 @@
 @click.option("--no-wait", is_flag=True, help="Don't wait until it is in force.")
 @_JSON
 @_SECONDS
-def propose(file: str, change: object, dry_run: bool, whole: bool, back_to: int, why: str, request: str,
-            no_wait: bool, as_json: bool, seconds: float) -> None:
+def propose(
+    file: str,
+    change: object,
+    dry_run: bool,
+    whole: bool,
+    back_to: int,
+    why: str,
+    request: str,
+    no_wait: bool,
+    as_json: bool,
+    seconds: float,
+) -> None:
     """Propose a CHANGE: JSON of documents, merged into what is there; null takes out. - is standard input.
 
     Exit code 1: refused. 2: wrong, or no answer. With "versions" it is taken only if they are the latest.
     """
     from cresstray.commands import fleet
-    sys.exit(fleet.change(file, change.read() if change is not None else None, dry_run, whole, back_to, why,
-                          request, not no_wait, as_json, seconds))
+
+    sys.exit(
+        fleet.change(
+            file,
+            change.read() if change is not None else None,
+            dry_run,
+            whole,
+            back_to,
+            why,
+            request,
+            not no_wait,
+            as_json,
+            seconds,
+        )
+    )
 
 
 @rules.command()
@@ -163,6 +215,7 @@
 def members(file: str, replace: str, as_json: bool, seconds: float) -> None:
     """Tell the keepers' members and leader, or replace one that has lost its file."""
     from cresstray.commands import fleet
+
     sys.exit(fleet.members(file, replace, as_json, seconds))
 
 
@@ -173,6 +226,7 @@
 def where(file: str, as_json: bool, seconds: float) -> None:
     """Tell each gateway's turn, what is left of its lease, and when it was heard."""
     from cresstray.commands import fleet
+
     sys.exit(fleet.where(file, as_json, seconds))
 
 
@@ -188,6 +242,7 @@
     Make sure of it: if it runs yet, engines get more than their share.
     """
     from cresstray.commands import fleet
+
     sys.exit(fleet.forget(file, gateway, why, as_json, seconds))
 
 
@@ -197,6 +252,7 @@
 def try_(seconds: int, seed: int) -> None:
     """Show two halls on built-in stand-ins: engines, a load, a cut of the link, and what became of it all."""
     from cresstray.standins import show
+
     sys.exit(show.main(seconds, seed))
 
 
@@ -215,4 +271,5 @@
 def main() -> None:
     """The console's entry; without a command, the gateway as the platform starts it."""
     from cresstray.start import run as start
+
     sys.exit(cli(sys.argv[1:]) if sys.argv[1:] else start())
