--- a/cresstray/commands/fleet.py
+++ b/cresstray/commands/fleet.py
@@ -45,6 +45,7 @@
     if given.tls is None:
         return "operator"
     from cryptography import x509
+
     try:
         made = x509.load_pem_x509_certificate(Path(given.tls.certificate).read_bytes())
         names = made.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
@@ -68,6 +69,7 @@
         contexts = None
         if given.tls is not None:
             from cresstray.halls.tls import Contexts
+
             contexts = Contexts(given.tls)
         self._ends = Ends((Greet, Reply), contexts, random.random, _Quiet(), Counters())
         self._life, self._number = secrets.token_hex(8), 0
@@ -93,8 +95,10 @@
                         return answer
                     faults[keeper.name] = answer["error"]
                 if time.monotonic() > self._until:
-                    raise NoAnswerError("no keeper has answered: " + "; ".join(
-                        f"{name}: {why}" for name, why in faults.items()))
+                    raise NoAnswerError(
+                        "no keeper has answered: "
+                        + "; ".join(f"{name}: {why}" for name, why in faults.items())
+                    )
             await anyio.sleep(0.1)
 
     async def _of(self, keeper: Keeper, ask: Ask) -> dict[str, Any]:
@@ -126,8 +130,15 @@
             why = "no answer in time"
             with anyio.move_on_after(_ANSWER):
                 why = await self._ends.made(
-                    keeper.address, keeper.name, hello("operator", self._given.name, self.who, self._life),
-                    check, talk, taken, lambda _: None, tasks)
+                    keeper.address,
+                    keeper.name,
+                    hello("operator", self._given.name, self.who, self._life),
+                    check,
+                    talk,
+                    taken,
+                    lambda _: None,
+                    tasks,
+                )
             tasks.cancel_scope.cancel()
         if not found:
             raise NoAnswerError(why)
@@ -136,6 +147,7 @@
 
 # Changes.
 
+
 def merged(old: Any, change: Any) -> Any:
     """RFC 7396: maps are merged, null takes out, all else takes the place of what was there."""
     if not isinstance(change, dict):
@@ -155,8 +167,9 @@
     given = {name: value for name, value in change.items() if name != "versions"}
     unknown = sorted(set(given) - set(documents.NAMES))
     if unknown:
-        raise ValueError(f"no document {', '.join(map(repr, unknown))}; "
-                         f"there are {', '.join(documents.NAMES)}")
+        raise ValueError(
+            f"no document {', '.join(map(repr, unknown))}; there are {', '.join(documents.NAMES)}"
+        )
     if not isinstance(stated, dict) or not all(isinstance(value, int) for value in stated.values()):
         raise ValueError("versions: a number for each document")
     old = documents.parsed(shown)
@@ -191,9 +204,20 @@
         self.refused = refused
 
 
-def propose(line: Line, change: dict[str, Any] | None, *, back_to: int = 0, whole: bool = False,
-            why: str = "", request: str = "", who: str = "", dry_run: bool = False, wait: bool = True,
-            seconds: float = 120.0, say: Callable[[str], None] = lambda _: None) -> dict[str, Any]:
+def propose(
+    line: Line,
+    change: dict[str, Any] | None,
+    *,
+    back_to: int = 0,
+    whole: bool = False,
+    why: str = "",
+    request: str = "",
+    who: str = "",
+    dry_run: bool = False,
+    wait: bool = True,
+    seconds: float = 120.0,
+    say: Callable[[str], None] = lambda _: None,
+) -> dict[str, Any]:
     """Proposes and waits until it is in force. RefusedError, NoAnswerError, ValueError."""
     request = request or secrets.token_hex(8)
     bases, delta = {}, b""
@@ -207,8 +231,12 @@
     if dry_run:
         return answer | {"differs": differing(answer["old"], answer["new"])}
     version = answer["version"]
-    told: dict[str, Any] = {"request": request, "version": version, "phase": "proposed",
-                            "committed_ms": _since(began)}
+    told: dict[str, Any] = {
+        "request": request,
+        "version": version,
+        "phase": "proposed",
+        "committed_ms": _since(began),
+    }
     say(f"version {version} is committed, after {told['committed_ms']} ms; request {request}")
     while wait:
         if answer["turn"] >= 2 * version:
@@ -219,8 +247,10 @@
             told |= {"phase": "joint", "joint_ms": _since(began)}
             say(f"version {version} is joint, after {told['joint_ms']} ms")
         if time.monotonic() - began > seconds:
-            say(f"version {version} is {told['phase']} still; "
-                f"it waits for {', '.join(answer.get('waits_for', []))}")
+            say(
+                f"version {version} is {told['phase']} still; "
+                f"it waits for {', '.join(answer.get('waits_for', []))}"
+            )
             break
         time.sleep(0.02)
         line._until = time.monotonic() + _ALL
@@ -240,8 +270,10 @@
         if answer["done"]:
             return answer
         if time.monotonic() - began > seconds:
-            raise ValueError(f"{name}: not done after {seconds:.0f} s: {answer.get('why', step)}; "
-                             "it goes on when typed again")
+            raise ValueError(
+                f"{name}: not done after {seconds:.0f} s: {answer.get('why', step)}; "
+                "it goes on when typed again"
+            )
         time.sleep(0.1)
 
 
@@ -262,6 +294,7 @@
 
 # What is typed: each tells on standard output, and returns its exit code.
 
+
 def _typed(act: Callable[[], int]) -> int:
     try:
         return act()
@@ -283,10 +316,15 @@
 def keep(path: str, name: str, founds: bool, dumps: bool) -> int:
     def act() -> int:
         from cresstray.keeper import process
+
         given = read(path)
         if given.keeper(name) is None:
-            raise UnusableError([f"{path}:1: expected a keeper {name!r}; there are "
-                                 f"{', '.join(one.name for one in given.keepers)}"])
+            raise UnusableError(
+                [
+                    f"{path}:1: expected a keeper {name!r}; there are "
+                    f"{', '.join(one.name for one in given.keepers)}"
+                ]
+            )
         if not given.folder:
             raise UnusableError([f"{path}:1: expected a section 'folder' with a path, for a keeper's file"])
         if dumps:
@@ -304,16 +342,27 @@
         line = Line(read(path), seconds)
         if history:
             told = ask(line, "past")
-            return _tell(told, as_json, [
-                f"version {past['version']}: {', '.join(past['documents']) or 'a gateway is out'}"
-                + (f" by {past['who']}" if past["who"] else "") + (f": {past['why']}" if past["why"] else "")
-                for past in told["past"]])
+            return _tell(
+                told,
+                as_json,
+                [
+                    f"version {past['version']}: {', '.join(past['documents']) or 'a gateway is out'}"
+                    + (f" by {past['who']}" if past["who"] else "")
+                    + (f": {past['why']}" if past["why"] else "")
+                    for past in told["past"]
+                ],
+            )
         told = ask(line, "show", version=version)
         if document is not None:
-            told["documents"] = {document: told["documents"][document],
-                                 "versions": {document: told["documents"]["versions"][document]}}
-        return _tell(told, as_json, [
-            _turn(told), msgspec.json.format(msgspec.json.encode(told["documents"]), indent=2).decode()])
+            told["documents"] = {
+                document: told["documents"][document],
+                "versions": {document: told["documents"]["versions"][document]},
+            }
+        return _tell(
+            told,
+            as_json,
+            [_turn(told), msgspec.json.format(msgspec.json.encode(told["documents"]), indent=2).decode()],
+        )
 
     return _typed(act)
 
@@ -321,12 +370,24 @@
 def _turn(told: dict[str, Any]) -> str:
     joint = f", joint with {told['in_force'] + 1}" if told["joint"] else ""
     waits = f"; waits for {', '.join(told['waits_for'])}" if told.get("waits_for") else ""
-    return (f"version {told['in_force']} is in force{joint}, the latest is {told['latest']}{waits}; "
-            f"rules may contradict each other for {told['stated_us'] / 1e6:g} s at the longest")
-
-
-def change(path: str, body: bytes | None, dry_run: bool, whole: bool, back_to: int, why: str, request: str,
-           wait: bool, as_json: bool, seconds: float) -> int:
+    return (
+        f"version {told['in_force']} is in force{joint}, the latest is {told['latest']}{waits}; "
+        f"rules may contradict each other for {told['stated_us'] / 1e6:g} s at the longest"
+    )
+
+
+def change(
+    path: str,
+    body: bytes | None,
+    dry_run: bool,
+    whole: bool,
+    back_to: int,
+    why: str,
+    request: str,
+    wait: bool,
+    as_json: bool,
+    seconds: float,
+) -> int:
     def act() -> int:
         if (body is None) == (not back_to):
             raise ValueError("either a CHANGE or --back-to")
@@ -336,8 +397,18 @@
             raise ValueError(f"the change is no JSON object: {trouble}") from None
         line = Line(read(path), seconds)
         say = (lambda _: None) if as_json else click.echo
-        told = propose(line, given, back_to=back_to, whole=whole, why=why, request=request, who=line.who,
-                       dry_run=dry_run, wait=wait, say=say)
+        told = propose(
+            line,
+            given,
+            back_to=back_to,
+            whole=whole,
+            why=why,
+            request=request,
+            who=line.who,
+            dry_run=dry_run,
+            wait=wait,
+            say=say,
+        )
         return _tell(told, as_json, told.get("differs") or ["nothing differs"] if dry_run else [])
 
     return _typed(act)
@@ -352,9 +423,10 @@
         told = ask(line, "members")
         lines = [f"leader {told['leader']}, term {told['term']}, {told['commit']} entries committed"]
         for kind in ("voters", "learners", "strangers"):
-            lines += [f"{kind[:-1]} {one}"
-                      + ("" if one in told["connected"] else ", not connected to the leader")
-                      for one in told[kind]]
+            lines += [
+                f"{kind[:-1]} {one}" + ("" if one in told["connected"] else ", not connected to the leader")
+                for one in told[kind]
+            ]
         return _tell(told, as_json, lines)
 
     return _typed(act)
@@ -366,8 +438,11 @@
         lines = [_turn(told)]
         for one in told["gateways"]:
             heard = "not heard of" if one["age_us"] is None else f"heard {one['age_us'] / 1e6:.1f} s ago"
-            at = "" if one["turn"] is None else (
-                f"version {one['turn'] // 2}{' joint' if one['turn'] % 2 else ''}, ")
+            at = (
+                ""
+                if one["turn"] is None
+                else (f"version {one['turn'] // 2}{' joint' if one['turn'] % 2 else ''}, ")
+            )
             left = f"{one['lease_us'] / 1e6:.1f} s of its lease left" if one["lease_us"] else "no lease"
             ghost = ", no list names it" if one["ghost"] else ""
             lines.append(f"{one['gateway']}: {at}{left}, {heard}{ghost}")
--- a/cresstray/commands/kept.py
+++ b/cresstray/commands/kept.py
@@ -43,11 +43,15 @@
 
 
 def _lines(told: dict) -> Iterable[str]:
-    yield (f"{told['owner']}: {_old(told['age'])}, index {told['index']}, {told['limits']} limits"
-           + (", handed over" if told["handed_over"] else ""))
+    yield (
+        f"{told['owner']}: {_old(told['age'])}, index {told['index']}, {told['limits']} limits"
+        + (", handed over" if told["handed_over"] else "")
+    )
     for one in told["engines"]:
-        yield (f"engine {one['id']} {one['address']} {_old(one['age'])}, trust {one['trust']:.2f}"
-               + (", drained" if one["draining"] else ""))
+        yield (
+            f"engine {one['id']} {one['address']} {_old(one['age'])}, trust {one['trust']:.2f}"
+            + (", drained" if one["draining"] else "")
+        )
     for one in told["gone"]:
         yield f"gone {one['id']} by index {one['index']}, for {one['days']:g} days of running"
     for one in told["tariffs"]:
--- a/cresstray/commands/placement.py
+++ b/cresstray/commands/placement.py
@@ -50,37 +50,83 @@
 
 
 _JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
-_SECONDS = click.option("--answer-in", default=15.0, show_default=True, type=click.FloatRange(0.1, 600),
-                        help="Seconds to try for an answer of the keepers.")
+_SECONDS = click.option(
+    "--answer-in",
+    default=15.0,
+    show_default=True,
+    type=click.FloatRange(0.1, 600),
+    help="Seconds to try for an answer of the keepers.",
+)
 
 
 @placement.command()
 @click.argument("file", type=click.Path())
 @click.option("--empty", multiple=True, help="An engine to be emptied; barred ones are.")
-@click.option("--keep-free", default=0.1, show_default=True, type=click.FloatRange(0, 0.9),
-              help="Share of each disk that stays free at every moment.")
+@click.option(
+    "--keep-free",
+    default=0.1,
+    show_default=True,
+    type=click.FloatRange(0, 0.9),
+    help="Share of each disk that stays free at every moment.",
+)
 @click.option("--keep-free-bytes", default=0, type=click.IntRange(0), help="And so many bytes at the least.")
-@click.option("--tolerance", default=0.05, show_default=True, type=click.FloatRange(0, 1),
-              help="How near to the mean each engine's fill is to be.")
-@click.option("--moves", "at_once", default=2, show_default=True, type=click.IntRange(1, 64),
-              help="At once on an engine.")
-@click.option("--share", default=0.3, show_default=True, type=click.FloatRange(0.01, 1),
-              help="Of an engine's pace, for all copies that it sends or takes.")
-@click.option("--border-moves", default=8, show_default=True, type=click.IntRange(1, 1024),
-              help="At once between two zones.")
+@click.option(
+    "--tolerance",
+    default=0.05,
+    show_default=True,
+    type=click.FloatRange(0, 1),
+    help="How near to the mean each engine's fill is to be.",
+)
+@click.option(
+    "--moves",
+    "at_once",
+    default=2,
+    show_default=True,
+    type=click.IntRange(1, 64),
+    help="At once on an engine.",
+)
+@click.option(
+    "--share",
+    default=0.3,
+    show_default=True,
+    type=click.FloatRange(0.01, 1),
+    help="Of an engine's pace, for all copies that it sends or takes.",
+)
+@click.option(
+    "--border-moves",
+    default=8,
+    show_default=True,
+    type=click.IntRange(1, 1024),
+    help="At once between two zones.",
+)
 @click.option("--border-pace", default=0, type=click.IntRange(0), help="Bytes a second between two zones.")
-@click.option("--seconds", default=20.0, show_default=True, type=click.FloatRange(1, 600),
-              help="For the solver.")
+@click.option(
+    "--seconds", default=20.0, show_default=True, type=click.FloatRange(1, 600), help="For the solver."
+)
 @click.option("--write", "path", type=click.Path(dir_okay=False), help="The plan, for `apply`.")
 @_JSON
 @_SECONDS
-def plan(file: str, empty: tuple[str, ...], keep_free: float, keep_free_bytes: int, tolerance: float,
-         at_once: int, share: float, border_moves: int, border_pace: int, seconds: float, path: str | None,
-         as_json: bool, answer_in: float) -> None:
+def plan(
+    file: str,
+    empty: tuple[str, ...],
+    keep_free: float,
+    keep_free_bytes: int,
+    tolerance: float,
+    at_once: int,
+    share: float,
+    border_moves: int,
+    border_pace: int,
+    seconds: float,
+    path: str | None,
+    as_json: bool,
+    answer_in: float,
+) -> None:
     """Make a plan from what is placed and what disks tell, by the operator's FILE; nothing moves yet."""
+
     def act() -> int:
         from cresstray.placement.check import check
         from cresstray.placement.worker import plan_in_worker
+
         line = fleet.Line(fleet.read(file), answer_in)
         limits = Limits(tolerance, at_once, share, border_moves, border_pace)
         given = documents.parsed(fleet.ask(line, "show")["documents"])
@@ -91,9 +137,13 @@
         broken = check(world, found)
         if broken:
             raise ValueError("the plan breaks what it was to keep: " + "; ".join(broken[:5]))
-        made = Made(f"{time.strftime('%Y%m%d-%H%M%S', time.gmtime())}-{secrets.token_hex(3)}",
-                    given.version("placement"), limits,
-                    {place.engine: place.headroom for place in world.places}, found)
+        made = Made(
+            f"{time.strftime('%Y%m%d-%H%M%S', time.gmtime())}-{secrets.token_hex(3)}",
+            given.version("placement"),
+            limits,
+            {place.engine: place.headroom for place in world.places},
+            found,
+        )
         body = msgspec.json.encode(made)
         if path:
             with open(path, "wb") as sink:
@@ -105,15 +155,22 @@
     _typed(act)
 
 
-def _world(given: documents.Documents, told: dict[str, Disk], empty: tuple[str, ...], keep_free: float,
-           keep_free_bytes: int, limits: Limits) -> model.Fleet:
+def _world(
+    given: documents.Documents,
+    told: dict[str, Disk],
+    empty: tuple[str, ...],
+    keep_free: float,
+    keep_free_bytes: int,
+    limits: Limits,
+) -> model.Fleet:
     # The leader asks all of them beside each other: one that lags behind the others does not answer.
     newest = max((disk.at for disk in told.values()), default=0)
     fresh = [disk for disk in told.values() if newest - disk.at <= _FRESH]
     if not fresh:
         raise ValueError("no disk has told anything to the leader yet")
     known = {disk.engine for disk in fresh} | {
-        copy for shard in given.placement.items.values() for copy in shard.copies}
+        copy for shard in given.placement.items.values() for copy in shard.copies
+    }
     unknown = sorted(set(empty) - known)
     if unknown:
         raise ValueError(f"no engine {', '.join(unknown)} holds a shard, or tells of its disk")
@@ -121,22 +178,40 @@
     if fenced:
         raise ValueError(f"shards without a primary: {', '.join(fenced[:5])}; a plan needs one for each")
     out = set(empty) | {name for name, rule in given.engines.items.items() if rule.barred and name in known}
-    disks = [fleetmap.Disk(disk.engine, disk.zone, disk.free, disk.pace,
-                           {name: copy.bytes for name, copy in disk.copies.items()}) for disk in fresh]
-    grown = {name: fleetmap.Grown(copy.growth) for disk in fresh for name, copy in disk.copies.items()
-             if copy.primary}
-    return fleetmap.mapped(given.placement.items, disks, grown, sorted(out), keep_free, keep_free_bytes,
-                           limits)
+    disks = [
+        fleetmap.Disk(
+            disk.engine,
+            disk.zone,
+            disk.free,
+            disk.pace,
+            {name: copy.bytes for name, copy in disk.copies.items()},
+        )
+        for disk in fresh
+    ]
+    grown = {
+        name: fleetmap.Grown(copy.growth)
+        for disk in fresh
+        for name, copy in disk.copies.items()
+        if copy.primary
+    }
+    return fleetmap.mapped(
+        given.placement.items, disks, grown, sorted(out), keep_free, keep_free_bytes, limits
+    )
 
 
 def _lines(world: model.Fleet, made: Made) -> list[str]:
-    lines = [f"plan {made.id}, from version {made.made_of} of the placement",
-             *fleetmap.fits(world, made.plan)]
+    lines = [
+        f"plan {made.id}, from version {made.made_of} of the placement",
+        *fleetmap.fits(world, made.plan),
+    ]
     for number, stage in enumerate(made.plan.stages, 1):
         lines.append(f"stage {number}:")
-        lines += [f"  {move.shard}: {move.source} > {move.target}, {move.bytes} bytes"
-                  + (", primary" if move.primary else "") + (", a hop" if move.hop else "")
-                  for move in (made.plan.moves[at] for at in stage)]
+        lines += [
+            f"  {move.shard}: {move.source} > {move.target}, {move.bytes} bytes"
+            + (", primary" if move.primary else "")
+            + (", a hop" if move.hop else "")
+            for move in (made.plan.moves[at] for at in stage)
+        ]
     return lines
 
 
@@ -151,6 +226,7 @@
 
     Exit code 1: cancelled, or halted; make a new plan then, what was moved is kept.
     """
+
     def act() -> int:
         try:
             given = msgspec.json.decode(made.read(), type=Made)
@@ -170,8 +246,9 @@
     """Puts the plan into the log; why it was refused, or nothing. Asked again: begun once."""
     for part, entry in enumerate(moves.begin(made.id, line.who, made.plan, made.limits, made.headroom)):
         # Its name is drawn anew each time: what was refused once may be taken now, and is begun once anyway.
-        told = fleet.ask(line, "section", name=moves.NAME, change=entry,
-                         request=f"{made.id}/{part}/{secrets.token_hex(4)}")
+        told = fleet.ask(
+            line, "section", name=moves.NAME, change=entry, request=f"{made.id}/{part}/{secrets.token_hex(4)}"
+        )
         if told["outcome"] not in (moves.DONE, moves.BEFORE):
             return told["outcome"].decode()
     return ""
@@ -219,14 +296,20 @@
 @_SECONDS
 def cancel(file: str, as_json: bool, answer_in: float) -> None:
     """Cancel the plan under way: what has switched goes on to its end, all else goes back."""
+
     def act() -> int:
         line = fleet.Line(fleet.read(file), answer_in)
         now = fleet.ask(line, "moves")
         if now["plan"] is None or now["over"]:
             click.echo("no plan is under way", err=True)
             return 1
-        told = fleet.ask(line, "section", name=moves.NAME, request=f"cancel/{now['plan']}",
-                         change=moves.encode(moves.Cancel(now["plan"], line.who)))
+        told = fleet.ask(
+            line,
+            "section",
+            name=moves.NAME,
+            request=f"cancel/{now['plan']}",
+            change=moves.encode(moves.Cancel(now["plan"], line.who)),
+        )
         if told["outcome"] not in (moves.DONE, moves.BEFORE):
             raise ValueError(told["outcome"].decode())
         return min(0, _follow(line, now["plan"], as_json, answer_in))
--- a/cresstray/conf/fleet.py
+++ b/cresstray/conf/fleet.py
@@ -57,8 +57,15 @@
 
 _SPAN, _SHARE = one_of(lines.span), one_of(lines.share)
 KNOWN: dict[str, dict[str, Any]] = {
-    "fleet": {"lease": _SPAN, "floor-lease": _SPAN, "drift": _SHARE, "most": one_of(lines.count),
-              "beat": _SPAN, "election": _SPAN, "barred": _SHARE},
+    "fleet": {
+        "lease": _SPAN,
+        "floor-lease": _SPAN,
+        "drift": _SHARE,
+        "most": one_of(lines.count),
+        "beat": _SPAN,
+        "election": _SPAN,
+        "barred": _SHARE,
+    },
     "keeper": {},
     "engine": {},
     "member": {},
@@ -88,9 +95,14 @@
         return None
 
 
-def fleet(sheet: Sheet, found: dict[str, Section], made: dict[str, dict[str, Any]],
-          keepers: list[tuple[int, Keeper]], engines: list[tuple[int, Engine]],
-          tls: Tls | None) -> Fleet | None:
+def fleet(
+    sheet: Sheet,
+    found: dict[str, Section],
+    made: dict[str, dict[str, Any]],
+    keepers: list[tuple[int, Keeper]],
+    engines: list[tuple[int, Engine]],
+    tls: Tls | None,
+) -> Fleet | None:
     """None where there is a fault; `made` has what the lines below each section set."""
     if "fleet" not in found:
         sheet.fault(1, "a section 'fleet' with its name")
@@ -117,11 +129,15 @@
             sheet.fault(found["member"].number, "a name that is no keeper's, and not 'operator'")
     if "operator" in names:
         sheet.fault(section.number, "keepers of other names than 'operator'")
-    given = Fleet(section.words[1], tuple(one for _, one in keepers), tls=tls,
-                  engines=tuple(one for _, one in engines),
-                  member=found["member"].words[1] if "member" in found else "",
-                  folder=found["folder"].words[1] if "folder" in found else "",
-                  **{keyword.replace("-", "_"): value for keyword, value in made["fleet"].items()})
+    given = Fleet(
+        section.words[1],
+        tuple(one for _, one in keepers),
+        tls=tls,
+        engines=tuple(one for _, one in engines),
+        member=found["member"].words[1] if "member" in found else "",
+        folder=found["folder"].words[1] if "folder" in found else "",
+        **{keyword.replace("-", "_"): value for keyword, value in made["fleet"].items()},
+    )
     _times(sheet, section, given)
     return None if sheet.faults else given
 
@@ -145,11 +161,13 @@
         sheet.fault(number("election"), f"election of four beats at the least, {4 * given.beat // 1000}ms")
     # Danger: a lease that is over before a new leader can be found ends service with each leader.
     if given.lease < 3 * given.election:
-        sheet.fault(number("lease"),
-                    f"a lease of three elections at the least, {3 * given.election // 1000}ms")
+        sheet.fault(
+            number("lease"), f"a lease of three elections at the least, {3 * given.election // 1000}ms"
+        )
     if given.floor_lease < 5 * given.lease:
-        sheet.fault(number("floor-lease"), f"a floor-lease of five leases at the least, "
-                                           f"{5 * given.lease / 1e6:g}s")
+        sheet.fault(
+            number("floor-lease"), f"a floor-lease of five leases at the least, {5 * given.lease / 1e6:g}s"
+        )
     if not 0.0001 <= given.drift <= 0.1:
         sheet.fault(number("drift"), "a drift from 0.01% to 10%")
     if given.most > 100_000:
--- a/cresstray/conf/lines.py
+++ b/cresstray/conf/lines.py
@@ -85,6 +85,7 @@
 
 def one_of(convert: Callable[[str], Any]) -> Callable[[list[str]], Any]:
     """A converter of exactly one word."""
+
     def converted(words: list[str]) -> Any:
         if len(words) != 1:
             raise ValueError("one word")
--- a/cresstray/conf/operator.py
+++ b/cresstray/conf/operator.py
@@ -77,9 +77,16 @@
 _TEXT = one_of(str)
 _KNOWN = {
     "hall": {"gateway": one_of(lines.name), "listen": one_of(lines.address), "control": _TEXT},
-    "link": {"heartbeat": one_of(lines.span), "slow": one_of(lines.span), "lease": one_of(lines.span),
-             "heal": one_of(lines.span), "submissions": one_of(lines.count), "bytes": one_of(lines.size),
-             "retry": one_of(lines.span), "retry-most": one_of(lines.span)},
+    "link": {
+        "heartbeat": one_of(lines.span),
+        "slow": one_of(lines.span),
+        "lease": one_of(lines.span),
+        "heal": one_of(lines.span),
+        "submissions": one_of(lines.count),
+        "bytes": one_of(lines.size),
+        "retry": one_of(lines.span),
+        "retry-most": one_of(lines.span),
+    },
     "crossing": {"share": one_of(lines.share)},
     "tls": {"authority": _TEXT, "certificate": _TEXT, "key": _TEXT},
     "peer": {},
@@ -88,8 +95,7 @@
     **stores.KNOWN,
 }
 # Those that have a word of their own behind the keyword.
-_NAMED = {"hall": "its name", "fleet": "its name", "member": "its name", "folder": "a path",
-          "kept": "a path"}
+_NAMED = {"hall": "its name", "fleet": "its name", "member": "its name", "folder": "a path", "kept": "a path"}
 
 
 def parse(path: str, text: str) -> Operator:
@@ -117,8 +123,10 @@
         elif keyword in found:
             sheet.fault(section.number, f"{keyword!r} once; it stands in line {found[keyword].number}")
         elif len(words) != (keyword in _NAMED):
-            sheet.fault(section.number,
-                        f"{keyword} with {_NAMED[keyword]}" if keyword in _NAMED else f"{keyword!r} alone")
+            sheet.fault(
+                section.number,
+                f"{keyword} with {_NAMED[keyword]}" if keyword in _NAMED else f"{keyword!r} alone",
+            )
         else:
             found[keyword] = section
     made = {keyword: sheet.values(section, _KNOWN[keyword]) for keyword, section in found.items()}
@@ -127,8 +135,9 @@
     fleet = None
     if of_fleet or keepers or engines:
         fleet = fleets.fleet(sheet, found, made, keepers, engines, tls)
-    of_halls = [keyword for keyword in found
-                if keyword not in {*fleets.KNOWN, *kepts.KNOWN, *stores.KNOWN, "tls"}]
+    of_halls = [
+        keyword for keyword in found if keyword not in {*fleets.KNOWN, *kepts.KNOWN, *stores.KNOWN, "tls"}
+    ]
     if "tls" in found and not of_fleet and not keepers:
         of_halls.append("tls")
     halls = _halls(sheet, found, made, peers, tls) if of_halls or peers else None
@@ -149,8 +158,13 @@
         return None
 
 
-def _halls(sheet: Sheet, found: dict[str, Section], made: dict[str, dict[str, Any]],
-           peers: list[tuple[int, Peer]], tls: Tls | None) -> Halls | None:
+def _halls(
+    sheet: Sheet,
+    found: dict[str, Section],
+    made: dict[str, dict[str, Any]],
+    peers: list[tuple[int, Peer]],
+    tls: Tls | None,
+) -> Halls | None:
     if "hall" not in found:
         sheet.fault(1, "a section 'hall' with this gateway's hall")
         return None
@@ -176,8 +190,14 @@
             sheet.fault(number, f"a section 'tls', as {host} is not this machine")
     if sheet.faults:
         return None
-    return Halls(hall, link=link, tls=tls, peers=tuple(peer for _, peer in peers),
-                 **made["hall"], **made.get("crossing", {}))
+    return Halls(
+        hall,
+        link=link,
+        tls=tls,
+        peers=tuple(peer for _, peer in peers),
+        **made["hall"],
+        **made.get("crossing", {}),
+    )
 
 
 def _link(sheet: Sheet, section: Section | None, made: dict[str, Any]) -> Link:
--- a/cresstray/conf/store.py
+++ b/cresstray/conf/store.py
@@ -21,8 +21,12 @@
 # Microseconds. A store that is away for an hour will not come back by itself. A millisecond is a good round
 # trip; a submission is open for three seconds at most, and needs them for its relay. A mark that is kept for
 # less than a minute guards against little more than the engines do; after a week nobody asks again.
-_BOUNDS = {"unguarded-for": (1_000_000, 3_600_000_000), "ask-most": (1_000, 1_000_000),
-           "slow": (1_000, 1_000_000), "kept": (60_000_000, 604_800_000_000)}
+_BOUNDS = {
+    "unguarded-for": (1_000_000, 3_600_000_000),
+    "ask-most": (1_000, 1_000_000),
+    "slow": (1_000, 1_000_000),
+    "kept": (60_000_000, 604_800_000_000),
+}
 
 
 class StoreTls(msgspec.Struct, frozen=True):
@@ -52,9 +56,16 @@
 
     def lines(self) -> dict[str, Any]:
         """As a plain map, for what decides about marks."""
-        return {"namespace": self.namespace, "tariffs": list(self.tariffs), "answers": self.answers,
-                "unguarded": dict(self.unguarded), "unguarded_s": self.unguarded_for / 1e6,
-                "ask_most_ms": self.ask_most / 1000, "slow_ms": self.slow / 1000, "kept_s": self.kept / 1e6}
+        return {
+            "namespace": self.namespace,
+            "tariffs": list(self.tariffs),
+            "answers": self.answers,
+            "unguarded": dict(self.unguarded),
+            "unguarded_s": self.unguarded_for / 1e6,
+            "ask_most_ms": self.ask_most / 1000,
+            "slow_ms": self.slow / 1000,
+            "kept_s": self.kept / 1e6,
+        }
 
 
 def _addresses(words: list[str]) -> tuple[tuple[str, int], ...]:
@@ -109,10 +120,20 @@
 
 
 _LINES: dict[str, Callable[[list[str]], Any]] = {
-    "addresses": _addresses, "tariffs": _tariffs, "namespace": one_of(lines.name), "user": one_of(lines.name),
-    "password": one_of(_path), "tls": _tls, "journal": one_of(_path), "answers": one_of(_answers),
-    "unguarded": _unguarded, "unguarded-for": one_of(lines.span), "ask-most": one_of(lines.span),
-    "slow": one_of(lines.span), "kept": one_of(lines.span)}
+    "addresses": _addresses,
+    "tariffs": _tariffs,
+    "namespace": one_of(lines.name),
+    "user": one_of(lines.name),
+    "password": one_of(_path),
+    "tls": _tls,
+    "journal": one_of(_path),
+    "answers": one_of(_answers),
+    "unguarded": _unguarded,
+    "unguarded-for": one_of(lines.span),
+    "ask-most": one_of(lines.span),
+    "slow": one_of(lines.span),
+    "kept": one_of(lines.span),
+}
 KNOWN: dict[str, dict[str, Any]] = {"store": _LINES}
 
 
--- a/cresstray/consensus/log.py
+++ b/cresstray/consensus/log.py
@@ -99,7 +99,7 @@
     def cut(self, index: int) -> None:
         """Drops what is there from `index` on."""
         assert index > self.snapshot.index, "what a snapshot holds is never taken back"
-        del self._entries[index - self.base - 1:]
+        del self._entries[index - self.base - 1 :]
         while self._changes[-1][0] >= index:
             self._changes.pop()
         if index <= self._handed:
@@ -122,15 +122,16 @@
                 break
             keep -= 1
         if keep > self.base:
-            self._base_term, kept = self.entry(keep).term, self._entries[keep - self.base:]
+            self._base_term, kept = self.entry(keep).term, self._entries[keep - self.base :]
             self.base, self._entries = keep, kept
 
     def restore(self, snapshot: Snapshot) -> None:
         """Takes a leader's snapshot, and keeps what follows it where that is of the same log."""
         if self.term_at(snapshot.index) == snapshot.term:
-            self._entries = self._entries[snapshot.index - self.base:]
+            self._entries = self._entries[snapshot.index - self.base :]
             self._changes = [(snapshot.index, snapshot.members)] + [
-                one for one in self._changes if one[0] > snapshot.index]
+                one for one in self._changes if one[0] > snapshot.index
+            ]
         else:
             if self._handed > snapshot.index:
                 self._cut = snapshot.index + 1
@@ -153,11 +154,19 @@
         if not also and self._cut is None and self._fresh is None and self._handed == self.last:
             return None
         first = self._handed + 1
-        keep = Keep(term, voted_for, self._fresh, self._cut, first, self._entries[first - self.base - 1:])
+        keep = Keep(term, voted_for, self._fresh, self._cut, first, self._entries[first - self.base - 1 :])
         self._fresh = self._cut = None
         self._handed = self.last
         return keep
 
     def fingerprint(self) -> tuple:
-        return (self.base, self._base_term, tuple(self._entries), self.snapshot, self._handed, self.stored,
-                self._cut, self._fresh is not None)
+        return (
+            self.base,
+            self._base_term,
+            tuple(self._entries),
+            self.snapshot,
+            self._handed,
+            self.stored,
+            self._cut,
+            self._fresh is not None,
+        )
--- a/cresstray/consensus/peers.py
+++ b/cresstray/consensus/peers.py
@@ -71,5 +71,15 @@
         self._flying = self.part_round = 0
 
     def fingerprint(self) -> tuple:
-        return (self.way.value, self.match, self.next, self.asked, tuple(self._flight), self.round,
-                self.snapshot and self.snapshot.index, self.offset, self.sent, self.part_round)
+        return (
+            self.way.value,
+            self.match,
+            self.next,
+            self.asked,
+            tuple(self._flight),
+            self.round,
+            self.snapshot and self.snapshot.index,
+            self.offset,
+            self.sent,
+            self.part_round,
+        )
--- a/cresstray/consensus/raft.py
+++ b/cresstray/consensus/raft.py
@@ -145,8 +145,12 @@
     def transfer(self, to: str, now: int) -> bool:
         """Hands over to another voter, or gives up after an election time; False where it can't begin."""
         self._begin(now)
-        if (self.role is not Role.LEADER or self._heir is not None or to == self.name
-                or to not in self.members.voters):
+        if (
+            self.role is not Role.LEADER
+            or self._heir is not None
+            or to == self.name
+            or to not in self.members.voters
+        ):
             return False
         self._heir, self._heir_until = to, now + self._times.election
         self._hand_over(now)
@@ -346,8 +350,11 @@
                 self._on_installed(sender, frame, now)
 
     def _on_pre_vote(self, sender: str, frame: PreVote, now: int) -> None:
-        granted = (frame.term > self.term and not self._keeps_to_leader(now)
-                   and self._up_to_date(frame.index, frame.log_term))
+        granted = (
+            frame.term > self.term
+            and not self._keeps_to_leader(now)
+            and self._up_to_date(frame.index, frame.log_term)
+        )
         self._frames.append((sender, PreVoted(frame.term if granted else self.term, granted)))
 
     def _on_vote(self, sender: str, frame: Vote, now: int) -> None:
@@ -358,9 +365,13 @@
             return
         if frame.term > self.term:
             self._follow(frame.term, None, now)
-        granted = (frame.term == self.term and self.role in (Role.FOLLOWER, Role.ASKING)
-                   and self.leader is None and self._voted_for in (None, sender)
-                   and self._up_to_date(frame.index, frame.log_term))
+        granted = (
+            frame.term == self.term
+            and self.role in (Role.FOLLOWER, Role.ASKING)
+            and self.leader is None
+            and self._voted_for in (None, sender)
+            and self._up_to_date(frame.index, frame.log_term)
+        )
         if granted:
             self.role = Role.FOLLOWER
             if self._voted_for is None:
@@ -369,8 +380,12 @@
         self._frames.append((sender, Voted(self.term, granted)))
 
     def _on_now(self, sender: str, frame: Now, now: int) -> None:
-        if (frame.term == self.term and self.role is Role.FOLLOWER and sender == self.leader
-                and self.name in self.members.voters):
+        if (
+            frame.term == self.term
+            and self.role is Role.FOLLOWER
+            and sender == self.leader
+            and self.name in self.members.voters
+        ):
             self._stand(now, True)
 
     def _hear(self, sender: str, term: int, now: int) -> bool:
@@ -437,8 +452,12 @@
         """How many bytes of that snapshot are here by now; all of them: it is in use."""
         if self._part is not None:
             of = self._part[0]
-            if ((of.index, of.log_term, of.size, of.check)
-                    != (frame.index, frame.log_term, frame.size, frame.check)):
+            if (of.index, of.log_term, of.size, of.check) != (
+                frame.index,
+                frame.log_term,
+                frame.size,
+                frame.check,
+            ):
                 self._part = None
         if self._part is None:
             self._part = frame, bytearray()
@@ -478,8 +497,11 @@
 
     def _feed(self, to: str, now: int, beat: bool = False) -> None:
         peer, log = self._peers[to], self._log
-        stale = (peer.way is Way.SNAPSHOT and peer.snapshot is not log.snapshot
-                 and (peer.acked is None or now - peer.acked > _SILENT * self._times.election))
+        stale = (
+            peer.way is Way.SNAPSHOT
+            and peer.snapshot is not log.snapshot
+            and (peer.acked is None or now - peer.acked > _SILENT * self._times.election)
+        )
         if stale or (peer.way is not Way.SNAPSHOT and log.term_at(peer.next - 1) is None):
             peer.install(log.snapshot, crc32(log.snapshot.data))
         if peer.way is Way.SNAPSHOT:
@@ -509,13 +531,26 @@
         assert snapshot is not None
         data = b""
         if peer.sent == peer.offset and not peer.part_round:
-            data = snapshot.data[peer.offset:peer.offset + MOST_DATA]
+            data = snapshot.data[peer.offset : peer.offset + MOST_DATA]
             peer.sent, peer.part_round = peer.offset + len(data), self._round
         elif not beat:
             return
-        self._frames.append((to, Install(
-            self.term, self._round, snapshot.index, snapshot.term, snapshot.members, len(snapshot.data),
-            peer.check, peer.offset, data)))
+        self._frames.append(
+            (
+                to,
+                Install(
+                    self.term,
+                    self._round,
+                    snapshot.index,
+                    snapshot.term,
+                    snapshot.members,
+                    len(snapshot.data),
+                    peer.check,
+                    peer.offset,
+                    data,
+                ),
+            )
+        )
 
     # As a leader: answers.
 
@@ -573,8 +608,9 @@
         return None if latest < 0 else latest
 
     def _confirmed(self) -> int:
-        return self._quorum([self._round if name == self.name else self._peers[name].round
-                             for name in self.members.voters])
+        return self._quorum(
+            [self._round if name == self.name else self._peers[name].round for name in self.members.voters]
+        )
 
     def _serve_reads(self) -> None:
         if not self._reads or self._log.term_at(self.commit) != self.term:
@@ -588,13 +624,17 @@
     def _count(self, now: int) -> None:
         """Commits what a majority of voters has synced, as long as it is of this term."""
         log = self._log
-        reached = self._quorum([log.stored if name == self.name else self._peers[name].match
-                                for name in self.members.voters])
+        reached = self._quorum(
+            [log.stored if name == self.name else self._peers[name].match for name in self.members.voters]
+        )
         # Danger: an entry of an earlier term can still be replaced, however many have it.
         if reached <= self.commit or log.term_at(reached) != self.term:
             return
-        self._open -= sum(len(log.entry(at).data) for at in range(self.commit + 1, reached + 1)
-                          if log.entry(at).term == self.term)
+        self._open -= sum(
+            len(log.entry(at).data)
+            for at in range(self.commit + 1, reached + 1)
+            if log.entry(at).term == self.term
+        )
         self.commit = reached
         self._serve_reads()
         # At once, not with the next beat: followers apply it that much sooner.
@@ -640,9 +680,12 @@
             raise ValueError("this leader has committed nothing yet; try again")
         if self._log.changed > self.commit:
             raise ValueError("another change of members is not yet committed")
-        differ = [name for name in dict.fromkeys(old.names() + names)
-                  if (name in old.voters, name in old.learners)
-                  != (name in members.voters, name in members.learners)]
+        differ = [
+            name
+            for name in dict.fromkeys(old.names() + names)
+            if (name in old.voters, name in old.learners)
+            != (name in members.voters, name in members.learners)
+        ]
         if len(differ) != 1:
             raise ValueError(f"one name at a time; {len(differ)} would change")
         name = differ[0]
@@ -659,12 +702,28 @@
     def fingerprint(self) -> tuple:
         """Equal for two nodes that will do the same; times as spans from the last call."""
         now = self._now
-        return (self.name, self.role.value, self.term, self._voted_for, self.leader, self.commit,
-                self._applied, self._log.fingerprint(), tuple(sorted(self._votes)),
-                max(0, self._heard + self._times.election - now), self._deadline - now,
-                self._part and (self._part[0].index, self._part[0].check, len(self._part[1])),
-                tuple((name, *peer.fingerprint(), None if peer.acked is None else now - peer.acked)
-                      for name, peer in self._peers.items()),
-                self._heir, self._sent_now, tuple((to, encode(frame)) for to, frame in self._frames),
-                tuple(number for _, number in self._reads), self._open, self._term_stored == self.term,
-                tuple((number, now - at) for number, at in self._rounds))
+        return (
+            self.name,
+            self.role.value,
+            self.term,
+            self._voted_for,
+            self.leader,
+            self.commit,
+            self._applied,
+            self._log.fingerprint(),
+            tuple(sorted(self._votes)),
+            max(0, self._heard + self._times.election - now),
+            self._deadline - now,
+            self._part and (self._part[0].index, self._part[0].check, len(self._part[1])),
+            tuple(
+                (name, *peer.fingerprint(), None if peer.acked is None else now - peer.acked)
+                for name, peer in self._peers.items()
+            ),
+            self._heir,
+            self._sent_now,
+            tuple((to, encode(frame)) for to, frame in self._frames),
+            tuple(number for _, number in self._reads),
+            self._open,
+            self._term_stored == self.term,
+            tuple((number, now - at) for number, at in self._rounds),
+        )
--- a/cresstray/consensus/storage.py
+++ b/cresstray/consensus/storage.py
@@ -57,8 +57,10 @@
             base = _open(fresh, "rwc")
             try:
                 _set(base)
-                base.executescript(f"PRAGMA application_id = {_APPLICATION}; "
-                                   f"PRAGMA user_version = {_FORMAT}; BEGIN; {_TABLES}")
+                base.executescript(
+                    f"PRAGMA application_id = {_APPLICATION}; "
+                    f"PRAGMA user_version = {_FORMAT}; BEGIN; {_TABLES}"
+                )
                 # Danger: the founders' list stands in no entry. As it is behind the first one, who comes
                 # later and empty gets it as a snapshot, and never the entries without it.
                 begun = 1 if members.voters else 0
@@ -158,9 +160,13 @@
                 base.execute("BEGIN IMMEDIATE")
                 if keep.cut is not None:
                     base.execute("DELETE FROM entries WHERE at >= ?", (keep.cut,))
-                base.executemany("INSERT INTO entries VALUES (?, ?, ?, ?, ?)", (
-                    (at, one.term, int(one.kind), one.data, _sum(at, one.term, int(one.kind), one.data))
-                    for at, one in enumerate(keep.entries, keep.first)))
+                base.executemany(
+                    "INSERT INTO entries VALUES (?, ?, ?, ?, ?)",
+                    (
+                        (at, one.term, int(one.kind), one.data, _sum(at, one.term, int(one.kind), one.data))
+                        for at, one in enumerate(keep.entries, keep.first)
+                    ),
+                )
                 if keep.snapshot is not None:
                     _put_snapshot(base, keep.snapshot)
                     base.execute("DELETE FROM entries WHERE at <= ?", (keep.snapshot.index,))
@@ -177,22 +183,33 @@
 
 def _open(path: str, mode: str) -> sqlite3.Connection:
     """One that keeps each lock it once has. It may be used by one thread after another."""
-    base = sqlite3.connect(f"{Path(path).absolute().as_uri()}?mode={mode}", uri=True, isolation_level=None,
-                           timeout=0, check_same_thread=False)
+    base = sqlite3.connect(
+        f"{Path(path).absolute().as_uri()}?mode={mode}",
+        uri=True,
+        isolation_level=None,
+        timeout=0,
+        check_same_thread=False,
+    )
     base.execute("PRAGMA locking_mode = EXCLUSIVE")
     return base
 
 
 def _set(base: sqlite3.Connection) -> None:
     # EXTRA is FULL and one sync more: a journal whose removal was lost would undo what was committed.
-    for line in ("journal_mode = DELETE", "synchronous = EXTRA", "temp_store = MEMORY",
-                 "cell_size_check = ON"):
+    for line in (
+        "journal_mode = DELETE",
+        "synchronous = EXTRA",
+        "temp_store = MEMORY",
+        "cell_size_check = ON",
+    ):
         base.execute(f"PRAGMA {line}").fetchall()
 
 
 def _put_meta(base: sqlite3.Connection, name: str, term: int, voted_for: str | None) -> None:
-    base.execute("INSERT OR REPLACE INTO meta VALUES (1, ?, ?, ?, ?)",
-                 (name, term, voted_for, _sum(name, term, voted_for)))
+    base.execute(
+        "INSERT OR REPLACE INTO meta VALUES (1, ?, ?, ?, ?)",
+        (name, term, voted_for, _sum(name, term, voted_for)),
+    )
 
 
 def _put_snapshot(base: sqlite3.Connection, made: Snapshot) -> None:
--- a/cresstray/coordinator/feed.py
+++ b/cresstray/coordinator/feed.py
@@ -25,8 +25,9 @@
 class Feed:
     """`address` as host:port, ValueError where it is none; without one the list stays as it is."""
 
-    def __init__(self, address: str | None, last: int, told: Callable[[Event], None], counters: Counters,
-                 log: Log) -> None:
+    def __init__(
+        self, address: str | None, last: int, told: Callable[[Event], None], counters: Counters, log: Log
+    ) -> None:
         self._address, self.last = _parts(address), last
         self._told, self._counters, self._log = told, counters, log
         self._scope: anyio.CancelScope | None = None  # of the coordinator that is followed
--- a/cresstray/coordinator/frames.py
+++ b/cresstray/coordinator/frames.py
@@ -35,24 +35,35 @@
                 raise MalformedError(f"a frame of {length} bytes")
             if len(self._buffer) < 4 + length:
                 break
-            found.append(self._event(bytes(self._buffer[4:4 + length])))
-            del self._buffer[:4 + length]
+            found.append(self._event(bytes(self._buffer[4 : 4 + length])))
+            del self._buffer[: 4 + length]
         return found
 
     def _event(self, frame: bytes) -> Event | None:
         number, kind = _HEAD.unpack_from(frame)
         if kind == _NOTHING:
             return None
-        records = frame[_HEAD.size:]
+        records = frame[_HEAD.size :]
         if kind not in (_WHOLE, _CHANGES) or len(records) % _RECORD.size:
             raise MalformedError(f"a frame of kind {kind} with {len(records)} bytes")
         return Event(number, kind == _WHOLE, [self._member(*one) for one in _RECORD.iter_unpack(records)])
 
-    def _member(self, number: int, address: int, port: int, state: int, zone: int, machine: int, cell: int,
-                _weight: int, started: int) -> Member:
+    def _member(
+        self,
+        number: int,
+        address: int,
+        port: int,
+        state: int,
+        zone: int,
+        machine: int,
+        cell: int,
+        _weight: int,
+        started: int,
+    ) -> Member:
         # Danger: a fleet grows into zones and kinds that this gateway's settings do not name yet; refused,
         # they would take the whole list with them, and for good. They are zones and kinds like any other.
         if state not in _STANDINGS:
             raise MalformedError(f"a record of state {state}")
-        return Member(number, str(IPv4Address(address)), port, _STANDINGS[state], zone, machine, cell,
-                      started * 1000)
+        return Member(
+            number, str(IPv4Address(address)), port, _STANDINGS[state], zone, machine, cell, started * 1000
+        )
--- a/cresstray/coordinator/known.py
+++ b/cresstray/coordinator/known.py
@@ -64,9 +64,14 @@
 
 def events(known: Known, settings: Mapping) -> list[Event]:
     zones, machines = _Places(settings.get("Localities", [])), _Places(settings.get("Flavors", []))
-    return [Event(update.index, update.endpoints.complete,
-                  [_member(member, zones, machines) for member in update.endpoints.members])
-            for update in known.updates]
+    return [
+        Event(
+            update.index,
+            update.endpoints.complete,
+            [_member(member, zones, machines) for member in update.endpoints.members],
+        )
+        for update in known.updates
+    ]
 
 
 class _Places(dict):
@@ -90,8 +95,15 @@
     try:
         if not given.id.startswith("s-"):
             raise ValueError(f"an id {given.id!r}")
-        return Member(int(given.id[2:], 16), host, int(port), _STANDINGS[given.phase],
-                      zones[given.locality], machines[given.flavor], given.cell,
-                      int(given.up_since_ms * 1000))
+        return Member(
+            int(given.id[2:], 16),
+            host,
+            int(port),
+            _STANDINGS[given.phase],
+            zones[given.locality],
+            machines[given.flavor],
+            given.cell,
+            int(given.up_since_ms * 1000),
+        )
     except (ValueError, KeyError) as trouble:
         raise MalformedError(f"engine {given.id}: {trouble}") from None
--- a/cresstray/engines/codec.py
+++ b/cresstray/engines/codec.py
@@ -7,8 +7,14 @@
 import hiredis
 import msgspec
 
-_REPORT_NAMES = {"inflight": "concurrent", "util": "load_share", "queue": "depth", "latency_ms": "mean_ms",
-                 "qps": "tps", "eps": "err_ps"}
+_REPORT_NAMES = {
+    "inflight": "concurrent",
+    "util": "load_share",
+    "queue": "depth",
+    "latency_ms": "mean_ms",
+    "qps": "tps",
+    "eps": "err_ps",
+}
 WORDS = frozenset((b"served", b"overload", b"crashed", b"nobody", b"rows", b"green"))
 # Bytes of an answer's name, word, fields and body: a page by the protocol, the others with room to spare.
 _LONGEST = (64, 16, 1024, 6_000)
@@ -59,25 +65,25 @@
     def _whole(self, at: int) -> tuple[list[bytes], int] | None:
         buffer, parts = self._buffer, []
         if not buffer.startswith(b"*4\r\n", at):
-            if b"*4\r\n".startswith(buffer[at:at + 4]):
+            if b"*4\r\n".startswith(buffer[at : at + 4]):
                 return None
-            raise BrokenError(f"not an array of four strings: {bytes(buffer[at:at + 20])!r}")
+            raise BrokenError(f"not an array of four strings: {bytes(buffer[at : at + 20])!r}")
         at += 4
         for longest in _LONGEST:
             length = _LENGTH.match(buffer, at)
             if length is None:
                 if len(buffer) - at < 7 and buffer.find(b"\n", at) < 0:
                     return None
-                raise BrokenError(f"not the length of a string: {bytes(buffer[at:at + 20])!r}")
+                raise BrokenError(f"not the length of a string: {bytes(buffer[at : at + 20])!r}")
             start, size = length.end(), int(length[1])
             if size > longest:
                 raise BrokenError(f"a string of {size} bytes")
             at = start + size + 2
             if len(buffer) < at:
                 return None
-            if buffer[at - 2:at] != b"\r\n":
+            if buffer[at - 2 : at] != b"\r\n":
                 raise BrokenError("a string longer than its length")
-            parts.append(bytes(buffer[start:at - 2]))
+            parts.append(bytes(buffer[start : at - 2]))
         return parts, at
 
 
--- a/cresstray/engines/exchanges.py
+++ b/cresstray/engines/exchanges.py
@@ -30,8 +30,19 @@
 class Exchange:
     """One request on one link, from its first byte to its end or until it is given up."""
 
-    __slots__ = ("name", "message", "keeper", "link", "written", "heard", "moves", "pages", "relay", "due",
-                 "until")
+    __slots__ = (
+        "name",
+        "message",
+        "keeper",
+        "link",
+        "written",
+        "heard",
+        "moves",
+        "pages",
+        "relay",
+        "due",
+        "until",
+    )
 
     def __init__(self, name: bytes, message: bytes, keeper: Keeper, relay: object) -> None:
         self.name, self.message, self.keeper, self.relay = name, message, keeper, relay
@@ -68,8 +79,14 @@
         self.heard = 0  # how often something was received
 
     def room_for(self, name: bytes) -> bool:
-        return not (self.ended or self.retired or len(self.open) >= self._streams or name in self.open
-                    or name in self.given_up or name in self.refused)
+        return not (
+            self.ended
+            or self.retired
+            or len(self.open) >= self._streams
+            or name in self.open
+            or name in self.given_up
+            or name in self.refused
+        )
 
     def begin(self, exchange: Exchange) -> None:
         self.open[exchange.name] = exchange
@@ -96,8 +113,7 @@
         # Danger: a link that stays open may be dead, and would swallow the next. Nothing has come on this one
         # since the exchange was written: it gets no other.
         self.given_up.add(exchange.name)
-        self.retired = (self.retired or self.heard == exchange.heard
-                        or len(self.given_up) >= _MOST_GIVEN_UP)
+        self.retired = self.retired or self.heard == exchange.heard or len(self.given_up) >= _MOST_GIVEN_UP
         return codec.quit_(exchange.name) if exchange.pages is None else codec.free(exchange.name)
 
     def end(self, came_up: bool) -> list[tuple[Exchange, Fate]]:
--- a/cresstray/engines/links.py
+++ b/cresstray/engines/links.py
@@ -77,9 +77,18 @@
 class Pool(AnyPool):
     """All links to one engine."""
 
-    def __init__(self, label: str, address: tuple[str, int], settings: Mapping, quota: Quota,
-                 tasks: TaskGroup, timers: Timers, now: Callable[[], int], counters: Counters,
-                 log: Log) -> None:
+    def __init__(
+        self,
+        label: str,
+        address: tuple[str, int],
+        settings: Mapping,
+        quota: Quota,
+        tasks: TaskGroup,
+        timers: Timers,
+        now: Callable[[], int],
+        counters: Counters,
+        log: Log,
+    ) -> None:
         super().__init__(address, settings, quota, timers, now, counters)
         self.label, self.log, self.tasks = label, log, tasks
         self.connect_timeout = int(settings.get("Limits", {}).get("ConnectTimeout", 250) * 1000)
--- a/cresstray/engines/pool.py
+++ b/cresstray/engines/pool.py
@@ -172,8 +172,15 @@
 class AnyPool:
     """All links to one engine. Whoever has the sockets gives it `dial`."""
 
-    def __init__(self, address: tuple[str, int], settings: Mapping, quota: Quota, timers: Timers,
-                 now: Callable[[], int], counters: Counters) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        settings: Mapping,
+        quota: Quota,
+        timers: Timers,
+        now: Callable[[], int],
+        counters: Counters,
+    ) -> None:
         limits = settings.get("Limits", {})
         self.address, self.now, self.counters = address, now, counters
         self.streams = max(1, limits.get("StreamsPerConn", 32))
--- a/cresstray/fleet.py
+++ b/cresstray/fleet.py
@@ -43,8 +43,9 @@
 class Agreed:
     """interface.Rules at the moment of acting, by this process's clock and not by when an event was read."""
 
-    def __init__(self, admission: Admission, reads: Reads, now: Callable[[], int],
-                 ask: Callable[[], None]) -> None:
+    def __init__(
+        self, admission: Admission, reads: Reads, now: Callable[[], int], ask: Callable[[], None]
+    ) -> None:
         self._admission, self._reads, self._now, self._ask = admission, reads, now, ask
         self._moment = 0  # of the send or the offer that is being decided
 
@@ -72,8 +73,12 @@
     """What a keeper tells; reads that wait for it are looked at as it comes."""
 
     def __init__(self, board: Board, reads: Reads, look: Callable[[], None]) -> None:
-        super().__init__(board, _MOST_SHARDS, lambda now: reads.wanted(now)[:_MOST_SHARDS],
-                         lambda now: reads.needs(now, _MOST_SHARDS))
+        super().__init__(
+            board,
+            _MOST_SHARDS,
+            lambda now: reads.wanted(now)[:_MOST_SHARDS],
+            lambda now: reads.needs(now, _MOST_SHARDS),
+        )
         self._reads, self._look = reads, look
 
     def hears(self, body: bytes, now: int) -> None:
@@ -85,27 +90,51 @@
 class Member:
     """One gateway's part in its fleet."""
 
-    def __init__(self, given: Given, settings: Mapping[str, Any], seed: int, clock: Clock, gateway: Gateway,
-                 route: Route, back: Back, take_in: TakeIn, timers: Timers, worker: Worker,
-                 counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        given: Given,
+        settings: Mapping[str, Any],
+        seed: int,
+        clock: Clock,
+        gateway: Gateway,
+        route: Route,
+        back: Back,
+        take_in: TakeIn,
+        timers: Timers,
+        worker: Worker,
+        counters: Counters,
+        log: Log,
+    ) -> None:
         self._timers, self._lease, self._gateway, self._worker = timers, given.lease, gateway, worker
         # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
-        life = f"{seed & 0xffffffff:08x}{clock.now():014x}"
+        life = f"{seed & 0xFFFFFFFF:08x}{clock.now():014x}"
         chance = random.Random(seed).random
-        self.use = use = Use(given.member, given.lease, given.floor_lease, given.drift, given.most,
-                             waits=True, life=life)
+        self.use = use = Use(
+            given.member, given.lease, given.floor_lease, given.drift, given.most, waits=True, life=life
+        )
         self.directory = directory = Directory(settings.get("Localities", []))
         board = Board(lambda text: log.say("replicas", text), given.drift)
-        reads = Reads(board, use, counters, chance, directory.cores, directory.zone_of, directory.full,
-                      time.time)
+        reads = Reads(
+            board, use, counters, chance, directory.cores, directory.zone_of, directory.full, time.time
+        )
         self._reads, self._asks_again = reads, False
-        admission = Admission(use, [tenant["Name"] for tenant in settings.get("Tenants", [])],
-                              [service.get("Name", "") for service in settings.get("Services", [])],
-                              lambda engine: directory.ids.get(engine, ""), counters)
+        admission = Admission(
+            use,
+            [tenant["Name"] for tenant in settings.get("Tenants", [])],
+            [service.get("Name", "") for service in settings.get("Services", [])],
+            lambda engine: directory.ids.get(engine, ""),
+            counters,
+        )
         self.follower = Follower(
-            given, given.member, use, chance, clock.now, counters,
+            given,
+            given.member,
+            use,
+            chance,
+            clock.now,
+            counters,
             lambda: _Heard(board, reads, lambda: timers.after(0, self._look)),
-            lambda up: setattr(reads, "patience", _PATIENCE if up else 0))
+            lambda up: setattr(reads, "patience", _PATIENCE if up else 0),
+        )
         gateway.agreed = Agreed(admission, reads, clock.now, self._ask)
         route.pinned = back.pinned = take_in.pinned = Pinned(reads, directory)
 
--- a/cresstray/frames.py
+++ b/cresstray/frames.py
@@ -54,7 +54,7 @@
             if len(self._buffer) - at < 4 + length:
                 break
             try:
-                found.append(decoder.decode(self._buffer[at + _HEAD.size:at + 4 + length]))
+                found.append(decoder.decode(self._buffer[at + _HEAD.size : at + 4 + length]))
             except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as trouble:
                 raise BrokenError(f"a frame of kind {kind}: {trouble}") from None
             at += 4 + length
--- a/cresstray/halls/connections.py
+++ b/cresstray/halls/connections.py
@@ -116,9 +116,20 @@
 class Hub:
     """All links of one gateway: those it makes to its peers, and those that others make to it."""
 
-    def __init__(self, given: operator.Halls, incarnation: str, seed: int, front: Front, keeper: Keeper,
-                 room: Callable[[], tuple[float, float, float]], clock: Clock, timers: Timers,
-                 counters: Counters, log: Log, worker: Worker) -> None:
+    def __init__(
+        self,
+        given: operator.Halls,
+        incarnation: str,
+        seed: int,
+        front: Front,
+        keeper: Keeper,
+        room: Callable[[], tuple[float, float, float]],
+        clock: Clock,
+        timers: Timers,
+        counters: Counters,
+        log: Log,
+        worker: Worker,
+    ) -> None:
         """`worker`: the gateway's, already started or not."""
         self._given, self._front, self._keeper, self._spare = given, front, keeper, room
         self._clock, self._timers, self._counters, self._log = clock, timers, counters, log
@@ -139,14 +150,17 @@
         """The keys of new connections; OSError (which ssl's errors are) where they can't be used."""
         if given.tls is not None:
             from cresstray.halls.tls import Contexts
+
             self._contexts = Contexts(given.tls)
 
     def reload(self, given: operator.Halls) -> None:
         """What may change while links live: keys, and the share that crosses. The rest takes a restart."""
         self.load_keys(given)
         self.share.share = given.share
-        rest = [(one.hall, one.gateway, one.listen, one.control, one.link, one.peers)
-                for one in (given, self._given)]
+        rest = [
+            (one.hall, one.gateway, one.listen, one.control, one.link, one.peers)
+            for one in (given, self._given)
+        ]
         if rest[0] != rest[1]:
             self._say("of the new operator's file only keys and the share are used until a restart")
 
@@ -156,10 +170,15 @@
 
     def _outward(self, peer: operator.Peer) -> Outward:
         link = self._given.link
-        way = Way(f"{peer.hall} {peer.address[0]}:{peer.address[1]}", self._health(),
-                  Credit(link.submissions, link.bytes), self.share)
-        outward = Outward(self._me, peer.hall, way, self._keeper, self._counters, self._say,
-                           self._clock.now, self._wake)
+        way = Way(
+            f"{peer.hall} {peer.address[0]}:{peer.address[1]}",
+            self._health(),
+            Credit(link.submissions, link.bytes),
+            self.share,
+        )
+        outward = Outward(
+            self._me, peer.hall, way, self._keeper, self._counters, self._say, self._clock.now, self._wake
+        )
         self._keeper.add(outward)
         return outward
 
@@ -178,7 +197,8 @@
         for peer, outward in self._links:
             link = _Dialled(peer, outward, given.link.retry)
             link.job = self._worker.does(
-                "links", Priority.SERVICE, 0, lambda now, link=link: self._dial(link), given.link.retry_most)
+                "links", Priority.SERVICE, 0, lambda now, link=link: self._dial(link), given.link.retry_most
+            )
             self._worker.wake(link.job)
         self._worker.does("absent", Priority.TIDY, _LOOK, self._look_for_absent)
         self._tick(self._clock.now())
@@ -246,7 +266,8 @@
             wire.dawdle = outward.dawdle
             outward.connected(wire.write)
             greeted = self._timers.after(
-                int(_HANDSHAKE * 1e6), lambda _: outward.greeted or wire.scope.cancel())
+                int(_HANDSHAKE * 1e6), lambda _: outward.greeted or wire.scope.cancel()
+            )
             try:
                 return await wire.serve(lambda data: outward.receive(data, self._clock.now()))
             finally:
@@ -259,6 +280,7 @@
         if self._contexts is None:
             return line, halls
         from cresstray.halls.tls import Sealed
+
         sealed = Sealed(line, self._contexts, server)
         named = await sealed.shake_hands()
         if not named & halls:
@@ -344,9 +366,20 @@
                 inward.end()
             link = self._given.link
             inward = self._near[hello.hall, hello.name] = Inward(
-                self._me, place, self._health(), link.submissions, link.bytes, self._front,
-                self._room, self._closed, self._clock.now, self._wake, self._timers.after, self._counters,
-                self._say)
+                self._me,
+                place,
+                self._health(),
+                link.submissions,
+                link.bytes,
+                self._front,
+                self._room,
+                self._closed,
+                self._clock.now,
+                self._wake,
+                self._timers.after,
+                self._counters,
+                self._say,
+            )
         self._wires[inward] = wire
         return inward
 
@@ -371,24 +404,38 @@
     def status(self) -> dict:
         now = self._clock.now()
         return {
-            "hall": self._me.hall, "gateway": self._me.name, "incarnation": self._me.incarnation,
+            "hall": self._me.hall,
+            "gateway": self._me.name,
+            "incarnation": self._me.incarnation,
             "to": [self._told_of(outward, now) for _, outward in self._links],
-            "from": [{"hall": inward.near.hall, "gateway": inward.near.name,
-                      "incarnation": inward.near.incarnation, "connected": inward in self._wires,
-                      "ledger": _counted(entry.state.name.lower() for entry in inward.ledger.open.values())}
-                     for inward in self._near.values()]}
+            "from": [
+                {
+                    "hall": inward.near.hall,
+                    "gateway": inward.near.name,
+                    "incarnation": inward.near.incarnation,
+                    "connected": inward in self._wires,
+                    "ledger": _counted(entry.state.name.lower() for entry in inward.ledger.open.values()),
+                }
+                for inward in self._near.values()
+            ],
+        }
 
     def _told_of(self, outward: Outward, now: int) -> dict:
         way, health = outward.way, outward.way.health
         connected = health.state is not State.CUT
         return {
-            "peer": way.name, "gateway": outward.far, "state": health.state.value,
+            "peer": way.name,
+            "gateway": outward.far,
+            "state": health.state.value,
             "round trip ms": round(health.round_trip(now) / 1000, 1) if connected else None,
-            "room threads": round(way.room(), 1), "leaving": way.leaving,
+            "room threads": round(way.room(), 1),
+            "leaving": way.leaving,
             "closed ms": max(0, way.closed_until - now) // 1000,
             "credit": f"{way.credit.held}/{way.credit.submissions}",
-            "ledger": _counted("unknown" if one.cut else one.state.name.lower()
-                               for one in outward.ledger.open.values())}
+            "ledger": _counted(
+                "unknown" if one.cut else one.state.name.lower() for one in outward.ledger.open.values()
+            ),
+        }
 
 
 def _counted(words: Iterable[str]) -> dict[str, int]:
--- a/cresstray/halls/decide.py
+++ b/cresstray/halls/decide.py
@@ -58,9 +58,12 @@
 
     def usable(self, now: int) -> bool:
         state = self.health.look(now)
-        return (state in (State.UP, State.SLOW, State.HEALING) and not self.leaving
-                and now >= self.closed_until
-                and (state is State.UP or self.ramp.room(self.health.crossing_since, now)))
+        return (
+            state in (State.UP, State.SLOW, State.HEALING)
+            and not self.leaving
+            and now >= self.closed_until
+            and (state is State.UP or self.ramp.room(self.health.crossing_since, now))
+        )
 
     def takes(self, submission: Submission, near_load: float | None, now: int) -> bool:
         """`near_load`: threads a core, at its pace, of the engine that could take it here; None: none can."""
@@ -76,8 +79,12 @@
             # The link has been idle; the answer to this beat brings the present room, and tries again.
             self.ask()
             return False
-        if (not self.usable(now) or not self._fits(submission.tariff.threads)
-                or not self.credit.has(submission.size) or not self.share.room(now)):
+        if (
+            not self.usable(now)
+            or not self._fits(submission.tariff.threads)
+            or not self.credit.has(submission.size)
+            or not self.share.room(now)
+        ):
             return False
         # Danger: work that the far hall ends after the soft limit is wasted there, and was worth more here.
         return now + far <= submission.soft_stop and self.within(submission, now) > trip // 2
--- a/cresstray/halls/health.py
+++ b/cresstray/halls/health.py
@@ -1,9 +1,9 @@
 """How a link is: up, slow, suspect, cut or healing, from beats and their echoes. Knows no clock of its own.
 
-    cut --connected--> healing --calm for a while--> up <--round trip--> slow
-     ^                    |                          |                    |
-     |                    +-------- beats late, or our own not heard -----+--> suspect
-     +---------------------- connection ended, or silence for a lease --------------+
+cut --connected--> healing --calm for a while--> up <--round trip--> slow
+ ^                    |                          |                    |
+ |                    +-------- beats late, or our own not heard -----+--> suspect
+ +---------------------- connection ended, or silence for a lease --------------+
 """
 
 from __future__ import annotations
@@ -167,8 +167,11 @@
     def dead(self, now: int) -> bool:
         """Silent, or deaf to us, for a lease: the connection is of no more use."""
         most = self.lease + (2 * self.beat if self.beat == self.idle_beat else 0)
-        return self.state is not State.CUT and now - self._paced_at > most and (
-            now - self._word_at > most or self._unheard(now) > 2 * most)
+        return (
+            self.state is not State.CUT
+            and now - self._paced_at > most
+            and (now - self._word_at > most or self._unheard(now) > 2 * most)
+        )
 
     def fenced(self, now: int) -> bool:
         """Whether what the other side had here is to be given up: it may think so by now."""
--- a/cresstray/halls/inward.py
+++ b/cresstray/halls/inward.py
@@ -36,11 +36,22 @@
 
     _OTHER = "near"
 
-    def __init__(self, me: Place, near: Place, health: Health, submissions: int, size: int,
-                 front: Front, room: Callable[[], tuple[float, float, float]], closed: Callable[[], int],
-                 now: Callable[[], int], wake: Callable[[], None],
-                 later: Callable[[int, Callable[[int], None]], object],
-                 counters: Counters, say: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        me: Place,
+        near: Place,
+        health: Health,
+        submissions: int,
+        size: int,
+        front: Front,
+        room: Callable[[], tuple[float, float, float]],
+        closed: Callable[[], int],
+        now: Callable[[], int],
+        wake: Callable[[], None],
+        later: Callable[[int, Callable[[int], None]], object],
+        counters: Counters,
+        say: Callable[[str], None],
+    ) -> None:
         super().__init__(me, health, now)
         self.near, self._submissions, self._size = near, submissions, size
         self._front, self._room, self._closed = front, room, closed
@@ -66,8 +77,20 @@
             self.end()
         self._health.connected(now)
         me = self._me
-        self._put(codec.Welcome(codec.VERSION, list(codec.FEATURES), me.hall, me.name, me.incarnation,
-                                resumed, states, self._submissions, self._size, self._health.lease))
+        self._put(
+            codec.Welcome(
+                codec.VERSION,
+                list(codec.FEATURES),
+                me.hall,
+                me.name,
+                me.incarnation,
+                resumed,
+                states,
+                self._submissions,
+                self._size,
+                self._health.lease,
+            )
+        )
         for entry in self.ledger.open.values():
             entry.next_page, entry.let = 0, WINDOW
             if entry.state is State.ENDED:
@@ -147,8 +170,14 @@
     def _near_leaves(self, frame: codec.Goodbye, now: int) -> None:
         self._say(f"{self.near.name} of {self.near.hall} offers nothing more: {frame.reason}")
 
-    _TAKES = {codec.Offer: _offered, codec.Beat: _heard, codec.Withdraw: _withdrawn, codec.Forget: _forgotten,
-              codec.More: _more, codec.Goodbye: _near_leaves}
+    _TAKES = {
+        codec.Offer: _offered,
+        codec.Beat: _heard,
+        codec.Withdraw: _withdrawn,
+        codec.Forget: _forgotten,
+        codec.More: _more,
+        codec.Goodbye: _near_leaves,
+    }
 
     # What the passage says, as to any who asks.
 
@@ -180,7 +209,7 @@
         self.open.pop(number)
         entry = self.ledger.open.get(number)
         if entry is not None:
-            entry.pages = [result[at:at + codec.PAGE] for at in range(0, len(result), codec.PAGE)] or [b""]
+            entry.pages = [result[at : at + codec.PAGE] for at in range(0, len(result), codec.PAGE)] or [b""]
             entry.let = WINDOW
             self._ended(entry, "fulfilled")
 
@@ -272,5 +301,13 @@
             threads, cores, pace = self._room()
             # What it has running here is its own to use again.
             running = sum(errand.submission.tariff.threads for errand in self.open.values())
-            self._put(codec.Beat(*self._health.next_beat(now), max(0.0, threads) + running, max(0.0, cores),
-                                 max(0.0, pace), self._closed()), at_once=True)
+            self._put(
+                codec.Beat(
+                    *self._health.next_beat(now),
+                    max(0.0, threads) + running,
+                    max(0.0, cores),
+                    max(0.0, pace),
+                    self._closed(),
+                ),
+                at_once=True,
+            )
--- a/cresstray/halls/ledger.py
+++ b/cresstray/halls/ledger.py
@@ -33,11 +33,24 @@
 class Crossing:
     """One, on the near side; `relay` is the near module's, `link` the near end of the link it went by."""
 
-    __slots__ = ("number", "relay", "link", "name", "due", "state", "cut", "withdrawn", "pages", "weight",
-                 "told", "fenced")
-
-    def __init__(self, number: int, relay: object, link: object, name: str, weight: float,
-                 fenced: bool) -> None:
+    __slots__ = (
+        "number",
+        "relay",
+        "link",
+        "name",
+        "due",
+        "state",
+        "cut",
+        "withdrawn",
+        "pages",
+        "weight",
+        "told",
+        "fenced",
+    )
+
+    def __init__(
+        self, number: int, relay: object, link: object, name: str, weight: float, fenced: bool
+    ) -> None:
         self.number, self.relay, self.link, self.name = number, relay, link, name
         self.weight = weight  # threads that it counts for
         self.fenced = fenced  # given up there when the lease is over, and may run again here
@@ -94,8 +107,20 @@
 class Entry:
     """One, on the far side. Its result or its end is kept until the near side has it."""
 
-    __slots__ = ("number", "state", "ran", "how", "pages", "next_page", "let", "size", "ended_at",
-                 "come_back", "fenced", "withdrawn")
+    __slots__ = (
+        "number",
+        "state",
+        "ran",
+        "how",
+        "pages",
+        "next_page",
+        "let",
+        "size",
+        "ended_at",
+        "come_back",
+        "fenced",
+        "withdrawn",
+    )
 
     def __init__(self, number: int, size: int) -> None:
         self.number, self.size = number, size
@@ -137,8 +162,19 @@
         states, wanted = [], set(asked)
         for number in asked:
             entry = self.open.get(number)
-            states.append((number, (State.NEVER if entry is None and number > self._highest
-                                    else State.FENCED if entry is None else entry.state).value))
-        gone = [entry for number, entry in self.open.items()
-                if number not in wanted or entry.state is State.TAKEN]
+            states.append(
+                (
+                    number,
+                    (
+                        State.NEVER
+                        if entry is None and number > self._highest
+                        else State.FENCED
+                        if entry is None
+                        else entry.state
+                    ).value,
+                )
+            )
+        gone = [
+            entry for number, entry in self.open.items() if number not in wanted or entry.state is State.TAKEN
+        ]
         return states, gone
--- a/cresstray/halls/outward.py
+++ b/cresstray/halls/outward.py
@@ -34,8 +34,17 @@
 class Outward(End):
     _OTHER = "far"
 
-    def __init__(self, me: Place, far_hall: str, way: Way, keeper: Keeper, counters: Counters,
-                 say: Callable[[str], None], now: Callable[[], int], wake: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        me: Place,
+        far_hall: str,
+        way: Way,
+        keeper: Keeper,
+        counters: Counters,
+        say: Callable[[str], None],
+        now: Callable[[], int],
+        wake: Callable[[], None],
+    ) -> None:
         super().__init__(me, way.health, now)
         self._far_hall, self.way, self._wake = far_hall, way, wake
         self._keeper, self._counters, self._say = keeper, counters, say
@@ -53,8 +62,18 @@
         self._write, self._frames, self.greeted = write, codec.Frames(), False
         self._forgets.clear()
         me = self._me
-        self._put(codec.Hello(codec.MAGIC, codec.VERSION, list(codec.FEATURES), me.hall, me.name,
-                              me.incarnation, self._knew, list(self.ledger.open)))
+        self._put(
+            codec.Hello(
+                codec.MAGIC,
+                codec.VERSION,
+                list(codec.FEATURES),
+                me.hall,
+                me.name,
+                me.incarnation,
+                self._knew,
+                list(self.ledger.open),
+            )
+        )
 
     def disconnected(self, now: int) -> None:
         self._write = None
@@ -117,8 +136,10 @@
                 self._put(codec.Withdraw(crossing.number))
         self._counters.add("links between halls made")
         if settled:
-            self._say(f"link to {self.far} {'resumed' if resumed else 'new'}: {len(settled)} crossings "
-                      f"settled, {len(self.ledger.open)} go on")
+            self._say(
+                f"link to {self.far} {'resumed' if resumed else 'new'}: {len(settled)} crossings "
+                f"settled, {len(self.ledger.open)} go on"
+            )
         self._send_beat(now)
         self._tell_standing(now)
 
@@ -131,11 +152,25 @@
         crossing = self.ledger.add(relay, self, query.name, self.way.offered(submission, now), fenced)
         within = self.way.within(submission, now)
         bounded = within < submission.hard_stop - now
-        self._put(codec.Offer(
-            crossing.number, self._health.heard, query.name, query.tariff, query.tenant, query.mark,
-            query.estimate, query.megabytes, max(0, submission.hard_stop - now),
-            self.way.hold(submission, now), max(1, within) if bounded else 0, submission.data_set,
-            len(submission.relays) - 1, fenced, query.statement))
+        self._put(
+            codec.Offer(
+                crossing.number,
+                self._health.heard,
+                query.name,
+                query.tariff,
+                query.tenant,
+                query.mark,
+                query.estimate,
+                query.megabytes,
+                max(0, submission.hard_stop - now),
+                self.way.hold(submission, now),
+                max(1, within) if bounded else 0,
+                submission.data_set,
+                len(submission.relays) - 1,
+                fenced,
+                query.statement,
+            )
+        )
         self._counters.add("crossings offered")
         return crossing
 
@@ -223,8 +258,15 @@
         self.way.leaving = True
         self._tell_standing(now)
 
-    _TAKES = {codec.Taken: _taken, codec.Sent: _sent, codec.Refused: _refused, codec.Ended: _failed,
-              codec.Page: _page, codec.Beat: _heard, codec.Goodbye: _goodbye}
+    _TAKES = {
+        codec.Taken: _taken,
+        codec.Sent: _sent,
+        codec.Refused: _refused,
+        codec.Ended: _failed,
+        codec.Page: _page,
+        codec.Beat: _heard,
+        codec.Goodbye: _goodbye,
+    }
 
     # Time.
 
@@ -251,8 +293,7 @@
             if crossing.cut and gone and (crossing.fenced or submission.ended):
                 # The far side has given it up by now, whatever it did; or nobody waits for it any more.
                 self._end(crossing, Outcome.UNKNOWN, True)
-            elif not crossing.withdrawn and self.way.hopeless(
-                    submission, crossing.state is State.SENT, now):
+            elif not crossing.withdrawn and self.way.hopeless(submission, crossing.state is State.SENT, now):
                 self._counters.add("crossings hopeless")
                 self._keeper.hopeless(crossing)
         self._tell_standing(now)
--- a/cresstray/halls/status.py
+++ b/cresstray/halls/status.py
@@ -28,12 +28,16 @@
         trip = "-" if link["round trip ms"] is None else f"{link['round trip ms']} ms"
         more = ["it is leaving"] if link["leaving"] else []
         more += [f"closed for {link['closed ms']} ms"] if link["closed ms"] else []
-        made.append(f"  to {link['peer']} {link['gateway'] or '(unknown)'}: {link['state']}, "
-                    f"round trip {trip}, room for {link['room threads']} threads, credit {link['credit']}, "
-                    f"{_ledger(link['ledger'])}{''.join(', ' + text for text in more)}")
+        made.append(
+            f"  to {link['peer']} {link['gateway'] or '(unknown)'}: {link['state']}, "
+            f"round trip {trip}, room for {link['room threads']} threads, credit {link['credit']}, "
+            f"{_ledger(link['ledger'])}{''.join(', ' + text for text in more)}"
+        )
     for link in told["from"]:
-        made.append(f"  from {link['hall']} {link['gateway']}: "
-                    f"{'connected' if link['connected'] else 'not connected'}, {_ledger(link['ledger'])}")
+        made.append(
+            f"  from {link['hall']} {link['gateway']}: "
+            f"{'connected' if link['connected'] else 'not connected'}, {_ledger(link['ledger'])}"
+        )
     return made
 
 
--- a/cresstray/keeper/answers.py
+++ b/cresstray/keeper/answers.py
@@ -16,8 +16,10 @@
 if TYPE_CHECKING:
     from cresstray.keeper.core import Core
 
-_LOST = {"error": "the leader has changed; whether it was taken is not known: ask again by the same request",
-         "again": True}
+_LOST = {
+    "error": "the leader has changed; whether it was taken is not known: ask again by the same request",
+    "again": True,
+}
 Reply = Callable[[dict[str, Any]], None]
 
 
@@ -25,9 +27,16 @@
     def __init__(self, core: Core) -> None:
         self._core = core
         self._kinds: dict[str, Callable[[Ask, Reply], None]] = {
-            "show": self._show, "past": self._past, "propose": self._propose, "check": self._check,
-            "members": self._members, "replace": self._replace, "where": self._where, "forget": self._forget,
-            "section": self._section}
+            "show": self._show,
+            "past": self._past,
+            "propose": self._propose,
+            "check": self._check,
+            "members": self._members,
+            "replace": self._replace,
+            "where": self._where,
+            "forget": self._forget,
+            "section": self._section,
+        }
         self.zones: dict[str, str] = {}  # of each engine that the file names
 
     def also(self, what: str, told: Callable[[], dict[str, Any]]) -> None:
@@ -56,8 +65,14 @@
 
     def _turns(self) -> dict[str, Any]:
         state = self._core.state
-        return {"turn": state.turn, "in_force": state.turn // 2, "joint": bool(state.turn % 2),
-                "latest": state.version, "stated_us": self._core.given.stated, "keeper": self._core.node.name}
+        return {
+            "turn": state.turn,
+            "in_force": state.turn // 2,
+            "joint": bool(state.turn % 2),
+            "latest": state.version,
+            "stated_us": self._core.given.stated,
+            "keeper": self._core.node.name,
+        }
 
     def _show(self, ask: Ask, reply: Reply) -> None:
         """The latest content (0) or that of a version; `acting` is what gateways act on now."""
@@ -66,15 +81,34 @@
         if content is None:
             reply({"error": f"version {ask.version} is not known, or no longer"})
             return
-        reply(self._turns() | {"documents": documents.plain(content), "acting": documents.plain(state.acting),
-                               "ghosts": sorted(state.ghosts),
-                               "waits_for": self._core.leases.waits_for(state, self._core.now)
-                               if state.wants_turn() is not None else []})
+        reply(
+            self._turns()
+            | {
+                "documents": documents.plain(content),
+                "acting": documents.plain(state.acting),
+                "ghosts": sorted(state.ghosts),
+                "waits_for": self._core.leases.waits_for(state, self._core.now)
+                if state.wants_turn() is not None
+                else [],
+            }
+        )
 
     def _past(self, ask: Ask, reply: Reply) -> None:
-        reply(self._turns() | {"past": [
-            {"version": past.version, "request": past.request, "who": past.who, "why": past.why,
-             "documents": list(past.documents)} for past in self._core.state.history()]})
+        reply(
+            self._turns()
+            | {
+                "past": [
+                    {
+                        "version": past.version,
+                        "request": past.request,
+                        "who": past.who,
+                        "why": past.why,
+                        "documents": list(past.documents),
+                    }
+                    for past in self._core.state.history()
+                ]
+            }
+        )
 
     def _propose(self, ask: Ask, reply: Reply) -> None:
         if ask.version:
@@ -88,8 +122,11 @@
         # request, it stays refused, and what was accepted under it before is told as it was.
         bases = dict.fromkeys(documents.NAMES, -1) if refused else ask.bases
         # Danger: a log that is read again with a newer file would come to another state.
-        self._log(commands.propose(ask.request, bases, ask.change, ask.why, ask.name, self._core.state.world),
-                  reply, refused)
+        self._log(
+            commands.propose(ask.request, bases, ask.change, ask.why, ask.name, self._core.state.world),
+            reply,
+            refused,
+        )
 
     def _too_much(self, change: bytes) -> list[str]:
         """What would be barred beyond a part of a zone; only a file that names engines knows zones."""
@@ -110,8 +147,14 @@
                 reply(dict(_LOST))
                 return
             told = commands.outcome(outcome)
-            reply(self._turns() | {"accepted": told.accepted, "version": told.version,
-                                   "refused": list(instead or told.refused) if not told.accepted else []})
+            reply(
+                self._turns()
+                | {
+                    "accepted": told.accepted,
+                    "version": told.version,
+                    "refused": list(instead or told.refused) if not told.accepted else [],
+                }
+            )
 
         try:
             if not self._core.propose(data, applied, self._core.now):
@@ -131,14 +174,25 @@
         except (ValueError, LookupError) as trouble:
             reply({"error": str(trouble)})
             return
-        refused = [f"{name}: the change is of version {bases.get(name, 0)}, and the latest is "
-                   f"{state.latest.version(name)}" for name in names
-                   if bases.get(name, 0) != state.latest.version(name)]
+        refused = [
+            f"{name}: the change is of version {bases.get(name, 0)}, and the latest is "
+            f"{state.latest.version(name)}"
+            for name in names
+            if bases.get(name, 0) != state.latest.version(name)
+        ]
         dropped = state.latest.gateways.items.keys() - new.gateways.items.keys()
         ghosts = (state.ghosts | dropped) - new.gateways.items.keys()
         refused += checks.checked(state.latest, new, state.world, len(ghosts)) + self._too_much(change)
-        reply(self._turns() | {"accepted": not refused, "version": state.version + 1, "refused": refused,
-                               "old": documents.plain(state.latest), "new": documents.plain(new)})
+        reply(
+            self._turns()
+            | {
+                "accepted": not refused,
+                "version": state.version + 1,
+                "refused": refused,
+                "old": documents.plain(state.latest),
+                "new": documents.plain(new),
+            }
+        )
 
     def _forget(self, ask: Ask, reply: Reply) -> None:
         """An operator says that a gateway which no list names any more is out for good."""
@@ -146,36 +200,65 @@
 
     def _section(self, ask: Ask, reply: Reply) -> None:
         """A command of another package, which knows its own bytes and its own outcome."""
+
         def applied(outcome: bytes | None) -> None:
             reply(dict(_LOST) if outcome is None else self._turns() | {"outcome": outcome})
 
         if ask.name not in self._core.state.sections:
             reply({"error": f"no section {ask.name!r}"})
-        elif not self._core.propose(commands.section(ask.name, ask.request, ask.change), applied,
-                                    self._core.now):
+        elif not self._core.propose(
+            commands.section(ask.name, ask.request, ask.change), applied, self._core.now
+        ):
             reply({"error": "there is no leader", "again": True})
 
     def _where(self, ask: Ask, reply: Reply) -> None:
         core = self._core
-        reply(self._turns() | {
-            "gateways": [{"gateway": one.gateway, "turn": one.turn if one.turn >= 0 else None,
-                          "lease_us": one.left, "age_us": one.age if one.age >= 0 else None,
-                          "ghost": one.gateway in core.state.ghosts}
-                         for one in core.leases.where(core.state, core.now)],
-            "waits_for": core.leases.waits_for(core.state, core.now)
-            if core.state.wants_turn() is not None else []})
+        reply(
+            self._turns()
+            | {
+                "gateways": [
+                    {
+                        "gateway": one.gateway,
+                        "turn": one.turn if one.turn >= 0 else None,
+                        "lease_us": one.left,
+                        "age_us": one.age if one.age >= 0 else None,
+                        "ghost": one.gateway in core.state.ghosts,
+                    }
+                    for one in core.leases.where(core.state, core.now)
+                ],
+                "waits_for": core.leases.waits_for(core.state, core.now)
+                if core.state.wants_turn() is not None
+                else [],
+            }
+        )
 
     def _members(self, ask: Ask, reply: Reply) -> None:
         node = self._core.node
         known = node.members.names()
-        strangers = sorted(f"{name}/{life}" for name, life in self._core.heard.items()
-                           if f"{name}/{life}" not in known)
-        reply(self._turns() | {
-            "leader": node.leader, "term": node.term, "commit": node.commit,
-            "voters": list(node.members.voters), "learners": list(node.members.learners),
-            "strangers": strangers, "connected": sorted({node.name, *(
-                f"{guest.name}/{guest.life}" for guest in self._core.guests.values()
-                if guest.role == "keeper")})})
+        strangers = sorted(
+            f"{name}/{life}" for name, life in self._core.heard.items() if f"{name}/{life}" not in known
+        )
+        reply(
+            self._turns()
+            | {
+                "leader": node.leader,
+                "term": node.term,
+                "commit": node.commit,
+                "voters": list(node.members.voters),
+                "learners": list(node.members.learners),
+                "strangers": strangers,
+                "connected": sorted(
+                    {
+                        node.name,
+                        *(
+                            f"{guest.name}/{guest.life}"
+                            for guest in self._core.guests.values()
+                            if guest.role == "keeper"
+                        ),
+                    }
+                ),
+            }
+        )
 
     def _replace(self, ask: Ask, reply: Reply) -> None:
         """One step of taking in a keeper's new generation; asked again until it is done.
@@ -191,23 +274,35 @@
             reply({"error": f"{ask.name!r} is no keeper of the file"})
             return
         if fresh != node.name and f"keeper:{fresh}" not in core.guests:
-            reply(self._turns() | {"step": "waits", "name": fresh, "done": False,
-                                   "why": f"no {ask.name} is connected to the leader"})
+            reply(
+                self._turns()
+                | {
+                    "step": "waits",
+                    "name": fresh,
+                    "done": False,
+                    "why": f"no {ask.name} is connected to the leader",
+                }
+            )
             return
         if fresh not in node.members.names():
             step, members = "admitted to listen", Members(voters, tuple(sorted((*learners, fresh))))
         elif fresh in learners:
             step = "votes"
-            members = Members(tuple(sorted((*voters, fresh))),
-                              tuple(name for name in learners if name != fresh))
+            members = Members(
+                tuple(sorted((*voters, fresh))), tuple(name for name in learners if name != fresh)
+            )
         elif old:
             step = f"{old[0]} dropped"
-            members = Members(tuple(name for name in voters if name != old[0]),
-                              tuple(name for name in learners if name != old[0]))
+            members = Members(
+                tuple(name for name in voters if name != old[0]),
+                tuple(name for name in learners if name != old[0]),
+            )
         elif fresh != node.name and not node.hears(fresh, core.now):
             # Danger: the link of a keeper that lost its disk may stand for a while; nothing was replaced.
-            reply(self._turns() | {"step": "waits", "name": fresh, "done": False,
-                                   "why": f"{fresh} is not heard of"})
+            reply(
+                self._turns()
+                | {"step": "waits", "name": fresh, "done": False, "why": f"{fresh} is not heard of"}
+            )
             return
         else:
             reply(self._turns() | {"step": "done", "name": fresh, "done": True})
@@ -221,5 +316,3 @@
             return
         core.say("keeper", "a change of members", name=fresh, step=step)
         reply(self._turns() | {"step": step, "name": fresh, "done": False})
-
-
--- a/cresstray/keeper/codec.py
+++ b/cresstray/keeper/codec.py
@@ -31,7 +31,10 @@
 FROM_GATEWAY = (rules.Renew, rules.Get, Heard)
 FROM_OPERATOR = (Request,)
 TAKEN: dict[str, tuple[type[Frame], ...]] = {
-    "keeper": FROM_KEEPER, "gateway": FROM_GATEWAY, "operator": FROM_OPERATOR}
+    "keeper": FROM_KEEPER,
+    "gateway": FROM_GATEWAY,
+    "operator": FROM_OPERATOR,
+}
 ALL = (Greet, *FROM_KEEPER, *FROM_GATEWAY[:2], Request)
 # What comes back on a link that a keeper made.
 BACK = (Greet, Alive, Heard)
@@ -66,7 +69,7 @@
 def _cut(body: bytes) -> list[bytes]:
     """Parts that still fit when another frame carries them."""
     size = PART - 1024
-    return [body[at:at + size] for at in range(0, len(body), size)]
+    return [body[at : at + size] for at in range(0, len(body), size)]
 
 
 def requests(number: int, ask: Ask) -> list[Request]:
--- a/cresstray/keeper/core.py
+++ b/cresstray/keeper/core.py
@@ -73,9 +73,18 @@
 
 
 class Core:
-    def __init__(self, given: Fleet, node: Node, state: State, leases: Leases, write: Callable[[Keep], None],
-                 say: Callable[..., None], counters: Counters, now: int,
-                 talks: Callable[[], Talk] | None = None) -> None:
+    def __init__(
+        self,
+        given: Fleet,
+        node: Node,
+        state: State,
+        leases: Leases,
+        write: Callable[[Keep], None],
+        say: Callable[..., None],
+        counters: Counters,
+        now: int,
+        talks: Callable[[], Talk] | None = None,
+    ) -> None:
         self.given, self.node, self.state, self.leases = given, node, state, leases
         self._write, self.say, self.counters, self._talks = write, say, counters, talks
         self.keepers: dict[str, Far] = {}  # links that we made, by the far keeper's name in the log
@@ -129,8 +138,11 @@
         self.guests[guest.key] = guest
         if guest.role == "keeper":
             if self.heard.get(guest.name) != guest.life and f"{guest.name}/{guest.life}" not in self._known():
-                self.say("keeper", "a stranger has come; to admit it: cresstray rules members FILE --replace "
-                                   f"{guest.name}", name=f"{guest.name}/{guest.life}")
+                self.say(
+                    "keeper",
+                    f"a stranger has come; to admit it: cresstray rules members FILE --replace {guest.name}",
+                    name=f"{guest.name}/{guest.life}",
+                )
             self.heard[guest.name] = guest.life
 
     def gone(self, guest: Guest) -> None:
@@ -367,8 +379,11 @@
             if self._term_ready != self.node.term:
                 back(rules.Refused(frame.number, self.state.turn, "no leader"))
                 continue
-            back(self.leases.renew(name, frame.number, frame.turn, self.state, leads, now, frame.life,
-                                   frame.stopped))
+            back(
+                self.leases.renew(
+                    name, frame.number, frame.turn, self.state, leads, now, frame.life, frame.stopped
+                )
+            )
             if self.leases.is_out(name, self.state) and self._out.get(name) != self.node.term:
                 self._out[name] = self.node.term
                 self.propose(commands.gone(name), lambda _: None, now)
@@ -433,11 +448,22 @@
             if not self._was or now[:3] != self._was[:3]:
                 self.say("log", "is " + now[0], term=node.term, leader=node.leader)
             if not self._was or now[3] != self._was[3]:
-                self.say("log", "members", voters=",".join(node.members.voters),
-                         learners=",".join(node.members.learners))
+                self.say(
+                    "log",
+                    "members",
+                    voters=",".join(node.members.voters),
+                    learners=",".join(node.members.learners),
+                )
             self._was = now
 
     def status(self) -> Mapping[str, Any]:
         node = self.node
-        return {"name": node.name, "role": node.role.name.lower(), "term": node.term, "leader": node.leader,
-                "commit": node.commit, "applied": self.applied, "turn": self.state.turn}
+        return {
+            "name": node.name,
+            "role": node.role.name.lower(),
+            "term": node.term,
+            "leader": node.leader,
+            "commit": node.commit,
+            "applied": self.applied,
+            "turn": self.state.turn,
+        }
--- a/cresstray/keeper/joined.py
+++ b/cresstray/keeper/joined.py
@@ -104,16 +104,21 @@
         """Peers and their links; of one keeper only."""
         core = self._core
         found = [(talk.peer, far) for name, (far, talk) in core.talking.items() if keeper in ("", name)]
-        return found + [(guest.talk.peer, guest.far) for key, guest in core.guests.items()
-                        if guest.talk is not None and guest.far.unwritten < _LAGGING
-                        and keeper in ("", key.removeprefix("keeper:"))]
+        return found + [
+            (guest.talk.peer, guest.far)
+            for key, guest in core.guests.items()
+            if guest.talk is not None
+            and guest.far.unwritten < _LAGGING
+            and keeper in ("", key.removeprefix("keeper:"))
+        ]
 
 
 class Moving:
     """A carrier for each term that this keeper leads, and the hands that it has."""
 
-    def __init__(self, moves: Moves, clock: Callable[[], int], counters: Counters,
-                 say: Callable[..., None]) -> None:
+    def __init__(
+        self, moves: Moves, clock: Callable[[], int], counters: Counters, say: Callable[..., None]
+    ) -> None:
         self._moves, self._clock = moves, clock
         self.addresses: dict[str, tuple[str, int]] = {}
         self.hands = Hands(lambda: self.addresses, self._propose, self._leads, clock, counters, say)
@@ -124,10 +129,21 @@
     def join(self, core: Core) -> None:
         self._core = core
         core.each_round.append(self._each)
-        core.answers.also("moves", lambda: self._moves.told() | {
-            "waits": {str(move): why for move, why in self._carrier.waits.items()} if self._carrier else {}})
-        core.answers.also("disks", lambda: {"disks": {
-            name: msgspec.to_builtins(disk) for name, disk in sorted(self.hands.told.items())}})
+        core.answers.also(
+            "moves",
+            lambda: self._moves.told()
+            | {
+                "waits": {str(move): why for move, why in self._carrier.waits.items()}
+                if self._carrier
+                else {}
+            },
+        )
+        core.answers.also(
+            "disks",
+            lambda: {
+                "disks": {name: msgspec.to_builtins(disk) for name, disk in sorted(self.hands.told.items())}
+            },
+        )
 
     def _leads(self) -> bool:
         return self._core.ready(self._clock())
--- a/cresstray/keeper/process.py
+++ b/cresstray/keeper/process.py
@@ -89,8 +89,12 @@
         if own != name:
             raise UnusableError([f"{path}: expected the file of {name}; it is of {durable.name}"])
         if stranger or not durable.snapshot.members.names() and not durable.entries:
-            self._say("keeper", "a stranger: it has no part in the log until an operator types: "
-                                f"cresstray rules members FILE --replace {name}", name=durable.name)
+            self._say(
+                "keeper",
+                "a stranger: it has no part in the log until an operator types: "
+                f"cresstray rules members FILE --replace {name}",
+                name=durable.name,
+            )
         chance = Random(os.urandom(16)).random
         started = now()
         moves = Moves()
@@ -99,8 +103,9 @@
         self._positions = Positions(given.drift, self._say, self.counters)
         self._moving = Moving(moves, now, self.counters, self._say)
         leases = Leases(given.lease, given.floor_lease, given.drift)
-        self._core = Core(given, node, state, leases, self._write, self._say, self.counters, started,
-                          self._positions.talk)
+        self._core = Core(
+            given, node, state, leases, self._write, self._say, self.counters, started, self._positions.talk
+        )
         self._positions.join(self._core, self._moving.hands.ask)
         self._moving.hands.seen = self._seen
         self._moving.join(self._core)
@@ -177,8 +182,11 @@
     def _come(self, link: Link) -> None:
         greet = link.greeting
         self._serial += 1
-        key = {"keeper": f"keeper:{greet.name}/{greet.life}", "gateway": f"gateway:{greet.name}",
-               "operator": f"operator:{self._serial}"}[greet.role]
+        key = {
+            "keeper": f"keeper:{greet.name}/{greet.life}",
+            "gateway": f"gateway:{greet.name}",
+            "operator": f"operator:{self._serial}",
+        }[greet.role]
         agrees = greet.nonce == peers.agreed(self._given)
         link.guest = Guest(link, greet.role, greet.name, greet.life, key, agrees)
         self._core.come(link.guest)
@@ -251,19 +259,33 @@
         """Serves until SIGTERM or SIGINT; its exit code."""
         listener = socket.create_server(self._address, backlog=1024)
         listener.setblocking(False)
-        self._say("keeper", "serves", name=f"{self.name}/{self.life}",
-                  address="{}:{}".format(*listener.getsockname()[:2]), stated_ms=self._given.stated // 1000)
+        self._say(
+            "keeper",
+            "serves",
+            name=f"{self.name}/{self.life}",
+            address="{}:{}".format(*listener.getsockname()[:2]),
+            stated_ms=self._given.stated // 1000,
+        )
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            tasks.start_soon(self._in.accept, listener, self._hello, self._check, self._come, self._taken,
-                             self._gone, tasks)
+            tasks.start_soon(
+                self._in.accept,
+                listener,
+                self._hello,
+                self._check,
+                self._come,
+                self._taken,
+                self._gone,
+                tasks,
+            )
             for one in self._given.keepers:
                 if one.name != self.name:
                     tasks.start_soon(self._keep_up, one.name, one.address, tasks)
             tasks.start_soon(self._moving.hands.run)
             self._wake()
-            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1,
-                                            signal.SIGHUP) as signals:
+            with anyio.open_signal_receiver(
+                signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
+            ) as signals:
                 async for received in signals:
                     if received == signal.SIGUSR1:
                         self._report()
@@ -291,7 +313,8 @@
         self._in.contexts = self._out.contexts = contexts
         self._know_engines(given)
         if msgspec.structs.replace(given, engines=(), tls=None) != msgspec.structs.replace(
-                self._given, engines=(), tls=None):
+            self._given, engines=(), tls=None
+        ):
             self._say("keeper", "of the new file only keys and engines are used until a restart")
 
     async def _hand_over(self) -> None:
@@ -309,8 +332,12 @@
         await anyio.sleep(0.02)
 
     def _report(self) -> None:
-        self._say("status", "is", **self._core.status(), gateways=sum(
-            guest.role == "gateway" for guest in self._core.guests.values()))
+        self._say(
+            "status",
+            "is",
+            **self._core.status(),
+            gateways=sum(guest.role == "gateway" for guest in self._core.guests.values()),
+        )
         for line in self.counters.lines():
             print(f"{self.name} counter: {line}", file=sys.stderr, flush=True)
 
@@ -324,6 +351,7 @@
     if given.tls is None:
         return None
     from cresstray.halls.tls import Contexts
+
     return Contexts(given.tls)
 
 
@@ -344,9 +372,14 @@
     for index, entry in enumerate(durable.entries, durable.snapshot.index + 1):
         if entry.kind == Kind.DATA:
             state.apply(index, entry.data)
-    return {"keeper": durable.name, "term": durable.term,
-            "index": durable.snapshot.index + len(durable.entries), "turn": state.turn,
-            "latest": state.version, "documents": documents.plain(state.latest)}
+    return {
+        "keeper": durable.name,
+        "term": durable.term,
+        "index": durable.snapshot.index + len(durable.entries),
+        "turn": state.turn,
+        "latest": state.version,
+        "documents": documents.plain(state.latest),
+    }
 
 
 def run(given: Fleet, name: str, file: str = "") -> int:
--- a/cresstray/kept/behind.py
+++ b/cresstray/kept/behind.py
@@ -32,8 +32,11 @@
             self.news = now
 
     def wants(self, now: int) -> bool:
-        return (self.writing is None and now >= self._rest
-                and (self.news is not None and now - self.news >= _NEWS or now - self.learnt >= _LEARNT))
+        return (
+            self.writing is None
+            and now >= self._rest
+            and (self.news is not None and now - self.news >= _NEWS or now - self.learnt >= _LEARNT)
+        )
 
     def began(self, now: int) -> None:
         """All that is known until now goes; what changes from here on is news again."""
--- a/cresstray/kept/belief.py
+++ b/cresstray/kept/belief.py
@@ -97,15 +97,25 @@
 
     # What lists of others than the register say: each engine with the age of what is known of it.
 
-    def remembered(self, given: Iterable[tuple[Member, int]], number: int, tombs: list[Tomb], source: Source,
-                   now: int, handed: bool = False) -> list[Member]:
+    def remembered(
+        self,
+        given: Iterable[tuple[Member, int]],
+        number: int,
+        tombs: list[Tomb],
+        source: Source,
+        now: int,
+        handed: bool = False,
+    ) -> list[Member]:
         """`number`: the register's, when the list was made. What this process knows better stays.
 
         What is to be listed because of it: who was listed on trial, and is gone by the word in it or has
         started anew.
         """
-        listed = {number: (belief.member, belief.since) for number, belief in self.engines.items()
-                  if belief.listed and belief.state is not State.TOLD}
+        listed = {
+            number: (belief.member, belief.since)
+            for number, belief in self.engines.items()
+            if belief.listed and belief.state is not State.TOLD
+        }
         for tomb in filter(self._older, tombs):
             self._drop(tomb.id)
             self.tombs.bury(tomb.id, tomb.started, tomb.number, now, tomb.lived)
@@ -127,8 +137,9 @@
             if belief is None:
                 told.append(_gone(member))
             elif belief.since > since:
-                told.append(msgspec.structs.replace(
-                    belief.member, standing=Standing.READY, started=belief.since))
+                told.append(
+                    msgspec.structs.replace(belief.member, standing=Standing.READY, started=belief.since)
+                )
         return told
 
     def _older(self, tomb: Tomb) -> bool:
@@ -139,15 +150,22 @@
 
     def _remember(self, member: Member, age: int, number: int, source: Source, now: int) -> bool:
         known = self.engines.get(member.id)
-        if (known is not None and known.state in (State.ON_TRIAL, State.CONFIRMED)
-                and member.started > known.member.started):
+        if (
+            known is not None
+            and known.state in (State.ON_TRIAL, State.CONFIRMED)
+            and member.started > known.member.started
+        ):
             # Danger: it is asked by what an earlier list said, and would be warm by its start of then.
             known.member = msgspec.structs.replace(known.member, started=member.started)
             known.since = max(known.since, member.started)
-        if (member.standing is Standing.GONE or self.tombs.bars(member.id, member.started, number)
-                or known is not None and (known.state not in (State.REMEMBERED, State.CONTRADICTED)
-                                          or known.at >= now - age)
-                or known is None and len(self.engines) >= MOST):
+        if (
+            member.standing is Standing.GONE
+            or self.tombs.bars(member.id, member.started, number)
+            or known is not None
+            and (known.state not in (State.REMEMBERED, State.CONTRADICTED) or known.at >= now - age)
+            or known is None
+            and len(self.engines) >= MOST
+        ):
             return False
         owner = self._at.get((member.host, member.port), member.id)
         if owner != member.id:
@@ -174,8 +192,10 @@
             if member.standing is Standing.GONE:
                 self._bury(member.id, member.started, event.number, now)
                 members.append(member)
-            elif not (self.tombs.bars(member.id, member.started, event.number)
-                      or self._outdated(member, event.number)):
+            elif not (
+                self.tombs.bars(member.id, member.started, event.number)
+                or self._outdated(member, event.number)
+            ):
                 members += self._claim(member, named, event.number, now)
                 started = self._started(member, event.number, now)
                 self._put(self._told(member, started, now))
@@ -213,8 +233,15 @@
             # Said again, it is the same drain; its grace counts from when this process first heard of it.
             same = known and known.state is State.TOLD and known.member.started == member.started
             drained = known.drained if same and known.drained else now
-        return Belief(member, State.TOLD, Source.REGISTER, now, listed=True, drained=drained,
-                      since=started if started != member.started else 0)
+        return Belief(
+            member,
+            State.TOLD,
+            Source.REGISTER,
+            now,
+            listed=True,
+            drained=drained,
+            since=started if started != member.started else 0,
+        )
 
     def _claim(self, member: Member, named: set[int], number: int, now: int) -> list[Member]:
         """Whoever was believed at this address, and is not told of together with the one that has it now."""
@@ -259,8 +286,11 @@
             return begun
         for engine in self._order if self.window.room() else ():
             belief = self.engines.get(engine)
-            if (belief is not None and belief.state in (State.REMEMBERED, State.CONTRADICTED)
-                    and belief.due <= now):
+            if (
+                belief is not None
+                and belief.state in (State.REMEMBERED, State.CONTRADICTED)
+                and belief.due <= now
+            ):
                 belief.state, self._standings = State.ON_TRIAL, None
                 self.window.begin(engine, now)
                 begun.append(belief.member)
@@ -288,8 +318,9 @@
             self._bury(engine, belief.member.started, self.numbers.highest, now)
         else:
             belief.state, belief.failed = State.CONTRADICTED, belief.failed + 1
-            belief.due = now + (self._grace if how is How.DRAINING
-                                else trials.again(belief.failed, self._chance))
+            belief.due = now + (
+                self._grace if how is How.DRAINING else trials.again(belief.failed, self._chance)
+            )
         return [_gone(belief.member)] if listed else []
 
     def forget(self, engine: int, now: int) -> list[Member]:
@@ -302,8 +333,12 @@
         belief.listed = True
         # Danger: it may have started at any time until now, alone or with all others. Cold from this moment
         # on, unless it was seen warm a few seconds ago by the gateway that handed over.
-        warm = (self.handed and now - self.begun < HANDED and belief.failed == 0
-                and belief.member.standing is Standing.READY)
+        warm = (
+            self.handed
+            and now - self.begun < HANDED
+            and belief.failed == 0
+            and belief.member.standing is Standing.READY
+        )
         belief.since = belief.member.started if warm else now
         return [msgspec.structs.replace(belief.member, standing=Standing.READY, started=belief.since)]
 
@@ -344,9 +379,11 @@
     def evidence(self, now: int) -> list[tuple[Member, int]]:
         """All that is not gone, and when it was last known: writing it again makes nothing younger."""
         told, alive = State.TOLD, self._alive
-        return [(belief.member, alive if belief.state is told and alive > belief.at else belief.at)
-                for belief in self.engines.values()
-                if belief.failed < _HOPELESS or now - belief.at < OLDEST]
+        return [
+            (belief.member, alive if belief.state is told and alive > belief.at else belief.at)
+            for belief in self.engines.values()
+            if belief.failed < _HOPELESS or now - belief.at < OLDEST
+        ]
 
     def kept(self, now: int) -> list[tuple[Member, int]]:
         """The same with ages."""
@@ -370,10 +407,17 @@
         self.tombs.bury(engine, max(started, belief.member.started if belief else 0), number, now)
 
     def fingerprint(self) -> tuple:
-        return (tuple(sorted((engine, belief.state.value, belief.listed, belief.failed)
-                             for engine, belief in self.engines.items())),
-                tuple((tomb.id, tomb.started, tomb.number) for tomb in self.tombs.kept(0)),
-                self.numbers.highest, self.numbers.behind_since is not None)
+        return (
+            tuple(
+                sorted(
+                    (engine, belief.state.value, belief.listed, belief.failed)
+                    for engine, belief in self.engines.items()
+                )
+            ),
+            tuple((tomb.id, tomb.started, tomb.number) for tomb in self.tombs.kept(0)),
+            self.numbers.highest,
+            self.numbers.behind_since is not None,
+        )
 
 
 def _gone(member: Member) -> Member:
--- a/cresstray/kept/files.py
+++ b/cresstray/kept/files.py
@@ -147,12 +147,13 @@
             raise OSError(errno.EEXIST, "another gateway's files are in this folder")
         data = encoded(record, self._serial + 1)
         name = NAMES[1] if self._newest == NAMES[0] else NAMES[0]
-        descriptor = self._system.open(self._at(_FRESH), os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC,
-                                       0o600)
+        descriptor = self._system.open(
+            self._at(_FRESH), os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600
+        )
         try:
             left = memoryview(data)
             while left:
-                left = left[self._system.write(descriptor, left[:_PIECE]):]
+                left = left[self._system.write(descriptor, left[:_PIECE]) :]
             # Danger: a rename may reach the disk before what it names.
             self._system.fsync(descriptor)
         finally:
--- a/cresstray/kept/guard.py
+++ b/cresstray/kept/guard.py
@@ -14,6 +14,6 @@
 
     def takes(self, submission: Submission, engine: Engine, now: int) -> bool:
         # Danger: the first that a remembered address hears of us may be heard by somebody else.
-        return ((submission.tariff.idempotent or submission.tariff.deduplicated
-                 or not self._keep.on_trial(engine))
-                and super().takes(submission, engine, now))
+        return (
+            submission.tariff.idempotent or submission.tariff.deduplicated or not self._keep.on_trial(engine)
+        ) and super().takes(submission, engine, now)
--- a/cresstray/kept/keep.py
+++ b/cresstray/kept/keep.py
@@ -22,9 +22,15 @@
 
 # What a relay's end says of a remembered engine. Faults of work say nothing: it runs work, so it is one. An
 # answer that can't be read may be another service's, which may be for a moment only.
-_HOW = {Ending.FULFILLED: How.SERVED, Ending.FULL: How.SERVED, Ending.ERROR: How.SERVED,
-        Ending.UNREACHABLE: How.REFUSED, Ending.TIMED_OUT: How.SILENT, Ending.RESET: How.SILENT,
-        Ending.SPOILT: How.SILENT}
+_HOW = {
+    Ending.FULFILLED: How.SERVED,
+    Ending.FULL: How.SERVED,
+    Ending.ERROR: How.SERVED,
+    Ending.UNREACHABLE: How.REFUSED,
+    Ending.TIMED_OUT: How.SILENT,
+    Ending.RESET: How.SILENT,
+    Ending.SPOILT: How.SILENT,
+}
 # Without a stated grace an engine is given so long to end.
 _GRACE = 10_000
 # Connections made and closed at once, and microseconds of the loop for each: a tick's budget of background
@@ -40,17 +46,26 @@
 class Keep:
     """`say` prints a line for operators; `moment` reads all clocks, `now` is the module's."""
 
-    def __init__(self, writer: Writer, settings: Mapping[str, Any], gateway: Gateway,
-                 chance: Callable[[], float], counters: Counters, say: Callable[[str], None],
-                 moment: Callable[[], Moment], now: int) -> None:
+    def __init__(
+        self,
+        writer: Writer,
+        settings: Mapping[str, Any],
+        gateway: Gateway,
+        chance: Callable[[], float],
+        counters: Counters,
+        say: Callable[[str], None],
+        moment: Callable[[], Moment],
+        now: int,
+    ) -> None:
         limits, safety = settings.get("Limits", {}), settings.get("Safety", {})
         self._writer, self._gateway, self._chance, self._moment = writer, gateway, chance, moment
         self._counters, self._say = counters, say
         self._names = [service.get("Name", "") for service in settings.get("Services", [])]
         self._zones, self._machines = settings.get("Localities", []), settings.get("Flavors", [])
         self._patience = micros(limits.get("ConnectTimeout", 250))
-        self.beliefs = Beliefs(micros(safety.get("DrainGrace", _GRACE)),
-                               micros(limits.get("MaxRetryAfter", 0)), chance, now)
+        self.beliefs = Beliefs(
+            micros(safety.get("DrainGrace", _GRACE)), micros(limits.get("MaxRetryAfter", 0)), chance, now
+        )
         self.behind = Behind(chance, now)
         self._pending: dict[int, Member] = {}  # to be listed at the next step
         self._asked: deque[Member] = deque()  # on trial, and still to be connected to
@@ -78,8 +93,10 @@
         if kept is None or found.serial <= self._serial:
             return
         self._serial, self._age = found.serial, age(kept.moment, self._moment())
-        members = [(member, min(OLDEST, self._age + before)) for member, before in
-                   record.members(kept, self._zones, self._machines)]
+        members = [
+            (member, min(OLDEST, self._age + before))
+            for member, before in record.members(kept, self._zones, self._machines)
+        ]
         # Danger: only the reading that nobody sets says that a few seconds are a few seconds.
         handed = kept.handed and kept.boot == self._moment().boot != "" and self._age < HANDED
         told = self.beliefs.remembered(members, kept.number, kept.tombs, Source.DISK, now, handed)
@@ -87,17 +104,22 @@
         self._limits = {one.id: one for one in kept.limits}
         put = learnt.put_tariffs(self._gateway, self._names, kept.tariffs, self._age)
         self.marks = kept.marks if handed else []
-        self._say(f"remembers {len(members)} engines and {put} tariffs, "
-                  + ("of an unknown age" if self._age >= OLDEST else f"{self._age / 1e6:.0f} s old")
-                  + (", handed over" if handed else ""))
+        self._say(
+            f"remembers {len(members)} engines and {put} tariffs, "
+            + ("of an unknown age" if self._age >= OLDEST else f"{self._age / 1e6:.0f} s old")
+            + (", handed over" if handed else "")
+        )
 
     # The list: before and after the module hears of it.
 
     def told(self, event: Event, now: int) -> Event:
         """The event as route and module may have it."""
-        before = {member.id: belief.member.started for member in event.members
-                  if (belief := self.beliefs.engines.get(member.id)) is not None
-                  and belief.state in (State.ON_TRIAL, State.CONFIRMED)}
+        before = {
+            member.id: belief.member.started
+            for member in event.members
+            if (belief := self.beliefs.engines.get(member.id)) is not None
+            and belief.state in (State.ON_TRIAL, State.CONFIRMED)
+        }
         passed = self.beliefs.told(event, now)
         self._same = {member.id for member in passed.members if before.get(member.id) == member.started}
         left_out = len(event.members) - len(passed.members)
@@ -179,11 +201,18 @@
     def status(self, now: int) -> list[dict[str, Any]]:
         """What is believed, a plain map for each engine; ages in seconds."""
         ages = {member.id: before for member, before in self.beliefs.kept(now)}
-        return [{"id": f"s-{number:08x}", "address": f"{one.member.host}:{one.member.port}",
-                 "state": one.state.value, "source": one.source.value, "listed": one.listed,
-                 "age": None if ages.get(number, OLDEST) >= OLDEST else round(ages[number] / 1e6, 1),
-                 "failed": one.failed}
-                for number, one in self.beliefs.engines.items()]
+        return [
+            {
+                "id": f"s-{number:08x}",
+                "address": f"{one.member.host}:{one.member.port}",
+                "state": one.state.value,
+                "source": one.source.value,
+                "listed": one.listed,
+                "age": None if ages.get(number, OLDEST) >= OLDEST else round(ages[number] / 1e6, 1),
+                "failed": one.failed,
+            }
+            for number, one in self.beliefs.engines.items()
+        ]
 
     def asks(self, now: int) -> bool:
         """A round of trials: who is due is asked by `knocks`. Whether there is any to be asked."""
@@ -265,8 +294,9 @@
             counts["kept: slowest write us"] = max(outcome.took, counts["kept: slowest write us"])
         if outcome.trouble != self._trouble:
             self._trouble = outcome.trouble
-            self._say(f"can't be written: {outcome.trouble}; tried again" if outcome.trouble
-                      else "written again")
+            self._say(
+                f"can't be written: {outcome.trouble}; tried again" if outcome.trouble else "written again"
+            )
         if outcome.found is not None and self._last is None:
             self._take(outcome.found, now)
             self.behind.changed(now)
@@ -276,8 +306,9 @@
         self.behind.began(now)
         self._writer.start(self.record(now, marks, handed), self._serial)
 
-    def record(self, now: int, marks: Sequence[str] = (),
-               handed: bool = False) -> Callable[[], record.Record]:
+    def record(
+        self, now: int, marks: Sequence[str] = (), handed: bool = False
+    ) -> Callable[[], record.Record]:
         """All that is kept, as of now: gathered at once, and made by whoever calls what comes back."""
         at, beliefs, folder = self._moment(), self.beliefs, self._writer.folder
         evidence, limits = beliefs.evidence(now), learnt.limits(self._engines, beliefs.engines)
@@ -289,14 +320,28 @@
         def make() -> record.Record:
             engines: list[record.Engine] = []
             for begin in range(0, len(evidence), _PIECE):
-                engines += [record.engine(member, max(0, min(OLDEST, now - known)))
-                            for member, known in evidence[begin:begin + _PIECE] if record.fits(member)]
+                engines += [
+                    record.engine(member, max(0, min(OLDEST, now - known)))
+                    for member, known in evidence[begin : begin + _PIECE]
+                    if record.fits(member)
+                ]
                 time.sleep(_BREATH)
             return record.Record(
-                owner=folder.owner, wall=at.wall, boot=at.boot, ticked=at.ticked, number=number,
-                handed=handed, zones=list(self._zones), machines=list(self._machines), engines=engines,
-                tombs=tombs, tariffs=tariffs, limits=[record.Limit(*limit) for limit in limits],
-                marks=open_marks)
+                owner=folder.owner,
+                wall=at.wall,
+                boot=at.boot,
+                ticked=at.ticked,
+                number=number,
+                handed=handed,
+                zones=list(self._zones),
+                machines=list(self._machines),
+                engines=engines,
+                tombs=tombs,
+                tariffs=tariffs,
+                limits=[record.Limit(*limit) for limit in limits],
+                marks=open_marks,
+            )
+
         return make
 
     def hand_over(self, marks: Sequence[str], now: int) -> None:
--- a/cresstray/kept/learnt.py
+++ b/cresstray/kept/learnt.py
@@ -20,15 +20,22 @@
 
 
 def tariffs(gateway: Gateway, names: Iterable[str]) -> list[Tariff]:
-    return [Tariff(name, tariff.usual.seen, tariff.usual.mean, tariff.usual.estimate, tariff.usual.factor)
-            for name, tariff in zip(names, gateway.tariffs) if tariff.usual.seen]
+    return [
+        Tariff(name, tariff.usual.seen, tariff.usual.mean, tariff.usual.estimate, tariff.usual.factor)
+        for name, tariff in zip(names, gateway.tariffs)
+        if tariff.usual.seen
+    ]
 
 
-def limits(engines: Mapping[int, tuple[Engine, Limiter]],
-           beliefs: Mapping[int, Belief]) -> list[tuple[int, int, float, float]]:
+def limits(
+    engines: Mapping[int, tuple[Engine, Limiter]], beliefs: Mapping[int, Belief]
+) -> list[tuple[int, int, float, float]]:
     """Of those that have learnt anything, as record.Limit has it."""
-    return [(number, beliefs[number].member.started, limiter.limit / limiter.start, limiter.pace)
-            for number, (_, limiter) in engines.items() if limiter.seen >= 10 and number in beliefs]
+    return [
+        (number, beliefs[number].member.started, limiter.limit / limiter.start, limiter.pace)
+        for number, (_, limiter) in engines.items()
+        if limiter.seen >= 10 and number in beliefs
+    ]
 
 
 def put_tariffs(gateway: Gateway, names: Iterable[str], kept: Iterable[Tariff], age: int) -> int:
@@ -65,8 +72,24 @@
 def carry(old: Limiter, new: Limiter) -> None:
     """From a limiter of this process to the one that took its place, where the engine's life is the same."""
     new.limit = old.limit / old.start * new.start
-    for name in ("pace", "seen", "average", "best", "heard", "lost", "fails", "answers", "doubted", "mute",
-                 "trial_at", "streak", "signs", "idle", "full_until", "blocked"):
+    for name in (
+        "pace",
+        "seen",
+        "average",
+        "best",
+        "heard",
+        "lost",
+        "fails",
+        "answers",
+        "doubted",
+        "mute",
+        "trial_at",
+        "streak",
+        "signs",
+        "idle",
+        "full_until",
+        "blocked",
+    ):
         setattr(new, name, getattr(old, name))
 
 
--- a/cresstray/kept/reconcile.py
+++ b/cresstray/kept/reconcile.py
@@ -59,8 +59,10 @@
 
     def kept(self, now: int) -> list[Tomb]:
         """All whose time is not over; the others are dropped."""
-        kept = [Tomb(tomb.id, tomb.started, tomb.number, tomb.lived + max(0, now - since))
-                for tomb, since in self._tombs.values()]
+        kept = [
+            Tomb(tomb.id, tomb.started, tomb.number, tomb.lived + max(0, now - since))
+            for tomb, since in self._tombs.values()
+        ]
         for tomb in kept:
             if tomb.lived >= LIFE:
                 del self._tombs[tomb.id]
--- a/cresstray/kept/record.py
+++ b/cresstray/kept/record.py
@@ -143,7 +143,7 @@
         raise UnusableError("not a kept list")
     if version > FORMAT or version < 1:
         raise UnusableError(f"of format {version}; this build knows 1 to {FORMAT}", serial)
-    body = data[_HEADER.size:]
+    body = data[_HEADER.size :]
     if len(body) != length or length > MOST_BYTES:
         raise UnusableError(f"torn: {len(body)} bytes of {length}", serial)
     if _sum(version, serial, body) != total:
@@ -159,9 +159,21 @@
 
 
 def _migrated(first: _First) -> Record:
-    return Record(owner=first.owner, wall=first.wall, boot="", ticked=0, number=first.number, handed=False,
-                  zones=first.zones, machines=first.machines, engines=first.engines,
-                  tombs=[], tariffs=[], limits=[], marks=[])
+    return Record(
+        owner=first.owner,
+        wall=first.wall,
+        boot="",
+        ticked=0,
+        number=first.number,
+        handed=False,
+        zones=first.zones,
+        machines=first.machines,
+        engines=first.engines,
+        tombs=[],
+        tariffs=[],
+        limits=[],
+        marks=[],
+    )
 
 
 def members(record: Record, zones: Sequence[str], machines: Sequence[str]) -> list[tuple[Member, int]]:
@@ -170,10 +182,23 @@
     Danger: a machine that is not named any more has cores that nobody knows: it is left out.
     """
     zone_of, machine_of = _moved(record.zones, zones), _moved(record.machines, machines)
-    return [(Member(one.id, one.host, one.port, Standing.DRAINING if one.draining else Standing.READY,
-                    zone_of(one.zone), machine_of(one.machine), one.cell, one.started), one.age)
-            for one in record.engines
-            if zone_of(one.zone) is not None and machine_of(one.machine) is not None]
+    return [
+        (
+            Member(
+                one.id,
+                one.host,
+                one.port,
+                Standing.DRAINING if one.draining else Standing.READY,
+                zone_of(one.zone),
+                machine_of(one.machine),
+                one.cell,
+                one.started,
+            ),
+            one.age,
+        )
+        for one in record.engines
+        if zone_of(one.zone) is not None and machine_of(one.machine) is not None
+    ]
 
 
 def _moved(before: Sequence[str], after: Sequence[str]):
@@ -183,18 +208,32 @@
     def moved(place: int) -> int | None:
         # Places behind all names are a zone each by themselves; they mean the same while the names do.
         return place if same else places.get(before[place]) if place < len(before) else None
+
     return moved
 
 
 def fits(member: Member) -> bool:
     """Whether it can be kept: one engine that is out of all bounds must not cost the whole list."""
-    return (0 <= member.id < 2**32 and 1 <= member.port <= 65_535 and 0 <= member.started <= 2**62
-            and all(0 <= place <= 65_535 for place in (member.zone, member.machine, member.cell)))
+    return (
+        0 <= member.id < 2**32
+        and 1 <= member.port <= 65_535
+        and 0 <= member.started <= 2**62
+        and all(0 <= place <= 65_535 for place in (member.zone, member.machine, member.cell))
+    )
 
 
 def engine(member: Member, age: int) -> Engine:
-    return Engine(member.id, member.host, member.port, member.standing is Standing.DRAINING, member.zone,
-                  member.machine, member.cell, member.started, age)
+    return Engine(
+        member.id,
+        member.host,
+        member.port,
+        member.standing is Standing.DRAINING,
+        member.zone,
+        member.machine,
+        member.cell,
+        member.started,
+        age,
+    )
 
 
 def bounded(tombs: list[Tomb], marks: list[str]) -> tuple[list[Tomb], list[str]]:
--- a/cresstray/lab/cold.py
+++ b/cresstray/lab/cold.py
@@ -55,14 +55,16 @@
     effect: str
 
 
-KINDS = (Kind("lookup", 0.80, 0.08, 1, 0.4, 2.0, 1.0, "idempotent"),
-         Kind("report", 0.17, 0.16, 2, 0.8, 3.0, 5.0, "idempotent"),
-         Kind("post", 0.03, 0.08, 1, 1.0, 3.0, 10.0, "at_most_once"))
+KINDS = (
+    Kind("lookup", 0.80, 0.08, 1, 0.4, 2.0, 1.0, "idempotent"),
+    Kind("report", 0.17, 0.16, 2, 0.8, 3.0, 5.0, "idempotent"),
+    Kind("post", 0.03, 0.08, 1, 1.0, 3.0, 10.0, "at_most_once"),
+)
 MEAN = sum(kind.share * kind.work for kind in KINDS)
 # What the module plans for at the most on a cold engine, in pieces of mean work in the settings' time: cores
 # at 0.85 busy and 0.9 of nominal speed. It falls at N and three times its spread, and three, more.
 BEARS = FACTOR * SHARE * CORES * 0.85 * 0.9 * FALL / SECOND / MEAN
-FALLS = BEARS + 3 * BEARS ** 0.5 + 3
+FALLS = BEARS + 3 * BEARS**0.5 + 3
 
 
 class Told(NamedTuple):
@@ -81,14 +83,34 @@
 
 def settings(gateways: int) -> dict[str, Any]:
     return {
-        "Balancers": gateways, "Localities": ["here"], "Flavors": ["std"], "Zone": 0,
+        "Balancers": gateways,
+        "Localities": ["here"],
+        "Flavors": ["std"],
+        "Zone": 0,
         "FamilyInfo": {"CpuOfKind": [CORES], "Dop": [kind.threads for kind in KINDS]},
         "Limits": {"MaxAttempts": ATTEMPTS, "Cancel": True, "RetryAfter": True, "MaxRetryAfter": WAIT / MS},
-        "Safety": {"DrainGrace": GRACE / MS, "BudgetWindow": 5000, "FreeResends": 5, "ResendRatio": 0.1,
-                   "WarmUp": WARM_UP / MS, "ColdShare": SHARE, "OverloadFactor": FACTOR, "Fall": FALL / MS},
+        "Safety": {
+            "DrainGrace": GRACE / MS,
+            "BudgetWindow": 5000,
+            "FreeResends": 5,
+            "ResendRatio": 0.1,
+            "WarmUp": WARM_UP / MS,
+            "ColdShare": SHARE,
+            "OverloadFactor": FACTOR,
+            "Fall": FALL / MS,
+        },
         "Report": {"Source": "inline"},
-        "Services": [{"Name": kind.name, "Effect": kind.effect, "GoalTime": kind.soft * 1000,
-                      "GiveUp": kind.hard * 1000, "Worth": kind.payoff} for kind in KINDS]}
+        "Services": [
+            {
+                "Name": kind.name,
+                "Effect": kind.effect,
+                "GoalTime": kind.soft * 1000,
+                "GiveUp": kind.hard * 1000,
+                "Worth": kind.payoff,
+            }
+            for kind in KINDS
+        ],
+    }
 
 
 class _Job:
@@ -185,8 +207,13 @@
 
 
 # What a relay's end says of a remembered engine, as kept/keep.py has it.
-_HOW = {Ending.FULFILLED: How.SERVED, Ending.UNREACHABLE: How.REFUSED, Ending.TIMED_OUT: How.SILENT,
-        Ending.RESET: How.SILENT, Ending.SPOILT: How.SILENT}
+_HOW = {
+    Ending.FULFILLED: How.SERVED,
+    Ending.UNREACHABLE: How.REFUSED,
+    Ending.TIMED_OUT: How.SILENT,
+    Ending.RESET: How.SILENT,
+    Ending.SPOILT: How.SILENT,
+}
 
 
 class _Gateway:
@@ -207,8 +234,9 @@
 
     # The list, and what is believed of it.
 
-    def begin(self, given: list[tuple[Member, int]], tombs: list[Tomb], tariffs: list[Tariff],
-              age: int) -> None:
+    def begin(
+        self, given: list[tuple[Member, int]], tombs: list[Tomb], tariffs: list[Tariff], age: int
+    ) -> None:
         self.beliefs.remembered(given, _NUMBER, tombs, Source.DISK, self.world.now)
         self.gone |= {tomb.id for tomb in tombs}
         learnt.put_tariffs(self.module, [kind.name for kind in KINDS], tariffs, age)
@@ -266,8 +294,9 @@
 
     def submit(self, kind: int, work: float, estimate: float) -> None:
         now, tariff = self.world.now, self.module.tariffs[kind]
-        submission = Submission(tariff, now, now + micros(KINDS[kind].hard * 1000),
-                                estimate=int(estimate * SECOND))
+        submission = Submission(
+            tariff, now, now + micros(KINDS[kind].hard * 1000), estimate=int(estimate * SECOND)
+        )
         if self.beliefs and self.beliefs.refuses(tariff.idempotent, now) is not None:
             return
         self.works[submission] = work
@@ -346,8 +375,17 @@
     with the true one, which takes back some that answer well and names some that refuse.
     """
 
-    def __init__(self, seed: int, gateways: int, engines: int, age: int | None, changed: float,
-                 down: float = 60.0, load: float = 0.35, heavier: float = 1.0) -> None:
+    def __init__(
+        self,
+        seed: int,
+        gateways: int,
+        engines: int,
+        age: int | None,
+        changed: float,
+        down: float = 60.0,
+        load: float = 0.35,
+        heavier: float = 1.0,
+    ) -> None:
         """`load`: work asked for, as a share of all cores; `heavier`: than when it was learnt."""
         self.seed, self.gateways, self.now = seed, gateways, START
         self.random = Random(f"{seed} world")
@@ -378,7 +416,7 @@
         part, odd = round(changed * engines / 4), max(1, round(_ODD * engines))
         listed = [self._member(number) for number in range(1, engines + 1)]
         drawn = self.random.sample(range(engines), 4 * part)
-        removed, moved, given, anew = (set(drawn[at * part:(at + 1) * part]) for at in range(4))
+        removed, moved, given, anew = (set(drawn[at * part : (at + 1) * part]) for at in range(4))
         true, number = [], engines
         for at, member in enumerate(listed):
             address = member.port
@@ -390,17 +428,18 @@
             elif at in moved:
                 address = engines * 10 + at
             # Its machine's clock says when it started, after the power's return.
-            true.append(msgspec.structs.replace(member, port=address if at in moved else member.port,
-                                                started=START))
+            true.append(
+                msgspec.structs.replace(member, port=address if at in moved else member.port, started=START)
+            )
             self.at[true[-1].host, true[-1].port] = _Engine(self)
         zombies = [self._member(engines * 20 + at) for at in range(odd)]
         for member in zombies:
             self.at[member.host, member.port] = _Engine(self)
         tombs = [Tomb(member.id, member.started, _NUMBER - 10, 0) for member in zombies]
         first = Event(_NUMBER - 20, True, [*listed, *zombies])
-        taken_back, refusing = true[:odd], true[odd:2 * odd]
+        taken_back, refusing = true[:odd], true[odd : 2 * odd]
         self._refusing = [(member.host, member.port) for member in refusing]
-        return listed, tombs, first, Event(_NUMBER + 100, True, true[len(taken_back):])
+        return listed, tombs, first, Event(_NUMBER + 100, True, true[len(taken_back) :])
 
     def _member(self, number: int) -> Member:
         return Member(number, "10.0.0.1", number, Standing.READY, 0, 0, 0, SECOND)
@@ -463,16 +502,27 @@
         asked = [sum(payoff for payoff, _ in piece) for piece in self.asked]
         could = [_could(piece, most) for piece, most in zip(self.asked, bears)]
         # What came in the last pieces may still be answered in time.
-        asked, could, got = (one[:len(one) - 2] for one in (asked, could, self.got))
+        asked, could, got = (one[: len(one) - 2] for one in (asked, could, self.got))
         share = [part / whole for part, whole in zip(got, asked)]
-        return Told(share, [part / whole for part, whole in zip(could, asked)], sum(got) / sum(asked),
-                    sum(could) / sum(asked), self.known_gone, self.strangers, self.fallen, self.peak,
-                    to_ninety(got, could, PIECE / SECOND))
+        return Told(
+            share,
+            [part / whole for part, whole in zip(could, asked)],
+            sum(got) / sum(asked),
+            sum(could) / sum(asked),
+            self.known_gone,
+            self.strangers,
+            self.fallen,
+            self.peak,
+            to_ninety(got, could, PIECE / SECOND),
+        )
 
     def _bears(self) -> float:
         """Work that the engines there are can take now in a piece, cold ones as much as is planned for."""
-        each = [BEARS * MEAN if one.cold() else CORES for one in self.at.values()
-                if isinstance(one, _Engine) and one.alive]
+        each = [
+            BEARS * MEAN if one.cold() else CORES
+            for one in self.at.values()
+            if isinstance(one, _Engine) and one.alive
+        ]
         return sum(each) * PIECE / SECOND
 
 
@@ -501,4 +551,6 @@
 
 def _missed(got: list[float], could: list[float], count: int) -> list[bool]:
     """From each piece on, whether so many together fall short."""
-    return [sum(got[at:at + count]) < 0.9 * sum(could[at:at + count]) for at in range(len(got) - count + 1)]
+    return [
+        sum(got[at : at + count]) < 0.9 * sum(could[at : at + count]) for at in range(len(got) - count + 1)
+    ]
--- a/cresstray/lab/fleet.py
+++ b/cresstray/lab/fleet.py
@@ -108,8 +108,11 @@
         for index, entry in ready.committed:
             self.world.check_committed(self, index, entry)
         if self.role is Role.LEADER and ready.committed and ready.committed[-1][1].term != self.term:
-            self.world.breach("own-term", f"{self.name} commits an entry of term "
-                                          f"{ready.committed[-1][1].term} as leader of {self.term}")
+            self.world.breach(
+                "own-term",
+                f"{self.name} commits an entry of term "
+                f"{ready.committed[-1][1].term} as leader of {self.term}",
+            )
         return ready
 
 
@@ -180,8 +183,11 @@
         self.world.links.pop(self, None)
         for end in self.ends:
             # A close is told at once or, where nothing gets through, found out.
-            late = self.world.random.randint(1 * MS, 5 * MS) if why != "cut" else self.world.random.randint(
-                200 * MS, 1500 * MS)
+            late = (
+                self.world.random.randint(1 * MS, 5 * MS)
+                if why != "cut"
+                else self.world.random.randint(200 * MS, 1500 * MS)
+            )
             self.world.at(self.world.now + late, lambda end=end: self.over(end, why))
 
     def over(self, end: End, why: str) -> None:
@@ -274,8 +280,16 @@
         self.node.__init__(self.disk.load(), Times(drift=plan.drift), world.random.random, now)
         self.state = SeenState(world.rules)
         self.state.seen_by = world
-        self.core = Core(world.given, self.node, self.state, Leases(plan.lease, plan.floor_lease, plan.drift),
-                         self.write, lambda *_, **__: None, Counters(), now)
+        self.core = Core(
+            world.given,
+            self.node,
+            self.state,
+            Leases(plan.lease, plan.floor_lease, plan.drift),
+            self.write,
+            lambda *_, **__: None,
+            Counters(),
+            now,
+        )
         self.compacted = self.disk.snapshot.index
         self.rounding = False
         for other in world.keepers:
@@ -298,13 +312,18 @@
             other.run(lambda: other.come(link, "keeper", self.name, str(self.generation)))
         else:
             lives = self.lives
-            world.at(world.now + world.random.randint(50 * MS, 150 * MS),
-                     lambda: self.run(lambda: self.reach(other)) if self.lives == lives else None)
+            world.at(
+                world.now + world.random.randint(50 * MS, 150 * MS),
+                lambda: self.run(lambda: self.reach(other)) if self.lives == lives else None,
+            )
 
     def come(self, link: Link, role: str, name: str, life: str) -> None:
         self.serial += 1
-        key = {"keeper": f"keeper:{name}/{life}", "gateway": f"gateway:{name}",
-               "operator": f"operator:{self.serial}"}[role]
+        key = {
+            "keeper": f"keeper:{name}/{life}",
+            "gateway": f"gateway:{name}",
+            "operator": f"operator:{self.serial}",
+        }[role]
         link.guest = Guest(link.ends[1], role, name, life, key)
         self.core.come(link.guest)
 
@@ -349,8 +368,9 @@
     def start(self) -> None:
         super().start()
         plan = self.world.plan
-        self.use = Use(self.name, plan.lease, plan.floor_lease, plan.drift, plan.most, plan.waits,
-                       str(self.lives))
+        self.use = Use(
+            self.name, plan.lease, plan.floor_lease, plan.drift, plan.most, plan.waits, str(self.lives)
+        )
         self.link: Link | None = None
         self.answered = self.got = self.clock()
         self.reach()
@@ -367,8 +387,10 @@
             keeper.run(lambda: keeper.come(link, "gateway", self.name, str(self.lives)))
             self.use.connected(self.clock())
         elif self.link is None:
-            world.at(world.now + world.random.randint(100 * MS, 600 * MS),
-                     lambda: self.run(self.reach) if self.lives == lives else None)
+            world.at(
+                world.now + world.random.randint(100 * MS, 600 * MS),
+                lambda: self.run(self.reach) if self.lives == lives else None,
+            )
 
     def take(self, link: Link, frame: Frame) -> None:
         if link is not self.link:
@@ -399,14 +421,18 @@
             if self.use.behind and now - self.got > 500 * MS:
                 self.got = now
                 self.link.ends[0].put(self.use.gets())
-        self.wake(max(now + MS, min(self.use.due, now + 100 * MS) if self.use.due > now else now + 20 * MS),
-                  self.tick)
+        self.wake(
+            max(now + MS, min(self.use.due, now + 100 * MS) if self.use.due > now else now + 20 * MS),
+            self.tick,
+        )
 
     def act(self) -> None:
         """Only a look: each step of a machine is checked, and this is one."""
         lives, spread = self.lives, self.world.random.random() + 0.5
-        self.world.at(self.world.now + int(self.world.plan.acts * spread),
-                      lambda: self.run(self.act) if self.lives == lives else None)
+        self.world.at(
+            self.world.now + int(self.world.plan.acts * spread),
+            lambda: self.run(self.act) if self.lives == lives else None,
+        )
 
 
 class Operator(Machine):
@@ -438,8 +464,14 @@
             if self.change is None or self.change == self.known:
                 self.known = None  # ghosts may have gone meanwhile
                 return self.later(50 * MS, self.next)
-            self.ask = codec.Ask("propose", f"{self.name}-{self.serial}", dict(self.known.versions),
-                                 documents.delta(self.known, self.change), "a change", self.name)
+            self.ask = codec.Ask(
+                "propose",
+                f"{self.name}-{self.serial}",
+                dict(self.known.versions),
+                documents.delta(self.known, self.change),
+                "a change",
+                self.name,
+            )
         self.put()
 
     def put(self) -> None:
@@ -502,11 +534,19 @@
         if self.known is not None and world.random.random() < 0.7:
             self.value = str(world.count_set())
             items = self.known.placement.items | {
-                REGISTER: documents.Shard(("s-00000001",), epoch=int(self.value))}
+                REGISTER: documents.Shard(("s-00000001",), epoch=int(self.value))
+            }
             new = msgspec.structs.replace(
-                self.known, placement=documents.Placement(dict(sorted(items.items()))))
-            self.ask = codec.Ask("propose", f"{self.name}-{self.serial}", dict(self.known.versions),
-                                 documents.delta(self.known, new), "set", self.name)
+                self.known, placement=documents.Placement(dict(sorted(items.items())))
+            )
+            self.ask = codec.Ask(
+                "propose",
+                f"{self.name}-{self.serial}",
+                dict(self.known.versions),
+                documents.delta(self.known, new),
+                "set",
+                self.name,
+            )
         self.put()
 
     def put(self) -> None:
@@ -602,19 +642,30 @@
         self.led_at, self.elections = 0, []
         self.changes = plan.changes or some_change
         names = [f"k{n + 1}" for n in range(plan.keepers)]
-        self.given = Fleet("virtual", tuple(Named(name, ("127.0.0.1", 1)) for name in names), plan.lease,
-                           plan.floor_lease, plan.drift, plan.most)
+        self.given = Fleet(
+            "virtual",
+            tuple(Named(name, ("127.0.0.1", 1)) for name in names),
+            plan.lease,
+            plan.floor_lease,
+            plan.drift,
+            plan.most,
+        )
         self.engines = [f"s-{n:08x}" for n in range(plan.engines)]
-        self.rules = documents.World(most=plan.most, most_barred=0.33, engines={
-            name: f"z{n % 2}" for n, name in enumerate(self.engines)})
+        self.rules = documents.World(
+            most=plan.most,
+            most_barred=0.33,
+            engines={name: f"z{n % 2}" for n, name in enumerate(self.engines)},
+        )
         members = Members(tuple(f"{name}/1" for name in names))
         self.members_at[0] = members
         self.keepers = [Keeper(self, name, members) for name in names]
         self.gateways = [Gateway(self, f"g{n:03}") for n in range(plan.gateways)]
         self.operators = [Operator(self, f"o{n}") for n in range(plan.operators)]
         self.clients = [Client(self, f"c{n}") for n in range(plan.clients)]
-        self.named = {machine.name: machine for machine in (
-            *self.keepers, *self.gateways, *self.operators, *self.clients)}
+        self.named = {
+            machine.name: machine
+            for machine in (*self.keepers, *self.gateways, *self.operators, *self.clients)
+        }
         for machine in self.named.values():
             self.at(self.random.randint(0, 100 * MS), machine.start)
         if plan.faults:
@@ -642,8 +693,11 @@
         return self.now < self.cuts.get((one, other), 0)
 
     def reachable(self, one: Machine, other: Machine) -> bool:
-        return other.alive and self.now >= other.frozen and not (
-            self.is_cut(one.name, other.name) or self.is_cut(other.name, one.name))
+        return (
+            other.alive
+            and self.now >= other.frozen
+            and not (self.is_cut(one.name, other.name) or self.is_cut(other.name, one.name))
+        )
 
     def count(self, own: Machine, other: Machine, frame: Frame, size: int) -> None:
         figures = self.figures
@@ -662,8 +716,10 @@
             return
         random, plan = self.random, self.plan
         self.at(self.now + random.randint(plan.every // 4, 2 * plan.every), self.fault)
-        kind, until = random.choice(plan.faults), self.now + int(
-            plan.lasts[0] * (plan.lasts[1] / plan.lasts[0]) ** random.random())
+        kind, until = (
+            random.choice(plan.faults),
+            self.now + int(plan.lasts[0] * (plan.lasts[1] / plan.lasts[0]) ** random.random()),
+        )
         leader = self.leader()
         keeper = leader if leader and random.random() < 0.5 else random.choice(self.keepers)
         gateway = random.choice(self.gateways)
@@ -671,7 +727,7 @@
         FAULTS[kind](self, keeper, gateway, until)
 
     def cut(self, one: Machine, other: Machine, until: int, both: bool = True) -> None:
-        for way in ((one.name, other.name), (other.name, one.name))[:1 + both]:
+        for way in ((one.name, other.name), (other.name, one.name))[: 1 + both]:
             self.cuts[way] = max(until, self.cuts.get(way, 0))
         for link in [link for link in self.links if {link.maker, link.taker} == {one, other}]:
             link.drop("cut")
@@ -713,11 +769,19 @@
                 machine.start()
 
     def leader(self) -> Keeper | None:
-        led = [keeper for keeper in self.keepers if keeper.alive and self.now >= keeper.frozen
-               and keeper.node.role is Role.LEADER and keeper.node.leads(keeper.clock())]
+        led = [
+            keeper
+            for keeper in self.keepers
+            if keeper.alive
+            and self.now >= keeper.frozen
+            and keeper.node.role is Role.LEADER
+            and keeper.node.leads(keeper.clock())
+        ]
         if len(led) > 1:
-            self.breach("one-leader", f"{led[0].name} and {led[1].name} both lead, terms "
-                                      f"{led[0].node.term} and {led[1].node.term}")
+            self.breach(
+                "one-leader",
+                f"{led[0].name} and {led[1].name} both lead, terms {led[0].node.term} and {led[1].node.term}",
+            )
         return led[0] if led else None
 
     # What must hold.
@@ -756,8 +820,11 @@
 
     def check_strictest(self, turn: int) -> None:
         """Of two neighbours one is joint, and has all that the other bars."""
-        barred = [{name for name, rule in self.acting[one].engines.items.items() if rule.barred}
-                  for one in (turn - 1, turn) if one in self.acting]
+        barred = [
+            {name for name, rule in self.acting[one].engines.items.items() if rule.barred}
+            for one in (turn - 1, turn)
+            if one in self.acting
+        ]
         joint = barred[turn % 2 if len(barred) == 2 else 0]
         more = set().union(*barred) - joint
         if more:
@@ -795,8 +862,11 @@
         force = self.turn - self.turn % 2
         if used.turn >= force or force not in self.acting:
             return
-        barred = [engine for engine, rule in self.acting[force].engines.items.items() if rule.barred
-                  and not used.documents.engines.items.get(engine, documents.EngineRule()).barred]
+        barred = [
+            engine
+            for engine, rule in self.acting[force].engines.items.items()
+            if rule.barred and not used.documents.engines.items.get(engine, documents.EngineRule()).barred
+        ]
         if barred:
             since = self.now - min(at for turn, at in self.force_at.items() if turn > used.turn)
             self.contradicted = max(self.contradicted, since)
@@ -829,13 +899,14 @@
                 self.look_again(name)
             total = sum(share for _, _, share in self.modes.values())
             if total > 1 + 1e-9:
-                parts = Counter((mode.value, round(1 / share))
-                                for mode, _, share in self.modes.values() if share)
+                parts = Counter(
+                    (mode.value, round(1 / share)) for mode, _, share in self.modes.values() if share
+                )
                 self.breach("shares", f"all shares together are {total:.3f}: {dict(parts)}")
 
     def check_all_have(self) -> None:
         if len(self.at_turn) == 1:
-            (turn, names), = self.at_turn.items()
+            ((turn, names),) = self.at_turn.items()
             if turn in self.acting and len(names) == len(self.acting[turn].gateways.items):
                 for version, change in self.changes_of.items():
                     if 2 * version <= turn and not change.at_all:
@@ -856,8 +927,10 @@
     def check_snapshot(self, name: str, snapshot: Snapshot) -> None:
         known = self.members_at[max(at for at in self.members_at if at <= snapshot.index)]
         if snapshot.index <= max(self.log, default=0) and snapshot.members != known:
-            self.breach("members", f"{name} has a snapshot of {snapshot.index} with the members "
-                                   f"{snapshot.members}, not {known}")
+            self.breach(
+                "members",
+                f"{name} has a snapshot of {snapshot.index} with the members {snapshot.members}, not {known}",
+            )
 
     def check_told(self, own: Machine, end: End, frame: Frame) -> None:
         """What a keeper tells others of its log is on its disk by then, and it votes once a term."""
@@ -894,8 +967,11 @@
         live = [keeper for keeper in self.keepers if keeper.disk.name in keeper.node.members.voters]
         applied = {keeper.core.applied for keeper in live}
         if self.leader() is None or len(applied) > 1:
-            self.breach("recovers", f"leader {self.leader()}, applied " + ", ".join(
-                f"{keeper.disk.name} {keeper.core.applied}" for keeper in live))
+            self.breach(
+                "recovers",
+                f"leader {self.leader()}, applied "
+                + ", ".join(f"{keeper.disk.name} {keeper.core.applied}" for keeper in live),
+            )
             return
         if len({keeper.state.dump() for keeper in live}) > 1:
             self.breach("one-state", "keepers hold different states at the end")
@@ -903,20 +979,28 @@
             self.breach("recovers", f"turn {self.turn} in the end, and the latest change is {self.version}")
         history = Counter(past.request for past in live[0].state.history() if past.request)
         twice = [request for request, times in history.items() if times > 1]
-        lost = [request for request, version in self.acked.items()
-                if request not in history and version > self.version - 250]
+        lost = [
+            request
+            for request, version in self.acked.items()
+            if request not in history and version > self.version - 250
+        ]
         if twice:
             self.breach("once", f"{twice[0]} stands in the history twice")
         if lost:
             self.breach("acknowledged", f"{lost[0]} was acknowledged, and is not in the history")
-        behind = [gateway.name for gateway in self.gateways if gateway.name in live[0].state.named()
-                  and gateway.use.at(gateway.clock())[:2] != (Mode.LEASE, self.turn)]
+        behind = [
+            gateway.name
+            for gateway in self.gateways
+            if gateway.name in live[0].state.named()
+            and gateway.use.at(gateway.clock())[:2] != (Mode.LEASE, self.turn)
+        ]
         if behind:
             self.breach("recovers", f"{len(behind)} gateways have no lease at turn {self.turn}: {behind[:3]}")
 
 
 # What goes wrong: World, keeper, gateway, until when.
 
+
 def _torn(world: World, keeper: Keeper, gateway: Gateway, until: int) -> None:
     keeper.disk.torn = world.random.choice((1, 2))
 
@@ -925,6 +1009,7 @@
         keeper.disk.torn = 0
         if not keeper.alive:
             keeper.start()
+
     world.at(until, over)
 
 
@@ -1012,6 +1097,7 @@
 
 # What operators change.
 
+
 def some_change(operator: Operator, known: documents.Documents) -> documents.Documents | None:
     """The first names half of the gateways; then some come and go, with a floor that just holds them, engines
     are barred and unbarred, tenants get shares."""
@@ -1019,7 +1105,7 @@
     random, names = world.random, [gateway.name for gateway in world.gateways]
     drawn, listed = random.random(), known.gateways.items
     if not known.version("gateways"):
-        return listing(known, names[:len(names) // 2 + 1], 0)
+        return listing(known, names[: len(names) // 2 + 1], 0)
     if drawn < 0.25 * world.plan.moves:
         some = random.sample(names, random.randint(1, 3))
         kept = [name for name in names if (name in listed) != (name in some)]
@@ -1037,7 +1123,7 @@
 def half_and_all(operator: Operator, known: documents.Documents) -> documents.Documents | None:
     """Half of the gateways by a floor that just holds them, then all, then half again."""
     names, listed = [gateway.name for gateway in operator.world.gateways], known.gateways.items
-    half = names[:len(names) // 2]
+    half = names[: len(names) // 2]
     if len(listed) == len(names) or not known.version("gateways"):
         return listing(known, half, len(listed) and len(names) - len(half))
     if known.gateways.floor > len(half):
--- a/cresstray/lab/joined.py
+++ b/cresstray/lab/joined.py
@@ -37,16 +37,37 @@
 WRITES = Tariff(0, 1, SECOND, 0, 1, 0, False, False, "all", 0, False, None, None)
 READS = Tariff(1, 1, SECOND, 0, 1, 0, True, False, "all", 0, False, None, None)
 ENGINES = ("a1", "a2", "a3", "b1", "b2", "c1", "c2")
-PLACED = {"1": ("a1", "b1"), "2": ("b1", "c1", "a1"), "3": ("c1", "a1", "b2"), "4": ("c2",),
-          "5": ("b1", "a1", "a3")}
+PLACED = {
+    "1": ("a1", "b1"),
+    "2": ("b1", "c1", "a1"),
+    "3": ("c1", "a1", "b2"),
+    "4": ("c2",),
+    "5": ("b1", "a1", "a3"),
+}
 SIZES = {"1": 3_000_000, "2": 2_000_000, "3": 2_000_000, "4": 1_000_000, "5": 1_000_000}
 PLANS = (
-    model.Plan((model.Move("1", "a1", "a2", 3_000_000, True), model.Move("2", "c1", "c2", 2_000_000),
-                model.Move("4", "c2", "b2", 1_000_000, True), model.Move("2", "b1", "b2", 2_000_000, True),
-                model.Move("5", "a1", "a2", 1_000_000)),
-               9_000_000, 9_000_000, ((0, 1), (2,), (3, 4))),
-    model.Plan((model.Move("1", "b1", "b2", 3_000_000), model.Move("2", "b2", "b1", 2_000_000, True),
-                model.Move("4", "b2", "a3", 1_000_000, True)), 6_000_000, 6_000_000, ((0, 1, 2),)),
+    model.Plan(
+        (
+            model.Move("1", "a1", "a2", 3_000_000, True),
+            model.Move("2", "c1", "c2", 2_000_000),
+            model.Move("4", "c2", "b2", 1_000_000, True),
+            model.Move("2", "b1", "b2", 2_000_000, True),
+            model.Move("5", "a1", "a2", 1_000_000),
+        ),
+        9_000_000,
+        9_000_000,
+        ((0, 1), (2,), (3, 4)),
+    ),
+    model.Plan(
+        (
+            model.Move("1", "b1", "b2", 3_000_000),
+            model.Move("2", "b2", "b1", 2_000_000, True),
+            model.Move("4", "b2", "a3", 1_000_000, True),
+        ),
+        6_000_000,
+        6_000_000,
+        ((0, 1, 2),),
+    ),
 )
 
 
@@ -78,10 +99,15 @@
     def report(self, shard: str) -> dict[str, float]:
         """Its epoch is that of what it has applied, and its position counts from that epoch's first."""
         held, of = self.shards[shard], self.world.epochs[shard]
-        epoch, first = next(one for one in reversed(of)
-                            if one[0] <= max(held.epoch, of[0][0]) and one[1] <= held.applied)
-        return {"shard": int(shard), "epoch": epoch, "applied": held.applied - first + self.lie,
-                "head": max(held.head, held.applied) - first}
+        epoch, first = next(
+            one for one in reversed(of) if one[0] <= max(held.epoch, of[0][0]) and one[1] <= held.applied
+        )
+        return {
+            "shard": int(shard),
+            "epoch": epoch,
+            "applied": held.applied - first + self.lie,
+            "head": max(held.head, held.applied) - first,
+        }
 
 
 class Leader:
@@ -120,8 +146,16 @@
                 self.world.apply(self.log.pop(0))
 
     def renewed(self, gateway: Gateway, frame) -> None:
-        answer = self.leases.renew(gateway.name, frame.number, frame.turn, self.world.state, True,
-                                   self.clock.now(), frame.life, frame.stopped)
+        answer = self.leases.renew(
+            gateway.name,
+            frame.number,
+            frame.turn,
+            self.world.state,
+            True,
+            self.clock.now(),
+            frame.life,
+            frame.stopped,
+        )
         self.world.send(gateway.take, answer)
 
 
@@ -132,13 +166,23 @@
         self.use = Use(name, LEASE, FLOOR, DRIFT, 8, waits=True, life=f"{name} {world.now}")
         self.counters, self.said = Counters(), []
         board = Board(self.said.append, DRIFT)
-        self.reads = Reads(board, self.use, self.counters, world.chance.random, lambda _: CORES,
-                           lambda engine: engine[0], lambda *_: False, lambda: 1000)
-        self.engines = {engine: Engine(machine, standing=Standing.READY,
-                                       limiter=SimpleNamespace(threads=0, cores=CORES))
-                        for machine, engine in enumerate(ENGINES)}
-        self.admission = Admission(self.use, ["n"], ["writes", "reads"],
-                                   lambda engine: ENGINES[engine.machine], self.counters)
+        self.reads = Reads(
+            board,
+            self.use,
+            self.counters,
+            world.chance.random,
+            lambda _: CORES,
+            lambda engine: engine[0],
+            lambda *_: False,
+            lambda: 1000,
+        )
+        self.engines = {
+            engine: Engine(machine, standing=Standing.READY, limiter=SimpleNamespace(threads=0, cores=CORES))
+            for machine, engine in enumerate(ENGINES)
+        }
+        self.admission = Admission(
+            self.use, ["n"], ["writes", "reads"], lambda engine: ENGINES[engine.machine], self.counters
+        )
         self.reads.patience = 30 * MS
         self.links = [(Peer(board), Peer(keeper)) for keeper in world.boards]
         for number, (here, there) in enumerate(self.links):
@@ -231,8 +275,10 @@
     def statement(self) -> str:
         after = f" after={self.token}" if self.token else ""
         keeps = f" session=s{self.number}" if self.keeps else ""
-        return (f"/*+ cresstray read=replica within={self.within // MS}ms{keeps}{after} "
-                f"else={self.otherwise} */ select 1 from t_{self.shard}.x")
+        return (
+            f"/*+ cresstray read=replica within={self.within // MS}ms{keeps}{after} "
+            f"else={self.otherwise} */ select 1 from t_{self.shard}.x"
+        )
 
 
 class World:
@@ -255,8 +301,13 @@
         for name, copies in PLACED.items():
             for engine in copies:
                 first = engine == copies[0]
-                self.shelves[engine].shards[name] = Held(SIZES[name], primary=first, follows=not first,
-                                                         feed="" if first else copies[0], growth=1_000)
+                self.shelves[engine].shards[name] = Held(
+                    SIZES[name],
+                    primary=first,
+                    follows=not first,
+                    feed="" if first else copies[0],
+                    growth=1_000,
+                )
         self.moves, self.state, self.applied = Moves(), None, 0
         self._found()
         self.clocks = [Clock(self) for _ in range(2)]
@@ -292,13 +343,18 @@
         self.state = rules.State(documents.World(most=8), {moves.NAME: self.moves})
         items = {name: documents.Shard(copies, copies[0], 1, copies) for name, copies in PLACED.items()}
         names = {f"g{number}": documents.Gateway() for number in range(self.GATEWAYS)}
-        pins = {f"p{shard}": documents.Pin(f"pinned {shard}", copies=("a1",), strict=True, until=10**9)
-                for shard in "35"}
-        new = documents.Documents(gateways=documents.Gateways(names),
-                                  placement=documents.Placement(items),
-                                  replicas=documents.Replicas(pins))
-        assert rules.outcome(self.state.apply(1, rules.propose(
-            "found", {}, documents.delta(self.state.latest, new), ""))).accepted
+        pins = {
+            f"p{shard}": documents.Pin(f"pinned {shard}", copies=("a1",), strict=True, until=10**9)
+            for shard in "35"
+        }
+        new = documents.Documents(
+            gateways=documents.Gateways(names),
+            placement=documents.Placement(items),
+            replicas=documents.Replicas(pins),
+        )
+        assert rules.outcome(
+            self.state.apply(1, rules.propose("found", {}, documents.delta(self.state.latest, new), ""))
+        ).accepted
         while self.state.wants_turn() is not None:
             self.state.apply(1, rules.advance(self.state.wants_turn()))
 
@@ -312,6 +368,7 @@
         def once() -> None:
             act(*given)
             self.after(self.chance.uniform(0.7, 1.3) * mean * MS, once)
+
         self.after(self.chance.uniform(0, mean) * MS, once)
 
     def delay(self) -> float:
@@ -321,14 +378,16 @@
         if self.chance.random() >= self.loss:
             self.after(self.delay(), act, *given)
 
-    def passed(self, speaker: Peer, hearer: Peer, clock: Clock, other: Clock, wants, left: int,
-               needs=()) -> None:
+    def passed(
+        self, speaker: Peer, hearer: Peer, clock: Clock, other: Clock, wants, left: int, needs=()
+    ) -> None:
         word = speaker.says(8, wants, clock.now(), needs)
 
         def hear() -> None:
             self.hear(hearer, word, other)
             if left:
                 self.passed(hearer, speaker, other, clock, None, left - 1)
+
         self.send(hear)
 
     def hear(self, hearer: Peer, word: Word, clock: Clock) -> None:
@@ -360,8 +419,12 @@
         shelf = self.shelves[engine]
         if self.up(engine):
             shelf.advance(self.now)
-            self.send(self.positions, engine, {shard: shelf.report(shard) for shard, held in
-                                               shelf.shards.items() if held.whole}, asked)
+            self.send(
+                self.positions,
+                engine,
+                {shard: shelf.report(shard) for shard, held in shelf.shards.items() if held.whole},
+                asked,
+            )
 
     def wrong(self, what: str, text: str) -> None:
         if what in self.stops:
@@ -387,8 +450,11 @@
     def plan(self) -> None:
         plan = self.moves.plan
         begun = int(plan.id) if plan is not None else 0
-        if self.leader is not None and (
-                plan is None or plan.over() and not plan.halted) and begun < len(PLANS):
+        if (
+            self.leader is not None
+            and (plan is None or plan.over() and not plan.halted)
+            and begun < len(PLANS)
+        ):
             for entry in moves.begin(f"{begun + 1}", "me", PLANS[begun], model.Limits(share=1.0)):
                 self.leader.append(rules.section(moves.NAME, "", entry))
         self.after(2 * SECOND, self.plan)
@@ -402,14 +468,17 @@
         if self.leader is None:
             self.after(SECOND, self.pins)
         else:
-            self.leader.append(rules.propose("pin", {"replicas": latest.version("replicas")},
-                                             documents.delta(latest, new), ""))
+            self.leader.append(
+                rules.propose(
+                    "pin", {"replicas": latest.version("replicas")}, documents.delta(latest, new), ""
+                )
+            )
 
     def kill(self) -> None:
         """What the leader had appended is committed by the next one, or lost, from some entry on."""
         if self.leader is None:
             return
-        left = self.leader.log[:self.chance.randint(0, len(self.leader.log))]
+        left = self.leader.log[: self.chance.randint(0, len(self.leader.log))]
         self.leader = None
         self.after(self.chance.uniform(300, 1500) * MS, self.elect, left)
 
@@ -433,8 +502,11 @@
         elif what == "down":
             self.down[chance.choice(ENGINES)] = self.now + int(chance.uniform(0.5, 5) * SECOND)
         elif what in ("lag", "lie"):
-            few = list(self.shelves.values()) if what == "lag" and chance.random() < 0.5 else [
-                self.shelves[chance.choice(ENGINES)]]
+            few = (
+                list(self.shelves.values())
+                if what == "lag" and chance.random() < 0.5
+                else [self.shelves[chance.choice(ENGINES)]]
+            )
             for shelf in few:
                 setattr(shelf, what, 3 * SECOND if what == "lag" else 1000)
                 self.after(chance.uniform(2, 5) * SECOND, setattr, shelf, what, 0)
@@ -482,8 +554,12 @@
             told = shelf.told({})
             copies = {shard: Copy(**copy) for shard, copy in told.pop("copies").items()}
             told["numbers"] = dict(told["numbers"])
-            self.send(self.positions, name, {shard: shelf.report(shard) for shard, copy in copies.items()
-                                               if copy.whole}, asked)
+            self.send(
+                self.positions,
+                name,
+                {shard: shelf.report(shard) for shard, copy in copies.items() if copy.whole},
+                asked,
+            )
             self.send(leader.told.__setitem__, name, Disk(engine=name, at=at, copies=copies, **told))
 
     def positions(self, name: str, reports: dict[str, dict[str, float]], at: int) -> None:
@@ -502,8 +578,9 @@
                 continue
             passed_on(shelf, self.shelves, self.up, self.now)
         for shard, copies in PLACED.items():
-            whole = [name for name, one in self.shelves.items()
-                     if shard in one.shards and one.shards[shard].whole]
+            whole = [
+                name for name, one in self.shelves.items() if shard in one.shards and one.shards[shard].whole
+            ]
             if len(whole) < len(copies):
                 self.wrong("a copy is lost", f"{shard}: only {whole}")
 
@@ -519,8 +596,9 @@
             session.busy = True
             gateway.when(gateway.read, session)
 
-    def asked(self, gateway: Gateway, name: str, shard: str, one: Submission,
-              session: Session | None) -> None:
+    def asked(
+        self, gateway: Gateway, name: str, shard: str, one: Submission, session: Session | None
+    ) -> None:
         """It has gone out; it comes to the engine, runs and is answered."""
         sent, true_sent = gateway.clock.now(), self.now
         lease = gateway.use.at(sent).mode is Mode.LEASE
@@ -556,8 +634,12 @@
                 del shelf.reads[shard]
             if session is None:
                 state = self._accepted(shelf, shard)
-            if not self.up(name) or self.chance.random() < self.loss or shard not in shelf.shards or (
-                    session is None and not state):
+            if (
+                not self.up(name)
+                or self.chance.random() < self.loss
+                or shard not in shelf.shards
+                or (session is None and not state)
+            ):
                 lost()
             else:
                 self.after(self.delay(), gateway.when, back, shelf.report(shard), state)
@@ -575,6 +657,7 @@
             elif report is not None:
                 self.acked[shard] = max(self.acked[shard], state)
                 self.count("writes")
+
         self.after(self.delay(), run)
 
     def _accepted(self, shelf: Disked, shard: str) -> int:
@@ -584,8 +667,11 @@
             return 0
         self.truth[shard].append(self.now)
         if shelf.shards[shard].head != len(self.truth[shard]):
-            self.wrong("two histories of a shard", f"{shard} on {shelf.engine}: write "
-                       f"{shelf.shards[shard].head}, {len(self.truth[shard])} were accepted")
+            self.wrong(
+                "two histories of a shard",
+                f"{shard} on {shelf.engine}: write "
+                f"{shelf.shards[shard].head}, {len(self.truth[shard])} were accepted",
+            )
         return shelf.shards[shard].head
 
     def _judge_going(self, gateway: Gateway, name: str, session: Session, primary: str) -> None:
@@ -599,11 +685,15 @@
             may = pins.pinned(force.replicas.items[f"p{session.shard}"], reads, reads, lambda one: one[0])
             self.count("pinned")
             if name not in may:
-                self.wrong("a strict pin is broken", f"{session.shard} on {name} at turn {self.state.turn}, "
-                           f"the gateway at {gateway.use.turn}: {may}")
-
-    def _judge_read(self, name: str, session: Session, primary: str, state: int, sent: int,
-                    token: str | None) -> None:
+                self.wrong(
+                    "a strict pin is broken",
+                    f"{session.shard} on {name} at turn {self.state.turn}, "
+                    f"the gateway at {gateway.use.turn}: {may}",
+                )
+
+    def _judge_read(
+        self, name: str, session: Session, primary: str, state: int, sent: int, token: str | None
+    ) -> None:
         truth = self.truth[session.shard]
         if name != primary:
             self.count("by copies")
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -404,10 +404,8 @@
             if relay.ending not in UNRUN and tariff.deduplicated:
                 # Danger: a repeat outside the group, or past its memory, would take effect twice.
                 same = {"zone": engine.zone == relay.engine.zone, "cell": engine.cell == relay.engine.cell}
-                if (
-                    not same.get(tariff.group, tariff.group == "all")
-                    or now >= relay.sent + tariff.memory - 50_000
-                ):
+                over = now >= relay.sent + tariff.memory - 50_000
+                if over or not same.get(tariff.group, tariff.group == "all"):
                     return False
         return self._cold_room(engine, tariff, now)
 
--- a/cresstray/marked.py
+++ b/cresstray/marked.py
@@ -54,19 +54,42 @@
 class Marked:
     """Beside the stages: who is asked for at the store before the module hears of it, and what came of it."""
 
-    def __init__(self, given: Store, settings: Mapping[str, Any], name: str, seed: int, clock: Clock,
-                 timers: Timers, counters: Counters, log: Log, gateway: Gateway, book: Book,
-                 worker: Worker) -> None:
+    def __init__(
+        self,
+        given: Store,
+        settings: Mapping[str, Any],
+        name: str,
+        seed: int,
+        clock: Clock,
+        timers: Timers,
+        counters: Counters,
+        log: Log,
+        gateway: Gateway,
+        book: Book,
+        worker: Worker,
+    ) -> None:
         self._given, self._clock, self._book, self._log, self._worker = given, clock, book, log, worker
         self._scribe: Scribe | None = None
         self._waiting: set[Submission] = set()  # the module has not heard of these yet
         # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
-        life = f"{seed & 0xffffffff:08x}{clock.now():014x}"
+        life = f"{seed & 0xFFFFFFFF:08x}{clock.now():014x}"
         chance = random.Random(f"{seed}{clock.now()}").random
         self._client = Client(given, chance, clock, timers, counters, log)
         desk = Shut("") if given.journal else None
-        self.marks = Marks(self._client, given.lines(), settings, gateway.tariffs, name, life, chance, clock,
-                           timers, counters, desk, lambda text: log.say("marks", text))
+        self.marks = Marks(
+            self._client,
+            given.lines(),
+            settings,
+            gateway.tariffs,
+            name,
+            life,
+            chance,
+            clock,
+            timers,
+            counters,
+            desk,
+            lambda text: log.say("marks", text),
+        )
         worker.does("store links", Priority.SERVICE, Client.EVERY, self._client.look)
         self._writing = worker.does("marks", Priority.STATE, 0, self._step, last=self._ends)
         worker.wake(self._writing)
--- a/cresstray/passage/across.py
+++ b/cresstray/passage/across.py
@@ -37,8 +37,7 @@
         self._back.out[relay] = crossing
         if self.marked is not None:
             self.marked.sent(relay.submission)
-        crossing.due = self._timers.after(
-            patience, lambda _: self._send.give_up(relay, Ending.TIMED_OUT))
+        crossing.due = self._timers.after(patience, lambda _: self._send.give_up(relay, Ending.TIMED_OUT))
 
     def ended(self, crossing: Crossing, outcome: Outcome, sent: bool, result: bytes | None) -> None:
         relay = crossing.relay
@@ -64,5 +63,9 @@
         self._back.gateway.hall_has_room(self._engines[link], self._clock.now())
 
     def standing(self, link: Outward, ready: bool) -> None:
-        self._back.gateway.hall_listed(self._engines[link], link.way.cores,
-                                       Standing.READY if ready else Standing.DRAINING, self._clock.now())
+        self._back.gateway.hall_listed(
+            self._engines[link],
+            link.way.cores,
+            Standing.READY if ready else Standing.DRAINING,
+            self._clock.now(),
+        )
--- a/cresstray/passage/port.py
+++ b/cresstray/passage/port.py
@@ -14,8 +14,9 @@
 
 
 class SocketPort:
-    def __init__(self, route: Route, send: Send, book: Book, timers: Timers, counters: Counters,
-                 log: Log) -> None:
+    def __init__(
+        self, route: Route, send: Send, book: Book, timers: Timers, counters: Counters, log: Log
+    ) -> None:
         self._route, self._send, self._book = route, send, book
         self._timers, self._counters, self._log = timers, counters, log
 
--- a/cresstray/passage/relay.py
+++ b/cresstray/passage/relay.py
@@ -71,8 +71,14 @@
         """Nothing of it has left, and nothing may any more."""
         self.ended(exchange, Ending.MOOT)
 
-    def ended(self, exchange: Exchange, ending: Ending, report: dict[str, float] | None = None,
-              result: bytes | None = None, travel: int = 0) -> None:
+    def ended(
+        self,
+        exchange: Exchange,
+        ending: Ending,
+        report: dict[str, float] | None = None,
+        result: bytes | None = None,
+        travel: int = 0,
+    ) -> None:
         """Books the ending, answers the client if that was the result, and tells the module.
 
         `travel`: microseconds between halls, which say nothing about how long the work takes.
--- a/cresstray/passage/take_in.py
+++ b/cresstray/passage/take_in.py
@@ -32,8 +32,10 @@
         self.pinned: Pinned | None = None  # where there are rules of a fleet
         services = settings.get("Services", [])
         # The longest time a client of a tariff waits, twice over: no client can mean more.
-        self._tariffs = {service.get("Name"): (tariff, 2 * service.get("GiveUp", 5e8))
-                         for service, tariff in zip(services, tariffs)}
+        self._tariffs = {
+            service.get("Name"): (tariff, 2 * service.get("GiveUp", 5e8))
+            for service, tariff in zip(services, tariffs)
+        }
         self._tenants = {tenant["Name"]: place for place, tenant in enumerate(settings.get("Tenants", []))}
         self._names: set[str] = set()  # of late, and before that
         self._older: set[str] = set()
@@ -49,11 +51,19 @@
         tariff, longest = known
         tenant = self._tenants.get(query.tenant, 0 if not self._tenants else None)
         statement = _text(query.statement)
-        wrong = ("an unknown tenant" if tenant is None
-                 else "a mark is missing" if tariff.deduplicated and not query.mark
-                 else "a time limit beyond all bounds" if query.patience > longest
-                 else "a statement that is no text" if statement is None
-                 else "a name that was used before" if not self._is_new(query.name, now) else None)
+        wrong = (
+            "an unknown tenant"
+            if tenant is None
+            else "a mark is missing"
+            if tariff.deduplicated and not query.mark
+            else "a time limit beyond all bounds"
+            if query.patience > longest
+            else "a statement that is no text"
+            if statement is None
+            else "a name that was used before"
+            if not self._is_new(query.name, now)
+            else None
+        )
         read = None
         if not wrong and self.pinned is not None and crossing is None:
             try:
@@ -67,8 +77,16 @@
         if self.last_stop is not None:
             hard_stop = min(hard_stop, self.last_stop)
         submission = Submission(
-            tariff, now, hard_stop, tenant, 0, int(query.estimate * 1000), query.megabytes,
-            group_of(statement) if crossing is None else crossing.group, size=len(query.statement))
+            tariff,
+            now,
+            hard_stop,
+            tenant,
+            0,
+            int(query.estimate * 1000),
+            query.megabytes,
+            group_of(statement) if crossing is None else crossing.group,
+            size=len(query.statement),
+        )
         if crossing is not None:
             submission.foreign, submission.hold = True, crossing.hold
         if read is not None:
--- a/cresstray/peers.py
+++ b/cresstray/peers.py
@@ -102,8 +102,16 @@
 class Link:
     """One greeted connection. What is put in one turn of the loop leaves in one piece."""
 
-    def __init__(self, line: Line, channel: Channel, scope: anyio.CancelScope, frames: Frames,
-                 greeting: Greet, early: list[Frame], bound: int = _MOST_UNWRITTEN) -> None:
+    def __init__(
+        self,
+        line: Line,
+        channel: Channel,
+        scope: anyio.CancelScope,
+        frames: Frames,
+        greeting: Greet,
+        early: list[Frame],
+        bound: int = _MOST_UNWRITTEN,
+    ) -> None:
         self._line, self._channel, self._scope, self._frames = line, channel, scope, frames
         self.greeting, self._early, self._bound = greeting, early, bound
         self._out = bytearray()
@@ -165,8 +173,15 @@
 class Ends:
     """Makes and accepts the links of one process. `kinds`: what the other side may send, Greet among it."""
 
-    def __init__(self, kinds: Iterable[type[Frame]], contexts: Contexts | None, chance: Callable[[], float],
-                 said: Said, counters: Counters, handshake: float = _HANDSHAKE) -> None:
+    def __init__(
+        self,
+        kinds: Iterable[type[Frame]],
+        contexts: Contexts | None,
+        chance: Callable[[], float],
+        said: Said,
+        counters: Counters,
+        handshake: float = _HANDSHAKE,
+    ) -> None:
         self._kinds, self.contexts, self._chance = tuple(kinds), contexts, chance
         self._handshake = handshake  # seconds
         self._said, self._counters = said, counters
@@ -176,10 +191,17 @@
     def again(self) -> Pause:
         return Pause(self._chance)
 
-    async def made(self, address: tuple[str, int], name: str, hello: Frame,
-                   check: Callable[[Frame, set[str] | None], None],
-                   talk: Callable[[Link], object], taken: Callable[[Link, Frame], None],
-                   gone: Callable[[Link], None], tasks: TaskGroup) -> str:
+    async def made(
+        self,
+        address: tuple[str, int],
+        name: str,
+        hello: Frame,
+        check: Callable[[Frame, set[str] | None], None],
+        talk: Callable[[Link], object],
+        taken: Callable[[Link, Frame], None],
+        gone: Callable[[Link], None],
+        tasks: TaskGroup,
+    ) -> str:
         """One link to `name`, made and served; why it ended, which has been told in one line.
 
         `check` gets the other side's greeting and the names of its certificate, None without TLS.
@@ -215,11 +237,18 @@
         self._said.say("link", "ended", to=name, why=why)
         return why
 
-    async def accept(self, listener: socket.socket, hello: Callable[[Frame], Frame],
-                     check: Callable[[Frame, set[str] | None], None], talk: Callable[[Link], object],
-                     taken: Callable[[Link, Frame], None], gone: Callable[[Link], None],
-                     tasks: TaskGroup) -> None:
+    async def accept(
+        self,
+        listener: socket.socket,
+        hello: Callable[[Frame], Frame],
+        check: Callable[[Frame, set[str] | None], None],
+        talk: Callable[[Link], object],
+        taken: Callable[[Link, Frame], None],
+        gone: Callable[[Link], None],
+        tasks: TaskGroup,
+    ) -> None:
         """Links that others make; `hello` answers a greeting that `check` has found good."""
+
         async def one(made: socket.socket) -> None:
             link: Link | str = "given up"
             host = ""
@@ -263,9 +292,14 @@
                     self._said.say("link", "can't accept", why=repr(trouble))
                     await anyio.sleep(0.02)
 
-    async def _greeted(self, line: Line, scope: anyio.CancelScope, server: bool,
-                       hello: Callable[[Frame | None], Frame],
-                       check: Callable[[Frame, set[str] | None], None]) -> Link | str:
+    async def _greeted(
+        self,
+        line: Line,
+        scope: anyio.CancelScope,
+        server: bool,
+        hello: Callable[[Frame | None], Frame],
+        check: Callable[[Frame, set[str] | None], None],
+    ) -> Link | str:
         frames, found = Frames(self._kinds), []
         channel: Channel = line
         names: set[str] | None = None
@@ -273,6 +307,7 @@
             with anyio.fail_after(self._handshake):
                 if self.contexts is not None:
                     from cresstray.halls.tls import Sealed
+
                     channel = Sealed(line, self.contexts, server)
                     names = await channel.shake_hands()
                 if not server:
