--- a/cresstray/placement/carrier.py
+++ b/cresstray/placement/carrier.py
@@ -130,8 +130,9 @@
         self._offer: tuple[int, int, int] | None = None  # base version, how often, when
         self.waits: dict[int, str] = {}  # by move: what it waits for, for operators
 
-    def next(self, state: rules.State, moves: Moves, told: Mapping[str, Disk],
-             now: int) -> list[Command | Entry]:
+    def next(
+        self, state: rules.State, moves: Moves, told: Mapping[str, Disk], now: int
+    ) -> list[Command | Entry]:
         """All that is due now; what was asked for and shows no effect comes again after a while."""
         if self._began is None:
             self._began = now
@@ -158,8 +159,11 @@
     def _reckon(self, plan: Under) -> list[tuple[int, Moving]]:
         """What is under way, and what may begin; for all of it: who is busy, what is promised, how fast."""
         planned, done, cancelled = At.PLANNED, At.DONE, At.CANCELLED  # looked up once, of thousands of moves
-        left = [(index, move) for index, move in enumerate(plan.moves)
-                if move.at is not done and move.at is not cancelled]
+        left = [
+            (index, move)
+            for index, move in enumerate(plan.moves)
+            if move.at is not done and move.at is not cancelled
+        ]
         live = [(index, move) for index, move in left if move.at is not planned]
         stage = min((move.stage for _, move in left), default=0)
         self._busy: dict[str, int] = {}
@@ -199,8 +203,11 @@
 
     def _too_full(self, live: list[tuple[int, Moving]]) -> set[int]:
         """Moves to go back, since their target fills: the latest that still copy, until the rest fits."""
-        lacking = {engine: -self._room(engine) for engine in sorted(self._promised)
-                   if engine in self._told and self._room(engine) < 0}
+        lacking = {
+            engine: -self._room(engine)
+            for engine in sorted(self._promised)
+            if engine in self._told and self._room(engine) < 0
+        }
         for _, move in live:
             if move.at is At.BACK and move.target in lacking:  # it makes room soon
                 copy = self._told[move.target].copies.get(move.shard)
@@ -299,9 +306,18 @@
         # Whatever is committed for this base is so only once; a leader behind asks under the same name.
         request = f"moves/{self._plan}/placement/{base}/{times}"
         why = f"plan {self._plan}: " + ", ".join(why for _, why in changes.values())
-        self._steps.append(Entry(request, rules.propose(
-            request, {"placement": base}, documents.delta(state.latest, after), why[:200],
-            world=state.world)))
+        self._steps.append(
+            Entry(
+                request,
+                rules.propose(
+                    request,
+                    {"placement": base},
+                    documents.delta(state.latest, after),
+                    why[:200],
+                    world=state.world,
+                ),
+            )
+        )
 
     # States.
 
@@ -339,8 +355,9 @@
 
     def _allowed(self, limits: Limits, move: Moving) -> bool:
         border = between(move.source, move.target, self._told)
-        return (max(self._busy.get(move.source, 0), self._busy.get(move.target, 0)) < limits.moves
-                and (border[0] == border[1] or self._borders.get(border, 0) < limits.border_moves))
+        return max(self._busy.get(move.source, 0), self._busy.get(move.target, 0)) < limits.moves and (
+            border[0] == border[1] or self._borders.get(border, 0) < limits.border_moves
+        )
 
     def _reserved(self, index: int, move: Moving) -> None:
         if index in self._short:
@@ -387,8 +404,19 @@
         if copy is None or copy.fence != move.fence or abs(rate - watch.rate) > _NEWS * watch.rate:
             if not watch.rate or abs(rate - watch.rate) > _NEWS * watch.rate:
                 watch.rate = rate
-            self._command(index, Command(move.target, "COPY", move.shard, move.fence, move.feed, move.copied,
-                                         watch.rate, self._headroom(move.target)))
+            self._command(
+                index,
+                Command(
+                    move.target,
+                    "COPY",
+                    move.shard,
+                    move.fence,
+                    move.feed,
+                    move.copied,
+                    watch.rate,
+                    self._headroom(move.target),
+                ),
+            )
 
     def _pause(self, move: Moving) -> int:
         if not move.tries:
@@ -467,8 +495,11 @@
         if log.has_moved(move, shard):
             self._enter(index, move, Event.SWITCH)
             return
-        if self._goes_back(index, move) or self._must_go_back(index, move) or (
-                not self._keeps_up(index, move)):
+        if (
+            self._goes_back(index, move)
+            or self._must_go_back(index, move)
+            or (not self._keeps_up(index, move))
+        ):
             return
         target = self._fresh(move.target)
         copy = target.copies.get(move.shard) if target is not None else None
@@ -481,8 +512,9 @@
             return
         primary = shard.primary or move.source
         if not copy.follows or copy.epoch < shard.epoch:
-            self._command(index, Command(move.target, "FOLLOW", move.shard, move.fence, primary,
-                                         epoch=shard.epoch))
+            self._command(
+                index, Command(move.target, "FOLLOW", move.shard, move.fence, primary, epoch=shard.epoch)
+            )
             return
         if not self._near(index, move, target, primary):
             self.waits.setdefault(index, f"it is at {copy.applied} and catches up")
@@ -492,8 +524,14 @@
             if move.source == primary:
                 self._enter(index, move, Event.FENCE)
         else:
-            self._want(index, move, msgspec.structs.replace(
-                shard, copies=_replaced(shard.copies, move), reads=_replaced(shard.reads, move)), _what(move))
+            self._want(
+                index,
+                move,
+                msgspec.structs.replace(
+                    shard, copies=_replaced(shard.copies, move), reads=_replaced(shard.reads, move)
+                ),
+                _what(move),
+            )
 
     def _near(self, index: int, move: Moving, target: Disk, primary: str) -> bool:
         """Whether the target has the head of a moment ago: told by the primary first, then reached."""
@@ -547,9 +585,12 @@
             copies, reads = shard.copies, shard.reads
             if len(copies) < _MOST_COPIES and move.source in reads:
                 copies, reads = _with(copies, move.target), _with(reads, move.target)
-            self._want(index, move, msgspec.structs.replace(
-                shard, primary="", epoch=shard.epoch + 1, copies=copies, reads=reads),
-                f"{_what(move)}: fenced")
+            self._want(
+                index,
+                move,
+                msgspec.structs.replace(shard, primary="", epoch=shard.epoch + 1, copies=copies, reads=reads),
+                f"{_what(move)}: fenced",
+            )
             return
         if not log.in_force(self._state, move.shard):
             return
@@ -568,10 +609,18 @@
             reads = _without(shard.reads, move.source)
             if move.source in shard.reads:
                 reads = _with(reads, move.target)
-            self._want(index, move, msgspec.structs.replace(
-                shard, primary=move.target, epoch=shard.epoch + 1,
-                copies=_with(_without(shard.copies, move.source), move.target), reads=reads),
-                f"{_what(move)}: primary")
+            self._want(
+                index,
+                move,
+                msgspec.structs.replace(
+                    shard,
+                    primary=move.target,
+                    epoch=shard.epoch + 1,
+                    copies=_with(_without(shard.copies, move.source), move.target),
+                    reads=reads,
+                ),
+                f"{_what(move)}: primary",
+            )
         else:
             self.waits[index] = f"{move.target} is at {new.applied}, the last write is {watch.final}"
 
@@ -582,10 +631,18 @@
         elif shard is None:
             self._enter(index, move, Event.BACK, why=move.why)
         elif not shard.primary:
-            self._want(index, move, msgspec.structs.replace(
-                shard, primary=move.source, epoch=shard.epoch + 1,
-                copies=_with(_without(shard.copies, move.target), move.source),
-                reads=_without(shard.reads, move.target)), f"{_what(move)}: primary back")
+            self._want(
+                index,
+                move,
+                msgspec.structs.replace(
+                    shard,
+                    primary=move.source,
+                    epoch=shard.epoch + 1,
+                    copies=_with(_without(shard.copies, move.target), move.source),
+                    reads=_without(shard.reads, move.target),
+                ),
+                f"{_what(move)}: primary back",
+            )
         else:
             self._tell_primary(index, move, shard)
             if log.in_force(self._state, move.shard):
@@ -597,9 +654,11 @@
             disk = self._fresh(engine)
             copy = disk.copies.get(move.shard) if disk is not None else None
             if copy is not None and (
-                    copy.epoch < shard.epoch or copy.primary is not (engine == shard.primary)):
-                self._command(index, Command(engine, "SWITCH", move.shard, move.fence, shard.primary,
-                                             epoch=shard.epoch))
+                copy.epoch < shard.epoch or copy.primary is not (engine == shard.primary)
+            ):
+                self._command(
+                    index, Command(engine, "SWITCH", move.shard, move.fence, shard.primary, epoch=shard.epoch)
+                )
         disk = self._fresh(shard.primary)
         copy = disk.copies.get(move.shard) if disk is not None else None
         return copy is not None and copy.primary and copy.epoch >= shard.epoch
@@ -608,8 +667,9 @@
         shard = self._placed(move)
         if not log.has_moved(move, shard):
             kept = shard is not None and move.source in shard.copies and move.target not in shard.copies
-            self.waits[index] = ("the old copy has its place again" if kept
-                                 else "the placement was changed by another")
+            self.waits[index] = (
+                "the old copy has its place again" if kept else "the placement was changed by another"
+            )
             if log.in_force(self._state, move.shard):
                 self._enter(index, move, Event.DONE, why=self.waits[index])
             return
@@ -626,9 +686,14 @@
             if not move.primary and old is not None and old.whole and self._gone(move.target):
                 # No write was ever taken by what has moved here, and the old copy went on following. Danger:
                 # a dead primary has taken writes; whether to give them up is an operator's to say.
-                self._want(index, move, msgspec.structs.replace(
-                    shard, copies=_back(shard.copies, move), reads=_back(shard.reads, move)),
-                    f"{_what(move)}: back, {move.target} is gone")
+                self._want(
+                    index,
+                    move,
+                    msgspec.structs.replace(
+                        shard, copies=_back(shard.copies, move), reads=_back(shard.reads, move)
+                    ),
+                    f"{_what(move)}: back, {move.target} is gone",
+                )
             return
         if source is None and not self._gone(move.source):
             self.waits[index] = f"{move.source} does not answer"
@@ -646,8 +711,11 @@
             self._enter(index, move, Event.DONE)
         elif self._gone(move.source):
             self._enter(index, move, Event.DONE, owed=True)
-        elif source is not None and move.shard in source.copies and not self._elsewhere(
-                move.shard, move.source):
+        elif (
+            source is not None
+            and move.shard in source.copies
+            and not self._elsewhere(move.shard, move.source)
+        ):
             self.waits[index] = f"no other copy of {move.shard} is seen: the old one is kept"
         else:
             self.waits[index] = f"{move.source} drops it"
@@ -692,9 +760,17 @@
             elif self._due(("owed", engine, shard, fence)):
                 self._steps.append(Command(engine, "DROP", shard, fence))
 
-    _NEXT = {At.PLANNED: _planned, At.RESERVED: _reserved, At.COPYING: _copying, At.CATCHING: _catching,
-             At.FENCED: _fenced, At.UNFENCING: _unfencing, At.SWITCHED: _switched, At.DROPPED: _dropped,
-             At.BACK: _back}
+    _NEXT = {
+        At.PLANNED: _planned,
+        At.RESERVED: _reserved,
+        At.COPYING: _copying,
+        At.CATCHING: _catching,
+        At.FENCED: _fenced,
+        At.UNFENCING: _unfencing,
+        At.SWITCHED: _switched,
+        At.DROPPED: _dropped,
+        At.BACK: _back,
+    }
 
 
 def _clear(disk: Disk, shard: str, fence: int) -> bool:
--- a/cresstray/placement/carry.py
+++ b/cresstray/placement/carry.py
@@ -74,15 +74,15 @@
             if length is None:
                 if len(self._buffer) - at < 10 and b"\n" not in self._buffer[at:]:
                     break
-                raise BrokenError(f"not the length of a string: {bytes(self._buffer[at:at + 20])!r}")
+                raise BrokenError(f"not the length of a string: {bytes(self._buffer[at : at + 20])!r}")
             start, size = length.end(), int(length[1])
             if size > _LONGEST:
                 raise BrokenError(f"a string of {size} bytes")
             if len(self._buffer) < start + size + 2:
                 break
-            if self._buffer[start + size:start + size + 2] != b"\r\n":
+            if self._buffer[start + size : start + size + 2] != b"\r\n":
                 raise BrokenError("a string longer than its length")
-            found.append(bytes(self._buffer[start:start + size]))
+            found.append(bytes(self._buffer[start : start + size]))
             at = start + size + 2
         del self._buffer[:at]
         return found
@@ -92,8 +92,16 @@
     """As an engine takes it; `address` is the peer's, host:port."""
     given = [command.verb, command.shard, "MOVE", str(command.fence)]
     if command.verb == "COPY":
-        given += ["FROM", address, "AT", str(command.offset), "RATE", str(command.rate), "KEEP",
-                  str(command.keep)]
+        given += [
+            "FROM",
+            address,
+            "AT",
+            str(command.offset),
+            "RATE",
+            str(command.rate),
+            "KEEP",
+            str(command.keep),
+        ]
     elif command.verb == "FOLLOW":
         given += ["FROM", address, "EPOCH", str(command.epoch)]
     elif command.verb == "SWITCH":
@@ -104,9 +112,15 @@
 class Hands:
     """`addresses`: engine to (host, port), as it is now. `told`: what each disk last said."""
 
-    def __init__(self, addresses: Callable[[], Mapping[str, tuple[str, int]]],
-                 propose: Callable[[Entry], None], leads: Callable[[], bool], clock: Callable[[], int],
-                 counters: Counters, say: Callable[..., None] = lambda *_, **__: None) -> None:
+    def __init__(
+        self,
+        addresses: Callable[[], Mapping[str, tuple[str, int]]],
+        propose: Callable[[Entry], None],
+        leads: Callable[[], bool],
+        clock: Callable[[], int],
+        counters: Counters,
+        say: Callable[..., None] = lambda *_, **__: None,
+    ) -> None:
         self._addresses, self._propose, self._leads, self._clock = addresses, propose, leads, clock
         self._counters, self._say = counters, say
         self.told: dict[str, Disk] = {}
@@ -136,8 +150,9 @@
                 line.end()
         for engine, address in sorted(known.items()):
             if engine not in self._lines:
-                line = self._lines[engine] = _Line(engine, address, self._heard, self._clock, self._counters,
-                                                   self._say)
+                line = self._lines[engine] = _Line(
+                    engine, address, self._heard, self._clock, self._counters, self._say
+                )
                 self._tasks.start_soon(line.run)
             else:
                 self._lines[engine].ask()
@@ -161,9 +176,21 @@
                     # The mean of what was and what is: a busy minute counts, and does not decide.
                     self._sizes[name] = copy.bytes, at, (before[2] + rate) // 2 if before[2] else rate
                 copy.growth = self._sizes[name][2]
-        disk = self.told[engine] = Disk(engine, told.zone, told.disk, told.free, told.headroom, told.pace, at,
-                                        told.copies, told.numbers, told.cores, told.util, told.inflight,
-                                        told.depth)
+        disk = self.told[engine] = Disk(
+            engine,
+            told.zone,
+            told.disk,
+            told.free,
+            told.headroom,
+            told.pace,
+            at,
+            told.copies,
+            told.numbers,
+            told.cores,
+            told.util,
+            told.inflight,
+            told.depth,
+        )
         self.seen(disk, self._clock())
 
     def do(self, steps: Iterable[Command | Entry]) -> None:
@@ -187,8 +214,15 @@
 class _Line:
     """To one engine: connected, asked, and connected again."""
 
-    def __init__(self, engine: str, address: tuple[str, int], heard: Callable[[str, _Told, int], None],
-                 clock: Callable[[], int], counters: Counters, say: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        engine: str,
+        address: tuple[str, int],
+        heard: Callable[[str, _Told, int], None],
+        clock: Callable[[], int],
+        counters: Counters,
+        say: Callable[..., None],
+    ) -> None:
         self._engine, self.address, self._heard, self._clock = engine, address, heard, clock
         self._counters, self._say = counters, say
         self._scope = anyio.CancelScope()
@@ -263,5 +297,6 @@
             raise BrokenError(f"an answer: {trouble}") from None
         if refused:
             self._counters.add("commands refused")
-            self._say("disk", "refused", engine=self._engine, command=command.verb, shard=command.shard,
-                      why=refused)
+            self._say(
+                "disk", "refused", engine=self._engine, command=command.verb, shard=command.shard, why=refused
+            )
--- a/cresstray/placement/check.py
+++ b/cresstray/placement/check.py
@@ -90,15 +90,23 @@
         if len({move.shard for move in moves}) < len(moves):
             told.append(f"stage {number}: a shard moves twice")
         limits = self.fleet.limits
-        told += [f"stage {number}: {count} moves at once on {engine}"
-                 for engine, count in loads.items() if count > limits.moves]
-        told += [f"stage {number}: {count} moves at once between {' and '.join(pair)}"
-                 for pair, count in borders.items() if count > limits.border_moves]
+        told += [
+            f"stage {number}: {count} moves at once on {engine}"
+            for engine, count in loads.items()
+            if count > limits.moves
+        ]
+        told += [
+            f"stage {number}: {count} moves at once between {' and '.join(pair)}"
+            for pair, count in borders.items()
+            if count > limits.border_moves
+        ]
         lasts = 0
         for move, reader in zip(moves, reads):
             shard = self.shards[move.shard]
-            paces = [int(self.places[engine].pace * limits.share) // loads[engine]
-                     for engine in (reader, move.target)]
+            paces = [
+                int(self.places[engine].pace * limits.share) // loads[engine]
+                for engine in (reader, move.target)
+            ]
             pair = tuple(sorted({self.places[reader].zone, self.places[move.target].zone}))
             if len(pair) > 1 and limits.border_pace:
                 paces.append(limits.border_pace // borders[pair])
@@ -138,14 +146,20 @@
         told, free = self.told, self._free(second, [])
         held = {place.engine: 0 for place in self.fleet.places}
         for name, engines in self.where.items():
-            told += [f"at the end: {name} is on {engine}, which is out"
-                     for engine in engines if self.places[engine].out]
+            told += [
+                f"at the end: {name} is on {engine}, which is out"
+                for engine in engines
+                if self.places[engine].out
+            ]
             if self.zones > 1 and len(engines) > 1 == len({self.places[engine].zone for engine in engines}):
                 told.append(f"at the end: {name} is in one zone")
             for engine in engines:
                 held[engine] += self.shards[name].size
-        told += [f"at the end: {engine} lacks {-left} bytes of its headroom"
-                 for engine, left in free.items() if left < 0 and not self.places[engine].out]
+        told += [
+            f"at the end: {engine} lacks {-left} bytes of its headroom"
+            for engine, left in free.items()
+            if left < 0 and not self.places[engine].out
+        ]
         stays = [place for place in self.fleet.places if not place.out]
         usable = sum(max(0, place.disk - place.headroom) for place in stays)
         if not usable or self.plan.tolerance >= 1:
@@ -156,5 +170,6 @@
         for place in stays:
             room = max(0, place.disk - place.headroom)
             if abs(held[place.engine] - mean * room) > near * room:
-                told.append(f"at the end: {place.engine} is further than {self.plan.tolerance:g}"
-                            " from the mean fill")
+                told.append(
+                    f"at the end: {place.engine} is further than {self.plan.tolerance:g} from the mean fill"
+                )
--- a/cresstray/placement/draft.py
+++ b/cresstray/placement/draft.py
@@ -77,10 +77,14 @@
 
     def sound(self) -> bool:
         task = self.task
-        return (not any(self.excess(at) or self.lack(at) for at in range(len(task.places)))
-                and all(len(spot) == count for spot, count in zip(self.spots, task.counts))
-                and all(not wide or len({task.zone[at] for at in spot}) > 1
-                        for wide, spot in zip(task.wide, self.spots)))
+        return (
+            not any(self.excess(at) or self.lack(at) for at in range(len(task.places)))
+            and all(len(spot) == count for spot, count in zip(self.spots, task.counts))
+            and all(
+                not wide or len({task.zone[at] for at in spot}) > 1
+                for wide, spot in zip(task.wide, self.spots)
+            )
+        )
 
     def fair(self, number: int, source: int | None, target: int) -> bool:
         """Whether a shard's rules allow this copy there; a zone counts once all of its copies are placed."""
@@ -94,8 +98,10 @@
 
     def fits(self, number: int, target: int) -> bool:
         task = self.task
-        return (self.held[target] + task.sizes[number] <= task.most[target]
-                and self.grown[target] + task.grown[number] <= task.places[target].usable)
+        return (
+            self.held[target] + task.sizes[number] <= task.most[target]
+            and self.grown[target] + task.grown[number] <= task.places[target].usable
+        )
 
     def place(self, number: int, source: int | None) -> bool:
         """A copy goes where most is lacking, else where most room is; False where nothing fits."""
@@ -115,8 +121,11 @@
     def settle(self) -> bool:
         """Copies without an engine are placed, the largest first; then what is over or short is repaired."""
         task = self.task
-        loose = [number for number, (spot, count) in enumerate(zip(self.spots, task.counts))
-                 for _ in range(count - len(spot))]
+        loose = [
+            number
+            for number, (spot, count) in enumerate(zip(self.spots, task.counts))
+            for _ in range(count - len(spot))
+        ]
         for number in sorted(loose, key=lambda number: (-task.sizes[number], number)):
             if not self.place(number, None) and not self._back(number) and not self._squeeze(number):
                 return False
@@ -136,8 +145,10 @@
             if not self.fair(number, None, at):
                 continue
             for other in sorted(self.here[at], key=lambda other: (task.sizes[other], other)):
-                if (self.held[at] + task.sizes[number] - task.sizes[other] > task.most[at]
-                        or self.grown[at] + task.grown[number] - task.grown[other] > task.places[at].usable):
+                if (
+                    self.held[at] + task.sizes[number] - task.sizes[other] > task.most[at]
+                    or self.grown[at] + task.grown[number] - task.grown[other] > task.places[at].usable
+                ):
                     continue
                 self.put(number, None, at)
                 if self.place(other, at):
@@ -173,10 +184,15 @@
 
     def _unload(self, at: int) -> bool:
         task, excess = self.task, self.excess(at)
-        ranked = sorted(self.here[at], key=lambda number: (
-            at in task.spots[number],  # what came by this plan leaves for nothing more
-            task.sizes[number] < excess, task.sizes[number] if task.sizes[number] >= excess
-            else -task.sizes[number], number))
+        ranked = sorted(
+            self.here[at],
+            key=lambda number: (
+                at in task.spots[number],  # what came by this plan leaves for nothing more
+                task.sizes[number] < excess,
+                task.sizes[number] if task.sizes[number] >= excess else -task.sizes[number],
+                number,
+            ),
+        )
         return any(task.sizes[number] and self.place(number, at) for number in ranked)
 
     def _fill(self, at: int) -> bool:
@@ -212,16 +228,25 @@
 
     def _moved(self) -> list[tuple[int, int, int]]:
         task = self.task
-        moved = [(number, old, new) for number, spot in enumerate(self.spots) if spot != task.spots[number]
-                 for old in sorted(task.spots[number] - spot) for new in sorted(spot - task.spots[number])]
+        moved = [
+            (number, old, new)
+            for number, spot in enumerate(self.spots)
+            if spot != task.spots[number]
+            for old in sorted(task.spots[number] - spot)
+            for new in sorted(spot - task.spots[number])
+        ]
         return sorted(moved, key=lambda one: (-task.sizes[one[0]], one))
 
     def _undo(self) -> None:
         for number, old, new in self._moved():
             size = self.task.sizes[number]
-            if (new in self.spots[number] and old not in self.spots[number]
-                    and self.held[new] - size >= self.task.least[new]
-                    and self.fits(number, old) and self.fair(number, new, old)):
+            if (
+                new in self.spots[number]
+                and old not in self.spots[number]
+                and self.held[new] - size >= self.task.least[new]
+                and self.fits(number, old)
+                and self.fair(number, new, old)
+            ):
                 self.put(number, new, old)
 
     def _exchange(self) -> None:
@@ -232,10 +257,17 @@
             size = task.sizes[number]
             self.put(number, new, None)
             # At least so much has to come to the one, and to leave the other.
-            need = max(self.lack(new), self.held[old] + size - task.most[old],
-                       self.grown[old] + task.grown[number] - task.places[old].usable, 1)
-            fit = [(task.sizes[other], other) for other in self.here[old]
-                   if need <= task.sizes[other] < size and old in task.spots[other]]
+            need = max(
+                self.lack(new),
+                self.held[old] + size - task.most[old],
+                self.grown[old] + task.grown[number] - task.places[old].usable,
+                1,
+            )
+            fit = [
+                (task.sizes[other], other)
+                for other in self.here[old]
+                if need <= task.sizes[other] < size and old in task.spots[other]
+            ]
             done = False
             for _, other in sorted(fit):
                 if not self.fits(other, new) or not self.fair(other, old, new):
--- a/cresstray/placement/fleetmap.py
+++ b/cresstray/placement/fleetmap.py
@@ -44,8 +44,15 @@
     """A size or an engine that nobody told: a plan made on a guess could fill a disk."""
 
 
-def mapped(placement: Mapping[str, Placed], disks: Iterable[Disk], grown: Mapping[str, Grown],
-           out: Iterable[str], share: float, least: int, limits: Limits) -> Fleet:
+def mapped(
+    placement: Mapping[str, Placed],
+    disks: Iterable[Disk],
+    grown: Mapping[str, Grown],
+    out: Iterable[str],
+    share: float,
+    least: int,
+    limits: Limits,
+) -> Fleet:
     """The fleet as of now. Headroom is a share of the disk, at least `least` bytes; `out` is to be emptied.
 
     A shard is as large as the largest of its copies. An engine that told nothing (dead) is taken for one with
@@ -61,16 +68,28 @@
     if unknown:
         raise UnknownError(f"no engine told the size of {len(unknown)} shards: {', '.join(unknown[:5])}")
     none = Grown()
-    shards = tuple(Shard(name, sizes[name], grown.get(name, none).growth, grown.get(name, none).heat,
-                         tuple(placed.copies), placed.primary) for name, placed in sorted(placement.items()))
+    shards = tuple(
+        Shard(
+            name,
+            sizes[name],
+            grown.get(name, none).growth,
+            grown.get(name, none).heat,
+            tuple(placed.copies),
+            placed.primary,
+        )
+        for name, placed in sorted(placement.items())
+    )
     places = []
     for engine in sorted(told.keys() | {copy for shard in shards for copy in shard.copies}):
         disk = told.get(engine)
         if disk is None:
             places.append(Place(engine, "", _DEAD, 0, 0, True))
             continue
-        placed = sum(size for name, size in disk.sizes.items()
-                     if name in placement and engine in placement[name].copies)
+        placed = sum(
+            size
+            for name, size in disk.sizes.items()
+            if name in placement and engine in placement[name].copies
+        )
         # What else lies there, such as a copy that is half dropped, is not ours: it takes from the disk.
         space = disk.free + placed
         whole = disk.free + sum(disk.sizes.values())
@@ -89,8 +108,10 @@
             spots[move.shard][spots[move.shard].index(move.source)] = move.target
             if leads[move.shard] == move.source:
                 leads[move.shard] = move.target
-    shards = tuple(msgspec.structs.replace(shard, copies=tuple(spots[shard.name]), primary=leads[shard.name])
-                   for shard in fleet.shards)
+    shards = tuple(
+        msgspec.structs.replace(shard, copies=tuple(spots[shard.name]), primary=leads[shard.name])
+        for shard in fleet.shards
+    )
     return Fleet(fleet.places, shards, fleet.limits)
 
 
@@ -104,24 +125,33 @@
         came[move.target] += 1
         went[move.source] += 1
     hops = [move for move in plan.moves if move.hop]
-    lines = [f"{len(plan.moves)} moves in {len(plan.stages)} stages, {_told(plan.bytes)},"
-             f" some {plan.seconds} s; no plan sends less than {_told(plan.bound)} ({plan.gap:.1%} beyond)"]
+    lines = [
+        f"{len(plan.moves)} moves in {len(plan.stages)} stages, {_told(plan.bytes)},"
+        f" some {plan.seconds} s; no plan sends less than {_told(plan.bound)} ({plan.gap:.1%} beyond)"
+    ]
     if hops:
         lines.append(f"{len(hops)} of them are hops to make room, {_told(sum(move.bytes for move in hops))}")
     if plan.tolerance > fleet.limits.tolerance:
-        lines.append(f"fills are within {plan.tolerance:.0%} of the mean: within {fleet.limits.tolerance:.0%}"
-                     " was not reached")
+        lines.append(
+            f"fills are within {plan.tolerance:.0%} of the mean: within {fleet.limits.tolerance:.0%}"
+            " was not reached"
+        )
     if plan.late:
-        lines.append(f"{len(plan.late)} engines outgrow their headroom before a copy can leave them:"
-                     f" {', '.join(plan.late)}")
+        lines.append(
+            f"{len(plan.late)} engines outgrow their headroom before a copy can leave them:"
+            f" {', '.join(plan.late)}"
+        )
     changed = [place for place in fleet.places if came[place.engine] or went[place.engine]]
-    for place in sorted(changed, key=lambda place: (-abs(later[place.engine] - before[place.engine]),
-                                                    place.engine)):
+    for place in sorted(
+        changed, key=lambda place: (-abs(later[place.engine] - before[place.engine]), place.engine)
+    ):
         old, new = before[place.engine], later[place.engine]
         word = "is emptied" if place.out else "gets fuller" if new > old else "gets emptier"
-        lines.append(f"{place.engine} ({place.zone or 'no zone'}) {word}: {_fill(old, place)} >"
-                     f" {_fill(new, place)}, {_told(abs(new - old))}, {came[place.engine]} come,"
-                     f" {went[place.engine]} go")
+        lines.append(
+            f"{place.engine} ({place.zone or 'no zone'}) {word}: {_fill(old, place)} >"
+            f" {_fill(new, place)}, {_told(abs(new - old))}, {came[place.engine]} come,"
+            f" {went[place.engine]} go"
+        )
     return lines
 
 
--- a/cresstray/placement/greedy.py
+++ b/cresstray/placement/greedy.py
@@ -21,7 +21,7 @@
 
     def put(number: int, source: int | None, targets: list[int]) -> bool:
         for at in targets:
-            if (draft.held[at] + task.sizes[number] <= room[at] and draft.fair(number, source, at)):
+            if draft.held[at] + task.sizes[number] <= room[at] and draft.fair(number, source, at):
                 draft.put(number, source, at)
                 return True
         return False
@@ -54,8 +54,11 @@
             size = task.sizes[number]
             usable = task.places[target].usable or 1
             # It has to make the two more even, or the two would change places without end.
-            if (draft.held[target] + size) / usable < draft.held[source] / spare and draft.fair(
-                    number, source, target) and draft.held[target] + size <= usable:
+            if (
+                (draft.held[target] + size) / usable < draft.held[source] / spare
+                and draft.fair(number, source, target)
+                and draft.held[target] + size <= usable
+            ):
                 draft.put(number, source, target)
                 return True
     return False
@@ -69,7 +72,7 @@
     for shard in fleet.shards:
         scores = {place.engine: _score(shard.name, place.engine, place.usable) for place in places}
         ranked = sorted(places, key=lambda place: (-scores[place.engine], place.engine))
-        chosen = ranked[:len(shard.copies)]
+        chosen = ranked[: len(shard.copies)]
         if zones > 1 and len(chosen) > 1 and len({place.zone for place in chosen}) < 2:
             chosen[-1] = next(place for place in ranked if place.zone != chosen[0].zone)
         moves += paired(fleet, shard, [place.engine for place in chosen])
--- a/cresstray/placement/model.py
+++ b/cresstray/placement/model.py
@@ -128,8 +128,9 @@
             faults.append(f"shard {shard.name}: one to three copies on different engines")
         if shard.primary not in shard.copies:
             faults.append(f"shard {shard.name}: its primary {shard.primary} is none of its copies")
-        faults += [f"shard {shard.name}: engine {copy} is not known"
-                   for copy in shard.copies if copy not in known]
+        faults += [
+            f"shard {shard.name}: engine {copy} is not known" for copy in shard.copies if copy not in known
+        ]
     limits = fleet.limits
     if not 0 <= limits.tolerance <= 1 or not 0 < limits.share <= 1:
         faults.append("limits: tolerance is 0 to 1, share above 0 to 1")
@@ -153,8 +154,13 @@
         return {place.engine: (0, place.usable) for place in places}
     parts = round(tolerance * 1_000_000)
     least, most = total * 1_000_000 - parts * room, total * 1_000_000 + parts * room
-    return {place.engine: (max(0, -(-place.usable * least // (room * 1_000_000))),
-                           min(place.usable, place.usable * most // (room * 1_000_000))) for place in places}
+    return {
+        place.engine: (
+            max(0, -(-place.usable * least // (room * 1_000_000))),
+            min(place.usable, place.usable * most // (room * 1_000_000)),
+        )
+        for place in places
+    }
 
 
 def ladder(tolerance: float) -> list[float]:
--- a/cresstray/placement/moves.py
+++ b/cresstray/placement/moves.py
@@ -179,19 +179,24 @@
 DONE, BEFORE = b"done", b"before"  # outcomes; else b"refused: ..."
 
 
-def begin(id: str, who: str, plan: model.Plan, limits: model.Limits,
-          headroom: Mapping[str, int] = _NONE) -> list[bytes]:
+def begin(
+    id: str, who: str, plan: model.Plan, limits: model.Limits, headroom: Mapping[str, int] = _NONE
+) -> list[bytes]:
     """The entries that begin a plan, in order; each to be committed before the next is proposed."""
     stage_of = {index: stage for stage, moves in enumerate(plan.stages) for index in moves}
     if sorted(stage_of) != list(range(len(plan.moves))):
         raise ValueError("the plan's order does not name each move once")
-    rows = [(move.shard, move.source, move.target, move.bytes, move.primary, move.hop, stage_of[index])
-            for index, move in enumerate(plan.moves)]
-    parts = [rows[first:first + _PART] for first in range(0, len(rows), _PART)] or [[]]
+    rows = [
+        (move.shard, move.source, move.target, move.bytes, move.primary, move.hop, stage_of[index])
+        for index, move in enumerate(plan.moves)
+    ]
+    parts = [rows[first : first + _PART] for first in range(0, len(rows), _PART)] or [[]]
     named = {name for move in plan.moves for name in (move.source, move.target)}
     kept = {name: headroom[name] for name in sorted(named) if name in headroom}
-    return [_encode.encode(Begin(id, who, limits, {} if part else kept, part, len(parts), moves))
-            for part, moves in enumerate(parts)]
+    return [
+        _encode.encode(Begin(id, who, limits, {} if part else kept, part, len(parts), moves))
+        for part, moves in enumerate(parts)
+    ]
 
 
 def encode(entry: Step | Cancel | Paid) -> bytes:
@@ -233,14 +238,21 @@
         plan, states = self.plan, dict.fromkeys((at.value for at in At), 0)
         for move in plan.moves:
             states[move.at.value] += 1
-        return {"plan": plan.id, "who": plan.who, "over": plan.over(), "cancelled": plan.cancelled,
-                "halted": plan.halted, "moves": len(plan.moves),
-                "states": {name: count for name, count in states.items() if count},
-                "bytes": sum(move.bytes for move in plan.moves),
-                "copied": sum(move.copied for move in plan.moves),
-                "back": [f"{move.shard} {move.source} > {move.target}: {move.why}"
-                         for move in plan.moves if move.why][:100],
-                "owed": len(self.owed)}
+        return {
+            "plan": plan.id,
+            "who": plan.who,
+            "over": plan.over(),
+            "cancelled": plan.cancelled,
+            "halted": plan.halted,
+            "moves": len(plan.moves),
+            "states": {name: count for name, count in states.items() if count},
+            "bytes": sum(move.bytes for move in plan.moves),
+            "copied": sum(move.copied for move in plan.moves),
+            "back": [
+                f"{move.shard} {move.source} > {move.target}: {move.why}" for move in plan.moves if move.why
+            ][:100],
+            "owed": len(self.owed),
+        }
 
     def holding(self, engine: str) -> Iterator[Moving]:
         """Moves that keep room at an engine as their target."""
@@ -314,11 +326,17 @@
         # Danger: a version that is committed behind a move's way back has readers where it is dropped.
         if event in (Event.BACK, Event.RETRY) and has_moved(move, shard):
             return "the version with the new copy is committed"
-        if event is Event.BACK and move.at is At.UNFENCING and not (
-                shard is None or shard.primary and in_force(state, move.shard)):
+        if (
+            event is Event.BACK
+            and move.at is At.UNFENCING
+            and not (shard is None or shard.primary and in_force(state, move.shard))
+        ):
             return "the old primary has not its place again"
-        if event is Event.DONE and move.at is At.SWITCHED and (
-                has_moved(move, shard) or not in_force(state, move.shard)):
+        if (
+            event is Event.DONE
+            and move.at is At.SWITCHED
+            and (has_moved(move, shard) or not in_force(state, move.shard))
+        ):
             return "its old copy is not dropped yet"
         if event is Event.DROP and not (has_moved(move, shard) and in_force(state, move.shard)):
             return "a lease under the old placement may be left"
@@ -410,8 +428,12 @@
 
 def has_moved(move: Moving, shard: documents.Shard | None) -> bool:
     """Whether the move's version, or a later one with the same outcome, is this one."""
-    return shard is not None and move.target in shard.copies and move.source not in shard.copies and (
-        not move.primary or shard.primary == move.target)
+    return (
+        shard is not None
+        and move.target in shard.copies
+        and move.source not in shard.copies
+        and (not move.primary or shard.primary == move.target)
+    )
 
 
 def in_force(state: State, shard: str) -> bool:
@@ -422,4 +444,5 @@
     if state.latest.version("placement") <= state.turn // 2:
         return True
     return state.turn % 2 == 0 and (
-        state.acting.placement.items.get(shard) == state.latest.placement.items.get(shard))
+        state.acting.placement.items.get(shard) == state.latest.placement.items.get(shard)
+    )
--- a/cresstray/placement/order.py
+++ b/cresstray/placement/order.py
@@ -61,8 +61,11 @@
 
     def lacking(self) -> dict[str, int]:
         """Engines that stay and are over at this moment, with the bytes missing."""
-        return {engine: -self.room(engine, self.at) for engine, place in self.places.items()
-                if not place.out and self.room(engine, self.at) < 0}
+        return {
+            engine: -self.room(engine, self.at)
+            for engine, place in self.places.items()
+            if not place.out and self.room(engine, self.at) < 0
+        }
 
     def fair(self, shard: str, source: str, target: str) -> bool:
         """Whether a shard may move so: to an engine that takes copies, and not out of its second zone."""
@@ -87,8 +90,10 @@
     def lasts(self, move: Move, reader: str, reads: int, writes: int, crosses: int, at: int) -> int | None:
         """Seconds, with so many moves beside it at both ends and on its border. None: it never catches up."""
         limits, shard = self.limits, self.shards[move.shard]
-        pace = min(int(self.places[reader].pace * limits.share) // reads,
-                   int(self.places[move.target].pace * limits.share) // writes)
+        pace = min(
+            int(self.places[reader].pace * limits.share) // reads,
+            int(self.places[move.target].pace * limits.share) // writes,
+        )
         if crosses and limits.border_pace:
             pace = min(pace, limits.border_pace // crosses)
         if pace <= shard.growth:
@@ -117,8 +122,9 @@
             if reader is None:
                 return None
             border = self.border(reader, move.target)
-            lasts = self.lasts(move, reader, ends[reader], ends[move.target],
-                               crosses[border] if border else 0, self.at)
+            lasts = self.lasts(
+                move, reader, ends[reader], ends[move.target], crosses[border] if border else 0, self.at
+            )
             if lasts is None:
                 return None
             longest = max(longest, lasts)
@@ -142,10 +148,14 @@
             free = room.get(move.target)
             if free is None:
                 free = room[move.target] = self.room(move.target, until)
-            if (reader is None or move.shard in shards or size > free
-                    or max(ends[reader], ends[move.target]) >= self.limits.moves
-                    or (border and crosses[border] >= self.limits.border_moves)
-                    or not self.fair(move.shard, move.source, move.target)):
+            if (
+                reader is None
+                or move.shard in shards
+                or size > free
+                or max(ends[reader], ends[move.target]) >= self.limits.moves
+                or (border and crosses[border] >= self.limits.border_moves)
+                or not self.fair(move.shard, move.source, move.target)
+            ):
                 if not whole:
                     break
                 continue
@@ -223,8 +233,11 @@
         after[move.shard] -= {move.source}
         after[move.shard] |= {move.target}
     aim = [tuple(sorted(after[shard.name])) for shard in fleet.shards]
-    path, whole = searched(fleet, lambda spots: all(map(tuple.__eq__, spots, aim)),
-                           lambda number, spot: len(set(spot) - set(aim[number])))
+    path, whole = searched(
+        fleet,
+        lambda spots: all(map(tuple.__eq__, spots, aim)),
+        lambda number, spot: len(set(spot) - set(aim[number])),
+    )
     if path is not None:
         try:
             return lined(fleet, path)
@@ -241,8 +254,9 @@
         if not stuck:
             return _told(fleet, stages, lenient)
     missing = missing or _lacks(Ground(fleet), stuck)
-    raise DeadEndError(why or _dead(f"no order was found for {len(stuck)} of {len(rest)} moves", missing),
-                       missing, False)
+    raise DeadEndError(
+        why or _dead(f"no order was found for {len(stuck)} of {len(rest)} moves", missing), missing, False
+    )
 
 
 def lined(fleet: Fleet, path: list[Move]) -> Order:
@@ -253,14 +267,14 @@
         stage = ground.pick(rest, ground.at + lasts, whole=False) or rest[:1]
         # A longer one beside it may let the first grow over its room: then the first goes alone.
         kept = [move for move in stage if (ground.worst(move) or 0) <= lasts] if stage[1:] else stage
-        stage = kept if kept == stage[:len(kept)] and kept else stage[:1]
+        stage = kept if kept == stage[: len(kept)] and kept else stage[:1]
         broken = ground.play(stage)
         if broken:
             missing = _lacks(ground, stage)
             why = _dead(f"no order keeps headroom while shards grow: {broken}", missing)
             raise DeadEndError(why, missing, False)
         stages.append(stage)
-        rest = rest[len(stage):]
+        rest = rest[len(stage) :]
     if missing := ground.lacking():
         raise DeadEndError(_dead("no order keeps headroom while shards grow", missing), missing, False)
     return _told(fleet, stages)
@@ -293,8 +307,14 @@
     span = max((lasts[id(move)] or 0 for move in able), default=0)
     hurried = {engine for engine in ground.places if ground.room(engine, ground.at + 2 * span) < 0}
     # What is near its headroom cannot wait for a long stage, if there is something short to be moved off it.
-    until = min((ground.room(engine, ground.at) // ground.grows[engine] for engine in hurried
-                 if engine not in ground.over and ground.grows[engine]), default=span)
+    until = min(
+        (
+            ground.room(engine, ground.at) // ground.grows[engine]
+            for engine in hurried
+            if engine not in ground.over and ground.grows[engine]
+        ),
+        default=span,
+    )
     short = [move for move in able if (lasts[id(move)] or 0) <= until]
     if until < span and any(move.source in hurried for move in short):
         able = short
@@ -326,8 +346,11 @@
         if found:
             cost = sum(hop.bytes * (1 if (hop.shard, hop.source) in leaving else 2) for hop in found)
             if best is None or cost < best[0]:
-                going = [one for one in pending if (one.shard, one.source) not in {
-                    (hop.shard, hop.source) for hop in found}]
+                going = [
+                    one
+                    for one in pending
+                    if (one.shard, one.source) not in {(hop.shard, hop.source) for hop in found}
+                ]
                 going += [_after(hop, leaving) for hop in found if _after(hop, leaving).target != hop.target]
                 best = cost, found, going
     if best is None:
@@ -341,27 +364,48 @@
     return Move(hop.shard, hop.target, was.target if was else hop.source, hop.bytes, hop.primary)
 
 
-def _leave(ground: Ground, engine: str, but: str, lack: int, until: int,
-           leaving: dict[tuple[str, str], Move], hopped: Counter[str]) -> list[Move] | None:
+def _leave(
+    ground: Ground,
+    engine: str,
+    but: str,
+    lack: int,
+    until: int,
+    leaving: dict[tuple[str, str], Move],
+    hopped: Counter[str],
+) -> list[Move] | None:
     """Copies that give an engine so many bytes when they leave for others with room."""
     # A copy that hops without end would keep the order from ending: twice is enough for any seen.
-    here = [ground.shards[name] for name in ground.spots
-            if name != but and engine in ground.spots[name] and hopped[name] < 2]
+    here = [
+        ground.shards[name]
+        for name in ground.spots
+        if name != but and engine in ground.spots[name] and hopped[name] < 2
+    ]
     # Those that have to leave anyway first; then the smallest that is enough, else the largest.
-    here.sort(key=lambda shard: ((shard.name, engine) not in leaving, shard.size < lack,
-                                 shard.size if shard.size >= lack else -shard.size, shard.name))
+    here.sort(
+        key=lambda shard: (
+            (shard.name, engine) not in leaving,
+            shard.size < lack,
+            shard.size if shard.size >= lack else -shard.size,
+            shard.name,
+        )
+    )
     found: list[Move] = []
     taken: Counter[str] = Counter()
     for shard in here:
         size = shard.size + shard.growth * until
-        fits = [place.engine for place in ground.fleet.places
-                if ground.fair(shard.name, engine, place.engine)
-                and ground.room(place.engine, until) - taken[place.engine] >= size]
+        fits = [
+            place.engine
+            for place in ground.fleet.places
+            if ground.fair(shard.name, engine, place.engine)
+            and ground.room(place.engine, until) - taken[place.engine] >= size
+        ]
         if not fits:
             continue
         zone = ground.places[engine].zone
-        third = min(fits, key=lambda name: (ground.places[name].zone != zone,
-                                            taken[name] - ground.room(name, until), name))
+        third = min(
+            fits,
+            key=lambda name: (ground.places[name].zone != zone, taken[name] - ground.room(name, until), name),
+        )
         taken[third] += size
         found.append(Move(shard.name, engine, third, shard.size, ground.primary[shard.name] == engine))
         lack -= shard.size
@@ -372,8 +416,9 @@
     return found if lack <= 0 and ground.pick(found, ground.at) == found else None
 
 
-def searched(fleet: Fleet, goal: Callable[[list[Spot]], bool], away: Callable[[int, Spot], int],
-             most: int = _STATES) -> tuple[list[Move] | None, bool]:
+def searched(
+    fleet: Fleet, goal: Callable[[list[Spot]], bool], away: Callable[[int, Spot], int], most: int = _STATES
+) -> tuple[list[Move] | None, bool]:
     """The moves of fewest bytes, one after the other and hops among them, to a placement that is a goal.
 
     `away`: copies of a shard (by its number) that have to move yet. None, with True if every way was tried.
@@ -415,7 +460,7 @@
                     after = tuple(sorted({*spot, target} - {source}))
                     if wide and len({zone[engine] for engine in after}) < 2:
                         continue
-                    new = (*state[:number], after, *state[number + 1:])
+                    new = (*state[:number], after, *state[number + 1 :])
                     if new in done or costs.get(new, cost + size + 1) <= cost + size:
                         continue
                     costs[new], came[new] = cost + size, (state, number, source, target)
@@ -439,11 +484,19 @@
     later = [(move.shard, move.source) for stage in stages for move in stage]
     for stage in stages:
         numbers.append(tuple(range(len(told), len(told) + len(stage))))
-        del later[:len(stage)]
+        del later[: len(stage)]
         onward = set(later)
-        marked = [Move(move.shard, move.source, move.target, move.bytes,
-                       ground.primary[move.shard] == move.source, (move.shard, move.target) in onward)
-                  for move in stage]
+        marked = [
+            Move(
+                move.shard,
+                move.source,
+                move.target,
+                move.bytes,
+                ground.primary[move.shard] == move.source,
+                (move.shard, move.target) in onward,
+            )
+            for move in stage
+        ]
         told += marked
         broken = ground.play(marked)
         if broken:
--- a/cresstray/placement/pace.py
+++ b/cresstray/placement/pace.py
@@ -50,8 +50,9 @@
                 continue
             self._at[engine] = now if silent else disk.at
             part = self.part(engine)
-            self._part[engine] = (max(_LEAST, part * _BACK_OFF) if silent or pressed(disk)
-                                  else min(1.0, part + _RECOVER))
+            self._part[engine] = (
+                max(_LEAST, part * _BACK_OFF) if silent or pressed(disk) else min(1.0, part + _RECOVER)
+            )
 
     def rates(self, flows: Iterable[Flow], limits: Limits, told: Mapping[str, Disk]) -> dict[int, int]:
         """Of each flow: no engine's and no border's flows have more than its share together."""
@@ -65,8 +66,11 @@
             borders[border] = borders.get(border, 0) + 1
         made = {}
         for flow in flows:
-            rates = [told[engine].pace * limits.share * self.part(engine) / ends[engine]
-                     for engine in (flow.source, flow.target) if engine in told]
+            rates = [
+                told[engine].pace * limits.share * self.part(engine) / ends[engine]
+                for engine in (flow.source, flow.target)
+                if engine in told
+            ]
             border = between(flow.source, flow.target, told)
             if limits.border_pace and border[0] != border[1]:
                 rates.append(limits.border_pace / borders[border])
@@ -76,8 +80,12 @@
 
 def pressed(disk: Disk) -> bool:
     """Whether an engine's own report tells of pressure; `depth`: what it keeps waiting."""
-    return (disk.util >= _BUSY or disk.depth > max(1.0, disk.cores)
-            or disk.cores > 0 and disk.inflight >= _CROWD * disk.cores)
+    return (
+        disk.util >= _BUSY
+        or disk.depth > max(1.0, disk.cores)
+        or disk.cores > 0
+        and disk.inflight >= _CROWD * disk.cores
+    )
 
 
 def between(one: str, other: str, told: Mapping[str, Disk]) -> tuple[str, str]:
--- a/cresstray/placement/solve.py
+++ b/cresstray/placement/solve.py
@@ -59,8 +59,11 @@
 
     def matrix(self, width: int) -> LinearConstraint:
         shape = (len(self.least), width)
-        return LinearConstraint(csr_array((self.values, (self.rows, self.columns)), shape=shape),
-                                numpy.array(self.least), numpy.array(self.most))
+        return LinearConstraint(
+            csr_array((self.values, (self.rows, self.columns)), shape=shape),
+            numpy.array(self.least),
+            numpy.array(self.most),
+        )
 
 
 class Answer(NamedTuple):
@@ -71,8 +74,12 @@
     dead: bool
 
 
-def solve(fleet: Fleet, seconds: float, found: Callable[[Plan], None] | None = None,
-          clock: Callable[[], float] = time.monotonic) -> Plan:
+def solve(
+    fleet: Fleet,
+    seconds: float,
+    found: Callable[[Plan], None] | None = None,
+    clock: Callable[[], float] = time.monotonic,
+) -> Plan:
     """The plan that sends the fewest bytes, as far as `seconds` go; `found` hears of each better one at once.
 
     ValueError: no fleet. ImpossibleError: no placement keeps the rules. DeadEndError: no order leads there.
@@ -97,8 +104,14 @@
 class _Search:
     """One tolerance."""
 
-    def __init__(self, fleet: Fleet, tolerance: float, ends: float,
-                 found: Callable[[Plan], None] | None, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        tolerance: float,
+        ends: float,
+        found: Callable[[Plan], None] | None,
+        clock: Callable[[], float],
+    ) -> None:
         self.fleet, self.tolerance, self.ends, self.found, self.clock = fleet, tolerance, ends, found, clock
         self.task = Task(fleet, tolerance)
         self.best: Plan | None = None
@@ -171,14 +184,18 @@
         """A milp over the copies that move in any plan so far, and the engines that they may go to."""
         task = self.task
         drafts = [spots for spots in (hint.spots, self.spots) if spots is not None]
-        moving = {number for spots in drafts for number, spot in enumerate(spots)
-                  if spot != task.spots[number]}
+        moving = {
+            number for spots in drafts for number, spot in enumerate(spots) if spot != task.spots[number]
+        }
         every = len(task.sizes) * len(task.places) <= _COLUMNS
         columns: list[tuple[int, int]] = []
         for number in range(len(task.sizes)):
             own = task.spots[number].union(*(spots[number] for spots in drafts))
-            columns += [(number, at) for at in range(len(task.places)) if at in own or (
-                (every or number in moving) and task.takes[at])]
+            columns += [
+                (number, at)
+                for at in range(len(task.places))
+                if at in own or ((every or number in moving) and task.takes[at])
+            ]
         if len(columns) > _COLUMNS:
             return
         answer = exact(task, columns, self.left * 0.8, self.best.bytes if self.best else None)
@@ -231,8 +248,9 @@
     def _take(self, order: Order) -> None:
         total = sum(move.bytes for move in order.moves)
         if self.best is None or total < self.best.bytes:
-            self.best = Plan(order.moves, total, self.bound, order.stages, order.seconds,
-                             self.tolerance, order.late)
+            self.best = Plan(
+                order.moves, total, self.bound, order.stages, order.seconds, self.tolerance, order.late
+            )
             self._told_better()
 
     def _told_better(self) -> None:
@@ -240,8 +258,15 @@
             self.found(self._told(self.best))
 
     def _told(self, plan: Plan) -> Plan:
-        return Plan(plan.moves, plan.bytes, min(plan.bytes, self.bound), plan.stages, plan.seconds,
-                    plan.tolerance, plan.late)
+        return Plan(
+            plan.moves,
+            plan.bytes,
+            min(plan.bytes, self.bound),
+            plan.stages,
+            plan.seconds,
+            plan.tolerance,
+            plan.late,
+        )
 
 
 def relaxed(task: Task, seconds: float, whole: bool = False) -> Answer:
@@ -255,8 +280,9 @@
     """
     rows = _Rows()
     scale = max(1, sum(task.sizes) // max(1, len(task.sizes)))
-    stay: list[tuple[int, int]] = [(number, at) for number, spot in enumerate(task.spots)
-                                   for at in sorted(spot)]
+    stay: list[tuple[int, int]] = [
+        (number, at) for number, spot in enumerate(task.spots) for at in sorted(spot)
+    ]
     column = {pair: at for at, pair in enumerate(stay)}
     comes = len(stay)  # of each shard and zone
     fills = comes + len(task.sizes) * task.zones  # of each engine
@@ -282,17 +308,23 @@
         if not task.takes[at]:
             upper[fills + at] = 0
     for zone in range(task.zones):
-        coming = [(comes + number * task.zones + zone, size / scale)
-                  for number, size in enumerate(task.sizes)]
+        coming = [
+            (comes + number * task.zones + zone, size / scale) for number, size in enumerate(task.sizes)
+        ]
         rows.add(coming + [(fills + at, -1.0) for at, where in enumerate(task.zone) if where == zone], 0, 0)
     cost = numpy.zeros(width)
     for number, size in enumerate(task.sizes):
-        cost[comes + number * task.zones:comes + (number + 1) * task.zones] = size / scale
+        cost[comes + number * task.zones : comes + (number + 1) * task.zones] = size / scale
     integral = numpy.zeros(width)
     integral[:comes] = int(whole)
     # Nearer than a hundredth it takes minutes, and repairs and savings come much nearer in no time.
-    found = milp(cost, constraints=rows.matrix(width), bounds=Bounds(numpy.zeros(width), upper),
-                 integrality=integral, options={"time_limit": seconds, "mip_rel_gap": 0.01})
+    found = milp(
+        cost,
+        constraints=rows.matrix(width),
+        bounds=Bounds(numpy.zeros(width), upper),
+        integrality=integral,
+        options={"time_limit": seconds, "mip_rel_gap": 0.01},
+    )
     if found.status == 2:
         return Answer(None, 0, True)
     spots: list[set[int]] | None = None
@@ -306,12 +338,17 @@
     return Answer(spots, _bytes(bound, scale), False)
 
 
-def exact(task: Task, columns: list[tuple[int, int]] | None, seconds: float,
-          under: int | None = None) -> Answer:
+def exact(
+    task: Task, columns: list[tuple[int, int]] | None, seconds: float, under: int | None = None
+) -> Answer:
     """The fewest bytes over these pairs of shard and engine, or all; `under`: only what sends fewer."""
     if columns is None:
-        columns = [(number, at) for number in range(len(task.sizes)) for at in range(len(task.places))
-                   if task.takes[at] or at in task.spots[number]]
+        columns = [
+            (number, at)
+            for number in range(len(task.sizes))
+            for at in range(len(task.places))
+            if task.takes[at] or at in task.spots[number]
+        ]
     rows = _Rows()
     scale = max(1, sum(task.sizes) // max(1, len(task.sizes)))
     of_shard: list[list[tuple[int, int]]] = [[] for _ in task.sizes]
@@ -340,8 +377,13 @@
     width = len(columns)
     if not width:
         return Answer(None, 0, True) if any(task.counts) else Answer([], 0, False)
-    found = milp(cost, constraints=rows.matrix(width), bounds=Bounds(0, 1), integrality=numpy.ones(width),
-                 options={"time_limit": seconds, "mip_rel_gap": 0.0})
+    found = milp(
+        cost,
+        constraints=rows.matrix(width),
+        bounds=Bounds(0, 1),
+        integrality=numpy.ones(width),
+        options={"time_limit": seconds, "mip_rel_gap": 0.0},
+    )
     if found.status == 2:
         return Answer(None, 0, True)
     spots: list[set[int]] | None = None
@@ -376,6 +418,7 @@
                     return False
                 held[engine] += shard.size
         return all(least <= held[engine] <= most for engine, (least, most) in band.items())
+
     return reached
 
 
@@ -392,11 +435,13 @@
         raise ImpossibleError(f"{most} copies on {len(places)} engines that are not out")
     lives = {place.engine for place in fleet.places if place.pace}
     stays = {place.engine for place in places}
-    lost = [shard.name for shard in fleet.shards
-            if not lives & set(shard.copies) and set(shard.copies) - stays]
+    lost = [
+        shard.name for shard in fleet.shards if not lives & set(shard.copies) and set(shard.copies) - stays
+    ]
     if lost:
-        raise ImpossibleError(f"no copy is on an engine that lives, of {len(lost)} shards:"
-                              f" {', '.join(lost[:5])}")
+        raise ImpossibleError(
+            f"no copy is on an engine that lives, of {len(lost)} shards: {', '.join(lost[:5])}"
+        )
     missing = _missing(fleet)
     if missing:
         lacks = ", ".join(f"{name} lacks {count} bytes" for name, count in missing.items())
@@ -405,6 +450,7 @@
 
 def _missing(fleet: Fleet) -> dict[str, int]:
     """Bytes that the engines that stay lack as a whole."""
-    lack = (sum(shard.size * len(shard.copies) for shard in fleet.shards)
-            - sum(place.usable for place in fleet.places if not place.out))
+    lack = sum(shard.size * len(shard.copies) for shard in fleet.shards) - sum(
+        place.usable for place in fleet.places if not place.out
+    )
     return {"all engines": lack} if lack > 0 else {}
--- a/cresstray/placement/worker.py
+++ b/cresstray/placement/worker.py
@@ -41,8 +41,9 @@
     """The process could not be started, died, or had no plan when its time was over."""
 
 
-def plan_in_worker(fleet: Fleet, seconds: float, margin: float = _MARGIN,
-                   heard: Callable[[Plan], None] | None = None) -> Plan:
+def plan_in_worker(
+    fleet: Fleet, seconds: float, margin: float = _MARGIN, heard: Callable[[Plan], None] | None = None
+) -> Plan:
     """The best plan within `seconds`; the process is killed `margin` later, and what it had found counts.
 
     Blocks: an event loop calls it in a thread. ImpossibleError, DeadEndError and ValueError as of solve();
@@ -50,8 +51,9 @@
     """
     command = [sys.executable, "-m", "cresstray.placement.worker"]
     try:
-        process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-                                   stderr=subprocess.PIPE)
+        process = subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+        )
     except OSError as error:
         raise WorkerError(f"the solver's process could not be started: {error.strerror}") from error
     told: list[Told] = []
--- a/cresstray/replicas/asking.py
+++ b/cresstray/replicas/asking.py
@@ -110,19 +110,22 @@
             else:
                 self._look_at(name, one, now)
         found.sort()
-        asked = [name for *_, name in found[:int(self._left)]]
+        asked = [name for *_, name in found[: int(self._left)]]
         for name in asked:
             one = self._engines[name]
             if one.out:
                 one.silent = min(one.silent + 1, 5)
             one.asked, one.out, one.waits, one.head = now, True, False, False
             self._look_at(name, one, now)
-        for *_, name in found[len(asked):]:
+        for *_, name in found[len(asked) :]:
             self._look_at(name, self._engines[name], now, now + _STEP)
         self._left -= len(asked)
         self.asked += len(asked)
-        self.next = max(self._queue[0][0], now + (0 if enough and self._left >= 1 else _STEP)) \
-            if self._queue else None
+        self.next = (
+            max(self._queue[0][0], now + (0 if enough and self._left >= 1 else _STEP))
+            if self._queue
+            else None
+        )
         return asked
 
     def _look_at(self, name: str, one: _Engine, now: int, least: int = 0) -> None:
--- a/cresstray/replicas/choose.py
+++ b/cresstray/replicas/choose.py
@@ -15,15 +15,25 @@
     otherwise: Else | None  # None where there are copies
 
 
-def candidates(hint: Hint, name: str, shard: Shard, board: Board, now: int, ends_in: int,
-               narrow: Callable[[list[str]], list[str]] = lambda copies: copies) -> Choice:
+def candidates(
+    hint: Hint,
+    name: str,
+    shard: Shard,
+    board: Board,
+    now: int,
+    ends_in: int,
+    narrow: Callable[[list[str]], list[str]] = lambda copies: copies,
+) -> Choice:
     """Of the shard's copies in force, those known to be fresh enough when the read will end.
 
     `ends_in`: microseconds that it is expected to take. `narrow`: what an operator's pin leaves of them. The
     primary is none of them: what it takes is bounded for the fleet, else all would go there.
     """
-    fresh = [copy for copy in shard.reads
-             if copy != shard.primary and _is_fresh(hint, name, shard, copy, board, now + ends_in)]
+    fresh = [
+        copy
+        for copy in shard.reads
+        if copy != shard.primary and _is_fresh(hint, name, shard, copy, board, now + ends_in)
+    ]
     left = narrow(fresh)
     if left and hint.session is not None:
         left = rendezvous(hint.session, left)[:1]
@@ -42,8 +52,9 @@
 
     A later epoch has all of an earlier one up to the switch: it begins only once its primary has all of that.
     """
-    return applied is not None and (applied[0] > after.epoch
-                                    or applied[0] == after.epoch and applied[1] >= after.position)
+    return applied is not None and (
+        applied[0] > after.epoch or applied[0] == after.epoch and applied[1] >= after.position
+    )
 
 
 def primary_has(after: Token | None, shard: Shard) -> bool:
--- a/cresstray/replicas/pins.py
+++ b/cresstray/replicas/pins.py
@@ -22,13 +22,23 @@
 
 def matching(pins: Mapping[str, Pin], tariff: str, tenant: str, unix: float) -> list[Pin]:
     """Those that hold for these reads now, in the order of their names. `until` 0 never holds."""
-    return [pin for _, pin in sorted(pins.items(), key=lambda one: one[0])
-            if unix < pin.until and pin.tariff in ("", tariff) and pin.tenant in ("", tenant)
-            and (pin.tariff or pin.tenant)]
+    return [
+        pin
+        for _, pin in sorted(pins.items(), key=lambda one: one[0])
+        if unix < pin.until
+        and pin.tariff in ("", tariff)
+        and pin.tenant in ("", tenant)
+        and (pin.tariff or pin.tenant)
+    ]
 
 
-def pinned(pin: Pin, copies: Iterable[str], reads: tuple[str, ...],
-           zone_of: Callable[[str], str | None], joint: bool = False) -> list[str]:
+def pinned(
+    pin: Pin,
+    copies: Iterable[str],
+    reads: tuple[str, ...],
+    zone_of: Callable[[str], str | None],
+    joint: bool = False,
+) -> list[str]:
     """Those of `copies` that the pin means; one that the shard no longer has is followed into its zone."""
     # Danger: while joint a copy that moves is in neither's reads; by the version in force it has not gone.
     gone = [] if joint and pin.strict else [copy for copy in pin.copies if copy not in reads]
@@ -37,9 +47,14 @@
     return [copy for copy in copies if copy in pin.copies or zone_of(copy) in zones]
 
 
-def narrowed(pins: list[Pin], fresh: list[str], reads: tuple[str, ...],
-             zone_of: Callable[[str], str | None], full: Callable[[str], bool],
-             joint: bool = False) -> list[str]:
+def narrowed(
+    pins: list[Pin],
+    fresh: list[str],
+    reads: tuple[str, ...],
+    zone_of: Callable[[str], str | None],
+    full: Callable[[str], bool],
+    joint: bool = False,
+) -> list[str]:
     """What pins leave of the copies that are fresh enough: of several strict ones all hold, and the first
     preference with a copy that has room counts."""
     for pin in pins:
@@ -64,5 +79,7 @@
     busy = sum(heat.get(engine, 0.0) for engine in named) + work
     if busy <= _MOST_BUSY * have:
         return None
-    return (f"its reads need {work:.1f} threads; {', '.join(named) or 'no engine'} would have "
-            f"{busy:.1f} busy of {have:g} cores, and {_MOST_BUSY:.0%} is the most")
+    return (
+        f"its reads need {work:.1f} threads; {', '.join(named) or 'no engine'} would have "
+        f"{busy:.1f} busy of {have:g} cores, and {_MOST_BUSY:.0%} is the most"
+    )
--- a/cresstray/replicas/positions.py
+++ b/cresstray/replicas/positions.py
@@ -60,8 +60,18 @@
 
 
 class _Copy:
-    __slots__ = ("applied", "heard", "fresh", "ahead", "ahead_at", "last", "last_at", "out", "was_out",
-                 "plausible")
+    __slots__ = (
+        "applied",
+        "heard",
+        "fresh",
+        "ahead",
+        "ahead_at",
+        "last",
+        "last_at",
+        "out",
+        "was_out",
+        "plausible",
+    )
 
     def __init__(self, out: int | None = None) -> None:
         self.applied, self.heard = -1, 0  # the furthest that is believed, and when it had come in
@@ -107,8 +117,9 @@
     `say` hears of what can't be, a line each. `passes_on`: what peers have told is told on, as keepers do.
     """
 
-    def __init__(self, say: Callable[[str], None] = lambda text: None, drift: float = 0.01,
-                 passes_on: bool = False) -> None:
+    def __init__(
+        self, say: Callable[[str], None] = lambda text: None, drift: float = 0.01, passes_on: bool = False
+    ) -> None:
         self._say, self._drift, self._passes_on = say, drift, passes_on
         self._taking = False
         self._shards: dict[str, _Shard] = {}
@@ -138,8 +149,11 @@
                     self.heard(name, copy, *word)
             elif placed.epoch == known.placed.epoch and placed is not known.placed:
                 known.placed = placed
-                known.copies = {copy: one for copy, one in known.copies.items()
-                                if copy in placed.copies and copy != placed.primary}
+                known.copies = {
+                    copy: one
+                    for copy, one in known.copies.items()
+                    if copy in placed.copies and copy != placed.primary
+                }
                 known.waiting = {copy: word for copy, word in known.waiting.items() if copy in placed.copies}
         if kept != self._order:
             for name in set(self._order) - set(kept):
@@ -148,8 +162,9 @@
 
     # What engines tell with their answers.
 
-    def heard(self, shard: str, copy: str, epoch: int, applied: int, head: int | None, at: int,
-              now: int) -> None:
+    def heard(
+        self, shard: str, copy: str, epoch: int, applied: int, head: int | None, at: int, now: int
+    ) -> None:
         """`at`: when the request went out that was answered with it; `now`: when that answer came.
 
         `head` counts only from the primary in force.
@@ -185,11 +200,21 @@
                     self._believe(known, copy, copy.ahead, copy.ahead_at)
                     copy.ahead, copy.ahead_at = copy.last, copy.last_at
                 elif at >= copy.ahead_at:
-                    self._leave_out(known, copy, now, f"copy {name} of shard {shard} told position "
-                                                      f"{copy.ahead}, and the primary later {head}")
+                    self._leave_out(
+                        known,
+                        copy,
+                        now,
+                        f"copy {name} of shard {shard} told position "
+                        f"{copy.ahead}, and the primary later {head}",
+                    )
         place = bisect_right(times, at)
-        if place < len(times) and heads[place] <= head or place and times[place - 1] == at \
-                and heads[place - 1] <= head:
+        if (
+            place < len(times)
+            and heads[place] <= head
+            or place
+            and times[place - 1] == at
+            and heads[place - 1] <= head
+        ):
             return  # a later one is no further
         first = place
         while first and heads[first - 1] >= head:
@@ -203,8 +228,10 @@
         if len(times) > _MOST_HEADS:
             # The one whose loss widens the gap least, for how old it is.
             newest = times[-1]
-            least = min(range(1, len(times) - 1), key=lambda one: (
-                (times[one + 1] - times[one - 1]) / (newest - times[one] + 1000), one))
+            least = min(
+                range(1, len(times) - 1),
+                key=lambda one: ((times[one + 1] - times[one - 1]) / (newest - times[one] + 1000), one),
+            )
             del times[least], heads[least]
         self._changed(known)
 
@@ -218,8 +245,9 @@
             return
         if at is not None and at >= copy.heard and applied < copy.applied:
             # Danger: a copy that was set back would be read as if it still had what it lost.
-            self._leave_out(known, copy, now, f"copy {name} of shard {shard} told position {applied} "
-                                              f"after {copy.applied}")
+            self._leave_out(
+                known, copy, now, f"copy {name} of shard {shard} told position {applied} after {copy.applied}"
+            )
         elif known.heads and applied <= known.heads[-1]:
             self._believe(known, copy, applied, now)
         else:
@@ -311,16 +339,22 @@
 
     def changed(self, since: Mapping[str, int], now: int) -> list[Item]:
         """Of these shards, those of which more is known than at each one's stamp."""
-        return [self._item(name, self._shards[name], now) for name, stamp in since.items()
-                if name in self._shards and self._shards[name].stamp > stamp]
+        return [
+            self._item(name, self._shards[name], now)
+            for name, stamp in since.items()
+            if name in self._shards and self._shards[name].stamp > stamp
+        ]
 
     def _item(self, name: str, known: _Shard, now: int) -> Item:
         # The newest head only: what older ones show is in the copies' own moments.
         age, head = (_milli(now - known.times[-1]), known.heads[-1]) if known.heads else (0, -1)
         copies = tuple(
             (_short(copy), one.applied, -1 if one.fresh is None else _milli(now - one.fresh))
-            if one.out is None else (_short(copy), -1, _milli(max(0, now - one.out)))
-            for copy, one in sorted(known.copies.items()) if one.applied >= 0 or one.out is not None)
+            if one.out is None
+            else (_short(copy), -1, _milli(max(0, now - one.out)))
+            for copy, one in sorted(known.copies.items())
+            if one.applied >= 0 or one.out is not None
+        )
         return Item(name, known.placed.epoch, age, head, copies)
 
     def take(self, items: Iterable[Item], at: int, now: int) -> None:
@@ -339,8 +373,9 @@
                     self._take_copy(item.shard, known, name, applied, age, at, now)
         self._taking = False
 
-    def _take_copy(self, shard: str, known: _Shard, name: str, applied: int, age: int, at: int,
-                   now: int) -> None:
+    def _take_copy(
+        self, shard: str, known: _Shard, name: str, applied: int, age: int, at: int, now: int
+    ) -> None:
         moment = self._moment(at, age)
         if applied >= 0:
             self._applied(shard, known, name, applied, None, now)
@@ -351,8 +386,13 @@
             # Danger: told around between peers, one lie would leave it out for good; each counts once.
             if copy.out is None and (copy.was_out is None or moment > copy.was_out):
                 self._leave_out(known, copy, moment, f"copy {name} of shard {shard} is left out by a peer")
-        elif copy is not None and copy.out is None and age >= 0 and copy.applied >= applied \
-                and (copy.fresh is None or moment > copy.fresh):
+        elif (
+            copy is not None
+            and copy.out is None
+            and age >= 0
+            and copy.applied >= applied
+            and (copy.fresh is None or moment > copy.fresh)
+        ):
             copy.fresh = moment
             self._changed(known)
 
--- a/cresstray/replicas/read.py
+++ b/cresstray/replicas/read.py
@@ -44,9 +44,17 @@
     """`cores`, `zone_of`, and `full` (whether the limits let no such work onto it now) by engine id; `wall`:
     Unix seconds, for the ends of pins only."""
 
-    def __init__(self, board: Board, use: Use, counters: Counters, chance: Callable[[], float],
-                 cores: Callable[[str], float], zone_of: Callable[[str], str | None],
-                 full: Callable[[str, Submission, int], bool], wall: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        board: Board,
+        use: Use,
+        counters: Counters,
+        chance: Callable[[], float],
+        cores: Callable[[str], float],
+        zone_of: Callable[[str], str | None],
+        full: Callable[[str, Submission, int], bool],
+        wall: Callable[[], float],
+    ) -> None:
         self.board, self.use, self.counters = board, use, counters
         self.cores, self.zone_of, self.full, self.wall = cores, zone_of, full, wall
         self.share = Share(chance)
@@ -56,8 +64,9 @@
         self.urgent = False  # a read waits so: the keeper is to be asked at once, not at the next turn
         self._wait_until = 0  # the last of those that wait
 
-    def hint(self, statement: str, tariff: Tariff, now: int, named: str = "",
-             tenant: str = "") -> Read | None:
+    def hint(
+        self, statement: str, tariff: Tariff, now: int, named: str = "", tenant: str = ""
+    ) -> Read | None:
         """None where there is no hint; HintError where it can't be followed. The names are for pins."""
         hint = read_hint(statement)
         if hint is None:
@@ -184,8 +193,11 @@
             self._reads.lacks(self.shard, now + self._reads.patience)
         if choice.otherwise is not Else.PRIMARY or now < self._wait_until:
             return ()
-        return tuple(one for one in primary if self._reads.share.admits(
-            one, self._cost(), self._reads.cores(one), in_use.gateways, now))
+        return tuple(
+            one
+            for one in primary
+            if self._reads.share.admits(one, self._cost(), self._reads.cores(one), in_use.gateways, now)
+        )
 
     def admits(self, now: int) -> bool:
         """False: it is denied at once."""
@@ -248,9 +260,21 @@
     def _chosen(self, in_use: InUse, shard: Shard, now: int) -> Choice:
         pins = self._pins(in_use)
         return candidates(
-            self.hint, self.shard, shard, self._reads.board, now, self.submission.expected,
-            lambda fresh: narrowed(pins, fresh, shard.reads, self._reads.zone_of,
-                                   lambda copy: self._full(copy, now), in_use.turn % 2 == 1))
+            self.hint,
+            self.shard,
+            shard,
+            self._reads.board,
+            now,
+            self.submission.expected,
+            lambda fresh: narrowed(
+                pins,
+                fresh,
+                shard.reads,
+                self._reads.zone_of,
+                lambda copy: self._full(copy, now),
+                in_use.turn % 2 == 1,
+            ),
+        )
 
     def _pins(self, in_use: InUse) -> list:
         items = in_use.documents.replicas.items
--- a/cresstray/replicas/sessions.py
+++ b/cresstray/replicas/sessions.py
@@ -59,6 +59,7 @@
 
 def rendezvous(session: str, copies: Iterable[str]) -> list[str]:
     """The copies in the order in which this session turns to them: the same in all processes."""
+
     def weight(copy: str) -> tuple[bytes, str]:
         return hashlib.blake2b(f"{session}\0{copy}".encode(), digest_size=8).digest(), copy
 
--- a/cresstray/replicas/spread.py
+++ b/cresstray/replicas/spread.py
@@ -52,8 +52,9 @@
         self.waits: dict[str, tuple[int, int]] = {}
         self.told_at = 0  # when a word was said at once
 
-    def says(self, most: int, wants: Iterable[str] | None, now: int,
-             needs: Iterable[tuple[int, int]] = ()) -> Word:
+    def says(
+        self, most: int, wants: Iterable[str] | None, now: int, needs: Iterable[tuple[int, int]] = ()
+    ) -> Word:
         """The next word, with at most so many shards of what the peer wants. `wants`: here, from now on;
         `needs`: of these, by place, how old positions may be in milliseconds."""
         items = []
@@ -85,11 +86,18 @@
         return self._word(now, items[:_MOST_ITEMS], None, ())
 
     def _told(self, shards: Container[str]) -> None:
-        self.waits = {shard: (until, self._board.stamp if shard in shards else since)
-                      for shard, (until, since) in self.waits.items()}
-
-    def _word(self, now: int, items: Iterable[Item], wants: tuple[str, ...] | None,
-              needs: Iterable[tuple[int | str, int]]) -> Word:
+        self.waits = {
+            shard: (until, self._board.stamp if shard in shards else since)
+            for shard, (until, since) in self.waits.items()
+        }
+
+    def _word(
+        self,
+        now: int,
+        items: Iterable[Item],
+        wants: tuple[str, ...] | None,
+        needs: Iterable[tuple[int | str, int]],
+    ) -> Word:
         self._number += 1
         self._said[self._number] = now
         if len(self._said) > _MOST_KEPT:
@@ -105,8 +113,9 @@
         if self._wants is not None and (wants is None or set(wants) - set(self._wants)):
             self._cursor = Cursor()  # what it did not want before may never have been told
         self._wants = wants
-        self.needs = [(shard, 1000 * young) for one, young in word.needs
-                      if (shard := _named(one, wants)) is not None]
+        self.needs = [
+            (shard, 1000 * young) for one, young in word.needs if (shard := _named(one, wants)) is not None
+        ]
         for shard, young in self.needs:
             if not young:
                 self.waits[shard] = now + _WAITS, self.waits.get(shard, (0, 0))[1]
@@ -183,8 +192,13 @@
     `needs`: of these, by place, how old their positions may be in milliseconds.
     """
 
-    def __init__(self, board: Board, most: int, wants: Callable[[int], tuple[str, ...]] | None = None,
-                 needs: Callable[[int], Iterable[tuple[int, int]]] | None = None) -> None:
+    def __init__(
+        self,
+        board: Board,
+        most: int,
+        wants: Callable[[int], tuple[str, ...]] | None = None,
+        needs: Callable[[int], Iterable[tuple[int, int]]] | None = None,
+    ) -> None:
         self.peer, self._most, self._wants, self._needs = Peer(board), most, wants, needs
 
     def says(self, now: int) -> bytes:
--- a/cresstray/rules/admission.py
+++ b/cresstray/rules/admission.py
@@ -31,8 +31,9 @@
         self.capped = any(rule.share < 1 for rule in self.tenants)
         self.shards = documents.placement.items
         # Nothing is said of any engine, tenant, tariff or shard: most fleets' most of the time.
-        self.plain = not (documents.engines.items or documents.tenants.items or documents.tariffs.items
-                          or self.shards)
+        self.plain = not (
+            documents.engines.items or documents.tenants.items or documents.tariffs.items or self.shards
+        )
         self.ranks: dict[str, int] = {}  # of this gateway among all, for the seats of an engine
 
 
@@ -50,8 +51,14 @@
 class Admission:
     """interface.Rules. `tenants`, `tariffs`: names by index; `engine_id` gives "" for one of another hall."""
 
-    def __init__(self, use: Use, tenants: Sequence[str], tariffs: Sequence[str],
-                 engine_id: Callable[[Engine], str], counters: Counters | None = None) -> None:
+    def __init__(
+        self,
+        use: Use,
+        tenants: Sequence[str],
+        tariffs: Sequence[str],
+        engine_id: Callable[[Engine], str],
+        counters: Counters | None = None,
+    ) -> None:
         self.use, self._engine_id = use, engine_id
         self._tenants, self._tariffs = tuple(tenants), tuple(tariffs)
         self._counters = counters or Counters()
@@ -119,8 +126,9 @@
     def _over(self, submission: Submission, share: float, now: int) -> bool:
         own, work = self._of[submission.tenant], _work(submission)
         # Danger: sums of buckets are too long or too short. Its own are taken long, those of all short.
-        return (own.count.most(now) >= (_ALWAYS if share else 0)
-                and own.work.most(now) + work > share * (self._all.work.least(now) + work))
+        return own.count.most(now) >= (_ALWAYS if share else 0) and own.work.most(now) + work > share * (
+            self._all.work.least(now) + work
+        )
 
     def takes(self, submission: Submission, engine: Engine, now: int) -> bool:
         """Whether a relay of it may go to this engine now; what was held is judged anew."""
@@ -129,8 +137,11 @@
             return use.mode is not Mode.STOP
         # Asked for one engine after the other: what is said of the submission is found once for a moment.
         if self._judged[0] is not submission or self._judged[1] is not use:
-            may = not (use.mode is Mode.STOP or self._rule(submission, use).stopped
-                       or self._tenant(submission).barred)
+            may = not (
+                use.mode is Mode.STOP
+                or self._rule(submission, use).stopped
+                or self._tenant(submission).barred
+            )
             self._judged = submission, use, may, self._view.shards.get(str(submission.data_set))
         _, _, may, shard = self._judged
         read = submission.read
@@ -140,13 +151,21 @@
         # Danger: under an old placement it would write to a primary that is none any more, or read a copy
         # that has been dropped. Without a lease nobody can say.
         if (shard is not None or read is not None) and (
-                use.mode is not Mode.LEASE or not name
-                or (name != shard.primary if read is None else
-                    shard is None or name not in (*shard.reads, shard.primary) or not read.takes(name, now))):
+            use.mode is not Mode.LEASE
+            or not name
+            or (
+                name != shard.primary
+                if read is None
+                else shard is None or name not in (*shard.reads, shard.primary) or not read.takes(name, now)
+            )
+        ):
             return False
         rule = use.documents.engines.items.get(name)
-        return rule is None or not rule.barred and (
-            rule.work >= 1 or self._room(submission, engine, name, rule, use))
+        return (
+            rule is None
+            or not rule.barred
+            and (rule.work >= 1 or self._room(submission, engine, name, rule, use))
+        )
 
     def _room(self, submission: Submission, engine: Engine, name: str, rule: EngineRule, use: InUse) -> bool:
         """All gateways together have at most that part of what the engine is given on it, and as much again
--- a/cresstray/rules/checks.py
+++ b/cresstray/rules/checks.py
@@ -18,9 +18,14 @@
 
     What does not change is not judged again: the file may have changed, and a move may leave a pin behind.
     """
-    return [*_gateways(new, world, ghosts), *_engines(old, new, world),
-            *_named("tenant", old, new, world.tenants), *_named("tariff", old, new, world.tariffs),
-            *_placement(old, new, world), *_replicas(old, new, world)]
+    return [
+        *_gateways(new, world, ghosts),
+        *_engines(old, new, world),
+        *_named("tenant", old, new, world.tenants),
+        *_named("tariff", old, new, world.tariffs),
+        *_placement(old, new, world),
+        *_replicas(old, new, world),
+    ]
 
 
 def _gateways(new: Documents, world: World, ghosts: int) -> list[str]:
@@ -45,11 +50,17 @@
 def _engines(old: Documents, new: Documents, world: World) -> list[str]:
     if not world.engines or old.engines == new.engines:
         return []
-    told = [f"engines: there is no engine {name!r}" for name, rule in new.engines.items.items()
-            if name not in world.engines and old.engines.items.get(name) != rule]
+    told = [
+        f"engines: there is no engine {name!r}"
+        for name, rule in new.engines.items.items()
+        if name not in world.engines and old.engines.items.get(name) != rule
+    ]
     # No work is as much as barred.
-    barred = Counter(world.engines[name] for name, rule in new.engines.items.items()
-                     if name in world.engines and (rule.barred or not rule.work))
+    barred = Counter(
+        world.engines[name]
+        for name, rule in new.engines.items.items()
+        if name in world.engines and (rule.barred or not rule.work)
+    )
     zones = Counter(world.engines.values())
     for zone, count in sorted(barred.items()):
         # Danger: what the others of a zone can't carry fells them; barring is for a few. One always may be.
@@ -61,8 +72,11 @@
 
 def _named(kind: str, old: Documents, new: Documents, known: tuple[str, ...]) -> list[str]:
     before, after = getattr(old, f"{kind}s").items, getattr(new, f"{kind}s").items
-    return [f"{kind}s: there is no {kind} {name!r}" for name, rule in after.items()
-            if known and name not in known and before.get(name) != rule]
+    return [
+        f"{kind}s: there is no {kind} {name!r}"
+        for name, rule in after.items()
+        if known and name not in known and before.get(name) != rule
+    ]
 
 
 def _placement(old: Documents, new: Documents, world: World) -> list[str]:
@@ -73,12 +87,18 @@
             continue
         if not 1 <= len(shard.copies) <= 3 or len(set(shard.copies)) < len(shard.copies):
             told.append(f"{at}{len(shard.copies)} copies, not one to three that differ")
-        told += [f"{at}there is no engine {copy!r}" for copy in shard.copies
-                 if world.engines and copy not in world.engines]
+        told += [
+            f"{at}there is no engine {copy!r}"
+            for copy in shard.copies
+            if world.engines and copy not in world.engines
+        ]
         if shard.primary and shard.primary not in shard.copies:
             told.append(f"{at}its primary {shard.primary} is none of its copies")
-        told += [f"{at}{copy} is to be read and is none of its copies" for copy in shard.reads
-                 if copy not in shard.copies]
+        told += [
+            f"{at}{copy} is to be read and is none of its copies"
+            for copy in shard.reads
+            if copy not in shard.copies
+        ]
         if len(set(shard.reads)) < len(shard.reads):
             told.append(f"{at}a copy to be read twice")
         if before is not None and shard.epoch < before.epoch:
--- a/cresstray/rules/codec.py
+++ b/cresstray/rules/codec.py
@@ -125,13 +125,24 @@
     last: bool
 
 
-KINDS: tuple[type[Frame], ...] = (Greet, Renew, Granted, Behind, Refused, Get, Content, Heard, Carried,
-                                  Request, Reply)
+KINDS: tuple[type[Frame], ...] = (
+    Greet,
+    Renew,
+    Granted,
+    Behind,
+    Refused,
+    Get,
+    Content,
+    Heard,
+    Carried,
+    Request,
+    Reply,
+)
 
 
 def parts(body: bytes) -> list[bytes]:
     """A body in pieces of a part's length; at least one. ValueError beyond PARTS of them."""
-    cut = [body[at:at + PART] for at in range(0, len(body), PART)] or [b""]
+    cut = [body[at : at + PART] for at in range(0, len(body), PART)] or [b""]
     if len(cut) > PARTS:
         raise ValueError(f"{len(body)} bytes are more than {PARTS} parts")
     return cut
--- a/cresstray/rules/documents.py
+++ b/cresstray/rules/documents.py
@@ -84,8 +84,14 @@
     items: dict[Label, Pin] = {}  # while joint, a changed strict pin is there twice, the second as "NAME'"
 
 
-TYPES: dict[str, type] = {"gateways": Gateways, "engines": Engines, "tenants": Tenants, "tariffs": Tariffs,
-                          "placement": Placement, "replicas": Replicas}
+TYPES: dict[str, type] = {
+    "gateways": Gateways,
+    "engines": Engines,
+    "tenants": Tenants,
+    "tariffs": Tariffs,
+    "placement": Placement,
+    "replicas": Replicas,
+}
 NAMES: tuple[str, ...] = tuple(TYPES)
 
 
@@ -131,22 +137,31 @@
 
 def plain(documents: Documents) -> dict[str, Any]:
     """Plain maps, for JSON; `parsed` reads them again."""
-    return {**{name: _filled(getattr(documents, name)) for name in NAMES},
-            "versions": {name: documents.version(name) for name in NAMES}}
+    return {
+        **{name: _filled(getattr(documents, name)) for name in NAMES},
+        "versions": {name: documents.version(name) for name in NAMES},
+    }
 
 
 def _filled(document: Any) -> dict[str, Any]:
     made = {field: getattr(document, field) for field in document.__struct_fields__ if field != "items"}
-    made["items"] = {name: {field: list(value) if isinstance(value, tuple) else value
-                            for field, value in msgspec.structs.asdict(item).items()}
-                     for name, item in document.items.items()}
+    made["items"] = {
+        name: {
+            field: list(value) if isinstance(value, tuple) else value
+            for field, value in msgspec.structs.asdict(item).items()
+        }
+        for name, item in document.items.items()
+    }
     return made
 
 
 def tidy(documents: Documents) -> Documents:
     """The same with all items in the order of their names, so that equal documents are equal bytes."""
-    made = {name: msgspec.structs.replace(document, items=dict(sorted(document.items.items())))
-            for name in NAMES for document in [getattr(documents, name)]}
+    made = {
+        name: msgspec.structs.replace(document, items=dict(sorted(document.items.items())))
+        for name in NAMES
+        for document in [getattr(documents, name)]
+    }
     return Documents(**made, versions=dict(sorted(documents.versions.items())))
 
 
@@ -171,8 +186,11 @@
         before, after = getattr(old, name), getattr(new, name)
         if before == after and old.version(name) == new.version(name):
             continue
-        plain = {field: getattr(after, field) for field in after.__struct_fields__
-                 if field != "items" and getattr(after, field) != getattr(before, field)}
+        plain = {
+            field: getattr(after, field)
+            for field in after.__struct_fields__
+            if field != "items" and getattr(after, field) != getattr(before, field)
+        }
         put = {key: item for key, item in after.items.items() if before.items.get(key) != item}
         dropped = sorted(key for key in before.items if key not in after.items)
         changes.append(_Change(name, new.version(name), plain, put, dropped))
--- a/cresstray/rules/follower.py
+++ b/cresstray/rules/follower.py
@@ -50,10 +50,17 @@
     `linked` hears whether there is a link now. OSError where the keys can't be used.
     """
 
-    def __init__(self, given: Fleet, name: str, use: Use, chance: Callable[[], float],
-                 now: Callable[[], int] = boottime, counters: Counters | None = None,
-                 talks: Callable[[], Talk] | None = None,
-                 linked: Callable[[bool], None] = lambda up: None) -> None:
+    def __init__(
+        self,
+        given: Fleet,
+        name: str,
+        use: Use,
+        chance: Callable[[], float],
+        now: Callable[[], int] = boottime,
+        counters: Counters | None = None,
+        talks: Callable[[], Talk] | None = None,
+        linked: Callable[[bool], None] = lambda up: None,
+    ) -> None:
         self._given, self.name, self.use, self._linked = given, name, use, linked
         self._chance, self._now, self._talks = chance, now, talks
         self.counters = counters or Counters()
@@ -61,6 +68,7 @@
         contexts = None
         if given.tls is not None:
             from cresstray.halls.tls import Contexts
+
             contexts = Contexts(given.tls)
         # Danger: a keeper that is silent holds up the way to the next one; a lease is to outlive two of them.
         self._ends = Ends(_KINDS, contexts, chance, self._said, self.counters, given.lease / 4e6)
@@ -85,9 +93,15 @@
             keeper = self._keepers[tried % len(self._keepers)]
             began = self._now()
             await self._ends.made(
-                keeper.address, keeper.name, self._hello,
+                keeper.address,
+                keeper.name,
+                self._hello,
                 lambda greeting, names, keeper=keeper: self._check(keeper, greeting, names),
-                lambda link, keeper=keeper: self._up(keeper, link), self._taken, self._down, tasks)
+                lambda link, keeper=keeper: self._up(keeper, link),
+                self._taken,
+                self._down,
+                tasks,
+            )
             tried += 1
             if self._leader_at >= began:
                 tried, pause = tried % len(self._keepers), _PAUSE
@@ -207,9 +221,16 @@
     def status(self) -> dict[str, Any]:
         at = self._now()
         in_use = self.use.at(at)
-        return {"member": self.name, "keeper": self._keeper or None, "mode": in_use.mode.value,
-                "turn": in_use.turn, "version": in_use.turn // 2,
-                "joint": bool(in_use.turn % 2), "heard": self.use.heard,
-                "gateways": in_use.gateways, "lease ms": self.use.lease_left(at) // 1000,
-                "age ms": (at - self._heard_at) // 1000 if self._heard_at else None,
-                "versions": dict(in_use.documents.versions)}
+        return {
+            "member": self.name,
+            "keeper": self._keeper or None,
+            "mode": in_use.mode.value,
+            "turn": in_use.turn,
+            "version": in_use.turn // 2,
+            "joint": bool(in_use.turn % 2),
+            "heard": self.use.heard,
+            "gateways": in_use.gateways,
+            "lease ms": self.use.lease_left(at) // 1000,
+            "age ms": (at - self._heard_at) // 1000 if self._heard_at else None,
+            "versions": dict(in_use.documents.versions),
+        }
--- a/cresstray/rules/leases.py
+++ b/cresstray/rules/leases.py
@@ -49,8 +49,17 @@
     def _unknown(self) -> Holder:
         return Holder(self._until, self._floor_until)
 
-    def renew(self, gateway: str, number: int, turn: int, state: State, leads: bool, now: int,
-              life: str = "", stopped: bool = False) -> Frame:
+    def renew(
+        self,
+        gateway: str,
+        number: int,
+        turn: int,
+        state: State,
+        leads: bool,
+        now: int,
+        life: str = "",
+        stopped: bool = False,
+    ) -> Frame:
         """The answer. What the gateway says of its turn counts even where it gets no lease.
 
         `leads`: Node.leads(now), and all entries up to the leader's own first one are applied.
@@ -80,8 +89,13 @@
     def is_out(self, gateway: str, state: State) -> bool:
         """Whether a ghost has said that it has stopped, at a turn that doesn't name it: time for `gone`."""
         holder = self._holders.get(gateway)
-        return (gateway in state.ghosts and gateway not in state.named() and holder is not None
-                and holder.stopped and holder.turn >= state.turn)
+        return (
+            gateway in state.ghosts
+            and gateway not in state.named()
+            and holder is not None
+            and holder.stopped
+            and holder.turn >= state.turn
+        )
 
     def _open(self, state: State, now: int) -> list[int]:
         """When what is not confirmed will be over, for each gateway that is waited for."""
@@ -107,14 +121,23 @@
     def waits_for(self, state: State, now: int) -> list[str]:
         """The gateways that the next turn waits for, for logs and `where`."""
         floor = state.touches_floor()
-        return [name for name in sorted(state.gateways())
-                for holder in [self._holders.get(name) or self._unknown()]
-                if holder.turn < state.turn and now < (holder.floor_until if floor else holder.until)]
+        return [
+            name
+            for name in sorted(state.gateways())
+            for holder in [self._holders.get(name) or self._unknown()]
+            if holder.turn < state.turn and now < (holder.floor_until if floor else holder.until)
+        ]
 
     def where(self, state: State, now: int) -> list[Where]:
         made = []
         for name in sorted(state.gateways()):
             holder = self._holders.get(name) or self._unknown()
-            made.append(Where(name, holder.turn, max(0, holder.until - now),
-                              now - holder.heard if holder.heard >= 0 else -1))
+            made.append(
+                Where(
+                    name,
+                    holder.turn,
+                    max(0, holder.until - now),
+                    now - holder.heard if holder.heard >= 0 else -1,
+                )
+            )
         return made
--- a/cresstray/rules/state.py
+++ b/cresstray/rules/state.py
@@ -108,8 +108,9 @@
 outcome = msgspec.msgpack.Decoder(Outcome).decode
 
 
-def propose(request: str, bases: dict[str, int], change: bytes, why: str, who: str = "",
-            world: World | None = None) -> bytes:
+def propose(
+    request: str, bases: dict[str, int], change: bytes, why: str, who: str = "", world: World | None = None
+) -> bytes:
     """`bases`: the version of each document that the change was made for; `change`: a delta.
 
     `world`: what it is checked by, the proposing keeper's. Danger: each by its own file, keepers whose files
@@ -194,8 +195,9 @@
         except _BROKEN as trouble:
             return _encode(Outcome(False, self.version, [f"entry {index} can't be read: {trouble}"]))
         if isinstance(command, Propose):
-            return self._once(command.request and f"= {command.request}",
-                              lambda: _encode(self._propose(command)))
+            return self._once(
+                command.request and f"= {command.request}", lambda: _encode(self._propose(command))
+            )
         if isinstance(command, Advance):
             return _encode(self._advance(command.turn))
         if isinstance(command, Gone):
@@ -230,8 +232,7 @@
             base, version = asked.bases.get(name, 0), latest.documents.version(name)
             if base != version:
                 refused.append(f"{name}: the change is of version {base}, and the latest is {version}")
-        changed = tuple(name for name in NAMES
-                        if getattr(given, name) != getattr(latest.documents, name))
+        changed = tuple(name for name in NAMES if getattr(given, name) != getattr(latest.documents, name))
         if not changed:
             return Outcome(not refused, latest.version, refused)
         version = latest.version + 1
@@ -276,8 +277,9 @@
         known = self.sections.get(command.name)
         if known is None:
             return _encode(Outcome(False, self.version, [f"there is no section {command.name!r}"]))
-        return self._once(command.request and f"{command.name} {command.request}",
-                          lambda: known.apply(self, command.data))
+        return self._once(
+            command.request and f"{command.name} {command.request}", lambda: known.apply(self, command.data)
+        )
 
     # Turns: one change at a time.
 
@@ -330,8 +332,11 @@
 
     def touches_floor(self) -> bool:
         """Whether the turn that is waited for changes what holds without a lease."""
-        return (self.joint and not unlisted(self._force.documents)
-                and self._force.documents.gateways.floor != self._waiting[0].documents.gateways.floor)
+        return (
+            self.joint
+            and not unlisted(self._force.documents)
+            and self._force.documents.gateways.floor != self._waiting[0].documents.gateways.floor
+        )
 
     # Followers.
 
--- a/cresstray/rules/strictest.py
+++ b/cresstray/rules/strictest.py
@@ -34,14 +34,19 @@
 def strictest(old: Documents, new: Documents) -> Documents:
     """In either order the same; of one with itself, itself but for `count`, which then says the divisor."""
     return Documents(
-        _gateways(old, new), Engines(_engines(old.engines.items, new.engines.items)),
+        _gateways(old, new),
+        Engines(_engines(old.engines.items, new.engines.items)),
         Tenants(_tenants(old.tenants.items, new.tenants.items)),
         Tariffs(_tariffs(old.tariffs.items, new.tariffs.items)),
         Placement(_placement(old.placement.items, new.placement.items)),
         Replicas(_replicas(old.replicas.items, new.replicas.items)),
         # Of an unagreed list nothing is known; the other's version says which one is meant.
-        {name: min(old.version(name), new.version(name)) or max(old.version(name), new.version(name))
-         for name in sorted(NAMES) if old.version(name) or new.version(name)})
+        {
+            name: min(old.version(name), new.version(name)) or max(old.version(name), new.version(name))
+            for name in sorted(NAMES)
+            if old.version(name) or new.version(name)
+        },
+    )
 
 
 def _gateways(old: Documents, new: Documents) -> Gateways:
@@ -61,20 +66,24 @@
 
 def _engines(old: dict[str, EngineRule], new: dict[str, EngineRule]) -> dict[str, EngineRule]:
     both = ((name, old.get(name, EngineRule()), new.get(name, EngineRule())) for name in _union(old, new))
-    return {name: EngineRule(one.barred or other.barred, min(one.work, other.work))
-            for name, one, other in both}
+    return {
+        name: EngineRule(one.barred or other.barred, min(one.work, other.work)) for name, one, other in both
+    }
 
 
 def _tenants(old: dict[str, TenantRule], new: dict[str, TenantRule]) -> dict[str, TenantRule]:
     both = ((name, old.get(name, TenantRule()), new.get(name, TenantRule())) for name in _union(old, new))
-    return {name: TenantRule(one.barred or other.barred, min(one.share, other.share))
-            for name, one, other in both}
+    return {
+        name: TenantRule(one.barred or other.barred, min(one.share, other.share)) for name, one, other in both
+    }
 
 
 def _tariffs(old: dict[str, TariffRule], new: dict[str, TariffRule]) -> dict[str, TariffRule]:
     both = ((name, old.get(name, TariffRule()), new.get(name, TariffRule())) for name in _union(old, new))
-    return {name: TariffRule(one.stopped or other.stopped, min(one.further, other.further))
-            for name, one, other in both}
+    return {
+        name: TariffRule(one.stopped or other.stopped, min(one.further, other.further))
+        for name, one, other in both
+    }
 
 
 def _placement(old: dict[str, Shard], new: dict[str, Shard]) -> dict[str, Shard]:
--- a/cresstray/rules/use.py
+++ b/cresstray/rules/use.py
@@ -55,8 +55,16 @@
     `waits`: until it has heard of a list it relays nothing; else it acts by `most`. `life`: its incarnation.
     """
 
-    def __init__(self, name: str, lease: int, floor_lease: int, drift: float, most: int,
-                 waits: bool = False, life: str = "") -> None:
+    def __init__(
+        self,
+        name: str,
+        lease: int,
+        floor_lease: int,
+        drift: float,
+        most: int,
+        waits: bool = False,
+        life: str = "",
+    ) -> None:
         self.name, self.most, self.life = name, most, life
         self._every, self._at_once = lease // _TIMES, lease // _AT_ONCE
         self._lease = int(lease * (1 - drift))
@@ -160,8 +168,11 @@
         if frame.part == 0:
             self._parts.clear()
         first = self._parts[0] if self._parts else frame
-        if (frame.part != len(self._parts) or frame.part >= frame.parts
-                or (first.base, first.turn, first.parts) != (frame.base, frame.turn, frame.parts)):
+        if (
+            frame.part != len(self._parts)
+            or frame.part >= frame.parts
+            or (first.base, first.turn, first.parts) != (frame.base, frame.turn, frame.parts)
+        ):
             self._parts.clear()
             raise BrokenError(f"part {frame.part} of {frame.parts} of turn {frame.turn} is out of order")
         self._parts.append(frame)
--- a/cresstray/said.py
+++ b/cresstray/said.py
@@ -23,7 +23,8 @@
         rendered = structlog.processors.LogfmtRenderer(key_order=["timestamp", *always, "kind", "event"])
         self._log = structlog.wrap_logger(
             structlog.PrintLogger(sys.stderr),
-            processors=[structlog.processors.TimeStamper(fmt="iso", utc=True), rendered]).bind(**always)
+            processors=[structlog.processors.TimeStamper(fmt="iso", utc=True), rendered],
+        ).bind(**always)
         self._second: dict[str, int] = {}
         self._count: dict[str, int] = {}
 
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -52,11 +52,19 @@
 
 
 class Service:
-    def __init__(self, name: str, listen: tuple[str, int], seed: int, settings: Mapping[str, Any],
-                 events: list[known.Event], coordinator: str | None,
-                 coordinator_now: Callable[[], str | None] | None = None,
-                 descriptors: int = 1024, operator: Operator | None = None,
-                 operator_now: Callable[[], Operator] | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        listen: tuple[str, int],
+        seed: int,
+        settings: Mapping[str, Any],
+        events: list[known.Event],
+        coordinator: str | None,
+        coordinator_now: Callable[[], str | None] | None = None,
+        descriptors: int = 1024,
+        operator: Operator | None = None,
+        operator_now: Callable[[], Operator] | None = None,
+    ) -> None:
         self._listen, self._settings, self._coordinator_now = listen, settings, coordinator_now
         member = operator.fleet if operator and operator.fleet and operator.fleet.member else None
         store = operator.store if operator else None
@@ -69,6 +77,7 @@
         self._route = Route(self._make_pool, send)
         if operator and operator.halls:
             from cresstray.halls.decide import AHEAD
+
             settings = {**settings, "CrossingAhead": AHEAD / 1000}
         port = SocketPort(self._route, send, self._book, self._timers, self.counters, self._log)
         self._gateway = Gateway(port, settings, seed, self._clock.now())
@@ -82,8 +91,15 @@
         # Usual clients hold a third of the descriptors at most: a half is theirs, and what links leave.
         # A link to each of hundreds of engines finds room in the other half.
         self._quota = quota = Quota(share, max(share, descriptors // 2 - rest))
-        self._door = Door(tariffs, take_in, lambda: descriptors - rest - max(share, quota.used),
-                          descriptors // 4, self._clock.now, self.counters, self._log)
+        self._door = Door(
+            tariffs,
+            take_in,
+            lambda: descriptors - rest - max(share, quota.used),
+            descriptors // 4,
+            self._clock.now,
+            self.counters,
+            self._log,
+        )
         self._events = events
         last = events[-1].number if events else 0
         self._operator, self._operator_now = operator, operator_now
@@ -101,35 +117,66 @@
 
     def _make_worker(self, seed: int) -> Worker:
         from cresstray.background import schedule, worker
+
         # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
         chance = random.Random(f"{seed}{self._clock.now()}").random
-        return worker.Worker(schedule.Schedule(chance, worker.TICK, worker.BUDGET), self._timers, self._clock,
-                             self.counters, self._log)
+        return worker.Worker(
+            schedule.Schedule(chance, worker.TICK, worker.BUDGET),
+            self._timers,
+            self._clock,
+            self.counters,
+            self._log,
+        )
 
     def _make_hub(self, halls: Halls, seed: int) -> Hub:
         # Danger: the platform may give 32 MB; what links to other halls need is loaded only where there are
         # any.
         from cresstray.halls.connections import Hub
         from cresstray.passage.across import Across
+
         across = self._route.across = Across(self._clock, self._timers, self.counters, self._back, self._send)
         # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
-        incarnation = f"{seed & 0xffffffff:08x}{self._clock.now():014x}"
-        hub = Hub(halls, incarnation, seed, self._take_in, across,
-                  lambda: self._gateway.room(self._clock.now()),
-                  self._clock, self._timers, self.counters, self._log, self._worker)
+        incarnation = f"{seed & 0xFFFFFFFF:08x}{self._clock.now():014x}"
+        hub = Hub(
+            halls,
+            incarnation,
+            seed,
+            self._take_in,
+            across,
+            lambda: self._gateway.room(self._clock.now()),
+            self._clock,
+            self._timers,
+            self.counters,
+            self._log,
+            self._worker,
+        )
         self._admit.share = hub.share
         return hub
 
     def _make_member(self, given: Fleet, settings: Mapping[str, Any], seed: int) -> Member:
         from cresstray.fleet import Member
-        return Member(given, settings, seed, self._clock, self._gateway, self._route, self._back,
-                      self._take_in, self._timers, self._worker, self.counters, self._log)
+
+        return Member(
+            given,
+            settings,
+            seed,
+            self._clock,
+            self._gateway,
+            self._route,
+            self._back,
+            self._take_in,
+            self._timers,
+            self._worker,
+            self.counters,
+            self._log,
+        )
 
     def _make_keep(self, name: str, folder: str, settings: Mapping[str, Any], seed: int) -> Keep:
         """After the fleet's rules, which it asks as well."""
         from cresstray.kept.files import Folder, Writer, moment
         from cresstray.kept.guard import Guard
         from cresstray.kept.keep import Keep
+
         now, kept = self._clock.now(), Folder(folder, name)
         # Danger: until the first write an operator's `forget` would find it free, and change it beneath us. A
         # process that still ends may hold it, and is asked again; what is wrong with the disk a write tells.
@@ -137,8 +184,16 @@
             kept.lock()
         # Seeds are new with each start; the clock parts two starts that an operator gave the same one.
         chance = random.Random(f"{seed}{now}").random
-        keep = Keep(Writer(kept), settings, self._gateway, chance, self.counters,
-                    lambda text: self._log.say("kept", text), moment, now)
+        keep = Keep(
+            Writer(kept),
+            settings,
+            self._gateway,
+            chance,
+            self.counters,
+            lambda text: self._log.say("kept", text),
+            moment,
+            now,
+        )
         self._gateway.agreed = Guard(keep, self._gateway)
         self._admit.keep = self._back.keep = keep
         self._feed.takes_older = True
@@ -147,16 +202,37 @@
     def _make_marked(self, name: str, given: Store, settings: Mapping[str, Any], seed: int) -> Marked:
         """After the other rules, which it asks as well."""
         from cresstray.marked import Marked
-        marked = Marked(given, settings, name, seed, self._clock, self._timers, self.counters, self._log,
-                        self._gateway, self._book, self._worker)
+
+        marked = Marked(
+            given,
+            settings,
+            name,
+            seed,
+            self._clock,
+            self._timers,
+            self.counters,
+            self._log,
+            self._gateway,
+            self._book,
+            self._worker,
+        )
         self._admit.marked = self._book.marked = self._back.marked = self._send.marked = marked
         if self._route.across is not None:
             self._route.across.marked = marked
         return marked
 
     def _make_pool(self, label: str, address: tuple[str, int]) -> Pool:
-        return Pool(label, address, self._settings, self._quota, self._tasks, self._timers, self._clock.now,
-                    self.counters, self._log)
+        return Pool(
+            label,
+            address,
+            self._settings,
+            self._quota,
+            self._tasks,
+            self._timers,
+            self._clock.now,
+            self.counters,
+            self._log,
+        )
 
     def _told(self, event: known.Event) -> None:
         if self._keep is not None:
@@ -245,6 +321,7 @@
 
     async def _start_hub(self, hub: Hub) -> None:
         from cresstray.halls.connections import serve_status
+
         await hub.run(self._tasks)
         path = self._operator.halls.control
         if path:
--- a/cresstray/standins/account.py
+++ b/cresstray/standins/account.py
@@ -5,8 +5,16 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-PROMISES = ("no_answer", "two_answers", "second_run", "two_outstanding", "over_cap",
-            "denied_after_run", "past_deadline", "drain_broken")
+PROMISES = (
+    "no_answer",
+    "two_answers",
+    "second_run",
+    "two_outstanding",
+    "over_cap",
+    "denied_after_run",
+    "past_deadline",
+    "drain_broken",
+)
 # What sockets and two clocks may add to a stated time, in seconds: the users' protocol has 50 ms.
 _SLACK = 0.05
 
@@ -40,8 +48,11 @@
     let_go: bool = False  # the client left, or its gateway was killed: no answer is owed
 
     def in_time(self) -> bool:
-        return bool(self.answers) and self.answers[0][1] == "fulfilled" and (
-            self.answers[0][0] - self.asked <= self.soft)
+        return (
+            bool(self.answers)
+            and self.answers[0][1] == "fulfilled"
+            and (self.answers[0][0] - self.asked <= self.soft)
+        )
 
 
 class Account:
@@ -78,13 +89,18 @@
             broken["past_deadline"] += any(at > over for at, _ in one.answers)
             broken["two_outstanding"] += any(
                 earlier.ended is None or later.began < earlier.ended - 0.001
-                for earlier, later in zip(runs, runs[1:]) if not earlier.never)
+                for earlier, later in zip(runs, runs[1:])
+                if not earlier.never
+            )
             broken["second_run"] += self._effects[one.tariff] != "idempotent" and (
-                sum(run.effect for run in runs) > 1)
+                sum(run.effect for run in runs) > 1
+            )
             broken["over_cap"] += len(runs) > self._attempts
             broken["denied_after_run"] += (
-                self._effects[one.tariff] == "at_most_once" and any(run.effect for run in runs)
-                and any(how == "denied" for _, how in one.answers))
+                self._effects[one.tariff] == "at_most_once"
+                and any(run.effect for run in runs)
+                and any(how == "denied" for _, how in one.answers)
+            )
         broken["over_cap"] += self._over_budget()
         return broken
 
@@ -100,7 +116,7 @@
         for gateway, times in further.items():
             times.sort()
             for at, now in enumerate(times):
-                made = sum(now - window <= other <= now for other in times[:at + 1])
+                made = sum(now - window <= other <= now for other in times[: at + 1])
                 earned = sum(now - window <= one <= now for one in taken[gateway])
                 # Wider by 15 in 100 and one on sockets, as the users' protocol has it.
                 over += made > 1.15 * (free + share * earned) + 1
--- a/cresstray/standins/clients.py
+++ b/cresstray/standins/clients.py
@@ -53,15 +53,19 @@
         kind = rng.choices(kinds, [one.share for one in kinds])[0]
         # Widely spread, as in the users' brief: a gamma of shape 2, with a mean of one.
         work = kind.work * rng.gammavariate(2, 0.5)
-        drawn.append(Drawn(at, f"{rng.getrandbits(64):016x}", kind, max(0.002, work),
-                           work * rng.lognormvariate(0, 0.3)))
+        drawn.append(
+            Drawn(
+                at, f"{rng.getrandbits(64):016x}", kind, max(0.002, work), work * rng.lognormvariate(0, 0.3)
+            )
+        )
 
 
 class Client:
     """One connection to one gateway, made again when it ends."""
 
-    def __init__(self, hall: str, gateway: str, address: tuple[str, int], account: Account,
-                 tasks: TaskGroup) -> None:
+    def __init__(
+        self, hall: str, gateway: str, address: tuple[str, int], account: Account, tasks: TaskGroup
+    ) -> None:
         self._hall, self._gateway, self._address = hall, gateway, address
         self._account, self._tasks = account, tasks
         self._peer: Peer | None = None
@@ -80,14 +84,29 @@
         if self._peer is None:
             await self.connect()
         kind = drawn.kind
-        asked = Asked(drawn.name, self._hall, self._gateway, kind.name, kind.payoff, anyio.current_time(),
-                      drawn.work, kind.threads, kind.soft, kind.hard)
+        asked = Asked(
+            drawn.name,
+            self._hall,
+            self._gateway,
+            kind.name,
+            kind.payoff,
+            anyio.current_time(),
+            drawn.work,
+            kind.threads,
+            kind.soft,
+            kind.hard,
+        )
         self._account.asked[drawn.name] = asked
         self._number += 1
         self._open[self._number] = asked
         statement = f"run {drawn.work * 1000:.3f} {kind.threads} {kind.pages}"
-        params = {"req": drawn.name, "timeout": kind.hard * 1000, "owner": "office",
-                  "ms": drawn.estimate * 1000, "data": b64encode(statement.encode()).decode()}
+        params = {
+            "req": drawn.name,
+            "timeout": kind.hard * 1000,
+            "owner": "office",
+            "ms": drawn.estimate * 1000,
+            "data": b64encode(statement.encode()).decode(),
+        }
         if kind.effect == "deduplicated":
             params["opkey"] = drawn.name * 2
         self.say({"jsonrpc": "2.0", "id": self._number, "method": kind.name, "params": params})
@@ -129,8 +148,13 @@
         asked = self._open.get(message["id"])
         if asked is None:
             return
-        how = ("fulfilled" if "result" in message
-               else "denied" if message["error"]["code"] == -32000 else "abandoned")
+        how = (
+            "fulfilled"
+            if "result" in message
+            else "denied"
+            if message["error"]["code"] == -32000
+            else "abandoned"
+        )
         asked.answers.append((anyio.current_time(), how))
 
     def gateway_died(self) -> None:
--- a/cresstray/standins/cold.py
+++ b/cresstray/standins/cold.py
@@ -46,7 +46,7 @@
     @property
     def falls(self) -> float:
         """Pieces at which it falls: three times the spread of their number over what is planned for."""
-        return self.bears + 3 * self.bears ** 0.5 + 3
+        return self.bears + 3 * self.bears**0.5 + 3
 
 
 class Fragile(Engine):
@@ -137,7 +137,7 @@
             self._catch_up(peer)
 
     def _catch_up(self, peer: Peer) -> None:
-        for _, event in self._told[self._following[peer]:]:
+        for _, event in self._told[self._following[peer] :]:
             peer.line.put(event)
         self._following[peer] = len(self._told)
 
@@ -163,8 +163,11 @@
             if len(said) >= 8 and peer not in self._following:
                 # Who knows the first of these, and no more than there are, hears of the others only.
                 last = struct.unpack_from(">Q", said)[0]
-                at = [number for number, _ in self._told].index(last) + 1 if any(
-                    number == last for number, _ in self._told) else 0
+                at = (
+                    [number for number, _ in self._told].index(last) + 1
+                    if any(number == last for number, _ in self._told)
+                    else 0
+                )
                 self._following[peer] = at
                 self._catch_up(peer)
 
@@ -178,13 +181,23 @@
     async for line in anyio.wrap_file(sys.stdin):
         match line.split():
             case ["tell"]:
-                print(json.dumps({
-                    "runs": [[name, run.engine, run.began, run.ended, run.effect, run.never]
-                             for name, runs in account.runs.items() for run in runs],
-                    "fallen": sum(engine.fallen for engine in engines),
-                    "peak": max(engine.peak for engine in engines), "late": account.late_sends,
-                    "got": [engine.got for engine in engines],
-                    "strangers": sum((one.got for one in strangers), Counter())}), flush=True)
+                print(
+                    json.dumps(
+                        {
+                            "runs": [
+                                [name, run.engine, run.began, run.ended, run.effect, run.never]
+                                for name, runs in account.runs.items()
+                                for run in runs
+                            ],
+                            "fallen": sum(engine.fallen for engine in engines),
+                            "peak": max(engine.peak for engine in engines),
+                            "late": account.late_sends,
+                            "got": [engine.got for engine in engines],
+                            "strangers": sum((one.got for one in strangers), Counter()),
+                        }
+                    ),
+                    flush=True,
+                )
             case ["warm"]:
                 for engine in engines:
                     engine.warm()
@@ -203,7 +216,7 @@
 async def main(plan: Plan) -> None:
     account, marks = Account({}, 0, (0, 0.0, 0.0)), Marks(plan.memory)
     engines = [Fragile(f"engine {number}", plan, marks, account) for number in range(plan.engines)]
-    for engine in engines[plan.engines - plan.barred:]:
+    for engine in engines[plan.engines - plan.barred :]:
         engine.refused_after = 0.0
     strangers = [Stranger() for _ in range(plan.strangers)]
     dead = [socket.socket() for _ in range(plan.dead)]
@@ -213,9 +226,16 @@
         for part in (*engines, *strangers):
             tasks.start_soon(part.run)
         tasks.start_soon(_raise, engines)
-        print(json.dumps({"engines": [engine.port for engine in engines],
-                          "dead": [one.getsockname()[1] for one in dead],
-                          "strangers": [one.port for one in strangers]}), flush=True)
+        print(
+            json.dumps(
+                {
+                    "engines": [engine.port for engine in engines],
+                    "dead": [one.getsockname()[1] for one in dead],
+                    "strangers": [one.port for one in strangers],
+                }
+            ),
+            flush=True,
+        )
         await _hear(engines, strangers, account)
         tasks.cancel_scope.cancel()
 
--- a/cresstray/standins/coordinator.py
+++ b/cresstray/standins/coordinator.py
@@ -27,8 +27,9 @@
     zone: int = 0
 
     def record(self) -> bytes:
-        return _RECORD.pack(self.id, 0x7F000001, self.port, _STATES[self.state], self.zone, 0, 0, 1000,
-                            self.started)
+        return _RECORD.pack(
+            self.id, 0x7F000001, self.port, _STATES[self.state], self.zone, 0, 0, 1000, self.started
+        )
 
 
 class Coordinator:
@@ -37,12 +38,22 @@
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._events: list[bytes] = []
         self._following: dict[Peer, int] = {}
-        members = [{"id": f"s-{one.id:08x}", "host_port": f"127.0.0.1:{one.port}",
-                    "locality": ZONES[one.zone], "flavor": "std", "cell": 0,
-                    "phase": one.state, "up_since_ms": one.started}
-                   for one in engines]
-        self.known = {"index": 1, "updates": [
-            {"index": 1, "endpoints": {"complete": True, "members": members}}]}
+        members = [
+            {
+                "id": f"s-{one.id:08x}",
+                "host_port": f"127.0.0.1:{one.port}",
+                "locality": ZONES[one.zone],
+                "flavor": "std",
+                "cell": 0,
+                "phase": one.state,
+                "up_since_ms": one.started,
+            }
+            for one in engines
+        ]
+        self.known = {
+            "index": 1,
+            "updates": [{"index": 1, "endpoints": {"complete": True, "members": members}}],
+        }
         self._events.append(self._frame(1, 1, engines))
 
     def _frame(self, number: int, kind: int, engines: list[Listed]) -> bytes:
@@ -55,7 +66,7 @@
             self._catch_up(peer)
 
     def _catch_up(self, peer: Peer) -> None:
-        for event in self._events[self._following[peer]:]:
+        for event in self._events[self._following[peer] :]:
             peer.line.put(event)
         self._following[peer] = len(self._events)
 
--- a/cresstray/standins/engine.py
+++ b/cresstray/standins/engine.py
@@ -40,15 +40,23 @@
 class _Job:
     __slots__ = ("name", "peer", "left", "threads", "pages", "run", "mark")
 
-    def __init__(self, name: bytes, peer: Peer, left: float, threads: int, pages: int, run: Run,
-                 mark: str) -> None:
+    def __init__(
+        self, name: bytes, peer: Peer, left: float, threads: int, pages: int, run: Run, mark: str
+    ) -> None:
         self.name, self.peer, self.left, self.threads, self.pages = name, peer, left, threads, pages
         self.run, self.mark = run, mark
 
 
 class Engine:
-    def __init__(self, label: str, cores: int, marks: Marks, account: Account, most: int = 10_000,
-                 now: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        label: str,
+        cores: int,
+        marks: Marks,
+        account: Account,
+        most: int = 10_000,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.label, self.cores, self._marks, self._account = label, cores, marks, account
         self._most, self._now = most, now
         self._listener: socket.socket = listen()
@@ -144,8 +152,9 @@
             self._marks.begun(mark, now)
         run.effect = True
         self._advance()
-        self._jobs.append(_Job(name, peer, float(work) / 1000 * self.slowness, int(threads), int(pages), run,
-                               mark))
+        self._jobs.append(
+            _Job(name, peer, float(work) / 1000 * self.slowness, int(threads), int(pages), run, mark)
+        )
         self._changed.set()
 
     def _drop(self, job: _Job) -> None:
@@ -188,8 +197,10 @@
 
     def _serve_result(self, job: _Job) -> None:
         name = job.name.decode()
-        pages = [f"{name}\t{self.label}\t{number}\n".encode() * (1 if job.pages == 1 else 60)
-                 for number in range(job.pages)]
+        pages = [
+            f"{name}\t{self.label}\t{number}\n".encode() * (1 if job.pages == 1 else 60)
+            for number in range(job.pages)
+        ]
         if job.pages > 1:
             self._waiting[job.peer, job.name] = pages
         self._say(job.peer, job.name, "served", f"sheets={job.pages},{self._load()}", pages[0])
--- a/cresstray/standins/fleet/accounts.py
+++ b/cresstray/standins/fleet/accounts.py
@@ -42,9 +42,14 @@
     told: list[str] = field(default_factory=list)  # of each one after, a line
 
 
-def contradictions(bans: Iterable[Ban], runs: dict[str, list[Run]], asked: dict[str, Asked],
-                   tenant: Callable[[Asked], str], out: Callable[[str, float], bool],
-                   looking: Callable[[str, float], bool]) -> Contradictions:
+def contradictions(
+    bans: Iterable[Ban],
+    runs: dict[str, list[Run]],
+    asked: dict[str, Asked],
+    tenant: Callable[[Asked], str],
+    out: Callable[[str, float], bool],
+    looking: Callable[[str, float], bool],
+) -> Contradictions:
     """`out`, `looking`: whether this gateway was so at this time, by what the harness did to it."""
     found = Contradictions()
     for ban in bans:
@@ -68,8 +73,10 @@
                     found.looking += 1
                 else:
                     found.after += 1
-                    found.told.append(f"{one.gateway} sent {name} ({one.tariff}) to {run.engine} "
-                                      f"{at - ban.in_force:.3f} s after {ban.what} {ban.name} was barred")
+                    found.told.append(
+                        f"{one.gateway} sent {name} ({one.tariff}) to {run.engine} "
+                        f"{at - ban.in_force:.3f} s after {ban.what} {ban.name} was barred"
+                    )
     return found
 
 
--- a/cresstray/standins/fleet/crowd.py
+++ b/cresstray/standins/fleet/crowd.py
@@ -26,8 +26,15 @@
     given, clock = operator.read(path).fleet, Clock(sleeps=True)
     async with anyio.create_task_group() as tasks:
         for number, name in enumerate(names(count)):
-            use = Use(name, given.lease, given.floor_lease, given.drift, given.most, waits=True,
-                      life=f"{os.getpid():x}")
+            use = Use(
+                name,
+                given.lease,
+                given.floor_lease,
+                given.drift,
+                given.most,
+                waits=True,
+                life=f"{os.getpid():x}",
+            )
             tasks.start_soon(Follower(given, name, use, random.Random(number).random, clock.now).run, tasks)
 
 
--- a/cresstray/standins/fleet/engines.py
+++ b/cresstray/standins/fleet/engines.py
@@ -19,9 +19,16 @@
     async for line in anyio.wrap_file(sys.stdin):
         match line.split():
             case ["tell"]:
-                print(json.dumps([
-                    [name, run.engine, run.began, run.ended, run.effect, run.never]
-                    for name, runs in account.runs.items() for run in runs]), flush=True)
+                print(
+                    json.dumps(
+                        [
+                            [name, run.engine, run.began, run.ended, run.effect, run.never]
+                            for name, runs in account.runs.items()
+                            for run in runs
+                        ]
+                    ),
+                    flush=True,
+                )
             case ["die", number]:
                 engines[int(number)].die()
             case ["start", number]:
--- a/cresstray/standins/fleet/network.py
+++ b/cresstray/standins/fleet/network.py
@@ -121,8 +121,14 @@
         for way in self.of(who):
             way.cut()
 
-    def silence(self, who: str, others: Iterable[str] | None = None, says: bool = True,
-                hears: bool = True, lost: bool = False) -> None:
+    def silence(
+        self,
+        who: str,
+        others: Iterable[str] | None = None,
+        says: bool = True,
+        hears: bool = True,
+        lost: bool = False,
+    ) -> None:
         """What it says and hears stops silently, with all or with some; later it comes, unless `lost`."""
         for other in sorted(others if others is not None else {name for pair in self.ways for name in pair}):
             for way, said, heard in self.between(who, other):
--- a/cresstray/standins/fleet/operators.py
+++ b/cresstray/standins/fleet/operators.py
@@ -37,8 +37,11 @@
         self.folder = folder
 
     def _files(self, name: str) -> dict[str, str]:
-        return {"authority": f"{self.folder}/authority.pem", "certificate": f"{self.folder}/{name}.pem",
-                "key": f"{self.folder}/{name}.key"}
+        return {
+            "authority": f"{self.folder}/authority.pem",
+            "certificate": f"{self.folder}/{name}.pem",
+            "key": f"{self.folder}/{name}.key",
+        }
 
     def section(self, name: str) -> str:
         """Of an operator's file."""
@@ -51,8 +54,9 @@
 class Caller:
     """A connection to one keeper, by name and role; made anew after it has ended."""
 
-    def __init__(self, role: str, name: str, fleet: str, port: int, tasks: TaskGroup,
-                 keys: Keys | None = None) -> None:
+    def __init__(
+        self, role: str, name: str, fleet: str, port: int, tasks: TaskGroup, keys: Keys | None = None
+    ) -> None:
         # A sealed operator proves that one name; keepers know connections apart by themselves.
         name = "operator" if role == "operator" and keys else name
         self._greeting, self._port, self._tasks = hello(role, fleet, name, f"{next(_numbers):x}"), port, tasks
@@ -112,11 +116,14 @@
 class Operator:
     """Asks one keeper after the other, the same request again, until there is an answer."""
 
-    def __init__(self, name: str, fleet: str, ports: dict[str, int], tasks: TaskGroup,
-                 keys: Keys | None = None) -> None:
+    def __init__(
+        self, name: str, fleet: str, ports: dict[str, int], tasks: TaskGroup, keys: Keys | None = None
+    ) -> None:
         self.name = name
-        self.callers = {keeper: Caller("operator", f"{name}-{keeper}", fleet, port, tasks, keys)
-                        for keeper, port in ports.items()}
+        self.callers = {
+            keeper: Caller("operator", f"{name}-{keeper}", fleet, port, tasks, keys)
+            for keeper, port in ports.items()
+        }
         self._order = list(ports)
 
     def close(self) -> None:
@@ -144,8 +151,9 @@
         answer = await self.ask(Ask("show"), within, at)
         return parsed(answer["documents"]) if answer and "documents" in answer else None
 
-    async def propose(self, old: Documents, new: Documents, request: str, within: float,
-                      at: str | None = None) -> Changed | None:
+    async def propose(
+        self, old: Documents, new: Documents, request: str, within: float, at: str | None = None
+    ) -> Changed | None:
         """None: it may have been accepted, and may be yet."""
         asked = anyio.current_time()
         ask = Ask("propose", request, bases=old.versions, change=delta(old, new), why="trial")
@@ -172,13 +180,15 @@
 
 def edited(document: str, item: str, rule: Any) -> Callable[[Documents], Documents]:
     """An edit that puts one item into a document; None: takes it out."""
+
     def edit(old: Documents) -> Documents:
         before = getattr(old, document)
         items = {name: one for name, one in before.items.items() if name != item}
         if rule is not None:
             items[item] = rule
         return msgspec.structs.replace(
-            old, **{document: msgspec.structs.replace(before, items=dict(sorted(items.items())))})
+            old, **{document: msgspec.structs.replace(before, items=dict(sorted(items.items())))}
+        )
 
     return edit
 
@@ -187,8 +197,10 @@
     """Follows every keeper and notes when any of them first told a turn: from then on it is acknowledged."""
 
     def __init__(self, fleet: str, ports: dict[str, int], tasks: TaskGroup, keys: Keys | None = None) -> None:
-        self._callers = {keeper: Caller("gateway", f"watch-{keeper}", fleet, port, tasks, keys)
-                         for keeper, port in ports.items()}
+        self._callers = {
+            keeper: Caller("gateway", f"watch-{keeper}", fleet, port, tasks, keys)
+            for keeper, port in ports.items()
+        }
         self._first: list[tuple[int, float]] = [(0, 0.0)]
         self._news = anyio.Event()
 
@@ -249,8 +261,14 @@
 SHARD = "999999"  # of no group of tables: its epoch is the register that clients set
 
 
-async def client(operator: Operator, keeper: str, history: History, pause: Callable[[], float],
-                 commits: list[float], changes: list[Changed]) -> None:
+async def client(
+    operator: Operator,
+    keeper: str,
+    history: History,
+    pause: Callable[[], float],
+    commits: list[float],
+    changes: list[Changed],
+) -> None:
     """Reads and sets the register through one keeper, without end; asks again for a second at most."""
     while True:
         asked = anyio.current_time()
--- a/cresstray/standins/fleet/processes.py
+++ b/cresstray/standins/fleet/processes.py
@@ -81,8 +81,12 @@
             if not self.wall.exists():
                 stepped.begin(self.wall)
             program = ["cresstray.standins.fleet.stepped", *self.steps, str(self.wall)]
-        self.process = subprocess.Popen([sys.executable, "-O", "-m", *program, *self.words],
-                                        env=os.environ | self.env, stderr=said.stdin, stdout=said.stdin)
+        self.process = subprocess.Popen(
+            [sys.executable, "-O", "-m", *program, *self.words],
+            env=os.environ | self.env,
+            stderr=said.stdin,
+            stdout=said.stdin,
+        )
         said.stdin.close()
 
     def lives(self) -> bool:
@@ -128,9 +132,19 @@
 class Fleet(World):
     """Keepers k1.., gateways g1.. and engines; `on` False: gateways without rules, and no keepers."""
 
-    def __init__(self, folder: Path, keepers: int = 5, gateways: int = 6, engines: int = 6, cores: int = 4,
-                 on: bool = True, lines: str = "    most 8\n", tls: bool = False,
-                 steps: tuple[str, ...] | None = None, crowd: int = 0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        keepers: int = 5,
+        gateways: int = 6,
+        engines: int = 6,
+        cores: int = 4,
+        on: bool = True,
+        lines: str = "    most 8\n",
+        tls: bool = False,
+        steps: tuple[str, ...] | None = None,
+        crowd: int = 0,
+    ) -> None:
         """`lines`: of the file's section `fleet`, each indented. `tls`: links to keepers are sealed.
 
         `steps`: all have wall clocks that can be stepped, and these words for them (stepped.py).
@@ -140,19 +154,35 @@
         self._folder, self.on, self.cores, self._lines = folder, on, cores, lines
         self._more = ""  # sections of each file of a fleet
         self._given = given = settings(FLEET_KINDS, gateways, cores) | {
-            "Tenants": [{"Name": "office"}, {"Name": "guest"}]}
+            "Tenants": [{"Name": "office"}, {"Name": "guest"}]
+        }
         safety = given["Safety"]
         self.account = Account(
-            {kind.name: kind.effect for kind in FLEET_KINDS}, given["Limits"]["MaxAttempts"],
-            (safety["FreeResends"], safety["ResendRatio"], safety["BudgetWindow"] / 1000))
+            {kind.name: kind.effect for kind in FLEET_KINDS},
+            given["Limits"]["MaxAttempts"],
+            (safety["FreeResends"], safety["ResendRatio"], safety["BudgetWindow"] / 1000),
+        )
         self._memory = max(one.get("KeyTtl", 0) for one in given["Services"]) / 1000
         names = [f"k{number + 1}" for number in range(keepers * on)]
-        self.keepers = {name: Process(name, folder, words=[
-            "keeper", str(folder / f"{name}.conf"), "--name", name], steps=steps) for name in names}
-        self.gateways = {name: Process(name, folder, steps=steps)
-                         for name in (f"g{one + 1}" for one in range(gateways))}
-        self.crowd = Process("crowd", folder, words=[str(folder / "crowd.conf"), str(crowd)],
-                             module="cresstray.standins.fleet.crowd") if crowd else None
+        self.keepers = {
+            name: Process(
+                name, folder, words=["keeper", str(folder / f"{name}.conf"), "--name", name], steps=steps
+            )
+            for name in names
+        }
+        self.gateways = {
+            name: Process(name, folder, steps=steps) for name in (f"g{one + 1}" for one in range(gateways))
+        }
+        self.crowd = (
+            Process(
+                "crowd",
+                folder,
+                words=[str(folder / "crowd.conf"), str(crowd)],
+                module="cresstray.standins.fleet.crowd",
+            )
+            if crowd
+            else None
+        )
         self.engines = [f"engine {number}" for number in range(engines)]
         self.mesh = Mesh(names)
         self.strangers: set[str] = set()  # lost their disk: no voters until they are taken in again
@@ -183,15 +213,25 @@
                     self.mesh.way(source, target, keeper.port)
         for name in (*self.keepers, *followers) if self.on else ():
             (self._folder / f"{name}.conf").write_text(
-                f"fleet {NAME}\n{self._lines}{self._more}" +
-                (f"folder {self._folder}\n" if name in self.keepers else f"member {name}\n") + "".join(
-                    f"keeper {other} 127.0.0.1:{self.port(name, other)}\n" for other in self.keepers) +
-                (self.keys.section(name) if self.keys else ""))
+                f"fleet {NAME}\n{self._lines}{self._more}"
+                + (f"folder {self._folder}\n" if name in self.keepers else f"member {name}\n")
+                + "".join(f"keeper {other} 127.0.0.1:{self.port(name, other)}\n" for other in self.keepers)
+                + (self.keys.section(name) if self.keys else "")
+            )
         coordinator = self.halls[HALL].coordinator
         for number, (name, gateway) in enumerate(self.gateways.items()):
-            (self._folder / f"{name}.json").write_text(json.dumps({
-                "name": name, "listen": f"127.0.0.1:{gateway.port}", "seed": f"{number + 1:016x}",
-                "coordinator": coordinator.address, "known": coordinator.known, "settings": self._given}))
+            (self._folder / f"{name}.json").write_text(
+                json.dumps(
+                    {
+                        "name": name,
+                        "listen": f"127.0.0.1:{gateway.port}",
+                        "seed": f"{number + 1:016x}",
+                        "coordinator": coordinator.address,
+                        "known": coordinator.known,
+                        "settings": self._given,
+                    }
+                )
+            )
             gateway.env["GW_CONFIG"] = str(self._folder / f"{name}.json")
             if self.on:
                 gateway.env["GW_OPERATOR"] = str(self._folder / f"{name}.conf")
@@ -203,7 +243,8 @@
         if self.keys is not None:
             names = (*self.keepers, *self.gateways, "operator", *(f"watch-{name}" for name in self.keepers))
             await anyio.run_process(
-                [sys.executable, "-m", "cresstray", "keys", str(self.keys.folder), *names])
+                [sys.executable, "-m", "cresstray", "keys", str(self.keys.folder), *names]
+            )
         self._write()
         async with anyio.create_task_group() as self._tasks:
             self._tasks.start_soon(self.halls[HALL].coordinator.run)
@@ -231,8 +272,19 @@
     async def _begin_engines(self) -> list[Listed]:
         """Starts them, and tells what the coordinator lists."""
         self._stand_in = subprocess.Popen(
-            [sys.executable, "-O", "-m", "cresstray.standins.fleet.engines", str(len(self.engines)),
-             str(self.cores), str(self._memory)], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+            [
+                sys.executable,
+                "-O",
+                "-m",
+                "cresstray.standins.fleet.engines",
+                str(len(self.engines)),
+                str(self.cores),
+                str(self._memory),
+            ],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
         ports = json.loads(await anyio.to_thread.run_sync(self._stand_in.stdout.readline))
         return [Listed(number + 1, port) for number, port in enumerate(ports)]
 
@@ -258,15 +310,22 @@
 
     async def _look(self) -> None:
         while True:
-            group = self.mesh.majority([name for name, one in self.keepers.items()
-                                        if name in self.strangers or not await one.serving()])
+            group = self.mesh.majority(
+                [
+                    name
+                    for name, one in self.keepers.items()
+                    if name in self.strangers or not await one.serving()
+                ]
+            )
             now = anyio.current_time()
             self.majority.look(bool(group), now)
             for name, spells in self.silent.items():
                 heard = any(self.mesh.hears(name, one) for one in group)
                 spells.look(not (heard and self.gateways[name].lives()), now)
-                self.missing[name].look(len(group) < len(self.keepers) or not all(
-                    self.mesh.hears(name, one) for one in group), now)
+                self.missing[name].look(
+                    len(group) < len(self.keepers) or not all(self.mesh.hears(name, one) for one in group),
+                    now,
+                )
             await anyio.sleep(_LOOK)
 
     def out(self, gateway: str, at: float) -> bool:
@@ -286,6 +345,7 @@
 
     async def runs(self) -> dict[str, list[Run]]:
         """All relays so far, by the engines' own account; also entered into `account`."""
+
         def tell() -> list:
             self._stand_in.stdin.write("tell\n")
             self._stand_in.stdin.flush()
--- a/cresstray/standins/fleet/schedule.py
+++ b/cresstray/standins/fleet/schedule.py
@@ -24,8 +24,15 @@
         return f"{self.at:6.2f} to {self.until:6.2f}  {self.kind} {' '.join(self.who)}"
 
 
-def drawn(seed: int, keepers: Sequence[str], gateways: Sequence[str], seconds: float, pause: float = 1.2,
-          disks: int = 1, quiet: float = 0.0) -> list[Fault]:
+def drawn(
+    seed: int,
+    keepers: Sequence[str],
+    gateways: Sequence[str],
+    seconds: float,
+    pause: float = 1.2,
+    disks: int = 1,
+    quiet: float = 0.0,
+) -> list[Fault]:
     """A fault about every `pause` seconds, each for half a second to four; none lasts into the last `quiet`.
 
     At most `disks` lose theirs: a log whose majority of disks is gone is gone, and nothing else is claimed.
--- a/cresstray/standins/fleet/shards.py
+++ b/cresstray/standins/fleet/shards.py
@@ -88,11 +88,15 @@
     lines: list[str] = field(default_factory=list)
 
     def reads(self) -> dict[str, float]:
-        return {"hinted": self.hinted, "bound_broken": self.bound_broken, "went_back": self.went_back,
-                "by_replica": round(self.by_copies / max(1, self.served), 4),
-                "possible": round(self.possible / max(1, self.served), 4),
-                "by_replica_of_possible": round(self.possible_by_copies / max(1, self.possible), 4),
-                "primary_over_share": self.primary_over_share}
+        return {
+            "hinted": self.hinted,
+            "bound_broken": self.bound_broken,
+            "went_back": self.went_back,
+            "by_replica": round(self.by_copies / max(1, self.served), 4),
+            "possible": round(self.possible / max(1, self.served), 4),
+            "by_replica_of_possible": round(self.possible_by_copies / max(1, self.possible), 4),
+            "primary_over_share": self.primary_over_share,
+        }
 
 
 class ShardClient(Client):
@@ -134,9 +138,17 @@
 class ShardFleet(Fleet):
     """Engines as processes with disks in two zones; `placed`: of each shard, the numbers of its copies."""
 
-    def __init__(self, folder: Path, placed: dict[str, tuple[int, ...]], keepers: int = 3, gateways: int = 3,
-                 engines: int = 5, size: int = 4_000_000, disk: int = 20_000_000,
-                 steps: tuple[str, ...] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        placed: dict[str, tuple[int, ...]],
+        keepers: int = 3,
+        gateways: int = 3,
+        engines: int = 5,
+        size: int = 4_000_000,
+        disk: int = 20_000_000,
+        steps: tuple[str, ...] | None = None,
+    ) -> None:
         super().__init__(folder, keepers, gateways, engines, steps=steps)
         self.placed, self._size, self._disk = placed, size, disk
         self.ids = [f"s-{number + 1:08x}" for number in range(engines)]
@@ -152,11 +164,32 @@
     def start_engine(self, engine: str, *shards: str) -> None:
         """At its port, with its disk if it has one; `listens` waits for it."""
         self.disks[engine] = subprocess.Popen(
-            [sys.executable, "-O", "-m", "cresstray.standins.shards", "--engine", engine, "--zone",
-             self.zone(engine), "--folder", str(self._folder), "--disk", str(self._disk), "--headroom",
-             str(self._disk // 10), "--pace", "4000000", "--cores", str(self.cores), "--port",
-             str(self.ports[engine]), *(word for shard in shards for word in ("--shard", shard))],
-            stdout=subprocess.PIPE, text=True)
+            [
+                sys.executable,
+                "-O",
+                "-m",
+                "cresstray.standins.shards",
+                "--engine",
+                engine,
+                "--zone",
+                self.zone(engine),
+                "--folder",
+                str(self._folder),
+                "--disk",
+                str(self._disk),
+                "--headroom",
+                str(self._disk // 10),
+                "--pace",
+                "4000000",
+                "--cores",
+                str(self.cores),
+                "--port",
+                str(self.ports[engine]),
+                *(word for shard in shards for word in ("--shard", shard)),
+            ],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
 
     async def listens(self, engine: str) -> None:
         said = await anyio.to_thread.run_sync(self.disks[engine].stdout.readline)
@@ -172,20 +205,31 @@
     async def _begin_engines(self) -> list[Listed]:
         self.ports = {engine: _free_port() for engine in self.ids}
         for number, engine in enumerate(self.ids):
-            self.start_engine(engine, *(
-                f"{shard}:{self._size}:2000:primary" if copies[0] == number else
-                f"{shard}:{self._size}:2000:copy:127.0.0.1:{self.ports[self.ids[copies[0]]]}"
-                for shard, copies in self.placed.items() if number in copies))
+            self.start_engine(
+                engine,
+                *(
+                    f"{shard}:{self._size}:2000:primary"
+                    if copies[0] == number
+                    else f"{shard}:{self._size}:2000:copy:127.0.0.1:{self.ports[self.ids[copies[0]]]}"
+                    for shard, copies in self.placed.items()
+                    if number in copies
+                ),
+            )
         for engine in self.ids:
             await self.listens(engine)
-        self._more = "".join(f"engine {one} {self.zone(one)} 127.0.0.1:{self.ports[one]}\n"
-                             for one in self.ids)
+        self._more = "".join(
+            f"engine {one} {self.zone(one)} 127.0.0.1:{self.ports[one]}\n" for one in self.ids
+        )
         return [Listed(number + 1, self.ports[one], zone=number % 2) for number, one in enumerate(self.ids)]
 
     def _write(self) -> None:
         super()._write()
-        (self._folder / "operator.conf").write_text("fleet bench\n" + self._lines + "".join(
-            f"keeper {name} 127.0.0.1:{one.port}\n" for name, one in self.keepers.items()) + self._more)
+        (self._folder / "operator.conf").write_text(
+            "fleet bench\n"
+            + self._lines
+            + "".join(f"keeper {name} 127.0.0.1:{one.port}\n" for name, one in self.keepers.items())
+            + self._more
+        )
 
     def _end_engines(self) -> None:
         for made in self.disks.values():
@@ -196,10 +240,16 @@
 
     async def placed_first(self, operator: Operator, watch: Watch) -> None:
         """The placement document, until it is in force."""
-        items = {shard: documents.Shard(names := tuple(self.ids[one] for one in copies), names[0], 1, names)
-                 for shard, copies in self.placed.items()}
-        made = await operator.change(lambda old: msgspec.structs.replace(
-            old, placement=msgspec.structs.replace(old.placement, items=items)), 10)
+        items = {
+            shard: documents.Shard(names := tuple(self.ids[one] for one in copies), names[0], 1, names)
+            for shard, copies in self.placed.items()
+        }
+        made = await operator.change(
+            lambda old: msgspec.structs.replace(
+                old, placement=msgspec.structs.replace(old.placement, items=items)
+            ),
+            10,
+        )
         if made is None or await watch.until(2 * made.version, 10) is None:
             raise TimeoutError(f"not placed: {made}")
 
@@ -217,9 +267,12 @@
 
     def seen(self) -> list[Seen]:
         """All lines of all engines, by time."""
-        found = [Seen(engine, *json.loads(line)) for engine in self.ids
-                 for file in self._folder.glob(f"{engine}.json.answers")
-                 for line in file.read_bytes().splitlines()]
+        found = [
+            Seen(engine, *json.loads(line))
+            for engine in self.ids
+            for file in self._folder.glob(f"{engine}.json.answers")
+            for line in file.read_bytes().splitlines()
+        ]
         return sorted(found, key=lambda one: one.at)
 
     async def runs(self) -> dict[str, list[Run]]:
@@ -244,15 +297,24 @@
         one.clients.append(client)
         return client
 
-    async def session(self, name: str, shard: str, seed: int, rate: float, within: float = 0.5,
-                      writes: float = 0.3, work: float = 0.005, otherwise: str = "primary") -> None:
+    async def session(
+        self,
+        name: str,
+        shard: str,
+        seed: int,
+        rate: float,
+        within: float = 0.5,
+        writes: float = 0.3,
+        work: float = 0.005,
+        otherwise: str = "primary",
+    ) -> None:
         """Writes and reads one after the other without end, each through the next gateway."""
         rng, after = random.Random(seed), ""
         clients = [self.shard_client(one) for one in range(len(self.gateways))]
         for client in itertools.cycle(clients):
             is_write = rng.random() < writes
             kind = _WRITE if is_write else _READ
-            drawn = Drawn(0.0, f"{seed & 0xffff:04x}{next(self._numbers):012x}", kind, work, work)
+            drawn = Drawn(0.0, f"{seed & 0xFFFF:04x}{next(self._numbers):012x}", kind, work, work)
             told = Told(name, shard, drawn.name, anyio.current_time(), 0.0 if is_write else within)
             self.sessions.append(told)
             table = f"sales_{shard}.orders"
@@ -307,8 +369,10 @@
         if told.at is not None:
             at_most[key] = max(at_most.get(key, 0), shown.position)
             asked_for[key] = parsed(told.at).position if told.at.count(".") == 3 else 0
-        missed = max((position for at, position in acknowledged[told.shard]
-                      if at < shown.at - told.within - _SLACK), default=0)
+        missed = max(
+            (position for at, position in acknowledged[told.shard] if at < shown.at - told.within - _SLACK),
+            default=0,
+        )
         if missed > shown.position:
             verdict.bound_broken += 1
             verdict.lines.append(f"bound broken: {told} at {shown} lacks {missed}")
@@ -341,7 +405,6 @@
     return over
 
 
-
 @dataclass
 class Plan:
     """A plan carried out by the program's own commands; `steps`: the states its moves were seen in."""
@@ -356,15 +419,19 @@
     def moves(self, fleet: ShardFleet) -> dict[str, int]:
         """What the disks say of it; a copy that is lost: placed where no whole one is."""
         accounts = fleet.accounts()
-        return {"bytes": sum(one["copied_in"] for one in accounts.values()), "bytes_bound": self.bound,
-                "headroom_broken": sum(one["headroom_broken"] for one in accounts.values()),
-                "copied_twice": sum(one["again"] for one in accounts.values())}
+        return {
+            "bytes": sum(one["copied_in"] for one in accounts.values()),
+            "bytes_bound": self.bound,
+            "headroom_broken": sum(one["headroom_broken"] for one in accounts.values()),
+            "copied_twice": sum(one["again"] for one in accounts.values()),
+        }
 
 
 async def typed(*words: str) -> tuple[int, str]:
     """`cresstray placement ...`: its exit code, and what it said."""
-    done = await anyio.run_process([sys.executable, "-m", "cresstray", "placement", *words], check=False,
-                                   stderr=subprocess.STDOUT)
+    done = await anyio.run_process(
+        [sys.executable, "-m", "cresstray", "placement", *words], check=False, stderr=subprocess.STDOUT
+    )
     return done.returncode, done.stdout.decode()
 
 
@@ -373,8 +440,22 @@
     conf, path = str(fleet._folder / "operator.conf"), str(fleet._folder / "plan.json")
     with anyio.fail_after(20):
         while True:
-            code, said = await typed("plan", conf, "--empty", empty, "--keep-free", "0.1", "--share", "0.5",
-                                     "--tolerance", "1", "--seconds", "2", "--write", path)
+            code, said = await typed(
+                "plan",
+                conf,
+                "--empty",
+                empty,
+                "--keep-free",
+                "0.1",
+                "--share",
+                "0.5",
+                "--tolerance",
+                "1",
+                "--seconds",
+                "2",
+                "--write",
+                path,
+            )
             if code == 0:
                 break
             await anyio.sleep(0.2)
@@ -383,12 +464,14 @@
     if code:
         raise ValueError(f"not begun: {said}")
     plan = made["plan"]
-    return Plan(plan["bound"], plan["bytes"], {one["shard"]: one["target"] for one in plan["moves"]},
-                made["id"])
+    return Plan(
+        plan["bound"], plan["bytes"], {one["shard"]: one["target"] for one in plan["moves"]}, made["id"]
+    )
 
 
-async def carried(fleet: ShardFleet, plan: Plan, operator: Operator, within: float = 40.0,
-                  harm: bool = True) -> None:
+async def carried(
+    fleet: ShardFleet, plan: Plan, operator: Operator, within: float = 40.0, harm: bool = True
+) -> None:
     """Until it is over. Its first target is killed with a third copied, the leader at the next step."""
     target = killed = before = ""
     with anyio.move_on_after(within):
@@ -400,8 +483,14 @@
             stepped, before = states != before, states
             plan.steps += [states] * stepped
             if harm and not target:
-                target = next((engine for shard, engine in sorted(plan.targets.items())
-                               if _part(fleet, engine, shard) > 0.3), "")
+                target = next(
+                    (
+                        engine
+                        for shard, engine in sorted(plan.targets.items())
+                        if _part(fleet, engine, shard) > 0.3
+                    ),
+                    "",
+                )
                 if target:
                     fleet.kill_engine(target)
                     plan.steps.append(f"target {target} killed")
@@ -421,8 +510,9 @@
 STEPS = ("reserved", "copying", "catching up", "fenced", "switched", "dropped")
 
 
-async def harmed_at(fleet: ShardFleet, plan: Plan, operator: Operator, steps: Iterable[str] = STEPS,
-                    within: float = 40.0) -> None:
+async def harmed_at(
+    fleet: ShardFleet, plan: Plan, operator: Operator, steps: Iterable[str] = STEPS, within: float = 40.0
+) -> None:
     """Until a plan of one move is over. Its target is killed at each of these steps, the leader at the next.
 
     Both are started again, with their disks, half a second later. A step that is over before the harness
@@ -466,12 +556,19 @@
 def copies_lost(fleet: ShardFleet, latest: documents.Documents) -> list[str]:
     """Copies that are placed, and that their engine doesn't hold whole."""
     accounts = fleet.accounts()
-    return [f"{shard} on {copy}" for shard, item in latest.placement.items.items() if shard in fleet.placed
-            for copy in item.copies if not accounts[copy]["shards"].get(shard, {}).get("whole")]
+    return [
+        f"{shard} on {copy}"
+        for shard, item in latest.placement.items.items()
+        if shard in fleet.placed
+        for copy in item.copies
+        if not accounts[copy]["shards"].get(shard, {}).get("whole")
+    ]
 
 
 def heads(fleet: ShardFleet, latest: documents.Documents) -> dict[str, int]:
     """Of each shard, the head of the primary in force."""
     accounts = fleet.accounts()
-    return {shard: accounts[latest.placement.items[shard].primary]["shards"][shard]["head"]
-            for shard in fleet.placed}
+    return {
+        shard: accounts[latest.placement.items[shard].primary]["shards"][shard]["head"]
+        for shard in fleet.placed
+    }
--- a/cresstray/standins/fleet/stepped.py
+++ b/cresstray/standins/fleet/stepped.py
@@ -77,6 +77,7 @@
     file, *words = words[by_wall:]
     patched(file, by_wall)
     from cresstray.__main__ import main as started
+
     return started(words)
 
 
--- a/cresstray/standins/marks.py
+++ b/cresstray/standins/marks.py
@@ -26,8 +26,9 @@
 _AT_THE_END = 0.25
 
 
-def draw_again(kinds: list[Kind], rate: float, seconds: float, repeats: int, memory: float,
-               seed: int) -> tuple[list[Drawn], dict[str, str]]:
+def draw_again(
+    kinds: list[Kind], rate: float, seconds: float, repeats: int, memory: float, seed: int
+) -> tuple[list[Drawn], dict[str, str]]:
     """A load, and behind each of its marked submissions `repeats` more of its mark.
 
     They come 0 to 6 times `memory` after it, whatever it came to. The second: the mark of each, by name.
@@ -39,8 +40,9 @@
             continue
         mark_of[one.name] = one.name * 2
         for _ in range(repeats):
-            after = (memory * rng.uniform(0.9, 1.1) if rng.random() < _AT_THE_END
-                     else rng.uniform(0, 6 * memory))
+            after = (
+                memory * rng.uniform(0.9, 1.1) if rng.random() < _AT_THE_END else rng.uniform(0, 6 * memory)
+            )
             again = replace(one, at=one.at + after, name=f"{rng.getrandbits(64):016x}")
             mark_of[again.name] = one.name * 2
             drawn.append(again)
@@ -104,8 +106,10 @@
     def section(self, lines: str = "") -> str:
         """Of the operator's file; `lines`: further ones, each indented."""
         ports = [one.port for one in (self.primary, self.copy) if one is not None]
-        return (f"store\n    addresses {' '.join(f'127.0.0.1:{port}' for port in ports)}\n"
-                f"    tariffs {MARKED}\n{lines}")
+        return (
+            f"store\n    addresses {' '.join(f'127.0.0.1:{port}' for port in ports)}\n"
+            f"    tariffs {MARKED}\n{lines}"
+        )
 
     async def tell(self, line: str, which: StoreProcess | None = None) -> Any:
         return await anyio.to_thread.run_sync((which or self.primary).tell, line)
@@ -143,8 +147,17 @@
     `network`: each engine is reached through a way of `mesh`, from "gateways" to its label.
     """
 
-    def __init__(self, folder: Path, shared: Shared | None, memory: float, gateways: int = 3,
-                 engines: int = 3, cores: int = 4, store_lines: str = "", network: bool = False) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        shared: Shared | None,
+        memory: float,
+        gateways: int = 3,
+        engines: int = 3,
+        cores: int = 4,
+        store_lines: str = "",
+        network: bool = False,
+    ) -> None:
         super().__init__(folder, keepers=0, gateways=gateways, engines=engines, cores=cores, on=False)
         self._shared, self._store_lines, self._memory = shared, store_lines, memory
         self._network = network
--- a/cresstray/standins/shards.py
+++ b/cresstray/standins/shards.py
@@ -117,13 +117,31 @@
 
     def told(self, load: dict[str, float]) -> dict:
         """The answer to SHARDS."""
-        copies = {name: {"bytes": held.bytes, "whole": held.whole, "follows": held.follows,
-                         "primary": held.primary, "epoch": held.epoch, "applied": held.applied + self.lie,
-                         "head": held.head, "fence": self.fences.get(name, 0),
-                         "reads": self.reads.get(name, 0), "trouble": held.trouble}
-                  for name, held in sorted(self.shards.items())}
-        return {"zone": self.zone, "disk": self.disk, "free": self.free, "headroom": self.headroom,
-                "pace": self.pace, **load, "copies": copies, "numbers": self.fences}
+        copies = {
+            name: {
+                "bytes": held.bytes,
+                "whole": held.whole,
+                "follows": held.follows,
+                "primary": held.primary,
+                "epoch": held.epoch,
+                "applied": held.applied + self.lie,
+                "head": held.head,
+                "fence": self.fences.get(name, 0),
+                "reads": self.reads.get(name, 0),
+                "trouble": held.trouble,
+            }
+            for name, held in sorted(self.shards.items())
+        }
+        return {
+            "zone": self.zone,
+            "disk": self.disk,
+            "free": self.free,
+            "headroom": self.headroom,
+            "pace": self.pace,
+            **load,
+            "copies": copies,
+            "numbers": self.fences,
+        }
 
     # Commands: each may come twice, and late.
 
@@ -195,9 +213,11 @@
 
     def wanted(self) -> list[tuple[str, str, int, int]]:
         """Shard, feed, offset and bytes of what is to be fetched now."""
-        return [(name, held.feed, held.bytes, int(self._tokens.get(name, 0)))
-                for name, held in sorted(self.shards.items())
-                if not held.whole and held.feed and not held.trouble and self._tokens.get(name, 0) >= 1]
+        return [
+            (name, held.feed, held.bytes, int(self._tokens.get(name, 0)))
+            for name, held in sorted(self.shards.items())
+            if not held.whole and held.feed and not held.trouble and self._tokens.get(name, 0) >= 1
+        ]
 
     def give(self, shard: str, offset: int, most: int) -> tuple[int, int, int, int, int]:
         """Bytes given, all there are, position, epoch, growth; RefusedError where it has no whole one."""
@@ -208,8 +228,9 @@
         self.counted.copied_out += given
         return given, held.bytes, held.applied, held.epoch, held.growth
 
-    def fetched(self, shard: str, offset: int, given: int, size: int, position: int, epoch: int,
-                growth: int) -> None:
+    def fetched(
+        self, shard: str, offset: int, given: int, size: int, position: int, epoch: int, growth: int
+    ) -> None:
         held = self.shards.get(shard)
         if held is None or held.whole or held.bytes != offset:
             return  # dropped, or begun anew meanwhile
@@ -234,8 +255,11 @@
             held.trouble = why
 
     def followers(self) -> list[tuple[str, str]]:
-        return [(name, held.feed) for name, held in sorted(self.shards.items())
-                if held.whole and held.follows and held.feed]
+        return [
+            (name, held.feed)
+            for name, held in sorted(self.shards.items())
+            if held.whole and held.follows and held.feed
+        ]
 
     def head(self, shard: str) -> tuple[int, int, int, bool]:
         """Position, epoch, bytes, and whether it is the primary."""
@@ -301,8 +325,9 @@
 class ShardEngine(Engine):
     """An engine with a shelf; its state is in `path`, written before a command is answered, and each beat."""
 
-    def __init__(self, shelf: Shelf, cores: int, path: str, port: int = 0,
-                 now: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, shelf: Shelf, cores: int, path: str, port: int = 0, now: Callable[[], float] = time.monotonic
+    ) -> None:
         super().__init__(shelf.engine, cores, Marks(10.0), Account({}, 3, (1, 0.1, 10.0)), now=now)
         if port:
             self._listener.close()
@@ -374,13 +399,15 @@
 
     def _tell(self) -> dict:
         self._advance()
-        return self.shelf.told({"cores": self.cores, "util": round(self._busy, 3),
-                                "inflight": len(self._jobs)})
+        return self.shelf.told(
+            {"cores": self.cores, "util": round(self._busy, 3), "inflight": len(self._jobs)}
+        )
 
     def _copy(self, shard: str, *words: str) -> dict:
         given = _pairs(words)
-        at = self.shelf.copy(shard, int(given["MOVE"]), given["FROM"], int(given["AT"]), int(given["RATE"]),
-                             int(given["KEEP"]))
+        at = self.shelf.copy(
+            shard, int(given["MOVE"]), given["FROM"], int(given["AT"]), int(given["RATE"]), int(given["KEEP"])
+        )
         return {"at": at}
 
     def _follow(self, shard: str, *words: str) -> dict:
@@ -389,8 +416,11 @@
 
     def _switch(self, shard: str, *words: str) -> dict:
         given = _pairs(words)
-        return {"head": self.shelf.switch(shard, int(given["MOVE"]), int(given["EPOCH"]), given["PRIMARY"],
-                                          given["FROM"])}
+        return {
+            "head": self.shelf.switch(
+                shard, int(given["MOVE"]), int(given["EPOCH"]), given["PRIMARY"], given["FROM"]
+            )
+        }
 
     def _drop_shard(self, shard: str, *words: str) -> dict:
         return {"dropped": self.shelf.drop(shard, int(_pairs(words)["MOVE"]))}
@@ -423,9 +453,19 @@
         self.shelf.advance(self._micros())
         return {"fault": what}
 
-    _COMMANDS = {"SHARDS": _tell, "COPY": _copy, "COPIED": _copied, "FOLLOW": _follow, "SWITCH": _switch,
-                 "DROP": _drop_shard, "CANCEL": _drop_shard, "GIVE": _give, "HEAD": _head,
-                 "ACCOUNT": _tell_account, "FAULT": _fault}
+    _COMMANDS = {
+        "SHARDS": _tell,
+        "COPY": _copy,
+        "COPIED": _copied,
+        "FOLLOW": _follow,
+        "SWITCH": _switch,
+        "DROP": _drop_shard,
+        "CANCEL": _drop_shard,
+        "GIVE": _give,
+        "HEAD": _head,
+        "ACCOUNT": _tell_account,
+        "FAULT": _fault,
+    }
 
     # Statements.
 
@@ -478,16 +518,30 @@
         """One line of its account: when (seconds), and how far this copy was then."""
         held = self.shelf.shards.get(shard)
         if self._journal is not None and held is not None:
-            self._journal.write(msgspec.json.encode((
-                what, name.decode(), self._now(), shard, writes, held.epoch,
-                held.head if held.primary else held.applied, held.primary)) + b"\n")
+            self._journal.write(
+                msgspec.json.encode(
+                    (
+                        what,
+                        name.decode(),
+                        self._now(),
+                        shard,
+                        writes,
+                        held.epoch,
+                        held.head if held.primary else held.applied,
+                        held.primary,
+                    )
+                )
+                + b"\n"
+            )
 
     def _load(self) -> str:
         load, held = super()._load(), self.shelf.shards.get(self._about)
         if held is None:
             return load
-        return (f"{load};shard:{min(_MOST, int(self._about))};epoch:{min(_MOST, held.epoch)};"
-                f"applied:{min(_MOST, held.applied + self.shelf.lie)};head:{min(_MOST, held.head)}")
+        return (
+            f"{load};shard:{min(_MOST, int(self._about))};epoch:{min(_MOST, held.epoch)};"
+            f"applied:{min(_MOST, held.applied + self.shelf.lie)};head:{min(_MOST, held.head)}"
+        )
 
 
 class _Fetcher:
@@ -559,9 +613,13 @@
 
 def account(engine: ShardEngine) -> dict:
     """What the disk has to tell of itself, for whoever judges."""
-    return {"engine": engine.label, "got": engine.got, "free": engine.shelf.free,
-            **msgspec.to_builtins(engine.shelf.counted),
-            "shards": msgspec.to_builtins(engine.shelf.shards)}
+    return {
+        "engine": engine.label,
+        "got": engine.got,
+        "free": engine.shelf.free,
+        **msgspec.to_builtins(engine.shelf.counted),
+        "shards": msgspec.to_builtins(engine.shelf.shards),
+    }
 
 
 async def _main(engine: ShardEngine) -> None:
@@ -585,10 +643,23 @@
 @click.option("--pace", default=10**8, show_default=True, help="Bytes a second.")
 @click.option("--cores", default=8, show_default=True)
 @click.option("--port", default=0)
-@click.option("--shard", "shards", multiple=True,
-              help="NAME:BYTES[:GROWTH[:primary[:FEED]]], when its folder holds no state.")
-def main(engine: str, zone: str, folder: str, disk: int, headroom: int, pace: int, cores: int, port: int,
-         shards: tuple[str, ...]) -> None:
+@click.option(
+    "--shard",
+    "shards",
+    multiple=True,
+    help="NAME:BYTES[:GROWTH[:primary[:FEED]]], when its folder holds no state.",
+)
+def main(
+    engine: str,
+    zone: str,
+    folder: str,
+    disk: int,
+    headroom: int,
+    pace: int,
+    cores: int,
+    port: int,
+    shards: tuple[str, ...],
+) -> None:
     """Run one engine with a disk on loopback; it prints its port, and at its end its account."""
     shelf = Shelf(engine, zone, disk, headroom, pace, int(time.monotonic() * 1e6))
     path = os.path.join(folder, f"{engine}.json") if folder else ""
@@ -598,8 +669,13 @@
     else:
         for given in shards:
             name, size, growth, primary, feed = (given.split(":", 4) + [""] * 4)[:5]
-            shelf.shards[name] = Held(int(size), growth=int(growth or 0), primary=primary == "primary",
-                                      follows=bool(feed), feed=feed)
+            shelf.shards[name] = Held(
+                int(size),
+                growth=int(growth or 0),
+                primary=primary == "primary",
+                follows=bool(feed),
+                feed=feed,
+            )
     anyio.run(_main, ShardEngine(shelf, cores, path, port))
 
 
--- a/cresstray/standins/show.py
+++ b/cresstray/standins/show.py
@@ -39,7 +39,8 @@
             (0.2 * span, self._tell("three of hall-a's four engines die", lambda: world.lose("hall-a", 3))),
             (0.45 * span, self._tell("the link between the halls is cut", world.cut)),
             (0.6 * span, self._tell("the link is back", world.heal)),
-            (0.8 * span, self._tell("hall-a's engines are back, cold", lambda: world.restore("hall-a")))]
+            (0.8 * span, self._tell("hall-a's engines are back, cold", lambda: world.restore("hall-a"))),
+        ]
 
     def _tell(self, news: str, step: Callable[[], None]) -> Callable[[], None]:
         def told() -> None:
@@ -67,13 +68,19 @@
             states = await self._states()
             under_way = sum(int(link["credit"].split("/")[0]) for link in states)
             links = " ".join(sorted({link["state"] for link in states}))
-            print(f"{at - self._began:5.1f} s  payoff in time, last second: {', '.join(parts)} submissions; "
-                  f"hall-a's links: {links}, {under_way} under way", flush=True)
+            print(
+                f"{at - self._began:5.1f} s  payoff in time, last second: {', '.join(parts)} submissions; "
+                f"hall-a's links: {links}, {under_way} under way",
+                flush=True,
+            )
 
     def _lately(self, hall: str, at: float) -> tuple[float, int]:
         """Of what was asked between one and two seconds ago, the payoff answered within the soft limit."""
-        asked = [one for one in self._world.account.asked.values()
-                 if one.hall == hall and at - 2 <= one.asked < at - 1]
+        asked = [
+            one
+            for one in self._world.account.asked.values()
+            if one.hall == hall and at - 2 <= one.asked < at - 1
+        ]
         return _share(asked), len(asked)
 
     async def _states(self) -> list[dict]:
@@ -94,12 +101,18 @@
         for name, hall in self._world.halls.items():
             asked = [one for one in self._world.account.asked.values() if one.hall == name]
             settled = [one for one in asked if one.asked + one.soft < at]
-            table.add_row(name, str(len(asked)), f"{self._lately(name, at)[0]:.1%}", f"{_share(settled):.1%}",
-                          str(sum(engine.alive for engine in hall.engines)))
+            table.add_row(
+                name,
+                str(len(asked)),
+                f"{self._lately(name, at)[0]:.1%}",
+                f"{_share(settled):.1%}",
+                str(sum(engine.alive for engine in hall.engines)),
+            )
         for link in links:
             trip = "" if link["round trip ms"] is None else f"{link['round trip ms']} ms"
-            table.add_row(f"link to {link['gateway']}", "", link["state"], trip,
-                          f"under way {link['credit']}")
+            table.add_row(
+                f"link to {link['gateway']}", "", link["state"], trip, f"under way {link['credit']}"
+            )
         return table
 
 
@@ -113,8 +126,10 @@
     show = Show(world, seconds)
     async with world.up():
         await anyio.sleep(_WARM)
-        loads = {hall: draw(KINDS, [(0.0, _RATE)], seconds, 2 * seed + number)
-                 for number, hall in enumerate(world.halls)}
+        loads = {
+            hall: draw(KINDS, [(0.0, _RATE)], seconds, 2 * seed + number)
+            for number, hall in enumerate(world.halls)
+        }
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(show.run)
             await world.play(loads, show.script(), max(kind.hard for kind in KINDS) / 2)
@@ -124,16 +139,25 @@
     print()
     for hall, share in world.account.payoff().items():
         print(f"{hall}: {share:.1%} of the payoff answered within the soft limit")
-    print(f"{len(world.account.asked)} submissions, {counters.get('crossings offered', 0)} crossed, "
-          f"{counters.get('crossings served', 0)} of them served by the other hall")
-    print("broken promises: " + (", ".join(f"{count} {name}" for name, count in promises.items() if count)
-                                 or f"none ({', '.join(promises)})"))
+    print(
+        f"{len(world.account.asked)} submissions, {counters.get('crossings offered', 0)} crossed, "
+        f"{counters.get('crossings served', 0)} of them served by the other hall"
+    )
+    print(
+        "broken promises: "
+        + (
+            ", ".join(f"{count} {name}" for name, count in promises.items() if count)
+            or f"none ({', '.join(promises)})"
+        )
+    )
     return 1 if any(promises.values()) else 0
 
 
 def main(seconds: float, seed: int) -> int:
     """Exit code 1 where a promise was broken."""
-    print("two halls with two gateways and four engines each, all on this machine; half a minute at most",
-          file=sys.stderr)
+    print(
+        "two halls with two gateways and four engines each, all on this machine; half a minute at most",
+        file=sys.stderr,
+    )
     with tempfile.TemporaryDirectory() as folder:
         return anyio.run(_show, seconds, seed, Path(folder))
--- a/cresstray/standins/sockets.py
+++ b/cresstray/standins/sockets.py
@@ -38,8 +38,9 @@
             return
 
 
-async def serve(listener: socket.socket,
-                handle: Callable[[socket.socket, TaskGroup], Awaitable[None]]) -> None:
+async def serve(
+    listener: socket.socket, handle: Callable[[socket.socket, TaskGroup], Awaitable[None]]
+) -> None:
     """Accepts until it is cancelled, or the listener is closed."""
     with listener:
         async with anyio.create_task_group() as tasks:
--- a/cresstray/standins/store.py
+++ b/cresstray/standins/store.py
@@ -56,7 +56,8 @@
     "LOADING": "LOADING Redis is loading the dataset in memory",
     "READONLY": "READONLY You can't write against a read only replica.",
     "OOM": "OOM command not allowed when used memory > 'maxmemory'.",
-    "BUSY": "BUSY Redis is busy running a script. You can only call SCRIPT KILL or SHUTDOWN NOSAVE."}
+    "BUSY": "BUSY Redis is busy running a script. You can only call SCRIPT KILL or SHUTDOWN NOSAVE.",
+}
 _NO_SYNTAX = "ERR syntax error"
 
 
@@ -130,8 +131,15 @@
 
 
 class Store:
-    def __init__(self, port: int = 0, password: str = "", old: bool = False, closed: bool = False,
-                 seed: int = 1, tls: Any = None) -> None:
+    def __init__(
+        self,
+        port: int = 0,
+        password: str = "",
+        old: bool = False,
+        closed: bool = False,
+        seed: int = 1,
+        tls: Any = None,
+    ) -> None:
         """`old`: knows no HELLO. `closed`: refuses until `accept`. `tls`: halls.tls.Contexts."""
         self._password, self._old, self._tls = password.encode(), old, tls
         self._listener = listen(port)
@@ -183,6 +191,7 @@
                 channel: Any = peer.line
                 if self._tls is not None:
                     from cresstray.halls.tls import Sealed
+
                     channel = Sealed(peer.line, self._tls, True)
                     await channel.shake_hands()
                 guest.put = channel.put
@@ -225,8 +234,11 @@
         try:
             if not guest.known and name not in (b"AUTH", b"HELLO"):
                 raise _Error("NOAUTH Authentication required.")
-            if self._error and name not in _GREETINGS and (
-                    self._error in ("LOADING", "BUSY") or name in (b"SET", b"DEL", b"EVAL", b"EVALSHA")):
+            if (
+                self._error
+                and name not in _GREETINGS
+                and (self._error in ("LOADING", "BUSY") or name in (b"SET", b"DEL", b"EVAL", b"EVALSHA"))
+            ):
                 raise _Error(_ERRORS.get(self._error, f"{self._error} by order"))
             does = getattr(self, f"_do_{name.decode().lower()}", None)
             if does is None or self._old and name == b"HELLO":
@@ -242,8 +254,15 @@
         if isinstance(reply, _Error):
             how = str(reply).partition(" ")[0]
         self._counts[name.decode()] += 1
-        self._account.append((time.time_ns() // 1000, guest.number, name.decode(),
-                              "" if name in (b"AUTH", b"HELLO") else key[:100].decode("latin-1"), how))
+        self._account.append(
+            (
+                time.time_ns() // 1000,
+                guest.number,
+                name.decode(),
+                "" if name in (b"AUTH", b"HELLO") else key[:100].decode("latin-1"),
+                how,
+            )
+        )
         return encode(reply, guest.protocol)
 
     def _answer(self, guest: _Guest, message: bytes) -> None:
@@ -251,7 +270,7 @@
             return
         if self._cut:
             self._cut -= 1
-            guest.put(message[:max(1, len(message) // 2)])
+            guest.put(message[: max(1, len(message) // 2)])
             guest.peer.line.finish()
             self._guests.discard(guest)
             return
@@ -319,7 +338,7 @@
         if not pattern.endswith(b"*") or b"*" in pattern[:-1]:
             raise _Error("ERR this stand-in knows patterns that end in * only")
         keys = sorted(self.data.held)
-        page = keys[int(cursor):int(cursor) + most]
+        page = keys[int(cursor) : int(cursor) + most]
         found = [key for key in page if key.startswith(pattern[:-1]) and self.data.get(key, self.now())]
         return [b"%d" % (int(cursor) + most if len(keys) > int(cursor) + most else 0), found]
 
@@ -343,17 +362,28 @@
             else:
                 raise _Error(_NO_SYNTAX)
         if not guest.known:
-            raise _Error("NOAUTH HELLO must be called with the client already authenticated, otherwise the "
-                         "HELLO <proto> AUTH <user> <pass> option can be used to authenticate the client and "
-                         "select the RESP protocol version at the same time")
+            raise _Error(
+                "NOAUTH HELLO must be called with the client already authenticated, otherwise the "
+                "HELLO <proto> AUTH <user> <pass> option can be used to authenticate the client and "
+                "select the RESP protocol version at the same time"
+            )
         guest.protocol = int(version or guest.protocol)
-        return {"server": "redis", "version": "7.2.0", "proto": guest.protocol, "id": guest.number,
-                "mode": "standalone", "role": "replica" if self._primary else "master", "modules": []}
+        return {
+            "server": "redis",
+            "version": "7.2.0",
+            "proto": guest.protocol,
+            "id": guest.number,
+            "mode": "standalone",
+            "role": "replica" if self._primary else "master",
+            "modules": [],
+        }
 
     def _do_auth(self, guest: _Guest, *words: bytes) -> str:
         if not self._password:
-            raise _Error("ERR AUTH <password> called without any password configured for the default user. "
-                         "Are you sure your configuration is correct?")
+            raise _Error(
+                "ERR AUTH <password> called without any password configured for the default user. "
+                "Are you sure your configuration is correct?"
+            )
         if words[-1] != self._password or words[0] not in (b"default", words[-1]):
             raise _Error("WRONGPASS invalid username-password pair or user is disabled.")
         guest.known = True
@@ -382,9 +412,11 @@
         return ["slave", self._primary[0], self._primary[1], "connected", 0]
 
     def _do_info(self, _: _Guest, *sections: bytes) -> str:
-        return (f"# Server\r\nredis_version:7.2.0\r\n"
-                f"# Replication\r\nrole:{'slave' if self._primary else 'master'}\r\n"
-                f"connected_slaves:{len(self._followers)}\r\nloading:{int(self._error == 'LOADING')}\r\n")
+        return (
+            f"# Server\r\nredis_version:7.2.0\r\n"
+            f"# Replication\r\nrole:{'slave' if self._primary else 'master'}\r\n"
+            f"connected_slaves:{len(self._followers)}\r\nloading:{int(self._error == 'LOADING')}\r\n"
+        )
 
     def _do_script(self, _: _Guest, what: bytes, *more: bytes) -> Any:
         what = what.upper()
@@ -405,8 +437,9 @@
             raise _Error("NOSCRIPT No matching script. Please use EVAL.")
         return self._do_eval(guest, codec.CAS, *more)
 
-    def _do_eval(self, _: _Guest, script: bytes, number: bytes, key: bytes, expected: bytes, new: bytes,
-                 px: bytes) -> list:
+    def _do_eval(
+        self, _: _Guest, script: bytes, number: bytes, key: bytes, expected: bytes, new: bytes, px: bytes
+    ) -> list:
         """What the text of codec.CAS means."""
         if script != codec.CAS or number != b"1":
             raise _Error("ERR this stand-in does not know the script")
@@ -466,8 +499,12 @@
                 word, *more = one.decode().split(" ", 1)
                 if word == "followed":
                     self._followers.add(peer.line)
-                    peer.line.put(_line({"all": True}) + b"".join(
-                        _line(_shown(self.now(), key, entry)) for key, entry in self.data.held.items()))
+                    peer.line.put(
+                        _line({"all": True})
+                        + b"".join(
+                            _line(_shown(self.now(), key, entry)) for key, entry in self.data.held.items()
+                        )
+                    )
                     continue
                 try:
                     told = getattr(self, f"_be_{word}")(*more)
@@ -483,8 +520,11 @@
     def _be_slow(self, words: str) -> None:
         kind, *given = words.split()
         first, *second = (float(one) for one in given)
-        draws = {"fixed": lambda: first, "uniform": lambda: self._chance.uniform(first, second[0]),
-                 "log": lambda: self._chance.lognormvariate(math.log(first), second[0])}
+        draws = {
+            "fixed": lambda: first,
+            "uniform": lambda: self._chance.uniform(first, second[0]),
+            "log": lambda: self._chance.lognormvariate(math.log(first), second[0]),
+        }
         draw = draws[kind]
         self._after, self._delay = False, (lambda: draw() / 1000) if first else None
 
@@ -583,8 +623,12 @@
             self.data.put(bytes.fromhex(one["key"]), _entry(one), self.now())
 
     def _be_account(self, words: str = "") -> dict:
-        told = {"counts": dict(sorted(self._counts.items())), "connections": len(self._guests),
-                "made": self._numbers, "keys": len(self.data.held)}
+        told = {
+            "counts": dict(sorted(self._counts.items())),
+            "connections": len(self._guests),
+            "made": self._numbers,
+            "keys": len(self.data.held),
+        }
         return told | {"all": list(self._account)} if words == "all" else told
 
     def _be_clear(self) -> None:
@@ -628,7 +672,9 @@
         closed = ["--closed"] if copy is not None else []
         self.process = subprocess.Popen(
             [sys.executable, "-m", "cresstray.standins.store", *at, *closed, *self._words],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
         told = json.loads(self.process.stdout.readline())
         self.port, self.control = told["port"], told["control"]
         if copy is not None:
@@ -672,6 +718,7 @@
     if given.tls:
         from cresstray.conf.operator import Tls
         from cresstray.halls.tls import Contexts
+
         contexts = Contexts(Tls(*given.tls))
     store = Store(given.port, given.password, given.old, given.closed, given.seed, contexts)
     print(json.dumps({"port": store.port, "control": store.control}), flush=True)
@@ -683,8 +730,12 @@
 
 def main() -> None:
     import argparse
-    words = argparse.ArgumentParser(prog="python -m cresstray.standins.store", description=FAULTS,
-                                    formatter_class=argparse.RawDescriptionHelpFormatter)
+
+    words = argparse.ArgumentParser(
+        prog="python -m cresstray.standins.store",
+        description=FAULTS,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     words.add_argument("--port", type=int, default=0)
     words.add_argument("--password", default="")
     words.add_argument("--old", action="store_true", help="knows no HELLO, as before RESP3")
