--- a/cresstray/standins/world.py
+++ b/cresstray/standins/world.py
@@ -42,20 +42,45 @@
 def settings(kinds: list[Kind], gateways: int, cores: int) -> dict:
     """A gateway's settings, under the names that the platform gives them."""
     return {
-        "Balancers": gateways, "Localities": list(ZONES), "Flavors": ["std"], "Zone": 0,
+        "Balancers": gateways,
+        "Localities": list(ZONES),
+        "Flavors": ["std"],
+        "Zone": 0,
         "FamilyInfo": {"CpuOfKind": [cores], "Dop": [kind.threads for kind in kinds]},
-        "Limits": {"MaxAttempts": _ATTEMPTS, "Cancel": True, "RetryAfter": True, "MaxRetryAfter": 1000,
-                   "StreamsPerConn": 32, "ConnectTimeout": 250, "ConnIdle": 15000},
-        "Safety": {"DrainGrace": 1000, "BudgetWindow": 1000 * _BUDGET[2], "FreeResends": _BUDGET[0],
-                   "ResendRatio": _BUDGET[1], "WarmUp": 1000, "ColdShare": 0.5, "OverloadFactor": 2,
-                   "Fall": 1000},
+        "Limits": {
+            "MaxAttempts": _ATTEMPTS,
+            "Cancel": True,
+            "RetryAfter": True,
+            "MaxRetryAfter": 1000,
+            "StreamsPerConn": 32,
+            "ConnectTimeout": 250,
+            "ConnIdle": 15000,
+        },
+        "Safety": {
+            "DrainGrace": 1000,
+            "BudgetWindow": 1000 * _BUDGET[2],
+            "FreeResends": _BUDGET[0],
+            "ResendRatio": _BUDGET[1],
+            "WarmUp": 1000,
+            "ColdShare": 0.5,
+            "OverloadFactor": 2,
+            "Fall": 1000,
+        },
         "Report": {"Source": "inline", "Names": ["concurrent", "load_share"]},
         "Tenants": [{"Name": "office"}],
-        "Services": [{
-            "Name": kind.name, "Effect": kind.effect, "GoalTime": kind.soft * 1000,
-            "GiveUp": kind.hard * 1000, "Worth": kind.payoff, "LateValue": 0.3,
-            **({"Group": "all", "KeyTtl": _MEMORY * 1000} if kind.effect == "deduplicated" else {})}
-            for kind in kinds]}
+        "Services": [
+            {
+                "Name": kind.name,
+                "Effect": kind.effect,
+                "GoalTime": kind.soft * 1000,
+                "GiveUp": kind.hard * 1000,
+                "Worth": kind.payoff,
+                "LateValue": 0.3,
+                **({"Group": "all", "KeyTtl": _MEMORY * 1000} if kind.effect == "deduplicated" else {}),
+            }
+            for kind in kinds
+        ],
+    }
 
 
 # Below the ports that systems give to outgoing connections; each process begins at another place.
@@ -97,8 +122,9 @@
         with contextlib.suppress(FileNotFoundError):
             os.unlink(self.control)
         with open(self.folder / f"{self.name}.log", "a") as log:
-            self.process = subprocess.Popen([sys.executable, "-O", "-m", "cresstray"], env=env, stderr=log,
-                                            stdout=log, cwd=self.tree)
+            self.process = subprocess.Popen(
+                [sys.executable, "-O", "-m", "cresstray"], env=env, stderr=log, stdout=log, cwd=self.tree
+            )
 
     def cpu(self) -> float:
         """Seconds of CPU so far."""
@@ -162,9 +188,18 @@
     `tunnel`, for comparison: each hall's list names the far engines too, reached through the network.
     """
 
-    def __init__(self, folder: Path, crossing: bool = True, gateways: int = 2, engines: int = 4,
-                 cores: int = 4, kinds: list[Kind] = KINDS, link: str = "", most: int = 10_000,
-                 tunnel: bool = False) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        crossing: bool = True,
+        gateways: int = 2,
+        engines: int = 4,
+        cores: int = 4,
+        kinds: list[Kind] = KINDS,
+        link: str = "",
+        most: int = 10_000,
+        tunnel: bool = False,
+    ) -> None:
         self._folder, self._crossing = folder, crossing
         self.account = Account({kind.name: kind.effect for kind in kinds}, _ATTEMPTS, _BUDGET)
         self.marks = Marks(_MEMORY)
@@ -173,14 +208,23 @@
         self._tasks: TaskGroup
         self._tunnels: dict[Engine, Network] = {}
         for place, name in enumerate(("hall-a", "hall-b")):
-            made = [Engine(f"{name} engine {number}", cores, self.marks, self.account, most)
-                    for number in range(engines)]
-            listed = {engine: Listed(100 * place + number + 1, engine.port)
-                      for number, engine in enumerate(made)}
+            made = [
+                Engine(f"{name} engine {number}", cores, self.marks, self.account, most)
+                for number in range(engines)
+            ]
+            listed = {
+                engine: Listed(100 * place + number + 1, engine.port) for number, engine in enumerate(made)
+            }
             ways = [Gateway(f"g{name[-1]}{number}", folder) for number in range(gateways)]
-            self.halls[name] = Hall(name, made, Coordinator(list(listed.values())), ways,
-                                    {one.name: Network(one.link) for one in ways}, listed,
-                                    100 * place + engines + 1)
+            self.halls[name] = Hall(
+                name,
+                made,
+                Coordinator(list(listed.values())),
+                ways,
+                {one.name: Network(one.link) for one in ways},
+                listed,
+                100 * place + engines + 1,
+            )
         if tunnel:
             self._dig()
         for hall in self.halls.values():
@@ -192,8 +236,10 @@
                 self._tunnels[engine] = Network(engine.port)
         for hall in self.halls.values():
             far = self.other(hall)
-            hall.coordinator = Coordinator(list(hall.listed.values()) + [
-                self._through(engine, far.listed[engine]) for engine in far.engines])
+            hall.coordinator = Coordinator(
+                list(hall.listed.values())
+                + [self._through(engine, far.listed[engine]) for engine in far.engines]
+            )
 
     def _through(self, engine: Engine, listed: Listed) -> Listed:
         return Listed(listed.id, self._tunnels[engine].port, listed.state, listed.started, 1)
@@ -201,23 +247,36 @@
     def _list(self, hall: Hall, *engines: Engine) -> None:
         hall.coordinator.tell(*(hall.listed[engine] for engine in engines))
         if self._tunnels:
-            self.other(hall).coordinator.tell(*(self._through(engine, hall.listed[engine])
-                                                for engine in engines))
+            self.other(hall).coordinator.tell(
+                *(self._through(engine, hall.listed[engine]) for engine in engines)
+            )
 
     def other(self, hall: Hall) -> Hall:
         return next(one for one in self.halls.values() if one is not hall)
 
     def _write(self, hall: Hall, given: dict, link: str) -> None:
         for number, gateway in enumerate(hall.gateways):
-            (self._folder / f"{gateway.name}.json").write_text(json.dumps({
-                "name": gateway.name, "listen": f"127.0.0.1:{gateway.port}", "seed": f"{number + 1:016x}",
-                "coordinator": hall.coordinator.address, "known": hall.coordinator.known, "settings": given}))
+            (self._folder / f"{gateway.name}.json").write_text(
+                json.dumps(
+                    {
+                        "name": gateway.name,
+                        "listen": f"127.0.0.1:{gateway.port}",
+                        "seed": f"{number + 1:016x}",
+                        "coordinator": hall.coordinator.address,
+                        "known": hall.coordinator.known,
+                        "settings": given,
+                    }
+                )
+            )
             if self._crossing:
                 far = self.other(hall)
                 (self._folder / f"{gateway.name}.conf").write_text(
                     f"hall {hall.name}\n    gateway {gateway.name}\n    listen 127.0.0.1:{gateway.link}\n"
-                    f"    control {gateway.control}\n{link}" + "".join(
-                        f"peer {far.name} 127.0.0.1:{network.port}\n" for network in far.network.values()))
+                    f"    control {gateway.control}\n{link}"
+                    + "".join(
+                        f"peer {far.name} 127.0.0.1:{network.port}\n" for network in far.network.values()
+                    )
+                )
 
     @contextlib.asynccontextmanager
     async def up(self):  # noqa: ANN201, an asynchronous context of this world
@@ -265,8 +324,9 @@
             with contextlib.suppress(OSError):
                 await client.ask(one)
 
-    async def play(self, loads: dict[str, list[Drawn]], script: list[tuple[float, Callable[[], None]]],
-                   rest: float) -> None:
+    async def play(
+        self, loads: dict[str, list[Drawn]], script: list[tuple[float, Callable[[], None]]], rest: float
+    ) -> None:
         """All loads at once, and each step of the script at its time; then some seconds for what is open."""
         async with anyio.create_task_group() as tasks:
             for hall, drawn in loads.items():
--- a/cresstray/start.py
+++ b/cresstray/start.py
@@ -53,6 +53,7 @@
         return None
     # Danger: the platform may give 32 MB; without an operator's file nothing of it is loaded.
     from cresstray.conf import operator
+
     return operator.read(path)
 
 
@@ -69,9 +70,18 @@
         given = configuration(path)
         host, _, port = given.listen.rpartition(":")
         events = known.events(given.known, given.settings)
-        service = Service(given.name, (host, int(port)), int(given.seed, 16), given.settings, events,
-                          given.coordinator, lambda: configuration(path).coordinator, given.limits.sockets,
-                          operator, operator_file)
+        service = Service(
+            given.name,
+            (host, int(port)),
+            int(given.seed, 16),
+            given.settings,
+            events,
+            given.coordinator,
+            lambda: configuration(path).coordinator,
+            given.limits.sockets,
+            operator,
+            operator_file,
+        )
     except (OSError, ValueError, known.MalformedError) as trouble:
         print(f"cresstray: the configuration GW_CONFIG={path!r} can't be used: {trouble}", file=sys.stderr)
         return 2
--- a/cresstray/store/behind.py
+++ b/cresstray/store/behind.py
@@ -52,8 +52,16 @@
     def __len__(self) -> int:
         return len(self._items)
 
-    def add(self, digest: bytes, event: Event, tenant: int, needed_until: int, now: int, seen: bytes = b"",
-            numbers: tuple[int, ...] = ()) -> bool:
+    def add(
+        self,
+        digest: bytes,
+        event: Event,
+        tenant: int,
+        needed_until: int,
+        now: int,
+        seen: bytes = b"",
+        numbers: tuple[int, ...] = (),
+    ) -> bool:
         """Whether it is kept; what is kept already of the same intention becomes one with it."""
         self._order += 1
         ripe = now + _UNRIPE if event.kind is Kind.SENT else now
@@ -135,9 +143,19 @@
     most = max((older, newer), key=lambda item: (_SAYS[item.event.kind], item.order))
     event = most.event
     if event.kind is not Kind.UNRUN:
-        event = msgspec.structs.replace(event, since=min(older.event.since, newer.event.since),
-                                        outcome=event.outcome or older.event.outcome or newer.event.outcome)
+        event = msgspec.structs.replace(
+            event,
+            since=min(older.event.since, newer.event.since),
+            outcome=event.outcome or older.event.outcome or newer.event.outcome,
+        )
     numbers = older.numbers + tuple(number for number in newer.numbers if number not in older.numbers)
-    return Item(older.digest, event, older.tenant, max(older.needed_until, newer.needed_until),
-                min(older.ripe, most.ripe) if event.kind is Kind.SENT else most.ripe, older.order,
-                newer.seen or older.seen, numbers)
+    return Item(
+        older.digest,
+        event,
+        older.tenant,
+        max(older.needed_until, newer.needed_until),
+        min(older.ripe, most.ripe) if event.kind is Kind.SENT else most.ripe,
+        older.order,
+        newer.seen or older.seen,
+        numbers,
+    )
--- a/cresstray/store/client.py
+++ b/cresstray/store/client.py
@@ -125,8 +125,15 @@
 
     EVERY = 1_000_000
 
-    def __init__(self, given: Store, chance: Callable[[], float], clock: Clock, timers: Timers,
-                 counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        given: Store,
+        chance: Callable[[], float],
+        clock: Clock,
+        timers: Timers,
+        counters: Counters,
+        log: Log,
+    ) -> None:
         """OSError where a file for TLS can't be used."""
         self._given, self._chance, self._clock, self._timers = given, chance, clock, timers
         self._counters, self._log = counters, log
@@ -278,6 +285,7 @@
         channel: _Channel = line
         if self._names[at] is not None:
             from cresstray.halls.tls import Sealed
+
             channel = Sealed(line, self._names[at], False)
             await channel.shake_hands()
         talk = codec.greeting(self._given.user, await self._password())
--- a/cresstray/store/codec.py
+++ b/cresstray/store/codec.py
@@ -61,8 +61,14 @@
     OTHER = "OTHER"
 
 
-_KINDS = {"ASK": Kind.MOVED, "CLUSTERDOWN": Kind.MOVED, "NOAUTH": Kind.DENIED, "WRONGPASS": Kind.DENIED,
-          "NOPERM": Kind.DENIED, **{kind.value: kind for kind in Kind if kind is not Kind.OTHER}}
+_KINDS = {
+    "ASK": Kind.MOVED,
+    "CLUSTERDOWN": Kind.MOVED,
+    "NOAUTH": Kind.DENIED,
+    "WRONGPASS": Kind.DENIED,
+    "NOPERM": Kind.DENIED,
+    **{kind.value: kind for kind in Kind if kind is not Kind.OTHER},
+}
 
 
 class Refused(msgspec.Struct, frozen=True):
@@ -154,8 +160,9 @@
 def _fits_cas(reply: Reply) -> bool:
     if type(reply) is not list or len(reply) not in (2, 3):
         return False
-    return (reply[0] == 1 and len(reply) == 2 or reply[0] == 0 and len(reply) == 3 and _fits_value(reply[1])
-            ) and _is_count(reply[-1])
+    return (
+        reply[0] == 1 and len(reply) == 2 or reply[0] == 0 and len(reply) == 3 and _fits_value(reply[1])
+    ) and _is_count(reply[-1])
 
 
 def _fits_value(reply: Reply) -> bool:
@@ -163,8 +170,9 @@
 
 
 def _fits_time(reply: Reply) -> bool:
-    return (type(reply) is list and len(reply) == 2
-            and all(type(one) is bytes and one.isdigit() for one in reply))
+    return (
+        type(reply) is list and len(reply) == 2 and all(type(one) is bytes and one.isdigit() for one in reply)
+    )
 
 
 def _fits_role(reply: Reply) -> bool:
@@ -216,9 +224,9 @@
         end = buffer.find(b"\r\n", at, at + _LONGEST_LINE)
         if end < 0:
             if len(buffer) - at >= _LONGEST_LINE:
-                raise BrokenError(f"a line without an end: {bytes(buffer[at:at + 20])!r}")
+                raise BrokenError(f"a line without an end: {bytes(buffer[at : at + 20])!r}")
             return False
-        kind, past, parts = buffer[at:at + 1], end + 2, 0
+        kind, past, parts = buffer[at : at + 1], end + 2, 0
         if kind in (b"$", b"="):
             size = self._number(at, end)
             if size > _LONGEST:
@@ -227,12 +235,12 @@
                 past += size + 2
                 if len(buffer) < past:
                     return False
-                if buffer[past - 2:past] != b"\r\n":
+                if buffer[past - 2 : past] != b"\r\n":
                     raise BrokenError("a string longer than its length")
         elif kind in (b"*", b"~", b">", b"%"):
             parts = max(0, self._number(at, end)) * (2 if kind == b"%" else 1)
         elif kind not in (b"+", b"-", b":", b",", b"#", b"(", b"_"):
-            raise BrokenError(f"not the beginning of a reply: {bytes(buffer[at:at + 20])!r}")
+            raise BrokenError(f"not the beginning of a reply: {bytes(buffer[at : at + 20])!r}")
         self._left = max(0, self._left - 1) + parts
         if self._left > _MOST_PARTS:
             raise BrokenError(f"a reply of {self._left} parts")
@@ -240,7 +248,7 @@
         return True
 
     def _number(self, at: int, end: int) -> int:
-        number = bytes(self._buffer[at + 1:end])
+        number = bytes(self._buffer[at + 1 : end])
         if not _NUMBER.fullmatch(number):
             raise BrokenError(f"not a length: {number[:20]!r}")
         return int(number)
@@ -267,7 +275,7 @@
     INFO. The script is loaded, so that commands need not carry it.
     """
     words = (b"HELLO", b"3") + ((b"AUTH", user.encode(), password) if password else ())
-    hello, = yield [Command(words, lambda reply: isinstance(reply, dict | list))]
+    (hello,) = yield [Command(words, lambda reply: isinstance(reply, dict | list))]
     protocol = 3
     if isinstance(hello, Refused):
         if not hello.text.startswith(("ERR unknown command", "NOPROTO")):
@@ -276,7 +284,7 @@
         if password:
             # Users came with HELLO: an older store has a password only.
             named = () if user == "default" else (user.encode(),)
-            auth, = yield [Command((b"AUTH", *named, password), lambda reply: reply == b"OK")]
+            (auth,) = yield [Command((b"AUTH", *named, password), lambda reply: reply == b"OK")]
             if isinstance(auth, Refused):
                 raise GreetError(auth.text)
     told, loaded = yield [role(), Command((b"SCRIPT", b"LOAD", CAS), lambda reply: reply == CAS_SHA)]
@@ -284,7 +292,7 @@
         if isinstance(reply, Refused) and reply.kind in (Kind.LOADING, Kind.DENIED):
             raise GreetError(reply.text)
     if isinstance(told, Refused):
-        told, = yield [Command((b"INFO", b"replication"), lambda reply: type(reply) is bytes)]
+        (told,) = yield [Command((b"INFO", b"replication"), lambda reply: type(reply) is bytes)]
         if isinstance(told, Refused):
             raise GreetError(told.text)
         return Greeted(protocol, re.search(rb"^role:master\r?$", told, re.MULTILINE) is not None)
--- a/cresstray/store/exchanges.py
+++ b/cresstray/store/exchanges.py
@@ -106,9 +106,15 @@
         for index, one in zip(turn.at, turn.got):
             asked.replies[index] = one
         # The store has forgotten the script, and nothing of these ran. They go out whole, once.
-        again = [] if turn.again else [index for index, one in zip(turn.at, turn.got)
-                                       if type(one) is Refused and one.kind is Kind.NOSCRIPT
-                                       and asked.commands[index].whole]
+        again = (
+            []
+            if turn.again
+            else [
+                index
+                for index, one in zip(turn.at, turn.got)
+                if type(one) is Refused and one.kind is Kind.NOSCRIPT and asked.commands[index].whole
+            ]
+        )
         return (None, self._begin(asked, again, True, now)) if again else (asked, b"")
 
     def end(self) -> list[Asked]:
--- a/cresstray/store/guard.py
+++ b/cresstray/store/guard.py
@@ -132,8 +132,9 @@
         self._longest = int(lines.get("unguarded_s", 0) * 1_000_000)
         self._passed = {name: Ring(1_000_000, 10) for name in sorted(self._most)}
 
-    def claim(self, kind: Guarded, mark: Mark | None, holder: Holder, at: int, times: Times,
-              now: int) -> Claim:
+    def claim(
+        self, kind: Guarded, mark: Mark | None, holder: Holder, at: int, times: Times, now: int
+    ) -> Claim:
         """The intention for one that no other has, or, within the engines' memory, beside another's.
 
         `at`: no later than the store's time by now. Fences grow with that where nothing is left of the last.
--- a/cresstray/store/joined.py
+++ b/cresstray/store/joined.py
@@ -59,8 +59,9 @@
 class Client(Protocol):
     """`call` is made once, by `by`, and never within `submit`; None: no answer, and it may have run."""
 
-    def submit(self, commands: Sequence[Command], by: int,
-               call: Callable[[list[Reply] | None], None]) -> object: ...
+    def submit(
+        self, commands: Sequence[Command], by: int, call: Callable[[list[Reply] | None], None]
+    ) -> object: ...
 
 
 class Clock(Protocol):
@@ -93,12 +94,40 @@
 class _Held:
     """One submission that needs a mark, until it has its answer and nothing of it is out."""
 
-    __slots__ = ("submission", "name", "kind", "times", "digest", "call", "by", "tries", "claimed", "until",
-                 "seen", "mark", "out", "over", "ran", "may_have_run", "first_sent", "outcome", "number",
-                 "fresh", "asking", "again")
-
-    def __init__(self, submission: Submission, name: str, kind: Guarded, times: Times, digest: bytes,
-                 call: Callable[[Decision], None]) -> None:
+    __slots__ = (
+        "submission",
+        "name",
+        "kind",
+        "times",
+        "digest",
+        "call",
+        "by",
+        "tries",
+        "claimed",
+        "until",
+        "seen",
+        "mark",
+        "out",
+        "over",
+        "ran",
+        "may_have_run",
+        "first_sent",
+        "outcome",
+        "number",
+        "fresh",
+        "asking",
+        "again",
+    )
+
+    def __init__(
+        self,
+        submission: Submission,
+        name: str,
+        kind: Guarded,
+        times: Times,
+        digest: bytes,
+        call: Callable[[Decision], None],
+    ) -> None:
         self.submission, self.name, self.kind, self.times, self.digest = submission, name, kind, times, digest
         self.call: Callable[[Decision], None] | None = call  # None: it has been told
         self.by, self.tries = 0, 0
@@ -116,10 +145,21 @@
 class Marks:
     """`lines`: the operator's, as a plain map; `life`: this process, and no other that ever had this name."""
 
-    def __init__(self, client: Client, lines: Mapping[str, Any], settings: Mapping[str, Any],
-                 tariffs: Sequence[Any], owner: str, life: str, chance: Callable[[], float], clock: Clock,
-                 timers: Timers, counters: Counters, desk: Desk | None = None,
-                 say: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        client: Client,
+        lines: Mapping[str, Any],
+        settings: Mapping[str, Any],
+        tariffs: Sequence[Any],
+        owner: str,
+        life: str,
+        chance: Callable[[], float],
+        clock: Clock,
+        timers: Timers,
+        counters: Counters,
+        desk: Desk | None = None,
+        say: Callable[[str], None] = lambda _: None,
+    ) -> None:
         self._client, self._clock, self._timers, self._counters = client, clock, timers, counters
         self._desk, self._say = desk, say
         self._holder = Holder(owner, life)
@@ -169,8 +209,14 @@
         times = Times(now, min(leave_by, submission.hard_stop), submission.hard_stop + beyond, tariff.memory)
         tenant = self._tenants[submission.tenant] if submission.tenant < len(self._tenants) else ""
         group = self._names[tariff.index] + "/" + tariff.group
-        held = _Held(submission, self._names[tariff.index], kind, times,
-                     marks.digest(self._namespace, tenant, group, name), call)
+        held = _Held(
+            submission,
+            self._names[tariff.index],
+            kind,
+            times,
+            marks.digest(self._namespace, tenant, group, name),
+            call,
+        )
         self._open[submission] = held
         self._counters.add("marks: asked")
         self._look_up(held, now)
@@ -182,8 +228,13 @@
         held = self._open.get(submission)
         # Danger: a process that was stopped wakes up before any of its timers has run. Only the clock tells.
         # What came from another hall is guarded there until its hard stop.
-        if (held is None and (not submission.foreign or now < submission.hard_stop)
-                or held is not None and held.call is None and now < held.until):
+        if (
+            held is None
+            and (not submission.foreign or now < submission.hard_stop)
+            or held is not None
+            and held.call is None
+            and now < held.until
+        ):
             return True
         self._counters.add("marks: intentions over before a relay")
         return False
@@ -284,8 +335,9 @@
         self._begin(held)
         self._submit([command], held.by, partial(self._was_claimed, held, made, value), now)
 
-    def _was_claimed(self, held: _Held, made: Mark, value: bytes, replies: list[Reply] | None, began: int,
-                     now: int) -> None:
+    def _was_claimed(
+        self, held: _Held, made: Mark, value: bytes, replies: list[Reply] | None, began: int, now: int
+    ) -> None:
         self._heard(held)
         if replies is None:
             self._unheard(held, now)
@@ -323,8 +375,12 @@
         mark = marks.decoded(value)
         held.seen, held.mark = value or b"", mark
         claimed = held.claimed
-        if claimed is not None and mark is not None and mark.state is State.INTENDED and (
-                (mark.owner, mark.life, mark.fence) == (*self._holder, claimed.fence)):
+        if (
+            claimed is not None
+            and mark is not None
+            and mark.state is State.INTENDED
+            and ((mark.owner, mark.life, mark.fence) == (*self._holder, claimed.fence))
+        ):
             # Written after all, by a question whose answer was lost.
             held.fresh = True
             self._go(held, mark.fence, mark.until, at, began, now)
@@ -445,9 +501,15 @@
         del self._open[held.submission]
         kind = Kind.RAN if held.ran else Kind.UNKNOWN if held.may_have_run else Kind.UNRUN
         nothing = held.claimed is None and (
-            kind is Kind.UNRUN or held.mark is not None and (
-                held.mark.state is State.ENDED and (held.mark.outcome or not held.outcome)
-                or held.mark.state is State.UNKNOWN and kind is Kind.UNKNOWN))
+            kind is Kind.UNRUN
+            or held.mark is not None
+            and (
+                held.mark.state is State.ENDED
+                and (held.mark.outcome or not held.outcome)
+                or held.mark.state is State.UNKNOWN
+                and kind is Kind.UNKNOWN
+            )
+        )
         if nothing:
             if held.number is not None:
                 self._desk.settle(held.number)
@@ -461,15 +523,19 @@
         if not held.fresh or held.mark.doubted or not since:
             # Danger: where another's relay may be out as well, or its own write is not known, it may have run
             # before our first relay.
-            earlier = [one.since for one in (held.mark, claimed) if one is not None
-                       and not (one is held.mark and one.state is State.UNSEEN)]
+            earlier = [
+                one.since
+                for one in (held.mark, claimed)
+                if one is not None and not (one is held.mark and one.state is State.UNSEEN)
+            ]
             since = min(earlier, default=since)
         return Event(kind, *self._holder, fence, since, until, held.outcome if kind is Kind.RAN else b"")
 
     def _behind(self, held: _Held, event: Event, now: int) -> None:
         numbers = () if held.number is None else (held.number,)
-        self.behind.add(held.digest, event, held.submission.tenant, now + self._kept * 1000, now, held.seen,
-                        numbers)
+        self.behind.add(
+            held.digest, event, held.submission.tenant, now + self._kept * 1000, now, held.seen, numbers
+        )
 
     def _since(self, now: int) -> int:
         return max(1, self.store_clock.low(now)) if self.store_clock.known(now) else 0
@@ -483,8 +549,9 @@
         for entry in entries:
             event = Event(Kind.UNKNOWN, *self._holder, entry.fence)
             self._counters.add("marks: unknown after a crash")
-            self.behind.add(entry.digest, event, entry.tenant, now + self._kept * 1000, now, b"",
-                            (entry.number,))
+            self.behind.add(
+                entry.digest, event, entry.tenant, now + self._kept * 1000, now, b"", (entry.number,)
+            )
 
     def step(self, now: int) -> bool:
         """Background work, some fifty times a second while there is any; whether there is."""
@@ -496,8 +563,9 @@
             ticket = self.health.began(now)
         if ticket is not None:
             self._looked = now
-            self._client.submit([codec.now(), codec.read(self._clock_key)], now + _PATIENCE,
-                                partial(self._tried, ticket, now))
+            self._client.submit(
+                [codec.now(), codec.read(self._clock_key)], now + _PATIENCE, partial(self._tried, ticket, now)
+            )
         self._tell_changes()
         if self._warned < self.store_clock.doubtful_before and not self._warning and not self.health.open:
             self._warning = True
@@ -507,8 +575,13 @@
                 self._writing += 1
                 mark = marks.decoded(item.seen)
                 self._write(item, item.seen, mark, _TRIES, now)
-        return (len(self.behind) > 0 or self._writing > 0 or bool(self._returned) or self._warning
-                or self.health.open)
+        return (
+            len(self.behind) > 0
+            or self._writing > 0
+            or bool(self._returned)
+            or self._warning
+            or self.health.open
+        )
 
     def last(self, now: int) -> bool:
         """As `step`, before the process ends: whether there is more that the store would take."""
@@ -528,8 +601,9 @@
         command = codec.cas(self._clock_key, seen, b"%d" % before, self._kept)
         self._submit([command], now + _PATIENCE, partial(self._was_warned, before, tries), now)
 
-    def _was_warned(self, before: int, tries: int, replies: list[Reply] | None, _began: int,
-                    now: int) -> None:
+    def _was_warned(
+        self, before: int, tries: int, replies: list[Reply] | None, _began: int, now: int
+    ) -> None:
         swapped = None if replies is None else codec.swapped(replies[0])
         if swapped is not None and not swapped.done:
             self.store_clock.told(swapped.found)
@@ -545,8 +619,9 @@
         if made is None and mark is None and seen == item.seen:
             # Not read yet, and nothing to write where nothing is: what is there must be read first.
             key = codec.key(self._namespace, item.digest)
-            self._submit([codec.read(key), codec.now()], now + _PATIENCE,
-                         partial(self._read_for, item, tries), now)
+            self._submit(
+                [codec.read(key), codec.now()], now + _PATIENCE, partial(self._read_for, item, tries), now
+            )
             return
         if made is None:
             self._written(item)
@@ -569,8 +644,9 @@
         else:
             self._write(item, replies[0], mark, tries - 1, now)
 
-    def _was_written(self, item: Item, tries: int, value: bytes, replies: list[Reply] | None, began: int,
-                     now: int) -> None:
+    def _was_written(
+        self, item: Item, tries: int, value: bytes, replies: list[Reply] | None, began: int, now: int
+    ) -> None:
         if replies is None:
             self._put_back(item)
             return
@@ -604,14 +680,20 @@
 
     # Round trips.
 
-    def _submit(self, commands: list[Command], by: int,
-                then: Callable[[list[Reply] | None, int, int], None], now: int) -> None:
+    def _submit(
+        self, commands: list[Command], by: int, then: Callable[[list[Reply] | None, int, int], None], now: int
+    ) -> None:
         ticket = self.health.began(now)
         self._counters.add("marks: round trips")
         self._client.submit(commands, by, partial(self._replied, ticket, now, then))
 
-    def _replied(self, ticket: int, began: int, then: Callable[[list[Reply] | None, int, int], None],
-                 replies: list[Reply] | None) -> None:
+    def _replied(
+        self,
+        ticket: int,
+        began: int,
+        then: Callable[[list[Reply] | None, int, int], None],
+        replies: list[Reply] | None,
+    ) -> None:
         now = self._clock.now()
         refused = replies is not None and any(isinstance(reply, Refused) for reply in replies)
         if refused:
@@ -624,9 +706,11 @@
         if self.health.open != self._told_open:
             self._told_open = self.health.open
             self._counters.add("marks: breaker opened" if self.health.open else "marks: breaker closed")
-            self._say("the store is away or slow: nothing is asked of it until trials go well"
-                      if self.health.open else
-                      f"the store is asked again; {len(self.behind)} outcomes wait to be written")
+            self._say(
+                "the store is away or slow: nothing is asked of it until trials go well"
+                if self.health.open
+                else f"the store is asked again; {len(self.behind)} outcomes wait to be written"
+            )
         if self.store_clock.jumps > self._jumps:
             self._counters.add("marks: clock of the store went back", self.store_clock.jumps - self._jumps)
             self._jumps = self.store_clock.jumps
@@ -636,5 +720,8 @@
             self._dropped = self.behind.dropped
         if self._desk is not None and self._desk.trouble != self._trouble:
             self._trouble = self._desk.trouble
-            self._say(f"the journal can't be written: {self._trouble}" if self._trouble
-                      else "the journal is written again")
+            self._say(
+                f"the journal can't be written: {self._trouble}"
+                if self._trouble
+                else "the journal is written again"
+            )
--- a/cresstray/store/journal.py
+++ b/cresstray/store/journal.py
@@ -97,7 +97,8 @@
     def _replay(self) -> None:
         # Danger: a pipe under this name would hold up the start for good.
         self._file = self._system.open(
-            self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NONBLOCK, 0o600)
+            self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NONBLOCK, 0o600
+        )
         pieces, size = [], 0
         while piece := self._system.read(self._file, 1 << 20):
             pieces.append(piece)
@@ -116,7 +117,7 @@
             raise UnusableError(f"{self.path}: not a journal of marks, or one of another build")
         damaged = []
         for at in range(SIZE, size - SIZE + 1, SIZE):
-            entry = _entry(data[at:at + SIZE])
+            entry = _entry(data[at : at + SIZE])
             if entry is None:
                 damaged.append(at)
             elif entry.what is What.INTENDED:
@@ -132,8 +133,10 @@
         if tail < size:
             self.told.append(f"{self.path}: a torn tail, {size - tail} bytes cut at {tail}")
         if damaged:
-            self.told.append(f"{self.path}: {len(damaged)} damaged records left out, the first at "
-                             f"{damaged[0]}; what they intended is not known")
+            self.told.append(
+                f"{self.path}: {len(damaged)} damaged records left out, the first at "
+                f"{damaged[0]}; what they intended is not known"
+            )
         if tail < size or damaged or size > _COMPACT:
             self._anew(self.open_entries.values())
         else:
@@ -182,8 +185,9 @@
         if self._file is not None:
             self._system.close(self._file)
         self._file, self._size, self._spoilt = file, len(data), True
-        folder = self._system.open(os.path.dirname(os.path.abspath(self.path)),
-                                   os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        folder = self._system.open(
+            os.path.dirname(os.path.abspath(self.path)), os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC
+        )
         try:
             self._system.fsync(folder)
         finally:
@@ -193,7 +197,7 @@
     def _whole(self, file: int, data: bytes) -> None:
         left = memoryview(data)
         while left:
-            left = left[self._system.write(file, left):]
+            left = left[self._system.write(file, left) :]
 
     def close(self) -> None:
         for descriptor in (self._file, self._lock):
@@ -208,8 +212,8 @@
 
 
 def _entry(record: bytes) -> Entry | None:
-    body = record[:_BODY.size]
-    if _SUM.unpack(record[_BODY.size:])[0] != crc32(body) or body[0] not in (What.INTENDED, What.SETTLED):
+    body = record[: _BODY.size]
+    if _SUM.unpack(record[_BODY.size :])[0] != crc32(body) or body[0] not in (What.INTENDED, What.SETTLED):
         return None
     what, *rest = _BODY.unpack(body)
     return Entry(What(what), *rest)
--- a/cresstray/store/marks.py
+++ b/cresstray/store/marks.py
@@ -117,13 +117,21 @@
     if _holds(mark, event):
         # From when its relay went out the engines remember; until then, from when it was intended.
         if event.kind is Kind.SENT:
-            return None if state is State.SENT else _replaced(
-                mark, State.SENT, since=mark.since if mark.doubted else max(mark.since, event.since))
+            return (
+                None
+                if state is State.SENT
+                else _replaced(
+                    mark, State.SENT, since=mark.since if mark.doubted else max(mark.since, event.since)
+                )
+            )
         return _replaced(mark, State.UNKNOWN)
     if event.fence < mark.fence:
         # Danger: where the store lost the earlier intention, the present holder does not know of its relay.
-        return None if mark.doubted and since == mark.since else _replaced(
-            mark, state, since=since, doubted=True)
+        return (
+            None
+            if mark.doubted and since == mark.since
+            else _replaced(mark, state, since=since, doubted=True)
+        )
     return _made(event, fence, since, True)
 
 
--- a/cresstray/streams.py
+++ b/cresstray/streams.py
@@ -94,7 +94,7 @@
         try:
             while self.waiting:
                 await anyio.wait_writable(self._socket)
-                del self.waiting[:self._socket.send(self.waiting)]
+                del self.waiting[: self._socket.send(self.waiting)]
         except (*ENDED, ValueError):  # the latter: closed before the wait
             self._ended()
         self._pumps = False
--- a/cresstray/tables.py
+++ b/cresstray/tables.py
@@ -12,14 +12,34 @@
 # Where any other use of `from` may be meant, or other quoted names stand, all tokens are looked at instead.
 _USUAL = re.compile(
     rf"{_NOISE}|(?P<odd>\"|\b(?:extract|trim|substring|overlay|distinct)\b)"
-    r"|\b(?:from|join|into|update|table)\s+(?P<schema>[^\W\d][\w$]*)\s*\.", re.DOTALL | re.IGNORECASE)
+    r"|\b(?:from|join|into|update|table)\s+(?P<schema>[^\W\d][\w$]*)\s*\.",
+    re.DOTALL | re.IGNORECASE,
+)
 # Words behind which a statement names what it reads or writes.
 _BEFORE_TABLE = {"from", "join", "into", "update", "table", "using", "truncate", "copy"}
 # Words that may stand between those and the name.
 _BETWEEN = {"only", "lateral", "if", "not", "exists", "table"}
 # Words that end the list of tables behind `from`.
-_ENDS_LIST = {"where", "group", "order", "having", "limit", "set", "on", "select", "values", "union",
-              "window", "returning", "offset", "fetch", "for", "when", "except", "intersect"}
+_ENDS_LIST = {
+    "where",
+    "group",
+    "order",
+    "having",
+    "limit",
+    "set",
+    "on",
+    "select",
+    "values",
+    "union",
+    "window",
+    "returning",
+    "offset",
+    "fetch",
+    "for",
+    "when",
+    "except",
+    "intersect",
+}
 # Functions whose arguments may hold a `from` that names no table.
 _ODD_CALLS = {"extract", "trim", "substring", "overlay"}
 
--- a/cresstray/wirehost.py
+++ b/cresstray/wirehost.py
@@ -15,8 +15,16 @@
 from cresstray.interface import Ending, Engine, Relay, Standing, Submission, Topic
 from cresstray.logic import Gateway
 
-_ENDINGS = {200: Ending.FULFILLED, 502: Ending.ERROR, 429: Ending.FULL, 408: Ending.TIMED_OUT,
-            521: Ending.UNREACHABLE, 520: Ending.RESET, 444: Ending.WITHDRAWN, 409: Ending.MOOT}
+_ENDINGS = {
+    200: Ending.FULFILLED,
+    502: Ending.ERROR,
+    429: Ending.FULL,
+    408: Ending.TIMED_OUT,
+    521: Ending.UNREACHABLE,
+    520: Ending.RESET,
+    444: Ending.WITHDRAWN,
+    409: Ending.MOOT,
+}
 _STANDINGS = {0: Standing.GONE, 1: Standing.READY, 2: Standing.DRAINING}
 _TOPICS = {1: Topic.SHARE_DONE, 2: Topic.SPILLS, 3: Topic.WAITS}
 _FAILED_LIST, _DELTA = 3, 0
@@ -80,8 +88,16 @@
 
     def work_item(self, now: int, fields: tuple) -> None:
         call, tariff, tenant, key, left, estimate, megabytes, data_set, flags = fields
-        submission = Submission(self._gateway.tariffs[tariff], now, now + int(left * 1000), tenant, key,
-                                micros(estimate) if flags & 1 else 0, megabytes, int(data_set))
+        submission = Submission(
+            self._gateway.tariffs[tariff],
+            now,
+            now + int(left * 1000),
+            tenant,
+            key,
+            micros(estimate) if flags & 1 else 0,
+            megabytes,
+            int(data_set),
+        )
         self._calls[call] = submission
         self._call_ids[submission] = call
         self._gateway.accept(submission, now)
@@ -92,8 +108,9 @@
         if submission is None or number >= len(submission.relays):
             return
         relay = submission.relays[number]
-        self._gateway.came_back(relay, _ENDINGS.get(code, Ending.ERROR), micros(duration), bool(no_more),
-                                self._report(tail), now)
+        self._gateway.came_back(
+            relay, _ENDINGS.get(code, Ending.ERROR), micros(duration), bool(no_more), self._report(tail), now
+        )
         self._forget(submission)
 
     def progress(self, now: int, fields: tuple) -> None:
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -21,13 +21,21 @@
 
 TRACES = Path(__file__).parent / "traces"
 SETTINGS = {
-    "Balancers": 1, "FamilyInfo": {"CpuOfKind": [4, 2], "Dop": [1, 2]},
+    "Balancers": 1,
+    "FamilyInfo": {"CpuOfKind": [4, 2], "Dop": [1, 2]},
     "Limits": {"Cancel": True, "MaxAttempts": 4, "RetryAfter": True, "MaxRetryAfter": 1000.0},
     "Safety": {"ColdShare": 0.5, "WarmUp": 10000.0, "OverloadFactor": 2.0, "Fall": 1000.0},
     "Services": [
         {"Effect": "idempotent", "GoalTime": 400.0, "AimStretch": 2.0, "GiveUp": 60000.0, "Worth": 1.0},
-        {"Effect": "idempotent", "GoalTime": 2000.0, "AimStretch": 2.0, "GiveUp": 60000.0, "Worth": 5.0,
-         "LateValue": 0.4}],
+        {
+            "Effect": "idempotent",
+            "GoalTime": 2000.0,
+            "AimStretch": 2.0,
+            "GiveUp": 60000.0,
+            "Worth": 5.0,
+            "LateValue": 0.4,
+        },
+    ],
 }
 START = 100_000_000
 
@@ -87,8 +95,19 @@
         self.wakes.append((self.now + delay, len(self.names), call))
 
     def list(self, changes: dict, complete: bool = False) -> None:
-        known = [(engine, (c.get("machine", 0), c.get("zone", 0), c.get("cell", 0), c.get("started", 0),
-                           c.get("standing", Standing.READY))) for engine, c in changes.items()]
+        known = [
+            (
+                engine,
+                (
+                    c.get("machine", 0),
+                    c.get("zone", 0),
+                    c.get("cell", 0),
+                    c.get("started", 0),
+                    c.get("standing", Standing.READY),
+                ),
+            )
+            for engine, c in changes.items()
+        ]
         self.gateway.listed(known, complete, self.now)
 
     def submit(self, name: str, tariff: int = 0, left: int = 2000, **more: int) -> Submission:
@@ -198,8 +217,12 @@
 
     async def ask(self, number: int, statement: str, tariff: str = "lookup", timeout: int = 5000) -> None:
         self.names += 1
-        params = {"req": f"{self.names:04x}{'0' * 12}", "timeout": timeout, "owner": "acme",
-                  "data": base64.b64encode(statement.encode()).decode()}
+        params = {
+            "req": f"{self.names:04x}{'0' * 12}",
+            "timeout": timeout,
+            "owner": "acme",
+            "data": base64.b64encode(statement.encode()).decode(),
+        }
         self._lines.append(f"client asks {number}: {statement}")
         await self.say({"jsonrpc": "2.0", "id": number, "method": tariff, "params": params})
 
@@ -212,8 +235,10 @@
             self._buffer += await self._stream.receive()
         line, self._buffer = self._buffer.split(b"\n", 1)
         answer = json.loads(line)
-        told = answer.get("error") or {name: base64.b64decode(value).decode() if name == "data" else value
-                                       for name, value in answer["result"].items()}
+        told = answer.get("error") or {
+            name: base64.b64decode(value).decode() if name == "data" else value
+            for name, value in answer["result"].items()
+        }
         if "error" in answer and told["code"] != -32000:
             told = {"code": told["code"]}
         self._lines.append(f"client hears {answer['id']}: {mask(json.dumps(told, separators=(',', ':')))}")
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -131,8 +131,11 @@
 
     def list(self, *standings: Standing) -> None:
         told = dict(zip(self.engines, standings))
-        self.gateway.listed([(engine, (0, 0, 0, 0, told.get(engine, Standing.READY)))
-                             for engine in self.engines], True, self.clock.now())
+        self.gateway.listed(
+            [(engine, (0, 0, 0, 0, told.get(engine, Standing.READY))) for engine in self.engines],
+            True,
+            self.clock.now(),
+        )
 
     def ask(self, label: str, tariff: str, patience: float = 8000) -> None:
         self._number += 1
@@ -142,8 +145,11 @@
         self.take_in.take(self.client, self._number, Query(name, tariff, patience))
 
     def withdraw(self, label: str) -> None:
-        number = next(number for number, errand in self.client.open.items()
-                      if self.world.names[errand.query.name] == label)
+        number = next(
+            number
+            for number, errand in self.client.open.items()
+            if self.world.names[errand.query.name] == label
+        )
         self.world.say(f"the client withdraws {label}")
         self.take_in.withdraw(self.client, number, None)
 
@@ -151,8 +157,16 @@
 class TwoHalls:
     """hall-a has no engine unless told so, hall-b has; the link goes from a to b, with a delay each way."""
 
-    def __init__(self, near_engines: int = 0, far_engines: int = 1, cores: int = 4, delay: int = 5_000,
-                 trace: bool = True, skew: int = 240_000_000, **limits: object) -> None:
+    def __init__(
+        self,
+        near_engines: int = 0,
+        far_engines: int = 1,
+        cores: int = 4,
+        delay: int = 5_000,
+        trace: bool = True,
+        skew: int = 240_000_000,
+        **limits: object,
+    ) -> None:
         self.lines: list[str] = []
         self.names: dict[str, str] = {}
         self.runs: list[tuple[str, str]] = []
@@ -161,21 +175,42 @@
         self.swallow: set[str] = set()  # "there" and "back": what does not come through
         self.there: deque[tuple[int, bytes]] = deque()
         self.back: deque[tuple[int, bytes]] = deque()
-        given = {"Balancers": 1, "FamilyInfo": {"CpuOfKind": [cores]}, "Tenants": [{"Name": "acme"}],
-                 "Limits": {"MaxAttempts": 3, "Cancel": True} | limits, "CrossingAhead": AHEAD / 1000,
-                 "Services": [{"Name": name, "Effect": effect, "GoalTime": 4000, "GiveUp": 60000, "Worth": 1,
-                               "Group": "all", "KeyTtl": 20000, "LateValue": 0.5}
-                              for name, effect in TARIFFS.items()]}
+        given = {
+            "Balancers": 1,
+            "FamilyInfo": {"CpuOfKind": [cores]},
+            "Tenants": [{"Name": "acme"}],
+            "Limits": {"MaxAttempts": 3, "Cancel": True} | limits,
+            "CrossingAhead": AHEAD / 1000,
+            "Services": [
+                {
+                    "Name": name,
+                    "Effect": effect,
+                    "GoalTime": 4000,
+                    "GiveUp": 60000,
+                    "Worth": 1,
+                    "Group": "all",
+                    "KeyTtl": 20000,
+                    "LateValue": 0.5,
+                }
+                for name, effect in TARIFFS.items()
+            ],
+        }
         clocks = VirtualClock(), VirtualClock(skew)
         self.clocks, self._start = clocks, clocks[0].at
         self.a = HallDesk(self, "hall-a", near_engines, clocks[0], given)
         self.b = HallDesk(self, "hall-b", far_engines, clocks[1], given)
         self._given, self._life, self.broken = given, 0, None
         health = Health(BEAT, SLOW, LEASE, HEAL)
-        self.outward = Outward(Place("hall-a", "ga", "a1"), "hall-b",
-                               Way("far", health, Credit(16, 1 << 20), self.a.share), self.a.across,
-                               self.a.counters, lambda text: self.say(f"hall-a says {text}"), clocks[0].now,
-                               lambda: None)
+        self.outward = Outward(
+            Place("hall-a", "ga", "a1"),
+            "hall-b",
+            Way("far", health, Credit(16, 1 << 20), self.a.share),
+            self.a.across,
+            self.a.counters,
+            lambda text: self.say(f"hall-a says {text}"),
+            clocks[0].now,
+            lambda: None,
+        )
         self.a.across.add(self.outward)
         self.restart_far(first=True)
 
@@ -192,16 +227,27 @@
             self.b = HallDesk(self, "hall-b", len(self.b.engines), self.clocks[1], self._given)
         self._life += 1
         self.inward = Inward(
-            Place("hall-b", "gb", f"b{self._life}"), Place("hall-a", "ga", "a1"),
-            Health(BEAT, SLOW, LEASE, HEAL), 16, 1 << 20, self.b.take_in,
-            lambda: self.b.gateway.room(self.clocks[1].now()), lambda: 0, self.clocks[1].now, lambda: None,
-            self.b.timers.after, self.b.counters, lambda text: self.say(f"hall-b says {text}"))
+            Place("hall-b", "gb", f"b{self._life}"),
+            Place("hall-a", "ga", "a1"),
+            Health(BEAT, SLOW, LEASE, HEAL),
+            16,
+            1 << 20,
+            self.b.take_in,
+            lambda: self.b.gateway.room(self.clocks[1].now()),
+            lambda: 0,
+            self.clocks[1].now,
+            lambda: None,
+            self.b.timers.after,
+            self.b.counters,
+            lambda text: self.say(f"hall-b says {text}"),
+        )
         self._frames = None
 
     # The link.
 
     def connect(self) -> None:
         from cresstray.halls import codec
+
         self.there.clear()
         self.back.clear()
         self._frames, self.up, self._greeted = codec.Frames(), True, False
@@ -222,6 +268,7 @@
 
     def _deliver(self) -> None:
         from cresstray.halls.codec import BrokenError
+
         at = self.clocks[0].at
         try:
             # What does not come through while the connection lives comes later, as TCP has it.
--- a/tests/test_agreed.py
+++ b/tests/test_agreed.py
@@ -67,8 +67,10 @@
         for name in ("a second read", "the like without a hint"):
             desk.submit(name, read=object() if "read" in name else None)
         self.assertTrue(waits.held)
-        self.assertEqual(["the like without a hint"],
-                         [desk.names[one] for one in desk.names if isinstance(one, Submission) and one.relay])
+        self.assertEqual(
+            ["the like without a hint"],
+            [desk.names[one] for one in desk.names if isinstance(one, Submission) and one.relay],
+        )
 
     def test_the_budget_of_further_relays_is_scaled(self) -> None:
         made = []
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -8,8 +8,17 @@
 ROOT = Path(__file__).parent.parent / "cresstray"
 # A package, and what nothing in it may import.
 NOT = {
-    "consensus": ("rules", "placement", "replicas", "keeper", "passage", "halls", "conf", "commands",
-                  "standins"),
+    "consensus": (
+        "rules",
+        "placement",
+        "replicas",
+        "keeper",
+        "passage",
+        "halls",
+        "conf",
+        "commands",
+        "standins",
+    ),
     "rules": ("placement", "replicas", "keeper", "passage", "commands", "standins"),
     "placement": ("replicas", "keeper", "passage", "commands", "standins"),
     "replicas": ("placement", "keeper", "passage", "commands", "standins"),
@@ -24,9 +33,19 @@
 }
 # Where sockets, clocks, files or processes are; all else in these packages is free of them. The solver keeps
 # to a time of its own, in a process of its own.
-CONNECTED = {"rules.follower", "placement.carry", "placement.worker", "placement.solve", "consensus.storage",
-             "kept.files", "kept.keep", "kept.knock", "store.client", "store.journal",
-             "background.worker"}
+CONNECTED = {
+    "rules.follower",
+    "placement.carry",
+    "placement.worker",
+    "placement.solve",
+    "consensus.storage",
+    "kept.files",
+    "kept.keep",
+    "kept.knock",
+    "store.client",
+    "store.journal",
+    "background.worker",
+}
 PURE = ("consensus", "rules", "placement", "replicas", "kept", "store", "background")
 OUTSIDE = {"anyio", "asyncio", "socket", "time", "os", "random", "subprocess", "threading", "sqlite3", "ssl"}
 
@@ -48,8 +67,10 @@
 
 
 def modules() -> dict[str, set[str]]:
-    paths = {".".join(path.relative_to(ROOT.parent).with_suffix("").parts).removesuffix(".__init__"): path
-             for path in sorted(ROOT.rglob("*.py"))}
+    paths = {
+        ".".join(path.relative_to(ROOT.parent).with_suffix("").parts).removesuffix(".__init__"): path
+        for path in sorted(ROOT.rglob("*.py"))
+    }
     return {name: imports(path) for name, path in paths.items()}
 
 
@@ -59,21 +80,32 @@
         self.assertGreater(len(self.modules), 80)
 
     def test_no_circles(self) -> None:
-        graph = {name: {one for one in found if one in self.modules and one != name}
-                 for name, found in self.modules.items()}
+        graph = {
+            name: {one for one in found if one in self.modules and one != name}
+            for name, found in self.modules.items()
+        }
         try:
             TopologicalSorter(graph).prepare()
         except CycleError as trouble:
             self.fail(f"a circle: {' > '.join(trouble.args[1])}")
 
     def test_arrows_point_down(self) -> None:
-        up = [f"{name} > {one}" for name, found in self.modules.items() for one in found
-              for package in [name.split(".")[1] if name.count(".") > 1 else ""]
-              if any(one.startswith(f"cresstray.{other}") for other in NOT.get(package, ()))]
+        up = [
+            f"{name} > {one}"
+            for name, found in self.modules.items()
+            for one in found
+            for package in [name.split(".")[1] if name.count(".") > 1 else ""]
+            if any(one.startswith(f"cresstray.{other}") for other in NOT.get(package, ()))
+        ]
         self.assertEqual([], sorted(up))
 
     def test_decisions_know_no_outside(self) -> None:
-        impure = [f"{name} > {one}" for name, found in self.modules.items() for one in found
-                  if name.removeprefix("cresstray.").split(".")[0] in PURE
-                  and name.removeprefix("cresstray.") not in CONNECTED and one.split(".")[0] in OUTSIDE]
+        impure = [
+            f"{name} > {one}"
+            for name, found in self.modules.items()
+            for one in found
+            if name.removeprefix("cresstray.").split(".")[0] in PURE
+            and name.removeprefix("cresstray.") not in CONNECTED
+            and one.split(".")[0] in OUTSIDE
+        ]
         self.assertEqual([], sorted(impure))
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -25,11 +25,20 @@
         self.does: dict[Job, tuple[Callable[[], int], Callable[[], Outcome]]] = {}
         self.ran: list[tuple[int, str, int]] = []  # from when, what, how long
 
-    def add(self, name: str, priority: Priority, every: int, took: int | Callable[[], int] = 100,
-            outcome: Outcome | Callable[[], Outcome] = Outcome.DONE, **more: int) -> Job:
+    def add(
+        self,
+        name: str,
+        priority: Priority,
+        every: int,
+        took: int | Callable[[], int] = 100,
+        outcome: Outcome | Callable[[], Outcome] = Outcome.DONE,
+        **more: int,
+    ) -> Job:
         job = self.schedule.add(name, priority, every, self.now, **more)
-        self.does[job] = (took if callable(took) else lambda: took,
-                          outcome if callable(outcome) else lambda: outcome)
+        self.does[job] = (
+            took if callable(took) else lambda: took,
+            outcome if callable(outcome) else lambda: outcome,
+        )
         return job
 
     def run(self, until: int) -> list[tuple[int, str, int]]:
@@ -62,8 +71,9 @@
         turns = Turns()
         for name, priority in (("tidy", 3), ("state", 2), ("safety", 0), ("state too", 2), ("service", 1)):
             turns.add(name, Priority(priority), SECOND, 1)
-        self.assertEqual(["safety", "service", "state", "state too", "tidy"],
-                         [name for _, name, _ in turns.run(START)])
+        self.assertEqual(
+            ["safety", "service", "state", "state too", "tidy"], [name for _, name, _ in turns.run(START)]
+        )
         self.assertIsNone(turns.schedule.next(turns.now))
 
     def test_nothing_waits_for_longer_than_the_bound(self) -> None:
@@ -72,9 +82,13 @@
         for seed in range(20):
             rng, turns, waited = random.Random(seed), Turns(seed), {}
             for number in range(rng.randrange(2, 9)):
-                turns.add(f"greedy {number}", Priority(rng.randrange(3)), MS * rng.randrange(1, 20),
-                          lambda rng=rng: rng.randrange(longest + 1),
-                          lambda rng=rng: rng.choice([Outcome.MORE, Outcome.MORE, Outcome.DONE]))
+                turns.add(
+                    f"greedy {number}",
+                    Priority(rng.randrange(3)),
+                    MS * rng.randrange(1, 20),
+                    lambda rng=rng: rng.randrange(longest + 1),
+                    lambda rng=rng: rng.choice([Outcome.MORE, Outcome.MORE, Outcome.DONE]),
+                )
             for priority in Priority:
                 turns.add(priority.name, priority, 300 * MS, longest)
             jobs, ended = len(turns.does), turns.schedule.ended
@@ -102,14 +116,18 @@
         for seed in range(10):
             rng, turns, longest = random.Random(seed), Turns(seed), 3_000
             for number in range(6):
-                turns.add(f"{number}", Priority(number % 4), MS * rng.randrange(1, 40),
-                          lambda rng=rng, longest=longest: rng.choice((0, 50, 200, longest)),
-                          lambda rng=rng: rng.choice(list(Outcome)))
+                turns.add(
+                    f"{number}",
+                    Priority(number % 4),
+                    MS * rng.randrange(1, 40),
+                    lambda rng=rng, longest=longest: rng.choice((0, 50, 200, longest)),
+                    lambda rng=rng: rng.choice(list(Outcome)),
+                )
             turns.run(START + 3 * SECOND)
             begun = [((START + at) // TICK, max(LEAST, took)) for at, _, took in turns.ran]
             for first, (tick, _) in enumerate(begun):
                 spent = 0
-                for other, took in begun[first:first + 100]:
+                for other, took in begun[first : first + 100]:
                     spent += took
                     self.assertLess(spent, (other - tick + 1) * BUDGET + longest)
             self.assertGreater(turns.schedule.put_off, 10)
@@ -228,15 +246,28 @@
     def __init__(self) -> None:
         self.at, self.counters = START, Counters()
         self.timers = Timers(self)
-        self.worker = Worker(Schedule(random.Random(1).random, worker.TICK, worker.BUDGET), self.timers, self,
-                             self.counters, Log("g0", self), self.now)
+        self.worker = Worker(
+            Schedule(random.Random(1).random, worker.TICK, worker.BUDGET),
+            self.timers,
+            self,
+            self.counters,
+            Log("g0", self),
+            self.now,
+        )
         self.ran: list[tuple[int, str]] = []
 
     def now(self) -> int:
         return self.at
 
-    def does(self, name: str, every: int = 0, took: int = 100, ends: Iterable = (), last: bool = False,
-             priority: Priority = Priority.STATE) -> Job:
+    def does(
+        self,
+        name: str,
+        every: int = 0,
+        took: int = 100,
+        ends: Iterable = (),
+        last: bool = False,
+        priority: Priority = Priority.STATE,
+    ) -> Job:
         """`ends`: what it returns or raises, turn by turn, then None; where it is the `last`, MORE."""
         left = list(ends)
 
@@ -268,8 +299,9 @@
         self.assertEqual([], loop.ran)
         loop.worker.start()
         loop.run(START + 4 * SECOND)
-        self.assertEqual((4, 120_000, 30_000), tuple(loop.count(f"long {what}") for what in
-                                                    ("turns", "us", "longest us")))
+        self.assertEqual(
+            (4, 120_000, 30_000), tuple(loop.count(f"long {what}") for what in ("turns", "us", "longest us"))
+        )
         self.assertEqual(loop.count("short turns"), sum(name == "short" for _, name in loop.ran))
         self.assertGreaterEqual(loop.count("short latest us"), 600 * MS)  # 30 ms are 60 ticks' budget
         self.assertEqual(4, loop.count("put off"))
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -68,8 +68,9 @@
                 self.assertEqual(row["choices"], list(found.violation.choices))
                 self.assertEqual(len(row["choices"]), len(plain.violation.choices))
                 kept = Trace.read(found.violation.lines())
-                self.assertEqual(found.violation.broken,
-                                 replay(make, Bounds(), mutant.seen_in, kept.choices).broken)
+                self.assertEqual(
+                    found.violation.broken, replay(make, Bounds(), mutant.seen_in, kept.choices).broken
+                )
             self.assertFalse(replay(make, Bounds(), mutant.seen_in, ()).broken)
 
     def test_each_property_has_its_sentence_and_a_variant(self) -> None:
@@ -114,8 +115,9 @@
 
 class Walked(unittest.TestCase):
     def test_walks_are_those_of_their_seed_and_break_nothing(self) -> None:
-        bounds = Bounds(depth=300, engines=3, submissions=5, faults=6, leaves=2, words=5, reduced=False,
-                        seed=3)
+        bounds = Bounds(
+            depth=300, engines=3, submissions=5, faults=6, leaves=2, words=5, reduced=False, seed=3
+        )
         for name in ("attempt", "drain", "budget", "order"):
             found = walk(CONFIGURATIONS[name], bounds, name, 60)
             self.assertIsNone(found.violation, found.violation and "\n".join(found.violation.lines()))
--- a/tests/test_check_worlds.py
+++ b/tests/test_check_worlds.py
@@ -26,50 +26,74 @@
 # A schedule that shows each, the shortest but for `fence_ignored`, and the bounds that it needs.
 CAUGHT = {
     "tombstones_forgotten_at_restart": (
-        "register: e0 goes, register tells all, gateway ends, register tells before", {}),
+        "register: e0 goes, register tells all, gateway ends, register tells before",
+        {},
+    ),
     "older_list_taken_as_newer": ("register tells before", {}),
     "warm_though_not_handed_over": ("e0 listens to the trial, gateway lists", {}),
     "once_only_sent_on_trial": ("gateway ends, e0 listens to the trial, post is asked, gateway lists", {}),
     "just_listed_is_no_trial": ("gateway ends, e0 listens to the trial, post is asked, gateway lists", {}),
     "refused_is_no_trial": (
         "e0 listens to the trial, e1 listens to the trial, read is asked, gateway lists, time passes, "
-        "time passes, e0 cuts read, e1 serves read, post is asked", {"submissions": 2}),
+        "time passes, e0 cuts read, e1 serves read, post is asked",
+        {"submissions": 2},
+    ),
     "newer_start_unheard": (
         "register: e0 starts anew, register tells all, gateway ends slowly, last write is read, "
-        "e0 listens to the trial, gateway lists", {}),
+        "e0 listens to the trial, gateway lists",
+        {},
+    ),
     "left_out_is_kept": ("register: e0 goes, register tells all, register tells before", {}),
     "older_start_believed": ("register: e0 starts anew, register tells all, register tells before", {}),
     "address_of_another_kept": ("register: e0 is replaced, register tells news, register tells before", {}),
     "listed_though_told_gone": (
-        "e0 listens to the trial, register: e0 goes, register tells all, gateway lists", {}),
+        "e0 listens to the trial, register: e0 goes, register tells all, gateway lists",
+        {},
+    ),
     "warm_as_the_register_had_it": ("e0 listens to the trial, register tells before", {}),
     "last_write_unheard": (
         "register: e0 goes, register tells all, gateway ends slowly, e0 listens to the trial, "
-        "last write is read", {}),
+        "last write is read",
+        {},
+    ),
     "refusal_forgotten_once_asked_again": (
-        "e0 listens to the trial, e1 refuses the trial, time passes, register tells all", {}),
+        "e0 listens to the trial, e1 refuses the trial, time passes, register tells all",
+        {},
+    ),
     "refusal_forgotten_with_the_last_write": (
         "register tells all, gateway ends slowly, e0 refuses the trial, last write is read, "
-        "e0 listens to the trial, gateway lists", {}),
+        "e0 listens to the trial, gateway lists",
+        {},
+    ),
     "marked_after_the_relay": (
         "g1 is asked, g1 sends, engines serve g1, store does g1/0, time passes, g1 is asked, time passes, "
-        "g1 sends", {}),
+        "g1 sends",
+        {},
+    ),
     "fence_ignored": (
         "g1 is asked, store does g1/0, g1 sends, g1 is killed, g2 is asked, time passes, store does g2/1, "
         "store hears g2/0 late, store does g2/1, time passes, g2 is asked, store does g2/0, store does g2/0, "
-        "time passes, g2 sends", {"submissions": 3}),
+        "time passes, g2 sends",
+        {"submissions": 3},
+    ),
     "lease_by_timer_alone": (TWICE + "g1 is asked, store does g1/0, time passes, g1 sends", {}),
     "unknown_is_unrun": (TWICE + "g1 is asked, store does g1/0, store does g1/0, time passes, g1 sends", {}),
     "set_for_compare_and_set": (
         "g1 is asked, store does g1/0, g1 sends, engines serve g1, store does g1/0, time passes, "
-        "g1 is asked, store does g1/0, time passes, g1 sends", {}),
+        "g1 is asked, store does g1/0, time passes, g1 sends",
+        {},
+    ),
     "takeover_forgets_the_first": (
         "g1 is asked, store does g1/0, g1 sends, g1 is killed, time passes, g1 is asked, store does g1/0, "
-        "store does g1/0, time passes, g1 sends", {}),
+        "store does g1/0, time passes, g1 sends",
+        {},
+    ),
     "doubt_is_cleared": (
         "g1 is asked, store does g1/0, g1 sends, g1 is killed, time passes, g1 is asked, g2 is asked, "
         "store does g1/0, store does g1/0, g1 sends and is refused, store does g1/0, store does g2/1, "
-        "store does g2/0, time passes, g2 sends", {"submissions": 3}),
+        "store does g2/0, time passes, g2 sends",
+        {"submissions": 3},
+    ),
     "asked_until_the_hard_stop": ("g1 is asked, time passes", {}),
     "memory_without_its_margin": (TWICE + "g1 is asked, store does g1/0, time passes, g1 sends", {}),
 }
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -28,8 +28,15 @@
 from cresstray.tables import group_of
 from tests.desk import TraceCase
 
-PARAMS = {"req": "9b1f03aa5c7e2d41", "timeout": 1500, "owner": "acme", "opkey": "5c0f", "ms": 820,
-          "est_mb": 96.5, "data": base64.b64encode(b"select 1").decode()}
+PARAMS = {
+    "req": "9b1f03aa5c7e2d41",
+    "timeout": 1500,
+    "owner": "acme",
+    "opkey": "5c0f",
+    "ms": 820,
+    "est_mb": 96.5,
+    "data": base64.b64encode(b"select 1").decode(),
+}
 
 
 def call(**changes: object) -> bytes:
@@ -44,26 +51,33 @@
     def test_lines(self) -> None:
         lines = []
         for text, line in [
-                ("a call", call()),
-                ("a status", call(method="status", params={})),
-                ("a withdrawal by id", b'{"jsonrpc":"2.0","method":"withdraw","params":{"id":7}}'),
-                ("a withdrawal by name", b'{"jsonrpc":"2.0","method":"withdraw","params":{"req":"9b1f"}}'),
-                ("no JSON", b"select 1"), ("a line cut short", call()[:60]),
-                ("not UTF-8", b'{"jsonrpc":"\xff"}'),
-                ("a batch", b"[" + call() + b"]"), ("nested without end", b"[" * 100_000),
-                ("a wrong version", call(jsonrpc="1.0")), ("no version", call(jsonrpc=None)),
-                ("no id", call(id=None)), ("an id of text", call(id="7")),
-                ("an id below 1", call(id=0)),
-                ("an id beyond all bounds", call(id=2**70)), ("an unknown method", call(method="rapport")),
-                ("a method of another type", call(method=5)),
-                ("params of another type", call(params={"req": 5})),
-                ("no name", call(params={"req": None})), ("a name too short", call(params={"req": "9b1f"})),
-                ("no time limit", call(params={"timeout": None})),
-                ("none left", call(params={"timeout": 0})),
-                ("an endless time limit", call(params={"timeout": 1e300})),
-                ("bad base64", call(params={"data": "%%"})),
-                ("a mark with a comma", call(params={"opkey": "a,c=x"})),
-                ("an estimate below zero", call(params={"ms": -1}))]:
+            ("a call", call()),
+            ("a status", call(method="status", params={})),
+            ("a withdrawal by id", b'{"jsonrpc":"2.0","method":"withdraw","params":{"id":7}}'),
+            ("a withdrawal by name", b'{"jsonrpc":"2.0","method":"withdraw","params":{"req":"9b1f"}}'),
+            ("no JSON", b"select 1"),
+            ("a line cut short", call()[:60]),
+            ("not UTF-8", b'{"jsonrpc":"\xff"}'),
+            ("a batch", b"[" + call() + b"]"),
+            ("nested without end", b"[" * 100_000),
+            ("a wrong version", call(jsonrpc="1.0")),
+            ("no version", call(jsonrpc=None)),
+            ("no id", call(id=None)),
+            ("an id of text", call(id="7")),
+            ("an id below 1", call(id=0)),
+            ("an id beyond all bounds", call(id=2**70)),
+            ("an unknown method", call(method="rapport")),
+            ("a method of another type", call(method=5)),
+            ("params of another type", call(params={"req": 5})),
+            ("no name", call(params={"req": None})),
+            ("a name too short", call(params={"req": "9b1f"})),
+            ("no time limit", call(params={"timeout": None})),
+            ("none left", call(params={"timeout": 0})),
+            ("an endless time limit", call(params={"timeout": 1e300})),
+            ("bad base64", call(params={"data": "%%"})),
+            ("a mark with a comma", call(params={"opkey": "a,c=x"})),
+            ("an estimate below zero", call(params={"ms": -1})),
+        ]:
             try:
                 number, message = rpc.decode(line, frozenset(("report",)))
                 lines.append(f"{text}: {number} {message}")
@@ -72,9 +86,19 @@
         self.check("rpc_lines", lines)
 
     def test_answers(self) -> None:
-        self.check("rpc_answers", [answer.decode().rstrip("\n") for answer in (
-            rpc.fulfilled(7, b"a\tb\tc\n"), rpc.healthy(1), rpc.denied(7, 200), rpc.denied(7, 0),
-            rpc.failed(None, rpc.PARSE_ERROR, "no JSON"))])
+        self.check(
+            "rpc_answers",
+            [
+                answer.decode().rstrip("\n")
+                for answer in (
+                    rpc.fulfilled(7, b"a\tb\tc\n"),
+                    rpc.healthy(1),
+                    rpc.denied(7, 200),
+                    rpc.denied(7, 0),
+                    rpc.failed(None, rpc.PARSE_ERROR, "no JSON"),
+                )
+            ],
+        )
 
 
 def array(*parts: bytes) -> bytes:
@@ -83,51 +107,76 @@
 
 class Engines(TraceCase):
     def test_any_cut(self) -> None:
-        stream = (array(b"q1", b"served", b"sheets=2,load=inflight:7;util:0.61;x0:1.2", b"a\tb\tc\n")
-                  + array(b"q2", b"overload", b"load=inflight:9", b"")
-                  + array(b"q1", b"rows", b"sheet=1", b"\r\n\t\n") + array(b"t", b"green", b"-", b""))
+        stream = (
+            array(b"q1", b"served", b"sheets=2,load=inflight:7;util:0.61;x0:1.2", b"a\tb\tc\n")
+            + array(b"q2", b"overload", b"load=inflight:9", b"")
+            + array(b"q1", b"rows", b"sheet=1", b"\r\n\t\n")
+            + array(b"t", b"green", b"-", b"")
+        )
         whole = resp.Answers().feed(stream)
         bytewise, answers = [], resp.Answers()
         for at in range(len(stream)):
-            bytewise += answers.feed(stream[at:at + 1])
+            bytewise += answers.feed(stream[at : at + 1])
         self.assertEqual(whole, bytewise)
         self.check("resp_answers", [str(answer) for answer in whole])
 
     def test_malformed(self) -> None:
         lines = []
         for text, data in [
-                ("no RESP", b"HTTP/1.1 200 OK\r\n\r\n"), ("a number", b":1\r\n"),
-                ("a bare string", b"$2\r\nok\r\n"), ("endless parts", b"*400000000\r\n$1\r\na\r\n"),
-                ("three parts", b"*3\r\n$1\r\n"), ("a part that is none", b"*4\r\n$-1\r\n"),
-                ("a length without an end", b"*4\r\n$1111111111"),
-                ("three gigabytes", b"*4\r\n$1\r\nq\r\n$6\r\nserved\r\n$1\r\n-\r\n$3000000000\r\n"),
-                ("too long a name", array(b"q" * 65, b"served", b"-", b"")),
-                ("a length that does not fit", b"*4\r\n$1\r\nquery\r\n"),
-                ("an unknown word", array(b"q", b"done", b"-", b"")),
-                ("a count that is no number", array(b"q", b"served", b"sheets=x", b"")),
-                ("no page at all", array(b"q", b"served", b"sheets=0", b"")),
-                ("rows without a page", array(b"q", b"rows", b"-", b"")),
-                ("a report that is none", array(b"q", b"served", b"load=inflight", b"")),
-                ("a report that is no number", array(b"q", b"served", b"load=util:nan", b"")),
-                ("a report beyond all bounds", array(b"q", b"served", b"load=util:1e300", b"")),
-                ("a report below none", array(b"q", b"served", b"load=util:-1", b""))]:
+            ("no RESP", b"HTTP/1.1 200 OK\r\n\r\n"),
+            ("a number", b":1\r\n"),
+            ("a bare string", b"$2\r\nok\r\n"),
+            ("endless parts", b"*400000000\r\n$1\r\na\r\n"),
+            ("three parts", b"*3\r\n$1\r\n"),
+            ("a part that is none", b"*4\r\n$-1\r\n"),
+            ("a length without an end", b"*4\r\n$1111111111"),
+            ("three gigabytes", b"*4\r\n$1\r\nq\r\n$6\r\nserved\r\n$1\r\n-\r\n$3000000000\r\n"),
+            ("too long a name", array(b"q" * 65, b"served", b"-", b"")),
+            ("a length that does not fit", b"*4\r\n$1\r\nquery\r\n"),
+            ("an unknown word", array(b"q", b"done", b"-", b"")),
+            ("a count that is no number", array(b"q", b"served", b"sheets=x", b"")),
+            ("no page at all", array(b"q", b"served", b"sheets=0", b"")),
+            ("rows without a page", array(b"q", b"rows", b"-", b"")),
+            ("a report that is none", array(b"q", b"served", b"load=inflight", b"")),
+            ("a report that is no number", array(b"q", b"served", b"load=util:nan", b"")),
+            ("a report beyond all bounds", array(b"q", b"served", b"load=util:1e300", b"")),
+            ("a report below none", array(b"q", b"served", b"load=util:-1", b"")),
+        ]:
             with self.assertRaises(resp.BrokenError, msg=text) as caught:
                 resp.Answers().feed(data)
             lines.append(f"{text}: {caught.exception}")
         self.check("resp_malformed", lines)
 
     def test_requests(self) -> None:
-        self.check("resp_requests", [repr(message) for message in (
-            resp.ask(b"9b1f", "report", 1500, "", b"select 1"),
-            resp.ask(b"9b1f", "load", 1500, "5c0f", b"\r\n"),
-            resp.next_pages(b"9b1f", 3), resp.quit_(b"9b1f"), resp.free(b"9b1f"))])
+        self.check(
+            "resp_requests",
+            [
+                repr(message)
+                for message in (
+                    resp.ask(b"9b1f", "report", 1500, "", b"select 1"),
+                    resp.ask(b"9b1f", "load", 1500, "5c0f", b"\r\n"),
+                    resp.next_pages(b"9b1f", 3),
+                    resp.quit_(b"9b1f"),
+                    resp.free(b"9b1f"),
+                )
+            ],
+        )
 
     def test_pages(self) -> None:
         lines = []
         pages = Pages(4, b"a\t0\t\n")
-        for number, body in ((3, b"a\t3\t\n"), (1, b"a\t1\t\nb\t1\t\n"), (1, b"a\tcopy\t\n"), (4, b""),
-                             (2, b"a\t2\n"), (2, b"a\t2\t"), (2, b"a\t2\t\nrest"),
-                             (2, b"\xff\t2\t\n"), (2, 21_000 * b"\t\t\n"), (2, b"")):
+        for number, body in (
+            (3, b"a\t3\t\n"),
+            (1, b"a\t1\t\nb\t1\t\n"),
+            (1, b"a\tcopy\t\n"),
+            (4, b""),
+            (2, b"a\t2\n"),
+            (2, b"a\t2\t"),
+            (2, b"a\t2\t\nrest"),
+            (2, b"\xff\t2\t\n"),
+            (2, 21_000 * b"\t\t\n"),
+            (2, b""),
+        ):
             try:
                 kind = "new" if pages.add(number, body) else "a copy"
                 lines.append(f"page {number}: {kind}, {pages.whole()}")
@@ -144,28 +193,50 @@
 
 class Coordinator(TraceCase):
     SETTINGS = {"Localities": ["east", "west"], "Flavors": ["std", "big"]}
-    RECORD = (0xc41f7a, 0x0a010009, 7001, 1, 1, 0, 2, 4000, 1_700_000_000_000)
+    RECORD = (0xC41F7A, 0x0A010009, 7001, 1, 1, 0, 2, 4000, 1_700_000_000_000)
 
     def test_any_cut_and_both_forms(self) -> None:
-        late = (1, 0x7f000001, 80, 2, 0, 1, 0, 0, 0)
+        late = (1, 0x7F000001, 80, 2, 0, 1, 0, 0, 0)
         stream = frame(41, 1, self.RECORD) + frame(41, 0) + frame(42, 2, late)
         whole = frames.Frames().feed(stream)
         bytewise, reader = [], frames.Frames()
         for at in range(len(stream)):
-            bytewise += reader.feed(stream[at:at + 1])
+            bytewise += reader.feed(stream[at : at + 1])
         self.assertEqual(whole, bytewise)
-        given = known.Known(41, [known._Update(41, known._Endpoints(True, [known._Member(
-            "s-00c41f7a", "10.1.0.9:7001", "west", "std", 2, "terminating", 1_700_000_000_000)]))])
+        given = known.Known(
+            41,
+            [
+                known._Update(
+                    41,
+                    known._Endpoints(
+                        True,
+                        [
+                            known._Member(
+                                "s-00c41f7a",
+                                "10.1.0.9:7001",
+                                "west",
+                                "std",
+                                2,
+                                "terminating",
+                                1_700_000_000_000,
+                            )
+                        ],
+                    ),
+                )
+            ],
+        )
         self.assertEqual(known.events(given, self.SETTINGS), whole[:1])
         self.check("events", [str(event) for event in whole])
 
     def test_malformed(self) -> None:
         lines = []
         for text, data in [
-                ("an unknown kind", frame(1, 3)), ("a length too short", struct.pack(">I", 8)),
-                ("a length beyond all bounds", struct.pack(">I", 2**31)),
-                ("a record cut short", struct.pack(">IQB", 12, 1, 2) + b"abc"),
-                ("an unknown state", frame(1, 2, (1, 1, 1, 3, 0, 0, 0, 0, 0)))]:
+            ("an unknown kind", frame(1, 3)),
+            ("a length too short", struct.pack(">I", 8)),
+            ("a length beyond all bounds", struct.pack(">I", 2**31)),
+            ("a record cut short", struct.pack(">IQB", 12, 1, 2) + b"abc"),
+            ("an unknown state", frame(1, 2, (1, 1, 1, 3, 0, 0, 0, 0, 0))),
+        ]:
             with self.assertRaises(known.MalformedError, msg=text) as caught:
                 frames.Frames().feed(data)
             lines.append(f"{text}: {caught.exception}")
@@ -179,36 +250,80 @@
         self.check("events_malformed", lines)
 
     def test_zones_and_kinds_that_the_settings_do_not_name(self) -> None:
-        event, = frames.Frames().feed(frame(1, 1, (1, 1, 1, 0, 7, 9, 0, 0, 0), (2, 1, 1, 0, 1, 0, 0, 0, 0)))
-        given = known.Known(1, [known._Update(1, known._Endpoints(True, [
-            known._Member(f"s-{number}", "10.1.0.9:7001", zone, kind)
-            for number, (zone, kind) in enumerate([("west", "std"), ("north", "huge"), ("south", "std"),
-                                                   ("north", "big")])]))])
-        told = [(f"frame {event.number}", event), ("known", known.events(given, self.SETTINGS)[0]),
-                ("settings without any", known.events(given, {})[0])]
-        self.check("events_unnamed", [f"{text}: zones {[one.zone for one in told.members]}, kinds "
-                                      f"{[one.machine for one in told.members]}" for text, told in told])
+        (event,) = frames.Frames().feed(frame(1, 1, (1, 1, 1, 0, 7, 9, 0, 0, 0), (2, 1, 1, 0, 1, 0, 0, 0, 0)))
+        given = known.Known(
+            1,
+            [
+                known._Update(
+                    1,
+                    known._Endpoints(
+                        True,
+                        [
+                            known._Member(f"s-{number}", "10.1.0.9:7001", zone, kind)
+                            for number, (zone, kind) in enumerate(
+                                [("west", "std"), ("north", "huge"), ("south", "std"), ("north", "big")]
+                            )
+                        ],
+                    ),
+                )
+            ],
+        )
+        told = [
+            (f"frame {event.number}", event),
+            ("known", known.events(given, self.SETTINGS)[0]),
+            ("settings without any", known.events(given, {})[0]),
+        ]
+        self.check(
+            "events_unnamed",
+            [
+                f"{text}: zones {[one.zone for one in told.members]}, kinds "
+                f"{[one.machine for one in told.members]}"
+                for text, told in told
+            ],
+        )
 
 
 class Statements(TraceCase):
     def test_groups(self) -> None:
-        self.check("groups", [f"{group_of(text):>3}  {text!r}" for text in (
-            "select 1", "select * from orders", "select a from sales_17.orders where b = 1",
-            "SELECT a -- from a_1.b\nFROM mart_9.stock", "/* from a_1.b */ update ops_8.t set a = 1",
-            "select 'it''s from a_1.b' from \"ops_4\".\"or\"\"ders\"", "select \"from a_1.b\" from c_2.d",
-            "with w as (select * from ops_9.stock) select id from w",
-            "insert into lake_5.x select * from staging.y",
-            "insert into staging.x select * from lake_6.y", "select t_3.a from plain t_3, lake_7.b t_4",
-            "select extract(day from t_3.x) from plain t_3 join db.lake_6.z on true",
-            "select a is distinct from t_3.b from lake_11.c t_3", "copy lake_12.t from '/tmp/from a_1.b'",
-            "merge into staging.t using (select * from k_7.z) s on true", "delete from only k_10.z using b",
-            "select 'open from a_1.b", "", "select 1 from x_y.z", "select 1 from lake_0.z",
-            "from . from ) ( ,",
-        )])
-
-
-usually = settings(derandomize=True, database=None, deadline=None, max_examples=150,
-                   phases=(Phase.generate, Phase.shrink), suppress_health_check=list(HealthCheck))
+        self.check(
+            "groups",
+            [
+                f"{group_of(text):>3}  {text!r}"
+                for text in (
+                    "select 1",
+                    "select * from orders",
+                    "select a from sales_17.orders where b = 1",
+                    "SELECT a -- from a_1.b\nFROM mart_9.stock",
+                    "/* from a_1.b */ update ops_8.t set a = 1",
+                    'select \'it\'\'s from a_1.b\' from "ops_4"."or""ders"',
+                    'select "from a_1.b" from c_2.d',
+                    "with w as (select * from ops_9.stock) select id from w",
+                    "insert into lake_5.x select * from staging.y",
+                    "insert into staging.x select * from lake_6.y",
+                    "select t_3.a from plain t_3, lake_7.b t_4",
+                    "select extract(day from t_3.x) from plain t_3 join db.lake_6.z on true",
+                    "select a is distinct from t_3.b from lake_11.c t_3",
+                    "copy lake_12.t from '/tmp/from a_1.b'",
+                    "merge into staging.t using (select * from k_7.z) s on true",
+                    "delete from only k_10.z using b",
+                    "select 'open from a_1.b",
+                    "",
+                    "select 1 from x_y.z",
+                    "select 1 from lake_0.z",
+                    "from . from ) ( ,",
+                )
+            ],
+        )
+
+
+usually = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=150,
+    phases=(Phase.generate, Phase.shrink),
+    suppress_health_check=list(HealthCheck),
+)
 # All that frames are made of: those of a fleet go over links of keepers, gateways and operators.
 HALLS = halls._KINDS
 FLEET = (*consensus.KINDS, *rules.KINDS, keeper.Alive)
@@ -218,7 +333,7 @@
     """Values of a type as msgspec describes it, within its bounds."""
     of = msgspec.inspect
     if isinstance(kind, of.IntType):
-        low = kind.ge if kind.ge is not None else -2**63 if kind.gt is None else kind.gt + 1
+        low = kind.ge if kind.ge is not None else -(2**63) if kind.gt is None else kind.gt + 1
         high = kind.le if kind.le is not None else 2**63 - 1 if kind.lt is None else kind.lt - 1
         return some.integers(low, high)
     if isinstance(kind, of.FloatType):
@@ -227,8 +342,11 @@
         return some.booleans()
     if isinstance(kind, of.StrType):
         longest = min(20, kind.max_length or 20)
-        return (some.from_regex(kind.pattern.replace("$", r"\Z"), fullmatch=True) if kind.pattern
-                else some.text(min_size=kind.min_length or 0, max_size=longest))
+        return (
+            some.from_regex(kind.pattern.replace("$", r"\Z"), fullmatch=True)
+            if kind.pattern
+            else some.text(min_size=kind.min_length or 0, max_size=longest)
+        )
     if isinstance(kind, of.BytesType):
         return some.binary(min_size=kind.min_length or 0, max_size=min(50, kind.max_length or 50))
     if isinstance(kind, of.ListType):
@@ -255,11 +373,12 @@
 
 def almost(right: some.SearchStrategy) -> some.SearchStrategy:
     """Bytes that are right but for some of them: changed, left out, doubled, or put in."""
+
     def changed(given: tuple[bytes, list[tuple[int, int, bytes]]]) -> bytes:
         data, changes = given
         for at, left_out, put_in in changes:
             at %= len(data) + 1
-            data = data[:at] + put_in + data[at + left_out:]
+            data = data[:at] + put_in + data[at + left_out :]
         return data
 
     change = some.tuples(some.integers(0, 2**16), some.integers(0, 3), some.binary(max_size=4))
@@ -269,7 +388,7 @@
 def cut(data: bytes, sizes: list[int]) -> list[bytes]:
     found, at = [], 0
     for size in sizes:
-        found.append(data[at:at + size])
+        found.append(data[at : at + size])
         at += size
     return [*found, data[at:]]
 
@@ -277,26 +396,54 @@
 CUTS = some.lists(some.integers(0, 40), max_size=8)
 NAMES = some.from_regex(r"[0-9a-f]{16}", fullmatch=True)
 REQUESTS = some.builds(
-    lambda name, number, statement, mark: call(id=number, params={
-        "req": name, "opkey": mark, "data": base64.b64encode(statement).decode()}),
-    NAMES, some.integers(1, 2**63 - 1), some.binary(min_size=1, max_size=60),
-    some.from_regex(r"[0-9A-Za-z_.:-]{0,16}", fullmatch=True))
-ANSWERS = some.builds(array, some.binary(max_size=64), some.sampled_from(sorted(resp.WORDS)),
-                      some.sampled_from((b"-", b"sheets=2", b"sheet=1", b"load=util:0.5;inflight:2")),
-                      some.binary(max_size=60))
-EVENTS = some.builds(lambda number, kind, records: frame(number, kind, *records), some.integers(0, 2**64 - 1),
-                     some.sampled_from((1, 2)), some.lists(some.tuples(
-                         some.integers(0, 2**32 - 1), some.integers(0, 2**32 - 1), some.integers(0, 65_535),
-                         some.integers(0, 2), some.integers(0, 255), some.integers(0, 255),
-                         some.integers(0, 65_535), some.integers(0, 2**32 - 1), some.integers(0, 2**50)),
-                         max_size=3))
+    lambda name, number, statement, mark: call(
+        id=number, params={"req": name, "opkey": mark, "data": base64.b64encode(statement).decode()}
+    ),
+    NAMES,
+    some.integers(1, 2**63 - 1),
+    some.binary(min_size=1, max_size=60),
+    some.from_regex(r"[0-9A-Za-z_.:-]{0,16}", fullmatch=True),
+)
+ANSWERS = some.builds(
+    array,
+    some.binary(max_size=64),
+    some.sampled_from(sorted(resp.WORDS)),
+    some.sampled_from((b"-", b"sheets=2", b"sheet=1", b"load=util:0.5;inflight:2")),
+    some.binary(max_size=60),
+)
+EVENTS = some.builds(
+    lambda number, kind, records: frame(number, kind, *records),
+    some.integers(0, 2**64 - 1),
+    some.sampled_from((1, 2)),
+    some.lists(
+        some.tuples(
+            some.integers(0, 2**32 - 1),
+            some.integers(0, 2**32 - 1),
+            some.integers(0, 65_535),
+            some.integers(0, 2),
+            some.integers(0, 255),
+            some.integers(0, 255),
+            some.integers(0, 65_535),
+            some.integers(0, 2**32 - 1),
+            some.integers(0, 2**50),
+        ),
+        max_size=3,
+    ),
+)
 
 
 class AnyBytes(TraceCase):
     """Arbitrary and almost right bytes in any pieces: the stated error or values, memory within a bound."""
 
-    def read(self, feed: Callable[[bytes], list], data: bytes, sizes: list[int], error: type[Exception],
-             kept: Callable[[], int], most: int) -> list | None:
+    def read(
+        self,
+        feed: Callable[[bytes], list],
+        data: bytes,
+        sizes: list[int],
+        error: type[Exception],
+        kept: Callable[[], int],
+        most: int,
+    ) -> list | None:
         """What comes of it; None where the reader says that it can't be read."""
         found = []
         try:
@@ -321,8 +468,10 @@
         def round_trip(line: bytes) -> None:
             number, query = rpc.decode(line, frozenset(("report",)))
             told = json.loads(line)
-            self.assertEqual((told["id"], told["params"]["req"], base64.b64decode(told["params"]["data"])),
-                             (number, query.name, query.statement))
+            self.assertEqual(
+                (told["id"], told["params"]["req"], base64.b64decode(told["params"]["data"])),
+                (number, query.name, query.statement),
+            )
             answer = json.loads(rpc.fulfilled(number, query.statement))
             self.assertEqual(query.statement, base64.b64decode(answer["result"]["data"]))
 
@@ -331,12 +480,18 @@
 
     def test_a_connection_of_lines(self) -> None:
         """What is taken does not rest on how it is cut; nothing but half a line is kept."""
+
         def talked(data: bytes, sizes: list[int]) -> list[str]:
             lines: list[str] = []
-            front = type("Front", (), {
-                "take": lambda self, talk, number, query: lines.append(f"{number} {query}"),
-                "withdraw": lambda self, talk, number, name: lines.append(f"withdraw {number} {name}"),
-                "gone": lambda self, talk: lines.append("gone")})()
+            front = type(
+                "Front",
+                (),
+                {
+                    "take": lambda self, talk, number, query: lines.append(f"{number} {query}"),
+                    "withdraw": lambda self, talk, number, name: lines.append(f"withdraw {number} {name}"),
+                    "gone": lambda self, talk: lines.append("gone"),
+                },
+            )()
             wire = type("Wire", (), {"waiting": b"", "put": lambda self, line: lines.append(line.decode())})()
             house = House(frozenset(("report",)), front, lambda: 1, 1, lambda: 0, Counters(), lambda *_: None)
             talk = Talk(house, wire)
@@ -393,18 +548,23 @@
             found = whole.feed(b"".join(events))
             told = [one for piece in cut(b"".join(events), sizes) for one in pieces.feed(piece)]
             self.assertEqual(found, told)
-            self.assertEqual([struct.unpack_from(">Q", one, 4)[0] for one in events],
-                             [one.number for one in found])
+            self.assertEqual(
+                [struct.unpack_from(">Q", one, 4)[0] for one in events], [one.number for one in found]
+            )
 
         never_fails()
         any_cut()
 
     def test_frames(self) -> None:
         """Of links between halls, and of a fleet's."""
+
         def checked(kinds: tuple[type, ...]) -> None:
             @usually
-            @given(almost(some.lists(made(*kinds).map(encode), max_size=3).map(b"".join))
-                   | some.binary(max_size=60), CUTS)
+            @given(
+                almost(some.lists(made(*kinds).map(encode), max_size=3).map(b"".join))
+                | some.binary(max_size=60),
+                CUTS,
+            )
             def never_fails(data: bytes, sizes: list[int]) -> None:
                 reader = Frames(kinds)
                 self.read(reader.feed, data, sizes, BrokenError, lambda: len(reader._buffer), LONGEST + 4)
@@ -448,12 +608,18 @@
     def test_operators_files(self) -> None:
         right = [path.read_text() for path in sorted(Path(__file__).parent.parent.glob("deploy/*.conf"))]
         words = some.sampled_from(sorted({word for text in right for word in text.split()}))
-        line = some.builds(lambda indent, found: indent + " ".join(found), some.sampled_from(("", "    ")),
-                           some.lists(words, max_size=4))
+        line = some.builds(
+            lambda indent, found: indent + " ".join(found),
+            some.sampled_from(("", "    ")),
+            some.lists(words, max_size=4),
+        )
 
         @usually
-        @given(almost(some.sampled_from(right).map(str.encode)).map(lambda one: one.decode(errors="replace"))
-               | some.text(max_size=80) | some.lists(line, max_size=8).map("\n".join))
+        @given(
+            almost(some.sampled_from(right).map(str.encode)).map(lambda one: one.decode(errors="replace"))
+            | some.text(max_size=80)
+            | some.lists(line, max_size=8).map("\n".join)
+        )
         def never_fails(text: str) -> None:
             try:
                 self.assertIsInstance(operator.parse("FILE", text), operator.Operator)
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -39,7 +39,8 @@
     now = real()
     return now._replace(wall=now.wall - 86_400_000_000, boot="another", ticked=5_000_000)
 files.moment = moment
-"""}
+""",
+}
 
 
 class Odd(Gateway):
@@ -48,13 +49,22 @@
     how = ""
 
     def start(self) -> None:
-        code = ("import errno, os, runpy\nfrom cresstray.kept import files\n" + LAUNCH[self.how]
-                + "runpy.run_module('cresstray', run_name='__main__', alter_sys=True)\n")
+        code = (
+            "import errno, os, runpy\nfrom cresstray.kept import files\n"
+            + LAUNCH[self.how]
+            + "runpy.run_module('cresstray', run_name='__main__', alter_sys=True)\n"
+        )
         with open(self.folder / f"{self.name}.log", "a") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-O", "-c", code], stderr=log, stdout=log,
-                env=world.os.environ | {"GW_CONFIG": str(self.folder / f"{self.name}.json"),
-                                        "GW_OPERATOR": str(self.folder / f"{self.name}.conf")})
+                [sys.executable, "-O", "-c", code],
+                stderr=log,
+                stdout=log,
+                env=world.os.environ
+                | {
+                    "GW_CONFIG": str(self.folder / f"{self.name}.json"),
+                    "GW_OPERATOR": str(self.folder / f"{self.name}.conf"),
+                },
+            )
 
 
 class Lists(unittest.TestCase):
@@ -62,10 +72,24 @@
 
     def started(self, age: float | None, changed: float, seconds: float, **more: object) -> dict:
         usual = [Tariff(kind.name, 50, *[kind.work / kind.threads * 1e6] * 2, 1.0) for kind in KINDS]
-        left = {name: record.Record(
-            owner=name, wall=0, boot="", ticked=0, number=0, handed=False, zones=list(ZONES),
-            machines=["std"], engines=[], tombs=[], tariffs=usual, limits=[], marks=[])
-            for name in ("g0", "g1")}
+        left = {
+            name: record.Record(
+                owner=name,
+                wall=0,
+                boot="",
+                ticked=0,
+                number=0,
+                handed=False,
+                zones=list(ZONES),
+                machines=["std"],
+                engines=[],
+                tombs=[],
+                tariffs=usual,
+                limits=[],
+                marks=[],
+            )
+            for name in ("g0", "g1")
+        }
         with tempfile.TemporaryDirectory() as place:
             for name in left:
                 (Path(place) / f"kept-{name}").mkdir()
@@ -120,8 +144,11 @@
             gateways = [one for hall in halls.halls.values() for one in hall.gateways]
             halls.registers(1000)
             async with halls.up():
-                await halls.play({hall: draw(KINDS, [(0.0, 150.0)], 1.5, at)
-                                  for at, hall in enumerate(halls.halls)}, [], 0.3)
+                await halls.play(
+                    {hall: draw(KINDS, [(0.0, 150.0)], 1.5, at) for at, hall in enumerate(halls.halls)},
+                    [],
+                    0.3,
+                )
                 for gateway in gateways:
                     await gateway.stop()
                 engines = [engine for hall in halls.halls.values() for engine in hall.engines]
@@ -141,9 +168,11 @@
                     await gateway.ready()
                 halls.account.asked.clear()
                 halls.account.runs.clear()
-                await halls.play({hall: draw(KINDS, [(0.0, 100.0)], 3.0, 5 + at)
-                                  for at, hall in enumerate(halls.halls)},
-                                 [(2.0, lambda: halls.registers(1001))], 2.0)
+                await halls.play(
+                    {hall: draw(KINDS, [(0.0, 100.0)], 3.0, 5 + at) for at, hall in enumerate(halls.halls)},
+                    [(2.0, lambda: halls.registers(1001))],
+                    2.0,
+                )
                 self.assertEqual(dict.fromkeys(PROMISES, 0), halls.account.promises(anyio.current_time()))
                 self.assertEqual(0, sum(engine.fallen for engine in engines))
                 peaks = [engine.peak for engine in engines]
@@ -156,8 +185,12 @@
                 self.assertIn("remembers 4 engines", (folder / f"{gateway.name}.log").read_text())
                 self.assertEqual(0, gateway.process.returncode)
 
-        with tempfile.TemporaryDirectory() as place, mock.patch.object(
-                world, "Engine", lambda label, _, marks, account, most: Fragile(label, plan, marks, account)):
+        with (
+            tempfile.TemporaryDirectory() as place,
+            mock.patch.object(
+                world, "Engine", lambda label, _, marks, account, most: Fragile(label, plan, marks, account)
+            ),
+        ):
             anyio.run(main, Path(place))
 
     def age(self, file: Path) -> None:
@@ -204,6 +237,7 @@
 class Folders(unittest.TestCase):
     def play(self, scene: Callable[[join.Stage], Awaitable], draining: bool = False) -> None:
         """A gateway has been told of four engines, one of them draining or gone, and was killed."""
+
         async def main() -> None:
             with tempfile.TemporaryDirectory() as folder:
                 stage = join.Stage(folder)
@@ -223,6 +257,7 @@
                         if stage.gateway.lives():
                             stage.gateway.kill()
                         tasks.cancel_scope.cancel()
+
         anyio.run(main)
 
     def odd(self, stage: join.Stage, how: str) -> None:
--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -48,10 +48,11 @@
 
 # Drivers: what came of one row, by the names under its `must`.
 
+
 def counts(row: Row) -> Row:
     desk = Teller(settings(), engines=1)
     works = [desk.submit(str(n), tariff) for n, tariff in enumerate(row["works"])]
-    for work in works[:row["back"]]:
+    for work in works[: row["back"]]:
         desk.drop(work)
     limiter = desk.engines[0].limiter
     return {"threads": limiter.threads, "out": len(limiter.out)}
@@ -101,8 +102,13 @@
     limiter.full_until = FAR if row.get("bound", True) else 0
     tariff = Teller(settings()).gateway.tariffs[0]
     tariff.threads = row["threads"]
-    work = Submission(tariff, START, FAR, expected=int(row.get("lasts", 1.0) * 1e6),
-                      rank=PASSED_OVER if row.get("passed_over") else 0.0)
+    work = Submission(
+        tariff,
+        START,
+        FAR,
+        expected=int(row.get("lasts", 1.0) * 1e6),
+        rank=PASSED_OVER if row.get("passed_over") else 0.0,
+    )
     chance = 0
     for drawn in range(1000):
         limiter.draw = (drawn + 0.5) / 1000
@@ -136,8 +142,12 @@
 
 def choose(row: Row) -> Row:
     desk = Teller(settings(Zone=row.get("zone", 9)), engines=len(row["engines"]))
-    desk.list({engine: {"zone": given.get("zone", 0), "standing": Standing(given.get("standing", "ready"))}
-               for engine, given in zip(desk.engines, row["engines"])})
+    desk.list(
+        {
+            engine: {"zone": given.get("zone", 0), "standing": Standing(given.get("standing", "ready"))}
+            for engine, given in zip(desk.engines, row["engines"])
+        }
+    )
     for engine, given in zip(desk.engines, row["engines"]):
         limiter, limiter.pace = engine.limiter, given.get("pace", 1.0)
         limiter.threads, limiter.doubted = given["threads"], given.get("doubted", False)
@@ -163,8 +173,10 @@
     for tariff, sent, lost in zip(desk.gateway.tariffs, row.get("sent", (0, 0)), row.get("lost", (0, 0))):
         tariff.usual.sent.add(desk.now, sent - (len(fillers) if tariff.index == 0 else 0))
         tariff.usual.unsent.add(desk.now, lost)
-    works = [desk.submit(f"work {n}", work["tariff"], left=90_000, estimate=work.get("estimate", 0) * 1000)
-             for n, work in enumerate(row["works"])]
+    works = [
+        desk.submit(f"work {n}", work["tariff"], left=90_000, estimate=work.get("estimate", 0) * 1000)
+        for n, work in enumerate(row["works"])
+    ]
     assert not any(work.relays for work in works), "a permit was free"
     del desk.lines[:]
     if row.get("again"):
@@ -234,15 +246,35 @@
 
 def agreed(row: Row) -> Row:
     desk = Teller(settings(), engines=1)
-    desk.gateway.agreed = Mock(gateways=lambda now: row["gateways"], admits=lambda submission, now: True,
-                               takes=lambda submission, engine, now: True)
+    desk.gateway.agreed = Mock(
+        gateways=lambda now: row["gateways"],
+        admits=lambda submission, now: True,
+        takes=lambda submission, engine, now: True,
+    )
     work, limiter = desk.submit("work"), desk.engines[0].limiter
     return {"limit": limiter.limit, "start": limiter.start, "sent": bool(work.relays)}
 
 
-DRIVERS = {driver.__name__: driver for driver in (
-    counts, windows, start, pressure, permits, draws, samples, choose, hold, leave, refuse, waits, law,
-    failures, agreed)}
+DRIVERS = {
+    driver.__name__: driver
+    for driver in (
+        counts,
+        windows,
+        start,
+        pressure,
+        permits,
+        draws,
+        samples,
+        choose,
+        hold,
+        leave,
+        refuse,
+        waits,
+        law,
+        failures,
+        agreed,
+    )
+}
 
 
 def same(wanted: Any, came: Any, within: float) -> bool:
@@ -259,8 +291,11 @@
     for table in TABLES[name]:
         for row in table["rows"]:
             came, within = DRIVERS[name](row), row.get("within", 1e-6)
-            found += [f"{table['place']}, '{table['says']}': {row} > {what}: {came[what]}"
-                      for what, wanted in row["must"].items() if not same(wanted, came[what], within)]
+            found += [
+                f"{table['place']}, '{table['says']}': {row} > {what}: {came[what]}"
+                for what, wanted in row["must"].items()
+                if not same(wanted, came[what], within)
+            ]
     return found
 
 
@@ -293,8 +328,13 @@
     "latency for all": ("pressure", Limiter, "pressed", "self.fleet.at", "self.fleet.at and not self.best"),
     "the more loaded": ("choose", Gateway, "_choose", "min(drawn, default", "max(drawn, default"),
     "one choice": ("choose", Gateway, "_choose", "2 + len(", "1 + len("),
-    "samples of any size": ("samples", Gateway, "_learn", "min(4.0, latency / submission.expected)",
-                            "latency / submission.expected"),
+    "samples of any size": (
+        "samples",
+        Gateway,
+        "_learn",
+        "min(4.0, latency / submission.expected)",
+        "latency / submission.expected",
+    ),
     "held for a fifth": ("leave", Gateway, "accept", "// 10", "// 5"),
     "held in arrival order": ("hold", Gateway, "_offer", "one.rank", "one.arrived"),
     "a reset as a failure": ("failures", Gateway, "_fault", "limiter.failed or counts", "True"),
@@ -306,8 +346,15 @@
 class Conformance(unittest.TestCase):
     def test_tables_have_drivers(self) -> None:
         self.assertEqual(set(TABLES), set(DRIVERS))
-        self.assertEqual([], [table for tables in TABLES.values() for table in tables
-                              if not (table["place"] and table["says"] and table["rows"])])
+        self.assertEqual(
+            [],
+            [
+                table
+                for tables in TABLES.values()
+                for table in tables
+                if not (table["place"] and table["says"] and table["rows"])
+            ],
+        )
 
     def test_broken_modules_fail(self) -> None:
         for what, (table, *change) in VARIANTS.items():
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -132,8 +132,10 @@
 
     def step(self, until: int) -> bool:
         """The next frame or tick; False where there is none before `until`."""
-        wakes = [(max(self.frozen.get(name, 0), int((node.due - 1_000_000) / self.rates[name]) + 1), name)
-                 for name, node in self.nodes.items()]
+        wakes = [
+            (max(self.frozen.get(name, 0), int((node.due - 1_000_000) / self.rates[name]) + 1), name)
+            for name, node in self.nodes.items()
+        ]
         at, name = min(wakes, default=(until, ""))
         first = self.queue[0][0] if self.queue else until
         if min(at, first) >= until:
@@ -156,8 +158,11 @@
         return True
 
     def check(self, name: str) -> None:
-        leading = [one for one, node in self.nodes.items()
-                   if node.role is Role.LEADER and node.leads(self.clock(one))]
+        leading = [
+            one
+            for one, node in self.nodes.items()
+            if node.role is Role.LEADER and node.leads(self.clock(one))
+        ]
         assert len(leading) < 2, f"both lead: {leading}"
         node = self.nodes.get(name)
         if node is not None and node.role is Role.LEADER and node.led_since == self.clock(name):
@@ -239,8 +244,11 @@
 
     def work(self, number: int) -> None:
         chance = self.random.random
-        led = [node for name, node in self.nodes.items()
-               if node.role is Role.LEADER and self.frozen.get(name, 0) <= self.at]
+        led = [
+            node
+            for name, node in self.nodes.items()
+            if node.role is Role.LEADER and self.frozen.get(name, 0) <= self.at
+        ]
         for node in led:
             if chance() < 0.7:
                 self.propose(node, b"%d" % number)
@@ -275,9 +283,12 @@
     def test_seeds(self) -> None:
         steps = acknowledged = restored = changed = 0
         for seed in range(SEEDS):
-            with (self.subTest(seed=seed), mock.patch.object(raft, "MOST_DATA", 60),
-                  mock.patch.object(log, "_BEHIND", 6)):
-                net = Net(seed, "abc" if seed % 2 else "abcde", "xy"[:seed % 3])
+            with (
+                self.subTest(seed=seed),
+                mock.patch.object(raft, "MOST_DATA", 60),
+                mock.patch.object(log, "_BEHIND", 6),
+            ):
+                net = Net(seed, "abc" if seed % 2 else "abcde", "xy"[: seed % 3])
                 net.compacts = 0.1 if seed % 4 else 0.0
                 net.run(700_000)
                 for phase in range(8):
@@ -304,7 +315,6 @@
         self.assertGreater(min(steps // 100, acknowledged // 10, restored, changed), 100)
 
 
-
 NOTHING, DATA = Entry(1, Kind.NOTHING, b""), Entry(1, Kind.DATA, b"x")
 ELECTION, LEASE = TIMES.election, int(TIMES.election * (1 - 2 * TIMES.drift))
 
@@ -312,8 +322,14 @@
 class Edges(unittest.TestCase):
     """One node, with frames by hand."""
 
-    def node(self, voters: str = "abc", learners: str = "", term: int = 0, entries: tuple[Entry, ...] = (),
-             name: str = "a") -> Node:
+    def node(
+        self,
+        voters: str = "abc",
+        learners: str = "",
+        term: int = 0,
+        entries: tuple[Entry, ...] = (),
+        name: str = "a",
+    ) -> Node:
         members = Members(tuple(voters), tuple(learners))
         self.file = Durable(name, term, None, Snapshot(0, 0, members, b""), list(entries))
         return self.again(0)
@@ -354,8 +370,11 @@
         vote = codec.Vote(2, 9, 9, False)
         handed = codec.Vote(2, 9, 9, True)
         for sender, frame, at, granted in (
-                ("c", vote, 1_000 + ELECTION - 1, None), ("c", vote, 1_000 + ELECTION, True),
-                ("c", handed, 2_000, True), ("z", handed, 2_000, None)):
+            ("c", vote, 1_000 + ELECTION - 1, None),
+            ("c", vote, 1_000 + ELECTION, True),
+            ("c", handed, 2_000, True),
+            ("z", handed, 2_000, None),
+        ):
             for learns in (False, True):  # of the later term, from elsewhere, before it is asked
                 node = self.node()
                 node.receive("b", codec.Append(1, 1, 0, 0, 0, []), 1_000)
@@ -451,9 +470,14 @@
         node = self.led(learners="d")
         self.hears(node, ELECTION)
         for voters, learners, why in (
-                ("abcd", "", "not heard"), ("abce", "d", "learner first"), ("ab", "", "2 would"),
-                ("abc", "d", "0 would"), ("", "d", "no voters"), ("cba", "d", "sorted"),
-                ("abc", "cd", "not both")):
+            ("abcd", "", "not heard"),
+            ("abce", "d", "learner first"),
+            ("ab", "", "2 would"),
+            ("abc", "d", "0 would"),
+            ("", "d", "no voters"),
+            ("cba", "d", "sorted"),
+            ("abc", "cd", "not both"),
+        ):
             with self.subTest(why):
                 members = Members(tuple(voters), tuple(learners))
                 self.assertRaisesRegex(ValueError, why, node.change, members, ELECTION)
@@ -506,10 +530,12 @@
         self.assertEqual(node.members, Members(tuple("abc")))
 
     def test_wrong_frames(self) -> None:
-        for frame in (codec.Append(1, 1, 0, 0, 0, [Entry(2, 0, b"")]),
-                      codec.Append(1, 1, 0, 0, 0, [Entry(1, Kind.MEMBERS, b"?")]),
-                      codec.Append(1, 1, 0, 5, 0, []),
-                      codec.Install(1, 1, 5, 1, Members(()), 1, 0, 0, b"ab")):
+        for frame in (
+            codec.Append(1, 1, 0, 0, 0, [Entry(2, 0, b"")]),
+            codec.Append(1, 1, 0, 0, 0, [Entry(1, Kind.MEMBERS, b"?")]),
+            codec.Append(1, 1, 0, 5, 0, []),
+            codec.Install(1, 1, 5, 1, Members(()), 1, 0, 0, b"ab"),
+        ):
             self.assertRaises(frames.BrokenError, self.node().receive, "b", frame, 0)
         node = self.node()
         node.receive("b", codec.Append(1, 1, 0, 0, 0, []), 0)
@@ -587,8 +613,10 @@
         self.refused("another process")
         self.assertRaisesRegex(UnusableError, "already", Storage.found, self.path, "k", Members(()))
         found = file.load()
-        self.assertEqual((found.name, found.term, found.voted_for, len(found.entries), found.snapshot.index),
-                         ("k1/1", 3, "k2/1", 30, 20))
+        self.assertEqual(
+            (found.name, found.term, found.voted_for, len(found.entries), found.snapshot.index),
+            ("k1/1", 3, "k2/1", 30, 20),
+        )
         file._base.execute("PRAGMA max_page_count = 1")
         big = [Entry(3, Kind.DATA, b"x" * 100_000)] * 9
         self.assertRaisesRegex(OSError, "full", file.write, Keep(4, None, None, 30, 30, big))
@@ -603,15 +631,20 @@
         with open(self.path, "rb") as file:
             whole = file.read()
         for change, why in (
-                ("UPDATE entries SET data = x'00' WHERE at = 30", "entry 30"),
-                ("UPDATE entries SET term = 2 WHERE at = 30", "entry 30"),
-                ("DELETE FROM entries WHERE at = 30", "where 30"),
-                ("DELETE FROM entries WHERE at = 21", "where 21"),
-                ("UPDATE snapshot SET data = x'00'", "snapshot"), ("DELETE FROM snapshot", "snapshot"),
-                ("UPDATE meta SET term = 2", "term and vote"), ("UPDATE meta SET voted_for = NULL", "vote"),
-                ("DELETE FROM meta", "vote"), ("DROP TABLE entries", "no such table"),
-                ("PRAGMA user_version = 2", "format 2"), ("PRAGMA user_version = 0", "format 0"),
-                ("PRAGMA application_id = 5", "not a keeper's")):
+            ("UPDATE entries SET data = x'00' WHERE at = 30", "entry 30"),
+            ("UPDATE entries SET term = 2 WHERE at = 30", "entry 30"),
+            ("DELETE FROM entries WHERE at = 30", "where 30"),
+            ("DELETE FROM entries WHERE at = 21", "where 21"),
+            ("UPDATE snapshot SET data = x'00'", "snapshot"),
+            ("DELETE FROM snapshot", "snapshot"),
+            ("UPDATE meta SET term = 2", "term and vote"),
+            ("UPDATE meta SET voted_for = NULL", "vote"),
+            ("DELETE FROM meta", "vote"),
+            ("DROP TABLE entries", "no such table"),
+            ("PRAGMA user_version = 2", "format 2"),
+            ("PRAGMA user_version = 0", "format 0"),
+            ("PRAGMA application_id = 5", "not a keeper's"),
+        ):
             with self.subTest(change):
                 with open(self.path, "wb") as file:
                     file.write(whole)
@@ -626,16 +659,26 @@
         self.fill()
         with open(self.path, "rb") as file:
             whole = file.read()
-        for torn in (b"", whole[:100], whole[:4096], whole[:-4096], whole[:-1000], b"\0" * len(whole),
-                     *(whole[:at] + bytes(512) + whole[at + 512:] for at in range(0, len(whole), 512)
-                       if any(whole[at:at + 512]) and at < 4096)):
+        for torn in (
+            b"",
+            whole[:100],
+            whole[:4096],
+            whole[:-4096],
+            whole[:-1000],
+            b"\0" * len(whole),
+            *(
+                whole[:at] + bytes(512) + whole[at + 512 :]
+                for at in range(0, len(whole), 512)
+                if any(whole[at : at + 512]) and at < 4096
+            ),
+        ):
             with open(self.path, "wb") as file:
                 file.write(torn)
             self.refused("")
         # Any single byte of what a row holds: told, or the same as before.
         for at in range(0, len(whole), 611):
             with open(self.path, "wb") as file:
-                file.write(whole[:at] + bytes([whole[at] ^ 0x55]) + whole[at + 1:])
+                file.write(whole[:at] + bytes([whole[at] ^ 0x55]) + whole[at + 1 :])
             try:
                 file = Storage(self.path)
                 found = file.load()
@@ -670,12 +713,14 @@
             self.assertTrue(all("a" in members.voters for _, members in c._log._changes))
 
     def test_killed_while_it_writes(self) -> None:
-        code = ("import sys; from cresstray.consensus.storage import *\n"
-                "file = Storage(sys.argv[1]); at = len(file.load().entries)\n"
-                "while True:\n"
-                "    file.write(Keep(at + 1, None, None, None, at + 2, [Entry(1, 1, b'x' * 3000)] * 3))\n"
-                "    at += 3\n"
-                "    print(at, flush=True)\n")
+        code = (
+            "import sys; from cresstray.consensus.storage import *\n"
+            "file = Storage(sys.argv[1]); at = len(file.load().entries)\n"
+            "while True:\n"
+            "    file.write(Keep(at + 1, None, None, None, at + 2, [Entry(1, 1, b'x' * 3000)] * 3))\n"
+            "    at += 3\n"
+            "    print(at, flush=True)\n"
+        )
         for lines in (1, 7, 20):
             child = subprocess.Popen([sys.executable, "-c", code, self.path], stdout=subprocess.PIPE)
             told = [child.stdout.readline() for _ in range(lines)]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -14,14 +14,20 @@
 class Decisions(TraceCase):
     def test_gradient_window(self) -> None:
         limiter, lines = Limiter(8, 2, Signs()), []
-        plan = [("warmup, nine samples", [1.0] * 9, False), ("first average only holds", [1.0] * 4, False),
-                ("steady adds one", [1.0] * 4, False), ("far below adds two", [0.5] * 4, False),
-                ("capped below twice the start", [0.5] * 4, False),
-                ("risen cuts in proportion", [1.5] * 4, False),
-                ("far risen cuts by half at most", [9.0] * 4, False),
-                ("a failure halves, once", [1.0] * 4, True),
-                ("a failure with no sample", [], True), ("nothing seen, nothing moved", [], False),
-                ("floored at a tenth", [], True), ("floored at a tenth", [], True)]
+        plan = [
+            ("warmup, nine samples", [1.0] * 9, False),
+            ("first average only holds", [1.0] * 4, False),
+            ("steady adds one", [1.0] * 4, False),
+            ("far below adds two", [0.5] * 4, False),
+            ("capped below twice the start", [0.5] * 4, False),
+            ("risen cuts in proportion", [1.5] * 4, False),
+            ("far risen cuts by half at most", [9.0] * 4, False),
+            ("a failure halves, once", [1.0] * 4, True),
+            ("a failure with no sample", [], True),
+            ("nothing seen, nothing moved", [], False),
+            ("floored at a tenth", [], True),
+            ("floored at a tenth", [], True),
+        ]
         for text, samples, failed in plan:
             for ratio in samples:
                 limiter.sample(ratio)
@@ -115,8 +121,12 @@
         for number, engine in enumerate(desk.engines):
             report = {"concurrent": 1.0 if number == 5 else 5.0}
             desk.gateway.probed(engine, Ending.FULFILLED, report, desk.now)
-        lines.append("seldom heard of: " + ", ".join(
-            str(desk.engines.index(desk.gateway._choose(desk.submit("one"), desk.now))) for _ in range(6)))
+        lines.append(
+            "seldom heard of: "
+            + ", ".join(
+                str(desk.engines.index(desk.gateway._choose(desk.submit("one"), desk.now))) for _ in range(6)
+            )
+        )
         doubted = desk.engines[3].limiter
         for engine in desk.engines:
             engine.limiter.limit, engine.limiter.full_until = 0.0, desk.now + WINDOW
@@ -125,8 +135,10 @@
             waits = desk.submit("two")
             for at, text in ((desk.now, "it can wait"), (waits.leave_by, "it can't")):
                 chosen = desk.gateway._choose(waits, at)
-                lines.append(f"the rest full, one {'silent' if doubted.mute else 'failing'}, {text}: "
-                             f"{chosen and desk.engines.index(chosen)}")
+                lines.append(
+                    f"the rest full, one {'silent' if doubted.mute else 'failing'}, {text}: "
+                    f"{chosen and desk.engines.index(chosen)}"
+                )
         self.check("choices", lines)
 
     def test_what_waits_is_not_given_to_an_engine_that_fails(self) -> None:
@@ -160,8 +172,10 @@
                     if submission.relay:  # else held: the only engine is in doubt
                         desk.back(submission, Ending.FULFILLED if number < good else ending)
                 limiter = desk.engines[0].limiter
-                lines.append(f"up to 3 {ending.value} behind {good} good: cut {limiter.failed}, doubted "
-                             f"{limiter.doubted}, silent {limiter.mute}")
+                lines.append(
+                    f"up to 3 {ending.value} behind {good} good: cut {limiter.failed}, doubted "
+                    f"{limiter.doubted}, silent {limiter.mute}"
+                )
         self.check("links_of_late", lines)
 
     def test_failing_engine_gone_silent(self) -> None:
@@ -175,16 +189,22 @@
     def test_malformed_frames(self) -> None:
         def frame(count: int, body: bytes) -> bytes:
             return wire.HEADER.pack(wire.HEADER.size + len(body), 1000.0, count) + body
+
         on = struct.pack("<BI", wire.ON, 3)
-        odd = {"empty batch": frame(0, b""), "ends within its length": b"\x10\x00",
-               "ends within its body": frame(1, on)[:-2], "length below a header": struct.pack("<I", 3),
-               "unknown event": frame(2, on + b"\xc8"),
-               "event cut short": frame(2, on + bytes([wire.ALARM, 1])),
-               "fewer records than counted": frame(2, on), "more bytes than records": frame(1, on + b"\x00"),
-               "event before any on": frame(1, struct.pack("<BI", wire.CLIENT_GONE, 1)),
-               "unknown list": frame(2, on + struct.pack("<BBIH", wire.MEMBERS, 1, 1, 9)),
-               "instance never created": frame(2, on + struct.pack("<BI", wire.CLIENT_GONE, 1)),
-               "failing decisions": frame(2, on + struct.pack("<BQI", wire.CREATE, 1, 2) + b"[]")}
+        odd = {
+            "empty batch": frame(0, b""),
+            "ends within its length": b"\x10\x00",
+            "ends within its body": frame(1, on)[:-2],
+            "length below a header": struct.pack("<I", 3),
+            "unknown event": frame(2, on + b"\xc8"),
+            "event cut short": frame(2, on + bytes([wire.ALARM, 1])),
+            "fewer records than counted": frame(2, on),
+            "more bytes than records": frame(1, on + b"\x00"),
+            "event before any on": frame(1, struct.pack("<BI", wire.CLIENT_GONE, 1)),
+            "unknown list": frame(2, on + struct.pack("<BBIH", wire.MEMBERS, 1, 1, 9)),
+            "instance never created": frame(2, on + struct.pack("<BI", wire.CLIENT_GONE, 1)),
+            "failing decisions": frame(2, on + struct.pack("<BQI", wire.CREATE, 1, 2) + b"[]"),
+        }
         lines = []
         for name, raw in odd.items():
             out, err = io.BytesIO(), io.StringIO()
@@ -193,12 +213,13 @@
             said = err.getvalue().strip()
             lines.append(f"{name}: exit {code}, {len(out.getvalue())} bytes answered, {said}")
             if len(out.getvalue()) > 8:
-                lines.append(f"    {out.getvalue()[13 + 3:].decode()}")
+                lines.append(f"    {out.getvalue()[13 + 3 :].decode()}")
         self.check("malformed", lines)
 
     def test_out_of_the_way_of_loads(self) -> None:
-        desk = Desk(settings(FamilyInfo={"Loads": [False, True], "WaitsForLoads": [True, False],
-                                         "TellsEvery": 500.0}))
+        desk = Desk(
+            settings(FamilyInfo={"Loads": [False, True], "WaitsForLoads": [True, False], "TellsEvery": 500.0})
+        )
         desk.submit("load of set 7", 1, left=9000, data_set=7)
         for number in range(3):
             desk.submit(f"of set 7, {number}", data_set=7)
@@ -237,9 +258,16 @@
     def test_signs_of_pressure(self) -> None:
         desk, lines = Desk(settings(), engines=1), []
         limiter = desk.engines[0].limiter
-        for report in ({"concurrent": 7.0}, {"concurrent": 7.0, "load_share": 0.5}, {"load_share": 0.95},
-                       {"concurrent": 7.0, "load_share": 0.95}, {"concurrent": 9.0, "load_share": 0.5},
-                       {"x0": 1.3}, {"x0": 1.1}, {"depth": 2.0}):
+        for report in (
+            {"concurrent": 7.0},
+            {"concurrent": 7.0, "load_share": 0.5},
+            {"load_share": 0.95},
+            {"concurrent": 7.0, "load_share": 0.95},
+            {"concurrent": 9.0, "load_share": 0.5},
+            {"x0": 1.3},
+            {"x0": 1.1},
+            {"depth": 2.0},
+        ):
             limiter.signs.at = desk.gateway.fleet.at = 0
             desk.gateway.probed(desk.engines[0], Ending.FULFILLED, report, desk.now)
             lines.append(f"{report}: pressed {limiter.pressed(desk.now)}")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -37,8 +37,9 @@
                     desk.submit(f"s{second}.{number}", left=60_000, estimate=100_000)
                     desk.run(50)
             limits = sum(engine.limiter.limit for engine in desk.engines)
-            lines.append(f"{gateways} gateways, none answered for 6 s: {out(desk)} threads out, "
-                         f"limits {limits:.1f}")
+            lines.append(
+                f"{gateways} gateways, none answered for 6 s: {out(desk)} threads out, limits {limits:.1f}"
+            )
         self.check("fleet_limits", lines)
 
     def test_links_to_a_thousand_engines_keep_within_the_quota(self) -> None:
@@ -54,8 +55,20 @@
 
         up: list[Link] = []
         quota, timers, lines = Quota(64, 200), Timers(Clock()), []
-        pools = [Pool(f"engine {number}", ("127.0.0.1", 1), {}, quota, Tasks(), timers, Clock().now,
-                      Counters(), Log("n0", Clock())) for number in range(1024)]
+        pools = [
+            Pool(
+                f"engine {number}",
+                ("127.0.0.1", 1),
+                {},
+                quota,
+                Tasks(),
+                timers,
+                Clock().now,
+                Counters(),
+                Log("n0", Clock()),
+            )
+            for number in range(1024)
+        ]
         busy = [Exchange(b"%d" % number, b"", None, None) for number in range(50)]
         for number, pool in enumerate(pools):
             exchange = busy[number] if number < len(busy) else Exchange(b"short", b"", None, None)
@@ -66,18 +79,31 @@
                 up.remove(link)  # its task has run
                 link.pool.removed(link)
             if number in (49, 199, 200, 1023):
-                lines.append(f"{number + 1} engines asked: {quota.used} links, {len(quota.idle)} idle, "
-                             f"{sum(bool(one.life.open) for one in up)} with work")
+                lines.append(
+                    f"{number + 1} engines asked: {quota.used} links, {len(quota.idle)} idle, "
+                    f"{sum(bool(one.life.open) for one in up)} with work"
+                )
         kept = sum(bool(pool.links) for pool in pools[-150:])
         lines.append(f"of the last 150 engines {kept} still have theirs")
         self.check("fleet_links", lines)
 
-    def starve(self, given: dict, engines: int, tariffs: tuple[int, ...], answer: int, seconds: int = 60,
-               pause: int = 100) -> str:
+    def starve(
+        self,
+        given: dict,
+        engines: int,
+        tariffs: tuple[int, ...],
+        answer: int,
+        seconds: int = 60,
+        pause: int = 100,
+    ) -> str:
         """What each tariff gets on busy engines: each asks every `pause` ms, answers take `answer` ms."""
         desk = Desk(given, engines=engines)
-        desk.list({engine: {"zone": number % 2, "machine": number % 2}
-                   for number, engine in enumerate(desk.engines)})
+        desk.list(
+            {
+                engine: {"zone": number % 2, "machine": number % 2}
+                for number, engine in enumerate(desk.engines)
+            }
+        )
         made: list[list] = [[] for _ in desk.gateway.tariffs]
         for tariff in desk.gateway.tariffs:
             tariff.usual.seen, tariff.usual.mean = 200, answer * 1000 * (1 + 9 * (tariff.index > 0))
@@ -96,32 +122,50 @@
         return ", ".join(parts) + " relayed"
 
     def test_no_tariff_is_passed_over_for_good(self) -> None:
-        plain = {"Effect": "idempotent", "GoalTime": 400.0, "AimStretch": 2.0, "GiveUp": 60000.0,
-                 "Worth": 1.0}
-        kinds = {"wide and long": plain | {"GoalTime": 2000.0},
-                 "worth little": plain | {"Worth": 0.01, "GoalTime": 2000.0},
-                 "unrepeatable": plain | {"Effect": "at_most_once", "GoalTime": 2000.0},
-                 "of one zone": plain | {"StaysIn": [1], "GoalTime": 2000.0},
-                 "of one kind of machine": plain | {"FlavorsOpen": [1], "GoalTime": 2000.0}}
+        plain = {
+            "Effect": "idempotent",
+            "GoalTime": 400.0,
+            "AimStretch": 2.0,
+            "GiveUp": 60000.0,
+            "Worth": 1.0,
+        }
+        kinds = {
+            "wide and long": plain | {"GoalTime": 2000.0},
+            "worth little": plain | {"Worth": 0.01, "GoalTime": 2000.0},
+            "unrepeatable": plain | {"Effect": "at_most_once", "GoalTime": 2000.0},
+            "of one zone": plain | {"StaysIn": [1], "GoalTime": 2000.0},
+            "of one kind of machine": plain | {"FlavorsOpen": [1], "GoalTime": 2000.0},
+        }
         lines = []
         for name, kind in kinds.items():
             for gateways in (4, 200):
                 given = settings(plain, kind, Balancers=gateways)
-                lines.append(f"{name}, {gateways} gateways: light, then this: "
-                             + self.starve(given, 20, (0, 1), 200))
+                lines.append(
+                    f"{name}, {gateways} gateways: light, then this: " + self.starve(given, 20, (0, 1), 200)
+                )
         self.check("fleet_starved", lines)
 
     def test_long_work_is_not_shut_out_as_answers_slow_down(self) -> None:
         given = settings(Balancers=200)
-        self.check("fleet_long", [f"light answers take {answer} ms, heavy ten times as long: heavy, "
-                                  + self.starve(given, 10, (1,), answer, pause=2000)
-                                  for answer in (20, 100, 500)])
+        self.check(
+            "fleet_long",
+            [
+                f"light answers take {answer} ms, heavy ten times as long: heavy, "
+                + self.starve(given, 10, (1,), answer, pause=2000)
+                for answer in (20, 100, 500)
+            ],
+        )
 
     def test_a_thousand_engines_at_the_start_and_by_events(self) -> None:
         """In five zones of which the settings name one, for one of 1,024 gateways; all listen at one port."""
+
         async def main() -> None:
-            engine, given = EngineStandIn("engine"), settings(
-                Balancers=1024, Zone=0, Localities=["here"], Flavors=["std"], Tenants=[{"Name": "acme"}])
+            engine, given = (
+                EngineStandIn("engine"),
+                settings(
+                    Balancers=1024, Zone=0, Localities=["here"], Flavors=["std"], Tenants=[{"Name": "acme"}]
+                ),
+            )
             for name, service in zip(("lookup", "report"), given["Services"]):
                 service["Name"] = name
             async with anyio.create_task_group() as tasks:
@@ -141,13 +185,16 @@
                                 await client.ask(client.names + 1, f"plain {number}")
                                 await client.hear()
                             zones = len({one.zone for one in gateway.ready})
-                            lines.append(f"{text}: {len(gateway.ready)} ready in {zones} zones, "
-                                         f"{len(service._route._pools)} pools, "
-                                         f"{service.counters.counts['submissions fulfilled']} fulfilled")
+                            lines.append(
+                                f"{text}: {len(gateway.ready)} ready in {zones} zones, "
+                                f"{len(service._route._pools)} pools, "
+                                f"{service.counters.counts['submissions fulfilled']} fulfilled"
+                            )
 
                         await look("at the start")
-                        coordinator.tell(*(Listed(number, engine.port, zone=number % 5)
-                                           for number in range(2001, 3025)))
+                        coordinator.tell(
+                            *(Listed(number, engine.port, zone=number % 5) for number in range(2001, 3025))
+                        )
                         while len(gateway.ready) < 2048:
                             await anyio.sleep(0.01)
                         await look("as many more")
--- a/tests/test_fleet_attack.py
+++ b/tests/test_fleet_attack.py
@@ -45,10 +45,16 @@
         told = await case.operator.ask(Ask("where"), 5)
         if told is None:
             return [*wrong, f"step {turn}: no keeper knows of leases"]
-        wrong += [f"step {turn}: {one}" for one in told["gateways"]
-                  if one["age_us"] is None or one["age_us"] > 1_500_000]
-        asked = [one for one in case.fleet.account.asked.values()
-                 if one.gateway in names and since < one.asked < anyio.current_time() - 1]
+        wrong += [
+            f"step {turn}: {one}"
+            for one in told["gateways"]
+            if one["age_us"] is None or one["age_us"] > 1_500_000
+        ]
+        asked = [
+            one
+            for one in case.fleet.account.asked.values()
+            if one.gateway in names and since < one.asked < anyio.current_time() - 1
+        ]
         late = [one for one in asked if not one.in_time()]
         wrong += [f"step {turn}: {len(late)} of {len(asked)} were late"] * (len(late) > 0.05 * len(asked))
         wrong += [f"step {turn}: another leads"] * (await case.leader() != leader)
@@ -116,6 +122,7 @@
 
     def test_a_leader_whose_words_are_lost_hears_all(self) -> None:
         """It hears both keepers and gateways; they don't hear it, nor that its links have ended."""
+
         async def script(case: Case) -> None:
             leader = await case.leader()
             case.mesh.silence(leader, hears=False, lost=True)
@@ -130,6 +137,7 @@
 
     def test_members_change_while_the_keepers_are_split(self) -> None:
         """A disk is lost on the greater side, and replaced there, while the leader of before is alone."""
+
         async def script(case: Case) -> None:
             leader, others = await case.leader(), await case.others()
             lost, few = others[0], case.another("few")
@@ -222,10 +230,13 @@
 
     variants = {
         "reservation forgotten at a crash": (
-            "test_reservations_are_kept_over_a_crash", _reservations_in_memory),
+            "test_reservations_are_kept_over_a_crash",
+            _reservations_in_memory,
+        ),
         "a position beyond the head believed": (
             "test_position_beyond_the_head_is_not_believed",
-            lambda: broken(Carrier, "_near", "if claim > copy.head:", "if False:")),
+            lambda: broken(Carrier, "_near", "if claim > copy.head:", "if False:"),
+        ),
     }
 
     def test_variants_of_moves(self) -> None:
@@ -246,8 +257,12 @@
         async def script(case: Case) -> None:
             names = {name: Gateway() for name in ("g1", *crowd.names(230))}
             case.fleet.crowd.start()
-            made = await case.operator.change(lambda old: msgspec.structs.replace(
-                old, gateways=Gateways(dict(sorted(names.items())), floor=len(names))), 5)
+            made = await case.operator.change(
+                lambda old: msgspec.structs.replace(
+                    old, gateways=Gateways(dict(sorted(names.items())), floor=len(names))
+                ),
+                5,
+            )
             self.assertIsNotNone(await case.watch.until(2 * made.version, 10))
 
             async def leases() -> int:
--- a/tests/test_fleet_joined.py
+++ b/tests/test_fleet_joined.py
@@ -124,8 +124,11 @@
             latest = world.state.latest
             items = {"a2": documents.EngineRule(barred=True)} if barred else {}
             new = msgspec.structs.replace(latest, engines=documents.Engines(items))
-            world.leader.append(rules.propose(f"bar {barred}", {"engines": latest.version("engines")},
-                                              documents.delta(latest, new), ""))
+            world.leader.append(
+                rules.propose(
+                    f"bar {barred}", {"engines": latest.version("engines")}, documents.delta(latest, new), ""
+                )
+            )
 
         bar(True)
         world.until(24 * SECOND)
@@ -143,6 +146,7 @@
 class Broken(unittest.TestCase):
     def caught(self, wrong: str, patch: object, worse: Callable[[World], None] | None = None) -> None:
         """By this property and no other; not broken, the same world is well."""
+
         def made() -> World:
             world = World(self.seed)
             if worse is not None:
@@ -170,9 +174,18 @@
             if moves.has_moved(move, shard):
                 self._enter(index, move, Event.SWITCH)
             else:
-                self._want(index, move, msgspec.structs.replace(
-                    shard, primary=move.target, epoch=shard.epoch + 1, copies=carrier._replaced(
-                        shard.copies, move), reads=carrier._replaced(shard.reads, move)), "")
+                self._want(
+                    index,
+                    move,
+                    msgspec.structs.replace(
+                        shard,
+                        primary=move.target,
+                        epoch=shard.epoch + 1,
+                        copies=carrier._replaced(shard.copies, move),
+                        reads=carrier._replaced(shard.reads, move),
+                    ),
+                    "",
+                )
 
         self.caught("two histories of a shard", mock.patch.dict(Carrier._NEXT, {At.FENCED: moved}))
 
@@ -225,8 +238,13 @@
             for session in world.sessions:
                 session.shard, session.within, session.tariff = "5", 8 * SECOND, "reads"
 
-        self.caught("a session went back", mock.patch.object(
-            read, "Token", lambda shard, epoch, position: token(shard, epoch, max(0, position - 8))), worse)
+        self.caught(
+            "a session went back",
+            mock.patch.object(
+                read, "Token", lambda shard, epoch, position: token(shard, epoch, max(0, position - 8))
+            ),
+            worse,
+        )
 
     def test_lease_that_is_not_looked_at_when_acting(self) -> None:
         def ever(self: Use, now: int) -> Mode:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -45,7 +45,11 @@
             "refused though its base was in place": [("b", 0, 0.5, "2", "0", False), first],
             "an acknowledged one is gone": [first, ("b", 3, 4, "2", "0"), ("c", 5, 6, "2")],
             "two readers disagree on the order": [
-                ("a", 0, 9, "1", "0"), ("b", 1, 2, "1"), ("c", 3, 4, "0"), ("b", 5, 6, "1")],
+                ("a", 0, 9, "1", "0"),
+                ("b", 1, 2, "1"),
+                ("c", 3, 4, "0"),
+                ("b", 5, 6, "1"),
+            ],
             "a value nobody has set": [first, ("b", 3, 4, "7")],
         }
         for what, operations in bad.items():
@@ -86,9 +90,16 @@
             kinds |= {one.kind for one in made}
             for one in made:
                 if one.kind in schedule.PROCESS:
-                    self.assertFalse([other for other in made if other is not one and other.who == one.who
-                                      and other.kind in schedule.PROCESS
-                                      and one.at <= other.at <= one.until])
+                    self.assertFalse(
+                        [
+                            other
+                            for other in made
+                            if other is not one
+                            and other.who == one.who
+                            and other.kind in schedule.PROCESS
+                            and one.at <= other.at <= one.until
+                        ]
+                    )
         self.assertEqual({*schedule.PROCESS, *schedule.NETWORK}, kinds)
         self.assertGreater(overlaps, 100)
 
@@ -96,17 +107,33 @@
 class Accounts(unittest.TestCase):
     def test_a_forbidden_relay_is_counted_by_what_its_gateway_could_know(self) -> None:
         asked = {name: Asked(name, "fleet", f"g{name}", "lookup", 1, 0, 1, 1, 1, 1) for name in "01234"}
-        runs = {"0": [Run("engine 1", 10.5)], "1": [Run("engine 1", 12.5)], "2": [Run("engine 1", 12.6)],
-                "3": [Run("engine 1", 9.9), Run("engine 2", 12.5), Run("engine 1", 20.1)],
-                "4": [Run("engine 1", 12.4)]}
-        found = contradictions([Ban("engine", "engine 1", 10, 12, 20)], runs, asked, lambda one: "office",
-                               lambda gateway, at: gateway == "g2", lambda gateway, at: gateway == "g4")
+        runs = {
+            "0": [Run("engine 1", 10.5)],
+            "1": [Run("engine 1", 12.5)],
+            "2": [Run("engine 1", 12.6)],
+            "3": [Run("engine 1", 9.9), Run("engine 2", 12.5), Run("engine 1", 20.1)],
+            "4": [Run("engine 1", 12.4)],
+        }
+        found = contradictions(
+            [Ban("engine", "engine 1", 10, 12, 20)],
+            runs,
+            asked,
+            lambda one: "office",
+            lambda gateway, at: gateway == "g2",
+            lambda gateway, at: gateway == "g4",
+        )
         self.assertEqual((1, 1, 1, 1), (found.joint, found.after, found.looking, found.kept))
         self.assertAlmostEqual(2.5, found.since_joint)
         self.assertAlmostEqual(0.5, found.since_in_force)
         for what, name in (("tariff", "lookup"), ("tenant", "office")):
-            found = contradictions([Ban(what, name, 10, 12, 20)], runs, asked, lambda one: "office",
-                                   lambda gateway, at: False, lambda gateway, at: False)
+            found = contradictions(
+                [Ban(what, name, 10, 12, 20)],
+                runs,
+                asked,
+                lambda one: "office",
+                lambda gateway, at: False,
+                lambda gateway, at: False,
+            )
             self.assertEqual((1, 4), (found.joint, found.after))
 
     def test_time_without_a_commit_counts_only_while_a_majority_is_connected(self) -> None:
@@ -115,13 +142,16 @@
             majority.look(holds, now)
         self.assertEqual(4, without_commit(majority, [1, 12, 21, 22], 0, 24))
         self.assertEqual(2, without_commit(majority, [1, 12, 22], 3, 24))
-        self.assertEqual([True, False, False, True],
-                         [majority.held(*one) for one in ((4, 6), (5.5, 7), (19, 19.5), (19, 20))])
+        self.assertEqual(
+            [True, False, False, True],
+            [majority.held(*one) for one in ((4, 6), (5.5, 7), (19, 19.5), (19, 20))],
+        )
 
 
 class Networks(unittest.TestCase):
     def play(self, script) -> list[tuple[str, bytes]]:  # noqa: ANN001
         """What an echo, and who calls it over a way, have heard, in order."""
+
         async def main() -> None:
             async def echo(made, tasks) -> None:  # noqa: ANN001
                 peer = Peer(made, tasks)
@@ -248,7 +278,8 @@
 
     async def bar(self, within: float, engine: str = "engine 0") -> Changed:
         made = await self.operator.change(
-            edited("engines", self.fleet.engine_id(engine), EngineRule(True)), within)
+            edited("engines", self.fleet.engine_id(engine), EngineRule(True)), within
+        )
         assert made is not None, "no keeper took it"
         self.bans.append(["engine", engine, made.version, math.inf])
         return made
@@ -260,8 +291,12 @@
 
     async def ran(self, engine: str, since: float) -> set[str]:
         """The gateways that have sent something there since."""
-        return {self.fleet.account.asked[name].gateway for name, runs in (await self.fleet.runs()).items()
-                for run in runs if run.engine == engine and run.began > since}
+        return {
+            self.fleet.account.asked[name].gateway
+            for name, runs in (await self.fleet.runs()).items()
+            for run in runs
+            if run.engine == engine and run.began > since
+        }
 
 
 class Played(unittest.TestCase):
@@ -308,8 +343,14 @@
                             one.start()
                 await case.unbar(10)
                 runs = await fleet.runs()
-                found = contradictions([case.watch.ban(*ban) for ban in case.bans], runs, fleet.account.asked,
-                                       tenant, fleet.out, fleet.looking)
+                found = contradictions(
+                    [case.watch.ban(*ban) for ban in case.bans],
+                    runs,
+                    fleet.account.asked,
+                    tenant,
+                    fleet.out,
+                    fleet.looking,
+                )
                 await case.settled()
                 tasks.cancel_scope.cancel()
                 told.extend(found.told)
@@ -459,10 +500,20 @@
             rng, history = random.Random(5), History("0")
             self.assertNotIn("999999", old.placement.items)
             for keeper in case.ports:
-                case.tasks.start_soon(client, case.another(f"client-{keeper}"), keeper, history,
-                                      lambda: rng.uniform(0.1, 0.3), [], [])
-            await case.faults.all(schedule.drawn(5, list(case.fleet.keepers), list(case.fleet.gateways), 8.0,
-                                                 pause=0.8, disks=0))
+                case.tasks.start_soon(
+                    client,
+                    case.another(f"client-{keeper}"),
+                    keeper,
+                    history,
+                    lambda: rng.uniform(0.1, 0.3),
+                    [],
+                    [],
+                )
+            await case.faults.all(
+                schedule.drawn(
+                    5, list(case.fleet.keepers), list(case.fleet.gateways), 8.0, pause=0.8, disks=0
+                )
+            )
             await anyio.sleep(1)
             self.assertGreater(len(history.operations), 60)
             self.assertGreater(sum(one.base is not None and bool(one.done) for one in history.operations), 10)
--- a/tests/test_fleet_rules.py
+++ b/tests/test_fleet_rules.py
@@ -30,10 +30,19 @@
 from cresstray.rules.use import Mode, Use
 
 LEASE, FLOOR_LEASE, DRIFT, MOST = 2_000_000, 8_000_000, 0.01, 20
-WORLD = World(most=MOST, engines={f"s-{n}": "ab"[n % 2] for n in range(12)}, tariffs=("fast", "slow"),
-              tenants=("t0", "t1"))
-FEW = settings(derandomize=True, database=None, max_examples=150, deadline=None,
-               suppress_health_check=[HealthCheck.too_slow])
+WORLD = World(
+    most=MOST,
+    engines={f"s-{n}": "ab"[n % 2] for n in range(12)},
+    tariffs=("fast", "slow"),
+    tenants=("t0", "t1"),
+)
+FEW = settings(
+    derandomize=True,
+    database=None,
+    max_examples=150,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
 
 
 def gateways(names: str, **more: Any) -> dict[str, Any]:
@@ -45,25 +54,47 @@
 
 
 def items(names: str, **rules: Any) -> some.SearchStrategy:
-    return some.fixed_dictionaries({"items": some.dictionaries(
-        some.sampled_from(names.split()), some.fixed_dictionaries(rules), max_size=4)})
+    return some.fixed_dictionaries(
+        {
+            "items": some.dictionaries(
+                some.sampled_from(names.split()), some.fixed_dictionaries(rules), max_size=4
+            )
+        }
+    )
 
 
 PARTS = some.sampled_from([0.0, 0.25, 0.5, 1.0])
 COPIES = some.lists(some.sampled_from(["s-1", "s-2", "s-3"]), unique=True, max_size=3)
-ALL = some.builds(lambda base, count, floor, versions: tidy(parsed({
-    **base, "gateways": {**base["gateways"], "count": count, "floor": floor},
-    "versions": {"gateways": 1, **versions}})),
-    some.fixed_dictionaries({
-        "gateways": items("g1 g2 g3 g4"),
-        "engines": items("s-1 s-2 s-3", barred=some.booleans(), work=PARTS),
-        "tenants": items("t0 t1", barred=some.booleans(), share=PARTS),
-        "tariffs": items("fast slow", stopped=some.booleans(), further=PARTS),
-        "placement": items("1 2", copies=COPIES, reads=COPIES, epoch=some.integers(0, 2),
-                           primary=some.sampled_from(["", "s-1", "s-2"])),
-        "replicas": items("p q", copies=COPIES, strict=some.booleans(), until=some.integers(1, 3))}),
-    some.integers(0, 9), some.sampled_from([0, 5, 9]),
-    some.dictionaries(some.sampled_from(NAMES), some.integers(1, 9)))
+ALL = some.builds(
+    lambda base, count, floor, versions: tidy(
+        parsed(
+            {
+                **base,
+                "gateways": {**base["gateways"], "count": count, "floor": floor},
+                "versions": {"gateways": 1, **versions},
+            }
+        )
+    ),
+    some.fixed_dictionaries(
+        {
+            "gateways": items("g1 g2 g3 g4"),
+            "engines": items("s-1 s-2 s-3", barred=some.booleans(), work=PARTS),
+            "tenants": items("t0 t1", barred=some.booleans(), share=PARTS),
+            "tariffs": items("fast slow", stopped=some.booleans(), further=PARTS),
+            "placement": items(
+                "1 2",
+                copies=COPIES,
+                reads=COPIES,
+                epoch=some.integers(0, 2),
+                primary=some.sampled_from(["", "s-1", "s-2"]),
+            ),
+            "replicas": items("p q", copies=COPIES, strict=some.booleans(), until=some.integers(1, 3)),
+        }
+    ),
+    some.integers(0, 9),
+    some.sampled_from([0, 5, 9]),
+    some.dictionaries(some.sampled_from(NAMES), some.integers(1, 9)),
+)
 
 
 class Contents(unittest.TestCase):
@@ -80,8 +111,11 @@
             self.assertLessEqual(set(both.gateways.items), set(one.gateways.items))
             self.assertGreaterEqual(both.gateways.count, divisor(one.gateways))
             self.assertGreaterEqual(both.gateways.floor or 10**9, one.gateways.floor or 10**9)
-            for kind, stops, part in (("engines", "barred", "work"), ("tenants", "barred", "share"),
-                                      ("tariffs", "stopped", "further")):
+            for kind, stops, part in (
+                ("engines", "barred", "work"),
+                ("tenants", "barred", "share"),
+                ("tariffs", "stopped", "further"),
+            ):
                 for name, rule in getattr(one, kind).items.items():
                     found = getattr(both, kind).items[name]
                     self.assertGreaterEqual(getattr(found, stops), getattr(rule, stops))
@@ -124,36 +158,77 @@
         self.assertEqual(before, state.dump())
 
     def test_what_an_operator_wrote_wrongly_is_named(self) -> None:
-        for wrong, word in (({"engine": {}}, "engine"),
-                            ({"engines": {"items": {"s-1": {"bared": True}}}}, "bared"),
-                            ({"tariffs": {"items": {"fast": {"further": 1.5}}}}, "further"),
-                            ({"gateways": {"items": {"a b": {}}}}, "gateways"),
-                            ({"versions": {"engine": 1}}, "engine"), ({"engines": {"items": []}}, "engines")):
+        for wrong, word in (
+            ({"engine": {}}, "engine"),
+            ({"engines": {"items": {"s-1": {"bared": True}}}}, "bared"),
+            ({"tariffs": {"items": {"fast": {"further": 1.5}}}}, "further"),
+            ({"gateways": {"items": {"a b": {}}}}, "gateways"),
+            ({"versions": {"engine": 1}}, "engine"),
+            ({"engines": {"items": []}}, "engines"),
+        ):
             with self.assertRaisesRegex(ValueError, word):
                 parsed(wrong)
 
     def test_all_refusals_come_in_one_answer(self) -> None:
-        old = parsed({"gateways": gateways("g1 g2"), "placement": {"items": {
-            "1": {"copies": ["s-1", "s-2"], "primary": "s-1", "epoch": 4},
-            "2": {"copies": ["s-1"], "primary": "s-1", "epoch": 4}}}})
+        old = parsed(
+            {
+                "gateways": gateways("g1 g2"),
+                "placement": {
+                    "items": {
+                        "1": {"copies": ["s-1", "s-2"], "primary": "s-1", "epoch": 4},
+                        "2": {"copies": ["s-1"], "primary": "s-1", "epoch": 4},
+                    }
+                },
+            }
+        )
         new = amended(
-            old, gateways=gateways("g1 g2 g3", count=2, floor=1),
-            engines={"items": {"s-0": {"barred": True}, "s-2": {"barred": True}, "s-4": {"work": 0.0},
-                               "s-99": {}}},
-            tenants={"items": {"nobody": {}}}, tariffs={"items": {"none": {}}},
-            placement={"items": {"1": {"copies": ["s-1", "s-1"], "primary": "s-3", "epoch": 3,
-                                       "reads": ["s-2"]},
-                                 "2": {"copies": ["s-2"], "primary": "s-2", "epoch": 4},
-                                 "3": {"copies": [], "epoch": 0}, "4": {"copies": ["s-98"]}}},
-            replicas={"items": {"p'": {}, "q": {"tariff": "none", "tenant": "nobody", "copies": ["s-9"],
-                                               "zone": "c", "until": 1}}})
+            old,
+            gateways=gateways("g1 g2 g3", count=2, floor=1),
+            engines={
+                "items": {"s-0": {"barred": True}, "s-2": {"barred": True}, "s-4": {"work": 0.0}, "s-99": {}}
+            },
+            tenants={"items": {"nobody": {}}},
+            tariffs={"items": {"none": {}}},
+            placement={
+                "items": {
+                    "1": {"copies": ["s-1", "s-1"], "primary": "s-3", "epoch": 3, "reads": ["s-2"]},
+                    "2": {"copies": ["s-2"], "primary": "s-2", "epoch": 4},
+                    "3": {"copies": [], "epoch": 0},
+                    "4": {"copies": ["s-98"]},
+                }
+            },
+            replicas={
+                "items": {
+                    "p'": {},
+                    "q": {"tariff": "none", "tenant": "nobody", "copies": ["s-9"], "zone": "c", "until": 1},
+                }
+            },
+        )
         told = checked(old, new, WORLD)
-        for words in ("count 2", "floor 1", "'s-99'", "3 of 6 barred in zone 'a', 2 may", "tenants: ",
-                      "tariffs: ", "shard 1: 2 copies", "shard 1: its primary", "shard 1: s-2 is to be",
-                      "shard 1: epoch 3 after 4", "shard 2: another primary", "shard 3: 0 copies", "'s-98'",
-                      "p': not a name", "p': neither", "p': either", "p': it has no end",
-                      "q: there is no tariff",
-                      "q: there is no tenant", "q: either", "q: there is no zone", "copy on s-9"):
+        for words in (
+            "count 2",
+            "floor 1",
+            "'s-99'",
+            "3 of 6 barred in zone 'a', 2 may",
+            "tenants: ",
+            "tariffs: ",
+            "shard 1: 2 copies",
+            "shard 1: its primary",
+            "shard 1: s-2 is to be",
+            "shard 1: epoch 3 after 4",
+            "shard 2: another primary",
+            "shard 3: 0 copies",
+            "'s-98'",
+            "p': not a name",
+            "p': neither",
+            "p': either",
+            "p': it has no end",
+            "q: there is no tariff",
+            "q: there is no tenant",
+            "q: either",
+            "q: there is no zone",
+            "copy on s-9",
+        ):
             self.assertEqual(1, sum(words in line for line in told), (words, told))
         self.assertEqual(22, len(told), told)
         self.assertEqual([], checked(old, old, WORLD))
@@ -167,8 +242,19 @@
 
 def changed(state: State, request: str = "", **given: Any) -> Any:
     new = amended(state.latest, **given)
-    return outcome(state.apply(1, propose(request or f"r{state.version}", dict(state.latest.versions),
-                                          delta(state.latest, new), "why", "who", WORLD)))
+    return outcome(
+        state.apply(
+            1,
+            propose(
+                request or f"r{state.version}",
+                dict(state.latest.versions),
+                delta(state.latest, new),
+                "why",
+                "who",
+                WORLD,
+            ),
+        )
+    )
 
 
 def turned(state: State, times: int = 99) -> None:
@@ -216,15 +302,16 @@
         state = named()
         contents = [state.content(0), state.latest]
         for further in (0.5, 0.25):
-            changed(state, tariffs={"items": {"fast": {"further": further}}},
-                    engines={"items": {"s-1": {}}})
+            changed(state, tariffs={"items": {"fast": {"further": further}}}, engines={"items": {"s-1": {}}})
             contents.append(state.latest)
         turned(state)
         self.assertEqual(EMPTY, contents[0])
         self.assertEqual(contents, [state.content(n) for n in range(4)])
         self.assertIsNone(state.content(4))
-        self.assertEqual([("engines", "tariffs"), ("tariffs",)],
-                         [tuple(sorted(past.documents)) for past in state.history()[1:]])
+        self.assertEqual(
+            [("engines", "tariffs"), ("tariffs",)],
+            [tuple(sorted(past.documents)) for past in state.history()[1:]],
+        )
         bases, change = state.back_to(2)
         self.assertEqual({"tariffs": 3}, bases)
         self.assertTrue(outcome(state.apply(1, propose("back", bases, change, "as before"))).accepted)
@@ -239,8 +326,11 @@
     def test_a_follower_is_led_on_from_wherever_it_is(self) -> None:
         state, at = named("g1 g2 g3"), {0: EMPTY}
         for n in range(150):
-            changed(state, tenants={"items": {"t0": {"share": n / 150}}},
-                    gateways=gateways("g1 g2 g3" if n % 2 else "g1 g2"))
+            changed(
+                state,
+                tenants={"items": {"t0": {"share": n / 150}}},
+                gateways=gateways("g1 g2 g3" if n % 2 else "g1 g2"),
+            )
             turned(state, 1)
             at[state.turn] = state.acting
             turned(state, 1)
@@ -293,8 +383,10 @@
         turned(state)
         self.assertEqual((3, {"g3"}), (state.acting.gateways.count, state.ghosts))
         self.assertEqual({"g1", "g2", "g3"}, state.gateways())
-        self.assertIn("not yet known to be out", changed(
-            state, gateways=gateways(" ".join(f"h{n}" for n in range(18)))).refused[0])
+        self.assertIn(
+            "not yet known to be out",
+            changed(state, gateways=gateways(" ".join(f"h{n}" for n in range(18)))).refused[0],
+        )
         self.assertFalse(outcome(state.apply(1, gone("g1"))).accepted)
         self.assertTrue(outcome(state.apply(1, gone("g3"))).accepted)
         self.assertFalse(outcome(state.apply(1, gone("g3"))).accepted)
@@ -312,19 +404,33 @@
 
 class Frames(unittest.TestCase):
     def test_every_frame_and_its_limits(self) -> None:
-        frames = [codec.Greet(codec.MAGIC, 1, "gateway", "north", "g1", "life", b"n" * 16),
-                  Renew(1, 2, "life", True), Granted(1, 2), Behind(1, 2), Refused(1, 2, "no"), codec.Get(3),
-                  Content(0, 2, 0, 1, b"x"), codec.Heard(b"w" * 32_768), codec.Carried("g1", True, b"f"),
-                  codec.Request(1, b"q", False), codec.Reply(1, b"a", True)]
+        frames = [
+            codec.Greet(codec.MAGIC, 1, "gateway", "north", "g1", "life", b"n" * 16),
+            Renew(1, 2, "life", True),
+            Granted(1, 2),
+            Behind(1, 2),
+            Refused(1, 2, "no"),
+            codec.Get(3),
+            Content(0, 2, 0, 1, b"x"),
+            codec.Heard(b"w" * 32_768),
+            codec.Carried("g1", True, b"f"),
+            codec.Request(1, b"q", False),
+            codec.Reply(1, b"a", True),
+        ]
         self.assertEqual(list(range(48, 59)), [one.kind for one in codec.KINDS])
         data = b"".join(map(codec.encode, frames))
         reader, found = codec.Frames(codec.KINDS), []
         for at in range(0, len(data), 7):
-            found += reader.feed(data[at:at + 7])
+            found += reader.feed(data[at : at + 7])
         self.assertEqual(frames, found)
-        for wrong in (Renew(-1, 2), Granted(2**60, 2), Content(0, 2, 0, 129, b""),
-                      Content(0, 2, 0, 1, b"x" * 131_073), codec.Heard(b"w" * 32_769),
-                      codec.Greet("m" * 129, 1, "", "", "", "")):
+        for wrong in (
+            Renew(-1, 2),
+            Granted(2**60, 2),
+            Content(0, 2, 0, 129, b""),
+            Content(0, 2, 0, 1, b"x" * 131_073),
+            codec.Heard(b"w" * 32_769),
+            codec.Greet("m" * 129, 1, "", "", "", ""),
+        ):
             with self.assertRaises(BrokenError):
                 codec.Frames(codec.KINDS).feed(codec.encode(wrong))
         body = random.Random(1).randbytes(300_000)
@@ -378,7 +484,9 @@
             "content of old": lambda: me.take(self.whole(3, "g2"), now),
             "content without it": lambda: me.take(self.whole(6, "g2"), now),
             "content of another base": lambda: me.take(self.whole(6, "g2", base=5), now),
-            "a lease later": lambda: None, "a floor lease later": lambda: None}
+            "a lease later": lambda: None,
+            "a floor lease later": lambda: None,
+        }
 
     def test_use(self) -> None:
         states, done = {row["given"] for row in TABLES["use"]}, set()
@@ -395,14 +503,16 @@
         self.assertEqual({(state, event) for state in states for event in events}, done)
 
     def happens(self, state: State, event: str) -> None:
-        {"next turn": lambda: state.apply(1, advance(state.turn + 1)),
-         "the same turn": lambda: state.apply(1, advance(state.turn)),
-         "a turn too far": lambda: state.apply(1, advance(state.turn + 2)),
-         "proposed": lambda: changed(state, tariffs={"items": {"fast": {"further": 0.5}}}),
-         "proposed again": lambda: changed(state, f"r{max(1, state.version - 1)}"),
-         "gone": lambda: state.apply(1, gone("g3")),
-         "dump and restore": lambda: state.restore(state.dump()),
-         "unreadable": lambda: state.apply(1, b"\xc1")}[event]()
+        {
+            "next turn": lambda: state.apply(1, advance(state.turn + 1)),
+            "the same turn": lambda: state.apply(1, advance(state.turn)),
+            "a turn too far": lambda: state.apply(1, advance(state.turn + 2)),
+            "proposed": lambda: changed(state, tariffs={"items": {"fast": {"further": 0.5}}}),
+            "proposed again": lambda: changed(state, f"r{max(1, state.version - 1)}"),
+            "gone": lambda: state.apply(1, gone("g3")),
+            "dump and restore": lambda: state.restore(state.dump()),
+            "unreadable": lambda: state.apply(1, b"\xc1"),
+        }[event]()
 
     def test_change(self) -> None:
         for row in TABLES["change"]:
@@ -426,10 +536,13 @@
                 state, now = named("g1 g2 g3", floor=5), 10_000_000
                 table = Leases(LEASE, FLOOR_LEASE, DRIFT)
                 table.lead(state.gateways(), now)
-                changes = {"none": {}, "joint": {"tariffs": {"items": {"fast": {"further": 0.5}}}},
-                           "floor joint": {"gateways": gateways("g1 g2 g3", floor=6)},
-                           "removing": {"gateways": gateways("g1 g2", floor=5)},
-                           "removed": {"gateways": gateways("g1 g2", floor=5)}}[row["given"]]
+                changes = {
+                    "none": {},
+                    "joint": {"tariffs": {"items": {"fast": {"further": 0.5}}}},
+                    "floor joint": {"gateways": gateways("g1 g2 g3", floor=6)},
+                    "removing": {"gateways": gateways("g1 g2", floor=5)},
+                    "removed": {"gateways": gateways("g1 g2", floor=5)},
+                }[row["given"]]
                 if changes:
                     changed(state, **changes)
                     turned(state, 2 if row["given"] == "removed" else 1)
@@ -437,8 +550,9 @@
                     table.renew(name, 1, state.turn, state, True, now)
                 turn = state.turn + row.get("turn", 0)
                 if row["event"] == "renews":
-                    frame = table.renew("g3", 1, turn, state, row.get("leads", True), now, "",
-                                        row.get("stopped", False))
+                    frame = table.renew(
+                        "g3", 1, turn, state, row.get("leads", True), now, "", row.get("stopped", False)
+                    )
                     told = f"{type(frame).__name__} {getattr(frame, 'reason', '')}".strip()
                     self.assertEqual(row["answer"], told)
                 later = {"a lease later": LEASE * 102 // 100, "a floor lease later": FLOOR_LEASE * 102 // 100}
@@ -455,15 +569,17 @@
         self.now = 5_000_000
         self.use = Use("g1", LEASE, FLOOR_LEASE, DRIFT, MOST)
         self.counters = Counters()
-        self.rules = Admission(self.use, WORLD.tenants, WORLD.tariffs, lambda engine: f"s-{engine.machine}",
-                               self.counters)
+        self.rules = Admission(
+            self.use, WORLD.tenants, WORLD.tariffs, lambda engine: f"s-{engine.machine}", self.counters
+        )
         self.engines = [Engine(machine=n) for n in range(4)]
         for engine in self.engines:
             engine.limiter = Limiter(8, 4, Signs())
 
     def hear(self, turn: int, lease: bool = True, **given: Any) -> None:
-        documents = parsed({"gateways": gateways("g1 g2 g3 g4", floor=9), "versions": {"gateways": 1},
-                            **given})
+        documents = parsed(
+            {"gateways": gateways("g1 g2 g3 g4", floor=9), "versions": {"gateways": 1}, **given}
+        )
         body = msgspec.msgpack.encode([0, turn, [delta(EMPTY, documents)]])
         self.use.take(codec.contents(0, turn, body)[0], self.now)
         self.now += LEASE // 2
@@ -471,21 +587,27 @@
         if lease:
             self.use.take(Granted(asked.number, turn), self.now)
 
-    def ask(self, tenant: int = 0, tariff: int = 0, data_set: int = 0, threads: int = 1,
-            read: Any = None) -> Submission:
+    def ask(
+        self, tenant: int = 0, tariff: int = 0, data_set: int = 0, threads: int = 1, read: Any = None
+    ) -> Submission:
         kind = Tariff(tariff, threads, 10**6, 0.0, 1.0, 0.0, True, False, "all", 0, False, None, None)
         made = Submission(kind, self.now, self.now + 10**7, tenant, data_set=data_set, expected=100_000)
         made.read = read
         return made
 
     def takers(self, submission: Submission) -> str:
-        return "".join(str(engine.machine) for engine in self.engines
-                       if self.rules.takes(submission, engine, self.now))
+        return "".join(
+            str(engine.machine) for engine in self.engines if self.rules.takes(submission, engine, self.now)
+        )
 
     def test_stops_and_bars(self) -> None:
         self.assertEqual((20, True), (self.rules.gateways(self.now), self.rules.admits(self.ask(), self.now)))
-        self.hear(2, tariffs={"items": {"slow": {"stopped": True}, "fast": {"further": 0.5}}},
-                  tenants={"items": {"t1": {"barred": True}}}, engines={"items": {"s-2": {"barred": True}}})
+        self.hear(
+            2,
+            tariffs={"items": {"slow": {"stopped": True}, "fast": {"further": 0.5}}},
+            tenants={"items": {"t1": {"barred": True}}},
+            engines={"items": {"s-2": {"barred": True}}},
+        )
         held = self.ask()
         self.assertEqual((4, "013"), (self.rules.gateways(self.now), self.takers(held)))
         self.assertEqual((True, 0.5), (self.rules.admits(held, self.now), self.rules.further(held, self.now)))
@@ -499,8 +621,14 @@
         self.assertEqual((0, ""), (self.rules.gateways(self.now), self.takers(held)))
         self.assertFalse(self.rules.admits(held, self.now))
         self.assertEqual(0.0, self.rules.further(held, self.now))
-        self.assertEqual({"rules: denied, tariff stopped": 1, "rules: denied, tenant barred": 1,
-                          "rules: denied, this gateway is not named": 1}, dict(self.counters.counts))
+        self.assertEqual(
+            {
+                "rules: denied, tariff stopped": 1,
+                "rules: denied, tenant barred": 1,
+                "rules: denied, this gateway is not named": 1,
+            },
+            dict(self.counters.counts),
+        )
 
     def test_placed_shards(self) -> None:
         class Read:
@@ -510,12 +638,25 @@
             def takes(self, engine: str, now: int) -> bool:
                 return engine != "s-0"
 
-        self.hear(2, placement={"items": {"7": {"copies": ["s-0", "s-1", "s-2"], "primary": "s-1", "epoch": 1,
-                                                "reads": ["s-0", "s-2"]},
-                                          "8": {"copies": ["s-1"], "epoch": 2}}})
+        self.hear(
+            2,
+            placement={
+                "items": {
+                    "7": {
+                        "copies": ["s-0", "s-1", "s-2"],
+                        "primary": "s-1",
+                        "epoch": 1,
+                        "reads": ["s-0", "s-2"],
+                    },
+                    "8": {"copies": ["s-1"], "epoch": 2},
+                }
+            },
+        )
         write, read, other = self.ask(data_set=7), self.ask(data_set=7, read=Read()), self.ask(data_set=9)
-        self.assertEqual(("1", "12", "0123", ""), (*map(self.takers, (write, read, other)), self.takers(
-            self.ask(data_set=8))))
+        self.assertEqual(
+            ("1", "12", "0123", ""),
+            (*map(self.takers, (write, read, other)), self.takers(self.ask(data_set=8))),
+        )
         self.now += LEASE
         self.assertEqual(("", "", "0123"), tuple(map(self.takers, (write, read, other))))
         admitted = [self.rules.admits(one, self.now) for one in (write, read, other)]
@@ -529,8 +670,13 @@
         self.assertFalse(self.rules.admits(self.ask(tenant=1), self.now + 900_000))
         # Alone, it has a few, and again when these are past.
         self.now += 20_000_000
-        self.assertEqual([10, 10], [sum(self.rules.admits(self.ask(), self.now + at + n) for n in range(50))
-                                    for at in (0, 6_000_000)])
+        self.assertEqual(
+            [10, 10],
+            [
+                sum(self.rules.admits(self.ask(), self.now + at + n) for n in range(50))
+                for at in (0, 6_000_000)
+            ],
+        )
 
     def test_an_engine_on_limited_work(self) -> None:
         # 64 gateways, 8 cores: a part of 0.25 of 16 threads is 4, so four of these may have one each.
@@ -540,8 +686,13 @@
             total = 0
             for n in range(64):
                 me = Use(f"g{n}", LEASE, FLOOR_LEASE, DRIFT, 99)
-                documents = parsed({"gateways": gateways(names), "versions": {"gateways": 1},
-                                    "engines": {"items": {"s-1": {"work": work}}}})
+                documents = parsed(
+                    {
+                        "gateways": gateways(names),
+                        "versions": {"gateways": 1},
+                        "engines": {"items": {"s-1": {"work": work}}},
+                    }
+                )
                 body = msgspec.msgpack.encode([0, 2, [delta(EMPTY, documents)]])
                 me.take(codec.contents(0, 2, body)[0], 1)
                 me.take(Granted(me.asks(1).number, 2), 1)
@@ -628,8 +779,9 @@
 
     def renew(self, name: str, asked: Renew) -> None:
         leads = self.now >= self.leads_from
-        answer = self.table.renew(name, asked.number, asked.turn, self.state, leads, self.clock("leader"),
-                                  asked.life, asked.stopped)
+        answer = self.table.renew(
+            name, asked.number, asked.turn, self.state, leads, self.clock("leader"), asked.life, asked.stopped
+        )
         if leads and self.table.is_out(name, self.state):
             self.state.apply(1, gone(name))
         self.send(name, lambda: self.give(self.uses[name], answer))
@@ -657,21 +809,29 @@
         names = self.names if not self.listed else self.chance.sample(self.names, self.chance.randint(1, 6))
         # Floors as low as may be: a gateway out of touch takes as much as it ever may.
         least = max(len(names), self.chance.choice([0, 0, 7]))
-        given = {"gateways": gateways(" ".join(sorted(names)), count=self.chance.choice([0, least]),
-                                      floor=self.chance.choice([0, least, least, 12]))}
+        given = {
+            "gateways": gateways(
+                " ".join(sorted(names)),
+                count=self.chance.choice([0, least]),
+                floor=self.chance.choice([0, least, least, 12]),
+            )
+        }
         # A switch of a shard's primary, and its tariff stopped and begun.
         self.epoch += 1
         copy = f"s-{self.epoch % 3}"
-        given |= {"placement": {"items": {"1": {"copies": [copy], "primary": copy, "epoch": self.epoch}}},
-                  "tariffs": {"items": {"fast": {"stopped": self.chance.random() < 0.5}}}}
+        given |= {
+            "placement": {"items": {"1": {"copies": [copy], "primary": copy, "epoch": self.epoch}}},
+            "tariffs": {"items": {"fast": {"stopped": self.chance.random() < 0.5}}},
+        }
         if changed(self.state, f"c{self.asked}", **given).accepted:
             self.accepted += 1
             self.listed = True
 
     def judge(self) -> None:
         """At this moment: what each that is awake would act by, by its own clock."""
-        held = {name: me.at(self.clock(name)) for name, me in self.uses.items()
-                if self.now >= self.asleep[name]}
+        held = {
+            name: me.at(self.clock(name)) for name, me in self.uses.items() if self.now >= self.asleep[name]
+        }
         turns = [one.turn for one in held.values() if one.mode is Mode.LEASE]
         assert not turns or max(turns) - min(turns) <= 1, (self.now, held)
         shares = sum(1 / one.gateways for one in held.values() if one.gateways)
@@ -704,12 +864,18 @@
         """Of two gateways one is cut off, then four more come in: how long until they count; its share."""
         fleet = Fleet(3)
         fleet.restless, fleet.loss = False, 0.0
-        changed(fleet.state, gateways=gateways("g0 g1", floor=2),
-                tariffs={"items": {"fast": {}}}, placement={"items": {"1": {"copies": ["s-1"]}}})
+        changed(
+            fleet.state,
+            gateways=gateways("g0 g1", floor=2),
+            tariffs={"items": {"fast": {}}},
+            placement={"items": {"1": {"copies": ["s-1"]}}},
+        )
         for _ in range(500):
             fleet.step()
-        self.assertEqual((2, [Mode.LEASE] * 2), (fleet.state.turn, [
-            fleet.uses[name].at(fleet.clock(name)).mode for name in ("g0", "g1")]))
+        self.assertEqual(
+            (2, [Mode.LEASE] * 2),
+            (fleet.state.turn, [fleet.uses[name].at(fleet.clock(name)).mode for name in ("g0", "g1")]),
+        )
         fleet.cut["g0"] = fleet.now + 20_000_000
         changed(fleet.state, gateways=gateways("g0 g1 g2 g3 g4 g5", floor=6))
         taken = 0
@@ -746,18 +912,21 @@
             me.connected(10**6)
             me.take(codec.contents(0, 2, body)[0], 10**6)
         asked = [sum(me.asks(10**6 + at) is not None for me in fleet) for at in range(0, LEASE, 10_000)]
-        seconds = [sum(asked[at:at + 10]) for at in range(len(asked) - 9)]
+        seconds = [sum(asked[at : at + 10]) for at in range(len(asked) - 9)]
         self.assertLessEqual(max(seconds), 2 * 230 * 3 // 20, "in any 100 ms, twice the rate at rest")
         self.assertGreaterEqual(sum(asked), 2 * 230)
 
     def test_two_of_one_name(self) -> None:
         state, table = named(), Leases(LEASE, FLOOR_LEASE, DRIFT)
         table.lead(state.gateways(), 0)
-        told = [type(table.renew("g1", 1, 2, state, True, now, life)).__name__
-                for now, life in ((1, "a"), (2, "b"), (LEASE, "a"), (2 * LEASE, "b"), (4 * LEASE, "b"))]
+        told = [
+            type(table.renew("g1", 1, 2, state, True, now, life)).__name__
+            for now, life in ((1, "a"), (2, "b"), (LEASE, "a"), (2 * LEASE, "b"), (4 * LEASE, "b"))
+        ]
         self.assertEqual(["Granted", "Refused", "Granted", "Refused", "Granted"], told)
-        self.assertEqual([("g1", 2, table._lease, 0), ("g2", -1, 0, -1)],
-                         list(map(tuple, table.where(state, 4 * LEASE))))
+        self.assertEqual(
+            [("g1", 2, table._lease, 0), ("g2", -1, 0, -1)], list(map(tuple, table.where(state, 4 * LEASE)))
+        )
 
     def broken(self, where: Any, name: str, made: Any) -> None:
         with patch.object(where, name, made), self.assertRaises(AssertionError, msg=name):
--- a/tests/test_fleet_shards.py
+++ b/tests/test_fleet_shards.py
@@ -40,12 +40,23 @@
     """Accounts that are wrong are found so."""
 
     def judged(self, *lines: tuple, told: tuple[Told, ...] = (), head: int = 99) -> Verdict:
-        return judged([Seen(engine, what, name, at, "17", writes, 1, position, engine == "a")
-                       for engine, what, name, at, writes, position in lines], told, 4, {"17": head})
+        return judged(
+            [
+                Seen(engine, what, name, at, "17", writes, 1, position, engine == "a")
+                for engine, what, name, at, writes, position in lines
+            ],
+            told,
+            4,
+            {"17": head},
+        )
 
     def test_going_back_and_bounds(self) -> None:
-        lines = (("a", "answered", "w", 1.0, True, 5), ("b", "answered", "r1", 1.2, False, 5),
-                 ("b", "answered", "r2", 1.4, False, 4), ("b", "answered", "r3", 1.6, False, 4))
+        lines = (
+            ("a", "answered", "w", 1.0, True, 5),
+            ("b", "answered", "r1", 1.2, False, 5),
+            ("b", "answered", "r2", 1.4, False, 4),
+            ("b", "answered", "r3", 1.6, False, 4),
+        )
         found = self.judged(*lines, told=(_read("r1"), _read("r2")))
         self.assertEqual((found.went_back, found.bound_broken, found.by_copies), (1, 0, 2))
         # Another session, or one that was handed nothing, may see less; none may miss what is older.
@@ -61,8 +72,11 @@
 
     def test_share_of_a_primary(self) -> None:
         for apart, over in ((0.06, False), (0.02, True)):  # of 20 ms each, for 0.4 of a second a second
-            lines = [(("a", what, str(number), number * apart + more, False, 1))
-                     for number in range(200) for what, more in (("took", 0.0), ("answered", 0.02))]
+            lines = [
+                (("a", what, str(number), number * apart + more, False, 1))
+                for number in range(200)
+                for what, more in (("took", 0.0), ("answered", 0.02))
+            ]
             found = self.judged(*lines, told=tuple(_read(str(number), "a") for number in range(200)))
             self.assertEqual(found.primary_over_share > 0, over)
             self.assertEqual(found.by_copies, 0)
@@ -71,8 +85,12 @@
 class Shards(unittest.TestCase):
     """Three keepers, three gateways and five engines as processes."""
 
-    def play(self, script: Callable[[ShardFleet, Operator], Awaitable[None]],
-             placed: dict[str, tuple[int, ...]] = PLACED, steps: tuple[str, ...] | None = None) -> ShardFleet:
+    def play(
+        self,
+        script: Callable[[ShardFleet, Operator], Awaitable[None]],
+        placed: dict[str, tuple[int, ...]] = PLACED,
+        steps: tuple[str, ...] | None = None,
+    ) -> ShardFleet:
         async def main() -> None:
             async with fleet.up(), anyio.create_task_group() as tasks:
                 ports = {name: one.port for name, one in fleet.keepers.items()}
@@ -89,8 +107,9 @@
                 tasks.cancel_scope.cancel()
 
         failed: list[Exception] = []
-        fleet = ShardFleet(Path(self.enterContext(tempfile.TemporaryDirectory())), placed, size=1_200_000,
-                           steps=steps)
+        fleet = ShardFleet(
+            Path(self.enterContext(tempfile.TemporaryDirectory())), placed, size=1_200_000, steps=steps
+        )
         anyio.run(main)
         if failed:
             raise failed[0]
@@ -130,8 +149,11 @@
             found = await self.closed(fleet, operator)
             self.assertEqual((found.went_back, found.bound_broken, found.lines), (0, 0, []))
             # The old primary answered until it was told; what it took is with the new one, and nothing twice.
-            writers = {one.engine for one in fleet.seen()
-                       if one.shard == "17" and one.writes and one.what == "answered"}
+            writers = {
+                one.engine
+                for one in fleet.seen()
+                if one.shard == "17" and one.writes and one.what == "answered"
+            }
             self.assertEqual(writers, {fleet.ids[2], plan.targets["17"]})
             self.assertEqual((found.twice, found.lost), (0, 0))
             ways = {asked.gateway for asked in fleet.account.asked.values() if asked.answers}
@@ -142,9 +164,11 @@
 
         self.play(script)
 
-    def one_move(self, script: Callable[[ShardFleet, Operator, Plan], Awaitable[None]],
-                 pace: str = "1") -> None:
+    def one_move(
+        self, script: Callable[[ShardFleet, Operator, Plan], Awaitable[None]], pace: str = "1"
+    ) -> None:
         """A primary's move, at a part of its pace, under sessions that are judged at the end."""
+
         async def main(fleet: ShardFleet, operator: Operator) -> None:
             for engine in fleet.ids:
                 fleet.say(engine, "FAULT", "slow", pace)
@@ -157,8 +181,9 @@
                 await anyio.sleep(0.5)
                 tasks.cancel_scope.cancel()
             found = await self.closed(fleet, operator)
-            self.assertEqual((found.went_back, found.bound_broken, found.twice, found.lost), (0,) * 4,
-                             found.lines)
+            self.assertEqual(
+                (found.went_back, found.bound_broken, found.twice, found.lost), (0,) * 4, found.lines
+            )
             self.assertEqual(copies_lost(fleet, await operator.documents(5)), [])
             self.assertEqual(plan.moves(fleet)["headroom_broken"], 0)
 
@@ -237,8 +262,11 @@
                 ended = anyio.current_time()
                 tasks.cancel_scope.cancel()
             found = await self.closed(fleet, operator)
-            reads = [one.at for one in fleet.seen()
-                     if one.engine == liar and one.shard == "17" and one.what == "took"]
+            reads = [
+                one.at
+                for one in fleet.seen()
+                if one.engine == liar and one.shard == "17" and one.what == "took"
+            ]
             self.assertGreater(sum(at < began for at in reads), 10)
             self.assertEqual(0, sum(began + 1 < at < ended for at in reads))
             late = [told for told in fleet.sessions if told.began > began + 1]
@@ -252,6 +280,7 @@
 
     def test_only_the_end_of_a_pin_is_by_the_wall_clock(self) -> None:
         """Reads are pinned to a primary; the clocks of two of three gateways jump, and one's pin is over."""
+
         async def script(fleet: ShardFleet, operator: Operator) -> None:
             primary, unix = fleet.ids[2], int(time.time())
             pin = documents.Pin(tariff="lookup", copies=(primary,), strict=True, until=unix + 40)
@@ -271,8 +300,12 @@
             self.assertEqual((found.went_back, found.bound_broken), (0, 0), found.lines)
             reads, elsewhere = Counter(), Counter()
             for one in fleet.seen():
-                if one.what == "took" and not one.writes and one.shard == "17" and (
-                        began + 0.5 < one.at < ended):
+                if (
+                    one.what == "took"
+                    and not one.writes
+                    and one.shard == "17"
+                    and (began + 0.5 < one.at < ended)
+                ):
                     gateway = fleet.account.asked[one.name].gateway
                     reads[gateway] += 1
                     elsewhere[gateway] += one.engine != primary
@@ -288,8 +321,17 @@
                 fleet.say(engine, "FAULT", "lag", "20000000")
             async with anyio.create_task_group() as tasks:
                 for number in range(30):
-                    tasks.start_soon(fleet.session, f"s{number}", "17", number + 1, 30.0, 0.3,
-                                     0.0 if number else 1.0, 0.02, ("primary", "deny")[number % 2])
+                    tasks.start_soon(
+                        fleet.session,
+                        f"s{number}",
+                        "17",
+                        number + 1,
+                        30.0,
+                        0.3,
+                        0.0 if number else 1.0,
+                        0.02,
+                        ("primary", "deny")[number % 2],
+                    )
                 await anyio.sleep(4)
                 tasks.cancel_scope.cancel()
             found = await self.closed(fleet, operator)
--- a/tests/test_fleet_virtual.py
+++ b/tests/test_fleet_virtual.py
@@ -33,6 +33,7 @@
         if ready.keep is not None and keeps(ready.keep):
             ready.keep = None
         return ready
+
     return patch.object(Node, "take", taken)
 
 
@@ -43,6 +44,7 @@
         if isinstance(frame, Granted) and frame.number in use._asked:
             use._asked[frame.number] = (now, use._asked[frame.number][1])
         take(use, frame, now)
+
     return patch.object(Use, "take", late)
 
 
@@ -60,6 +62,7 @@
     def timer(use: Use, now: int) -> Any:
         use.kept = None
         return asks(use, now)
+
     return _both(patch.object(Use, "at", kept), patch.object(Use, "asks", timer))
 
 
@@ -70,6 +73,7 @@
             for one in patches:
                 stack.enter_context(one)
             yield
+
     return entered()
 
 
@@ -81,6 +85,7 @@
         take(use, frame, now)
         if asked is not None:
             use._until = max(use._until, asked[0] + use._lease)
+
     return patch.object(Use, "take", extended)
 
 
@@ -90,6 +95,7 @@
     def both(state: State, turn: int) -> Any:
         told = advance(state, turn)
         return advance(state, turn + 1) if told.accepted and turn % 2 else told
+
     return patch.object(State, "_advance", both)
 
 
@@ -98,6 +104,7 @@
 
     def at_once(leases: Leases, gateways: Any, now: int) -> None:
         lead(leases, gateways, now - leases._floor_lease)
+
     return patch.object(Leases, "lead", at_once)
 
 
@@ -107,6 +114,7 @@
     def forgotten(state: State, data: bytes) -> None:
         restore(state, data)
         state._requests, state._request_bytes = {}, 0
+
     return patch.object(State, "restore", forgotten)
 
 
@@ -117,28 +125,34 @@
         old = log.snapshot.members
         compact(log, index, data)
         log.snapshot = log._fresh = msgspec.structs.replace(log.snapshot, members=old)
+
     return patch.object(Log, "compact", without)
 
 
 def _reads_at_once() -> Any:
     """A leader answers from what it has, and asks nobody whether it still leads."""
+
     def read(node: Node, ticket: object, now: int) -> bool:
         node._begin(now)
         if node.role is not Role.LEADER:
             return False
         node._answers.append((ticket, node.commit))
         return True
+
     return patch.object(Node, "read", read)
 
 
 def _old_name() -> Any:
     """A keeper that lost its disk comes back under its name, as one of the founders, and votes again."""
+
     def back(world: World, keeper: Any, gateway: Any, until: int) -> None:
         keeper.die()
         keeper.disk = Disk(world, keeper.disk.name, world.members_at[0])
         world.at(until, lambda: keeper.start() if not keeper.alive else None)
-    return _both(patch.dict(FAULTS, {"lost disk": back}),
-                 patch.object(World, "check_remembered", lambda *_: None))
+
+    return _both(
+        patch.dict(FAULTS, {"lost disk": back}), patch.object(World, "check_remembered", lambda *_: None)
+    )
 
 
 def history(world: World) -> History:
@@ -151,43 +165,84 @@
 LATE = {"faults": ("content lost", "late answers", "freeze gateway"), "lasts": (SECOND, 5 * SECOND)}
 FROZEN = {"faults": ("freeze gateway",)}
 ROUSED = {"faults": ("freeze keeper",), "every": SECOND, "lasts": (SECOND, 2 * SECOND)}
-MOVES = {"faults": ("some cut",), "every": 3 * SECOND // 2, "gateways": 10, "changes": half_and_all,
-         "pause": 2 * SECOND, "lasts": (3 * SECOND, 7 * SECOND)}
-REGISTER = {"faults": ("isolate keeper", "freeze keeper", "half heard", "kill keeper", "split"), "clients": 5,
-            "pause": SECOND // 4, "gateways": 3, "every": SECOND // 2}
+MOVES = {
+    "faults": ("some cut",),
+    "every": 3 * SECOND // 2,
+    "gateways": 10,
+    "changes": half_and_all,
+    "pause": 2 * SECOND,
+    "lasts": (3 * SECOND, 7 * SECOND),
+}
+REGISTER = {
+    "faults": ("isolate keeper", "freeze keeper", "half heard", "kill keeper", "split"),
+    "clients": 5,
+    "pause": SECOND // 4,
+    "gateways": 3,
+    "every": SECOND // 2,
+}
 DISKS = {"faults": ("lost disk", "isolate keeper", "split", "kill keeper"), "lasts": (100_000, SECOND)}
 # Each: what is patched, the run that shows it soonest, and the properties of which one must break.
 VARIANTS: dict[str, tuple[Callable[[], Any], dict[str, Any], tuple[str, ...]]] = {
-    "vote not synced": (lambda: _dropped(
-        lambda keep: not (keep.entries or keep.snapshot or keep.cut)), MIXED, ("synced",)),
+    "vote not synced": (
+        lambda: _dropped(lambda keep: not (keep.entries or keep.snapshot or keep.cut)),
+        MIXED,
+        ("synced",),
+    ),
     "entries not synced": (lambda: _dropped(lambda keep: bool(keep.entries)), MIXED, ("synced",)),
-    "commit by counting an old term": (lambda: broken(
-        Node, "_count", " or log.term_at(reached) != self.term", ""), MIXED, ("own-term", "one-log")),
-    "elected with an old log": (lambda: patch.object(
-        Node, "_up_to_date", lambda *_: True), CUTS, ("one-log", "acknowledged", "one-state")),
-    "votes in spite of a leader": (lambda: patch.object(
-        Node, "_keeps_to_leader", lambda *_: False), ONE_CUT, ("one-leader",)),
-    "leads while it believes so": (lambda: patch.object(
-        Node, "leads", lambda node, now: node.role is Role.LEADER), ROUSED, ("one-leader",)),
+    "commit by counting an old term": (
+        lambda: broken(Node, "_count", " or log.term_at(reached) != self.term", ""),
+        MIXED,
+        ("own-term", "one-log"),
+    ),
+    "elected with an old log": (
+        lambda: patch.object(Node, "_up_to_date", lambda *_: True),
+        CUTS,
+        ("one-log", "acknowledged", "one-state"),
+    ),
+    "votes in spite of a leader": (
+        lambda: patch.object(Node, "_keeps_to_leader", lambda *_: False),
+        ONE_CUT,
+        ("one-leader",),
+    ),
+    "leads while it believes so": (
+        lambda: patch.object(Node, "leads", lambda node, now: node.role is Role.LEADER),
+        ROUSED,
+        ("one-leader",),
+    ),
     "lease from the answer's arrival": (_from_arrival, LATE, ("turns", "contradiction")),
     "lease checked by timer alone": (_by_timer, FROZEN, ("turns", "contradiction")),
     "joint skipped": (_no_joint, MIXED, ("turns", "contradiction")),
     "new leader does not wait": (_no_wait, MIXED, ("turns", "contradiction")),
     "behind extends the lease": (_behind_extends, LATE, ("turns", "contradiction", "shares")),
-    "turn made with a holder behind": (lambda: patch.object(
-        Leases, "may_turn", lambda *_: True), MIXED, ("turns", "contradiction")),
-    "floors changed after the short lease": (lambda: patch.object(
-        State, "touches_floor", lambda _: False), MOVES, ("shares",)),
-    "a dropped gateway forgotten": (lambda: broken(
-        State, "_propose", "(latest.ghosts | dropped)", "latest.ghosts"), MOVES, ("shares",)),
+    "turn made with a holder behind": (
+        lambda: patch.object(Leases, "may_turn", lambda *_: True),
+        MIXED,
+        ("turns", "contradiction"),
+    ),
+    "floors changed after the short lease": (
+        lambda: patch.object(State, "touches_floor", lambda _: False),
+        MOVES,
+        ("shares",),
+    ),
+    "a dropped gateway forgotten": (
+        lambda: broken(State, "_propose", "(latest.ghosts | dropped)", "latest.ghosts"),
+        MOVES,
+        ("shares",),
+    ),
     "requests forgotten at a restore": (_forgets, MIXED, ("once", "one-outcome", "one-state")),
     "snapshot without members": (_no_members, MIXED, ("members",)),
-    "strictest of both taken wrongly": (lambda: patch.object(
-        strictest, "_engines", lambda old, new: new), ONE_CUT, ("strictest",)),
+    "strictest of both taken wrongly": (
+        lambda: patch.object(strictest, "_engines", lambda old, new: new),
+        ONE_CUT,
+        ("strictest",),
+    ),
     "a stranger with an old vote counted": (_old_name, DISKS, ("one-vote", "one-log", "acknowledged")),
     "read by a deposed leader": (_reads_at_once, REGISTER, ("history",)),
-    "compare-and-set forgotten": (lambda: broken(
-        State, "_propose", "if base != version:", "if False:"), REGISTER, ("history",)),
+    "compare-and-set forgotten": (
+        lambda: broken(State, "_propose", "if base != version:", "if False:"),
+        REGISTER,
+        ("history",),
+    ),
 }
 
 
