--- a/tests/test_halls.py
+++ b/tests/test_halls.py
@@ -87,11 +87,16 @@
             for name in list(world.b.links[0].open):
                 world.b.links[0].answer(name)
             world.run(80)
-            late += [errand for errand in world.a.book.open.values()
-                     if not errand.answered and errand.submission.hard_stop < world.clocks[0].now()]
+            late += [
+                errand
+                for errand in world.a.book.open.values()
+                if not errand.answered and errand.submission.hard_stop < world.clocks[0].now()
+            ]
             state = world.outward.way.health.state.value
-            lines.append(f"round trip {world.delay // 500:5} ms: state {state}, "
-                         f"{len(world.outward.ledger.open)} under way")
+            lines.append(
+                f"round trip {world.delay // 500:5} ms: state {state}, "
+                f"{len(world.outward.ledger.open)} under way"
+            )
         for _ in range(60):
             world.run(100)
             for name in list(world.b.links[0].open):
@@ -239,9 +244,23 @@
         world.run(60)
         world.cut()
         world.connect()
-        world.outward.receive(codec.encode(codec.Welcome(
-            codec.VERSION, [], "hall-b", "gb", "another life", True, [(1, State.NEVER.value)], 16, 1 << 20,
-            LEASE)), world.clocks[0].now())
+        world.outward.receive(
+            codec.encode(
+                codec.Welcome(
+                    codec.VERSION,
+                    [],
+                    "hall-b",
+                    "gb",
+                    "another life",
+                    True,
+                    [(1, State.NEVER.value)],
+                    16,
+                    1 << 20,
+                    LEASE,
+                )
+            ),
+            world.clocks[0].now(),
+        )
         self.play("halls_old_life", world)
 
     def test_further_relays_stay_in_their_window(self) -> None:
@@ -284,8 +303,10 @@
                     health.hear(health.heard + 1, due.pop(0)[1], 0, now)
                 state = health.look(now)
                 if state is not last:
-                    lines.append(f"{text}, {at} ms on: {state.value}, round trip "
-                                 f"{health.round_trip(now) // 1000} ms{', dead' if health.dead(now) else ''}")
+                    lines.append(
+                        f"{text}, {at} ms on: {state.value}, round trip "
+                        f"{health.round_trip(now) // 1000} ms{', dead' if health.dead(now) else ''}"
+                    )
                     last = state
             lines.append(f"{text}, in all {milliseconds} ms: {health.state.value}, dead {health.dead(now)}")
 
@@ -331,16 +352,25 @@
         lines = []
         good = codec.encode(codec.Beat(1, 0, 0))
         for text, data in (
-                ("no kind", b"\0\0\0\x01\x63"), ("empty", b"\0\0\0\0\x03"),
-                ("far too long", b"\x7f\0\0\0\x04"),
-                ("no msgpack", b"\0\0\0\x03\x03\xc1\xc1"), ("too few fields", b"\0\0\0\x03\x03\x91\x01"),
-                ("below nothing", b"\0\0\0\x05\x03\x93\xff\xff\xff"),
-                ("a statement that is empty", codec.encode(codec.Offer(
-                    1, 0, "0" * 16, "t", "", "", 0, 0, 1, 0, 0, 0, 0, True, b""))),
-                ("a name that is none", codec.encode(codec.Offer(
-                    1, 0, "nobody", "t", "", "", 0, 0, 1, 0, 0, 0, 0, True, b"x"))),
-                ("a mark with a comma", codec.encode(codec.Offer(
-                    1, 0, "0" * 16, "t", "", "a,w=1", 0, 0, 1, 0, 0, 0, 0, True, b"x")))):
+            ("no kind", b"\0\0\0\x01\x63"),
+            ("empty", b"\0\0\0\0\x03"),
+            ("far too long", b"\x7f\0\0\0\x04"),
+            ("no msgpack", b"\0\0\0\x03\x03\xc1\xc1"),
+            ("too few fields", b"\0\0\0\x03\x03\x91\x01"),
+            ("below nothing", b"\0\0\0\x05\x03\x93\xff\xff\xff"),
+            (
+                "a statement that is empty",
+                codec.encode(codec.Offer(1, 0, "0" * 16, "t", "", "", 0, 0, 1, 0, 0, 0, 0, True, b"")),
+            ),
+            (
+                "a name that is none",
+                codec.encode(codec.Offer(1, 0, "nobody", "t", "", "", 0, 0, 1, 0, 0, 0, 0, True, b"x")),
+            ),
+            (
+                "a mark with a comma",
+                codec.encode(codec.Offer(1, 0, "0" * 16, "t", "", "a,w=1", 0, 0, 1, 0, 0, 0, 0, True, b"x")),
+            ),
+        ):
             frames = codec.Frames()
             try:
                 lines.append(f"{text}: taken as {frames.feed(good + data)}")
@@ -348,7 +378,7 @@
                 lines.append(f"{text}: {trouble}")
         frames, found = codec.Frames(), []
         for at in range(len(good)):
-            found += frames.feed(good[at:at + 1])
+            found += frames.feed(good[at : at + 1])
         lines.append(f"in pieces: {found}")
         self.check("halls_frames", lines)
 
@@ -365,8 +395,21 @@
         silent = 0
         for step in range(steps):
             what = chance.choices(
-                ("ask", "answer", "fail", "full", "cut", "connect", "silence", "restart", "withdraw", "near",
-                 "slow"), (30, 30, 4, 4, 4, 12, 3, 1, 4, 4, 3))[0]
+                (
+                    "ask",
+                    "answer",
+                    "fail",
+                    "full",
+                    "cut",
+                    "connect",
+                    "silence",
+                    "restart",
+                    "withdraw",
+                    "near",
+                    "slow",
+                ),
+                (30, 30, 4, 4, 4, 12, 3, 1, 4, 4, 3),
+            )[0]
             links = [link for link in world.a.links + world.b.links if link.open]
             if what == "ask":
                 tariff, patience = chance.choice(list(TARIFFS)), chance.choice((700, 2500, 9000))
@@ -414,8 +457,10 @@
             self.assertEqual(1, len(answers), name)
         self.assertEqual(set(asked), set(world.answers()) | withdrawn)
         self.assertFalse(world.outward.ledger.open or world.a.book.open or world.b.book.open)
-        self.assertEqual((0, 0, 0), (world.outward.way.credit.held, world.outward.way.credit.held_size,
-                                     world.outward.way.open))
+        self.assertEqual(
+            (0, 0, 0),
+            (world.outward.way.credit.held, world.outward.way.credit.held_size, world.outward.way.open),
+        )
         return world
 
     def hold(self, world: TwoHalls, asked: dict[str, tuple[str, int]], withdrawn: set[str]) -> None:
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -46,8 +46,9 @@
         self.names = [f"k{one + 1}" for one in range(count)]
         self.ports = dict(zip(self.names, free_ports(count)))
         self.folder, self.path = Path(folder), f"{folder}/fleet.conf"
-        self.text = (f"fleet trial\n    lease 1s\n    floor-lease 5s\n{more}folder {folder}\n" + "".join(
-            f"keeper {name} 127.0.0.1:{port}\n" for name, port in self.ports.items()))
+        self.text = f"fleet trial\n    lease 1s\n    floor-lease 5s\n{more}folder {folder}\n" + "".join(
+            f"keeper {name} 127.0.0.1:{port}\n" for name, port in self.ports.items()
+        )
         Path(self.path).write_text(self.text + tls.format(name="operator"))
         self.paths = {name: f"{folder}/{name}.conf" for name in self.names}
         for name, path in self.paths.items():
@@ -67,7 +68,8 @@
                 self.processes[name] = subprocess.Popen(
                     [sys.executable, "-m", "cresstray", "keeper", self.paths[name], "--name", name],
                     stderr=log,
-                    preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (most_bytes,) * 2))
+                    preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (most_bytes,) * 2),
+                )
 
     def kill(self, name: str, how: int = signal.SIGKILL) -> int:
         self.processes[name].send_signal(how)
@@ -110,9 +112,15 @@
 
 class Fleets(unittest.TestCase):
     def followers(self, given: object, *names: str) -> list[Follower]:
-        return [Follower(given, name, Use(name, given.lease, given.floor_lease, given.drift, given.most,
-                                          life=f"{number:016x}"), Random(number).random)
-                for number, name in enumerate(names)]
+        return [
+            Follower(
+                given,
+                name,
+                Use(name, given.lease, given.floor_lease, given.drift, given.most, life=f"{number:016x}"),
+                Random(number).random,
+            )
+            for number, name in enumerate(names)
+        ]
 
     def test_a_change_through_kills(self) -> None:
         """In force with two gateways; the leader killed, the next change goes on; a lost file replaced."""
@@ -127,7 +135,8 @@
 
         async def propose(change: dict, **more: object) -> dict:
             return await anyio.to_thread.run_sync(
-                lambda: commands.propose(keepers.line(), change, seconds=10, **more))
+                lambda: commands.propose(keepers.line(), change, seconds=10, **more)
+            )
 
         async with anyio.create_task_group() as tasks:
             for one in followers:
@@ -137,8 +146,9 @@
             await until(lambda: [one.status()["mode"] for one in followers] == ["lease", "lease", "stop"])
             self.assertEqual([2, 2, 0], [one.status()["gateways"] for one in followers])
             # Asked again by the same name: once, and the same answer.
-            answer = await anyio.to_thread.run_sync(lambda: keepers.line().ask(
-                Ask("propose", "first", {}, b"\x90")))
+            answer = await anyio.to_thread.run_sync(
+                lambda: keepers.line().ask(Ask("propose", "first", {}, b"\x90"))
+            )
             self.assertEqual((True, told["version"]), (answer["accepted"], answer["version"]))
 
             leader = await anyio.to_thread.run_sync(keepers.leader)
@@ -157,7 +167,8 @@
             self.assertIn(f"{leader}/1", members["voters"])
             said: list[str] = []
             done = await anyio.to_thread.run_sync(
-                lambda: commands.replace(keepers.line(), leader, said.append, 10))
+                lambda: commands.replace(keepers.line(), leader, said.append, 10)
+            )
             members = await anyio.to_thread.run_sync(lambda: commands.ask(keepers.line(), "members"))
             self.assertNotIn(f"{leader}/1", members["voters"])
             self.assertIn(done["name"], members["voters"])
@@ -198,8 +209,9 @@
 
             change.write_text(json.dumps(listed("g0") | {"engines": {"items": {"e1": {"barred": True}}}}))
             code, told = typed("propose", str(change), "--dry-run")
-            self.assertEqual((0, "engines.items.e1: - > {\"barred\":true,\"work\":1.0}"),
-                             (code, told.splitlines()[0]))
+            self.assertEqual(
+                (0, 'engines.items.e1: - > {"barred":true,"work":1.0}'), (code, told.splitlines()[0])
+            )
             code, told = typed("propose", str(change), "--why", "a trial", "--no-wait", "--json")
             self.assertEqual((0, 1, "proposed"), (code, told["version"], told["phase"]))
             change.write_text(json.dumps({"engines": {"items": {"e1": None}}, "versions": {"engines": 0}}))
@@ -216,11 +228,14 @@
             self.assertEqual((0, 3, 1_250_000), (code, told["in_force"], told["stated_us"]))
             self.assertEqual(True, told["documents"]["engines"]["items"]["e1"]["barred"])
             code, told = typed("show", "--history", "--json")
-            self.assertEqual([["gateways", "engines"], ["engines"], ["engines"]],
-                             [past["documents"] for past in told["past"]])
+            self.assertEqual(
+                [["gateways", "engines"], ["engines"], ["engines"]],
+                [past["documents"] for past in told["past"]],
+            )
             code, told = typed("where", "--json")
-            self.assertEqual((0, [("g0", None)]), (code, [(one["gateway"], one["turn"])
-                                                          for one in told["gateways"]]))
+            self.assertEqual(
+                (0, [("g0", None)]), (code, [(one["gateway"], one["turn"]) for one in told["gateways"]])
+            )
             self.assertEqual(2, typed("members", "--replace", "k9")[0])
             self.assertIn("'k9' is no keeper of the file", said.getvalue())
             self.assertEqual(0, keepers.kill("k1", signal.SIGTERM))
@@ -237,7 +252,6 @@
             self.assertEqual(2, cli_code(["keeper", keepers.path, "--name", "k1"]))
             self.assertEqual(before + 1, len(said.getvalue().splitlines()))
 
-
     def test_a_full_disk(self) -> None:
         """What can't be synced is never answered; the keeper steps out with one line, and comes back."""
         with tempfile.TemporaryDirectory() as folder, Keepers(folder, 1) as keepers:
@@ -334,14 +348,17 @@
         """With keys: a gateway's key is no keeper's and no operator's, and none at all gets nowhere."""
         with tempfile.TemporaryDirectory() as folder, silent():
             authority.make(f"{folder}/keys", ["k1", "g0", "operator"])
-            tls = (f"tls\n    authority {folder}/keys/authority.pem\n"
-                   f"    certificate {folder}/keys/{{name}}.pem\n    key {folder}/keys/{{name}}.key\n")
+            tls = (
+                f"tls\n    authority {folder}/keys/authority.pem\n"
+                f"    certificate {folder}/keys/{{name}}.pem\n    key {folder}/keys/{{name}}.key\n"
+            )
             with Keepers(folder, 1, tls=tls) as keepers:
                 keepers.found()
                 keepers.start()
                 self.assertEqual(0, keepers.line().ask(Ask("show"))["turn"])
-                as_g0 = msgspec.structs.replace(keepers.given, tls=operator.parse(
-                    "x", keepers.text + tls.format(name="g0")).fleet.tls)
+                as_g0 = msgspec.structs.replace(
+                    keepers.given, tls=operator.parse("x", keepers.text + tls.format(name="g0")).fleet.tls
+                )
                 with self.assertRaises(commands.NoAnswerError):
                     commands.Line(as_g0, 0.2).ask(Ask("show"))
                 with self.assertRaises(commands.NoAnswerError):
@@ -385,28 +402,39 @@
     "keeper k1 127.0.0.1:1\n": ["1: expected a section 'fleet' with its name"],
     "fleet t\n": ["1: expected 1, 3, 5 or 7 keepers; there are 0"],
     "fleet t\nkeeper k1 127.0.0.1:1\nkeeper k2 127.0.0.1:2\n": [
-        "1: expected 1, 3, 5 or 7 keepers; there are 2"],
+        "1: expected 1, 3, 5 or 7 keepers; there are 2"
+    ],
     "fleet\nfleet t u\nfolder\nmember\n": [
-        "1: expected fleet with its name", "2: expected fleet with its name",
-        "3: expected folder with a path", "4: expected member with its name"],
+        "1: expected fleet with its name",
+        "2: expected fleet with its name",
+        "3: expected folder with a path",
+        "4: expected member with its name",
+    ],
     "fleet t\nkeeper k1\nkeeper k2 nowhere\n": [
         "1: expected 1, 3, 5 or 7 keepers; there are 0",
         "2: expected keeper NAME HOST:PORT, with two words; this is 'k1'",
-        "3: expected keeper NAME HOST:PORT, with an address as HOST:PORT; this is 'k2 nowhere'"],
+        "3: expected keeper NAME HOST:PORT, with an address as HOST:PORT; this is 'k2 nowhere'",
+    ],
     "fleet t\nkeeper k1 10.0.0.1:1\nmember k1\n": [
         "2: expected a section 'tls', as 10.0.0.1 is not this machine",
-        "3: expected a name that is no keeper's, and not 'operator'"],
+        "3: expected a name that is no keeper's, and not 'operator'",
+    ],
     "fleet t\nkeeper k1 127.0.0.1:1\nkeeper k1 127.0.0.1:2\nkeeper k2 127.0.0.1:3\n": [
         "2: expected each keeper once, at an address of its own; 'k1' is not",
-        "3: expected each keeper once, at an address of its own; 'k1' is not"],
+        "3: expected each keeper once, at an address of its own; 'k1' is not",
+    ],
     "fleet t\n    lease 100ms\n    floor-lease 200ms\n    drift 50%\n    beat 1ms\n    election 2ms\n"
     "    barred 0%\n    roof 3\nkeeper k1 127.0.0.1:1\n": [
         "3: expected a floor-lease of five leases at the least, 0.5s",
-        "4: expected a drift from 0.01% to 10%", "5: expected a beat of 5ms at the least",
-        "6: expected election of four beats at the least, 4ms", "7: expected a share over 0%",
-        "8: expected one of barred, beat, drift, election, floor-lease, lease, most; this is 'roof'"],
+        "4: expected a drift from 0.01% to 10%",
+        "5: expected a beat of 5ms at the least",
+        "6: expected election of four beats at the least, 4ms",
+        "7: expected a share over 0%",
+        "8: expected one of barred, beat, drift, election, floor-lease, lease, most; this is 'roof'",
+    ],
     "fleet t\n    lease 500ms\nkeeper k1 127.0.0.1:1\n": [
-        "2: expected a lease of three elections at the least, 900ms"],
+        "2: expected a lease of three elections at the least, 900ms"
+    ],
 }
 
 
@@ -435,5 +463,6 @@
     def test_changes_are_merged(self) -> None:
         old = {"items": {"a": {"barred": True}, "b": {"work": 0.5}}, "count": 3}
         change = {"items": {"a": None, "b": {"barred": True}, "c": {}}, "count": 4}
-        self.assertEqual({"items": {"b": {"work": 0.5, "barred": True}, "c": {}}, "count": 4},
-                         commands.merged(old, change))
+        self.assertEqual(
+            {"items": {"b": {"work": 0.5, "barred": True}, "c": {}}, "count": 4}, commands.merged(old, change)
+        )
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -49,19 +49,36 @@
 
 
 def made_record(**more: object) -> record.Record:
-    plain = record.Record(owner="g1", wall=START, boot="b1", ticked=70 * SECOND, number=50, handed=False,
-                          zones=["here", "there"], machines=["std"],
-                          engines=[record.engine(member(n), SECOND) for n in range(3)],
-                          tombs=[Tomb(9, 5, 49, 0)], tariffs=[], limits=[], marks=[])
+    plain = record.Record(
+        owner="g1",
+        wall=START,
+        boot="b1",
+        ticked=70 * SECOND,
+        number=50,
+        handed=False,
+        zones=["here", "there"],
+        machines=["std"],
+        engines=[record.engine(member(n), SECOND) for n in range(3)],
+        tombs=[Tomb(9, 5, 49, 0)],
+        tariffs=[],
+        limits=[],
+        marks=[],
+    )
     return msgspec.structs.replace(plain, **more)
 
 
 class StatesTest(unittest.TestCase):
     """docs/kept.md's table, every cell."""
 
-    WAYS = {"remembered": (), "asked": ("due",), "listed": ("due", "listens"),
-            "confirmed": ("due", "listens", "served"), "contradicted": ("due", "refused"),
-            "told": ("told ready",), "gone": ("told gone",)}
+    WAYS = {
+        "remembered": (),
+        "asked": ("due",),
+        "listed": ("due", "listens"),
+        "confirmed": ("due", "listens", "served"),
+        "contradicted": ("due", "refused"),
+        "told": ("told ready",),
+        "gone": ("told gone",),
+    }
 
     def does(self, one: Beliefs, event: str, now: int) -> list[Member]:
         if event == "due":
@@ -268,8 +285,10 @@
         self.assertIsNone(none.refuses(True, START))
         waits = [none.refuses(True, START + SECOND) for _ in range(1000)]
         self.assertTrue(WAIT / 4 <= min(waits) < 0.3 * WAIT and 0.95 * WAIT < max(waits) <= WAIT)
-        tenths = [sum(WAIT * (0.25 + n * 0.075) <= wait < WAIT * (0.325 + n * 0.075) for wait in waits)
-                  for n in range(10)]
+        tenths = [
+            sum(WAIT * (0.25 + n * 0.075) <= wait < WAIT * (0.325 + n * 0.075) for wait in waits)
+            for n in range(10)
+        ]
         self.assertTrue(60 < min(tenths) and max(tenths) < 140, tenths)
         one = beliefs(member(1))
         one.due(START)
@@ -279,7 +298,6 @@
         one.answered(1, How.SERVED, START)
         self.assertIsNone(one.refuses(False, START + SECOND))
 
-
     def test_whatever_comes_the_module_lists_what_is_believed(self) -> None:
         for seed in range(400):
             chance = random.Random(seed)
@@ -290,9 +308,16 @@
                 engine, number = chance.randrange(5), chance.randrange(12)
                 tombs = one.tombs.kept(now)
                 started[engine] += chance.random() < 0.1
-                some = [member(n, chance.choice((READY, READY, DRAINING, GONE)),
-                               started[n] - chance.randrange(2), 2000 + chance.randrange(4))
-                        for n in range(5) if chance.random() < 0.5]
+                some = [
+                    member(
+                        n,
+                        chance.choice((READY, READY, DRAINING, GONE)),
+                        started[n] - chance.randrange(2),
+                        2000 + chance.randrange(4),
+                    )
+                    for n in range(5)
+                    if chance.random() < 0.5
+                ]
                 act, highest = chance.randrange(6), one.numbers.highest
                 if act == 0:
                     some = [(m, chance.randrange(9 * SECOND)) for m in some]
@@ -312,12 +337,21 @@
                 for m in out.members:
                     listed[m.id] = m.standing
                 listed = {n: standing for n, standing in listed.items() if standing is not GONE}
-                believed = {n: belief.member.standing if belief.state is State.TOLD else READY
-                            for n, belief in one.engines.items() if belief.listed}
+                believed = {
+                    n: belief.member.standing if belief.state is State.TOLD else READY
+                    for n, belief in one.engines.items()
+                    if belief.listed
+                }
                 self.assertEqual(listed, believed, seed)
                 # Only later news raises the dead.
-                self.assertTrue(all(number > tomb.number or one.engines[tomb.id].member.started > tomb.started
-                                    for tomb in tombs if tomb.id in one.engines), seed)
+                self.assertTrue(
+                    all(
+                        number > tomb.number or one.engines[tomb.id].member.started > tomb.started
+                        for tomb in tombs
+                        if tomb.id in one.engines
+                    ),
+                    seed,
+                )
                 self.assertFalse([n for n in one.engines if n in one.tombs], seed)
                 self.assertEqual(one.standings(), one._count(), seed)
                 self.assertTrue(all(n in one.engines for n in one._at.values()), seed)
@@ -390,12 +424,12 @@
     def read(self, descriptor: int, most: int) -> bytes:
         self.call("read")
         file = self.open_files[descriptor]
-        piece = bytes(file[0][file[1]:file[1] + most])
+        piece = bytes(file[0][file[1] : file[1] + most])
         file[1] += len(piece)
         return piece
 
     def write(self, descriptor: int, data: memoryview) -> int:
-        part = data[:max(1, len(data) // 2)]  # a disk may take less than it is given
+        part = data[: max(1, len(data) // 2)]  # a disk may take less than it is given
         self.call("write")
         self.open_files[descriptor][0] += part
         self.made()
@@ -430,7 +464,7 @@
                 found = {}
                 for name, data in names.items():
                     safe = self.safe.get(id(data), b"")
-                    found[name] = bytes(data[:int(len(data) * keep)]) if bytes(data) != safe else safe
+                    found[name] = bytes(data[: int(len(data) * keep)]) if bytes(data) != safe else safe
                 states.append(found)
         return states
 
@@ -487,8 +521,12 @@
         self.assertTrue(any(self.lost(*self.killed(kill, False, False)) for kill in range(60)))
 
     def test_full_read_only_or_refusing_disks_cost_freshness_only(self) -> None:
-        for call, number in (("write", errno.ENOSPC), ("open", errno.EROFS), ("fsync", errno.EIO),
-                             ("rename", errno.ENOSPC)):
+        for call, number in (
+            ("write", errno.ENOSPC),
+            ("open", errno.EROFS),
+            ("fsync", errno.EIO),
+            ("rename", errno.ENOSPC),
+        ):
             disk = Disk(self.written(range(1, 3)))
             folder = self.folder(disk)
             disk.fails[call] = number
@@ -519,13 +557,20 @@
     def test_stored_files_of_earlier_and_other_versions(self) -> None:
         """Stored once and never made anew: what lies on disks must stay readable."""
         serial, first = record.decoded((STORED / "first.kept").read_bytes(), "g1")
-        self.assertEqual((serial, first.number, [e.id for e in first.engines], first.engines[1].draining),
-                         (41, 50, [1, 2, 3], True))
+        self.assertEqual(
+            (serial, first.number, [e.id for e in first.engines], first.engines[1].draining),
+            (41, 50, [1, 2, 3], True),
+        )
         self.assertEqual((first.tombs, first.handed, first.boot), ([], False, ""))
         self.assertEqual(record.decoded(record.encoded(first, 42), "g1"), (42, first))
-        for name, word in (("half.kept", "no body of format 2"), ("future.kept", "of format 3"),
-                           ("foreign.kept", "not a kept list"), ("torn.kept", "torn"),
-                           ("other.kept", "kept by 'g2'"), ("port.kept", "no body of format 2")):
+        for name, word in (
+            ("half.kept", "no body of format 2"),
+            ("future.kept", "of format 3"),
+            ("foreign.kept", "not a kept list"),
+            ("torn.kept", "torn"),
+            ("other.kept", "kept by 'g2'"),
+            ("port.kept", "no body of format 2"),
+        ):
             with self.assertRaisesRegex(record.UnusableError, word):
                 record.decoded((STORED / name).read_bytes(), "g1")
         second = record.decoded((STORED / "second.kept").read_bytes(), "g1")
@@ -556,23 +601,36 @@
         self.assertEqual([record.fits(one) for one in odd], [True, False, False])
 
     def test_never_kept(self) -> None:
-        told = {name for kind in (record.Record, record.Engine, record.Limit, record.Tariff)
-                for name in kind.__struct_fields__}
-        self.assertFalse(told & {"permits", "out", "threads", "doubted", "mute", "drained", "full_until",
-                                 "cold"})
+        told = {
+            name
+            for kind in (record.Record, record.Engine, record.Limit, record.Tariff)
+            for name in kind.__struct_fields__
+        }
+        self.assertFalse(
+            told & {"permits", "out", "threads", "doubted", "mute", "drained", "full_until", "cold"}
+        )
 
     def test_places_are_named(self) -> None:
-        kept = made_record(zones=["a", "b"], machines=["small", "big"], engines=[
-            record.engine(Member(n, "h", 1, READY, n % 2, n % 2, 0, 0), 0) for n in range(2)])
+        kept = made_record(
+            zones=["a", "b"],
+            machines=["small", "big"],
+            engines=[record.engine(Member(n, "h", 1, READY, n % 2, n % 2, 0, 0), 0) for n in range(2)],
+        )
         moved = record.members(kept, ["b", "c"], ["big"])
         self.assertEqual([(m.id, m.zone, m.machine) for m, _ in moved], [(1, 0, 0)])
 
     def test_two_processes_on_one_folder(self) -> None:
         with tempfile.TemporaryDirectory() as path:
-            program = ("from cresstray.kept.files import Folder; import sys; f = Folder(sys.argv[1], 'g1'); "
-                       "print(f.lock(), flush=True); sys.stdin.read()")
-            with subprocess.Popen([sys.executable, "-c", program, path], stdin=subprocess.PIPE,
-                                  stdout=subprocess.PIPE, text=True) as other:
+            program = (
+                "from cresstray.kept.files import Folder; import sys; f = Folder(sys.argv[1], 'g1'); "
+                "print(f.lock(), flush=True); sys.stdin.read()"
+            )
+            with subprocess.Popen(
+                [sys.executable, "-c", program, path],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
+            ) as other:
                 self.assertEqual(other.stdout.readline(), "True\n")
                 folder = Folder(path, "g1")
                 self.assertFalse(folder.lock())
@@ -621,8 +679,16 @@
 class Fleet(Desk):
     """The module with a route, and a keep beside it, as the service joins them."""
 
-    def __init__(self, path: str, wall: int = START, boot: str = "b1", ticked: int = 100 * SECOND,
-                 seed: int = 1, owner: str = "g1", **given: object) -> None:
+    def __init__(
+        self,
+        path: str,
+        wall: int = START,
+        boot: str = "b1",
+        ticked: int = 100 * SECOND,
+        seed: int = 1,
+        owner: str = "g1",
+        **given: object,
+    ) -> None:
         self.given = settings(Balancers=given.pop("gateways", 1), Flavors=["std"], Localities=["here"])
         for number, service in enumerate(self.given["Services"]):
             service["Name"] = f"t{number}"
@@ -630,8 +696,16 @@
         self.at, self.counters, self.said = Moment(wall, boot, ticked), Counters(), []
         self.route = Route(lambda label, address: Unlinked(address), None)
         self.writer = Writer(Folder(path, owner))
-        self.keep = Keep(self.writer, self.given, self.gateway, random.Random(seed).random, self.counters,
-                         self.said.append, lambda: self.at, self.now)
+        self.keep = Keep(
+            self.writer,
+            self.given,
+            self.gateway,
+            random.Random(seed).random,
+            self.counters,
+            self.said.append,
+            lambda: self.at,
+            self.now,
+        )
         self.keep.begin(self.now)
 
     def relay(self, relay: object, patience: int) -> None:
@@ -739,7 +813,7 @@
         again.run(5000)
         again.submit("first", left=20_000)
         again.run(5000)
-        (_, relay), = again.sent
+        ((_, relay),) = again.sent
         again.keep.ended(relay, Ending.UNREACHABLE, again.now)
         again.step()
         self.assertEqual((again.gateway.ready, again.keep.beliefs.state(1)), ([], State.CONTRADICTED))
@@ -761,8 +835,12 @@
                 one.keep._answered(m.id, How.LISTENS, one.now)
             one.step()
             begun, ids = one.now, {one.engine(number): number for number in (1, 2)}
-            firsts += [(engine.limiter.cold - begun) * one.gateway._cold_ration(engine)
-                       / min(map(one.gateway._cold_weight, one.gateway.tariffs)) for engine in ids]
+            firsts += [
+                (engine.limiter.cold - begun)
+                * one.gateway._cold_ration(engine)
+                / min(map(one.gateway._cold_weight, one.gateway.tariffs))
+                for engine in ids
+            ]
             one.sent = []
             for n in range(160):
                 one.submit(f"{n}", left=60_000)
@@ -796,8 +874,10 @@
         successor.written()
         self.assertIn("handed over", " ".join(successor.said))
         self.assertEqual(successor.keep.marks, ["m1", "m2"])
-        started = [successor.keep._answered(m.id, How.LISTENS, successor.now) or m.id
-                   for m in successor.keep.beliefs.due(successor.now)]
+        started = [
+            successor.keep._answered(m.id, How.LISTENS, successor.now) or m.id
+            for m in successor.keep.beliefs.due(successor.now)
+        ]
         self.assertEqual(sorted(started), [1, 2])
         successor.step()
         self.assertEqual([bool(successor.engine(n).limiter.cold) for n in (1, 2)], [False, False])
@@ -869,8 +949,10 @@
         self.assertEqual([one["state"] for one in fleet.keep.status(fleet.now)], ["told"] * 3)
         fleet.keep.close()
         shown = operate.shown(folder.read().record, fleet.at)
-        self.assertEqual([(one["id"], one["draining"]) for one in shown["engines"]],
-                         [("s-00000001", False), ("s-00000002", False), ("s-00000003", True)])
+        self.assertEqual(
+            [(one["id"], one["draining"]) for one in shown["engines"]],
+            [("s-00000001", False), ("s-00000002", False), ("s-00000003", True)],
+        )
         operate.forget(folder, 1)
         self.assertEqual([whole for _, whole, _ in operate.verified(folder)], [True, True])
         self.assertRaises(KeyError, operate.forget, folder, 1)
--- a/tests/test_kept_join.py
+++ b/tests/test_kept_join.py
@@ -63,12 +63,22 @@
         given = settings(KINDS, 1, 4)
         given["Tenants"] = [{"Name": "acme"}]
         (self.path / "g0.conf").write_text(f"kept {self.kept}\n{more}")
-        (self.path / "g0.json").write_text(json.dumps({
-            "name": "g0", "listen": f"127.0.0.1:{self.gateway.port}", "seed": "7", "settings": given,
-            "coordinator": coordinator, "known": self.known if known else {}}))
-
-    async def start(self, coordinator: str | None = "127.0.0.1:1", more: str = "",
-                    known: bool = False) -> float:
+        (self.path / "g0.json").write_text(
+            json.dumps(
+                {
+                    "name": "g0",
+                    "listen": f"127.0.0.1:{self.gateway.port}",
+                    "seed": "7",
+                    "settings": given,
+                    "coordinator": coordinator,
+                    "known": self.known if known else {},
+                }
+            )
+        )
+
+    async def start(
+        self, coordinator: str | None = "127.0.0.1:1", more: str = "", known: bool = False
+    ) -> float:
         """When it was begun."""
         begun = time.monotonic()
         self.write(coordinator, more, known)
@@ -112,8 +122,10 @@
         with anyio.fail_after(8):
             while True:
                 found = Folder(str(self.kept), "g0").read().record
-                if found and ([sorted(one.id for one in found.engines), sorted(one.id for one in found.tombs)]
-                              == [engines, gone]):
+                if found and (
+                    [sorted(one.id for one in found.engines), sorted(one.id for one in found.tombs)]
+                    == [engines, gone]
+                ):
                     return
                 await anyio.sleep(0.1)
 
@@ -141,6 +153,7 @@
 class Restarts(unittest.TestCase):
     def play(self, scene: Callable[[Stage], Awaitable], before: bool = True) -> Stage:
         """`before`: a gateway has served, and has been told that the fourth engine is gone."""
+
         async def main() -> Stage:
             with tempfile.TemporaryDirectory() as folder:
                 stage = Stage(folder)
@@ -160,6 +173,7 @@
                             stage.gateway.kill()
                         tasks.cancel_scope.cancel()
             return stage
+
         return anyio.run(main)
 
     def test_killed_and_started_with_nobody_to_ask(self) -> None:
@@ -216,8 +230,9 @@
 
     def test_planned_restart_hands_over(self) -> None:
         async def scene(stage: Stage) -> None:
-            self.assertIn("its gateway runs", command("forget", str(stage.kept), "s-00000001",
-                                                      "--name", "g0")[1])
+            self.assertIn(
+                "its gateway runs", command("forget", str(stage.kept), "s-00000001", "--name", "g0")[1]
+            )
             await anyio.sleep(0.1)  # the list has been told
             name = stage.names
             await stage.gateway.stop()
@@ -284,8 +299,9 @@
         self.assertEqual((0, 3), (code, said.count("engine s-")))
         self.assertEqual((0, "s-00000001 is forgotten\n"), command("forget", folder, "s-00000001", *name))
         told = json.loads(command("export", folder, *name)[1])
-        self.assertEqual([2, ["s-00000004", "s-00000001"]],
-                         [len(told["engines"]), [one["id"] for one in told["gone"]]])
+        self.assertEqual(
+            [2, ["s-00000004", "s-00000001"]], [len(told["engines"]), [one["id"] for one in told["gone"]]]
+        )
         self.assertEqual(2, command("forget", folder, "s-00000001", *name)[0])
         self.assertEqual(2, command("show", folder, "--name", "g1")[0])
         self.assertEqual(0, command("verify", folder, *name)[0])
@@ -337,8 +353,13 @@
             told, clock = [], Clock()
             listener = socket.create_server(("127.0.0.1", 0))
             listener.setblocking(False)
-            feed = Feed(f"127.0.0.1:{listener.getsockname()[1]}", 0, lambda event: told.append(event.number),
-                        Counters(), Log("n0", clock))
+            feed = Feed(
+                f"127.0.0.1:{listener.getsockname()[1]}",
+                0,
+                lambda event: told.append(event.number),
+                Counters(),
+                Log("n0", clock),
+            )
             feed.takes_older = takes_older
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(feed.run, tasks)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -43,17 +43,17 @@
     "good": _GOOD,
     "empty": "# nothing is on\n",
     "all that is wrong": "    early 3\nhall hall-a\n    listen nowhere\n    listen 127.0.0.1:1\n    lsten x\n"
-                         "link\n    slow 250\n    bytes none\n    lease 300ms\npeer hall-a 127.0.0.1:1\n"
-                         "peer hall-b\ncrossing\n    share 120%\nroof\nhall again\n    gateway 'ga0\n",
+    "link\n    slow 250\n    bytes none\n    lease 300ms\npeer hall-a 127.0.0.1:1\n"
+    "peer hall-b\ncrossing\n    share 120%\nroof\nhall again\n    gateway 'ga0\n",
     "no hall": "peer hall-b 127.0.0.1:1\n",
     "in the clear": "hall hall-a\n    gateway ga0\n    listen 0.0.0.0:7101\npeer hall-b 10.1.0.9:7201\n",
     "half of the keys": "hall hall-a\n    gateway ga0\ntls\n    key a.key\n",
     "store": "store\n    addresses localhost:6379 127.0.0.1:6380\n    tariffs manifest-load ledger-post\n"
-             "    password /etc/store.password\n    answers 4k\n    unguarded manifest-load 20\n",
+    "    password /etc/store.password\n    answers 4k\n    unguarded manifest-load 20\n",
     "store alone": "store\n",
     "store, all that is wrong": "store\n    addresses 10.1.0.9:6379 10.1.0.8\n    tariffs a a\n    user x\n"
-                                "    slow 5s\n    tls store.pem\n    journal marks\n    answers 65k\n"
-                                "    unguarded b\n    kept 1s\n    namespace 'a b'\n    keys 3\n",
+    "    slow 5s\n    tls store.pem\n    journal marks\n    answers 65k\n"
+    "    unguarded b\n    kept 1s\n    namespace 'a b'\n    keys 3\n",
     "store in the clear": "store\n    addresses 127.0.0.1:1 10.1.0.9:2\n    tariffs a\n    unguarded b 2\n",
     "twice": "hall hall-a\n    gateway ga0\npeer hall-b 127.0.0.1:1\npeer hall-b 127.0.0.1:1\n",
 }
@@ -119,33 +119,55 @@
         turns = schedule.Schedule(lambda: 0.5, worker.TICK, worker.BUDGET)
         behind = worker.Worker(turns, timers, clock, counters, log)
         behind.start()
-        return Hub(given, "life", 7, None, FakeAcross(), lambda: (1.0, 4.0, 1.0), clock, timers, counters,
-                   log, behind), counters, timers
+        return (
+            Hub(
+                given,
+                "life",
+                7,
+                None,
+                FakeAcross(),
+                lambda: (1.0, 4.0, 1.0),
+                clock,
+                timers,
+                counters,
+                log,
+                behind,
+            ),
+            counters,
+            timers,
+        )
 
     def meet(self, folder: str, near: str, far: str, authority_of_near: str = "keys") -> str:
         """Whether a link comes up between two hubs with these certificates, and what is counted if not."""
+
         def tls(name: str, keys: str) -> str:
-            return (f"tls\n    authority {folder}/{keys}/authority.pem\n"
-                    f"    certificate {folder}/{keys}/{name}.pem\n"
-                    f"    key {folder}/{keys}/{name}.key\n")
+            return (
+                f"tls\n    authority {folder}/{keys}/authority.pem\n"
+                f"    certificate {folder}/{keys}/{name}.pem\n"
+                f"    key {folder}/{keys}/{name}.key\n"
+            )
 
         async def main() -> None:
             async with anyio.create_task_group() as tasks:
                 host, counters, timers = self.hub(
                     "hall hall-b\n    gateway gb\n    listen 127.0.0.1:0\npeer hall-a 127.0.0.1:1\n"
-                    + tls(far, "keys"))
+                    + tls(far, "keys")
+                )
                 tasks.start_soon(timers.run)
                 host._links = []  # it only listens
                 await host.run(tasks)
                 guest, near_counters, near_timers = self.hub(
                     f"hall hall-a\n    gateway ga\npeer hall-b 127.0.0.1:{host.address[1]}\n"
-                    + tls(near, authority_of_near))
+                    + tls(near, authority_of_near)
+                )
                 tasks.start_soon(near_timers.run)
                 await guest.run(tasks)
                 with anyio.move_on_after(3):
-                    while not (near_counters.counts["links between halls made"]
-                               or counters.counts["links between halls refused"] > 1
-                               or near_counters.counts["links between halls refused"] > 1):
+                    while not (
+                        near_counters.counts["links between halls made"]
+                        or counters.counts["links between halls refused"] > 1
+                        or near_counters.counts["links between halls refused"] > 1
+                    ):
                         await anyio.sleep(0.01)
                 made.append(near_counters.counts["links between halls made"])
                 made.append(guest.status()["to"][0]["state"] != "cut")
@@ -154,18 +176,23 @@
         made: list = []
         with contextlib.redirect_stderr(io.StringIO()) as said:
             anyio.run(main)
-        why = "certificate for" if "certificate for" in said.getvalue() else (
-            "not verified" if "CERTIFICATE_VERIFY_FAILED" in said.getvalue() else "")
+        why = (
+            "certificate for"
+            if "certificate for" in said.getvalue()
+            else ("not verified" if "CERTIFICATE_VERIFY_FAILED" in said.getvalue() else "")
+        )
         return f"{'up' if made[0] and made[1] else 'refused'} {why}".strip()
 
     def test_strangers_at_the_door(self) -> None:
         """Whatever is said there ends that connection with one line; a link that is up goes on."""
+
         def hello(hall: str, name: str, magic: str = codec.MAGIC, version: int = codec.VERSION) -> bytes:
             return codec.encode(codec.Hello(magic, version, [], hall, name, f"life of {name}", "", []))
 
         def offer(number: int) -> bytes:
-            return codec.encode(codec.Offer(number, 0, "0" * 16, "lookup", "", "", 0, 0, 10**6, 0, 0, 0, 0,
-                                            True, b"x"))
+            return codec.encode(
+                codec.Offer(number, 0, "0" * 16, "lookup", "", "", 0, 0, 10**6, 0, 0, 0, 0, True, b"x")
+            )
 
         async def strange(host: Hub, text: str, *words: bytes) -> None:
             said.truncate(0)
@@ -179,21 +206,34 @@
                             await stream.receive()
             await stream.aclose()
             await anyio.sleep(0.25)  # five lines a second of a kind are printed
-            told = [line.split(" ended: ", 1)[1] for line in said.getvalue().splitlines()
-                    if " ended: " in line]
+            told = [
+                line.split(" ended: ", 1)[1] for line in said.getvalue().splitlines() if " ended: " in line
+            ]
             lines.append(f"{text}: {'; '.join(told)}")
 
         async def main() -> None:
             async with anyio.create_task_group() as tasks:
                 host, counters, timers = self.hub(
-                    "hall hall-b\n    gateway gb\n    listen 127.0.0.1:0\npeer hall-a 127.0.0.1:1\n")
+                    "hall hall-b\n    gateway gb\n    listen 127.0.0.1:0\npeer hall-a 127.0.0.1:1\n"
+                )
                 tasks.start_soon(timers.run)
-                host._links, host._front = [], type("Front", (), {
-                    "take": lambda self, asker, number, query, crossing: asker.open.update({number: None}),
-                    "withdraw": lambda self, asker, number, name: asker.open.pop(number)})()
+                host._links, host._front = (
+                    [],
+                    type(
+                        "Front",
+                        (),
+                        {
+                            "take": lambda self, asker, number, query, crossing: asker.open.update(
+                                {number: None}
+                            ),
+                            "withdraw": lambda self, asker, number, name: asker.open.pop(number),
+                        },
+                    )(),
+                )
                 await host.run(tasks)
                 guest, near_counters, near_timers = self.hub(
-                    f"hall hall-a\n    gateway ga\npeer hall-b 127.0.0.1:{host.address[1]}\n")
+                    f"hall hall-a\n    gateway ga\npeer hall-b 127.0.0.1:{host.address[1]}\n"
+                )
                 tasks.start_soon(near_timers.run)
                 await guest.run(tasks)
                 while not near_counters.counts["links between halls made"]:
@@ -207,13 +247,19 @@
                 await strange(host, "half a hello, then nothing", hello("hall-a", "x")[:9])
                 await strange(host, "noise behind a hello", hello("hall-a", "x"), b"\0\0\0\1\xff")
                 await strange(host, "a far side's word", hello("hall-a", "x"), codec.encode(codec.Sent(1)))
-                await strange(host, "more than its credit", hello("hall-a", "x"),
-                              b"".join(offer(number) for number in range(1, 200)))
+                await strange(
+                    host,
+                    "more than its credit",
+                    hello("hall-a", "x"),
+                    b"".join(offer(number) for number in range(1, 200)),
+                )
                 await strange(host, "an offer that came before", hello("hall-a", "y"), offer(3), offer(3))
-                lines.append(f"the good link: {guest.status()['to'][0]['state'] != 'cut'}, made "
-                             f"{near_counters.counts['links between halls made']} time, lost "
-                             f"{near_counters.counts['links between halls lost']}, "
-                             f"faults {counters.counts['faults']}")
+                lines.append(
+                    f"the good link: {guest.status()['to'][0]['state'] != 'cut'}, made "
+                    f"{near_counters.counts['links between halls made']} time, lost "
+                    f"{near_counters.counts['links between halls lost']}, "
+                    f"faults {counters.counts['faults']}"
+                )
                 tasks.cancel_scope.cancel()
 
         lines: list[str] = []
@@ -223,15 +269,19 @@
 
     def test_new_keys_leave_live_links_alone(self) -> None:
         """After a reload, new connections use the new keys; a file that can't be used keeps the old ones."""
+
         def text(hall: str, more: str) -> str:
             keys = f"{folder}/keys"
-            return (f"hall {hall}\n    gateway g\n{more}tls\n    authority {keys}/authority.pem\n"
-                    f"    certificate {keys}/{hall}.pem\n    key {keys}/{hall}.key\n")
+            return (
+                f"hall {hall}\n    gateway g\n{more}tls\n    authority {keys}/authority.pem\n"
+                f"    certificate {keys}/{hall}.pem\n    key {keys}/{hall}.key\n"
+            )
 
         async def main() -> None:
             async with anyio.create_task_group() as tasks:
-                host, _, timers = self.hub(text(
-                    "hall-b", "    listen 127.0.0.1:0\npeer hall-a 127.0.0.1:1\n"))
+                host, _, timers = self.hub(
+                    text("hall-b", "    listen 127.0.0.1:0\npeer hall-a 127.0.0.1:1\n")
+                )
                 tasks.start_soon(timers.run)
                 host._links = []
                 await host.run(tasks)
@@ -245,8 +295,10 @@
                 authority.make(f"{folder}/keys", ["hall-a"])
                 first = guest._contexts
                 guest.reload(given)
-                lines.append(f"new keys: {guest._contexts is not first}, the link lives: "
-                             f"{guest.status()['to'][0]['state'] != 'cut'}")
+                lines.append(
+                    f"new keys: {guest._contexts is not first}, the link lives: "
+                    f"{guest.status()['to'][0]['state'] != 'cut'}"
+                )
                 second = guest._contexts
                 Path(f"{folder}/keys/hall-a.pem").write_text("no certificate")
                 with self.assertRaises(OSError):
@@ -271,38 +323,54 @@
             with mock.patch.object(authority, "datetime") as clock:
                 clock.now.return_value = datetime.now(UTC) - timedelta(days=3)
                 authority.make(f"{folder}/keys", ["hall-old"], days=1)
-            lines = [f"hall-a to hall-b: {self.meet(folder, 'hall-a', 'hall-b')}",
-                     f"hall-a to what is hall-c: {self.meet(folder, 'hall-a', 'hall-c')}",
-                     f"hall-c that says hall-a: {self.meet(folder, 'hall-c', 'hall-b')}",
-                     f"an expired one: {self.meet(folder, 'hall-old', 'hall-b')}",
-                     f"of another authority: {self.meet(folder, 'hall-a', 'hall-b', 'others')}"]
+            lines = [
+                f"hall-a to hall-b: {self.meet(folder, 'hall-a', 'hall-b')}",
+                f"hall-a to what is hall-c: {self.meet(folder, 'hall-a', 'hall-c')}",
+                f"hall-c that says hall-a: {self.meet(folder, 'hall-c', 'hall-b')}",
+                f"an expired one: {self.meet(folder, 'hall-old', 'hall-b')}",
+                f"of another authority: {self.meet(folder, 'hall-a', 'hall-b', 'others')}",
+            ]
         self.check("operator_certificates", lines)
 
 
 class Halls(unittest.TestCase):
     def test_a_day_of_troubles(self) -> None:
         """Engines lost, a link that flaps, a cut, a gateway killed: no promise is broken."""
+
         async def main() -> None:
             with tempfile.TemporaryDirectory() as folder:
                 world = World(Path(folder), engines=3, link="link\n    heal 1s\n")
                 async with world.up():
                     await anyio.sleep(2)
                     killed = world.halls["hall-b"].gateways[1]
-                    steps = [(0.5, lambda: world.lose("hall-a", 2)), (2.9, lambda: world.drain("hall-b", 0)),
-                             (3.0, killed.kill), (3.4, killed.start), (6.0, lambda: world.restore("hall-a"))]
+                    steps = [
+                        (0.5, lambda: world.lose("hall-a", 2)),
+                        (2.9, lambda: world.drain("hall-b", 0)),
+                        (3.0, killed.kill),
+                        (3.4, killed.start),
+                        (6.0, lambda: world.restore("hall-a")),
+                    ]
                     steps += [(1.5 + 0.3 * turn, world.heal if turn % 2 else world.cut) for turn in range(4)]
                     steps += [(4.5, world.cut), (5.2, world.heal)]
-                    loads = {hall: draw(KINDS, [(0.0, 110.0)], 7.0, seed)
-                             for seed, hall in enumerate(world.halls)}
+                    loads = {
+                        hall: draw(KINDS, [(0.0, 110.0)], 7.0, seed) for seed, hall in enumerate(world.halls)
+                    }
                     await world.play(loads, steps, 1.0)
                     told = status.ask(world.halls["hall-a"].gateways[0].control)
                     await anyio.sleep(3.5)
                     until = anyio.current_time()
-                self.assertEqual({}, {name: count for name, count in world.account.promises(until).items()
-                                      if count})
+                self.assertEqual(
+                    {}, {name: count for name, count in world.account.promises(until).items() if count}
+                )
                 counters = world.counters()
-                self.assertEqual({}, {name: count for name, count in counters.items()
-                                      if name.startswith("broken") or name == "faults"})
+                self.assertEqual(
+                    {},
+                    {
+                        name: count
+                        for name, count in counters.items()
+                        if name.startswith("broken") or name == "faults"
+                    },
+                )
                 self.assertGreater(counters["crossings served"], 50)
                 self.assertEqual({"hall-b"}, {link["peer"].split()[0] for link in told["to"]})
                 self.assertGreater(len(status.lines(told)), 2)
@@ -330,25 +398,56 @@
 class Loading(unittest.TestCase):
     def test_without_an_operators_file_none_of_it_is_loaded(self) -> None:
         """By a gateway that has served and ended. What asyncio loads by itself, ssl among it, is not ours."""
-        script = ("import atexit, sys; atexit.register(lambda: print(*sys.modules)); "
-                  "from cresstray.start import run; sys.exit(run())")
+        script = (
+            "import atexit, sys; atexit.register(lambda: print(*sys.modules)); "
+            "from cresstray.start import run; sys.exit(run())"
+        )
         with tempfile.TemporaryDirectory() as folder:
             path = f"{folder}/config.json"
             with open(path, "w") as file:
-                json.dump({"name": "n0", "listen": "127.0.0.1:0", "seed": "7",
-                           "settings": settings(KINDS, 1, 4)}, file)
+                json.dump(
+                    {"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "settings": settings(KINDS, 1, 4)},
+                    file,
+                )
             env = {name: value for name, value in os.environ.items() if name != "GW_OPERATOR"}
-            with subprocess.Popen([sys.executable, "-c", script], env=env | {"GW_CONFIG": path}, text=True,
-                                  stdout=subprocess.PIPE, stderr=subprocess.PIPE) as gateway:
+            with subprocess.Popen(
+                [sys.executable, "-c", script],
+                env=env | {"GW_CONFIG": path},
+                text=True,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.PIPE,
+            ) as gateway:
                 self.assertIn("serves on", gateway.stderr.readline())
                 time.sleep(0.5)  # it catches signals a moment later
                 gateway.terminate()
                 said = gateway.communicate(timeout=10)[0].split()
-        unwanted = ("click", "rich", "cryptography", "structlog", "sqlite3", "scipy", "cresstray.halls",
-                    "cresstray.conf", "cresstray.commands", "cresstray.standins", "cresstray.passage.across",
-                    "cresstray.passage.pinned", "cresstray.fleet", "cresstray.frames", "cresstray.peers",
-                    "cresstray.said", "cresstray.consensus", "cresstray.rules", "cresstray.keeper",
-                    "cresstray.placement", "cresstray.replicas", "cresstray.kept", "cresstray.store",
-                    "cresstray.marked", "cresstray.background", "redis")
+        unwanted = (
+            "click",
+            "rich",
+            "cryptography",
+            "structlog",
+            "sqlite3",
+            "scipy",
+            "cresstray.halls",
+            "cresstray.conf",
+            "cresstray.commands",
+            "cresstray.standins",
+            "cresstray.passage.across",
+            "cresstray.passage.pinned",
+            "cresstray.fleet",
+            "cresstray.frames",
+            "cresstray.peers",
+            "cresstray.said",
+            "cresstray.consensus",
+            "cresstray.rules",
+            "cresstray.keeper",
+            "cresstray.placement",
+            "cresstray.replicas",
+            "cresstray.kept",
+            "cresstray.store",
+            "cresstray.marked",
+            "cresstray.background",
+            "redis",
+        )
         self.assertIn("cresstray.service", said)
         self.assertEqual([], [name for name in said if name.startswith(unwanted)])
--- a/tests/test_placement_moves.py
+++ b/tests/test_placement_moves.py
@@ -31,16 +31,20 @@
 SECOND = 1_000_000
 TIMES = carrier.Times(gone=12 * SECOND, stuck=6 * SECOND, room=10 * SECOND, fenced=8 * SECOND)
 PLACED = {"1": ("a1",), "2": ("a1", "b1"), "3": ("b1",)}
-MOVES = (model.Move("1", "a1", "a2", 3_000_000, primary=True), model.Move("2", "b1", "b2", 2_000_000),
-         model.Move("3", "b1", "a1", 2_000_000, primary=True))
+MOVES = (
+    model.Move("1", "a1", "a2", 3_000_000, primary=True),
+    model.Move("2", "b1", "b2", 2_000_000),
+    model.Move("3", "b1", "a1", 2_000_000, primary=True),
+)
 PLAN = model.Plan(MOVES, 7_000_000, 7_000_000, ((0, 1), (2,)))
 
 
 def founded(section: Moves, placed: dict[str, tuple[str, ...]]) -> rules.State:
     state = rules.State(documents.World(most=9), {moves.NAME: section})
     items = {name: documents.Shard(copies, copies[0], 1, copies) for name, copies in placed.items()}
-    new = documents.Documents(gateways=documents.Gateways({"g": documents.Gateway()}),
-                              placement=documents.Placement(items))
+    new = documents.Documents(
+        gateways=documents.Gateways({"g": documents.Gateway()}), placement=documents.Placement(items)
+    )
     change = documents.delta(state.latest, new)
     told = rules.outcome(state.apply(1, rules.propose("found", {}, change, "")))
     assert told.accepted, told
@@ -52,19 +56,26 @@
 class Fleet:
     """Disks, a log whose leader may crash, gateways one turn behind, and what must never be."""
 
-    def __init__(self, seed: int, make: type[Carrier] = Carrier, section: type[Moves] = Moves,
-                 disk: int = 10_000_000) -> None:
+    def __init__(
+        self, seed: int, make: type[Carrier] = Carrier, section: type[Moves] = Moves, disk: int = 10_000_000
+    ) -> None:
         self.chance, self.now, self.make = random.Random(seed), 10 * SECOND, make
         self.moves = section()
         self.state = founded(self.moves, PLACED)
         self.carrier = make(TIMES)
-        self.shelves = {name: Shelf(name, name[0], disk, 1_000_000, 2_000_000, self.now)
-                        for name in ("a1", "a2", "b1", "b2")}
+        self.shelves = {
+            name: Shelf(name, name[0], disk, 1_000_000, 2_000_000, self.now)
+            for name in ("a1", "a2", "b1", "b2")
+        }
         for name, copies in PLACED.items():
             for engine in copies:
                 self.shelves[engine].shards[name] = Held(
-                    {"1": 3, "2": 2, "3": 2}[name] * 1_000_000, primary=engine == copies[0], growth=1_000,
-                    follows=engine != copies[0], feed=copies[0] if engine != copies[0] else "")
+                    {"1": 3, "2": 2, "3": 2}[name] * 1_000_000,
+                    primary=engine == copies[0],
+                    growth=1_000,
+                    follows=engine != copies[0],
+                    feed=copies[0] if engine != copies[0] else "",
+                )
         self.down: dict[str, int] = {}  # engines that are dead, and until when
         self.late: list[tuple[int, Command]] = []
         self.log: list[bytes] = []  # appended by the leader, not yet committed
@@ -107,9 +118,16 @@
         latest = self.state.latest
         shard = documents.Shard(copies, copies[0], latest.placement.items[name].epoch + 1, copies)
         new = msgspec.structs.replace(
-            latest, placement=documents.Placement(latest.placement.items | {name: shard}))
-        return rules.outcome(self.state.apply(1, rules.propose(
-            "operator", {"placement": latest.version("placement")}, documents.delta(latest, new), "")))
+            latest, placement=documents.Placement(latest.placement.items | {name: shard})
+        )
+        return rules.outcome(
+            self.state.apply(
+                1,
+                rules.propose(
+                    "operator", {"placement": latest.version("placement")}, documents.delta(latest, new), ""
+                ),
+            )
+        )
 
     def up(self, engine: str) -> bool:
         return self.down.get(engine, 0) <= self.now
@@ -195,8 +213,11 @@
         copied = sum(shelf.counted.copied_in for shelf in self.shelves.values())
         test.assertLessEqual(copied, 7_000_000 * 1.05 + over)
         held = {(shard, engine) for engine, shelf in self.shelves.items() for shard in shelf.shards}
-        placed = {(name, engine) for name, shard in self.state.latest.placement.items.items()
-                  for engine in shard.copies}
+        placed = {
+            (name, engine)
+            for name, shard in self.state.latest.placement.items.items()
+            for engine in shard.copies
+        }
         test.assertEqual(held, placed, self.moves.told())
         for name, shard in self.state.latest.placement.items.items():
             test.assertEqual(self.shelves[shard.primary].shards[name].head, self.written[name])
@@ -209,7 +230,6 @@
         fleet.judge(self)
         self.assertEqual([move.at for move in fleet.moves.plan.moves], [At.DONE] * 3)
 
-
     def faulty(self, fault: object, over: int = 0, seeds: int = 2, done: bool = True) -> None:
         """The fault strikes behind each entry in turn, in a fleet of its own."""
         for seed in range(seeds):
@@ -229,8 +249,11 @@
 
     def test_engine_is_away_at_each_step(self) -> None:
         for engine in ("a1", "a2", "b1", "b2"):
-            self.faulty(lambda fleet, engine=engine: fleet.down.update({engine: fleet.now + 7 * SECOND}),
-                        seeds=1, done=False)
+            self.faulty(
+                lambda fleet, engine=engine: fleet.down.update({engine: fleet.now + 7 * SECOND}),
+                seeds=1,
+                done=False,
+            )
 
     def test_engine_is_gone_for_long_at_each_step_and_its_leader_too(self) -> None:
         def fault(fleet: Fleet, engine: str) -> None:
@@ -326,8 +349,12 @@
                 fleet.tick()
                 # Just when the version that goes back has been proposed, and while it is joint.
                 fleet.crashes = crash and (
-                    len(fleet.log) > 0 and b": back, " in fleet.log[-1] and fleet.chance.random() < 0.5
-                    or fleet.state.turn % 2 == 1 and fleet.chance.random() < 0.1)
+                    len(fleet.log) > 0
+                    and b": back, " in fleet.log[-1]
+                    and fleet.chance.random() < 0.5
+                    or fleet.state.turn % 2 == 1
+                    and fleet.chance.random() < 0.1
+                )
             with self.subTest(number=number, crash=crash):
                 move = fleet.moves.plan.moves[number]
                 if kept.primary:
@@ -356,8 +383,9 @@
         """Two moves to one engine that has room for one, until a third has left it."""
         fleet = Fleet(9)
         fleet.shelves["a2"].other = 5_500_000
-        plan = model.Plan((MOVES[0], model.Move("3", "b1", "a2", 2_000_000, primary=True)), 5_000_000,
-                          5_000_000, ((0, 1),))
+        plan = model.Plan(
+            (MOVES[0], model.Move("3", "b1", "a2", 2_000_000, primary=True)), 5_000_000, 5_000_000, ((0, 1),)
+        )
         self.assertEqual(fleet.moves.apply(fleet.state, moves.encode(moves.Cancel("p1", "me"))), moves.DONE)
         (entry,) = moves.begin("p2", "me", plan, model.Limits(share=0.1))
         self.assertEqual(fleet.moves.apply(fleet.state, entry), moves.DONE)
@@ -386,23 +414,33 @@
 class Typed(unittest.TestCase):
     def test_what_is_planned_from(self) -> None:
         shard = documents.Shard(("a1",), "a1", 1, ("a1",))
-        given = documents.Documents(engines=documents.Engines({"a1": documents.EngineRule(barred=True)}),
-                                    placement=documents.Placement({"1": shard}))
+        given = documents.Documents(
+            engines=documents.Engines({"a1": documents.EngineRule(barred=True)}),
+            placement=documents.Placement({"1": shard}),
+        )
         copies = {"1": Copy(40, primary=True, growth=3)}
-        told = {name: Disk(name, "a", 100, free, 0, 10, at, copies)
-                for name, free, at, copies in (("a1", 60, 20_000_000, copies), ("a2", 100, 20_000_000, {}),
-                                               ("a3", 100, 1, {}))}
+        told = {
+            name: Disk(name, "a", 100, free, 0, 10, at, copies)
+            for name, free, at, copies in (
+                ("a1", 60, 20_000_000, copies),
+                ("a2", 100, 20_000_000, {}),
+                ("a3", 100, 1, {}),
+            )
+        }
         made = typed._world(given, told, ("a2",), 0.1, 0, model.Limits())
         # Barred ones are emptied, and what does not answer is no place for a copy.
-        self.assertEqual([(place.engine, place.out, place.headroom) for place in made.places],
-                         [("a1", True, 10), ("a2", True, 10)])
+        self.assertEqual(
+            [(place.engine, place.out, place.headroom) for place in made.places],
+            [("a1", True, 10), ("a2", True, 10)],
+        )
         self.assertEqual((made.shards[0].size, made.shards[0].growth), (40, 3))
         with self.assertRaisesRegex(ValueError, "no engine a9"):
             typed._world(given, told, ("a9",), 0.1, 0, model.Limits())
         with self.assertRaisesRegex(ValueError, "no disk has told"):
             typed._world(given, {}, (), 0.1, 0, model.Limits())
-        fenced = msgspec.structs.replace(given, placement=documents.Placement(
-            {"1": msgspec.structs.replace(shard, primary="")}))
+        fenced = msgspec.structs.replace(
+            given, placement=documents.Placement({"1": msgspec.structs.replace(shard, primary="")})
+        )
         with self.assertRaisesRegex(ValueError, "without a primary: 1"):
             typed._world(fenced, told, (), 0.1, 0, model.Limits())
 
@@ -452,10 +490,20 @@
     steps = {"before": [], "fenced": [("", ("a1", "b1", "a2"))], "moved": [last]}
     for number, (first, copies) in enumerate(steps["moved" if how == "in force" else how]):
         shard = documents.Shard(copies, first, shard.epoch + 1, copies)
-        new = documents.Documents(gateways=state.latest.gateways, placement=documents.Placement({"1": shard}),
-                                  versions=state.latest.versions)
-        told = state.apply(1, rules.propose(f"r{number}", {"placement": state.latest.version("placement")},
-                                            documents.delta(state.latest, new), ""))
+        new = documents.Documents(
+            gateways=state.latest.gateways,
+            placement=documents.Placement({"1": shard}),
+            versions=state.latest.versions,
+        )
+        told = state.apply(
+            1,
+            rules.propose(
+                f"r{number}",
+                {"placement": state.latest.version("placement")},
+                documents.delta(state.latest, new),
+                "",
+            ),
+        )
         assert rules.outcome(told).accepted, rules.outcome(told)
         while how != "moved" and state.wants_turn() is not None:
             state.apply(1, rules.advance(state.wants_turn()))
@@ -556,9 +604,29 @@
 
 def started(folder: str, engine: str, *options: str, port: int = 0) -> tuple[subprocess.Popen, int]:
     made = subprocess.Popen(
-        [sys.executable, "-m", "cresstray.standins.shards", "--engine", engine, "--zone", engine[0],
-         "--folder", folder, "--disk", "20000000", "--headroom", "1000000", "--pace", "4000000",
-         "--port", str(port), *options], stdout=subprocess.PIPE, text=True)
+        [
+            sys.executable,
+            "-m",
+            "cresstray.standins.shards",
+            "--engine",
+            engine,
+            "--zone",
+            engine[0],
+            "--folder",
+            folder,
+            "--disk",
+            "20000000",
+            "--headroom",
+            "1000000",
+            "--pace",
+            "4000000",
+            "--port",
+            str(port),
+            *options,
+        ],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     return made, json.loads(made.stdout.readline())["port"]
 
 
@@ -584,7 +652,8 @@
 
     def start(self, engine: str, *options: str) -> None:
         self.engines[engine], self.ports[engine] = started(
-            self.folder, engine, *options, port=self.ports.get(engine, 0))
+            self.folder, engine, *options, port=self.ports.get(engine, 0)
+        )
 
     def end(self) -> None:
         for made in self.engines.values():
@@ -625,16 +694,24 @@
     def test_target_is_killed_while_it_copies(self) -> None:
         section = Moves()
         state = founded(section, {"1": ("a1",), "3": ("b1",)})
-        plan = model.Plan((model.Move("1", "a1", "a2", 4_000_000, primary=True),
-                           model.Move("3", "b1", "a1", 1_000_000, primary=True)), 5_000_000, 5_000_000,
-                          ((0,), (1,)))
+        plan = model.Plan(
+            (
+                model.Move("1", "a1", "a2", 4_000_000, primary=True),
+                model.Move("3", "b1", "a1", 1_000_000, primary=True),
+            ),
+            5_000_000,
+            5_000_000,
+            ((0,), (1,)),
+        )
         for entry in moves.begin("p", "me", plan, model.Limits(share=1.0)):
             self.assertEqual(state.apply(1, rules.section(moves.NAME, "", entry)), moves.DONE)
         told = anyio.run(self.carried, state, section)
         self.assertEqual([move.at for move in section.plan.moves], [At.DONE] * 2)
         accounts = {engine: asked(port, "ACCOUNT") for engine, port in self.ports.items()}
-        self.assertEqual({engine: sorted(one["shards"]) for engine, one in accounts.items()},
-                         {"a1": ["3"], "a2": ["1"], "b1": []})
+        self.assertEqual(
+            {engine: sorted(one["shards"]) for engine, one in accounts.items()},
+            {"a1": ["3"], "a2": ["1"], "b1": []},
+        )
         self.assertTrue(accounts["a2"]["shards"]["1"]["primary"])
         self.assertEqual(sum(one["headroom_broken"] for one in accounts.values()), 0)
         # It went on from its disk: what had come before the kill was not asked for again, but for a beat.
@@ -645,9 +722,13 @@
     async def carried(self, state: rules.State, section: Moves) -> dict:
         """The keeper's part; the target is killed at a third of its copy, and comes back a second later."""
         told, log, carrying = {}, [], Carrier()
-        hands = carry.Hands(lambda: {engine: ("127.0.0.1", port) for engine, port in self.ports.items()},
-                            lambda entry: log.append(entry.data), lambda: True,
-                            lambda: time.monotonic_ns() // 1000, Counters())
+        hands = carry.Hands(
+            lambda: {engine: ("127.0.0.1", port) for engine, port in self.ports.items()},
+            lambda entry: log.append(entry.data),
+            lambda: True,
+            lambda: time.monotonic_ns() // 1000,
+            Counters(),
+        )
         with anyio.fail_after(30):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(hands.run)
--- a/tests/test_placement_plan.py
+++ b/tests/test_placement_plan.py
@@ -21,8 +21,12 @@
 from cresstray.placement.solve import solve
 from cresstray.placement.worker import Told, WorkerError, _answer, plan_in_worker
 
-_QUIET = dict(derandomize=True, database=None, deadline=None,
-              suppress_health_check=[HealthCheck.too_slow, HealthCheck.filter_too_much])
+_QUIET = dict(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.filter_too_much],
+)
 
 
 @st.composite
@@ -33,9 +37,12 @@
     shards = []
     for at in range(draw(st.integers(2 if tight else 1, 6))):
         size = draw(st.integers(1, 9))
-        copies = draw(st.sampled_from([["e0", "e1"], ["e2", engines[-1]], ["e0"], ["e1", "e2"]]) if tight
-                      else st.permutations(engines).map(lambda all_: all_[:2]))
-        copies = sorted(set(copies))[:draw(st.integers(1, 2)) if not tight else 2]
+        copies = draw(
+            st.sampled_from([["e0", "e1"], ["e2", engines[-1]], ["e0"], ["e1", "e2"]])
+            if tight
+            else st.permutations(engines).map(lambda all_: all_[:2])
+        )
+        copies = sorted(set(copies))[: draw(st.integers(1, 2)) if not tight else 2]
         for engine in copies:
             held[engine] += size
         growth = draw(st.integers(0, 2)) if grows else 0
@@ -44,9 +51,16 @@
     for at, engine in enumerate(engines):
         headroom = draw(st.integers(0, 3))
         slack = draw(st.sampled_from([0, 0, 1, 3, 6]) if tight else st.integers(-3, 17))
-        places.append(Place(engine, f"z{at // 2}" if tight else draw(st.sampled_from(["z0", "z1"])),
-                            max(0, held[engine] + headroom + slack), headroom, 100,
-                            draw(st.integers(0, 4)) == 4 and not tight))
+        places.append(
+            Place(
+                engine,
+                f"z{at // 2}" if tight else draw(st.sampled_from(["z0", "z1"])),
+                max(0, held[engine] + headroom + slack),
+                headroom,
+                100,
+                draw(st.integers(0, 4)) == 4 and not tight,
+            )
+        )
     tolerance = 1.0 if tight else draw(st.sampled_from([0.05, 0.2, 1.0]))
     return Fleet(tuple(places), tuple(shards), Limits(tolerance, draw(st.integers(1, 2)), share=1.0))
 
@@ -63,8 +77,10 @@
         cost, _, state = heapq.heappop(heap)
         if cost > costs[state]:
             continue
-        held = {engine: sum(shard.size for shard, spot in zip(fleet.shards, state) if engine in spot)
-                for engine in room}
+        held = {
+            engine: sum(shard.size for shard, spot in zip(fleet.shards, state) if engine in spot)
+            for engine in room
+        }
         for at, (shard, spot) in enumerate(zip(fleet.shards, state)):
             for target, source in itertools.product(stays - spot, spot):
                 new = spot - {source} | {target}
@@ -72,7 +88,7 @@
                     continue
                 if two and len({zone[one] for one in spot}) > 1 == len({zone[one] for one in new}):
                     continue
-                then = (*state[:at], new, *state[at + 1:])
+                then = (*state[:at], new, *state[at + 1 :])
                 if cost + shard.size < costs.get(then, 1 << 60):
                     costs[then] = cost + shard.size
                     heapq.heappush(heap, (cost + shard.size, next(ties), then))
@@ -127,9 +143,11 @@
         self.assertLessEqual(plan.bound, plan.bytes)
 
     def test_what_outgrows_its_headroom_at_once_is_told_and_takes_nothing(self) -> None:
-        fleet = Fleet((Place("a", "z", 100, 0, 20), Place("b", "z", 100, 0, 20)),
-                      tuple(Shard(f"s{at}", 33, 1, 1.0, ("a",), "a") for at in range(3)),
-                      Limits(0.2, share=1.0))
+        fleet = Fleet(
+            (Place("a", "z", 100, 0, 20), Place("b", "z", 100, 0, 20)),
+            tuple(Shard(f"s{at}", 33, 1, 1.0, ("a",), "a") for at in range(3)),
+            Limits(0.2, share=1.0),
+        )
         plan = solve(fleet, 20)
         self.assertEqual((plan.late, plan.bytes), (("a",), 33))
         self.assertEqual(check(fleet, plan), [])
@@ -139,8 +157,13 @@
 
 def _swap(third: int) -> Fleet:
     """Each of two full engines has what the zones ask of the other; `third` bytes are usable on another."""
-    places = (Place("a1", "a", 10, 0, 10), Place("a2", "a", 10, 0, 10), Place("b1", "b", 10, 0, 10),
-              Place("b2", "b", 10, 0, 10), Place("c", "b", third, 0, 10))
+    places = (
+        Place("a1", "a", 10, 0, 10),
+        Place("a2", "a", 10, 0, 10),
+        Place("b1", "b", 10, 0, 10),
+        Place("b2", "b", 10, 0, 10),
+        Place("c", "b", third, 0, 10),
+    )
     shards = (Shard("p", 10, 0, 1.0, ("a1", "a2"), "a1"), Shard("q", 10, 0, 1.0, ("b1", "b2"), "b1"))
     return Fleet(places, shards, Limits(tolerance=1.0, share=1.0))
 
@@ -167,8 +190,10 @@
 
     def test_a_plan_pays_for_the_hop_that_it_needs(self) -> None:
         places = (Place("a", "y", 14, 0, 9), Place("b", "z", 9, 0, 9), Place("c", "z", 0, 0, 9))
-        shards = tuple(Shard(name, size, 0, 1.0, (engine,), engine)
-                       for name, size, engine in (("p", 4, "b"), ("q", 4, "b"), ("r", 1, "a"), ("s", 6, "a")))
+        shards = tuple(
+            Shard(name, size, 0, 1.0, (engine,), engine)
+            for name, size, engine in (("p", 4, "b"), ("q", 4, "b"), ("r", 1, "a"), ("s", 6, "a"))
+        )
         fleet = Fleet(places, shards, Limits(0.03, share=1.0))
         plan = solve(fleet, 20)
         self.assertEqual((plan.bytes, plan.bound, brute(fleet)), (16, 16, 16))
@@ -180,30 +205,40 @@
         places, shards, moves = [Place("spare", "z", 10, 0, 10)], [], []
         for at in range(30):
             places += [Place(f"x{at}", "z", 10, 0, 10), Place(f"y{at}", "z", 10, 0, 10)]
-            shards += [Shard(f"p{at}", 10, 0, 1.0, (f"x{at}",), f"x{at}"),
-                       Shard(f"q{at}", 9, 0, 1.0, (f"y{at}",), f"y{at}")]
+            shards += [
+                Shard(f"p{at}", 10, 0, 1.0, (f"x{at}",), f"x{at}"),
+                Shard(f"q{at}", 9, 0, 1.0, (f"y{at}",), f"y{at}"),
+            ]
             moves += [Move(f"p{at}", f"x{at}", f"y{at}", 10), Move(f"q{at}", f"y{at}", f"x{at}", 9)]
         order = ordered(Fleet(tuple(places), tuple(shards), Limits(share=1.0)), moves)
         self.assertEqual(sum(move.bytes for move in order.moves), 30 * (10 + 9 + 9))
         self.assertEqual(sum(move.hop for move in order.moves), 30)
 
     def test_a_shard_that_is_lost_is_named(self) -> None:
-        fleet = Fleet((Place("a", "z", 10, 0, 10), Place("b", "z", 20, 0, 0, True)),
-                      (Shard("s", 2, 0, 1.0, ("b",), "b"), Shard("t", 2, 0, 1.0, ("a",), "a")))
+        fleet = Fleet(
+            (Place("a", "z", 10, 0, 10), Place("b", "z", 20, 0, 0, True)),
+            (Shard("s", 2, 0, 1.0, ("b",), "b"), Shard("t", 2, 0, 1.0, ("a",), "a")),
+        )
         with self.assertRaisesRegex(ImpossibleError, "of 1 shards: s$"):
             solve(fleet, 5)
 
     def test_a_dead_engine_is_emptied_from_other_copies(self) -> None:
-        fleet = Fleet((Place("a", "y", 10, 0, 10), Place("b", "z", 20, 0, 0, True), Place("c", "z", 9, 0, 9)),
-                      (Shard("s", 2, 0, 1.0, ("b", "a"), "b"),), Limits(1.0))
+        fleet = Fleet(
+            (Place("a", "y", 10, 0, 10), Place("b", "z", 20, 0, 0, True), Place("c", "z", 9, 0, 9)),
+            (Shard("s", 2, 0, 1.0, ("b", "a"), "b"),),
+            Limits(1.0),
+        )
         plan = solve(fleet, 5)
-        self.assertEqual([(move.source, move.target, move.primary) for move in plan.moves],
-                         [("b", "c", True)])
+        self.assertEqual(
+            [(move.source, move.target, move.primary) for move in plan.moves], [("b", "c", True)]
+        )
         self.assertEqual(check(fleet, plan), [])
 
     def test_impossible_names_the_bytes(self) -> None:
-        fleet = Fleet((Place("a", "z", 10, 5, 10), Place("b", "z", 20, 0, 10, True)),
-                      (Shard("s", 12, 0, 1.0, ("b",), "b"),))
+        fleet = Fleet(
+            (Place("a", "z", 10, 5, 10), Place("b", "z", 20, 0, 10, True)),
+            (Shard("s", 12, 0, 1.0, ("b",), "b"),),
+        )
         with self.assertRaises(ImpossibleError) as raised:
             solve(fleet, 5)
         self.assertEqual(raised.exception.missing, {"all engines": 7})
@@ -236,9 +271,10 @@
 
     def test_headroom_is_recomputed(self) -> None:
         target = self.plan.moves[-1].target
-        places = tuple(msgspec.structs.replace(
-            place, headroom=place.disk if place.engine == target else place.headroom)
-            for place in self.fleet.places)
+        places = tuple(
+            msgspec.structs.replace(place, headroom=place.disk if place.engine == target else place.headroom)
+            for place in self.fleet.places
+        )
         fleet = msgspec.structs.replace(self.fleet, places=places)
         self.assertTrue(any(f"{target} lacks" in line for line in check(fleet, self.plan)))
 
@@ -276,29 +312,41 @@
             _answer([], 1, b"Traceback\nMemoryError\n", 1.0)
 
     def test_worker_says_what_it_was_given(self) -> None:
-        done = subprocess.run([sys.executable, "-m", "cresstray.placement.worker"], input=b"\0\0\0\1\xc1",
-                              capture_output=True, timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-m", "cresstray.placement.worker"],
+            input=b"\0\0\0\1\xc1",
+            capture_output=True,
+            timeout=60,
+        )
         self.assertIn(b"fault", done.stdout)
 
     def test_nobody_loads_scipy_but_the_worker(self) -> None:
-        code = ("import sys;"
-                "import cresstray.placement.worker, cresstray.placement.fleetmap, cresstray.placement.check;"
-                "sys.exit('scipy' in sys.modules or 'numpy' in sys.modules)")
+        code = (
+            "import sys;"
+            "import cresstray.placement.worker, cresstray.placement.fleetmap, cresstray.placement.check;"
+            "sys.exit('scipy' in sys.modules or 'numpy' in sys.modules)"
+        )
         self.assertEqual(subprocess.run([sys.executable, "-c", code], timeout=60).returncode, 0)
 
 
 class Map(unittest.TestCase):
     def test_of_rules_and_disks(self) -> None:
-        placement = {"2": Shard("", 0, 0, 0.0, ("a", "b"), "a"),
-                     "1": Shard("", 0, 0, 0.0, ("b", "dead"), "b")}
-        disks = [Disk("a", "z1", 50, 9, {"2": 10, "old": 5}), Disk("b", "z2", 40, 9, {"2": 12, "1": 7}),
-                 Disk("c", "z1", 99, 9, {})]
+        placement = {
+            "2": Shard("", 0, 0, 0.0, ("a", "b"), "a"),
+            "1": Shard("", 0, 0, 0.0, ("b", "dead"), "b"),
+        }
+        disks = [
+            Disk("a", "z1", 50, 9, {"2": 10, "old": 5}),
+            Disk("b", "z2", 40, 9, {"2": 12, "1": 7}),
+            Disk("c", "z1", 99, 9, {}),
+        ]
         fleet = mapped(placement, disks, {"1": Grown(3, 2.0)}, ["b"], 0.1, 6, Limits())
         self.assertEqual([shard.name for shard in fleet.shards], ["1", "2"])
         self.assertEqual([(shard.size, shard.growth) for shard in fleet.shards], [(7, 3), (12, 0)])
-        self.assertEqual([(place.engine, place.disk, place.headroom, place.out) for place in fleet.places],
-                         [("a", 60, 6, False), ("b", 59, 6, True), ("c", 99, 9, False),
-                          ("dead", 1 << 60, 0, True)])
+        self.assertEqual(
+            [(place.engine, place.disk, place.headroom, place.out) for place in fleet.places],
+            [("a", 60, 6, False), ("b", 59, 6, True), ("c", 99, 9, False), ("dead", 1 << 60, 0, True)],
+        )
         with self.assertRaisesRegex(UnknownError, "of 1 shards: 3"):
             mapped({**placement, "3": Shard("", 0, 0, 0.0, ("a",), "a")}, disks, {}, [], 0.1, 6, Limits())
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -54,8 +54,9 @@
 
 def gateway(use: Use, chance=lambda: 0.5, full=lambda *_: False, said=None) -> Reads:
     said = [] if said is None else said
-    return Reads(Board(said.append), use, Counters(), chance, lambda _: CORES, lambda name: name[0], full,
-                 lambda: 1000)
+    return Reads(
+        Board(said.append), use, Counters(), chance, lambda _: CORES, lambda name: name[0], full, lambda: 1000
+    )
 
 
 def ask(reads: Reads, hint: str, now: int = 0, expected: int = EXPECTED):
@@ -75,8 +76,10 @@
                 hint = read_hint(row["text"])
                 self.assertEqual(hint is None, row.get("none", False))
                 if hint is not None:
-                    self.assertEqual((hint.primary, hint.within, hint.session),
-                                     (row["primary"], row.get("within", 0) * MS, row.get("session")))
+                    self.assertEqual(
+                        (hint.primary, hint.within, hint.session),
+                        (row["primary"], row.get("within", 0) * MS, row.get("session")),
+                    )
                     self.assertEqual(hint.otherwise.value, row.get("otherwise", "primary"))
 
     def test_board(self) -> None:
@@ -90,8 +93,9 @@
                         board.place({"7": Shard((*(copies or ("c1", "c2")), "p"), primary, epoch)}, 0)
                         continue
                     position, at, now = more
-                    board.heard("7", who, epoch, position, position if who in ("p", "c2") else None,
-                                at * MS, now * MS)
+                    board.heard(
+                        "7", who, epoch, position, position if who in ("p", "c2") else None, at * MS, now * MS
+                    )
                 bound = board.bound("7", "c1", row["now"] * MS)
                 known = row["known"] * MS if row["known"] >= 0 else None
                 self.assertEqual(bound, known)
@@ -113,23 +117,37 @@
     def test_pins(self) -> None:
         for row in TABLE["pin"]:
             with self.subTest(row["place"]):
-                pin = Pin(row.get("tariff", "t"), "", tuple(row.get("copies", ())), row.get("zone", ""),
-                          row.get("strict", True), row.get("until", 9999))
-                left = narrowed(matching({"p": pin}, "t", "n", 1000), row["fresh"], ("a1", "b1", "b2"),
-                                lambda name: name[0], lambda copy, row=row: copy in row.get("full", ()))
+                pin = Pin(
+                    row.get("tariff", "t"),
+                    "",
+                    tuple(row.get("copies", ())),
+                    row.get("zone", ""),
+                    row.get("strict", True),
+                    row.get("until", 9999),
+                )
+                left = narrowed(
+                    matching({"p": pin}, "t", "n", 1000),
+                    row["fresh"],
+                    ("a1", "b1", "b2"),
+                    lambda name: name[0],
+                    lambda copy, row=row: copy in row.get("full", ()),
+                )
                 self.assertEqual(left, row["left"])
 
 
 class Parts(unittest.TestCase):
-    @given(st.tuples(st.integers(0, 2**32 - 1), st.integers(0, 2**32 - 1), st.integers(0, 2**53 - 1)),
-           st.integers(0, 27), st.sampled_from("0123456789abcdefghijklmnopqrstuvwxyz"))
+    @given(
+        st.tuples(st.integers(0, 2**32 - 1), st.integers(0, 2**32 - 1), st.integers(0, 2**53 - 1)),
+        st.integers(0, 27),
+        st.sampled_from("0123456789abcdefghijklmnopqrstuvwxyz"),
+    )
     @settings(derandomize=True, database=None, phases=[Phase.generate], max_examples=300)
     def test_tokens(self, numbers, place, letter) -> None:
         text = token(Token(*numbers))
         self.assertEqual(parsed(text), numbers)
         place %= len(text)
-        swapped = text[:place] + text[place + 1:place + 2] + text[place] + text[place + 2:]
-        for wrong in {text[:place] + letter + text[place + 1:], swapped} - {text}:
+        swapped = text[:place] + text[place + 1 : place + 2] + text[place] + text[place + 2 :]
+        for wrong in {text[:place] + letter + text[place + 1 :], swapped} - {text}:
             with self.assertRaises(ValueError, msg=wrong):
                 parsed(wrong)
 
@@ -142,13 +160,17 @@
             self.assertTrue(copy == copies[0] or rendezvous(one, copies[1:])[0] == copy)
 
     def test_refused_and_denied(self) -> None:
-        use = Use(Shard(("a1", "b1", "p"), "p", 1, ("a1", "b1")),
-                  pins={"x": Pin("t", "", ("a1",), "", True, 9999)})
+        use = Use(
+            Shard(("a1", "b1", "p"), "p", 1, ("a1", "b1")), pins={"x": Pin("t", "", ("a1",), "", True, 9999)}
+        )
         limits: set[str] = set()
         reads = gateway(use, full=lambda name, *_: name in limits)
         writing = Tariff(0, 1, 0, 0, 1, 0, False, False, "all", 0, False, None, None)
-        for tariff, table, hint, wrong in ((writing, "t_7.x", "", "writes"), (TARIFF, "x", "", "no shard"),
-                                           (TARIFF, "t_7.x", " after=" + token(Token(8, 1, 1)), "shard 8")):
+        for tariff, table, hint, wrong in (
+            (writing, "t_7.x", "", "writes"),
+            (TARIFF, "x", "", "no shard"),
+            (TARIFF, "t_7.x", " after=" + token(Token(8, 1, 1)), "shard 8"),
+        ):
             with self.assertRaisesRegex(HintError, wrong):
                 reads.hint(f"/*+ cresstray read=replica within=1s{hint} */ select 1 from {table}", tariff, 0)
         self.assertIsNone(reads.hint("select 1 from t_7.x", writing, 0))
@@ -202,14 +224,16 @@
         member = Member(42, "h", 1, Standing.READY, 1, 0, 0, 0)
         engines[42] = Engine(zone=1)
         directory.listed(Event(1, False, [member]), engines)
-        self.assertEqual((directory.ids[engines[42]], directory.zone_of("s-0000002a")),
-                         ("s-0000002a", "south"))
+        self.assertEqual(
+            (directory.ids[engines[42]], directory.zone_of("s-0000002a")), ("s-0000002a", "south")
+        )
         self.assertEqual((directory.zone_of("s-00000001"), directory.cores("s-0000002a")), (None, 0.0))
         directory.listed(Event(2, True, []), {})
         self.assertEqual((directory.ids, directory.zone_of("s-0000002a")), ({}, "south"))
         for number in range(3000):
-            directory.listed(Event(3, True, [Member(number, "h", 1, Standing.READY, 0, 0, 0, 0)]),
-                             {number: Engine()})
+            directory.listed(
+                Event(3, True, [Member(number, "h", 1, Standing.READY, 0, 0, 0, 0)]), {number: Engine()}
+            )
         self.assertEqual((len(directory.ids), directory.zone_of("s-0000002a")), (1, None))
 
     def test_no_copy_for_a_token_beyond(self) -> None:
@@ -218,8 +242,12 @@
         for name, position in (("p", 5), ("a1", 5)):
             told = {"shard": 7, "epoch": 2, "applied": position, "head": 5}
             reads.heard(name, told, 0, 10)
-        for epoch, position, copy, primary in ((2, 5, True, False), (2, 6, False, True), (1, 99, True, False),
-                                               (3, 0, False, False)):
+        for epoch, position, copy, primary in (
+            (2, 5, True, False),
+            (2, 6, False, True),
+            (1, 99, True, False),
+            (3, 0, False, False),
+        ):
             one = ask(reads, f"read=replica within=1s after={token(Token(7, epoch, position))}")
             with self.subTest(epoch=epoch, position=position):
                 self.assertEqual((one.takes("a1", 20), one.takes("p", 20)), (copy, primary))
@@ -242,12 +270,20 @@
     def test_words_are_checked(self) -> None:
         decode = msgspec.msgpack.Decoder(Word).decode
         good = [1, 0, [["7", 1, 5, 9, [[42, 9, -1], ["x", 3, 7]]]], ["7"], [[0, 0], ["x", 90]]]
-        self.assertEqual(msgspec.msgpack.encode(decode(msgspec.msgpack.encode(good))),
-                         msgspec.msgpack.encode(good))
-        for wrong in ([0, 0, [], []], [1, -1, [], []], [1, 0, [["7", 1, -2, 9, []]], []],
-                      [1, 0, [["7", 1, 5, 2**60, []]], []], [1, 0, [["7", 1, 5, 9, [[42, 9, 2**60]]]], []],
-                      [1, 0, [], ["7"] * 99], [1, 0, [["7", 1, 5, 9, [[42, 9, 1]] * 99]], []],
-                      [1, 0, [], ["7"], [[99, 0]]], [1, 0, [], ["7"], [[0, -1]]]):
+        self.assertEqual(
+            msgspec.msgpack.encode(decode(msgspec.msgpack.encode(good))), msgspec.msgpack.encode(good)
+        )
+        for wrong in (
+            [0, 0, [], []],
+            [1, -1, [], []],
+            [1, 0, [["7", 1, -2, 9, []]], []],
+            [1, 0, [["7", 1, 5, 2**60, []]], []],
+            [1, 0, [["7", 1, 5, 9, [[42, 9, 2**60]]]], []],
+            [1, 0, [], ["7"] * 99],
+            [1, 0, [["7", 1, 5, 9, [[42, 9, 1]] * 99]], []],
+            [1, 0, [], ["7"], [[99, 0]]],
+            [1, 0, [], ["7"], [[0, -1]]],
+        ):
             with self.subTest(wrong), self.assertRaises(msgspec.ValidationError):
                 decode(msgspec.msgpack.encode(wrong))
 
@@ -277,8 +313,7 @@
 
 class Fallback(unittest.TestCase):
     @given(st.integers(1, 60), st.integers(0, 10**6), st.sampled_from((2, 20, 300)))
-    @settings(derandomize=True, database=None, max_examples=15, deadline=None,
-              phases=[Phase.generate])
+    @settings(derandomize=True, database=None, max_examples=15, deadline=None, phases=[Phase.generate])
     def test_share_of_all_gateways(self, count, seed, widest) -> None:
         chance = random.Random(seed)
         shares, spent, widest_part = [fallback.Share(chance.random) for _ in range(count)], [], 0
@@ -296,8 +331,12 @@
                 most = rate * (spent[last][0] - spent[first][0]) + max(rate * fallback.WINDOW, widest_part)
                 self.assertLessEqual(sums[last + 1] - sums[first], most + 1)
         # In use: half of the share at the least, where that is asked for.
-        self.assertGreater(sums[-1], 0.5 * min(rate * 8_000_000, 0.5 * sum(range(1, widest + 1)) / widest
-                                               * MS * 2000) if widest * MS * count <= rate * 10**6 else 0)
+        self.assertGreater(
+            sums[-1],
+            0.5 * min(rate * 8_000_000, 0.5 * sum(range(1, widest + 1)) / widest * MS * 2000)
+            if widest * MS * count <= rate * 10**6
+            else 0,
+        )
 
 
 class OnDemand(unittest.TestCase):
@@ -319,8 +358,15 @@
         return found
 
     def test_flood(self) -> None:
-        placed = {str(n): Shard((f"e{n % 20}", f"e{(n + 7) % 20}", f"e{(n + 13) % 20}"), f"e{n % 20}", 1,
-                                (f"e{(n + 7) % 20}", f"e{(n + 13) % 20}")) for n in range(1000)}
+        placed = {
+            str(n): Shard(
+                (f"e{n % 20}", f"e{(n + 7) % 20}", f"e{(n + 13) % 20}"),
+                f"e{n % 20}",
+                1,
+                (f"e{(n + 7) % 20}", f"e{(n + 13) % 20}"),
+            )
+            for n in range(1000)
+        }
         flood = self.play(placed, wants=lambda now: [(str(n), n % 3 * 10) for n in range(1200)])
         few = self.play({"1": placed["1"]}, wants=lambda now: [("1", 0), ("x", 0)])
         self.assertLessEqual(len(flood), 4 * asking._IN_ALL + asking._AT_ONCE)
@@ -362,8 +408,14 @@
         asks.wanted("c", 0, 90 * MS)
         self.assertEqual(asks.carried(3, 0), [("a", 0), ("b", 0)])
         self.assertEqual(asks.carried(9, 0), [("c", 0), ("c", 90 * MS)])
-        for now, young, told in ((5, 0, []), (21, 0, [("a", 0)]), (22, 90, [("a", 90 * MS)]), (23, 95, []),
-                                 (24, 80, [("a", 80 * MS)]), (300, 80, [("a", 80 * MS)])):
+        for now, young, told in (
+            (5, 0, []),
+            (21, 0, [("a", 0)]),
+            (22, 90, [("a", 90 * MS)]),
+            (23, 95, []),
+            (24, 80, [("a", 80 * MS)]),
+            (300, 80, [("a", 80 * MS)]),
+        ):
             asks.wanted("a", now * MS, young * MS)
             self.assertEqual((now, asks.carried(9, now * MS)), (now, told))
 
@@ -381,9 +433,11 @@
                 self.assertEqual(sorted(asked), ["a1", "b1", "p"])  # for both of them, once
 
     def test_not_answered_without_it(self) -> None:
-        for patch in (mock.patch.object(Reads, "needs", lambda *_: ()),
-                      mock.patch.object(joined.Exchange, "tells", lambda *_: []),
-                      mock.patch.object(Asking, "carried", lambda *_: [])):
+        for patch in (
+            mock.patch.object(Reads, "needs", lambda *_: ()),
+            mock.patch.object(joined.Exchange, "tells", lambda *_: []),
+            mock.patch.object(Asking, "carried", lambda *_: []),
+        ):
             with patch:
                 fleet = TwoKeepers("k1/1", "k2/1")
                 one = fleet.read(1, 1_000 * MS)
@@ -432,9 +486,14 @@
         for name in (leader, follower):
             one = joined.Positions(0.01, lambda kind, text: self.said.append(text), Counters())
             core = SimpleNamespace(
-                node=SimpleNamespace(leader=leader, name=name), guests={}, talking={}, turned=[],
-                each_round=[], ready=lambda now, leads=name == leader: leads,
-                state=SimpleNamespace(acting=SimpleNamespace(placement=SimpleNamespace(items=placed))))
+                node=SimpleNamespace(leader=leader, name=name),
+                guests={},
+                talking={},
+                turned=[],
+                each_round=[],
+                ready=lambda now, leads=name == leader: leads,
+                state=SimpleNamespace(acting=SimpleNamespace(placement=SimpleNamespace(items=placed))),
+            )
             one.join(core, self.ask)
             core.turned[0](0)
             self.keepers.append(one)
@@ -444,14 +503,22 @@
         far = self.far(talks[0], self.cores[first]), self.far(talks[1], self.cores[second])
         self.cores[first].talking[self.cores[second].node.name] = far[1], talks[0]
         self.cores[second].guests[f"keeper:{self.cores[first].node.name}"] = SimpleNamespace(
-            talk=talks[1], far=far[0])
+            talk=talks[1], far=far[0]
+        )
         self.talks, self.reads = [], []
         for number, (keeper, core) in enumerate(zip(self.keepers, self.cores)):
             reads = gateway(Use(self.SHARD, 2))
             reads.patience = 30 * MS
             reads.placed(0)
-            here, there = Talk(reads.board, 4, lambda now, reads=reads: reads.wanted(now)[:4],
-                               lambda now, reads=reads: reads.needs(now, 4)), keeper.talk()
+            here, there = (
+                Talk(
+                    reads.board,
+                    4,
+                    lambda now, reads=reads: reads.wanted(now)[:4],
+                    lambda now, reads=reads: reads.needs(now, 4),
+                ),
+                keeper.talk(),
+            )
             core.guests[f"gateway:g{number}"] = SimpleNamespace(talk=there, far=self.far(here, None))
             self.talks.append((here, there))
             self.reads.append(reads)
@@ -469,8 +536,9 @@
 
     def far(self, talk: Talk, core) -> SimpleNamespace:
         """The end from which frames go to this side."""
-        return SimpleNamespace(unwritten=0,
-                               put=lambda frame: self.after(MS, self.hear, talk, core, frame.body))
+        return SimpleNamespace(
+            unwritten=0, put=lambda frame: self.after(MS, self.hear, talk, core, frame.body)
+        )
 
     def hear(self, talk: Talk, core, body: bytes) -> None:
         talk.hears(body, self.now)
@@ -488,8 +556,9 @@
     def words(self) -> None:
         for (here, there), core in zip(self.talks, self.cores):
             self.after(MS, self.hear, there, core, here.says(self.now))
-            self.after(MS, lambda here=here, there=there: self.after(MS, self.hear, here, None,
-                                                                      there.says(self.now)))
+            self.after(
+                MS, lambda here=here, there=there: self.after(MS, self.hear, here, None, there.says(self.now))
+            )
 
     def read(self, number: int, at: int):
         """Its first question at that moment; the gateway asks its keeper then."""
@@ -550,6 +619,7 @@
         def once() -> None:
             act()
             self.after(self.random.expovariate(1 / (mean * MS)) + 1, once)
+
         once()
 
     def run(self) -> None:
@@ -604,6 +674,7 @@
         def come(report: dict[str, float], state: int) -> None:
             reads.heard(name, report, sent, self.now)
             back(state, report, sent)
+
         self.after(self._delay(), run)
 
     def _read(self) -> None:
@@ -614,9 +685,13 @@
         within = self.random.choice((120, 500, 2000))
         one, now = ask(reads, f"read=replica within={within}ms{after}", self.now), self.now
         seen, shard = session[1], reads.use.documents.placement.items["7"]
-        could = any(self.staleness(self.has[copy], now + EXPECTED) <= within * MS
-                    and self.log[self.has[copy]] >= seen and self.log[self.has[copy]][0] == shard.epoch
-                    for copy in shard.reads if copy != shard.primary)
+        could = any(
+            self.staleness(self.has[copy], now + EXPECTED) <= within * MS
+            and self.log[self.has[copy]] >= seen
+            and self.log[self.has[copy]][0] == shard.epoch
+            for copy in shard.reads
+            if copy != shard.primary
+        )
         self.possible[not alone] += could
         names = [name for name in sorted(self.has) if one.takes(name, now)]
         if not names:
@@ -634,6 +709,7 @@
             assert self.log[state] >= seen, f"went back from {seen} to {self.log[state]}"
             if self.log[state] >= session[1]:
                 session[:] = [one.at(), max(session[1], self.log[state])]
+
         self._send(reads, name, back)
 
     def _gossip(self) -> None:
@@ -652,6 +728,7 @@
             hearer.hears(word, self.now)
             if left:
                 passed(hearer, speaker, left - 1)
+
         passed(here, there, 2)
 
     # Placement: joint for each at its own time, and in force only once all are joint.
@@ -667,6 +744,7 @@
             for use in self.uses:
                 self.after(self.random.uniform(0, 50) * MS, use.set, new)
             self.after(25 * MS, self._keeper_set, new)
+
         self.after(60 * MS, commit)
 
     def _keeper_set(self, shard: Shard) -> None:
@@ -674,8 +752,11 @@
 
     def _move(self) -> None:
         self.has["a2"] = self.has["a1"]
-        self._turn(Shard(("b1", "p1"), "p1", 1, ("b1",)), Shard(("a2", "b1", "p1"), "p1", 1, ("a2", "b1")),
-                   lambda: None)
+        self._turn(
+            Shard(("b1", "p1"), "p1", 1, ("b1",)),
+            Shard(("a2", "b1", "p1"), "p1", 1, ("a2", "b1")),
+            lambda: None,
+        )
 
     def _switch(self) -> None:
         def between() -> None:
@@ -683,15 +764,18 @@
             self.log.append((2, 0))
             self.written.append(self.now)
             self.frozen = False
+
         self.frozen = True
-        self._turn(Shard(("a2", "b1", "p1"), "", 2, ("a2",)),
-                   Shard(("a2", "b1", "p1"), "b1", 2, ("a2", "p1")), between)
+        self._turn(
+            Shard(("a2", "b1", "p1"), "", 2, ("a2",)),
+            Shard(("a2", "b1", "p1"), "b1", 2, ("a2", "p1")),
+            between,
+        )
 
 
 class Histories(unittest.TestCase):
     @given(st.integers(0, 10**6), st.sampled_from((10, 40, 150)), st.sampled_from((0.0, 0.1, 0.4)))
-    @settings(derandomize=True, database=None, max_examples=20, deadline=None,
-              phases=[Phase.generate])
+    @settings(derandomize=True, database=None, max_examples=20, deadline=None, phases=[Phase.generate])
     def test_bounds_and_sessions(self, seed, lag, loss) -> None:
         world = World(seed, lag * MS, loss, spread=True)
         world.run()
@@ -705,16 +789,32 @@
     def test_broken_ones_are_caught(self) -> None:
         heard = Board.heard
         broken = {
-            "counted from the answer": ("old, within", mock.patch.object(
-                Board, "heard", lambda board, *told: heard(board, *told[:-2], told[-1], told[-1]))),
-            "ages from their arrival": ("old, within", mock.patch.object(
-                Peer, "hears", lambda peer, word, now: setattr(peer, "_heard", word.number)
-                or setattr(peer, "_wants", word.wants)
-                or peer._board.take(word.items, now, now))),
-            "a token of less than was seen": ("went back", mock.patch.object(
-                read, "Token", lambda shard, epoch, position: Token(shard, epoch, max(0, position - 3)))),
-            "a token counts for nothing": ("went back", mock.patch.object(
-                choose, "has_seen", lambda after, applied: True)),
+            "counted from the answer": (
+                "old, within",
+                mock.patch.object(
+                    Board, "heard", lambda board, *told: heard(board, *told[:-2], told[-1], told[-1])
+                ),
+            ),
+            "ages from their arrival": (
+                "old, within",
+                mock.patch.object(
+                    Peer,
+                    "hears",
+                    lambda peer, word, now: setattr(peer, "_heard", word.number)
+                    or setattr(peer, "_wants", word.wants)
+                    or peer._board.take(word.items, now, now),
+                ),
+            ),
+            "a token of less than was seen": (
+                "went back",
+                mock.patch.object(
+                    read, "Token", lambda shard, epoch, position: Token(shard, epoch, max(0, position - 3))
+                ),
+            ),
+            "a token counts for nothing": (
+                "went back",
+                mock.patch.object(choose, "has_seen", lambda after, applied: True),
+            ),
         }
         for name, (wrong, patch) in broken.items():
             with self.subTest(name), patch, self.assertRaisesRegex(AssertionError, wrong):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -28,8 +28,13 @@
         self.check("final_answer", desk.lines)
 
     def test_no_effect_twice(self) -> None:
-        desk = Desk(settings({"Effect": "at_most_once", "LateValue": 1}, {
-            "Effect": "deduplicated", "Group": "zone", "KeyTtl": 1500.0, "LateValue": 1}), engines=3)
+        desk = Desk(
+            settings(
+                {"Effect": "at_most_once", "LateValue": 1},
+                {"Effect": "deduplicated", "Group": "zone", "KeyTtl": 1500.0, "LateValue": 1},
+            ),
+            engines=3,
+        )
         desk.list({desk.engines[0]: {"zone": 1}, desk.engines[1]: {"zone": 2}, desk.engines[2]: {"zone": 1}})
         for ending in (Ending.UNREACHABLE, Ending.RESET, Ending.ERROR):
             desk.back(desk.submit(f"unrepeatable, {ending.value}", left=9000), ending)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -50,16 +50,24 @@
         self.coordinator: str | None = None  # of the configuration that replaces the first
         self.address: tuple[str, int]
 
-    async def run(self, scene: Callable[["Stage", ClientStandIn], Awaitable],
-                  coordinator: str | None) -> None:
+    async def run(
+        self, scene: Callable[["Stage", ClientStandIn], Awaitable], coordinator: str | None
+    ) -> None:
         async with anyio.create_task_group() as tasks:
             for engine in self.engines:
                 await tasks.start(engine.run)
             # With a coordinator, the engines are still to be told of.
             told = [] if coordinator else self.engines
             listed = [member(engine.port, number) for number, engine in enumerate(told)]
-            self.service = Service("n0", ("127.0.0.1", 0), 7, self.settings,
-                                   [Event(1, True, listed)], coordinator, lambda: self.coordinator)
+            self.service = Service(
+                "n0",
+                ("127.0.0.1", 0),
+                7,
+                self.settings,
+                [Event(1, True, listed)],
+                coordinator,
+                lambda: self.coordinator,
+            )
             self.address = await tasks.start(self.service.run)
             with anyio.fail_after(30):
                 async with await anyio.connect_tcp(*self.address) as stream:
@@ -82,8 +90,14 @@
 
 
 class Scenes(TraceCase):
-    def play(self, name: str, scene: Callable[[Stage, ClientStandIn], Awaitable], engines: int = 1,
-             coordinator: str | None = None, **parts: object) -> Stage:
+    def play(
+        self,
+        name: str,
+        scene: Callable[[Stage, ClientStandIn], Awaitable],
+        engines: int = 1,
+        coordinator: str | None = None,
+        **parts: object,
+    ) -> Stage:
         stage = Stage(engines, **parts)
         with contextlib.redirect_stderr(io.StringIO()) as said:
             anyio.run(stage.run, scene, coordinator)
@@ -105,8 +119,12 @@
 
     def test_malformed_lines_keep_the_connection(self) -> None:
         async def scene(stage: Stage, client: ClientStandIn) -> None:
-            for line in (b"no JSON\n", b'{"jsonrpc":"2.0","id":3,"method":"rapport"}\n', b"\n",
-                         b'{"jsonrpc":"2.0","id":4,"method":"lookup","params":{}}\n'):
+            for line in (
+                b"no JSON\n",
+                b'{"jsonrpc":"2.0","id":3,"method":"rapport"}\n',
+                b"\n",
+                b'{"jsonrpc":"2.0","id":4,"method":"lookup","params":{}}\n',
+            ):
                 await client.say(line)
                 if line.strip():
                     await client.hear()
@@ -115,8 +133,14 @@
             await client.ask(5, "plain")  # neither can be answered now
             await client.hear()
             await client.hear()
-            await client.say({"jsonrpc": "2.0", "id": 6, "method": "lookup", "params": {
-                "req": "0" * 16, "timeout": 900, "owner": "nobody", "data": ""}})
+            await client.say(
+                {
+                    "jsonrpc": "2.0",
+                    "id": 6,
+                    "method": "lookup",
+                    "params": {"req": "0" * 16, "timeout": 900, "owner": "nobody", "data": ""},
+                }
+            )
             await client.hear()
             await client.ask(7, "plain")
             await client.hear()
@@ -143,6 +167,7 @@
 
     def test_strangers_do_no_harm(self) -> None:
         """The id of an open request, one used again after it was withdrawn, too many open, only mistakes."""
+
         async def scene(stage: Stage, client: ClientStandIn) -> None:
             await client.ask(1, "silent")
             await stage.until(0, "ASK 0001")
@@ -234,6 +259,7 @@
 
     def test_coordinators(self) -> None:
         """A doubled event, a break, and configurations replaced while the gateway runs and while it stops."""
+
         async def scene(stage: Stage, client: ClientStandIn) -> None:
             await client.ask(1, "plain", timeout=60000)
             await client.hear()
@@ -250,9 +276,9 @@
 
         async def first(stream: anyio.abc.SocketStream) -> None:
             heard.append(f"the first is told {struct.unpack('>Q', await stream.receive(8))[0]}")
-            event = frame(2, 0) + 2 * frame(2, 2, (5, 0x7f000001, made.engines[0].port, 0, 0, 0, 0, 0, 0))
+            event = frame(2, 0) + 2 * frame(2, 2, (5, 0x7F000001, made.engines[0].port, 0, 0, 0, 0, 0, 0))
             for at in range(len(event)):
-                await stream.send(event[at:at + 1])
+                await stream.send(event[at : at + 1])
             with contextlib.suppress(anyio.EndOfStream):
                 await stream.receive()
             heard.append("the first is left")
@@ -262,7 +288,7 @@
             if len(heard) > 3:
                 told_again.set()
                 await anyio.sleep_forever()
-            await stream.send(frame(3, 2, (6, 0x7f000001, 1, 0, 0, 0, 0, 0, 0))[:20])
+            await stream.send(frame(3, 2, (6, 0x7F000001, 1, 0, 0, 0, 0, 0, 0))[:20])
             await stream.aclose()
 
         async def main() -> None:
@@ -287,18 +313,26 @@
 class Parts(TraceCase):
     def crowd(self, most: int, many: int, count: int, check: Callable) -> list[str]:
         """Clients at a door of `most`, and what `check` notes about it; the clock is the test's."""
+
         async def main() -> None:
-            door = Door(frozenset(), None, lambda: most, many, lambda: clock[0], Counters(),
-                        Log("n0", Clock()))
+            door = Door(
+                frozenset(), None, lambda: most, many, lambda: clock[0], Counters(), Log("n0", Clock())
+            )
             door.front = type("Front", (), {"gone": lambda self, connection: None})()
             with contextlib.ExitStack() as crowd:
                 listener = crowd.enter_context(socket.create_server(("127.0.0.1", 0), backlog=200))
                 listener.setblocking(False)
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(door.run, listener)
-                    await check(door, clock, lines, [
-                        crowd.enter_context(socket.create_connection(listener.getsockname()))
-                        for _ in range(count)])
+                    await check(
+                        door,
+                        clock,
+                        lines,
+                        [
+                            crowd.enter_context(socket.create_connection(listener.getsockname()))
+                            for _ in range(count)
+                        ],
+                    )
                     tasks.cancel_scope.cancel()
 
         lines, clock = [], [0]
@@ -325,8 +359,13 @@
             clients[3].sendall(b"half a li")
             await turns(20)
             note("served")
-            for milliseconds, text in ((1000, "a fifth comes"), (2000, "a sixth comes"),
-                                       (2100, "a seventh comes"), (4300, "the sweep"), (6900, "the sweep")):
+            for milliseconds, text in (
+                (1000, "a fifth comes"),
+                (2000, "a sixth comes"),
+                (2100, "a seventh comes"),
+                (4300, "the sweep"),
+                (6900, "the sweep"),
+            ):
                 clock[0] = milliseconds * 1000
                 if "comes" in text:
                     clients.append(socket.create_connection(clients[0].getpeername()))
@@ -348,8 +387,10 @@
             await turns(20)
             for clock[0] in (200_000, 400_000):
                 door.close_silent()
-                lines.append(f"{clock[0]} us: {[one.spoken for one in door.connections].count(True)} "
-                             f"answered, {len(door.connections)} in all")
+                lines.append(
+                    f"{clock[0]} us: {[one.spoken for one in door.connections].count(True)} "
+                    f"answered, {len(door.connections)} in all"
+                )
                 await turns(2)
             for client in clients:
                 client.close()
@@ -364,8 +405,17 @@
 
     def names_on_a_link(self) -> None:
         timers = Timers(Clock())
-        pool = Pool("engine", ("127.0.0.1", 1), {}, Quota(8, 8), None, timers, Clock().now, Counters(),
-                    Log("n0", Clock()))
+        pool = Pool(
+            "engine",
+            ("127.0.0.1", 1),
+            {},
+            Quota(8, 8),
+            None,
+            timers,
+            Clock().now,
+            Counters(),
+            Log("n0", Clock()),
+        )
         link, lines = Link(pool), []
         link.line = type("Line", (), {"put": lambda self, message: True, "has_ended": lambda self: False})()
         for name in (b"first", b"second"):
@@ -386,8 +436,12 @@
         """Written, not written, on a link that never came up, and moved as often as it may."""
         lines = []
         for text, came_up, written, moves in (
-                ("written", True, True, 0), ("not written", True, False, 0), ("moved before", True, False, 1),
-                ("moved twice", True, False, 2), ("never up", False, False, 0)):
+            ("written", True, True, 0),
+            ("not written", True, False, 0),
+            ("moved before", True, False, 1),
+            ("moved twice", True, False, 2),
+            ("never up", False, False, 0),
+        ):
             life, exchange = Exchanges(8), Exchange(b"one", b"", None, None)
             exchange.moves = moves
             life.begin(exchange)
@@ -404,11 +458,12 @@
 
         lines, route = [], Route(pool, None)
         for text, event in (
-                ("two come", Event(1, True, [member(1, 1), member(2, 2)])),
-                ("one leaves", Event(2, False, [member(1, 1, Standing.GONE)])),
-                ("a late word on it", Event(3, False, [member(1, 1, Standing.GONE)])),
-                ("its address under another id", Event(4, False, [member(1, 3)])),
-                ("only that one is listed", Event(5, True, [member(1, 3)]))):
+            ("two come", Event(1, True, [member(1, 1), member(2, 2)])),
+            ("one leaves", Event(2, False, [member(1, 1, Standing.GONE)])),
+            ("a late word on it", Event(3, False, [member(1, 1, Standing.GONE)])),
+            ("its address under another id", Event(4, False, [member(1, 3)])),
+            ("only that one is listed", Event(5, True, [member(1, 3)])),
+        ):
             entries = len(route.listed(event))
             lines.append(f"{text}: {entries} told, {len(route._engines)} kept, {len(route._pools)} pools")
         self.check("gone", lines)
@@ -434,10 +489,17 @@
     def test_configuration(self) -> None:
         lines = []
         with tempfile.TemporaryDirectory() as folder:
-            for text, given in (("missing", None), ("no JSON", "{"), ("no address", '{"name":"n0"}'),
-                                ("a malformed list", '{"name":"n0","listen":"127.0.0.1:1","seed":"1",'
-                                 '"settings":{},"known":{"index":1,"updates":[{"index":1,"endpoints":'
-                                 '{"members":[{"id":"x","host_port":"y"}]}}]}}')):
+            for text, given in (
+                ("missing", None),
+                ("no JSON", "{"),
+                ("no address", '{"name":"n0"}'),
+                (
+                    "a malformed list",
+                    '{"name":"n0","listen":"127.0.0.1:1","seed":"1",'
+                    '"settings":{},"known":{"index":1,"updates":[{"index":1,"endpoints":'
+                    '{"members":[{"id":"x","host_port":"y"}]}}]}}',
+                ),
+            ):
                 path = Path(folder) / "config.json"
                 if given is not None:
                     path.write_text(given)
@@ -451,12 +513,12 @@
         lines = []
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
-            given = {"name": "n0", "listen": "127.0.0.1:0", "seed": "1",
-                     "settings": Stage(0).settings}
+            given = {"name": "n0", "listen": "127.0.0.1:0", "seed": "1", "settings": Stage(0).settings}
             path.write_text(json.dumps(given))
             run = [sys.executable, "-m", "cresstray"]
-            with subprocess.Popen(run, env=os.environ | {"GW_CONFIG": str(path)}, stderr=subprocess.PIPE,
-                                  text=True) as process:
+            with subprocess.Popen(
+                run, env=os.environ | {"GW_CONFIG": str(path)}, stderr=subprocess.PIPE, text=True
+            ) as process:
                 lines.append(re.sub(r":\d+$", ":PORT", process.stderr.readline().split(" ", 1)[1].rstrip()))
                 for text in ("{", json.dumps(given | {"coordinator": "127.0.0.1:1"})):
                     path.write_text(text)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -53,6 +53,7 @@
 
 # The table of docs/store.md: every state with every event.
 
+
 def state(name: str) -> Mark | None:
     words = name.split()
     if words[0] == "none":
@@ -71,8 +72,12 @@
     if what.startswith("hand"):
         fence, at = (9 if who == "of another fence" else 10), (2000 if who == "early" else 4000)
         return Event(Kind["HAND_RAN" if what == "hand ran" else "HAND_UNRUN"], "", "", fence, until=3500), at
-    holder, fence, since = {"holder": (A, 10, 1500), "older": (B, 5, 500), "newer": (B, 20, 1500),
-                            "same fence": (B, 10, 1500)}[who]
+    holder, fence, since = {
+        "holder": (A, 10, 1500),
+        "older": (B, 5, 500),
+        "newer": (B, 20, 1500),
+        "same fence": (B, 10, 1500),
+    }[who]
     return Event(Kind[what.upper()], *holder, fence, since, 5000, b"+r" if what == "ran" else b""), 2000
 
 
@@ -86,7 +91,8 @@
 class Life(unittest.TestCase):
     def test_every_state_with_every_event(self) -> None:
         states = ["none", "unseen", "unreadable", "ended", "ended kept"] + [
-            f"{one}{more}" for one in ("intended", "sent", "unknown") for more in ("", " doubted")]
+            f"{one}{more}" for one in ("intended", "sent", "unknown") for more in ("", " doubted")
+        ]
         self.assertEqual(sorted(states), sorted(TABLE["states"]))
         for name, row in TABLE["states"].items():
             self.assertEqual(row, [told(step(state(name), *event(one))) for one in TABLE["events"]], name)
@@ -112,9 +118,16 @@
         self.assertGreater(cleared, 0)
 
     def test_digests_and_bytes(self) -> None:
-        made = {marks.digest(*parts) for parts in (
-            ("n", "t", "g", "ab"), ("n", "ta", "g", "b"), ("n", "t", "ga", "b"), ("m", "t", "g", "ab"),
-            ("n", "t", "g", "ab"))}
+        made = {
+            marks.digest(*parts)
+            for parts in (
+                ("n", "t", "g", "ab"),
+                ("n", "ta", "g", "b"),
+                ("n", "t", "ga", "b"),
+                ("m", "t", "g", "ab"),
+                ("n", "t", "g", "ab"),
+            )
+        }
         self.assertEqual(4, len(made))
         mark = Mark(State.SENT, "a", "1", 7, 8, 9, True, b"+x")
         self.assertEqual(mark, marks.decoded(marks.encoded(mark)))
@@ -127,6 +140,7 @@
 
 # The guard.
 
+
 def tariff(deduplicated: bool = True, group: str = "all", idempotent: bool = False, index: int = 0) -> Tariff:
     return Tariff(index, 1, SECOND, 0.0, 1.0, 0.0, idempotent, deduplicated, group, MEMORY, False, None, None)
 
@@ -136,13 +150,16 @@
         self.guard = Guard({"unguarded": {"load": 2}, "unguarded_s": 10}, 2 * SECOND, random.Random(3).random)
         self.times = Times(START, START + SECOND, START + 3 * SECOND, MEMORY)
 
-    def decide(self, kind: Guarded, mark: Mark | None, at: int = 10_000, now: int = START,
-               before: int = 0) -> Any:
+    def decide(
+        self, kind: Guarded, mark: Mark | None, at: int = 10_000, now: int = START, before: int = 0
+    ) -> Any:
         return self.guard.decide(kind, Found(mark, at, before), B, self.times, now)
 
     def test_who_needs_a_mark(self) -> None:
-        kinds = [guarded(one, "load", {"tariffs": ["load"]}) for one in (
-            tariff(), tariff(group="cell"), tariff(False), tariff(False, idempotent=True))]
+        kinds = [
+            guarded(one, "load", {"tariffs": ["load"]})
+            for one in (tariff(), tariff(group="cell"), tariff(False), tariff(False, idempotent=True))
+        ]
         self.assertEqual([Guarded.SHARED, Guarded.APART, Guarded.ONCE, Guarded.FREE], kinds)
         self.assertIs(Guarded.FREE, guarded(tariff(), "load", {}))
 
@@ -151,17 +168,27 @@
         ran, kept = Mark(State.ENDED, *A, 4, 0, 5000), Mark(State.ENDED, *A, 4, 0, 5000, False, b"+r")
         unknown, held = Mark(State.UNKNOWN, *A, 4, 0, 5000), Mark(State.INTENDED, *A, 4, 11_000, 5000)
         late, past = START + 600_000, 5000 + 19_700  # half of the slack is over; the memory, but for a margin
-        rows = [(None, 10_000, START, Claim, Claim), (Mark(State.UNSEEN, *A, 4), 10_000, START, Claim, Claim),
-                (kept, 10_000, START, Answer, Answer), (kept, past, START, Answer, Answer),
-                (ran, 10_000, START, Go, Abandon), (ran, past, START, Abandon, Abandon),
-                (unknown, 10_000, START, Go, Abandon), (unknown, past, START, Abandon, Abandon),
-                (held, 10_000, START, Wait, Wait), (held, 10_000, late, Claim, Deny),
-                (held, 11_000, START, Claim, Abandon), (held, past, START, Abandon, Abandon),
-                (marks.UNREADABLE, past, START, Abandon, Abandon)]
+        rows = [
+            (None, 10_000, START, Claim, Claim),
+            (Mark(State.UNSEEN, *A, 4), 10_000, START, Claim, Claim),
+            (kept, 10_000, START, Answer, Answer),
+            (kept, past, START, Answer, Answer),
+            (ran, 10_000, START, Go, Abandon),
+            (ran, past, START, Abandon, Abandon),
+            (unknown, 10_000, START, Go, Abandon),
+            (unknown, past, START, Abandon, Abandon),
+            (held, 10_000, START, Wait, Wait),
+            (held, 10_000, late, Claim, Deny),
+            (held, 11_000, START, Claim, Abandon),
+            (held, past, START, Abandon, Abandon),
+            (marks.UNREADABLE, past, START, Abandon, Abandon),
+        ]
         for mark, at, now, shared, other in rows:
             with self.subTest(mark=mark, at=at, now=now - START):
-                found = [type(self.decide(kind, mark, at, now)) for kind in (
-                    Guarded.SHARED, Guarded.APART, Guarded.ONCE)]
+                found = [
+                    type(self.decide(kind, mark, at, now))
+                    for kind in (Guarded.SHARED, Guarded.APART, Guarded.ONCE)
+                ]
                 self.assertEqual([shared, other, other], found)
         ahead = msgspec.structs.replace(ran, since=12_000)
         self.assertIsInstance(self.decide(Guarded.SHARED, ahead), Abandon)
@@ -179,9 +206,14 @@
         def silent(name: str, since: int = 0, now: int = START) -> Any:
             return self.guard.silent(Silence("away", since), name, now)
 
-        found = [type(silent("load")) for _ in range(4)] + [type(one) for one in (
-            silent("post"), silent("load", 11 * SECOND, START + 2 * SECOND),
-            silent("load", SECOND, START + 2 * SECOND))]
+        found = [type(silent("load")) for _ in range(4)] + [
+            type(one)
+            for one in (
+                silent("post"),
+                silent("load", 11 * SECOND, START + 2 * SECOND),
+                silent("load", SECOND, START + 2 * SECOND),
+            )
+        ]
         self.assertEqual([Unguarded, Unguarded, Deny, Deny, Deny, Deny, Unguarded], found)
         waits = [self.guard.come_back(least) for least in (0, SECOND, 9 * SECOND) for _ in range(50)]
         self.assertTrue(all(SECOND <= wait <= 2 * SECOND for wait in waits))
@@ -190,6 +222,7 @@
 
 # The limiter on the store, and its clock.
 
+
 class Limiting(unittest.TestCase):
     def setUp(self) -> None:
         self.health, self.now = Health({}, random.Random(1).random, START), START
@@ -248,6 +281,7 @@
                     health.ended(ticket, False, now)
                 now += 1_000
             return times
+
         times = found(1)
         self.assertTrue(2 * SECOND <= times[-1] - times[-2] <= 4 * SECOND + 1_000)
         self.assertGreater(len({found(seed)[3] for seed in range(20)}), 15)
@@ -265,8 +299,16 @@
 
 
 class WritingBehind(unittest.TestCase):
-    def add(self, behind: Behind, number: int, kind: Kind, tenant: int = 0, fence: int = 1, now: int = START,
-            **more: Any) -> bool:
+    def add(
+        self,
+        behind: Behind,
+        number: int,
+        kind: Kind,
+        tenant: int = 0,
+        fence: int = 1,
+        now: int = START,
+        **more: Any,
+    ) -> bool:
         return behind.add(b"%d" % number, Event(kind, *A, fence, **more), tenant, now + 60 * SECOND, now)
 
     def test_bounds(self) -> None:
@@ -303,6 +345,7 @@
 
 # The journal.
 
+
 class Disk(System):
     """Fails the call with that number, counted over all calls; writes half of it first."""
 
@@ -315,7 +358,7 @@
 
     def write(self, file: int, data: Any) -> int:
         if self._count():
-            os.write(file, data[:len(data) // 2])
+            os.write(file, data[: len(data) // 2])
             raise OSError(errno.ENOSPC, "no space")
         return os.write(file, data)
 
@@ -365,8 +408,9 @@
         made.close()
         self.assertEqual(([1, 3], []), self.again())
         entry = self.intended(1)
-        self.assertEqual((Kind.UNKNOWN, 0), (journal.unknown(entry, "a", "2").kind,
-                                             journal.unknown(entry, "a", "2").since))
+        self.assertEqual(
+            (Kind.UNKNOWN, 0), (journal.unknown(entry, "a", "2").kind, journal.unknown(entry, "a", "2").since)
+        )
 
     def test_tails_and_damage(self) -> None:
         made = self.opened()
@@ -385,7 +429,7 @@
         Path(self.path).write_bytes(whole + bytes(2 * size))
         self.assertEqual(([1, 2, 3], [f"a torn tail, {2 * size} bytes cut at {4 * size}"]), self.again())
         for at in range(2 * size, 3 * size):
-            Path(self.path).write_bytes(whole[:at] + bytes([whole[at] ^ 4]) + whole[at + 1:])
+            Path(self.path).write_bytes(whole[:at] + bytes([whole[at] ^ 4]) + whole[at + 1 :])
             damaged = f"1 damaged records left out, the first at {2 * size}; what they intended is not known"
             self.assertEqual(([1, 3], [damaged]), self.again())
         Path(self.path).write_bytes(b"x" + whole[1:])
@@ -449,6 +493,7 @@
 
 # Gateways on a model of the store, in virtual time.
 
+
 class World:
     """`chance` decides all: delays, losses, what clients ask. Engines remember a mark from its first run."""
 
@@ -520,10 +565,18 @@
         service = {"Name": "load", "Effect": "deduplicated"}
         settings = {"Limits": {"RetryAfter": True, "MaxRetryAfter": 1000}, "Services": [service]}
         self.counters = Counters()
-        self.marks = Marks(self, {"tariffs": ["load"], "answers": 64} | world.faults.get("lines", {}),
-                           settings,
-                           [tariff()], name, str(life), random.Random(f"{name} {life}").random, self, self,
-                           self.counters)
+        self.marks = Marks(
+            self,
+            {"tariffs": ["load"], "answers": 64} | world.faults.get("lines", {}),
+            settings,
+            [tariff()],
+            name,
+            str(life),
+            random.Random(f"{name} {life}").random,
+            self,
+            self,
+            self.counters,
+        )
         self.steps()
 
     def now(self) -> int:
@@ -537,6 +590,7 @@
                 self.waiting.append(call)
             else:
                 call()
+
         self.world.at(delay, due)
 
     def after(self, delay: int, call: Callable[[int], None]) -> None:
@@ -575,8 +629,14 @@
             world.at(late + int(chance.expovariate(1) * 500), reach)
         self.does(by - self.now(), lambda: tell(None))
 
-    def ask(self, mark: str, hold: int = 0, ending: Ending = Ending.FULFILLED, work: int = 100_000,
-            tenant: int = 0) -> None:
+    def ask(
+        self,
+        mark: str,
+        hold: int = 0,
+        ending: Ending = Ending.FULFILLED,
+        work: int = 100_000,
+        tenant: int = 0,
+    ) -> None:
         now, world = self.now(), self.world
         submission = Submission(tariff(), now, now + 3 * SECOND, tenant)
 
@@ -596,6 +656,7 @@
             if ending is not Ending.FULL:
                 world.at(10_000, lambda: world.arrive(mark))
             self.does(work, back)
+
         send.sends = True
 
         def back() -> None:
@@ -633,6 +694,7 @@
                 gate = chance.choice([one for one in world.gates if one.paused <= world.now] or [None])
                 if gate is not None:
                     gate.ask(f"m{n}", *more)
+
             world.at(begin + again, ask)
     for _ in range(4):
         if world.roll("kill"):
@@ -662,8 +724,15 @@
     "late": {"late": 0.15, "reply lost": 0.05, "kill": 0.3, "pause": 0.3},
     "away": {"down": 0.8, "kill": 0.3, "pause": 0.2},
     "no outcomes": {"kill": 0.6, "pause": 0.4, "size": 1000, "reply lost": 0.05},
-    "all": {"kill": 0.6, "pause": 0.4, "lost": 0.05, "reply lost": 0.05, "late": 0.05, "down": 0.4,
-            "size": 1000},
+    "all": {
+        "kill": 0.6,
+        "pause": 0.4,
+        "lost": 0.05,
+        "reply lost": 0.05,
+        "late": 0.05,
+        "down": 0.4,
+        "size": 1000,
+    },
 }
 
 
@@ -672,8 +741,13 @@
 
 
 def marked_after(self: Marks, errand: Any, now: int, call: Callable[[Any], None]) -> bool:
-    kept, self._look_up = self._look_up, lambda held, now: (setattr(held, "until", held.times.hard_stop),
-                                                            self._tell(held, Unguarded("later"), now))
+    kept, self._look_up = (
+        self._look_up,
+        lambda held, now: (
+            setattr(held, "until", held.times.hard_stop),
+            self._tell(held, Unguarded("later"), now),
+        ),
+    )
     try:
         return ask(self, errand, now, call)
     finally:
@@ -713,7 +787,9 @@
 BROKEN = {
     "the mark written after the relay": ("well", lambda: patch.object(Marks, "ask", marked_after)),
     "the lease checked by a timer alone": (
-        "killed and stopped", lambda: patch.object(Marks, "_go", go_by_timer)),
+        "killed and stopped",
+        lambda: patch.object(Marks, "_go", go_by_timer),
+    ),
     "unknown counted as unrun": ("no outcomes", lambda: patch.object(joined, "_UNRUN", tuple(Ending)[1:])),
     "set in place of compare-and-set": ("killed and stopped", lambda: patch.object(codec, "cas", set_only)),
     "a takeover that forgets the first time": ("no outcomes", forgotten),
@@ -749,8 +825,11 @@
     def test_round_trips(self) -> None:
         world = self.world()
         gate, trips = world.gates[0], world.gates[0].counters.counts
-        for mark, ending, most in (("m", Ending.FULL, 1), ("m", Ending.FULFILLED, 2),
-                                   ("n", Ending.FULFILLED, 1)):
+        for mark, ending, most in (
+            ("m", Ending.FULL, 1),
+            ("m", Ending.FULFILLED, 2),
+            ("n", Ending.FULFILLED, 1),
+        ):
             before = trips["marks: round trips"]
             gate.ask(mark, hold=200_000, ending=ending)
             world.run(0.1)
@@ -767,8 +846,12 @@
 
     def test_one_mark_at_three_gateways_with_one_killed(self) -> None:
         served, lost = ("Go", "Answer"), ("Abandon",)
-        for killed, again, decisions, runs in ((0.5, 5, served, 1), (0.5, 25, lost, 0), (1.5, 5, served, 1),
-                                               (1.5, 25, lost, 1)):
+        for killed, again, decisions, runs in (
+            (0.5, 5, served, 1),
+            (0.5, 25, lost, 0),
+            (1.5, 5, served, 1),
+            (1.5, 25, lost, 1),
+        ):
             with self.subTest(killed=killed, again=again):
                 world = self.world()
                 world.gates[0].ask("m", hold=SECOND, work=2 * SECOND)  # sent after a second
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -42,7 +42,7 @@
             for size in range(1, 40):
                 reader, found = codec.Reader(), []
                 for at in range(0, len(stream), size):
-                    found += reader.feed(stream[at:at + size])
+                    found += reader.feed(stream[at : at + size])
                 self.assertEqual(expected, found)
 
     def test_what_is_pushed_is_left_out(self) -> None:
@@ -51,9 +51,20 @@
     def test_malformed_replies_take_no_room(self) -> None:
         tracemalloc.start()
         long = b"*20\r\n" + b"$100000\r\n%b\r\n" % (b"x" * 100_000) * 12
-        for wrong in (b"*2000000000\r\n", b"$999999999\r\n", b"*1000\r\n" * 3, b"HTTP/1.1 400\r\n", b"$x\r\n",
-                      b"$1\r\nabc", b"*-2\r\n", b"+" + b"x" * 5000, b"|1\r\n+a\r\n+b\r\n", b":x\r\n",
-                      b"%1\r\n*0\r\n+a\r\n", long):
+        for wrong in (
+            b"*2000000000\r\n",
+            b"$999999999\r\n",
+            b"*1000\r\n" * 3,
+            b"HTTP/1.1 400\r\n",
+            b"$x\r\n",
+            b"$1\r\nabc",
+            b"*-2\r\n",
+            b"+" + b"x" * 5000,
+            b"|1\r\n+a\r\n+b\r\n",
+            b":x\r\n",
+            b"%1\r\n*0\r\n+a\r\n",
+            long,
+        ):
             with self.assertRaises(BrokenError, msg=wrong[:20]):
                 codec.Reader().feed(wrong)
         self.assertLess(tracemalloc.get_traced_memory()[1], 5_000_000)
@@ -128,8 +139,14 @@
 
     def test_reply_of_another_shape(self) -> None:
         swap = codec.cas(b"a", b"", b"b", 1)
-        for command, reply in ((codec.now(), b"1"), (codec.now(), [b"1"]), (codec.read(b"a"), 1),
-                               (codec.role(), []), (swap, [0, 1]), (swap, [1, None, 1])):
+        for command, reply in (
+            (codec.now(), b"1"),
+            (codec.now(), [b"1"]),
+            (codec.read(b"a"), 1),
+            (codec.role(), []),
+            (swap, [0, 1]),
+            (swap, [1, None, 1]),
+        ):
             flight = Flight(1)
             flight.begin(Asked([command], 0, lambda _: None), 0)
             self.assertFalse(flight.room())
@@ -148,8 +165,10 @@
         self.assertFalse(places.demoted(1))
         self.assertEqual([1, 0], places.order())
         pause = Pause(lambda: 0.5)
-        self.assertEqual([50_000, 100_000, 200_000, 400_000, 800_000, 1_000_000, 1_000_000],
-                         [pause.after(0) for _ in range(7)])
+        self.assertEqual(
+            [50_000, 100_000, 200_000, 400_000, 800_000, 1_000_000, 1_000_000],
+            [pause.after(0) for _ in range(7)],
+        )
         self.assertEqual(50_000, pause.after(2_000_000))
 
 
@@ -159,10 +178,14 @@
     def __init__(self, *ports: int, **more: object) -> None:
         self.clock = Clock()
         self.timers, self.counters = Timers(self.clock), Counters()
-        given = Store(addresses=tuple((str(more.pop("host", "127.0.0.1")), port) for port in ports),
-                      tariffs=("manifest-load",), **more)
-        self.client = Client(given, random.Random(7).random, self.clock, self.timers, self.counters,
-                             Log("n0", self.clock))
+        given = Store(
+            addresses=tuple((str(more.pop("host", "127.0.0.1")), port) for port in ports),
+            tariffs=("manifest-load",),
+            **more,
+        )
+        self.client = Client(
+            given, random.Random(7).random, self.clock, self.timers, self.counters, Log("n0", self.clock)
+        )
         self.calls: list[tuple[int, int, object]] = []  # how often, how late in us, replies
         self.asked: list[Asked] = []
         self.said = io.StringIO()
@@ -207,6 +230,7 @@
 
     def run(self, scene: Callable[[], Awaitable[None]]) -> str:
         """What was logged."""
+
         async def main() -> None:
             async with anyio.create_task_group() as tasks:
                 for part in (self.timers.run, self.client.run, self._look, self._beat):
@@ -231,12 +255,22 @@
         return [replies for _, _, replies in desk.calls]
 
     # What is told, how it is healed, and whether some of what is asked meanwhile is still answered.
-    FAULTS = (("slow uniform 1 30", "slow fixed 0", True), ("late log 20 1.5", "slow fixed 0", True),
-              ("slow fixed 300", "slow fixed 0", False), ("freeze", "thaw", False), ("mute", "speak", False),
-              ("refuse", "accept", False), ("restart empty", "accept", True), ("cut 3", "speak", True),
-              ("junk 2", "speak", True), ("twice 3", "speak", True), ("answer LOADING", "answer -", True),
-              ("answer READONLY", "answer -", True), ("answer OOM", "answer -", True),
-              ("answer BUSY", "answer -", True))
+    FAULTS = (
+        ("slow uniform 1 30", "slow fixed 0", True),
+        ("late log 20 1.5", "slow fixed 0", True),
+        ("slow fixed 300", "slow fixed 0", False),
+        ("freeze", "thaw", False),
+        ("mute", "speak", False),
+        ("refuse", "accept", False),
+        ("restart empty", "accept", True),
+        ("cut 3", "speak", True),
+        ("junk 2", "speak", True),
+        ("twice 3", "speak", True),
+        ("answer LOADING", "answer -", True),
+        ("answer READONLY", "answer -", True),
+        ("answer OOM", "answer -", True),
+        ("answer BUSY", "answer -", True),
+    )
 
     def test_each_fault(self) -> None:
         async def scene() -> None:
@@ -343,6 +377,7 @@
 
     def test_stopped_while_the_reply_came(self) -> None:
         """It is late then, whatever the loop looks at first when it goes on."""
+
         async def scene() -> None:
             await desk.ready()
             desk.submit([codec.now()], 50_000)
@@ -370,6 +405,7 @@
 
     def test_ends_at_once(self) -> None:
         """The gateway's stop waits for nothing here; all that wait are told."""
+
         async def scene() -> None:
             await desk.ready()
             self.store.process.send_signal(signal.SIGSTOP)
@@ -509,8 +545,12 @@
 
             ready: list[bool] = []
             here = "localhost"
-            for keys, name, host in (("keys", here, here), ("keys", "ga0", here), ("others", here, here),
-                                     ("keys", here, "127.0.0.1")):
+            for keys, name, host in (
+                ("keys", here, here),
+                ("keys", "ga0", here),
+                ("others", here, here),
+                ("keys", here, "127.0.0.1"),
+            ):
                 with StoreProcess("--tls", *files(keys, name)) as store:
                     desk = Desk(store.port, host=host, tls=StoreTls(*files("keys", "ga0")))
                     desk.run(scene)
--- a/tests/test_store_processes.py
+++ b/tests/test_store_processes.py
@@ -98,9 +98,11 @@
 
 
 class Cases(unittest.TestCase):
-    def play(self, script: Callable[[Scene], Awaitable[None]], second_runs: int = 0,
-             **given: object) -> Scene:
+    def play(
+        self, script: Callable[[Scene], Awaitable[None]], second_runs: int = 0, **given: object
+    ) -> Scene:
         """No promise is broken, and so many marks have run once more."""
+
         async def main() -> None:
             async with scene.fleet.up():
                 await anyio.sleep(1.0)  # a trial has found the store
@@ -123,8 +125,9 @@
             fleet = scene.fleet
             await fleet.load(HALL, draw([LOOKUP], [(0.0, 80.0)], 1.0, 1))
             self.assertEqual([], await scene.shared.asked())
-            drawn, fleet.mark_of = draw_again([replace(LOOKUP, share=0.5), replace(LOAD, share=0.5)], 50.0,
-                                              3.0, 1, 0.3, 2)
+            drawn, fleet.mark_of = draw_again(
+                [replace(LOOKUP, share=0.5), replace(LOAD, share=0.5)], 50.0, 3.0, 1, 0.3, 2
+            )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(fleet.load, HALL, drawn)
                 await anyio.sleep(1.2)
@@ -167,6 +170,7 @@
             await until(unknown)
             await anyio.sleep(max(0.0, asked.asked + 1.1 * MEMORY - anyio.current_time()))
             for gateway in range(3):
+
                 async def abandoned(gateway: int = gateway) -> bool:
                     """Until a gateway asks the store again, it denies."""
                     how = await scene.answer("a", gateway)
@@ -270,8 +274,10 @@
             fleet = scene.fleet
             await scene.shared.tell("freeze")
             fleet.gateways["g2"].freeze()
-            drawn = [Drawn(number / 600, f"{1 << 32 | number:016x}", LOAD, 0.002, 0.002)
-                     for number in range(flood + few)]
+            drawn = [
+                Drawn(number / 600, f"{1 << 32 | number:016x}", LOAD, 0.002, 0.002)
+                for number in range(flood + few)
+            ]
             for one in drawn:
                 fleet.mark_of[one.name] = one.name * 2
             # The few come first, and are dropped last.
--- a/tests/test_talk.py
+++ b/tests/test_talk.py
@@ -60,8 +60,15 @@
     def setUp(self) -> None:
         self.lines: list[str] = []
         self.now = 0
-        self.house = House(frozenset(("lookup",)), Front(self.lines), lambda: 2, 2, lambda: self.now,
-                           Counters(), lambda kind, text: None)
+        self.house = House(
+            frozenset(("lookup",)),
+            Front(self.lines),
+            lambda: 2,
+            2,
+            lambda: self.now,
+            Counters(),
+            lambda kind, text: None,
+        )
 
     def talk(self, reads: bool = True) -> Talk:
         talk = Talk(self.house, Wire(self.lines, reads))
@@ -76,8 +83,10 @@
             self.assertEqual([Next.READ] * 2, [talk.receive(data[:at]), talk.receive(data[at:])])
             talk.fulfil(1, b"a\tb\tc\n")
             talk.gone()
-            self.assertEqual(["asks 1", "asks 2", "is gone, 1 open"],
-                             [line for line in self.lines if not line.startswith("hears")])
+            self.assertEqual(
+                ["asks 1", "asks 2", "is gone, 1 open"],
+                [line for line in self.lines if not line.startswith("hears")],
+            )
             self.assertEqual((0, {}), (self.house.unfinished, self.house.connections))
 
     def test_what_is_asked_after_the_close_is_denied(self) -> None:
@@ -172,8 +181,9 @@
         link = PipePool([]).dial()
         for number in range(1000):
             link.life.refuse(Told(b"%d" % number))
-        self.assertEqual((200, False, True), (len(link.life.refused), link.life.room_for(b"999"),
-                                              link.life.room_for(b"1")))
+        self.assertEqual(
+            (200, False, True), (len(link.life.refused), link.life.room_for(b"999"), link.life.room_for(b"1"))
+        )
 
     def test_the_end_of_a_link_within_an_answer(self) -> None:
         pool = PipePool([])
