A schema's number of some thousand digits is a name like any other

Seen: one statement 'select 1 from a_<5000 digits>.t' beside a valid request on the same connection; the gateway printed a fault with a ValueError of int() (over 4300 digits), closed the connection, and the valid request got no answer. At fault: tables.py, int(group[1]) in group_of and _by_tokens.

--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -284,6 +284,17 @@
 
 
 class Statements(TraceCase):
+    def test_a_number_too_long_to_be_read_is_no_group(self) -> None:
+        long_number = "7" * 5000
+        for statement in (
+            f"select 1 from a_{long_number}.t",
+            f'select 1 from "a_{long_number}".t',
+            f"select extract(day from a) from a_{long_number}.t",
+        ):
+            with self.subTest(statement[:30]):
+                self.assertEqual(0, group_of(statement))
+        self.assertEqual(17, group_of("select 1 from sales_000000000000000017.t"))
+
     def test_groups(self) -> None:
         self.check(
             "groups",
