A statement's table is looked for within its first kilobytes

What is named farther behind is unknown, as in a statement that names none. The test fails without it.

--- a/cresstray/tables.py
+++ b/cresstray/tables.py
@@ -10,6 +10,9 @@
 # Danger: of some thousand digits, int() makes an error that would end the client's connection. No fleet has so
 # many groups; what is longer is a name like any other.
 _GROUP = re.compile(r".*_(\d{1,18})", re.DOTALL)
+# Danger: the loop stands still while a statement is read, a quarter of a second for one as long as a line may be.
+# A table is named within the first kilobytes, or not known; the walk by tokens is some times as slow.
+_MOST_READ, _MOST_WALKED = 16_384, 4_096
 # Most statements name their tables right behind one of these words, and are done with the first found.
 # Where any other use of `from` may be meant, or other quoted names stand, all tokens are looked at instead.
 _USUAL = re.compile(
@@ -48,14 +51,14 @@
 
 def group_of(statement: str) -> int:
     """The number of the group; 0 where the statement names none."""
-    for found in _USUAL.finditer(statement):
+    for found in _USUAL.finditer(statement[:_MOST_READ]):
         if found["odd"]:
             break
         if found["schema"]:
             group = _GROUP.fullmatch(found["schema"])
             if group:
                 return int(group[1])
-    return _by_tokens(statement)
+    return _by_tokens(statement[:_MOST_WALKED])
 
 
 def _by_tokens(statement: str) -> int:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -284,6 +284,14 @@
 
 
 class Statements(TraceCase):
+    def test_what_is_far_behind_is_not_read(self) -> None:
+        """A line holds 256 kB; read whole, statements like these hold up everybody else."""
+        for noise in ("x.", "from x ", "join  ", "a "):
+            for behind in (3_000, 200_000):
+                statement = noise * (behind // len(noise)) + " from sales_17.t"
+                with self.subTest(noise, behind=behind):
+                    self.assertEqual(17 if behind < 4_096 else 0, group_of(statement))
+
     def test_a_number_too_long_to_be_read_is_no_group(self) -> None:
         long_number = "7" * 5000
         for statement in (
