--- a/cresstray/tables.py
+++ b/cresstray/tables.py
@@ -7,11 +7,11 @@
 _NOISE = r"'(?:[^']|'')*'?|--[^\n]*|/\*.*?(?:\*/|\Z)"  # strings with doubled quotes, both kinds of comment
 _QUOTED, _PLAIN = r"\"(?P<quoted>(?:[^\"]|\"\")*)\"?", r"(?P<name>[^\W\d][\w$]*)"
 _TOKEN = re.compile(rf"{_NOISE}|{_QUOTED}|{_PLAIN}|(?P<sign>\S)", re.DOTALL)
-# Danger: of some thousand digits, int() makes an error that would end the client's connection. No fleet has so
-# many groups; what is longer is a name like any other.
+# Danger: of some thousand digits, int() makes an error that would end the client's connection. No fleet has
+# so many groups; what is longer is a name like any other.
 _GROUP = re.compile(r".*_(\d{1,18})", re.DOTALL)
-# Danger: the loop stands still while a statement is read, a quarter of a second for one as long as a line may be.
-# A table is named within the first kilobytes, or not known; the walk by tokens is some times as slow.
+# Danger: the loop stands still while a statement is read, a quarter of a second for the longest line. A table
+# is named within the first kilobytes, or not known; the walk by tokens is some times as slow.
 _MOST_READ, _MOST_WALKED = 16_384, 4_096
 # Most statements name their tables right behind one of these words, and are done with the first found.
 # Where any other use of `from` may be meant, or other quoted names stand, all tokens are looked at instead.
