--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -310,7 +310,10 @@
             limiter = engine.limiter
             if len(drawn) == picks and engine.zone != self.zone:
                 continue
-            if not limiter.permits(submission, now) or not self._may_take(submission, engine, now):
+            if not limiter.permits(submission, now):
+                self._lapse(engine, now)
+                continue
+            if not self._may_take(submission, engine, now):
                 continue
             if submission.foreign and limiter.spare(now, 1.0) < submission.tariff.threads:
                 continue
@@ -439,6 +442,18 @@
         most = self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0.1)
         return most * engine.limiter.cores * 0.85 * 0.9 * 0.7 / self.gateways
 
+    def _cold_turn(self, engine: Engine) -> int:
+        """How long until a turn on a cold engine: some part of what its lightest work takes of our share."""
+        lightest = min(map(self._cold_weight, self.tariffs), default=0)
+        return int(lightest / self._cold_ration(engine) * self.random())
+
+    def _lapse(self, engine: Engine, now: int) -> None:
+        # Danger: turns that wait while a cold engine counts as busy would be taken by all gateways at once
+        # when that ends. One that has waited for a window of the rule is drawn anew.
+        limiter = engine.limiter
+        if limiter.cold and now > limiter.cold + micros(self.rules.get("Fall", 1000)):
+            limiter.cold = now + 1 + self._cold_turn(engine)
+
     def _cold_weight(self, tariff: Tariff) -> float:
         # Unlearnt, a tariff weighs as heavily as its soft limit lets it: silence is no proof of light work.
         return tariff.threads * (tariff.usual.mean if tariff.usual.seen >= 5 else tariff.soft_limit)
@@ -712,8 +727,7 @@
                 engine.limiter = limiter
                 if now < started + micros(self.rules.get("WarmUp", 0)):
                     # Danger: all gateways hear of it at once; each begins at some time of its first turn.
-                    turn = min(map(self._cold_weight, self.tariffs), default=0) / self._cold_ration(engine)
-                    limiter.cold = now + 1 + int(turn * self.random())
+                    limiter.cold = now + 1 + self._cold_turn(engine)
             engine.machine, engine.zone, engine.cell = machine, zone, cell
             engine.started, engine.standing = started, standing
             self.engines[engine] = None
