--- a/cresstray/check/crossing.py
+++ b/cresstray/check/crossing.py
@@ -160,6 +160,9 @@
     def abandon(self, number: int) -> None:
         self._told(number, "abandoned")
 
+    def has_left(self) -> bool:
+        return False  # it stays to the end, or leaves by a withdrawal
+
     def reject(self, number: int | None, text: str) -> None:
         self._world.breaks("sound", f"a good request is rejected: {text}")
 
--- a/cresstray/check/gateway.py
+++ b/cresstray/check/gateway.py
@@ -190,6 +190,9 @@
     def abandon(self, number: int) -> None:
         self._told(number, "abandoned")
 
+    def has_left(self) -> bool:
+        return False  # it stays to the end, or leaves by a withdrawal
+
     def reject(self, number: int | None, text: str) -> None:
         self._world.breaks("sound", f"a good request is rejected: {text}")
 
@@ -777,7 +780,7 @@
         "memory_unasked",
         "deduplicated",
         "repeat",
-        lines((Gateway._may_take, "now >= relay.sent + tariff.memory - 50_000", "False")),
+        lines((Gateway._may_take, "now >= relay.sent + tariff.memory - REPEAT_MARGIN", "False")),
     ),
     Mutant(
         "memory_from_now",
@@ -786,8 +789,8 @@
         lines(
             (
                 Gateway._may_take,
-                "now >= relay.sent + tariff.memory - 50_000",
-                "now >= submission.relays[-1].sent + tariff.memory - 50_000",
+                "now >= relay.sent + tariff.memory - REPEAT_MARGIN",
+                "now >= submission.relays[-1].sent + tariff.memory - REPEAT_MARGIN",
             )
         ),
     ),
--- a/cresstray/check/lines.py
+++ b/cresstray/check/lines.py
@@ -18,6 +18,7 @@
 
 import hiredis
 
+from cresstray import logic
 from cresstray.check.patching import Mutant, lines
 from cresstray.check.world import Bounds, Copied, NoLog, Uncounted, VirtualClock, VirtualTimers
 from cresstray.clients.talk import House, Next, Talk
@@ -70,10 +71,28 @@
         return Names, (sorted(self),)
 
 
+class Classes(frozenset):
+    """As `Names`; a plain set of two names with the same place is turned round by each copy."""
+
+    def __reduce__(self) -> tuple:
+        return Classes, (tuple(sorted(self)),)
+
+
 class Account:
     """What the world knows of one request by what went over its seams."""
 
-    __slots__ = ("asked", "stop", "taken", "withdrawn", "heard", "runs", "out", "may_have_run", "called")
+    __slots__ = (
+        "asked",
+        "stop",
+        "taken",
+        "withdrawn",
+        "heard",
+        "runs",
+        "out",
+        "may_have_run",
+        "called",
+        "late",
+    )
 
     def __init__(self, asked: Asked) -> None:
         self.asked = asked
@@ -81,6 +100,7 @@
         self.taken = self.withdrawn = False  # by the gateway
         self.heard = ""  # the final answer
         self.runs = 0  # sent so often
+        self.late = False  # it came when all is denied
         self.out = False  # the engine has it, and neither answered nor was told to quit
         self.may_have_run = self.called = False  # called: back, once
 
@@ -155,7 +175,8 @@
         self.waiting = bytearray()
         self.unread = b""  # of the client, in the network
         self.stalls = self.shut = self.dead = False  # the client reads nothing; has shut; has reset
-        self.ended = self.closed = self._finishing = False
+        self.ended = self.closed = self._finishing = False  # ended: asked to end, all written, or broken
+        self.drains = False  # we have shut our side
 
     def put(self, message: bytes) -> bool:
         if self.dead or self.closed:
@@ -168,12 +189,12 @@
 
     def flushed(self) -> None:
         self.waiting.clear()
-        self.ended = self.ended or self._finishing
+        if self._finishing:
+            self.finish()
 
     def finish(self) -> None:
-        self._finishing = True
-        if not self.waiting:
-            self.ended = True
+        self._finishing = bool(self.waiting)
+        self.ended = self.ended or not self.waiting
 
     def close(self) -> None:
         self.closed = True
@@ -181,10 +202,15 @@
     def has_more(self) -> bool:
         return bool(self.unread)
 
+    def has_ended(self) -> bool:
+        return self.dead or self.closed or self.shut and not self.unread
+
 
 class EngineLink(AnyLink):
     """One link, with the engine at its other end. `has`: what it runs there; `told`: in the network."""
 
+    waiting = bytearray()  # empty: the engine reads at once
+
     def __init__(self, pool: AnyPool, name: str) -> None:
         super().__init__(pool)
         self.name = name
@@ -218,6 +244,9 @@
         taken = {link.name for link in self.links}
         return EngineLink(self, next(name for name in ("l1", "l2", "l3", "l4", "l5") if name not in taken))
 
+    def fault(self, trouble: Exception) -> None:
+        raise trouble
+
 
 def _most() -> int:
     return 4
@@ -242,7 +271,7 @@
         self.take_in = TakeIn(_SETTINGS, _TARIFFS, clock, admit)
         self.pool = self.route._pools[module.engine] = EnginePool(self)
         self.house = House(
-            frozenset(("read", "post")), self.take_in, _most, 4, clock.now, counters, NoLog().say
+            Classes(("read", "post")), self.take_in, _most, 4, clock.now, counters, NoLog().say
         )
         self.wire = ClientWire(self)
         self.talk: Talk | None = Talk(self.house, self.wire)
@@ -298,10 +327,10 @@
 
     def _runs(self, link: EngineLink, account: Account) -> None:
         name = account.asked.name
-        # A link that comes up in the turn of the loop in which a withdrawal was read may still send: the
-        # QUIT is due by then and follows at once.
-        if account.heard or account.withdrawn and not self._is_due():
+        if account.heard or account.withdrawn:
             self.breaks("nothing_after", f"{name} is sent on {link.name} after its end")
+        if account.late:
+            self.breaks("nothing_after", f"{name} is sent on {link.name} and came after the end")
         if account.out:
             self.breaks("one_outstanding", f"{name} is sent on {link.name} while it is out")
         if account.may_have_run and account.asked.tariff == "post":
@@ -356,8 +385,7 @@
         if self.talk is None:
             return found
         if not (wire.shut or wire.dead):
-            coming = not self.ending or self.ending == "coming" or wire.stalls
-            asking = [one.asked.name for one in self.accounts if not one.stop] if coming else []
+            asking = [one.asked.name for one in self.accounts if not one.stop]
             found += [f"client asks {name}" for name in asking]
             if len(asking) > 1:
                 found.append("client asks both")
@@ -383,7 +411,7 @@
 
     def _reads(self) -> bool:
         """Whether the gateway reads from the client."""
-        return not (self.wire.ended or self.wire.closed) and self.then is Next.READ and self.talk.may_read()
+        return not (self.wire.ended or self.wire.closed) and self.then is Next.READ
 
     def _link_choices(self, link: EngineLink) -> tuple[list[str], bool]:
         found, name = [], link.name
@@ -417,7 +445,7 @@
     def _may_step(self) -> bool:
         if self.ending == "owed":
             return not self.book.owed()
-        return self.clock.at >= self.ends_at or self.ending == "written" and not self.house.connections
+        return self.clock.at >= self.ends_at or self.ending == "written" and self.talk is None
 
     def _is_due(self) -> bool:
         return bool(self.timers.line) and self.timers.line[0].at <= self.clock.at
@@ -443,6 +471,7 @@
             self._do(*choice.split(" ", 2))
         except Exception as trouble:
             self.breaks("sound", f"{type(trouble).__name__} {trouble}".rstrip())
+        self._mind_left()
         self._tidy()
         if not self.broken:
             self._mind_time()
@@ -463,7 +492,7 @@
         elif who == "client":
             self._client(verb, what)
         elif who == "connection":
-            self._connection_ends()
+            self._ends_in_order()
         elif who == "gateway":
             self._gateway(verb, what)
         else:
@@ -537,11 +566,12 @@
                 if self.ending in ("coming", "owed"):
                     account.stop = min(account.stop, self.take_in.last_stop)
         left = self._mark_taken(data)
-        self.then = self.talk.receive(data)
+        ended = wire.shut and not wire.unread
+        self.then = self.talk.receive(data, ended)
         for account in left:
             account.withdrawn = not account.heard
-        if self.then is Next.ANSWER and not self.talk.owes():
-            self.then = Next.CLOSE
+        if ended:
+            self._connection_ends()
 
     def _mark_taken(self, data: bytes) -> list[Account]:
         """Which requests are whole with this piece; returns those that are withdrawn by it."""
@@ -551,13 +581,31 @@
             number = told.get("id") or told["params"]["id"]
             account = next(one for one in self.accounts if one.asked.number == number)
             if "id" in told:
-                account.taken = True
+                account.taken, account.late = True, self.house.closing
             else:
                 left.append(account)
         return left
 
+    def _ends_in_order(self) -> None:
+        """What has come is read and our side shut; what comes then is thrown away in a step after that."""
+        wire, came = self.wire, bool(self.wire.unread)
+        if came and not wire.drains:
+            self._gateway_reads("")
+        if self.talk is None:
+            return
+        if wire.drains or wire.dead or wire.shut or self.then is Next.CLOSE:
+            self.talk.receive(wire.unread)
+            self._connection_ends()
+        elif self.talk.may_shut(came):
+            wire.drains = True
+        else:
+            wire.ended = wire._finishing = False
+            self.talk.goes_on()
+
     def _connection_ends(self) -> None:
         wire = self.wire
+        if wire.drains and self.talk.open:
+            self.breaks("one_answer", "a request is taken after our side was shut")
         left = wire.dead or wire.shut or wire.stalls
         for account in self.accounts:
             if account.taken and not account.heard and not account.withdrawn:
@@ -655,6 +703,7 @@
             self.ending = "owed"
         elif self.ending == "owed":
             self.ending, self.ends_at = "written", now + _WRITTEN
+            self.house.closing = True
             for connection in list(self.house.connections):
                 connection.close()
         else:
@@ -674,6 +723,13 @@
     def _account(self, name: str) -> Account:
         return next(one for one in self.accounts if one.asked.name == name)
 
+    def _mind_left(self) -> None:
+        """Of a client that has gone the gateway may know before it reads that far; nothing is owed then."""
+        if self.talk is not None and (self.wire.shut or self.wire.dead):
+            for account in self.accounts:
+                if account.taken and not account.heard and account.asked.number not in self.talk.open:
+                    account.withdrawn = True
+
     def _mind_time(self) -> None:
         for account in self.accounts:
             if (
@@ -730,6 +786,7 @@
             if (account.heard or account.withdrawn) and not account.out:
                 account.heard = intern(account.heard)
                 account.runs, account.called, account.may_have_run, account.stop = 0, False, False, 1
+                account.late = False
         for link in self.pool.links:
             # Of how often it was heard, only what is the same is asked.
             life = link.life
@@ -793,9 +850,21 @@
     ),
     Mutant(
         "taken_in_after_the_close",
+        "nothing_after",
+        "ending",
+        lines((Talk._refuses, "self._closing or self._left or self._house.closing", "False")),
+    ),
+    Mutant(
+        "taken_in_after_the_shut",
         "one_answer",
         "ending",
-        lines((Talk._take, "elif self._closing:", "elif False:")),
+        lines((Talk.receive, "if self._shut:", "if False:")),
+    ),
+    Mutant(
+        "shut_over_a_request",
+        "one_answer",
+        "connection",
+        lines((Talk.may_shut, "if busy or came and not self._closing:", "if False:")),
     ),
     Mutant(
         "reset_counted_as_never_run",
@@ -821,7 +890,7 @@
         "the_last_stop_is_not_told",
         "by_hard_stop",
         "ending",
-        lines((Book.close, "min(submission.hard_stop, last_stop)", "submission.hard_stop")),
+        lines((logic.end_by, "min(submission.hard_stop, hard_stop)", "submission.hard_stop")),
     ),
     Mutant(
         "who_has_left_is_not_told",
@@ -845,6 +914,12 @@
         "quit_that_is_not_sent",
         "one_outstanding",
         "exchange",
-        lines((AnyLink.give_up, "if told is not None:", "if False:")),
+        lines((AnyLink.give_up, "elif told is not None:", "elif False:")),
+    ),
+    Mutant(
+        "late_write_that_asks_nobody",
+        "nothing_after",
+        "connection",
+        lines((AnyLink._write_late, "if not self._may_leave(exchange):", "if False:")),
     ),
 )
--- a/cresstray/engines/codec.py
+++ b/cresstray/engines/codec.py
@@ -42,23 +42,34 @@
 class Answers:
     """The answers in what is received, however it is cut.
 
+    What can't be an answer raises BrokenError, in the next call where good ones came before it.
+
     Danger: hiredis reserves what an array claims before it comes: one of 400 million parts takes the loop a
     second, one of three billion all memory. An engine's answer is four short strings; nothing else is read.
     """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._broken: BrokenError | None = None
 
     def begun(self) -> bool:
         """Whether part of an answer has come, and the rest has not."""
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[Answer]:
+        if self._broken is not None:
+            raise self._broken
         found, at = [], 0
         self._buffer += data
-        while (whole := self._whole(at)) is not None:
-            parts, at = whole
-            found.append(_answer(*parts))
+        try:
+            while (whole := self._whole(at)) is not None:
+                parts, at = whole
+                found.append(_answer(*parts))
+        except BrokenError as trouble:
+            # Danger: an answer that came whole before noise would be lost, and its work run again.
+            if not found:
+                raise
+            self._broken, at = trouble, len(self._buffer)
         del self._buffer[:at]
         return found
 
--- a/cresstray/engines/exchanges.py
+++ b/cresstray/engines/exchanges.py
@@ -19,12 +19,15 @@
 
 
 class Keeper(Protocol):
-    """Who is told of an exchange. After `unreached`, `cut` and `overdue` nothing more comes of it."""
+    """Who is told of an exchange. After `unreached`, `cut` and `unsent` nothing more comes of it."""
+
+    def may_leave(self, exchange: Exchange) -> bool:
+        """Asked when its first bytes are about to leave later than it was handed over."""
 
     def answered(self, exchange: Exchange, answer: codec.Answer) -> bool: ...
     def unreached(self, exchange: Exchange) -> None: ...
     def cut(self, exchange: Exchange, spoilt: bool) -> None: ...
-    def overdue(self, exchange: Exchange) -> None: ...
+    def unsent(self, exchange: Exchange) -> None: ...
 
 
 class Exchange:
@@ -91,6 +94,12 @@
     def begin(self, exchange: Exchange) -> None:
         self.open[exchange.name] = exchange
 
+    def holds(self, exchange: Exchange) -> bool:
+        return self.open.get(exchange.name) is exchange
+
+    def unwritten(self) -> list[Exchange]:
+        return [exchange for exchange in self.open.values() if not exchange.written]
+
     def wrote(self, exchange: Exchange, left: bool) -> None:
         """`left`: whether any of it may have gone out."""
         exchange.written, exchange.heard = left, self.heard
@@ -107,6 +116,8 @@
 
     def give_up(self, exchange: Exchange) -> bytes | None:
         """What tells the engine; None where it has never heard of it. What still comes is dropped."""
+        if not self.holds(exchange):
+            return None
         del self.open[exchange.name]
         if not exchange.written:
             return None
--- a/cresstray/engines/links.py
+++ b/cresstray/engines/links.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import errno
 import socket
+import traceback
 from collections.abc import Callable, Mapping
 
 import anyio
@@ -17,6 +19,9 @@
 
 __all__ = ["Link", "Pool", "Quota"]
 
+# What this process or machine lacks for a connection.
+_LACKING = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+
 
 class Link(AnyLink):
     """One connection to an engine."""
@@ -57,6 +62,8 @@
             try:
                 return await connect(*self.pool.address)
             except OSError as trouble:
+                # Danger: an engine would be in doubt for a lack of ours.
+                self.lacking = trouble.errno in _LACKING
                 self.pool.log.say("link", f"{self.pool.label} can't be reached: {trouble!r}")
                 return None
         self.pool.log.say("link", f"{self.pool.label} can't be reached: no connection in time")
@@ -97,3 +104,8 @@
         link = Link(self)
         self.tasks.start_soon(link.run)
         return link
+
+    def fault(self, trouble: Exception) -> None:
+        super().fault(trouble)
+        told = "".join(traceback.format_exception(trouble))
+        self.log.say("fault", f"an exchange with {self.label}: {told}")
--- a/cresstray/engines/pool.py
+++ b/cresstray/engines/pool.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING, Protocol
+from collections.abc import Callable, Iterable, Mapping
+from typing import TYPE_CHECKING, Protocol, TypeVar
 
 from cresstray.counters import Counters
 from cresstray.engines import codec
@@ -18,11 +18,17 @@
 
 # An answer comes in one piece; the rest of one that was begun is not late by a quarter of a second.
 _HALF_WAY = 250_000
+_Thing = TypeVar("_Thing")
 _OF_RESULTS = (b"served", b"rows")
+# Danger: an engine that never reads would have our memory filled with what it is told. All pages of two long
+# results asked for, or a thousand requests given up.
+_MOST_BEHIND = 64 * 1024
 
 
 class Wire(Protocol):
-    """What a link is written to; streams.Line is one."""
+    """What a link is written to; streams.Line is one. `put` takes all, now or by and by."""
+
+    waiting: bytearray  # put, and not yet taken by the other side
 
     def put(self, message: bytes) -> bool: ...
     def has_ended(self) -> bool: ...
@@ -35,16 +41,24 @@
         self.pool = pool
         self.life = Exchanges(pool.streams)
         self.spoilt = False
+        self.lacking = False  # there was no descriptor for it: that says nothing of its engine
+        self.outdated = False  # its engine has another address by now, or has started anew
         self.idle_since = 0
         self.line: Wire | None = None  # once it is up
         self._answers, self._due = codec.Answers(), 0
+        self._leaving: Exchange | None = None  # the last one written, if part of it had to wait
+        self._behind = 0  # bytes put behind what waits
 
     def hang_up(self) -> None:
         """The connection is to end, or not to be made; `gone` follows."""
         raise NotImplementedError
 
+    def takes(self, name: bytes) -> bool:
+        # Danger: behind what its engine does not read, a request would leave when nothing is as it was.
+        return self.life.room_for(name) and not (self.line is not None and self.line.waiting)
+
     def start(self, exchange: Exchange) -> bool:
-        """False where the link proves dead: then nothing of the exchange has left."""
+        """False where the link proves dead, or its engine reads nothing: nothing of the exchange has left."""
         # Danger: what is written to a link that the other side has closed is lost, and may have run.
         if self.line is not None and not self.life.open and self.line.has_ended():
             self.close()
@@ -52,29 +66,76 @@
         exchange.link = self
         self.pool.quota.idle.pop(self, None)
         self.life.begin(exchange)
-        if self.line is not None:
-            self._write(exchange)
-        return True
+        return self.line is None or self._write(exchange)
+
+    def _write(self, exchange: Exchange) -> bool:
+        """False where nothing of it has left, since the engine reads nothing: the link takes no more."""
+        line = self.line
+        if not line.waiting:
+            left = line.put(exchange.message)
+            if not line.waiting or len(line.waiting) < len(exchange.message):
+                self.life.wrote(exchange, left)
+                self._leaving, self._behind = exchange if line.waiting else None, 0
+                return True
+            line.waiting.clear()
+        self.life.finish(exchange)
+        self.retire()
+        return False
 
-    def _write(self, exchange: Exchange) -> None:
-        self.life.wrote(exchange, self.line.put(exchange.message))
+    def _is_leaving(self, exchange: Exchange) -> bool:
+        """Whether part of its message still waits to be written."""
+        return exchange is self._leaving and len(self.line.waiting) > self._behind
 
     def send(self, message: bytes) -> None:
+        if self.life.ended:
+            # Danger: behind a request that was cut short it would be read as the rest of that. That the link
+            # closes tells the engine.
+            return
+        if not self.line.waiting:
+            self._leaving, self._behind = None, 0
+        else:
+            self._behind += len(message)
+            if self._behind > _MOST_BEHIND:
+                self.pool.counters.add("links never read")
+                self.close()
+                return
         self.line.put(message)
 
     def finish(self, exchange: Exchange) -> None:
         """All that was to come has come."""
         self.life.finish(exchange)
-        self._mind_idle()
+        self._forget(exchange)
 
     def give_up(self, exchange: Exchange) -> bool:
         """What comes under this name from now on is dropped. True: the engine hears of it before the next."""
+        leaving = self._is_leaving(exchange)
         told = self.life.give_up(exchange)
-        if told is not None:
+        if leaving and not self.life.ended:
+            # Danger: its rest would leave once the engine reads again, and be run for nobody.
+            self.close()
+        elif told is not None:
             self.send(told)
-        self._mind_idle()
+        self._forget(exchange)
         return True
 
+    def _forget(self, exchange: Exchange) -> None:
+        if self._leaving is exchange:
+            self._leaving = None
+        self._mind_idle()
+
+    def recall_unwritten(self) -> None:
+        """What has not been written yet ends as never sent."""
+        self.pool.for_each(self.life.unwritten(), self._recall)
+
+    def _recall(self, exchange: Exchange) -> None:
+        # Danger: what the end of another set off may have ended this one.
+        if self.life.holds(exchange):
+            self._end_unsent(exchange)
+
+    def _end_unsent(self, exchange: Exchange) -> None:
+        self.finish(exchange)
+        exchange.keeper.unsent(exchange)
+
     def _mind_idle(self) -> None:
         if not self.life.open:
             self.idle_since = self.pool.now()
@@ -91,23 +152,28 @@
     def close(self) -> None:
         self.life.ended = True
         self.pool.quota.idle.pop(self, None)
+        if self.line is not None:
+            self.line.waiting.clear()  # none of it leaves before the connection has ended
         self.hang_up()
 
     # What its connection says.
 
     def up(self, line: Wire) -> None:
         self.line = line
-        for exchange in list(self.life.open.values()):
-            if self._is_overdue(exchange):
-                self.finish(exchange)
-                exchange.keeper.overdue(exchange)
-            else:
-                self._write(exchange)
-
-    def _is_overdue(self, exchange: Exchange) -> bool:
-        # Danger: a connection takes a while to come up, and a process may be stopped meanwhile. What wakes
-        # before any timer would leave on the strength of a mark that is another's by now.
-        return exchange.until is not None and self.pool.now() >= exchange.until
+        self.pool.for_each(self.life.unwritten(), self._write_late)
+
+    def _write_late(self, exchange: Exchange) -> None:
+        if not self.life.holds(exchange):
+            return
+        if not self._may_leave(exchange):
+            self._end_unsent(exchange)
+        elif not self._write(exchange):
+            self.pool.start(exchange)
+
+    def _may_leave(self, exchange: Exchange) -> bool:
+        # Danger: a connection takes a while to come up, and a process may be stopped meanwhile. By then the
+        # engine may drain, the client be gone, or the window for a repeat be over.
+        return not self.outdated and exchange.keeper.may_leave(exchange)
 
     def left(self) -> float | None:
         """Seconds in which the rest of an answer is to come; None where none has begun."""
@@ -118,14 +184,23 @@
         self.life.heard += 1
         if not self._answers.begun():
             self._due = self.pool.now() + _HALF_WAY
-        for answer in self._answers.feed(data):
-            self._due = self.pool.now() + _HALF_WAY
-            exchange = self.life.open.get(answer.name)
-            if exchange is not None and answer.word not in _OF_RESULTS:
-                self.life.refuse(exchange)
-            if exchange is None or not exchange.keeper.answered(exchange, answer):
-                # A second copy, or an answer that comes after its time: no fault of what else is open.
-                self.pool.counters.add("answers not awaited")
+        while answers := self._answers.feed(data):
+            data, self._due = b"", self.pool.now() + _HALF_WAY
+            for answer in answers:
+                self._answered(answer)
+
+    def _answered(self, answer: codec.Answer) -> None:
+        exchange = self.life.open.get(answer.name)
+        if exchange is not None and self._is_leaving(exchange):
+            # Danger: taken for a refusal, it would be sent again, and its rest here be run as well.
+            raise codec.BrokenError("an answer to what has not been asked whole")
+        if exchange is not None and not exchange.written:
+            exchange = None
+        if exchange is not None and answer.word not in _OF_RESULTS:
+            self.life.refuse(exchange)
+        if exchange is None or not exchange.keeper.answered(exchange, answer):
+            # A second copy, or an answer that comes after its time: no fault of what else is open.
+            self.pool.counters.add("answers not awaited")
 
     def stopped(self) -> None:
         """The rest has not come in time."""
@@ -141,15 +216,22 @@
         self.life.ended = True
         self.pool.quota.idle.pop(self, None)
         self.pool.removed(self)
-        for exchange, fate in self.life.end(self.line is not None):
-            if fate is Fate.CUT:
-                exchange.keeper.cut(exchange, self.spoilt)
-            elif fate is Fate.UNREACHED:
-                exchange.keeper.unreached(exchange)
-            elif self._is_overdue(exchange):
-                exchange.keeper.overdue(exchange)
-            else:
-                self.pool.start(exchange)
+        if self.lacking:
+            self.pool.quota.close_idle()
+        self.pool.for_each(self.life.end(self.line is not None), self._end)
+
+    def _end(self, ended: tuple[Exchange, Fate]) -> None:
+        exchange, fate = ended
+        if fate is Fate.CUT:
+            exchange.keeper.cut(exchange, self.spoilt)
+        elif self.outdated or self.lacking:
+            exchange.keeper.unsent(exchange)
+        elif fate is Fate.UNREACHED:
+            exchange.keeper.unreached(exchange)
+        elif self._may_leave(exchange):
+            self.pool.start(exchange)
+        else:
+            exchange.keeper.unsent(exchange)
 
 
 class Quota:
@@ -165,7 +247,11 @@
     def make_room(self) -> None:
         # Danger: with hundreds of engines links that idle would take the clients' descriptors. Where none is
         # idle, all are at work: one more, and the door takes in one client less.
-        if self.used >= self.most and self.idle:
+        if self.used >= self.most:
+            self.close_idle()
+
+    def close_idle(self) -> None:
+        if self.idle:
             next(iter(self.idle)).close()
 
 
@@ -207,7 +293,7 @@
         least = None
         for link in self.links:
             life = link.life
-            if life.room_for(name):
+            if link.takes(name):
                 if not life.open:
                     return link
                 if least is None or len(life.open) < len(least.life.open):
@@ -227,7 +313,36 @@
     def move(self, address: tuple[str, int]) -> None:
         """The engine has started anew, maybe elsewhere: what runs may end, new work takes new links."""
         self.address = address
-        self.retire()
+        outdated = list(self.links)
+        for link in outdated:
+            # Danger: another may have its old address by now.
+            link.outdated = True
+            link.retire()
+        # The module hears of it once it has been told of the list.
+        self._timers.after(0, lambda _: self._recall(outdated))
+
+    def recall_unwritten(self) -> None:
+        """What has not been written on any link ends as never sent: the engine drains or is gone.
+
+        To be called once the module has been told, which may send it elsewhere at once.
+        """
+        self._recall(list(self.links))
+
+    def _recall(self, links: list[AnyLink]) -> None:
+        for link in links:
+            link.recall_unwritten()
+
+    def for_each(self, things: Iterable[_Thing], do: Callable[[_Thing], None]) -> None:
+        # Danger: a fault of ours with one exchange would leave the others without an end.
+        for thing in things:
+            try:
+                do(thing)
+            except Exception as trouble:
+                self.fault(trouble)
+
+    def fault(self, trouble: Exception) -> None:
+        """Something of ours failed with one exchange; the others go on."""
+        self.counters.add("faults")
 
     def retire(self) -> None:
         for link in list(self.links):
--- a/cresstray/halls/inward.py
+++ b/cresstray/halls/inward.py
@@ -226,6 +226,10 @@
     def abandon(self, number: int) -> None:
         self.deny(number, 0)
 
+    def has_left(self) -> bool:
+        """Not known from here: whoever asked may be back, and what it no longer wants it withdraws."""
+        return False
+
     def reject(self, number: int | None, text: str) -> None:
         entry = self.ledger.open.get(number)
         if entry is not None:
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -27,6 +27,9 @@
 # Danger: on a late loop what ends at its hard stop is lost; it ends 100 ms sooner, held work a sweep more.
 MARGIN = SWEEP + 100_000
 
+# Danger: a repeat must reach its engine within the memory of the first; it leaves this long before its end.
+REPEAT_MARGIN = 50_000
+
 PASSED_OVER = -1e6  # in the held line: before any payoff for work in microseconds
 
 
@@ -34,6 +37,13 @@
     return int(milliseconds * 1000)
 
 
+def end_by(submission: Submission, hard_stop: int) -> None:
+    """It is to be answered by then, as the gateway ends."""
+    submission.hard_stop = min(submission.hard_stop, hard_stop)
+    # Danger: held up to the very end, it would be sent as others are given up, with no time left to run.
+    submission.leave_by = min(submission.leave_by, submission.hard_stop - MARGIN)
+
+
 class Usual:
     """What a tariff's answers usually take, learnt from this gateway's own fulfilled relays."""
 
@@ -407,7 +417,7 @@
             if relay.ending not in UNRUN and tariff.deduplicated:
                 # Danger: a repeat outside the group, or past its memory, would take effect twice.
                 same = {"zone": engine.zone == relay.engine.zone, "cell": engine.cell == relay.engine.cell}
-                over = now >= relay.sent + tariff.memory - 50_000
+                over = now >= relay.sent + tariff.memory - REPEAT_MARGIN
                 if over or not same.get(tariff.group, tariff.group == "all"):
                     return False
         return self._cold_room(engine, tariff, now)
--- a/cresstray/passage/across.py
+++ b/cresstray/passage/across.py
@@ -33,6 +33,9 @@
         self._engines[link], self._links[engine] = engine, link
 
     def send(self, relay: Relay, errand: Errand, patience: int) -> None:
+        if self._back.client_has_left(relay.submission):
+            self._send.end_unsent(relay)
+            return
         crossing = self._links[relay.engine].offer(relay, errand.query, self._clock.now())
         self._back.out[relay] = crossing
         if self.marked is not None:
--- a/cresstray/passage/book.py
+++ b/cresstray/passage/book.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cresstray import logic
 from cresstray.counters import Counters
 from cresstray.interface import Ending, Submission
 from cresstray.passage.errand import Errand
@@ -30,8 +31,7 @@
     def close(self, last_stop: int) -> None:
         """The gateway ends then: that is a hard stop for all that is open."""
         for submission in self.open:
-            submission.hard_stop = min(submission.hard_stop, last_stop)
-            submission.leave_by = min(submission.leave_by, last_stop)
+            logic.end_by(submission, last_stop)
 
     def fulfil(self, submission: Submission, result: bytes) -> None:
         errand = self._answer(submission, "fulfilled")
--- a/cresstray/passage/relay.py
+++ b/cresstray/passage/relay.py
@@ -9,7 +9,7 @@
 from cresstray.engines import codec
 from cresstray.engines.exchanges import Exchange
 from cresstray.engines.pages import Pages
-from cresstray.interface import Ending, Relay
+from cresstray.interface import Ending, Relay, Standing, Submission
 from cresstray.logic import Gateway
 from cresstray.passage.book import Book
 
@@ -18,6 +18,8 @@
     from cresstray.marked import Marked
     from cresstray.passage.pinned import Pinned
 
+# A client is asked again whether it is there for what came longer ago; what is sent at once costs no call.
+_FRESH = 20_000
 _ENDINGS = {b"overload": Ending.FULL, b"crashed": Ending.ERROR, b"nobody": Ending.MOOT}
 
 
@@ -67,8 +69,27 @@
         # Danger: part of its bytes may have gone out; it may have run.
         self.ended(exchange, Ending.SPOILT if spoilt else Ending.RESET)
 
-    def overdue(self, exchange: Exchange) -> None:
+    def may_leave(self, exchange: Exchange) -> bool:
+        """Whether what was decided when it was handed over still holds."""
+        relay = exchange.relay
+        if relay.submission.ended or relay.called_off or relay.engine.standing is not Standing.READY:
+            return False
+        over = exchange.until is not None and self._clock.now() >= exchange.until
+        return not over and not self.client_has_left(relay.submission)
+
+    def client_has_left(self, submission: Submission) -> bool:
+        """Whether it has gone, before its connection was read that far."""
+        if self._clock.now() - submission.arrived < _FRESH:
+            return False
+        errand = self._book.open.get(submission)
+        return errand is not None and not errand.answered and errand.asker.has_left()
+
+    def unsent(self, exchange: Exchange) -> None:
         """Nothing of it has left, and nothing may any more."""
+        submission = exchange.relay.submission
+        if self.client_has_left(submission):
+            self._book.left(self._book.open[submission])
+            self.gateway.client_left(submission, self._clock.now())
         self.ended(exchange, Ending.MOOT)
 
     def ended(
--- a/cresstray/passage/send.py
+++ b/cresstray/passage/send.py
@@ -10,6 +10,7 @@
 from cresstray.engines.exchanges import Exchange
 from cresstray.engines.links import Pool
 from cresstray.interface import Ending, Relay
+from cresstray.logic import REPEAT_MARGIN, UNRUN
 from cresstray.passage.errand import Errand
 from cresstray.passage.relay import Back
 
@@ -26,20 +27,47 @@
         query, name = errand.query, errand.query.name.encode()
         message = codec.ask(name, query.tariff, max(1, patience // 1000), query.mark, query.statement)
         exchange = Exchange(name, message, self._back, relay)
-        self._back.out[relay] = exchange
-        if self.marked is not None and not self.marked.may_send(relay.submission):
-            # The module hears of it once it has finished what it is about.
-            exchange.due = self._timers.after(0, lambda _: self._back.ended(exchange, Ending.MOOT))
+        exchange.until = self._until(relay, patience)
+        if not self._may_begin(exchange):
+            self._end_unsent(exchange)
             return
+        self._back.out[relay] = exchange
         exchange.due = self._timers.after(patience, lambda _: self.give_up(relay, Ending.TIMED_OUT))
         self._counters.add("relays sent")
         if relay.submission.foreign:
             errand.asker.sent(errand.number)
         if self.marked is not None:
-            exchange.until = self.marked.until(relay.submission)
             self.marked.sent(relay.submission)
         pool.start(exchange)
 
+    def _may_begin(self, exchange: Exchange) -> bool:
+        submission = exchange.relay.submission
+        if self.marked is not None and not self.marked.may_send(submission):
+            return False
+        # Danger: a process that was stopped in the middle of a turn still decides by the time from before.
+        over = self._clock.now() >= exchange.until
+        # Danger: what was held, or is sent again, may be nobody's by now.
+        return not over and not self._back.client_has_left(submission)
+
+    def _until(self, relay: Relay, patience: int) -> int:
+        """From when on nothing of it may leave, however late its connection comes up."""
+        submission, until = relay.submission, self._clock.now() + patience
+        if submission.tariff.deduplicated:
+            for earlier in submission.relays:
+                if earlier is not relay and earlier.ending not in UNRUN:
+                    until = min(until, earlier.sent + submission.tariff.memory - REPEAT_MARGIN)
+        marked = None if self.marked is None else self.marked.until(submission)
+        return until if marked is None else min(until, marked)
+
+    def end_unsent(self, relay: Relay) -> None:
+        """The relay ends as never sent."""
+        self._end_unsent(Exchange(b"", b"", self._back, relay))
+
+    def _end_unsent(self, exchange: Exchange) -> None:
+        self._back.out[exchange.relay] = exchange
+        # The module hears of it once it has finished what it is about.
+        exchange.due = self._timers.after(0, lambda _: self._back.unsent(exchange))
+
     def withdraw(self, relay: Relay) -> None:
         # The module hears of it once it has finished what it is about.
         self._timers.after(0, lambda _: self.give_up(relay, Ending.WITHDRAWN))
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -100,6 +100,9 @@
     def abandon(self, number: int) -> None:
         self._told(number, "abandoned")
 
+    def has_left(self) -> bool:
+        return False
+
     def reject(self, number: int | None, text: str) -> None:
         self._desk.world.say(f"{self._desk.hall} rejects {text}")
 
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,654 @@
+"""Attempts beside the end of their request, engine, client or window: what still leaves, who ends, how, once.
+
+All stages and the module are the real ones. `Desk` has links that come up by the test's hand; `Scenes` play
+over loopback, with dials that wait for the test.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import io
+import socket
+import unittest
+from collections.abc import Awaitable, Callable
+from unittest import mock
+
+import anyio
+import hiredis
+
+from cresstray.check.world import VirtualClock
+from cresstray.coordinator.known import Event, Member
+from cresstray.counters import Counters
+from cresstray.engines import links
+from cresstray.interface import Ending, Standing
+from cresstray.logic import Gateway
+from cresstray.passage.admit import Admit
+from cresstray.passage.book import Book
+from cresstray.passage.port import SocketPort
+from cresstray.passage.relay import Back
+from cresstray.passage.route import Route
+from cresstray.passage.send import Send
+from cresstray.passage.take_in import TakeIn
+from cresstray.streams import connect
+from tests import desk
+from tests.desk import ClientStandIn, settings
+from tests.test_links import FakeLink, FakePool
+from tests.test_service import Stage, member
+
+MILLI = 1_000
+EFFECTS = {"read": "idempotent", "post": "at_most_once", "keyed": "deduplicated"}
+SERVICES = [{"Name": name, "Effect": effect, "KeyTtl": 1000.0} for name, effect in EFFECTS.items()]
+
+
+class Query:
+    def __init__(self, name: str, tariff: str, patience: float) -> None:
+        self.name, self.tariff, self.patience, self.tenant = name, tariff, patience, ""
+        self.mark = name if tariff == "keyed" else ""
+        self.estimate, self.megabytes, self.statement = 0.0, 0.0, b"select 1"
+
+
+class Asker:
+    """A client; `shut`: it has closed its connection, and nobody has read that yet."""
+
+    def __init__(self) -> None:
+        self.open: dict[int, object] = {}
+        self.answers: list[str] = []
+        self.shut = False
+        self.looks = 0
+
+    def has_left(self) -> bool:
+        self.looks += 1
+        return self.shut
+
+    def _told(self, number: int, how: str) -> None:
+        self.answers.append(f"{self.open.pop(number).query.name} {how}")
+
+    def fulfil(self, number: int, result: bytes, at: str | None = None) -> None:
+        self._told(number, "fulfilled")
+
+    def deny(self, number: int, come_back: int) -> None:
+        self._told(number, "denied")
+
+    def abandon(self, number: int) -> None:
+        self._told(number, "abandoned")
+
+    def reject(self, number: int | None, text: str) -> None:
+        raise AssertionError(text)
+
+
+class Desk:
+    """A gateway between one client and engines whose links the test has in its hands."""
+
+    def __init__(self, engines: int = 1, cancel: bool = True, **safety: float) -> None:
+        given = settings(*SERVICES, Limits={"Cancel": cancel, "StreamsPerConn": 32}, Safety=safety)
+        self.clock, self.counters = VirtualClock(desk.START), Counters()
+        self.pools: list[FakePool] = []
+        self.book = Book(self.counters)
+        self.back = Back(self.clock, self.counters, self.book)
+        timers = self.timers = FakePool(self.clock).timers
+        self.send = Send(self.clock, timers, self.counters, self.back)
+        self.route = Route(self._make_pool, self.send)
+        log = type("NoLog", (), {"say": lambda self, kind, text: None})()
+        port = SocketPort(self.route, self.send, self.book, timers, self.counters, log)
+        self.gateway = Gateway(port, given, 7, self.clock.now())
+        admit = Admit(self.book)
+        self.back.gateway = admit.gateway = self.gateway
+        self.take_in = TakeIn(given, self.gateway.tariffs, self.clock, admit)
+        self.client, self.asked = Asker(), 0
+        self.list(*(Standing.READY for _ in range(engines)), complete=True)
+
+    def _make_pool(self, label: str, address: tuple[str, int]) -> FakePool:
+        self.pools.append(FakePool(self.clock))
+        self.pools[-1].address, self.pools[-1]._timers = address, self.timers
+        return self.pools[-1]
+
+    def list(self, *standings: Standing, complete: bool = False) -> None:
+        """As service.py tells of an event."""
+        members = [Member(n, "e", n, standing, 0, 0, 0, 0) for n, standing in enumerate(standings)]
+        event = Event(1, complete, members)
+        self.gateway.listed(self.route.listed(event), complete, self.clock.now())
+
+    def ask(self, name: str, tariff: str = "read", patience: float = 3000) -> None:
+        self.asked += 1
+        self.take_in.take(self.client, self.asked, Query(name, tariff, patience))
+
+    def withdraw(self, number: int = 1) -> None:
+        self.take_in.withdraw(self.client, number, None)
+
+    def leave(self) -> None:
+        self.take_in.gone(self.client)
+
+    def wait(self, milliseconds: float) -> None:
+        until = self.clock.at + int(milliseconds * MILLI)
+        while (left := self.timers.run_due()) is not None and self.clock.at + left <= until:
+            self.clock.at += left
+        self.clock.at = until
+
+    def stopped(self, milliseconds: int) -> None:
+        """The process gets no turn: no timer runs."""
+        self.clock.at += milliseconds * MILLI
+
+    def link(self, engine: int = 0, number: int = -1) -> FakeLink:
+        return self.pools[engine].made[number]
+
+    def links(self) -> list[FakeLink]:
+        return [link for pool in self.pools for link in pool.made]
+
+    def heard(self) -> list[str]:
+        return [line for link in self.links() if link.line is not None for line in link.wire.heard()]
+
+    def ends(self) -> dict[str, int]:
+        """How relays have ended."""
+        how = {ending.value: self.counters.counts[f"relays {ending.value}"] for ending in Ending}
+        return {name: count for name, count in how.items() if count}
+
+
+class DeskCase(unittest.TestCase):
+    def rests(self, made: Desk) -> None:
+        """Nothing is owed, out, or open on a link."""
+        kept = [made.book.open, made.back.out, made.back._reports, made.client.open, made.gateway.held]
+        kept += [link.life.open for pool in made.pools for link in pool.links]
+        self.assertEqual([], [one for one in kept if one])
+        self.assertEqual([], [trouble for pool in made.pools for trouble in pool.faults])
+        limiters = [engine.limiter for engine in made.gateway.engines]
+        self.assertEqual([], [one for one in limiters if one.threads or one.out])
+
+
+class LateDials(DeskCase):
+    """A connection comes up after something has ended; the engine's side of it must stay silent."""
+
+    def test_its_client_has_withdrawn(self) -> None:
+        for cancel in (True, False):
+            made = Desk(cancel=cancel)
+            made.ask("a")
+            made.withdraw()
+            made.link().come_up()  # before the timer of the withdrawal
+            self.assertEqual(([], {"moot": 1}), (made.heard(), made.ends()))
+            made.wait(100)
+            self.assertEqual([], made.client.answers)
+            self.rests(made)
+
+    def test_its_client_has_closed_and_that_was_read(self) -> None:
+        for cancel in (True, False):
+            made = Desk(cancel=cancel)
+            made.ask("a")
+            made.leave()
+            if cancel:
+                made.wait(1)
+            made.link().come_up()
+            self.assertEqual([], made.heard())
+            self.rests(made)
+
+    def test_its_client_has_closed_and_that_was_not_read_yet(self) -> None:
+        made = Desk()
+        made.ask("a")
+        made.client.shut = True
+        made.wait(30)
+        made.link().come_up()
+        made.wait(10)
+        self.assertEqual(([], {"moot": 1}, []), (made.heard(), made.ends(), made.client.answers))
+        self.assertEqual(1, made.counters.counts["submissions left"])
+        self.rests(made)
+
+    def test_what_was_written_stays_out_without_cancel(self) -> None:
+        made = Desk(cancel=False)
+        made.ask("a")
+        made.link().come_up()
+        made.withdraw()
+        made.wait(10)
+        self.assertEqual(["ASK a"], made.heard())
+        made.link().answer("a", "served", "sheets=1", "a\tb\tc\n")
+        self.assertEqual(([], {"fulfilled": 1}), (made.client.answers, made.ends()))
+        self.rests(made)
+
+    def test_its_engine_drains_is_gone_or_replaced(self) -> None:
+        for standing in (Standing.DRAINING, Standing.GONE):
+            made = Desk(engines=2)
+            made.ask("a", "post")
+            first = next(link for link in made.links())
+            pool = first.pool
+            gone = made.pools.index(pool)
+            standings = [Standing.READY, Standing.READY]
+            standings[gone] = standing
+            made.list(*standings)
+            first.come_up()
+            other = made.link(1 - gone)
+            self.assertEqual([], first.wire.heard())
+            self.assertEqual(["ASK a"], other.come_up().heard())
+            other.answer("a", "served", "sheets=1", "a\tb\tc\n")
+            self.assertEqual(["a fulfilled"], made.client.answers)
+            self.rests(made)
+
+    def test_recalled_when_its_engine_drains(self) -> None:
+        """At once, not when its connection has come up; what the module frees goes elsewhere only."""
+        made = Desk(engines=2)
+        for name in "abcd":
+            made.ask(name, "post")
+        drained = made.pools.index(made.links()[0].pool)
+        standings = [Standing.READY, Standing.READY]
+        standings[drained] = Standing.DRAINING
+        made.list(*standings)
+        made.pools[drained].recall_unwritten()
+        made.pools[drained].recall_unwritten()
+        self.assertEqual({}, {name: link for link in made.pools[drained].links for name in link.life.open})
+        made.wait(1)
+        for link in made.pools[1 - drained].made:
+            link.come_up()
+        self.assertEqual(["ASK a", "ASK b", "ASK c", "ASK d"], sorted(made.heard()))
+
+    def test_its_engine_has_started_anew_elsewhere(self) -> None:
+        made = Desk()
+        made.ask("a", "post")
+        first = made.link()
+        event = Event(2, False, [Member(0, "f", 9, Standing.READY, 0, 0, 0, 0)])
+        made.gateway.listed(made.route.listed(event), False, made.clock.now())
+        made.wait(1)
+        self.assertEqual([], first.come_up().heard())
+        self.assertEqual(["ASK a"], made.link().come_up().heard())
+        self.assertEqual({"moot": 1}, made.ends())
+
+    def test_the_window_for_repeats_is_over(self) -> None:
+        """A part of a second before engines forget the first; with the window open it leaves."""
+        for late, heard in ((949, ["ASK a", "ASK a"]), (950, ["ASK a"])):
+            made = Desk(engines=2)
+            made.ask("a", "keyed")
+            first = made.links()[0]
+            first.come_up()
+            made.wait(5)
+            first.gone()
+            second = next(link for link in made.links() if link is not first)
+            made.stopped(late - 5)
+            second.come_up()
+            self.assertEqual(heard, made.heard())
+
+    def test_the_window_ends_while_the_process_is_stopped_within_a_turn(self) -> None:
+        made = Desk(engines=2)
+        made.ask("a", "keyed")
+        made.links()[0].come_up()
+        relay, then = next(iter(made.back.out)), made.clock.now()
+        made.back.out.pop(relay).due.cancel()
+        made.stopped(1000)
+        made.gateway.came_back(relay, Ending.RESET, 0, False, {}, then)
+        self.assertEqual(1, len(made.links()))
+        made.wait(0)
+        self.assertEqual(({"moot": 1}, ["ASK a"]), (made.ends(), made.heard()))
+
+    def test_a_window_counts_from_attempts_that_may_have_run_only(self) -> None:
+        made = Desk(engines=2)
+        made.ask("a", "keyed")
+        first = made.links()[0]
+        first.come_up()
+        first.answer("a", "overload")
+        second = next(link for link in made.links() if link is not first)
+        made.stopped(1500)
+        second.come_up()
+        self.assertEqual(["ASK a", "ASK a"], made.heard())
+
+    def test_its_time_is_over_and_no_timer_has_run(self) -> None:
+        made = Desk()
+        made.ask("a", "post", 1000)
+        made.stopped(950)
+        made.link().come_up()
+        self.assertEqual(([], ["a denied"]), (made.heard(), made.client.answers))
+        self.rests(made)
+
+    def test_called_back_while_it_is_dialled(self) -> None:
+        made = Desk(engines=2)
+        made.ask("a")
+        first = made.links()[0]
+        relay = next(iter(made.back.out))
+        made.gateway._call_back(relay, made.clock.now())
+        first.come_up()
+        made.wait(1)
+        self.assertEqual(([], {"moot": 1}), (made.heard(), made.ends()))
+
+    def test_it_is_never_up(self) -> None:
+        """A refused connection proves that nothing ran: one that is unsafe to repeat goes elsewhere."""
+        made = Desk(engines=2)
+        made.ask("a", "post")
+        first = made.links()[0]
+        first.gone()
+        second = next(link for link in made.links() if link is not first)
+        second.come_up()
+        self.assertEqual((["ASK a"], {"unreachable": 1}), (made.heard(), made.ends()))
+
+
+class Repeats(DeskCase):
+    def test_the_client_is_gone_beside_a_repeat(self) -> None:
+        """It has closed its connection, which nobody has read; its attempt ends, the next never begins."""
+        made = Desk(engines=2)
+        made.ask("a")
+        made.links()[0].come_up()
+        made.wait(30)
+        made.client.shut = True
+        made.links()[0].answer("a", "crashed")
+        made.wait(0)
+        self.assertEqual((1, {"error": 1, "moot": 1}), (len(made.links()), made.ends()))
+        self.assertEqual(([], 1), (made.client.answers, made.counters.counts["submissions left"]))
+        made.leave()
+        self.rests(made)
+
+    def test_the_client_of_a_held_request_is_gone(self) -> None:
+        made = Desk()
+        made.list(Standing.DRAINING)
+        made.ask("a")
+        made.wait(30)
+        made.client.shut = True
+        made.list(Standing.READY)
+        made.wait(0)
+        self.assertEqual(([], []), (made.links(), made.client.answers))
+        self.rests(made)
+
+    def test_it_is_read_that_the_client_is_gone_before_the_relay_has_ended(self) -> None:
+        for cancel in (True, False):
+            made = Desk(cancel=cancel)
+            made.list(Standing.DRAINING)
+            made.ask("a")
+            made.wait(30)
+            made.client.shut = True
+            made.list(Standing.READY)
+            made.leave()
+            made.wait(0)
+            self.assertEqual(([], 1), (made.links(), made.counters.counts["submissions left"]))
+            self.rests(made)
+
+    def test_what_is_sent_at_once_asks_nobody(self) -> None:
+        made = Desk()
+        made.ask("a")
+        made.link().come_up()
+        made.ask("b")
+        self.assertEqual(0, made.client.looks)
+
+    def test_which_ends_are_proofs(self) -> None:
+        """(what comes, how it ends, whether an unsafe request is sent again, what it is answered else)."""
+        table = (
+            (lambda link: link.answer("a", "overload"), "full", True),
+            (lambda link: link.answer("a", "nobody"), "moot", True),
+            (lambda link: link.answer("a", "crashed"), "error", False),
+            (lambda link: link.gone(), "reset", False),
+            (self._spoils, "spoilt", False),
+        )
+        for comes, how, again in table:
+            with self.subTest(how):
+                made = Desk(engines=2)
+                made.ask("a", "post")
+                first = made.links()[0]
+                first.come_up()
+                comes(first)
+                self.assertEqual({how: 1}, made.ends())
+                self.assertEqual(2 if again else 1, len(made.links()))
+                self.assertEqual([] if again else ["a abandoned"], made.client.answers)
+
+    def _spoils(self, link: FakeLink) -> None:
+        with self.assertRaises(links.codec.BrokenError):
+            link.answer("a", "served", "sheets=1", "\0")
+        link.spoilt = True
+        link.gone()
+
+    def test_words_after_part_of_a_result(self) -> None:
+        """It has run: a refusal, or that it was over, proves nothing any more."""
+        for word in ("overload", "nobody", "green", "served"):
+            made = Desk(engines=2)
+            made.ask("a", "post", 1000)
+            first = made.links()[0]
+            first.come_up()
+            first.answer("a", "rows", "sheet=1", "x\ty\tz\n")  # before there is a result
+            first.answer("a", "served", "sheets=2", "a\tb\tc\n")
+            first.answer("a", word, "-", "")
+            self.assertEqual(({}, 1, 2), (made.ends(), len(made.links()), self._unawaited(made)))
+            made.wait(1000)
+            self.assertEqual(({"timed out": 1}, ["a abandoned"]), (made.ends(), made.client.answers))
+            self.assertEqual(["ASK a", "NEXT a", "FREE a"], made.heard())
+            self.rests(made)
+
+    def test_an_error_after_part_of_a_result(self) -> None:
+        made = Desk(engines=2)
+        made.ask("a", "post")
+        first = made.links()[0]
+        first.come_up()
+        first.answer("a", "served", "sheets=3", "a\tb\tc\n")
+        first.answer("a", "crashed")
+        first.answer("a", "crashed")  # to the other page
+        first.answer("a", "rows", "sheet=1", "x\ty\tz\n")
+        self.assertEqual((["a abandoned"], {"error": 1}), (made.client.answers, made.ends()))
+        self.assertEqual(2, self._unawaited(made))
+        self.rests(made)
+
+    def test_pages_twice_and_beyond(self) -> None:
+        made = Desk()
+        made.ask("a")
+        link = made.link()
+        link.come_up()
+        link.answer("a", "served", "sheets=3", "0\t0\t0\n")
+        link.answer("a", "rows", "sheet=2", "2\t2\t2\n")
+        link.answer("a", "rows", "sheet=2", "3\t3\t3\n")
+        link.answer("a", "rows", "sheet=1", "1\t1\t1\n")
+        self.assertEqual((["a fulfilled"], 1), (made.client.answers, self._unawaited(made)))
+
+    def test_pages_that_cannot_be(self) -> None:
+        """They end the link, as spoilt; what is unsafe to repeat has failed then."""
+        for first, second in (
+            ("sheets=0", ""),
+            ("sheets=1000000000", ""),
+            ("sheets=2", "sheet=2"),
+            ("sheets=2", "sheet=1000000000"),
+            ("sheets=2", "sheet=0"),
+        ):
+            made = Desk(engines=2)
+            made.ask("a", "post")
+            link = made.links()[0]
+            link.come_up()
+            with self.assertRaises(links.codec.BrokenError):
+                link.answer("a", "served", first, "x\ty\tz\n")
+                link.answer("a", "rows", second, "x\ty\tz\n")
+            link.spoilt = True
+            link.gone()
+            self.assertEqual((["a abandoned"], {"spoilt": 1}), (made.client.answers, made.ends()))
+            self.rests(made)
+
+    def test_an_answer_beside_a_cancel_and_a_time_out(self) -> None:
+        """Whichever is first ends it; the other finds nothing."""
+        for first, ends, answers in (
+            ("answer", {"fulfilled": 1}, ["a fulfilled"]),
+            ("cancel", {"fulfilled": 1}, []),
+            ("cancel is due", {"withdrawn": 1}, []),
+            ("time", {"timed out": 1}, ["a denied"]),
+        ):
+            with self.subTest(first):
+                made = Desk()
+                made.ask("a", patience=1000)
+                link = made.link()
+                link.come_up()
+                if first.startswith("cancel"):
+                    made.withdraw()
+                if first == "cancel is due":
+                    made.wait(0)
+                if first == "time":
+                    made.wait(900)
+                link.answer("a", "served", "sheets=1", "a\tb\tc\n")
+                made.withdraw()
+                made.wait(1000)
+                self.assertEqual((ends, answers), (made.ends(), made.client.answers))
+                self.rests(made)
+
+    def test_the_budget_at_the_edge_of_its_window(self) -> None:
+        """Two further attempts are never closer than the window, to the millisecond."""
+        made = Desk(engines=3, BudgetWindow=1000.0, FreeResends=1, ResendRatio=0.0)
+        sent: list[int] = []
+        for turn in range(60):
+            made.ask(f"n{turn}", patience=60_000)
+            for _ in range(83):
+                for relay, exchange in list(made.back.out.items()):
+                    if exchange.link.line is None:
+                        exchange.link.come_up()
+                    sent += [relay.sent] if relay.number else []
+                    word = "served" if relay.number else "nobody"
+                    exchange.link.answer(exchange.name.decode(), word, "-", "a\tb\tc\n" * relay.number)
+                made.wait(1)
+        gaps = [after - before for before, after in zip(sent, sent[1:])]
+        self.assertGreater(len(gaps), 2)
+        self.assertGreaterEqual(min(gaps), 1000 * MILLI)
+        self.assertLess(min(gaps), 1200 * MILLI)
+
+    def _unawaited(self, made: Desk) -> int:
+        return sum(pool.counters.counts["answers not awaited"] for pool in made.pools)
+
+
+class Dials:
+    """In the place of streams.connect: dials wait until they are let, or fail as told."""
+
+    def __init__(self) -> None:
+        self.begun, self.let = anyio.Event(), anyio.Event()
+        self.fails: OSError | None = None
+        self.count = 0
+
+    async def __call__(self, host: str, port: int) -> socket.socket:
+        self.count += 1
+        self.begun.set()
+        if self.fails is not None:
+            raise self.fails
+        await self.let.wait()
+        return await connect(host, port)
+
+
+class Scenes(unittest.TestCase):
+    def play(
+        self, scene: Callable[[Stage, ClientStandIn, Dials], Awaitable], engines: int = 1, **parts: object
+    ) -> Stage:
+        stage = Stage(engines, **parts)
+
+        async def main() -> None:
+            dials = Dials()
+
+            async def with_dials(stage: Stage, client: ClientStandIn) -> None:
+                await scene(stage, client, dials)
+
+            with mock.patch.object(links, "connect", dials):
+                await stage.run(with_dials, None)
+
+        with contextlib.redirect_stderr(io.StringIO()):
+            anyio.run(main)
+        self.assertEqual(0, stage.service.counters.counts["faults"])
+        return stage
+
+    async def answered(self, stage: Stage, text: str) -> None:
+        with anyio.fail_after(5):
+            while not stage.service.counters.counts[text]:
+                await anyio.sleep(0.001)
+
+    def test_the_client_withdraws_while_its_engine_is_dialled(self) -> None:
+        for cancel in (True, False):
+
+            async def scene(stage: Stage, client: ClientStandIn, dials: Dials) -> None:
+                await client.ask(1, "plain one")
+                await dials.begun.wait()
+                await client.say({"jsonrpc": "2.0", "method": "withdraw", "params": {"id": 1}})
+                await self.answered(stage, "submissions left")
+                dials.let.set()
+                await client.ask(2, "plain two")
+                self.assertEqual(2, (await client.hear())["id"])
+
+            stage = self.play(scene, Limits={"Cancel": cancel, "ConnectTimeout": 10_000})
+            self.assertEqual(1, len(stage.engines[0].lines))
+            self.assertIn("plain two", stage.engines[0].lines[0])
+
+    def test_the_client_shuts_while_its_engine_is_dialled(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn, dials: Dials) -> None:
+            async with await anyio.connect_tcp(*stage.address) as stream:
+                await ClientStandIn(stream, stage.lines, names=16).ask(1, "plain one")
+                await dials.begun.wait()
+            await self.answered(stage, "submissions left")
+            dials.let.set()
+            await client.ask(2, "plain two")
+            self.assertEqual(2, (await client.hear())["id"])
+
+        stage = self.play(scene, Limits={"Cancel": False, "ConnectTimeout": 10_000})
+        self.assertEqual(1, len(stage.engines[0].lines))
+        self.assertIn("plain two", stage.engines[0].lines[0])
+
+    def test_the_engine_drains_while_it_is_dialled(self) -> None:
+        """The request goes to the other one, although its class is unsafe to repeat."""
+        for standing in (Standing.DRAINING, Standing.GONE):
+
+            async def scene(stage: Stage, client: ClientStandIn, dials: Dials, standing=standing) -> None:
+                second = member(stage.engines[1].port, 1, Standing.DRAINING)
+                stage.service._told(Event(2, False, [second]))
+                await client.ask(1, "plain")
+                await dials.begun.wait()
+                told = [member(stage.engines[0].port, 0, standing), member(stage.engines[1].port, 1)]
+                stage.service._told(Event(3, False, told))
+                dials.let.set()
+                self.assertIn("result", await client.hear())
+
+            service = {"Effect": "at_most_once"}
+            stage = self.play(scene, 2, Services=[service], Limits={"ConnectTimeout": 10_000})
+            self.assertEqual([0, 1], [len(engine.lines) for engine in stage.engines])
+
+    def test_no_descriptor_is_no_doubt_about_the_engine(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn, dials: Dials) -> None:
+            dials.fails = OSError(errno.EMFILE, "too many open files")
+            await client.ask(1, "plain")
+            self.assertIn("error", await client.hear())
+            self.assertEqual(4, dials.count)  # as many attempts as there may be
+            dials.fails = None
+            dials.let.set()
+            await client.ask(2, "plain")
+            self.assertIn("result", await client.hear())
+
+        stage = self.play(scene, Services=[{"Effect": "at_most_once"}])
+        counts = stage.service.counters.counts
+        self.assertEqual((0, 4), (counts["relays unreachable"], counts["relays moot"]))
+
+    def test_an_engine_that_never_reads(self) -> None:
+        """Its connections are taken and nothing on them is read; no request is half sent and then whole."""
+
+        async def scene(stage: Stage, client: ClientStandIn, dials: Dials) -> None:
+            dials.let.set()
+            with socket.create_server(("127.0.0.1", 0)) as server:
+                server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                stage.service._told(Event(2, True, [member(server.getsockname()[1], 7)]))
+                await client.ask(1, "x" * 150_000)
+                server.settimeout(5)
+                accepted = (await anyio.to_thread.run_sync(server.accept))[0]
+                pool = next(iter(stage.service._route._pools.values()))
+                while not (pool.links and pool.links[0].line):
+                    await anyio.sleep(0.001)
+                waits = len(pool.links[0].line.waiting)
+                await client.say({"jsonrpc": "2.0", "method": "withdraw", "params": {"id": 1}})
+                with anyio.fail_after(5):
+                    while pool.links:
+                        await anyio.sleep(0.001)
+                received = b""
+                with accepted:
+                    accepted.settimeout(5)
+                    while data := await anyio.to_thread.run_sync(_receive, accepted):
+                        received += data
+            reader = hiredis.Reader()
+            reader.feed(received)
+            # A kernel that takes it all leaves nothing to be seen here.
+            self.assertEqual(waits > 0, reader.gets() is False)
+
+        with mock.patch.object(socket.socket, "send", _sparing):
+            self.play(scene, Limits={"Cancel": True, "ConnectTimeout": 10_000})
+
+
+def _receive(accepted: socket.socket) -> bytes:
+    try:
+        return accepted.recv(65536)
+    except ConnectionResetError:
+        return b""
+
+
+_send = socket.socket.send
+
+
+def _sparing(self: socket.socket, data: bytes, *flags: int) -> int:
+    """As a kernel with little room: a part of what is long, once."""
+    if len(data) > 100_000:
+        return _send(self, bytes(data[:1000]), *flags)
+    return _send(self, data, *flags)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -76,6 +76,9 @@
             ("an endless time limit", call(params={"timeout": 1e300})),
             ("bad base64", call(params={"data": "%%"})),
             ("a mark with a comma", call(params={"opkey": "a,c=x"})),
+            ("a mark with a line feed behind it", call(params={"opkey": "a\n"})),
+            ("a name with a line feed behind it", call(params={"req": "9b1f03aa5c7e2d41\n"})),
+            ("an id nested without end", b'{"jsonrpc":1,"id":' + b"[" * 5_000 + b"]" * 5_000 + b"}"),
             ("an estimate below zero", call(params={"ms": -1})),
         ]:
             try:
@@ -147,6 +150,13 @@
             lines.append(f"{text}: {caught.exception}")
         self.check("resp_malformed", lines)
 
+    def test_what_came_whole_before_noise_counts(self) -> None:
+        answers, good = resp.Answers(), array(b"q", b"served", b"-", b"a\tb\tc\n")
+        self.assertEqual([b"q"], [one.name for one in answers.feed(good + b"noise\r\n" + good)])
+        for _ in range(2):
+            with self.assertRaises(resp.BrokenError):
+                answers.feed(b"")
+
     def test_requests(self) -> None:
         self.check(
             "resp_requests",
@@ -467,7 +477,9 @@
         found = []
         try:
             for piece in cut(data, sizes):
-                found += feed(piece)
+                # What can't be read is told in the next call where something could be read before it.
+                while told := feed(piece):
+                    found, piece = found + told, b""
                 self.assertLessEqual(kept(), most)
         except error:
             return None
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,509 @@
+"""Links to an engine without sockets: what leaves and when, what a late word or a link's end means."""
+
+import unittest
+
+import hiredis
+
+from cresstray.check.world import VirtualClock
+from cresstray.clock import Timers
+from cresstray.counters import Counters
+from cresstray.engines import codec
+from cresstray.engines.codec import BrokenError
+from cresstray.engines.exchanges import Exchange
+from cresstray.engines.pool import _MOST_BEHIND, AnyLink, AnyPool, Quota
+
+
+class FakeWire:
+    """A connection of which the other side takes `room` more bytes, or all."""
+
+    def __init__(self) -> None:
+        self.sent, self.waiting = b"", bytearray()
+        self.room: int | None = None
+        self.broken = self.ended = False
+
+    def put(self, message: bytes) -> bool:
+        if not self.waiting and self.broken:
+            return False
+        self.waiting += message
+        self.flow()
+        return True
+
+    def flow(self) -> None:
+        """What there is room for leaves."""
+        count = len(self.waiting) if self.room is None else min(self.room, len(self.waiting))
+        self.sent += bytes(self.waiting[:count])
+        del self.waiting[:count]
+        self.room = None if self.room is None else self.room - count
+
+    def has_ended(self) -> bool:
+        return self.ended
+
+    def heard(self) -> list[str]:
+        """The commands that have come whole."""
+        reader, found = hiredis.Reader(), []
+        reader.feed(self.sent)
+        while (command := reader.gets()) is not False:
+            found.append(" ".join(part.decode() for part in command[:2]))
+        return found
+
+
+class FakeLink(AnyLink):
+    wire: FakeWire
+    hung_up = False
+
+    def hang_up(self) -> None:
+        self.hung_up = True
+
+    def come_up(self) -> FakeWire:
+        self.wire = FakeWire()
+        self.up(self.wire)
+        return self.wire
+
+    def answer(self, name: str, word: str, fields: str = "-", body: str = "") -> None:
+        self.received(hiredis.pack_command((name, word, fields, body)))
+
+
+class FakePool(AnyPool):
+    """Links come up and end by the test's hand."""
+
+    def __init__(self, clock: VirtualClock, share: int = 64, most: int = 64, **limits: int) -> None:
+        self.timers, counters = Timers(clock), Counters()
+        quota = Quota(share, most)
+        super().__init__(("e", 1), {"Limits": limits}, quota, self.timers, clock.now, counters)
+        self.made: list[FakeLink] = []
+        self.faults: list[Exception] = []
+
+    def dial(self) -> FakeLink:
+        self.made.append(FakeLink(self))
+        return self.made[-1]
+
+    def fault(self, trouble: Exception) -> None:
+        super().fault(trouble)
+        self.faults.append(trouble)
+
+
+class Keeper:
+    """Notes what it is told, and lets leave what `allowed` says; `raises` for names that are faulty."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+        self.allowed = True
+        self.raises: set[str] = set()
+        self.then = None  # called with each end
+
+    def _note(self, exchange: Exchange, what: str) -> None:
+        name = exchange.name.decode()
+        self.told.append(f"{name} {what}")
+        if name in self.raises:
+            raise ZeroDivisionError(name)
+        if self.then is not None:
+            self.then(exchange)
+
+    def may_leave(self, exchange: Exchange) -> bool:
+        return self.allowed
+
+    def answered(self, exchange: Exchange, answer: codec.Answer) -> bool:
+        exchange.link.finish(exchange)
+        self._note(exchange, answer.word.decode())
+        return True
+
+    def unreached(self, exchange: Exchange) -> None:
+        self._note(exchange, "unreached")
+
+    def cut(self, exchange: Exchange, spoilt: bool) -> None:
+        self._note(exchange, "spoilt" if spoilt else "cut")
+
+    def unsent(self, exchange: Exchange) -> None:
+        self._note(exchange, "unsent")
+
+
+class LinkCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock(1_000_000)
+        self.keeper = Keeper()
+
+    def pool(self, share: int = 64) -> FakePool:
+        return FakePool(self.clock, share)
+
+    def start(self, pool: FakePool, name: str, size: int = 8) -> Exchange:
+        message = hiredis.pack_command(("ASK", name, "-", "x" * size))
+        exchange = Exchange(name.encode(), message, self.keeper, None)
+        pool.start(exchange)
+        return exchange
+
+
+class LateWrites(LinkCase):
+    def test_a_link_that_comes_up_asks_before_it_writes(self) -> None:
+        for allowed, told, heard in ((True, [], ["ASK one"]), (False, ["one unsent"], [])):
+            self.keeper.told, self.keeper.allowed = [], allowed
+            pool = self.pool()
+            self.start(pool, "one")
+            wire = pool.made[0].come_up()
+            self.assertEqual((told, heard), (self.keeper.told, wire.heard()))
+
+    def test_what_moves_to_another_link_asks_as_well(self) -> None:
+        """A link breaks under the write, before anything has left; by then nothing may leave any more."""
+        for allowed, told, links in ((True, [], 2), (False, ["two unsent"], 1)):
+            self.keeper.told, self.keeper.allowed = [], True
+            pool = self.pool(share=1)
+            self.start(pool, "one")
+            link = pool.made[0]
+            link.come_up()
+            link.wire.broken = True
+            self.start(pool, "two")
+            self.keeper.allowed = allowed
+            link.gone()
+            self.assertEqual((["one cut", *told], links), (self.keeper.told, len(pool.made)))
+
+    def test_given_up_while_it_is_dialled(self) -> None:
+        pool = self.pool()
+        exchange = self.start(pool, "one")
+        exchange.link.give_up(exchange)
+        wire = pool.made[0].come_up()
+        self.assertEqual(([], []), (wire.heard(), self.keeper.told))
+        self.assertIn(pool.made[0], pool.quota.idle)
+
+    def test_given_up_twice_and_after_its_link_has_ended(self) -> None:
+        pool = self.pool()
+        exchange = self.start(pool, "one")
+        link = pool.made[0]
+        link.come_up()
+        link.give_up(exchange)
+        link.give_up(exchange)
+        self.assertEqual(["ASK one", "QUIT one"], link.wire.heard())
+        other = self.start(pool, "two")
+        pool.made[1].gone()
+        other.link.give_up(other)
+        self.assertEqual(["two unreached"], self.keeper.told)
+
+    def test_given_up_after_it_has_moved(self) -> None:
+        pool = self.pool(share=1)
+        self.start(pool, "one")
+        first = pool.made[0]
+        first.come_up()
+        first.wire.broken = True
+        moved = self.start(pool, "two")
+        first.gone()
+        second = pool.made[1]
+        self.assertIs(second, moved.link)
+        second.come_up()
+        moved.link.give_up(moved)
+        self.assertEqual(["ASK two", "QUIT two"], second.wire.heard())
+        self.assertEqual([], first.wire.heard()[1:])
+
+    def test_an_engine_that_has_moved_gets_nothing_at_its_old_address(self) -> None:
+        pool = self.pool()
+        self.start(pool, "one")
+        link = pool.made[0]
+        pool.move(("e", 2))
+        wire = link.come_up()  # in the same turn of the loop
+        self.assertEqual((["one unsent"], []), (self.keeper.told, wire.heard()))
+        self.assertTrue(link.hung_up)
+
+    def test_an_old_address_that_does_not_answer_says_nothing_of_the_engine(self) -> None:
+        for ends in (FakeLink.gone, None):
+            self.keeper.told = []
+            pool = self.pool()
+            self.start(pool, "one")
+            pool.move(("e", 2))
+            self.start(pool, "two")
+            if ends is not None:
+                ends(pool.made[0])
+            pool.timers.run_due()
+            self.assertEqual(["one unsent"], self.keeper.told)
+            self.assertEqual(["ASK two"], pool.made[1].come_up().heard())
+
+
+class Recalls(LinkCase):
+    def test_only_what_was_not_written_ends(self) -> None:
+        pool = self.pool()
+        self.start(pool, "out")
+        pool.made[0].come_up()
+        self.start(pool, "one")
+        self.start(pool, "two")
+        pool.retire()
+        pool.recall_unwritten()
+        self.assertEqual(["one unsent", "two unsent"], self.keeper.told)
+        self.assertEqual([False, True, True], [link.hung_up for link in pool.made])
+        pool.made[0].answer("out", "served")
+        self.assertEqual("out served", self.keeper.told[-1])
+        self.assertTrue(pool.made[0].hung_up)
+
+    def test_an_end_may_start_and_end_others(self) -> None:
+        """The module sends what is freed to this pool again, and gives up another of those that end."""
+        for recalled in (True, False):
+            self.keeper.told, self.keeper.allowed = [], True
+            pool = self.pool(share=1)
+            exchanges = [self.start(pool, name) for name in ("one", "two", "three")]
+
+            def then(exchange: Exchange, pool=pool, exchanges=exchanges) -> None:
+                if exchange is exchanges[0]:
+                    exchanges[1].link.give_up(exchanges[1])
+                    self.start(pool, "new")
+
+            self.keeper.then = then
+            self.keeper.allowed = recalled
+            if recalled:
+                pool.recall_unwritten()
+            wire = pool.made[0].come_up()
+            self.assertEqual(["one unsent", "three unsent"], self.keeper.told)
+            self.assertEqual((["ASK new"], []), (wire.heard(), pool.faults))
+
+
+class Unread(LinkCase):
+    """An engine that does not read what it is sent."""
+
+    def busy(self, pool: FakePool, room: int | None) -> FakeLink:
+        """A link whose engine takes `room` bytes after its first request, or all."""
+        self.start(pool, "first")
+        link = pool.made[-1]
+        link.come_up()
+        link.wire.room = room
+        return link
+
+    def test_nothing_is_put_behind_what_waits(self) -> None:
+        pool = self.pool(share=1)
+        link = self.busy(pool, 10)
+        self.start(pool, "partly")
+        self.assertTrue(link.wire.waiting)
+        self.start(pool, "next")
+        self.assertEqual(["first", "partly"], [name.decode() for name in link.life.open])
+        self.assertEqual(["ASK next"], pool.made[1].come_up().heard())
+        link.wire.room = None
+        link.wire.flow()
+        link.answer("first", "served")
+        self.start(pool, "after")
+        self.assertIn(b"after", pool.made[1].wire.sent + link.wire.sent)
+        self.assertEqual((2, False), (len(pool.made), link.life.retired))
+
+    def test_what_has_not_left_at_all_takes_another_link(self) -> None:
+        pool = self.pool(share=1)
+        link = self.busy(pool, 0)
+        self.start(pool, "second")
+        self.assertEqual((b"", True), (bytes(link.wire.waiting), link.life.retired))
+        self.assertEqual(["ASK second"], pool.made[1].come_up().heard())
+
+    def test_of_two_on_a_link_that_comes_up_the_second_goes_elsewhere(self) -> None:
+        pool = self.pool(share=1)
+        self.start(pool, "one")
+        self.start(pool, "two")
+        link = pool.made[0]
+        self.assertEqual(2, len(link.life.open))
+        link.wire = FakeWire()
+        link.wire.room = 10
+        link.up(link.wire)
+        self.assertEqual(["one"], [name.decode() for name in link.life.open])
+        self.assertEqual(["ASK two"], pool.made[1].come_up().heard())
+        link.wire.room = None
+        link.wire.flow()
+        self.assertEqual(["ASK one"], link.wire.heard())
+
+    def test_given_up_before_all_of_it_has_left(self) -> None:
+        """Its rest never comes to the engine."""
+        pool = self.pool(share=1)
+        link = self.busy(pool, None)
+        self.start(pool, "other")
+        link.wire.room = 10
+        partly = self.start(pool, "partly")
+        link.give_up(partly)
+        self.assertTrue(link.hung_up)
+        link.give_up(link.life.open[b"first"])
+        link.wire.room = None
+        sent = link.wire.sent
+        link.wire.flow()  # before the connection has ended
+        self.assertEqual((["ASK first", "ASK other"], sent), (link.wire.heard(), link.wire.sent))
+        link.gone()
+        self.assertEqual(["other cut"], self.keeper.told)
+
+    def test_answered_once_its_rest_has_left(self) -> None:
+        """Of what was put after that, a part waits."""
+        pool = self.pool(share=1)
+        link = self.busy(pool, 10)
+        partly = self.start(pool, "partly")
+        link.wire.room = len(partly.message) - 10 + 5
+        link.wire.flow()
+        link.life.heard += 1  # the engine lives
+        link.give_up(link.life.open[b"first"])
+        self.assertTrue(link.wire.waiting)
+        link.answer("partly", "served")
+        self.assertEqual(["partly served"], self.keeper.told)
+
+    def test_given_up_once_its_rest_has_left(self) -> None:
+        """Other words wait by then."""
+        pool = self.pool(share=1)
+        link = self.busy(pool, 10)
+        partly = self.start(pool, "partly")
+        link.life.heard += 1  # the engine lives
+        link.give_up(link.life.open[b"first"])
+        link.wire.room = len(partly.message) - 10
+        link.wire.flow()
+        self.assertTrue(link.wire.waiting)
+        link.life.heard += 1
+        link.give_up(partly)
+        self.assertFalse(link.hung_up)
+        link.wire.room = None
+        link.wire.flow()
+        self.assertEqual(["ASK first", "ASK partly", "QUIT first", "QUIT partly"], link.wire.heard())
+
+    def test_an_answer_before_all_of_it_has_left(self) -> None:
+        """It is no refusal: the rest would leave, and run beside the next attempt."""
+        pool = self.pool(share=1)
+        link = self.busy(pool, 10)
+        self.start(pool, "partly")
+        with self.assertRaises(BrokenError):
+            link.answer("partly", "overload")
+        link.spoilt = True
+        link.gone()
+        self.assertEqual(["first spoilt", "partly spoilt"], self.keeper.told)
+
+    def test_an_answer_to_what_was_not_written(self) -> None:
+        pool = self.pool(share=1)
+        self.start(pool, "first")
+        link = pool.made[0]
+        link.come_up()
+        link.wire.broken = True
+        self.start(pool, "second")
+        link.answer("second", "served")
+        self.assertEqual(([], 1), (self.keeper.told, pool.counters.counts["answers not awaited"]))
+
+    def test_a_part_that_left_may_have_run(self) -> None:
+        """The kernel takes a part; the connection breaks while the rest waits."""
+        pool = self.pool(share=1)
+        link = self.busy(pool, 1)
+        self.start(pool, "partly")
+        link.wire.broken = True
+        link.gone()
+        self.assertEqual(["first cut", "partly cut"], self.keeper.told)
+        self.assertEqual(1, len(pool.made))
+
+    def test_what_waits_for_an_engine_that_never_reads_is_bounded(self) -> None:
+        pool = self.pool()
+        link = self.busy(pool, 0)
+        most = 0
+        for _ in range(100_000):
+            link.send(b"*3\r\n$4\r\nNEXT\r\n$16\r\n0123456789abcdef\r\n$1\r\n1\r\n")
+            most = max(most, len(link.wire.waiting))
+        self.assertTrue(link.hung_up)
+        self.assertLess(most, _MOST_BEHIND + 100)
+        link.gone()
+        self.assertEqual(["first cut"], self.keeper.told)
+
+    def test_a_long_request_that_leaves_slowly_keeps_its_link(self) -> None:
+        pool = self.pool(share=1)
+        link = self.busy(pool, 10)
+        self.start(pool, "long", 4 * _MOST_BEHIND)
+        link.give_up(link.life.open[b"first"])
+        link.wire.room = None
+        link.wire.flow()
+        self.assertEqual(["ASK first", "ASK long", "QUIT first"], link.wire.heard())
+
+
+class Ends(LinkCase):
+    def test_a_fault_with_one_leaves_the_others_their_end(self) -> None:
+        for how in ("gone", "up", "recalled", "moved"):
+            with self.subTest(how):
+                self.keeper = Keeper()
+                self.keeper.raises = {"one"}
+                pool = self.pool(share=1)
+                for name in ("one", "two", "three"):
+                    self.start(pool, name)
+                if how == "up":
+                    self.keeper.allowed = False
+                    pool.made[0].come_up()
+                elif how == "recalled":
+                    pool.recall_unwritten()
+                elif how == "moved":
+                    pool.move(("e", 2))
+                    pool.timers.run_due()
+                else:
+                    pool.made[0].gone()
+                end = "unreached" if how == "gone" else "unsent"
+                self.assertEqual([f"{name} {end}" for name in ("one", "two", "three")], self.keeper.told)
+                self.assertEqual((1, 1), (len(pool.faults), pool.counters.counts["faults"]))
+
+    def test_no_descriptor_for_a_link_says_nothing_of_its_engine(self) -> None:
+        """And one that idles makes room."""
+        pool = self.pool()
+        self.start(pool, "idle")
+        pool.made[0].come_up()
+        pool.made[0].answer("idle", "served")
+        pool.made[0].line.waiting += b"QUIT"
+        self.start(pool, "one")
+        pool.made[1].lacking = True
+        pool.made[1].gone()
+        self.assertEqual(["idle served", "one unsent"], self.keeper.told)
+        self.assertTrue(pool.made[0].hung_up)
+
+    def test_late_words(self) -> None:
+        """Twice, under a name that is used again on another link, or an unknown one: none of it counts."""
+        pool = self.pool()
+        first = self.start(pool, "one")
+        link = pool.made[0]
+        link.come_up()
+        link.answer("one", "overload")
+        link.answer("one", "overload")
+        second = self.start(pool, "one")
+        self.assertIsNot(first.link, second.link)
+        pool.made[1].come_up()
+        link.answer("one", "overload")
+        link.answer("other", "served")
+        pool.made[1].answer("one", "served")
+        pool.made[1].answer("one", "served")
+        self.assertEqual(["one overload", "one served"], self.keeper.told)
+        self.assertEqual(4, pool.counters.counts["answers not awaited"])
+
+    def test_an_answer_after_its_end_by_time(self) -> None:
+        pool = self.pool()
+        exchange = self.start(pool, "one")
+        link = pool.made[0]
+        link.come_up()
+        exchange.link.give_up(exchange)
+        link.answer("one", "served")
+        self.assertEqual([], self.keeper.told)
+        again = self.start(pool, "one")
+        self.assertIsNot(link, again.link)
+
+    def test_an_answer_in_single_bytes_and_half_of_one(self) -> None:
+        pool = self.pool()
+        self.start(pool, "one")
+        self.start(pool, "two")
+        for link in pool.made:
+            link.come_up()
+        answer = hiredis.pack_command(("one", "served", "-", "a\tb\tc\n"))
+        for at in range(len(answer)):
+            self.assertEqual([], self.keeper.told)
+            pool.made[0].received(answer[at : at + 1])
+        self.assertEqual(["one served"], self.keeper.told)
+        pool.made[1].received(answer[:-1])
+        self.clock.at += 250_000
+        self.assertEqual(0.0, pool.made[1].left())
+        for ends in (pool.made[1].stopped, pool.made[1].cut_short):
+            with self.assertRaises(BrokenError):
+                ends()
+
+    def test_an_idle_link_that_its_engine_has_closed_is_not_written_to(self) -> None:
+        pool = self.pool()
+        self.start(pool, "one")
+        link = pool.made[0]
+        link.come_up()
+        link.answer("one", "served")
+        link.wire.ended = True
+        self.start(pool, "two")
+        self.assertEqual((True, ["ASK one"]), (link.hung_up, link.wire.heard()))
+        self.assertEqual(["ASK two"], pool.made[1].come_up().heard())
+
+    def test_names_given_up_are_bounded(self) -> None:
+        pool = self.pool()
+        for number in range(600):
+            exchange = self.start(pool, f"{number}")
+            link = exchange.link
+            if link.line is None:
+                link.come_up()
+            link.life.heard += 1  # the engine lives
+            link.give_up(exchange)
+        self.assertEqual([True, False], [link.hung_up for link in pool.made])
+        self.assertEqual(500, len(pool.made[0].life.given_up))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -417,7 +417,12 @@
             Log("n0", Clock()),
         )
         link, lines = Link(pool), []
-        link.line = type("Line", (), {"put": lambda self, message: True, "has_ended": lambda self: False})()
+        stand_in = {
+            "put": lambda self, message: True,
+            "has_ended": lambda self: False,
+            "waiting": bytearray(),
+        }
+        link.line = type("Line", (), stand_in)()
         for name in (b"first", b"second"):
             link.start(Exchange(name, b"", None, None))
         link.life.heard = 1
--- a/tests/test_talk.py
+++ b/tests/test_talk.py
@@ -34,6 +34,9 @@
     def has_more(self) -> bool:
         return self.unread
 
+    def has_ended(self) -> bool:
+        return False
+
 
 class Front:
     def __init__(self, lines: list[str]) -> None:
@@ -56,6 +59,15 @@
     return json.dumps({"jsonrpc": "2.0", "id": number, "method": "lookup", "params": params}).encode() + b"\n"
 
 
+def withdrawal(number: int) -> bytes:
+    told = {"jsonrpc": "2.0", "method": "withdraw", "params": {"id": number}}
+    return json.dumps(told).encode() + b"\n"
+
+
+def status() -> bytes:
+    return b'{"jsonrpc":"2.0","id":1,"method":"status"}\n'
+
+
 class Talks(TraceCase):
     def setUp(self) -> None:
         self.lines: list[str] = []
@@ -99,32 +111,135 @@
         self.assertEqual({}, talk.open)
         self.check("talk_closing", self.lines)
 
-    def test_what_ends_a_connection(self) -> None:
+    def test_too_many_faults(self) -> None:
+        """What is open is still answered, withdrawals are heard, the rest is refused; then it ends."""
         talk = self.talk()
-        talk.receive(request(1))
-        bad = [talk.receive(b"no JSON\n") for _ in range(9)]
-        self.assertEqual({Next.READ}, set(bad))
-        self.assertEqual(Next.ANSWER, talk.receive(b"no JSON\n" + request(2)))
-        self.assertTrue(talk.owes())
+        talk.receive(request(1) + request(2))
+        for _ in range(9):
+            self.assertEqual(Next.READ, talk.receive(b"no JSON\n"))
+        self.assertFalse(talk.is_turned_out())
+        del self.lines[:]
+        self.assertEqual(Next.READ, talk.receive(3 * b"no JSON\n" + request(3) + withdrawal(2)))
+        self.assertEqual(
+            [-32700, -32000, "withdraws 2"],
+            [line if line.startswith("w") else code_of(line) for line in self.lines],
+        )
+        self.assertEqual([1], list(talk.open))
         talk.abandon(1)
-        self.assertFalse(talk.owes())
-        endless = self.talk()
-        self.assertEqual(Next.READ, endless.receive(b"a" * 256 * 1024))
-        self.assertEqual(Next.CLOSE, endless.receive(b"a"))
+        self.assertEqual("ends once it is written", self.lines[-1])
+        self.assertTrue(talk.may_shut(came=False))
+        self.assertEqual(({}, [talk]), (self.house.connections, list(self.house.leaving)))
+        seen = len(self.lines)
+        self.assertEqual(Next.READ, talk.receive(request(4)))
+        self.assertEqual(seen, len(self.lines))
+
+    def test_what_is_sent_in_vain_is_bounded(self) -> None:
+        for data in (b"no JSON\n", request(2), b"a"):  # the latter: parts of a line
+            talk = self.talk()
+            talk.receive(request(1) + 10 * b"no JSON\n")
+            found = [talk.receive(data) for _ in range(2001)]
+            self.assertEqual(({Next.READ}, Next.CLOSE), (set(found[:-1]), found[-1]))
+
+    def test_a_client_that_does_not_read(self) -> None:
+        """What it asks is refused, and heard again once it reads; what it withdraws is heard."""
         slow = self.talk(reads=False)
+        slow.receive(request(1) + request(2))
+        slow._wire.put(b" " * (256 * 1024 + 1))
+        slow.receive(request(3) + withdrawal(2))
+        self.assertEqual("withdraws 2", self.lines[-1])
+        self.assertEqual(-32000, code_of(self.lines[-2]))
+        slow._wire.waiting.clear()
+        slow.receive(request(3))
+        self.assertEqual("asks 3", self.lines[-1])
         slow._wire.put(b" " * (256 * 1024 + 1))
-        self.assertFalse(slow.may_read())
-        self.assertNotIn("asks 2", self.lines)
+        found = [slow.receive(one) for _ in range(667) for one in (request(9), request(10), status())]
+        self.assertEqual(Next.CLOSE, found[-1])
+        self.assertEqual(2000, found.index(Next.CLOSE))
+
+    def test_a_line_without_an_end(self) -> None:
+        """Whether its end comes or not: one error, what is open is answered, what is behind it is refused."""
+        for pieces in ((b"a" * 256 * 1024, b"a"), (b"a" * (256 * 1024 + 1) + b"\n",)):
+            talk = self.talk()
+            talk.receive(request(1))
+            del self.lines[:]
+            for piece in pieces:
+                self.assertEqual(Next.READ, talk.receive(piece))
+            self.assertEqual([-32600], list(map(code_of, self.lines)))
+            self.assertEqual(0, self.house.unfinished)
+            talk.receive(b"a" * 100_000)
+            talk.receive(b"a" if len(pieces) > 1 else b"")
+            talk.receive(b"\n" + request(2))
+            self.assertEqual([1], list(talk.open))
+            self.assertEqual(-32000, code_of(self.lines[-1]))
+            talk.abandon(1)
+            self.assertEqual("ends once it is written", self.lines[-1])
+            talk.gone()
+            self.assertEqual(0, self.house.unfinished)
+
+    def test_of_too_many_half_lines_the_longest_is_given_up(self) -> None:
+        """Not that of whoever sends next."""
+        many = [self.talk() for _ in range(9)]
+        longest, other = many[3], self.talk()
+        for talk in many:
+            talk.receive(b"a" * (250_000 if talk is longest else 230_000))
+        self.assertFalse(longest.is_turned_out())
+        other.receive(request(1)[:50])
+        self.assertFalse(longest.is_turned_out())
+        many[-1].receive(b"a" * 10_000)
+        self.assertEqual([longest], [talk for talk in (*many, other) if talk.is_turned_out()])
+        other.receive(request(1)[50:])
+        self.assertEqual([1], list(other.open))
+        self.assertLess(self.house.unfinished, 2 * 1024 * 1024)
+
+    def test_many_lines_take_many_turns(self) -> None:
+        talk = self.talk()
+        talk.receive(250 * status() + status()[:9])
+        self.assertEqual((100, True), (len(self.lines), talk.more))
+        talk.close()  # not before all has been read
+        talk.receive(b"")
+        talk.receive(status()[9:])
+        self.assertEqual((252, "ends once it is written"), (len(self.lines), self.lines[-1]))
+        self.assertEqual((False, 0), (talk.more, self.house.unfinished))
+
+    def test_behind_the_end_of_the_client(self) -> None:
+        talk = self.talk()
+        talk.receive(request(1) + status(), ended=True)
+        self.assertEqual(({}, True), (talk.open, talk.has_left()))
 
     def test_silence(self) -> None:
-        """Who says nothing is closed after 2.2 s, unless something has come; a second later in any case."""
+        """Who says nothing is ended after 2.2 s, and stays if something has come; not 0.4 s later."""
         talk = self.talk()
-        for self.now, unread in ((2_199_999, False), (2_200_000, True), (3_199_999, True), (3_200_000, True)):
-            talk._wire.unread = unread
+        for self.now, came in ((2_199_999, False), (2_200_000, True), (2_599_999, True), (2_600_000, True)):
             self.house.close_silent()
-            self.lines.append(f"{self.now} us: {len(self.house.connections)} there")
+            if self.lines and self.lines[-1] == "ends once it is written":
+                self.lines.append(f"may be shut: {talk.may_shut(came)}")
+            there = len(self.house.connections), len(self.house.leaving)
+            self.lines.append(f"{self.now} us: {there[0]} there, {there[1]} leaving")
         self.check("talk_silent", self.lines)
 
+    def test_who_does_not_read_the_last_answer(self) -> None:
+        """It has ten seconds for it, then it is closed."""
+        talk = self.talk(reads=False)
+        talk.receive(request(1))
+        talk.fulfil(1, b"a\tb\tc\n")
+        for self.now, there in ((9_999_999, 1), (10_000_000, 0)):
+            self.house.close_silent()
+            self.assertEqual(there, len(self.house.connections))
+        self.assertEqual("is closed", self.lines[-1])
+
+    def test_who_makes_way(self) -> None:
+        """Nobody who has something open, unread or unwritten."""
+        asking, unread, unwritten, idle = (self.talk(reads=at != 2) for at in range(4))
+        asking.receive(request(1))
+        unread._wire.unread = True
+        unwritten._wire.put(b"answer")
+        made = [talk.make_way() for talk in (asking, unread, unwritten, idle)]
+        self.assertEqual([False, False, False, True], made)
+
+
+def code_of(line: str) -> int:
+    return json.loads(line.removeprefix("hears "))["error"]["code"]
+
 
 class Told(Exchange):
     """An exchange that keeps what its keeper is told."""
@@ -132,6 +247,9 @@
     def __init__(self, name: bytes) -> None:
         super().__init__(name, b"ASK " + name, self, None)
 
+    def may_leave(self, exchange: Exchange) -> bool:
+        return True
+
     def answered(self, exchange: Exchange, answer: codec.Answer) -> bool:
         exchange.link.finish(exchange)
         return True
@@ -148,7 +266,7 @@
     def __init__(self, lines: list[str]) -> None:
         timers = type("Timers", (), {"after": lambda *_: None})()
         super().__init__(("e", 1), {}, Quota(1, 2), timers, lambda: 0, Counters())
-        self.lines, self.ended = lines, False
+        self.lines, self.ended, self.waiting = lines, False, bytearray()
 
     def dial(self) -> PipeLink:
         return PipeLink(self)
