The watch on the engines' list: trickles, bad frames, taken addresses, failed tellings

Found by reading and on loopback: a trickle that never ends a frame held the watch for ever (the limit ran from the last byte); a drain read together with a bad frame was lost on every link; a coordinator 127.0.0.1:99999, at the start or by SIGHUP, ended the gateway with OverflowError; an engine whose address another id has taken was still sent to; an event's number was taken before its telling succeeded; what had come together was told piece by piece, so that work went to an engine that the next piece drains; a link that closes after a word was made again 50 times a second; after SIGHUP to the same address nothing was asked anew.

--- a/cresstray/coordinator/feed.py
+++ b/cresstray/coordinator/feed.py
@@ -2,45 +2,70 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 from anyio.abc import TaskGroup
 
 from cresstray.coordinator.frames import Frames, hello
-from cresstray.coordinator.known import Event, MalformedError
+from cresstray.coordinator.known import Event, MalformedError, address_of, foreseen
 from cresstray.counters import Counters
 from cresstray.log import Log
-from cresstray.streams import ENDED, Line, connect
+from cresstray.streams import ENDED, Line, connect, contained
 
 # Events count as told two seconds after a break and four after a silence, whether they came or not. An empty
 # frame comes each second: after one and a half the link is taken for dead, with time for two more tries.
 _SILENCE = 1.5
+# What the coordinator has to tell counts as told four seconds after it stopped, and a trickle that never ends
+# a frame is a stop: three leave time for a new link. A whole list of 1,024 engines, some 28 kB, gets through
+# in them at 10 kB a second.
+_WHOLE_FRAME = 3.0
 # A connection on a healthy network is up far sooner; the gateway must not miss more than it has to.
 _CONNECT = 0.5
 # Again at once the first time, then each time twice as late, up to some times a second.
 _FIRST_PAUSE, _LONGEST_PAUSE = 0.02, 0.3
+# A link that lived as long, or told something new, worked: a coordinator that says a word and closes did not.
+_WORKED = 1.0
+# An event whose telling fails comes again so often in all; then those behind it count more.
+_MOST_TRIES = 3
 
 
 class Feed:
-    """`address` as host:port, ValueError where it is none; without one the list stays as it is."""
+    """`address` as host:port, ValueError where it is none; without one the list stays as it is.
+
+    `chance`, from 0 to 1, spreads the pauses before a link is made again, by a half to either side.
+    """
 
     def __init__(
-        self, address: str | None, last: int, told: Callable[[Event], None], counters: Counters, log: Log
+        self,
+        address: str | None,
+        last: int,
+        told: Callable[[Event], None],
+        counters: Counters,
+        log: Log,
+        chance: Callable[[], float] = lambda: 0.5,
+        silence: float = _SILENCE,
+        whole_frame: float = _WHOLE_FRAME,
+        connecting: float = _CONNECT,
     ) -> None:
         self._address, self.last = _parts(address), last
-        self._told, self._counters, self._log = told, counters, log
+        self._told, self._counters, self._log, self._chance = told, counters, log, chance
+        self._silence, self._whole_frame, self._connecting = silence, whole_frame, connecting
         self._scope: anyio.CancelScope | None = None  # of the coordinator that is followed
+        self._tries = 0  # of telling the event behind the last
         self.takes_older = False  # whoever is told can tell an old list from a new one, see docs/kept.md
 
     def move(self, address: str | None) -> None:
-        """Leaves the coordinator that is followed for this one, at once; the numbers carry on."""
+        """Leaves the link to the coordinator for one to this address, at once; the numbers carry on."""
         parts = _parts(address)
-        if parts != self._address:
-            self._address = parts
-            self._log.say("coordinator", f"now follows {address}")
-            if self._scope is not None:
-                self._scope.cancel()
+        if parts is None and self._address is None:
+            return
+        # Danger: after a reload the link may be told nothing more, also where the address is the same, and
+        # what there is to tell counts as told four seconds later.
+        self._address = parts
+        self._log.say("coordinator", f"now follows {address}")
+        if self._scope is not None:
+            self._scope.cancel()
 
     async def run(self, tasks: TaskGroup) -> None:
         while True:
@@ -52,40 +77,64 @@
             await anyio.sleep_forever()
         pause = _FIRST_PAUSE
         while True:
-            heard = self._counters.counts["coordinator frames"]
+            last, began = self.last, anyio.current_time()
+            await self._one_link(tasks, *self._address)
+            worked = self.last != last or anyio.current_time() - began >= _WORKED
+            pause = _FIRST_PAUSE if worked else min(_LONGEST_PAUSE, 2 * pause)
+            # Danger: all gateways find the coordinator gone at once, and would come back at once.
+            await anyio.sleep(pause * (0.5 + self._chance()))
+
+    async def _one_link(self, tasks: TaskGroup, host: str, port: int) -> None:
+        # Danger: nothing that a coordinator says, and no fault in telling it, may end the gateway.
+        with contained("the watch on the list of engines", self._counters, self._log):
             try:
-                await self._follow(tasks, *self._address)
+                await self._follow(tasks, host, port)
             except (*ENDED, MalformedError, TimeoutError) as trouble:
                 self._counters.add("coordinator links ended")
                 self._log.say("coordinator", f"link ended, made again: {trouble!r}")
-            worked = self._counters.counts["coordinator frames"] != heard
-            pause = _FIRST_PAUSE if worked else min(_LONGEST_PAUSE, 2 * pause)
-            await anyio.sleep(pause)
 
     async def _follow(self, tasks: TaskGroup, host: str, port: int) -> None:
-        with anyio.fail_after(_CONNECT):
+        with anyio.fail_after(self._connecting):
             made = await connect(host, port)
         # What breaks it while it is written to is heard of in the reading.
         with Line(made, tasks, lambda: None) as line:
             line.put(hello(self.last))
-            frames, first = Frames(), self.takes_older
+            frames, older = Frames(), self.takes_older
+            due = anyio.current_time() + self._whole_frame
             while True:
-                for event in frames.feed(await line.receive(_SILENCE)):
-                    self._counters.add("coordinator frames")
-                    if event is None:
-                        continue
-                    # A coordinator that was founded anew, or is behind, begins with its whole list.
-                    older = first and event.complete and event.number < self.last
-                    first = False
-                    # Danger: an event told twice is nothing new, and no reason to leave the link.
-                    if event.number > self.last or older:
-                        self.last = event.number
-                        self._counters.add("coordinator events")
-                        self._told(event)
+                # Danger: bytes that never make a frame are no sign of life.
+                data = await line.receive(min(self._silence, due - anyio.current_time()))
+                while found := frames.feed(data):
+                    data = b""
+                    due = anyio.current_time() + self._whole_frame
+                    self._counters.add("coordinator frames", len(found))
+                    events = [event for event in found if event is not None]
+                    for event in foreseen(self._news(events, older)):
+                        self._tell(event)
+                    older = older and not events
+
+    def _news(self, events: Iterable[Event], older: bool) -> list[Event]:
+        """Those that are new; `older`: the first may be a whole list of a smaller number."""
+        news, last = [], self.last
+        for event in events:
+            # Danger: an event told twice is nothing new, and no reason to leave the link. A coordinator that
+            # was founded anew, or is behind, begins with its whole list.
+            if event.number > last or older and event.complete and event.number < last:
+                news.append(event)
+                last = event.number
+            older = False
+        return news
+
+    def _tell(self, event: Event) -> None:
+        """The number is taken once the event is told: one whose telling fails half way comes again."""
+        self._tries += 1
+        if self._tries == _MOST_TRIES:
+            # Danger: one that can't be told at all would keep all behind it away, drains too.
+            self.last, self._tries = event.number, 0
+        self._told(event)
+        self.last, self._tries = event.number, 0
+        self._counters.add("coordinator events")
 
 
 def _parts(address: str | None) -> tuple[str, int] | None:
-    if not address:
-        return None
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+    return address_of(address) if address else None
--- a/cresstray/coordinator/frames.py
+++ b/cresstray/coordinator/frames.py
@@ -21,24 +21,36 @@
 
 
 class Frames:
-    """The events in what is received, however it is cut. Frames that tell nothing new yield None."""
+    """The events in what is received, however it is cut. Frames that tell nothing new yield None.
+
+    What can't be a frame raises MalformedError, in the next call where others came before it.
+    """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[Event | None]:
         self._buffer += data
-        found = []
-        while len(self._buffer) >= 4:
-            (length,) = _LENGTH.unpack_from(self._buffer)
-            if not _HEAD.size <= length <= _LONGEST:
-                raise MalformedError(f"a frame of {length} bytes")
-            if len(self._buffer) < 4 + length:
-                break
-            found.append(self._event(bytes(self._buffer[4 : 4 + length])))
-            del self._buffer[: 4 + length]
+        found: list[Event | None] = []
+        try:
+            while (length := self._length()) is not None:
+                found.append(self._event(bytes(self._buffer[4 : 4 + length])))
+                del self._buffer[: 4 + length]
+        except MalformedError:
+            # Danger: a drain before it must be told. On the next link it would come with the bad one again.
+            if not found:
+                raise
         return found
 
+    def _length(self) -> int | None:
+        """Of the next frame, once it is whole."""
+        if len(self._buffer) < _LENGTH.size:
+            return None
+        (length,) = _LENGTH.unpack_from(self._buffer)
+        if not _HEAD.size <= length <= _LONGEST:
+            raise MalformedError(f"a frame of {length} bytes")
+        return length if len(self._buffer) >= _LENGTH.size + length else None
+
     def _event(self, frame: bytes) -> Event | None:
         number, kind = _HEAD.unpack_from(frame)
         if kind == _NOTHING:
--- a/cresstray/coordinator/known.py
+++ b/cresstray/coordinator/known.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping, Sequence
+from ipaddress import IPv4Address
 
 import msgspec
 
@@ -60,10 +62,32 @@
 
 
 _STANDINGS = {"in_service": Standing.READY, "terminating": Standing.DRAINING, "terminated": Standing.GONE}
+_ID = re.compile("s-[0-9a-fA-F]{1,8}")
+_NUMBERS = 2**64  # what a frame holds of an event's number, and of a start
+
+
+def address_of(text: str) -> tuple[str, int]:
+    """host:port as a connection takes it; ValueError that names what can't be one."""
+    host, _, port = text.rpartition(":")
+    number = int(port)
+    # Danger: the platform looks no names up. What is no address would raise more than OSError when a
+    # connection is made, in the middle of a day.
+    if not 1 <= number <= 65_535:
+        raise ValueError(f"the port {number} of {text!r}")
+    try:
+        IPv4Address(host)
+    except ValueError:
+        raise ValueError(f"the host of {text!r} is no IPv4 address") from None
+    return host, number
 
 
 def events(known: Known, settings: Mapping) -> list[Event]:
+    """The events of the start; MalformedError where one follows no page."""
     zones, machines = _Places(settings.get("Localities", [])), _Places(settings.get("Flavors", []))
+    for update in known.updates:
+        # Danger: the last is told to the coordinator in eight bytes.
+        if not 0 <= update.index < _NUMBERS:
+            raise MalformedError(f"an event of the number {update.index}")
     return [
         Event(
             update.index,
@@ -91,14 +115,14 @@
 
 
 def _member(given: _Member, zones: _Places, machines: _Places) -> Member:
-    host, _, port = given.host_port.rpartition(":")
     try:
-        if not given.id.startswith("s-"):
+        if not _ID.fullmatch(given.id):
             raise ValueError(f"an id {given.id!r}")
+        if not 0 <= given.up_since_ms < _NUMBERS:
+            raise ValueError(f"a start at {given.up_since_ms}")
         return Member(
             int(given.id[2:], 16),
-            host,
-            int(port),
+            *address_of(given.host_port),
             _STANDINGS[given.phase],
             zones[given.locality],
             machines[given.flavor],
@@ -107,3 +131,22 @@
         )
     except (ValueError, KeyError) as trouble:
         raise MalformedError(f"engine {given.id}: {trouble}") from None
+
+
+def foreseen(events: Sequence[Event]) -> list[Event]:
+    """Events that have come together, each with the last word of all on engines that drain or go."""
+    if len(events) < 2:
+        return list(events)
+    # What a whole list has behind it says nothing more.
+    whole = max((at for at, event in enumerate(events) if event.complete), default=0)
+    last = {member.id: member for event in events[whole:] for member in event.members}
+    # Danger: the module sends between two events, and must not send to what the next one drains.
+    ending = {number: member for number, member in last.items() if member.standing is not Standing.READY}
+    return [
+        Event(
+            event.number,
+            event.complete,
+            [member for member in event.members if member.id not in ending] + list(ending.values()),
+        )
+        for event in events[whole:]
+    ]
--- a/cresstray/passage/route.py
+++ b/cresstray/passage/route.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING
 
-from cresstray.coordinator.known import Event
+from cresstray.coordinator.addresses import Addresses, Place
+from cresstray.coordinator.known import Event, Member
 from cresstray.engines.links import Pool
 from cresstray.interface import Engine, Relay, Standing
 from cresstray.passage.send import Send
@@ -22,6 +23,8 @@
         self.pinned: Pinned | None = None  # where there are rules of a fleet
         self._engines: dict[int, Engine] = {}
         self._pools: dict[Engine, Pool] = {}
+        self._addresses = Addresses()
+        self._retired: list[Pool] = []  # since `recall`
 
     @property
     def engines(self) -> Mapping[int, Engine]:
@@ -37,31 +40,75 @@
         self._onward.send(relay, statement_of[relay.submission], self._pools[relay.engine], patience)
 
     def listed(self, event: Event) -> list[tuple[Engine, tuple]]:
-        """The entries of an event as the module takes them; new engines get links, moved ones new ones."""
+        """The entries of an event as the module takes them; new engines get links, moved ones new ones.
+
+        Once the module has been told, `recall` is to be called.
+        """
+        members, lost = self._addresses.settle(event, self._places())
         entries = []
-        for member in event.members:
-            address = (member.host, member.port)
-            engine = self._engines.get(member.id)
-            if engine is None:
-                if member.standing is Standing.GONE:
-                    continue  # a late word on one that was forgotten
-                engine = self._engines[member.id] = Engine()
-                self._pools[engine] = self._make_pool(f"engine s-{member.id:08x}", address)
-            elif self._pools[engine].address != address or member.started > engine.started:
-                self._pools[engine].move(address)
-            entry = (member.machine, member.zone, member.cell, member.started, member.standing)
+        for member in members:
+            engine = self._engine(member)
+            if engine is not None:
+                entry = (member.machine, member.zone, member.cell, member.started, member.standing)
+                entries.append((engine, entry))
+        # Danger: an address has gone to another engine, and the one before is not told gone. What is sent to
+        # that one would reach the new one, which may be cold: it counts as gone.
+        for engine in [self._engines[number] for number in lost if number in self._engines]:
+            entry = (engine.machine, engine.zone, engine.cell, engine.started, Standing.GONE)
             entries.append((engine, entry))
-        if event.complete:
-            named = {member.id for member in event.members}
-            gone = [number for number in self._engines if number not in named]
-        else:
-            gone = [member.id for member in event.members if member.standing is Standing.GONE]
-        for number in gone:
+        for engine, (*_, standing) in entries:
+            # Danger: should the module's hearing of it fail, it must not choose what has no links any more.
+            if standing is Standing.GONE:
+                engine.standing = standing
+        for number in self._gone(event, members, lost):
             # Danger: engines come under new ids for days. What is out on one that is gone still comes back on
             # its old links, which know what they need; here it is forgotten.
             engine = self._engines.pop(number, None)
             if engine is not None:
+                self._remember(self._pools[engine])
                 self._pools.pop(engine).retire()
         if self.pinned is not None:
             self.pinned.directory.listed(event, self._engines)
         return entries
+
+    def _engine(self, member: Member) -> Engine | None:
+        """The engine of this record, with links to where it is now; None for one long gone."""
+        engine, gone = self._engines.get(member.id), member.standing is Standing.GONE
+        address = (member.host, member.port)
+        if engine is None:
+            if gone:
+                return None  # a late word on one that was forgotten
+            engine = self._engines[member.id] = Engine()
+            self._pools[engine] = self._make_pool(f"engine s-{member.id:08x}", address)
+        elif not gone and (self._pools[engine].address != address or member.started > engine.started):
+            self._pools[engine].move(address)
+        return engine
+
+    def _gone(self, event: Event, members: Iterable[Member], lost: Iterable[int]) -> list[int]:
+        if event.complete:
+            used = {member.id for member in members if member.standing is not Standing.GONE}
+            return [number for number in self._engines if number not in used]
+        return [member.id for member in members if member.standing is Standing.GONE] + list(lost)
+
+    def recall(self, event: Event) -> None:
+        """After the module has heard of `event`: what has not left yet, and may not any more, never ran.
+
+        That is what waits for links to engines that drain or are gone.
+        """
+        for member in event.members:
+            engine = self._engines.get(member.id)
+            if engine is not None and engine.standing is not Standing.READY:
+                self._remember(self._pools[engine])
+        pools, self._retired = self._retired, []
+        for pool in pools:
+            pool.recall_unwritten()
+
+    def _remember(self, pool: Pool) -> None:
+        """What has not left on it is to be recalled; where stand-ins are in its place, nothing waits."""
+        if hasattr(pool, "recall_unwritten"):
+            self._retired.append(pool)
+
+    def _places(self) -> dict[int, Place]:
+        return {
+            number: (self._pools[engine].address, engine.started) for number, engine in self._engines.items()
+        }
