Clients are read to their end, connections shut in order, signals held back at both ends

Now reading goes on, requests behind too many faults or unread answers are denied, the end that stands behind what was read is seen before it is admitted; our side is shut after the last answer, what still comes is read and thrown away, then it is closed. At the end the queue is accepted, the listener closed, all that is asked denied.

--- a/cresstray/clients/codec.py
+++ b/cresstray/clients/codec.py
@@ -32,12 +32,13 @@
 ):
     """What a client asks for; times in milliseconds. `tariff` is the method, `mark` tells repeats apart."""
 
-    name: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{16}$")]
+    name: Annotated[str, msgspec.Meta(pattern=r"\A[0-9a-f]{16}\Z")]
     patience: Annotated[float, msgspec.Meta(gt=0, lt=1e9)]
     statement: Annotated[bytes, msgspec.Meta(min_length=1)]
     tenant: str = ""
+    # Danger: `$` matches before a last line feed as well, and it would go on to the engine; so do `req`'s.
     # Danger: a mark goes into a list of fields; a comma in it would make another field of the rest.
-    mark: Annotated[str, msgspec.Meta(pattern="^[0-9A-Za-z_.:-]{0,128}$")] = ""
+    mark: Annotated[str, msgspec.Meta(pattern=r"\A[0-9A-Za-z_.:-]{0,128}\Z")] = ""
     estimate: Annotated[float, msgspec.Meta(ge=0, lt=1e9)] = 0.0
     megabytes: Annotated[float, msgspec.Meta(ge=0, lt=1e9)] = 0.0
     tariff: str = ""
@@ -100,7 +101,7 @@
 def _id_of(line: bytes) -> int | None:
     try:
         number = _id.decode(line).id
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
     return number if type(number) is int and number >= 1 else None
 
--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -1,9 +1,9 @@
-"""Clients' sockets: accepted, read, closed. What is read and when to close is talk.py's."""
+"""Clients' sockets: accepted, read, shut, closed. What is read and when to end is talk.py's."""
 
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import anyio
 from anyio.abc import TaskGroup
@@ -16,35 +16,94 @@
 _SWEEP = 0.2
 # Some ten milliseconds of accepting: what a busy loop takes for a turn anyway.
 _MOST_A_TURN = 64
+# Readings in one go: what is behind a request may be its client's end.
+_MOST_READINGS = 16
+# Between two turns of a flood, in seconds: the others' time.
+_PACE = 0.002
+# What a client still sends when we have shut the connection is thrown away for so long, and so many times. It
+# has read our end within a round trip; one that has not by then gets a reset.
+_DRAIN, _MOST_DRAINED = 1.0, 500
+# Danger: a listener that is closed resets who waits in its queue: all are accepted first, and these are more.
+_LONGEST_QUEUE = 4096
 
 
 class Connection:
     """One client's socket, with its life in `talk`."""
 
     def __init__(self, house: House, accepted: socket.socket, tasks: TaskGroup) -> None:
-        self._counters, self._scope = house.counters, anyio.CancelScope()
-        self._line = Line(accepted, tasks, self._scope.cancel)
+        self._counters = house.counters
+        self._reading = anyio.CancelScope()  # until it is to end
+        self._line = Line(accepted, tasks, self._stop_reading)
         self.talk = Talk(house, self._line)
 
+    def _stop_reading(self) -> None:
+        self._reading.cancel()
+
     async def run(self) -> None:
         self._counters.add("clients connected")
         try:
-            with self._scope, self._line:
+            with self._line:
                 try:
-                    await self._read(self.talk)
+                    if await self._live():
+                        await self._drain()
                 except ENDED:
                     self._counters.add("clients ended")
         finally:
             self.talk.gone()
 
-    async def _read(self, talk: Talk) -> None:
-        then = Next.READ
-        while then is Next.READ:
-            while not talk.may_read():
-                await anyio.sleep(0.01)
-            then = talk.receive(await self._line.receive())
-        while then is Next.ANSWER and talk.owes():
-            await anyio.sleep(0.05)
+    async def _live(self) -> bool:
+        """Serves until the end; whether that is ours, and our sending side is shut."""
+        while True:
+            with self._reading:
+                await self._read()
+            if self._line.broken or not self._reading.cancel_called:
+                return False
+            self._reading = anyio.CancelScope()
+            if self._may_shut():
+                self._line.shut()
+                return True
+
+    async def _read(self) -> None:
+        """Until the connection is cut off, or its client has gone."""
+        talk = self.talk
+        while True:
+            data = b"" if talk.more else await self._line.receive()
+            data, ended = self._read_on(data)
+            then = talk.receive(data, ended)
+            if ended or then is Next.CLOSE:
+                return
+            if talk.more or talk.is_turned_out():
+                await anyio.sleep(_PACE)
+
+    def _read_on(self, data: bytes) -> tuple[bytes, bool]:
+        """What has come behind it as well, and whether the client's end has."""
+        # Danger: a client may write much and go; what is taken in before its end is read would be sent on.
+        for _ in range(_MOST_READINGS):
+            more = self._line.take() if self.talk.has_room() else None
+            if more is None:
+                break
+            if not more:
+                return data, True
+            data += more
+        return data, False
+
+    def _may_shut(self) -> bool:
+        """Reads what has come before the sending side is shut; whether it may be."""
+        talk = self.talk
+        data, ended = self._read_on(b"")
+        if data and talk.receive(data, ended) is Next.CLOSE or ended:
+            raise anyio.EndOfStream
+        if self._line.has_more():
+            talk.goes_on()
+            return False
+        return talk.may_shut(came=bool(data))
+
+    async def _drain(self) -> None:
+        # Danger: a close over unread bytes resets the connection, and takes along what was written last.
+        with anyio.move_on_after(_DRAIN):
+            for _ in range(_MOST_DRAINED):
+                await self._line.receive()
+                await anyio.sleep(_PACE)
 
 
 class Door(House):
@@ -62,40 +121,71 @@
     ) -> None:
         super().__init__(tariffs, front, most, many, now, counters, log.say)
         self._log = log
+        self._listener: socket.socket | None = None
+        self._tasks: TaskGroup
 
     async def run(self, listener: socket.socket) -> None:
-        """Accepts until it is cancelled; what it accepted lives on in the same task group."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._sweep)
-            while True:
-                await anyio.wait_readable(listener)
+        """Accepts until it is told to stop; what it accepted lives on until it is cancelled."""
+        self._listener = listener
+        async with anyio.create_task_group() as self._tasks:
+            self._tasks.start_soon(self._sweep)
+            while not self.closing:
                 try:
-                    if not self._accept(listener, tasks):
+                    await anyio.wait_readable(listener)
+                    if not self._accept(listener):
                         # Who waits is turned to again once others have been answered.
                         self.say("door", "no room for a client, all others have requests open")
                         await anyio.sleep(0.02)
                 except BlockingIOError:
                     continue
+                except anyio.ClosedResourceError:
+                    return
                 except OSError as trouble:
                     # Danger: out of descriptors for a moment must not end the service.
                     self.say("door", f"can't accept: {trouble!r}")
                     await anyio.sleep(0.02)
 
-    def _accept(self, listener: socket.socket, tasks: TaskGroup) -> bool:
+    def stop_listening(self) -> None:
+        """Takes in who waits and no more. What is asked from here on, by whomever, is denied at once."""
+        self.closing = True
+        listener = self._listener
+        if listener is None:
+            return
+        try:
+            for _ in range(_LONGEST_QUEUE // _MOST_A_TURN):
+                self._accept(listener)
+        except OSError:
+            pass  # none waits any more, or there is no descriptor
+        anyio.notify_closing(listener)
+        listener.close()
+
+    def close(self) -> None:
+        """Ends all connections in order."""
+        for connection in list(self.connections):
+            connection.close()
+
+    def _accept(self, listener: socket.socket) -> bool:
         """Takes in who waits; False where there is no room."""
-        silent = None
+        first_to_go = self.first_to_go()
         # Danger: a client's time runs, accepted or not. One connection a turn of a busy loop leaves the last
         # of a crowd waiting for 0.3 s; all the crowd at once keeps the others waiting.
         for _ in range(_MOST_A_TURN):
             accepted = listener.accept()[0]
-            if self.is_full():
-                silent = iter(self.silent_first()) if silent is None else silent
-                if not any(one.drop(surely=False) for one in silent):
-                    accepted.close()
-                    return False
-            connection = Connection(self, accepted, tasks)
+            if not self._has_room(first_to_go):
+                accepted.close()
+                return False
+            connection = Connection(self, accepted, self._tasks)
             self.connections[connection.talk] = None
-            tasks.start_soon(self._serve, connection)
+            self._tasks.start_soon(self._serve, connection)
+        return True
+
+    def _has_room(self, first_to_go: Iterator[Talk]) -> bool:
+        """For one more, whoever has to make way for it."""
+        while self.excess() >= 0:
+            one = next(first_to_go, None)
+            if one is None:
+                return False
+            one.make_way()
         return True
 
     async def _serve(self, connection: Connection) -> None:
@@ -105,4 +195,5 @@
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(_SWEEP)
-            self.close_silent()
+            with contained("the sweep of the connections", self.counters, self._log):
+                self.close_silent()
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -6,7 +6,7 @@
 import random
 import signal
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -39,10 +39,20 @@
     from cresstray.kept.keep import Keep
     from cresstray.marked import Marked
 
+# What is heard of from outside the sockets.
+CAUGHT = (signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP)
 # After SIGTERM new requests go on coming for 0.6 s at the most, and SIGKILL comes no sooner than after the
-# longest time limit, three seconds at most, and 0.7 s: what is open has until half a second before that.
+# longest time limit, three seconds at most, and 0.7 s: what is open has until half a second before that, to
+# be answered (late by no more than a sweep of the module), to be written, and read by slow clients.
 _STILL_COMING = 0.8
 _LONGEST_LIMIT, _AFTER_LIMIT = 3_000_000, 200_000
+_LATE, _ALL_CLOSED = 100_000, 400_000
+# Once nothing is owed: so long requests that cross the end are still denied, then so long for clients to read
+# their answers and hang up.
+_LAST_WORD, _HANG_UP = 0.05, 0.5
+# Connections in the listener's queue, and descriptors beside those of clients and links: signals, the list of
+# engines, the log, the loop.
+_QUEUE, _FEWEST_OTHERS = 1024, 20
 # What is written at the end takes some milliseconds; a disk that needs longer costs a successor freshness.
 _HAND_OVER = 300_000
 # Ten rounds of trials a second: the most that wait for one are asked within seconds, see docs/kept.md.
@@ -51,6 +61,36 @@
 _TRIALS_AGAIN = 1_000_000
 
 
+class AddressError(ValueError):
+    """The address can't be listened on."""
+
+
+def _listen(address: tuple[str, int]) -> socket.socket:
+    try:
+        listener = socket.create_server(address, backlog=_QUEUE)
+    except (OSError, OverflowError) as trouble:
+        host, port = address
+        raise AddressError(f"{host}:{port} can't be listened on: {trouble}") from None
+    listener.setblocking(False)
+    return listener
+
+
+@contextlib.contextmanager
+def _caught() -> Iterator[AsyncIterator[signal.Signals]]:
+    """The signals of CAUGHT; whoever holds them back before that does so again after it."""
+    # Danger: one that comes while nobody listens would end the process.
+    held = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    try:
+        with anyio.open_signal_receiver(*CAUGHT) as signals:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, CAUGHT)
+            try:
+                yield signals
+            finally:
+                signal.pthread_sigmask(signal.SIG_BLOCK, CAUGHT)
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, held)
+
+
 class Service:
     def __init__(
         self,
@@ -86,8 +126,9 @@
         self._take_in = take_in = TakeIn(settings, self._gateway.tariffs, self._clock, admit)
         tariffs = frozenset(service["Name"] for service in settings.get("Services", []))
         # In overload more than 64 links cost half as much CPU again (calm day, seed 3: 13.5 s > 20.4 s); on
-        # other days no more are needed. An eighth, or 64, is for all else: signals, the coordinator, the log.
+        # other days no more are needed. An eighth, or 64, is for all else.
         share, rest = min(descriptors // 4, 64), min(descriptors // 8, 64)
+        rest = max(rest, min(descriptors // 4, _FEWEST_OTHERS))
         # Usual clients hold a third of the descriptors at most: a half is theirs, and what links leave.
         # A link to each of hundreds of engines finds room in the other half.
         self._quota = quota = Quota(share, max(share, descriptors // 2 - rest))
@@ -108,7 +149,7 @@
             self._worker = self._make_worker(seed)
         self._hub = self._make_hub(operator.halls, seed) if operator and operator.halls else None
         self._member = self._make_member(member, settings, seed) if member else None
-        self._feed = Feed(coordinator, last, self._told, self.counters, self._log)
+        self._feed = Feed(coordinator, last, self._told, self.counters, self._log, self._gateway.random)
         self._keep: Keep | None = None
         if operator and operator.kept:
             self._keep = self._make_keep(name, operator.kept.folder, settings, seed)
@@ -235,17 +276,21 @@
         )
 
     def _told(self, event: known.Event) -> None:
-        if self._keep is not None:
-            now = self._clock.now()
+        now = self._clock.now()
+        if self._keep is None:
+            self._list(event, now)
+        else:
             self._give(self._keep.told(event, now), now)
-            return
-        self._gateway.listed(self._route.listed(event), event.complete, self._clock.now())
 
     def _give(self, event: known.Event, now: int) -> None:
         """What is kept has seen it: to route and module."""
-        self._gateway.listed(self._route.listed(event), event.complete, now)
+        self._list(event, now)
         self._keep.listed(event, self._route.engines, now)
 
+    def _list(self, event: known.Event, now: int) -> None:
+        self._gateway.listed(self._route.listed(event), event.complete, now)
+        self._route.recall(event)
+
     def _tend(self, keep: Keep, worker: Worker) -> None:
         """What is kept, behind submissions: what came of trials, trials, and writes with a last one."""
         from cresstray.background.schedule import Outcome, Priority
@@ -290,34 +335,35 @@
             keep.marks = []
 
     async def run(self, *, task_status: TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
-        """Serves until SIGTERM; `task_status` hears the address once it does."""
-        async with anyio.create_task_group() as self._tasks:
-            if self._keep is not None:
-                self._keep.begin(self._clock.now())
-            for event in self._events:
-                self._told(event)
-            if self._keep is not None:
-                self._tend(self._keep, self._worker)
-            self._tasks.start_soon(self._feed.run, self._tasks)
-            self._tasks.start_soon(self._timers.run)
-            if self._marked is not None:
-                self._marked.start(self._tasks)
-            if self._worker is not None:
-                self._worker.start()
-            host, port = self._listen
-            listener = socket.create_server((host, port), backlog=1024)
-            listener.setblocking(False)
-            if self._hub is not None:
-                await self._start_hub(self._hub)
-            if self._member is not None:
-                self._member.start(self._tasks)
-            self._tasks.start_soon(self._door.run, listener)
-            host, port = listener.getsockname()
-            self._log.say("service", f"serves on {host}:{port}")
-            task_status.started((host, port))
-            await self._signals()
-            self._tasks.cancel_scope.cancel()
-        self.report()
+        """Serves until SIGTERM; `task_status` hears the address once it does. AddressError where it can't."""
+        with _caught() as signals, _listen(self._listen) as listener:
+            async with anyio.create_task_group() as self._tasks:
+                await self._start(listener)
+                host, port = listener.getsockname()
+                self._log.say("service", f"serves on {host}:{port}")
+                task_status.started((host, port))
+                await self._heed(signals)
+                self._tasks.cancel_scope.cancel()
+            self.report()
+
+    async def _start(self, listener: socket.socket) -> None:
+        if self._keep is not None:
+            self._keep.begin(self._clock.now())
+        for event in self._events:
+            self._told(event)
+        if self._keep is not None:
+            self._tend(self._keep, self._worker)
+        self._tasks.start_soon(self._feed.run, self._tasks)
+        self._tasks.start_soon(self._timers.run)
+        if self._marked is not None:
+            self._marked.start(self._tasks)
+        if self._worker is not None:
+            self._worker.start()
+        if self._hub is not None:
+            await self._start_hub(self._hub)
+        if self._member is not None:
+            self._member.start(self._tasks)
+        self._tasks.start_soon(self._door.run, listener)
 
     async def _start_hub(self, hub: Hub) -> None:
         from cresstray.halls.connections import serve_status
@@ -327,35 +373,41 @@
         if path:
             self._tasks.start_soon(serve_status, path, hub.status)
 
-    async def _signals(self) -> None:
-        # Danger: a SIGHUP that comes before or after these are caught would end the process. `main` holds it
-        # back until here, and what comes during the stop is caught and left alone.
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP) as signals:
-            signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
-            async for received in signals:
-                if received == signal.SIGUSR1:
-                    self.report()
-                    continue
-                if received == signal.SIGHUP:
-                    self._reload()
-                    continue
-                self._log.say("service", f"ends; {self._book.owed()} submissions are owed an answer")
-                self._last_stop()
-                await anyio.sleep(_STILL_COMING)
-                while self._book.owed():
-                    await anyio.sleep(0.01)
-                # What has been answered just now is still to be written.
-                for connection in list(self._door.connections):
-                    connection.close()
-                with anyio.move_on_after(0.5):
-                    if self._worker is not None:
-                        await self._end(self._worker)
-                    while self._door.connections:
-                        await anyio.sleep(0.01)
-                signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
+    async def _heed(self, signals: AsyncIterator[signal.Signals]) -> None:
+        """Until SIGTERM has come and all is answered. What comes meanwhile is left alone."""
+        async for received in signals:
+            if received == signal.SIGUSR1:
+                self.report()
+            elif received == signal.SIGHUP:
+                self._reload()
+            else:
+                await self._end()
                 return
 
-    async def _end(self, worker: Worker) -> None:
+    async def _end(self) -> None:
+        """All that is owed is answered, then all connections end in order, before SIGKILL may come."""
+        self._log.say("service", f"ends; {self._book.owed()} submissions are owed an answer")
+        last_stop = self._last_stop()
+        await anyio.sleep(min(_STILL_COMING, self._until(last_stop + _LATE)))
+        with anyio.move_on_after(self._until(last_stop + _LATE)):
+            while self._book.owed():
+                await anyio.sleep(0.01)
+        # Danger: what came with a connection from here on would be sent on, and lost with the process. All
+        # that is read is denied now.
+        self._door.stop_listening()
+        with anyio.move_on_after(min(_LAST_WORD + _HANG_UP, self._until(last_stop + _ALL_CLOSED))):
+            await anyio.sleep(_LAST_WORD)
+            self._door.close()
+            if self._worker is not None:
+                await self._end_worker(self._worker)
+            while self._door.connections or self._door.leaving:
+                await anyio.sleep(0.01)
+
+    def _until(self, moment: int) -> float:
+        """Seconds that are left."""
+        return max(0.0, (moment - self._clock.now()) / 1e6)
+
+    async def _end_worker(self, worker: Worker) -> None:
         """While the last answers are written: last turns of what is done behind, as the successor's list."""
         worker.stop(self._clock.now(), _HAND_OVER)
         with anyio.move_on_after(_HAND_OVER / 1e6):
@@ -367,24 +419,26 @@
     def _reload(self) -> None:
         """The configuration has been replaced: its coordinator is followed from now on, all else goes on."""
         try:
-            self._feed.move(self._coordinator_now())
-            if self._hub is not None:
-                given = self._operator_now().halls
-                if given is None:
-                    raise ValueError("the operator's file names no hall any more")
-                self._hub.reload(given)
+            coordinator = self._coordinator_now()
+            halls = self._operator_now().halls if self._hub is not None else None
+            if self._hub is not None and halls is None:
+                raise ValueError("the operator's file names no hall any more")
+            self._feed.move(coordinator)
+            if halls is not None:
+                self._hub.reload(halls)
         except (ValueError, OSError) as trouble:
-            self._log.say("service", f"the new configuration can't be used, the old one stays: {trouble}")
+            self._log.tell("service", f"the new configuration can't be used, the old one stays: {trouble}")
 
-    def _last_stop(self) -> None:
-        """All that is open, and what still comes, is to be answered before SIGKILL may come."""
+    def _last_stop(self) -> int:
+        """All that is open, and what still comes, is to be answered by then."""
         limits = [int(service.get("GiveUp", 0) * 1000) for service in self._settings.get("Services", [])]
         left = min(_LONGEST_LIMIT, max(limits, default=0)) + _AFTER_LIMIT
-        self._take_in.last_stop = self._clock.now() + left
+        last_stop = self._take_in.last_stop = self._clock.now() + left
         if self._hub is not None:
             self._hub.goodbye()
-        self._book.close(self._take_in.last_stop)
+        self._book.close(last_stop)
         self._timers.after(left, self._send.give_up_all)
+        return last_stop
 
     def report(self) -> None:
         self.counters.counts["loop latest us"] = self._timers.latest
--- a/cresstray/streams.py
+++ b/cresstray/streams.py
@@ -7,7 +7,7 @@
 import struct
 import traceback
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import anyio
 from anyio.abc import TaskGroup
@@ -63,6 +63,7 @@
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket, self._tasks, self._ended = made, tasks, ended
         self.waiting = bytearray()
+        self.broken = False  # found so while it was written to
         self._pumps = self._finishing = False
 
     def put(self, message: bytes) -> bool:
@@ -75,7 +76,7 @@
             except BlockingIOError:
                 sent = 0
             except OSError:
-                self._ended()
+                self._break()
                 return False
         if sent < len(message):
             self.waiting += message[sent:]
@@ -85,21 +86,34 @@
         return True
 
     def finish(self) -> None:
-        """It ends once what waits has been written."""
+        """`ended` is called once what waits has been written."""
         self._finishing = True
         if not self.waiting:
-            self._ended()
+            self._finished()
 
     async def _pump(self) -> None:
         try:
             while self.waiting:
                 await anyio.wait_writable(self._socket)
-                del self.waiting[: self._socket.send(self.waiting)]
+                with suppress(BlockingIOError):
+                    del self.waiting[: self._socket.send(self.waiting)]
         except (*ENDED, ValueError):  # the latter: closed before the wait
-            self._ended()
+            self._break()
         self._pumps = False
         if self._finishing:
-            self._ended()
+            self._finished()
+
+    def _break(self) -> None:
+        self.broken = True
+        self._ended()
+
+    def _finished(self) -> None:
+        self._finishing = False
+        self._ended()
+
+    def shut(self) -> None:
+        """Nothing more is written, and the other side hears of it; what it sends can still be received."""
+        self._socket.shutdown(socket.SHUT_WR)
 
     def lives(self) -> bool:
         """Whether it has not been closed here."""
@@ -134,6 +148,15 @@
             raise anyio.EndOfStream
         return bytes(_ROOM[:size])
 
+    def take(self) -> bytes | None:
+        """What has come, without waiting: None if nothing has, b"" once the other side has ended."""
+        try:
+            return bytes(_ROOM[: self._socket.recv_into(_ROOM)])
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
     def has_more(self) -> bool:
         """Whether something has come that was not received yet; an end is nothing."""
         return bool(self._peek())
