--- a/cresstray/clock.py
+++ b/cresstray/clock.py
@@ -41,10 +41,13 @@
 
 
 class Timers:
-    """All calls that are to come, in one heap and one task; calls of the same moment in the order given."""
+    """All calls that are to come, in one heap and one task; calls of the same moment in the order given.
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+    `fault` is told of a call that fails; without it, whoever runs the calls is.
+    """
+
+    def __init__(self, clock: Clock, fault: Callable[[Exception], None] | None = None) -> None:
+        self._clock, self._fault = clock, fault
         self._heap: list[tuple[int, int, Due]] = []
         self._order = count()
         self._changed = asyncio.Event()
@@ -67,9 +70,18 @@
             heapq.heappop(self._heap)
             if due.call is not None:
                 self.latest = max(self.latest, now - at)
-                due.call(now)
+                self._make(due.call, now)
         return None
 
+    def _make(self, call: Callable[[int], None], now: int) -> None:
+        try:
+            call(now)
+        except Exception as trouble:
+            if self._fault is None:
+                raise
+            # Danger: one call that fails would end the task that makes all others, and with it the gateway.
+            self._fault(trouble)
+
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/cresstray/engines/links.py
+++ b/cresstray/engines/links.py
@@ -4,7 +4,6 @@
 
 import errno
 import socket
-import traceback
 from collections.abc import Callable, Mapping
 
 import anyio
@@ -15,7 +14,7 @@
 from cresstray.engines import codec
 from cresstray.engines.pool import AnyLink, AnyPool, Quota
 from cresstray.log import Log
-from cresstray.streams import ENDED, Line, connect, contained
+from cresstray.streams import ENDED, Line, connect, contained, tell_fault
 
 __all__ = ["Link", "Pool", "Quota"]
 
@@ -106,6 +105,4 @@
         return link
 
     def fault(self, trouble: Exception) -> None:
-        super().fault(trouble)
-        told = "".join(traceback.format_exception(trouble))
-        self.log.say("fault", f"an exchange with {self.label}: {told}")
+        tell_fault(f"an exchange with {self.label}", trouble, self.counters, self.log)
--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -763,6 +763,8 @@
         self._heed(engine, report, now)
 
     def _sweep(self, now: int) -> None:
+        # Danger: should this one fail, the next must come all the same, or nothing held is ever answered.
+        self.port.wake(SWEEP, self._sweep)
         self.swept += 1
         if self.swept % (WINDOW // SWEEP) == 0:
             for engine in (*self.engines, *self.halls):
@@ -790,4 +792,3 @@
                 self.probed_last = (self.probed_last + 1) % len(self.ready)
                 self.port.probe(self.ready[self.probed_last])
         self._release(now)
-        self.port.wake(SWEEP, self._sweep)
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -27,6 +27,7 @@
 from cresstray.passage.route import Route
 from cresstray.passage.send import Send
 from cresstray.passage.take_in import TakeIn
+from cresstray.streams import tell_fault
 
 if TYPE_CHECKING:
     from cresstray.background.schedule import Outcome
@@ -110,7 +111,8 @@
         store = operator.store if operator else None
         # What is leased, a name in the fleet or a mark, goes on ageing while the machine sleeps.
         self._clock, self.counters = Clock(sleeps=member is not None or store is not None), Counters()
-        self._log, self._timers = Log(name, self._clock), Timers(self._clock)
+        self._log = Log(name, self._clock)
+        self._timers = Timers(self._clock, self._fault)
         self._book = Book(self.counters)
         self._back = Back(self._clock, self.counters, self._book)
         self._send = send = Send(self._clock, self._timers, self.counters, self._back)
@@ -156,6 +158,9 @@
         self._marked = self._make_marked(name, store, settings, seed) if store else None
         self._tasks: TaskGroup
 
+    def _fault(self, trouble: Exception) -> None:
+        tell_fault("a call that was due", trouble, self.counters, self._log)
+
     def _make_worker(self, seed: int) -> Worker:
         from cresstray.background import schedule, worker
 
--- a/cresstray/streams.py
+++ b/cresstray/streams.py
@@ -30,8 +30,13 @@
     try:
         yield
     except Exception as trouble:
-        counters.add("faults")
-        log.say("fault", f"{what}: {''.join(traceback.format_exception(trouble))}")
+        tell_fault(what, trouble, counters, log)
+
+
+def tell_fault(what: str, trouble: Exception, counters: Counters, log: Log) -> None:
+    """A fault of ours: counted, and told whole."""
+    counters.add("faults")
+    log.say("fault", f"{what}: {''.join(traceback.format_exception(trouble))}")
 
 
 async def connect(host: str, port: int) -> socket.socket:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -485,6 +485,44 @@
             lines.append(f"at {now}: next in {timers.run_due()}")
         self.check("timers", lines)
 
+    def test_a_call_that_fails_keeps_none_of_the_others(self) -> None:
+        def fails(_: int) -> None:
+            raise ValueError("of ours")
+
+        made: list[int] = []
+        for told in ([], None):
+            clock = Clock()
+            clock.now = lambda: 7
+            timers = Timers(clock, None if told is None else told.append)
+            timers.after(0, fails)
+            timers.after(0, made.append)
+            if told is None:
+                with self.assertRaises(ValueError):
+                    timers.run_due()
+            else:
+                self.assertIsNone(timers.run_due())
+                self.assertEqual(["of ours"], [str(trouble) for trouble in told])
+        self.assertEqual([7], made)
+
+    def test_a_sweep_that_fails_is_followed_by_the_next(self) -> None:
+        async def scene(stage: Stage, client: ClientStandIn) -> None:
+            gateway, listen = stage.service._gateway, stage.service._gateway._listen
+
+            def fails(now: int) -> None:
+                gateway._listen = listen
+                raise ValueError("of ours")
+
+            gateway._listen = fails
+            # Held, as no engine is there: only the sweep can answer it.
+            await client.ask(1, "plain", timeout=600)
+            self.assertEqual(-32000, (await client.hear())["error"]["code"])
+
+        stage = Stage(0)
+        with contextlib.redirect_stderr(io.StringIO()) as said:
+            anyio.run(stage.run, scene, None)
+        self.assertEqual(1, stage.service.counters.counts["faults"])
+        self.assertIn("ValueError: of ours", said.getvalue())
+
     def test_what_must_hold(self) -> None:
         counters = Counters()
         counters.must(True, "nothing")
