--- a/cresstray/clients/connections.py
+++ b/cresstray/clients/connections.py
@@ -64,13 +64,15 @@
                 return True
 
     async def _read(self) -> None:
-        """Until the connection is cut off, or its client has gone."""
+        """Until the connection is cut off; EndOfStream once its client has gone."""
         talk = self.talk
         while True:
             data = b"" if talk.more else await self._line.receive()
             data, ended = self._read_on(data)
             then = talk.receive(data, ended)
-            if ended or then is Next.CLOSE:
+            if ended:
+                raise anyio.EndOfStream
+            if then is Next.CLOSE:
                 return
             if talk.more or talk.is_turned_out():
                 await anyio.sleep(_PACE)
@@ -91,7 +93,8 @@
         """Reads what has come before the sending side is shut; whether it may be."""
         talk = self.talk
         data, ended = self._read_on(b"")
-        if data and talk.receive(data, ended) is Next.CLOSE or ended:
+        then = talk.receive(data, ended) if data else Next.READ
+        if ended or then is Next.CLOSE:
             raise anyio.EndOfStream
         if self._line.has_more():
             talk.goes_on()
--- a/tests/test_talk.py
+++ b/tests/test_talk.py
@@ -227,6 +227,17 @@
             self.assertEqual(there, len(self.house.connections))
         self.assertEqual("is closed", self.lines[-1])
 
+    def test_what_waits_is_written_before_it_is_shut(self) -> None:
+        talk = self.talk(reads=False)
+        talk.receive(request(1))
+        talk.close()
+        self.assertNotIn("ends once it is written", self.lines)  # it is owed an answer
+        talk.deny(1, 0)
+        self.assertFalse(talk.may_shut(came=False))
+        talk._wire.waiting.clear()
+        self.assertTrue(talk.may_shut(came=True))
+        self.assertEqual(2, self.lines.count("ends once it is written"))
+
     def test_who_makes_way(self) -> None:
         """Nobody who has something open, unread or unwritten."""
         asking, unread, unwritten, idle = (self.talk(reads=at != 2) for at in range(4))
