Cold turns lapse only where one call of each gateway is more than an engine bears

The lapse now acts where the count of gateways is over budget plus chance (N + 2 root N + 2, of the lightest work).

--- a/cresstray/logic.py
+++ b/cresstray/logic.py
@@ -30,6 +30,9 @@
 # Danger: a repeat must reach its engine within the memory of the first; it leaves this long before its end.
 REPEAT_MARGIN = 50_000
 
+# Danger: together the gateways may push a cold engine over. Its capacity is taken as what it starts with
+# until it must be warm, at 0.85 busy and 0.9 of nominal speed, and 0.7 of the budget is used.
+COLD_PART = 0.85 * 0.9 * 0.7
 PASSED_OVER = -1e6  # in the held line: before any payoff for work in microseconds
 
 
@@ -179,6 +182,7 @@
         self.family, self.rules, self.limits = (
             settings.get(part, {}) for part in ("FamilyInfo", "Safety", "Limits")
         )
+        self.fall = micros(self.rules.get("Fall", 1000))
         self.agreed: Rules | None = None  # what the fleet has agreed on, where it does
         self.gateways = max(1, settings.get("Balancers", 1))
         self.tariffs = [self._tariff(n, given) for n, given in enumerate(settings.get("Services", []))]
@@ -443,26 +447,27 @@
             engine.limiter.cold = 0
             return True
         # In turn, and nothing that alone is over our part of a window and a tenth of all gateways' part.
-        most = self._cold_ration(engine) * micros(self.rules.get("Fall", 1000)) * max(1.0, self.gateways / 10)
+        most = self._cold_ration(engine) * self.fall * max(1.0, self.gateways / 10)
         return now >= engine.limiter.cold and self._cold_weight(tariff) <= most
 
     def _cold_ration(self, engine: Engine) -> float:
-        # Danger: together the gateways may push a cold engine over. Its capacity is taken as what it starts
-        # with until it must be warm, at 0.85 busy and 0.9 of nominal speed, and 0.7 of the budget is used.
         most = self.rules.get("OverloadFactor", 1) * self.rules.get("ColdShare", 0.1)
-        return most * engine.limiter.cores * 0.85 * 0.9 * 0.7 / self.gateways
+        return most * engine.limiter.cores * COLD_PART / self.gateways
 
-    def _cold_turn(self, engine: Engine) -> int:
-        """How long until a turn on a cold engine: some part of what its lightest work takes of our share."""
-        lightest = min(map(self._cold_weight, self.tariffs), default=0)
-        return int(lightest / self._cold_ration(engine) * self.random())
+    def _cold_turn(self, engine: Engine) -> float:
+        """How long a gateway's share of a cold engine takes to earn its lightest work."""
+        return max(1.0, min(map(self._cold_weight, self.tariffs), default=1.0)) / self._cold_ration(engine)
 
     def _lapse(self, engine: Engine, now: int) -> None:
         # Danger: turns that wait while a cold engine counts as busy would be taken by all gateways at once
-        # when that ends. One that has waited for a window of the rule is drawn anew.
-        limiter = engine.limiter
-        if limiter.cold and now > limiter.cold + micros(self.rules.get("Fall", 1000)):
-            limiter.cold = now + 1 + self._cold_turn(engine)
+        # when that ends. One that has waited for a window of the rule is drawn anew, where one call of each
+        # gateway is more than the budget and what the rule puts down to chance.
+        if not engine.limiter.cold or now <= engine.limiter.cold + self.fall:
+            return
+        turn = self._cold_turn(engine)
+        calls = self.gateways * self.fall / (turn * COLD_PART)
+        if self.gateways > calls + 2 * calls**0.5 + 2:
+            engine.limiter.cold = now + 1 + int(turn * self.random())
 
     def _cold_weight(self, tariff: Tariff) -> float:
         # Unlearnt, a tariff weighs as heavily as its soft limit lets it: silence is no proof of light work.
@@ -737,7 +742,7 @@
                 engine.limiter = limiter
                 if now < started + micros(self.rules.get("WarmUp", 0)):
                     # Danger: all gateways hear of it at once; each begins at some time of its first turn.
-                    limiter.cold = now + 1 + self._cold_turn(engine)
+                    limiter.cold = now + 1 + int(self._cold_turn(engine) * self.random())
             engine.machine, engine.zone, engine.cell = machine, zone, cell
             engine.started, engine.standing = started, standing
             self.engines[engine] = None
