--- a/tests/test_attacks.py
+++ b/tests/test_attacks.py
@@ -16,6 +16,7 @@
 import traceback
 import unittest
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 
 import hiredis
@@ -555,6 +556,10 @@
     return found
 
 
+def _has_said(made: Scene, text: str, times: int) -> bool:
+    return made.gateway.said.count(text) == times
+
+
 @scene
 async def configurations_while_it_runs() -> list[str]:
     """SIGHUP: one line for each, and all goes on as before."""
@@ -564,7 +569,8 @@
         for place, wrong in enumerate((HOST, 5, f"{HOST}:x", f"{HOST}:-1", f"{HOST}:99999")):
             made.gateway.configure(made.configuration(coordinator=wrong))
             made.gateway.signal(signal.SIGHUP)
-            if not await made.until(lambda: made.gateway.said.count("can't be used") == place + 1, 0.5):  # noqa: B023
+            refused = partial(_has_said, made, "can't be used", place + 1)
+            if not await made.until(refused, 0.5):
                 found.append(f"coordinator {wrong}: no line")
             if made.gateway.process.poll() is not None:
                 return [*found, f"coordinator {wrong}: it ended by {made.gateway.process.poll()}"]
