--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -302,9 +302,7 @@
             nonlocal replaced
             async with contextlib.AsyncExitStack() as stack:
                 listeners = [
-                    await stack.enter_async_context(
-                        await anyio.create_tcp_listener(local_host="127.0.0.1")
-                    )
+                    await stack.enter_async_context(await anyio.create_tcp_listener(local_host="127.0.0.1"))
                     for _ in range(2)
                 ]
                 ports = [one.extra(anyio.abc.SocketAttribute.local_port) for one in listeners]
