Route recalls from every kind of links; the worlds of check and lab recall as the service does

Route._remember asked by hasattr whether links can recall, since those of check/, lab/ and test_kept could not, and these never called Route.recall, so that the service's order was not the one explored. They have it now, and the guard is gone. 117 tests of watches, kept, check and cold start pass; no count of states changed.

--- a/cresstray/check/beliefs.py
+++ b/cresstray/check/beliefs.py
@@ -103,6 +103,9 @@
     def retire(self) -> None:
         """What is out comes back all the same."""
 
+    def recall_unwritten(self) -> None:
+        """All that is sent here leaves at once."""
+
 
 class Disk:
     """What was written, as bytes; in the place of files.Writer and its folder."""
@@ -315,6 +318,7 @@
             if not told and not warm:
                 account.cold[member.id] = account.heard.get(member.id, now)
         self.gateway.listed(self.route.listed(event), event.complete, now)
+        self.route.recall(event)
         self.keep.listed(event, self.route.engines, now)
 
     def _warm(self, engine: int) -> bool:
--- a/cresstray/check/gateway.py
+++ b/cresstray/check/gateway.py
@@ -229,6 +229,9 @@
     def retire(self) -> None:
         """What is open goes on."""
 
+    def recall_unwritten(self) -> None:
+        """All that is started here is written at once."""
+
 
 class Passage(Copied):
     """One gateway, its clients, its engines and the coordinator."""
@@ -526,6 +529,7 @@
             }
         self.members |= {member.id: member for member in told.members}
         self.gateway.listed(self.route.listed(told), told.complete, self.clock.at)
+        self.route.recall(told)
 
     # States.
 
--- a/cresstray/lab/cold.py
+++ b/cresstray/lab/cold.py
@@ -205,6 +205,9 @@
     def retire(self) -> None:
         pass
 
+    def recall_unwritten(self) -> None:
+        """All that is sent here leaves at once."""
+
 
 # What a relay's end says of a remembered engine, as kept/keep.py has it.
 _HOW = {
@@ -262,6 +265,7 @@
         # What is held may be sent while the module hears of it.
         self.ids = {engine: number for number, engine in self.route.engines.items()}
         self.module.listed(entries, event.complete, now)
+        self.route.recall(event)
         for member in event.members if self.beliefs else ():
             engine = self.route.engines.get(member.id)
             if engine and engine.limiter is not before.get(member.id) and self.on_trial(engine):
--- a/cresstray/passage/route.py
+++ b/cresstray/passage/route.py
@@ -65,7 +65,7 @@
             # its old links, which know what they need; here it is forgotten.
             engine = self._engines.pop(number, None)
             if engine is not None:
-                self._remember(self._pools[engine])
+                self._retired.append(self._pools[engine])
                 self._pools.pop(engine).retire()
         if self.pinned is not None:
             self.pinned.directory.listed(event, self._engines)
@@ -98,16 +98,11 @@
         for member in event.members:
             engine = self._engines.get(member.id)
             if engine is not None and engine.standing is not Standing.READY:
-                self._remember(self._pools[engine])
+                self._retired.append(self._pools[engine])
         pools, self._retired = self._retired, []
         for pool in pools:
             pool.recall_unwritten()
 
-    def _remember(self, pool: Pool) -> None:
-        """What has not left on it is to be recalled; where stand-ins are in its place, nothing waits."""
-        if hasattr(pool, "recall_unwritten"):
-            self._retired.append(pool)
-
     def _places(self) -> dict[int, Place]:
         return {
             number: (self._pools[engine].address, engine.started) for number, engine in self._engines.items()
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -718,6 +718,7 @@
 
     def give(self, event: Event) -> None:
         self.gateway.listed(self.route.listed(event), event.complete, self.now)
+        self.route.recall(event)
         self.keep.listed(event, self.route._engines, self.now)
 
     def step(self) -> None:
@@ -746,6 +747,9 @@
     def retire(self) -> None:
         pass
 
+    def recall_unwritten(self) -> None:
+        pass
+
 
 class KeepTest(unittest.TestCase):
     def setUp(self) -> None:
