A gateway that starts hears what is new on the list of engines before it takes in clients

Feed.caught_up waits until the link is up and has been silent for 50 ms, or has said that there is nothing new; half a second at the most, so that a coordinator that is away keeps nobody from serving. The listener is open meanwhile.

--- a/cresstray/coordinator/feed.py
+++ b/cresstray/coordinator/feed.py
@@ -26,6 +26,9 @@
 _FIRST_PAUSE, _LONGEST_PAUSE = 0.02, 0.3
 # A link that lived as long, or told something new, worked: a coordinator that says a word and closes did not.
 _WORKED = 1.0
+# What a coordinator has to tell to who has just come follows within a round trip, some milliseconds between
+# zones: after so long without a byte it is all there. It is looked at some times within that.
+_SETTLED, _LOOK = 0.05, 0.01
 # An event whose telling fails comes again so often in all; then those behind it count more.
 _MOST_TRIES = 3
 
@@ -52,6 +55,9 @@
         self._told, self._counters, self._log, self._chance = told, counters, log, chance
         self._silence, self._whole_frame, self._connecting = silence, whole_frame, connecting
         self._scope: anyio.CancelScope | None = None  # of the coordinator that is followed
+        self._line: Line | None = None  # the link, once it is up
+        self._heard = 0.0  # when it came up, or said something
+        self._at_rest = False  # the last that it said was that there is nothing new
         self._tries = 0  # of telling the event behind the last
         self.takes_older = False  # whoever is told can tell an old list from a new one, see docs/kept.md
 
@@ -67,6 +73,20 @@
         if self._scope is not None:
             self._scope.cancel()
 
+    async def caught_up(self, within: float) -> None:
+        """Until what the coordinator had to tell at the start has been told, or for `within` seconds."""
+        if self._address is None:
+            return
+        with anyio.move_on_after(within):
+            while not self._has_caught_up():
+                await anyio.sleep(_LOOK)
+
+    def _has_caught_up(self) -> bool:
+        # Danger: on a late loop the time may be over while an event is there and has not been read.
+        if self._line is None or self._line.has_more():
+            return False
+        return self._at_rest or anyio.current_time() - self._heard >= _SETTLED
+
     async def run(self, tasks: TaskGroup) -> None:
         while True:
             with anyio.CancelScope() as self._scope:
@@ -99,19 +119,28 @@
         # What breaks it while it is written to is heard of in the reading.
         with Line(made, tasks, lambda: None) as line:
             line.put(hello(self.last))
-            frames, older = Frames(), self.takes_older
-            due = anyio.current_time() + self._whole_frame
-            while True:
-                # Danger: bytes that never make a frame are no sign of life.
-                data = await line.receive(min(self._silence, due - anyio.current_time()))
-                while found := frames.feed(data):
-                    data = b""
-                    due = anyio.current_time() + self._whole_frame
-                    self._counters.add("coordinator frames", len(found))
-                    events = [event for event in found if event is not None]
-                    for event in foreseen(self._news(events, older)):
-                        self._tell(event)
-                    older = older and not events
+            self._line, self._heard, self._at_rest = line, anyio.current_time(), False
+            try:
+                await self._listen(line)
+            finally:
+                self._line = None
+
+    async def _listen(self, line: Line) -> None:
+        frames, older = Frames(), self.takes_older
+        due = anyio.current_time() + self._whole_frame
+        while True:
+            # Danger: bytes that never make a frame are no sign of life.
+            data = await line.receive(min(self._silence, due - anyio.current_time()))
+            self._heard, self._at_rest = anyio.current_time(), False
+            while found := frames.feed(data):
+                data = b""
+                due = anyio.current_time() + self._whole_frame
+                self._counters.add("coordinator frames", len(found))
+                events = [event for event in found if event is not None]
+                for event in foreseen(self._news(events, older)):
+                    self._tell(event)
+                older = older and not events
+                self._at_rest = found[-1] is None
 
     def _news(self, events: Iterable[Event], older: bool) -> list[Event]:
         """Those that are new; `older`: the first may be a whole list of a smaller number."""
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -62,6 +62,11 @@
 _TRIALS_AGAIN = 1_000_000
 
 
+# A gateway that starts has what its configuration holds, and waits so long to hear what is new since: as long
+# as one connection may take. A coordinator that is away then must not keep it from serving.
+_FIRST_WORD = 0.5
+
+
 class AddressError(ValueError):
     """The address can't be listened on."""
 
@@ -368,6 +373,9 @@
             await self._start_hub(self._hub)
         if self._member is not None:
             self._member.start(self._tasks)
+        # Danger: an engine may drain since the configuration was written, and the grace be over before this
+        # process is up: clients wait in the listener's queue until that has been told.
+        await self._feed.caught_up(_FIRST_WORD)
         self._tasks.start_soon(self._door.run, listener)
 
     async def _start_hub(self, hub: Hub) -> None:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import tempfile
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -16,6 +17,7 @@
 import anyio.abc
 
 from cresstray import __main__ as program
+from cresstray import service as services
 from cresstray.clock import Clock
 from cresstray.coordinator import feed as feeds
 from cresstray.coordinator import known
@@ -26,7 +28,9 @@
 from cresstray.interface import Standing
 from cresstray.log import Log
 from cresstray.passage.route import Route
+from cresstray.service import Service
 from tests.desk import ClientStandIn
+from tests.scripted import LONG, turns
 from tests.test_codecs import frame
 from tests.test_service import Stage
 
@@ -96,6 +100,74 @@
         return said.getvalue()
 
 
+class Starts(unittest.TestCase):
+    """How long a gateway that starts waits for what is new."""
+
+    def setUp(self) -> None:
+        self.coordinator = Coordinator()
+        self.addCleanup(self.coordinator.close)
+
+    def waits(self, watch: Watch, says: Callable[[], bytes] | None, within: float) -> float:
+        """Seconds until it has caught up with a coordinator that answers a hello so; None: not at all."""
+        taken = 0.0
+
+        async def scene(tasks: anyio.abc.TaskGroup) -> None:
+            nonlocal taken
+            begun = anyio.current_time()
+            if says is not None:
+                tasks.start_soon(tells)
+            await watch.feed.caught_up(within)
+            taken = anyio.current_time() - begun
+
+        async def tells() -> None:
+            made, _ = await self.coordinator.link()
+            made.send(says())
+            await anyio.sleep_forever()
+
+        watch.play(scene)
+        return taken
+
+    def test_what_is_new_is_told_first(self) -> None:
+        for number, says in enumerate(
+            (frame(2, 2, record(5)) + frame(3, 2, record(5, DRAINING)), frame(2, 2, record(5, DRAINING))), 1
+        ):
+            watch = Watch(self.coordinator.address)
+            self.assertLess(self.waits(watch, lambda says=says: says, LONG), LONG)
+            self.assertEqual("draining", watch.told[-1][1][5], number)
+
+    def test_nothing_new_is_an_end_of_the_wait(self) -> None:
+        with mock.patch.object(feeds, "_SETTLED", LONG):
+            self.assertLess(self.waits(Watch(self.coordinator.address), lambda: frame(1, 0), LONG), LONG)
+
+    def test_a_coordinator_that_is_silent_or_away_is_not_waited_for(self) -> None:
+        self.assertLess(self.waits(Watch(self.coordinator.address), lambda: b"", LONG), LONG)
+        with mock.patch.object(feeds, "_SETTLED", LONG):
+            self.assertGreater(self.waits(Watch(self.coordinator.address), None, 0.1), 0.09)
+        self.coordinator.close()
+        self.assertGreater(self.waits(Watch(self.coordinator.address), None, 0.1), 0.09)
+        self.assertLess(self.waits(Watch(None), None, LONG), LONG)
+
+    def test_half_an_event_is_waited_for(self) -> None:
+        """What has come, and was not read yet, counts as well."""
+
+        async def scene(tasks: anyio.abc.TaskGroup) -> None:
+            event = frame(2, 2, record(5, DRAINING))
+            made, _ = await self.coordinator.link()
+            made.send(event[:9])
+            while not watch.feed._heard:
+                await turns(1)
+            tasks.start_soon(watch.feed.caught_up, LONG)
+            await turns(3)
+            made.send(event[9:])
+            time.sleep(0.1)  # the loop is late: it finds the end of the wait beside what has come
+            self.assertFalse(watch.feed._has_caught_up())
+            await watch.until(2)
+
+        watch = Watch(self.coordinator.address)
+        watch.play(scene)
+        self.assertEqual([(2, {5: "draining"})], watch.told)
+
+
 async def ended(made: socket.socket) -> None:
     """Waits until the other side has closed."""
     while True:
@@ -759,6 +831,41 @@
 
         self.play(scene, 1)
 
+    def test_a_drain_that_is_told_as_it_starts(self) -> None:
+        """Clients have asked before the first word of the coordinator; nothing goes out before that."""
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                for engine in engines:
+                    await tasks.start(engine.run)
+                places = enumerate(engines, 1)
+                listed = [Member(n, "127.0.0.1", one.port, Standing.READY, 0, 0, 0, 0) for n, one in places]
+                events = [Event(1, True, listed)]
+                service = Service("n0", address, 7, stage.settings, events, coordinator.address)
+                tasks.start_soon(service.run)
+                made, number = await coordinator.link()
+                async with await anyio.connect_tcp(*address) as stream:
+                    client = ClientStandIn(stream, stage.lines)
+                    for request in range(1, 9):
+                        await client.ask(request, "plain", timeout=20_000)
+                    await turns(50)
+                    self.assertEqual(0, service.counters.counts["submissions accepted"])
+                    made.send(frame(2, 2, record(1, DRAINING, engines[0].port)) + frame(2, 0))
+                    for _ in range(8):
+                        self.assertIn("result", await client.hear())
+                self.assertEqual(1, number)
+                tasks.cancel_scope.cancel()
+
+        stage, coordinator = Stage(2), Coordinator()
+        self.addCleanup(coordinator.close)
+        engines = stage.engines
+        with socket.create_server(("127.0.0.1", 0)) as place:
+            address = place.getsockname()
+        longer = mock.patch.object(feeds, "_SETTLED", LONG), mock.patch.object(services, "_FIRST_WORD", LONG)
+        with longer[0], longer[1], contextlib.redirect_stderr(io.StringIO()):
+            anyio.run(main, backend_options={"use_uvloop": True})
+        self.assertEqual(([], 8), (engines[0].lines, len(engines[1].lines)))
+
     def test_an_attempt_whose_link_is_in_the_making(self) -> None:
         """Nothing of it has left when its engine may get nothing more: it goes elsewhere, at once."""
         port = int(hanging(self).rpartition(":")[2])
