An attempt that never left before its time was over ends as never run

Send.give_up ends what was not written as moot. Crossings to another hall count as written: only the far side can say. Test attempts LateDials.test_its_time_is_over_before_it_is_up fails without it; what was written stays failed (test_its_time_is_over_when_it_is_out).

Tests of service, halls, check worlds, conformance, attempts, links, talk and watches pass.

--- a/cresstray/check/crossing.py
+++ b/cresstray/check/crossing.py
@@ -177,7 +177,7 @@
         self.open: dict[bytes, Exchange] = {}
 
     def start(self, exchange: Exchange) -> None:
-        exchange.link, exchange.message = self, b""
+        exchange.link, exchange.message, exchange.written = self, b"", True
         self._world.runs(self.hall, chr(exchange.name[0]))
         self.open[exchange.name] = exchange
 
--- a/cresstray/check/gateway.py
+++ b/cresstray/check/gateway.py
@@ -205,7 +205,7 @@
         self.open: dict[bytes, Exchange] = {}
 
     def start(self, exchange: Exchange) -> None:
-        exchange.link, exchange.message = self, b""
+        exchange.link, exchange.message, exchange.written = self, b"", True
         self._world.sends(exchange, self)
         self.open[exchange.name] = exchange
 
--- a/cresstray/halls/ledger.py
+++ b/cresstray/halls/ledger.py
@@ -47,6 +47,8 @@
         "told",
         "fenced",
     )
+    # It may have left: that it never ran is the far side's word, or the link's, and nobody else's.
+    written = True
 
     def __init__(
         self, number: int, relay: object, link: object, name: str, weight: float, fenced: bool
--- a/cresstray/passage/send.py
+++ b/cresstray/passage/send.py
@@ -84,4 +84,6 @@
             # Danger: what another hall has runs on until it has heard of it, and may not be relayed
             # meanwhile. At its time limit nothing more is relayed, and the client is owed the answer.
             if surely or ending is Ending.TIMED_OUT:
-                self._back.ended(exchange, ending)
+                # Danger: what never left, as its connection came up late, would be failed though it surely
+                # never ran, and its client could not come again.
+                self._back.ended(exchange, ending if exchange.written else Ending.MOOT)
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -44,7 +44,7 @@
         self.open: dict[str, object] = {}
 
     def start(self, exchange: object) -> None:
-        exchange.link = self
+        exchange.link, exchange.written = self, True
         self.open[exchange.name.decode()] = exchange
         self.desk.world.runs.append((exchange.name.decode(), self.name))
         self.desk.world.say(f"{self.name} runs {self.desk.world.names[exchange.name.decode()]}")
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -202,6 +202,26 @@
         self.assertEqual(([], {"fulfilled": 1}), (made.client.answers, made.ends()))
         self.rests(made)
 
+    def test_its_time_is_over_before_it_is_up(self) -> None:
+        """It never ran: what may run once only is denied, so that its client may come again."""
+        for tariff in ("read", "post"):
+            made = Desk()
+            made.ask("a", tariff, patience=1000)
+            made.wait(1000)
+            self.assertEqual((["a denied"], {"moot": 1}), (made.client.answers, made.ends()))
+            made.link().come_up()
+            self.assertEqual([], made.heard())
+            self.rests(made)
+
+    def test_its_time_is_over_when_it_is_out(self) -> None:
+        for tariff, answer in (("read", "denied"), ("post", "abandoned")):
+            made = Desk()
+            made.ask("a", tariff, patience=1000)
+            made.link().come_up()
+            made.wait(1000)
+            self.assertEqual(([f"a {answer}"], {"timed out": 1}), (made.client.answers, made.ends()))
+            self.rests(made)
+
     def test_its_engine_drains_is_gone_or_replaced(self) -> None:
         for standing in (Standing.DRAINING, Standing.GONE):
             made = Desk(engines=2)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -433,8 +433,9 @@
             "waiting": bytearray(),
         }
         link.line = type("Line", (), stand_in)()
+        keeper = type("Keeper", (), {"leaves": lambda self, exchange: None})()
         for name in (b"first", b"second"):
-            link.start(Exchange(name, b"", None, None))
+            link.start(Exchange(name, b"", keeper, None))
         link.life.heard = 1
         for text, name in (("open", b"first"), ("given up", b"first"), ("new", b"third")):
             if text == "given up":
@@ -442,7 +443,7 @@
             lines.append(f"{text}: {'room' if link.life.room_for(name) else 'no room'}")
         link.finish(link.life.open[b"second"])
         lines.append(f"answered, asked again: {'room' if link.life.room_for(b'second') else 'no room'}")
-        link.start(Exchange(b"third", b"", None, None))
+        link.start(Exchange(b"third", b"", keeper, None))
         link.give_up(link.life.open[b"third"])
         lines.append(f"given up, nothing heard: {'room' if link.life.room_for(b'new') else 'no room'}")
         self.check("links", lines)
