--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -369,13 +369,13 @@
             self._marked.start(self._tasks)
         if self._worker is not None:
             self._worker.start()
+        # Danger: an engine may drain since the configuration was written, and the grace be over before this
+        # process is up: clients, and other halls, are taken in once that has been told.
+        await self._feed.caught_up(_FIRST_WORD)
         if self._hub is not None:
             await self._start_hub(self._hub)
         if self._member is not None:
             self._member.start(self._tasks)
-        # Danger: an engine may drain since the configuration was written, and the grace be over before this
-        # process is up: clients wait in the listener's queue until that has been told.
-        await self._feed.caught_up(_FIRST_WORD)
         self._tasks.start_soon(self._door.run, listener)
 
     async def _start_hub(self, hub: Hub) -> None:
