--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -866,6 +866,27 @@
             anyio.run(main, backend_options={"use_uvloop": True})
         self.assertEqual(([], 8), (engines[0].lines, len(engines[1].lines)))
 
+    def test_other_halls_and_clients_come_after_the_first_word(self) -> None:
+        order: list[str] = []
+
+        async def noted(word: str) -> None:
+            order.append(word)
+
+        async def main() -> None:
+            service = Service("n0", ("127.0.0.1", 0), 7, Stage(0).settings, [], "127.0.0.1:1")
+            service._hub = mock.Mock()
+            service._start_hub = lambda hub: noted("halls")
+            service._feed.caught_up = lambda within: noted("first word")
+            service._door.run = lambda listener: noted("clients")
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(service.run)
+                await turns()
+                tasks.cancel_scope.cancel()
+
+        with contextlib.redirect_stderr(io.StringIO()):
+            anyio.run(main, backend_options={"use_uvloop": True})
+        self.assertEqual(["first word", "halls", "clients"], order)
+
     def test_an_attempt_whose_link_is_in_the_making(self) -> None:
         """Nothing of it has left when its engine may get nothing more: it goes elsewhere, at once."""
         port = int(hanging(self).rpartition(":")[2])
