The listener opens after the list's first word; stand-ins' gateways started in one place

Seen: tests cold_start test_a_week_old_list... past_deadline 1, and test_all_gateways_of_both_halls..., with the register away at the start: clients connected while the gateway waited half a second for it, and their time ran in the queue.

The address is bound at the start, so that a taken one is told at once, and listened on after the wait; until then clients are refused, as by a process that is not up. Another that listens there meanwhile is one line and exit code 2.

Beside it: standins.world.running serves the benchmark of cold starts too; test_kept uses the lab's links without connections.

--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -32,7 +32,7 @@
 from cresstray.standins.clients import Drawn, draw
 from cresstray.standins.cold import Plan, Register
 from cresstray.standins.coordinator import Listed
-from cresstray.standins.world import KINDS, Gateway, Hall, World, _free_port, settings
+from cresstray.standins.world import KINDS, Gateway, Hall, World, _free_port, running, settings
 
 GATEWAYS, ENGINES, CORES = 4, 24, 4
 # What is asked for, as a share of all cores. A cold engine is planned for at three quarters of its cores, of
@@ -106,18 +106,9 @@
             self.write(gateway, number, keeps, known)
         async with anyio.create_task_group() as self._tasks:
             self._tasks.start_soon(self.register.run)
-            try:
-                for gateway in gateways:
-                    gateway.start()
-                for gateway in gateways:
-                    await gateway.ready()
+            async with running(gateways):
                 yield self
-            finally:
-                with anyio.CancelScope(shield=True):
-                    async with anyio.create_task_group() as stops:
-                        for gateway in gateways:
-                            stops.start_soon(gateway.stop)
-                self._tasks.cancel_scope.cancel()
+            self._tasks.cancel_scope.cancel()
 
     def write(self, gateway: Gateway, number: int, keeps: bool, known: dict | None) -> None:
         conf = self._folder / f"{gateway.name}.conf"
--- a/cresstray/lab/cold.py
+++ b/cresstray/lab/cold.py
@@ -193,8 +193,8 @@
         self._plan()
 
 
-class _Way:
-    """The route's links to one engine: its address."""
+class Unlinked:
+    """In the place of the route's links to one engine: its address, and no connection."""
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
@@ -226,7 +226,7 @@
         self.world, self.works = world, {}  # of each submission that is not over, seconds
         self.chance = Random(f"{world.seed} gateway {number}").random
         self.module = Gateway(self, settings(world.gateways), world.seed * 1000 + number, world.now)
-        self.route = Route(lambda label, address: _Way(address), self)
+        self.route = Route(lambda label, address: Unlinked(address), self)
         self.beliefs = Beliefs(GRACE, WAIT, self.chance, world.now) if listens else None
         if listens:
             self.module.agreed = Guard(self, self.module)  # which asks `on_trial` only
@@ -309,7 +309,7 @@
     def relay(self, relay: Relay, patience: int) -> None:
         self.route.route(relay, self.works, patience)
 
-    def send(self, relay: Relay, work: float, way: _Way, patience: int) -> None:
+    def send(self, relay: Relay, work: float, way: Unlinked, patience: int) -> None:
         world, number = self.world, self.ids[relay.engine]
         world.known_gone += number in self.gone
         world.after(world.delay(), lambda: self.arrive(relay, work, way.address))
--- a/cresstray/service.py
+++ b/cresstray/service.py
@@ -71,12 +71,26 @@
     """The address can't be listened on."""
 
 
-def _listen(address: tuple[str, int]) -> socket.socket:
+@contextlib.contextmanager
+def _told_as_address_error(address: tuple[str, int]) -> Iterator[None]:
+    """What goes wrong within comes as AddressError."""
     try:
-        listener = socket.create_server(address, backlog=_QUEUE)
+        yield
     except (OSError, OverflowError) as trouble:
         host, port = address
         raise AddressError(f"{host}:{port} can't be listened on: {trouble}") from None
+
+
+def _bound(address: tuple[str, int]) -> socket.socket:
+    """Holds the address; until it listens, connections to it are refused."""
+    listener = socket.socket()
+    try:
+        with _told_as_address_error(address):
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(address)
+    except AddressError:
+        listener.close()
+        raise
     listener.setblocking(False)
     return listener
 
@@ -346,17 +360,24 @@
 
     async def run(self, *, task_status: TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until SIGTERM; `task_status` hears the address once it does. AddressError where it can't."""
-        with _caught() as signals, _listen(self._listen) as listener:
+        with _caught() as signals, _bound(self._listen) as listener:
+            trouble: AddressError | None = None
             async with anyio.create_task_group() as self._tasks:
-                await self._start(listener)
-                host, port = listener.getsockname()
-                self._log.say("service", f"serves on {host}:{port}")
-                task_status.started((host, port))
-                await self._heed(signals)
+                try:
+                    await self._start(listener)
+                    host, port = listener.getsockname()
+                    self._log.say("service", f"serves on {host}:{port}")
+                    task_status.started((host, port))
+                    await self._heed(signals)
+                except AddressError as found:
+                    trouble = found
                 self._tasks.cancel_scope.cancel()
+            if trouble is not None:
+                raise trouble
             self.report()
 
     async def _start(self, listener: socket.socket) -> None:
+        """Up to the moment from which on clients are taken in; AddressError where they can't be."""
         if self._keep is not None:
             self._keep.begin(self._clock.now())
         for event in self._events:
@@ -370,12 +391,15 @@
         if self._worker is not None:
             self._worker.start()
         # Danger: an engine may drain since the configuration was written, and the grace be over before this
-        # process is up: clients, and other halls, are taken in once that has been told.
+        # process is up: clients, and other halls, are taken in once that has been told. Until then they are
+        # refused, as by a process that is not up yet: in a listener's queue their time would run.
         await self._feed.caught_up(_FIRST_WORD)
         if self._hub is not None:
             await self._start_hub(self._hub)
         if self._member is not None:
             self._member.start(self._tasks)
+        with _told_as_address_error(self._listen):
+            listener.listen(_QUEUE)
         self._tasks.start_soon(self._door.run, listener)
 
     async def _start_hub(self, hub: Hub) -> None:
--- a/cresstray/standins/world.py
+++ b/cresstray/standins/world.py
@@ -12,7 +12,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -182,6 +182,22 @@
     next_id: int = 1
 
 
+@contextlib.asynccontextmanager
+async def running(gateways: list[Gateway]) -> AsyncIterator[None]:
+    """All of them ready, and told to end behind it, whatever happened meanwhile."""
+    try:
+        for gateway in gateways:
+            gateway.start()
+        for gateway in gateways:
+            await gateway.ready()
+        yield
+    finally:
+        with anyio.CancelScope(shield=True):
+            async with anyio.create_task_group() as stops:
+                for gateway in gateways:
+                    stops.start_soon(gateway.stop)
+
+
 class World:
     """`crossing` off: the gateways get no operator's file, and are two halls that share nothing.
 
@@ -287,18 +303,9 @@
             for network in self.networks():
                 self._tasks.start_soon(network.run)
             gateways = [gateway for hall in self.halls.values() for gateway in hall.gateways]
-            try:
-                for gateway in gateways:
-                    gateway.start()
-                for gateway in gateways:
-                    await gateway.ready()
+            async with running(gateways):
                 yield self
-            finally:
-                with anyio.CancelScope(shield=True):
-                    async with anyio.create_task_group() as stops:
-                        for gateway in gateways:
-                            stops.start_soon(gateway.stop)
-                self._tasks.cancel_scope.cancel()
+            self._tasks.cancel_scope.cancel()
 
     def client(self, hall: str, gateway: int = 0) -> Client:
         one = self.halls[hall].gateways[gateway]
