--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -108,7 +108,7 @@
         self.coordinator = Coordinator()
         self.addCleanup(self.coordinator.close)
 
-    def waits(self, watch: Watch, says: Callable[[], bytes] | None, within: float) -> float:
+    def waits(self, watch: Watch, says: bytes | None, within: float) -> float:
         """Seconds until it has caught up with a coordinator that answers a hello so; None: not at all."""
         taken = 0.0
 
@@ -122,7 +122,7 @@
 
         async def tells() -> None:
             made, _ = await self.coordinator.link()
-            made.send(says())
+            made.send(says)
             await anyio.sleep_forever()
 
         watch.play(scene)
@@ -133,15 +133,15 @@
             (frame(2, 2, record(5)) + frame(3, 2, record(5, DRAINING)), frame(2, 2, record(5, DRAINING))), 1
         ):
             watch = Watch(self.coordinator.address)
-            self.assertLess(self.waits(watch, lambda says=says: says, LONG), LONG)
+            self.assertLess(self.waits(watch, says, LONG), LONG)
             self.assertEqual("draining", watch.told[-1][1][5], number)
 
     def test_nothing_new_is_an_end_of_the_wait(self) -> None:
         with mock.patch.object(feeds, "_SETTLED", LONG):
-            self.assertLess(self.waits(Watch(self.coordinator.address), lambda: frame(1, 0), LONG), LONG)
+            self.assertLess(self.waits(Watch(self.coordinator.address), frame(1, 0), LONG), LONG)
 
     def test_a_coordinator_that_is_silent_or_away_is_not_waited_for(self) -> None:
-        self.assertLess(self.waits(Watch(self.coordinator.address), lambda: b"", LONG), LONG)
+        self.assertLess(self.waits(Watch(self.coordinator.address), b"", LONG), LONG)
         with mock.patch.object(feeds, "_SETTLED", LONG):
             self.assertGreater(self.waits(Watch(self.coordinator.address), None, 0.1), 0.09)
         self.coordinator.close()
