--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""What the cases of the review share."""
