Move the cutting of a client's lines into a LineBuffer

Change: clients/line_buffer.py holds whole lines and the partial line after them; the session keeps the limits and the count of all buffered bytes. No behaviour changes. Two places that read the bytes themselves (the model checker's account, one codec test) read them from the buffer's `data`.

--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from cresstray.clients import codec
+from cresstray.clients.line_buffer import LineBuffer
 
 if TYPE_CHECKING:
     from cresstray.clients.connection_registry import ConnectionRegistry
@@ -109,9 +110,7 @@
         # When the connection was accepted, or later its last line, part of a line, or response.
         self.last_activity_us = registry.now_us()
         self.has_sent_request = False  # whether the client has sent a line that could be decoded
-        self.has_buffered_lines = False  # whether whole lines are left for the next turn
-        self._buffer = bytearray()
-        self._is_skipping_line = False  # whether received data is discarded up to the end of a dropped line
+        self._buffer = LineBuffer()
         self._malformed_count = 0
         self._ignored_count = 0  # messages without effect since the last accepted request
         self._is_closing = False
@@ -119,6 +118,11 @@
         self._is_shut_down = False
         self._is_disconnected = False
 
+    @property
+    def has_buffered_lines(self) -> bool:
+        """Whether whole lines are left for the next turn."""
+        return self._buffer.has_lines
+
     # Responses.
 
     def succeed(self, request_id: int, result: bytes, position: str | None = None) -> None:
@@ -189,14 +193,13 @@
         self._is_disconnected = self._is_disconnected or ended
         if self._is_shut_down:
             return NextAction.READ
-        if self._is_skipping_line:
-            data = self._skip_line(data)
         registry = self._registry
         if self.has_sent_request and not self._buffer:
             self.last_activity_us = registry.now_us()
-        self._buffer += data
-        registry.buffered_bytes += len(data)
-        if self.has_buffered_lines or b"\n" in data:
+        buffered_bytes = len(self._buffer)
+        self._buffer.append(data)
+        registry.buffered_bytes += len(self._buffer) - buffered_bytes
+        if self.has_buffered_lines:
             self.last_activity_us = registry.now_us()
             self._handle_lines(self._next_lines())
         elif self.is_banned():
@@ -208,21 +211,14 @@
         self._finish_if_done()
         return NextAction.READ
 
-    def _skip_line(self, data: bytes) -> bytes:
-        """Returns the data after the end of the line that is being skipped."""
-        line_end = data.find(b"\n") + 1
-        self._is_skipping_line = not line_end
-        return data[line_end:] if line_end else b""
-
     def _next_lines(self) -> list[bytes]:
         """Removes whole lines from the buffer, as many as are handled in one turn."""
         registry = self._registry
         # If the buffers of all connections are full, all lines are handled now rather than kept buffered.
         max_lines = _MAX_LINES_PER_TURN if registry.buffered_bytes <= _MAX_BUFFERED_BYTES else -1
-        *lines, rest = bytes(self._buffer).split(b"\n", max_lines)
-        registry.buffered_bytes -= len(self._buffer) - len(rest)
-        self._buffer[:] = rest
-        self.has_buffered_lines = b"\n" in rest
+        buffered_bytes = len(self._buffer)
+        lines = self._buffer.take_lines(max_lines)
+        registry.buffered_bytes -= buffered_bytes - len(self._buffer)
         return lines
 
     def _handle_lines(self, lines: list[bytes]) -> None:
@@ -238,15 +234,13 @@
 
     def partial_line_bytes(self) -> int:
         """Returns the size of a line that is not complete yet."""
-        return len(self._buffer) - (self._buffer.rfind(b"\n") + 1)
+        return self._buffer.partial_line_bytes()
 
     def drop_partial_line(self) -> None:
         """Drops the line that is not complete, as it is too long or the buffers are full; bans the client."""
         self._reject_overlong_line()
-        partial_bytes = self.partial_line_bytes()
-        del self._buffer[len(self._buffer) - partial_bytes :]
-        self._registry.buffered_bytes -= partial_bytes
-        self._is_skipping_line = True
+        self._registry.buffered_bytes -= self.partial_line_bytes()
+        self._buffer.drop_partial_line()
         self._finish_if_done()
 
     def _reject_overlong_line(self) -> None:
--- a/cresstray/model_checking/lines.py
+++ b/cresstray/model_checking/lines.py
@@ -624,7 +624,7 @@
 
     def _mark_taken(self, data: bytes) -> list[RequestRecord]:
         """Which requests are whole with this piece; returns those that are withdrawn by it."""
-        left, whole = [], bytes(self.session._buffer) + data
+        left, whole = [], bytes(self.session._buffer.data) + data
         for line in whole[: whole.rfind(b"\n") + 1].splitlines():
             told = json.loads(line)
             number = told.get("id") or told["params"]["id"]
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -556,7 +556,7 @@
                 if session.receive(piece) is not NextAction.READ:
                     break
                 self.assertEqual(registry.buffered_bytes, len(session._buffer))
-                self.assertNotIn(b"\n", session._buffer)
+                self.assertNotIn(b"\n", session._buffer.data)
             session.on_disconnected()
             self.assertEqual(0, registry.buffered_bytes)
             return lines
