Answer a request that arrives while other clients' partial lines fill the buffers

Cause: beyond 2 MB of partial lines on all connections the longest was dropped, whosever it was (ConnectionRegistry.drop_longest_partial_line), its client banned, and what followed skipped without a response.

Evidence: the record of the case has the error in the millisecond of the first piece and no send to an engine; the log has six such errors, one for each line that was dropped.

Change: a partial line is shortened, not dropped. Its long strings are emptied, so that its id can still be decoded once it is complete; the request is then rejected under its id, which is harmless as nothing was sent. Lines of clients that never sent a request come first. What stays long without its strings is no request and is dropped with an error and a ban, as before. A connection that was shut down gives its part of the buffers back at once.

Why it works: no complete line on an open connection is left without a response under its id any more, however full the buffers are; and those who fill them without ever sending a request pay first.

--- a/cresstray/clients/codec.py
+++ b/cresstray/clients/codec.py
@@ -124,7 +124,7 @@
     try:
         envelope = _envelope_decoder.decode(line)
     except msgspec.ValidationError as error:
-        raise MalformedMessageError(INVALID_REQUEST, str(error), _request_id_of(line)) from None
+        raise MalformedMessageError(INVALID_REQUEST, str(error), decode_request_id(line)) from None
     except _UNDECODABLE as error:
         raise MalformedMessageError(PARSE_ERROR, str(error)) from None
     if envelope.jsonrpc != _JSON_RPC_VERSION:
@@ -150,7 +150,8 @@
     raise MalformedMessageError(UNKNOWN_METHOD, "no such method", envelope.id)
 
 
-def _request_id_of(line: bytes) -> int | None:
+def decode_request_id(line: bytes) -> int | None:
+    """Decodes only the id of a line; None if it has none that a response can be sent under."""
     try:
         request_id = _id_decoder.decode(line).id
     except _UNDECODABLE:
--- a/cresstray/clients/connection_registry.py
+++ b/cresstray/clients/connection_registry.py
@@ -62,11 +62,13 @@
         """Returns by how many the connections exceed the limit; negative if there may be more."""
         return len(self.connections) + len(self.closing_connections) - self._max_connections()
 
-    def drop_longest_partial_line(self) -> None:
-        """Drops the longest partial line, as the buffers of all connections are full."""
-        longest = max(self.connections, key=ClientSession.partial_line_bytes, default=None)
-        if longest is not None and longest.partial_line_bytes():
-            longest.drop_partial_line()
+    def limit_buffered_bytes(self, max_bytes: int) -> None:
+        """Shortens partial lines while the buffers of all connections hold more than `max_bytes`."""
+        while self.buffered_bytes > max_bytes:
+            session = max(self.connections, key=_shortening_rank, default=None)
+            if session is None or not session.can_shorten_partial_line():
+                return
+            session.shorten_partial_line()
 
     def close_idle(self) -> None:
         """Closes connections whose idle timeout has expired, and idle ones if there are too many."""
@@ -112,3 +114,12 @@
             return 2 - session.has_sent_request, session.last_activity_us
 
         return sorted(self.connections, key=rank)
+
+
+def _shortening_rank(session: ClientSession) -> tuple[bool, bool, int]:
+    """Ranks highest the longest partial line among those of clients that have never sent a request."""
+    return (
+        session.can_shorten_partial_line(),
+        not session.has_sent_request,
+        session.partial_line_bytes(),
+    )
--- a/cresstray/clients/line_buffer.py
+++ b/cresstray/clients/line_buffer.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+import re
+
+# Longer strings are dropped from a line that is shortened. In a request only the statement may be longer.
+_MAX_KEPT_STRING_BYTES = 256
+# A string and its closing quote, which is missing from the last string of a line that is not complete.
+_JSON_STRING = re.compile(rb'"((?:[^"\\]++|\\.)*+)("?)')
+
 
 class LineBuffer:
     """Whole lines, and after them the beginning of a line that is not complete yet: the partial line.
@@ -9,11 +16,13 @@
     Attributes:
         data: the bytes that are held.
         has_lines: whether at least one whole line is held.
+        dropped_bytes: how many bytes of the first line were dropped by `shorten_partial_line`.
     """
 
     def __init__(self) -> None:
         self.data = bytearray()
         self.has_lines = False
+        self.dropped_bytes = 0
         self._is_skipping_line = False  # whether received data is discarded up to the end of a dropped line
 
     def __len__(self) -> int:
@@ -38,13 +47,38 @@
         *lines, rest = bytes(self.data).split(b"\n", max_lines)
         self.data[:] = rest
         self.has_lines = b"\n" in rest
+        self.dropped_bytes = 0
         return lines
 
     def partial_line_bytes(self) -> int:
-        """Returns the size of the partial line."""
+        """Returns how many bytes of the partial line are held."""
         return len(self.data) - (self.data.rfind(b"\n") + 1)
 
+    def shorten_partial_line(self) -> None:
+        """Empties the long strings of the partial line, which must be the only line that is held.
+
+        What is left of a JSON message is still one, and its id can be decoded once the line is complete. The
+        message must not be handled as if it was whole; `dropped_bytes` tells so.
+        """
+        held_bytes = len(self.data)
+        self.data = bytearray(_JSON_STRING.sub(_without_long_content, self.data))
+        self.dropped_bytes += held_bytes - len(self.data)
+
     def drop_partial_line(self) -> None:
         """Drops the partial line, also what is still to be received of it."""
         del self.data[len(self.data) - self.partial_line_bytes() :]
+        self.dropped_bytes = 0
         self._is_skipping_line = True
+
+    def clear(self) -> None:
+        """Drops all data."""
+        self.data.clear()
+        self.has_lines = False
+        self.dropped_bytes = 0
+
+
+def _without_long_content(string: re.Match[bytes]) -> bytes:
+    content, closing_quote = string.groups()
+    if len(content) > _MAX_KEPT_STRING_BYTES:
+        content = b""
+    return b'"' + content + closing_quote
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -19,6 +19,9 @@
 _MAX_LINE_BYTES = 256 * 1024
 # Limit of the buffers of all connections together: unterminated lines on all of them would fill the memory.
 _MAX_BUFFERED_BYTES = 2 * 1024 * 1024
+# A request without its statement has some hundred bytes. On 1,024 connections, lines of this length are within
+# the limit above.
+_MAX_SHORTENED_LINE_BYTES = 2 * 1024
 # Unread responses, a few whole results, above which a client's requests are rejected.
 _MAX_UNREAD_BYTES = 256 * 1024
 # Open requests on one connection, as the protocol defines.
@@ -201,7 +204,7 @@
         registry.buffered_bytes += len(self._buffer) - buffered_bytes
         if self.has_buffered_lines:
             self.last_activity_us = registry.now_us()
-            self._handle_lines(self._next_lines())
+            self._handle_next_lines()
         elif self.is_banned():
             self._ignored_count += 1
         self._enforce_buffer_limits()
@@ -211,6 +214,15 @@
         self._finish_if_done()
         return NextAction.READ
 
+    def _handle_next_lines(self) -> None:
+        dropped_bytes = self._buffer.dropped_bytes
+        lines = self._next_lines()
+        if dropped_bytes:
+            self._handle_shortened_line(lines.pop(0), dropped_bytes)
+        for line in lines:
+            if line.strip():
+                self._handle_line(line)
+
     def _next_lines(self) -> list[bytes]:
         """Removes whole lines from the buffer, as many as are handled in one turn."""
         registry = self._registry
@@ -221,23 +233,38 @@
         registry.buffered_bytes -= buffered_bytes - len(self._buffer)
         return lines
 
-    def _handle_lines(self, lines: list[bytes]) -> None:
-        for line in lines:
-            if line.strip():
-                self._handle_line(line)
-
     def _enforce_buffer_limits(self) -> None:
-        if not self.has_buffered_lines and len(self._buffer) > _MAX_LINE_BYTES:
-            self.drop_partial_line()
-        if self._registry.buffered_bytes > _MAX_BUFFERED_BYTES:
-            self._registry.drop_longest_partial_line()
+        if not self.has_buffered_lines:
+            if len(self._buffer) + self._buffer.dropped_bytes > _MAX_LINE_BYTES:
+                self._drop_partial_line()
+            elif self._buffer.dropped_bytes:
+                self.shorten_partial_line()
+        self._registry.limit_buffered_bytes(_MAX_BUFFERED_BYTES)
+
+    def can_shorten_partial_line(self) -> bool:
+        """Returns whether the line that is not complete holds more than is kept of a shortened one."""
+        return not self.has_buffered_lines and len(self._buffer) > _MAX_SHORTENED_LINE_BYTES
 
     def partial_line_bytes(self) -> int:
-        """Returns the size of a line that is not complete yet."""
+        """Returns how many bytes are held of a line that is not complete yet."""
         return self._buffer.partial_line_bytes()
 
-    def drop_partial_line(self) -> None:
-        """Drops the line that is not complete, as it is too long or the buffers are full; bans the client."""
+    def shorten_partial_line(self) -> None:
+        """Drops the statement of a request that is not complete yet, as all buffers together are full.
+
+        The request is rejected once its line is complete, so it is answered whoever has filled the buffers. A
+        line that stays long without its strings is no request: it is dropped, and the client banned.
+        """
+        if not self._buffer.dropped_bytes:
+            self._registry.counters.add("client lines shortened")
+        buffered_bytes = len(self._buffer)
+        self._buffer.shorten_partial_line()
+        self._registry.buffered_bytes -= buffered_bytes - len(self._buffer)
+        if self.can_shorten_partial_line():
+            self._drop_partial_line()
+
+    def _drop_partial_line(self) -> None:
+        """Drops the line that is not complete, as it cannot be a request; bans the client."""
         self._reject_overlong_line()
         self._registry.buffered_bytes -= self.partial_line_bytes()
         self._buffer.drop_partial_line()
@@ -248,6 +275,22 @@
             self.reject_malformed(None, "a line without an end", codec.INVALID_REQUEST)
             self._ban()
 
+    def _handle_shortened_line(self, line: bytes, dropped_bytes: int) -> None:
+        """Rejects a request whose statement was dropped before its line was complete."""
+        if len(line) + dropped_bytes > _MAX_LINE_BYTES:
+            self._reject_overlong_line()
+            return
+        request_id = codec.decode_request_id(line)
+        if request_id is None:
+            self._on_malformed(codec.MalformedMessageError(codec.INVALID_REQUEST, "no id in a long line"))
+            return
+        self.has_sent_request = True
+        if request_id in self.open_requests:
+            self._reject_repeated_id(request_id)
+            return
+        self._ignored_count += self._has_too_much_unread()
+        self._transport.write(codec.encode_rejection(request_id, 0))
+
     def _handle_line(self, line: bytes) -> None:
         if len(line) > _MAX_LINE_BYTES:
             self._reject_overlong_line()
@@ -277,10 +320,7 @@
     def _handle_request(self, request_id: int, query: codec.Query) -> None:
         handler = self._registry.handler
         if request_id in self.open_requests:
-            # The client could take a response with this id for that to either request; both are rejected.
-            handler.cancel(self, request_id, None)
-            self.reject_malformed(request_id, "two requests under one id", codec.INVALID_REQUEST)
-            self.reject_malformed(request_id, "two requests under one id", codec.INVALID_REQUEST)
+            self._reject_repeated_id(request_id)
         elif self._must_reject():
             self._ignored_count += 1
             self._transport.write(codec.encode_rejection(request_id, 0))
@@ -290,6 +330,12 @@
             self._ignored_count = 0
             handler.accept(self, request_id, query)
 
+    def _reject_repeated_id(self, request_id: int) -> None:
+        """Rejects both requests: the client could take a response with this id for that to either of them."""
+        self._registry.handler.cancel(self, request_id, None)
+        self.reject_malformed(request_id, "two requests under one id", codec.INVALID_REQUEST)
+        self.reject_malformed(request_id, "two requests under one id", codec.INVALID_REQUEST)
+
     def _must_reject(self) -> bool:
         """Returns whether to reject a request because it could run and its response be lost."""
         is_ending = self._is_closing or self._is_disconnected or self._registry.is_closing
@@ -338,6 +384,8 @@
             self.resume()
             return False
         self._is_shut_down = True
+        self._registry.buffered_bytes -= len(self._buffer)
+        self._buffer.clear()
         self._registry.on_closing(self)
         if not self._is_closing:
             self._registry.counters.add("clients silent, closed")
--- a/tests/test_client_session.py
+++ b/tests/test_client_session.py
@@ -58,8 +58,8 @@
         self.lines.append(f"is gone, {len(session.open_requests)} open")
 
 
-def request(number: int) -> bytes:
-    params = {"req": f"{number:016x}", "timeout": 900, "data": b64encode(b"select 1").decode()}
+def request(number: int, statement: bytes = b"select 1") -> bytes:
+    params = {"req": f"{number:016x}", "timeout": 900, "data": b64encode(statement).decode()}
     return json.dumps({"jsonrpc": "2.0", "id": number, "method": "lookup", "params": params}).encode() + b"\n"
 
 
@@ -199,6 +199,68 @@
         self.assertEqual([1], list(other.open_requests))
         self.assertLess(self.registry.buffered_bytes, 2 * 1024 * 1024)
 
+    def fill_buffers(self, line_bytes: int, greeting: bytes = b"") -> list[ClientSession]:
+        """Returns sessions that together hold 2 MB of partial lines, each of which could become a request."""
+        sessions = [self.session() for _ in range(2 * 1024 * 1024 // line_bytes)]
+        for session in sessions:
+            session.receive(greeting + request(1, b"a" * 300_000)[:line_bytes])
+        return sessions
+
+    def test_request_arriving_while_strangers_fill_the_buffers_is_accepted(self) -> None:
+        """Guards against a request that is thrown away as it arrives, for what other clients have sent."""
+        client = self.session()
+        client.receive(request(1))
+        strangers = self.fill_buffers(9_000)
+        arriving = request(2, b"a" * 13_000)
+        client.receive(arriving[:15_000])
+        client.receive(arriving[15_000:])
+        self.assertEqual([1, 2], list(client.open_requests))
+        self.assertEqual([], [session for session in (client, *strangers) if session.is_banned()])
+        self.assertLessEqual(self.registry.buffered_bytes, 2 * 1024 * 1024)
+
+    def test_request_shortened_as_it_arrives_is_rejected_under_its_id(self) -> None:
+        """Guards against a request without any answer, where all the others have sent requests as well."""
+        statement_first = json.dumps(json.loads(request(2, b"a" * 50_000)), sort_keys=True)
+        self.assertLess(statement_first.index("params"), len(statement_first) - 50)
+        for arriving in (request(2, b"a" * 50_000), statement_first.encode() + b"\n"):
+            client = self.session()
+            client.receive(request(1))
+            others = self.fill_buffers(9_000, greeting=request(9))
+            for offset in range(0, len(arriving), 4_000):
+                client.receive(arriving[offset : offset + 4_000])
+            self.assertEqual(-32000, error_code_of(self.lines[-1]))
+            self.assertIn('"id":2', self.lines[-1])
+            client.receive(request(3))
+            self.assertEqual(([1, 3], False), (list(client.open_requests), client.is_banned()))
+            self.assertLessEqual(self.registry.buffered_bytes, 2 * 1024 * 1024)
+            for session in (client, *others):
+                session.on_disconnected()
+            self.assertEqual(0, self.registry.buffered_bytes)
+
+    def test_shortened_line_counts_as_long_as_it_was_received(self) -> None:
+        """A line without an end is dropped as before; one without an id gets an error under no id."""
+        self.fill_buffers(200_000)
+        endless, without_id = self.session(), self.session()
+        endless.receive(request(1, b"a" * 300_000)[:220_000])
+        self.assertFalse(endless.is_banned())
+        endless.receive(b"a" * 50_000)
+        self.assertTrue(endless.is_banned())
+        without_id.receive(b'["' + b"a" * 240_000)
+        del self.lines[:]
+        without_id.receive(b'"]\n')
+        self.assertEqual([-32600], list(map(error_code_of, self.lines)))
+        self.assertFalse(without_id.is_banned())
+
+    def test_partial_line_of_a_connection_that_is_shut_down_leaves_room(self) -> None:
+        """Guards against buffers that stay full of what can never be handled any more."""
+        session = self.session()
+        session.receive(request(1)[:50])
+        session.close()
+        self.assertTrue(session.can_shut_down(has_received=False))
+        self.assertEqual(0, self.registry.buffered_bytes)
+        session.on_disconnected()
+        self.assertEqual(0, self.registry.buffered_bytes)
+
     def test_many_lines_are_handled_in_several_turns(self) -> None:
         session = self.session()
         session.receive(250 * status() + status()[:9])
