Answer an overlong request under its id on a connection that stays open

What callers saw: a request over 256 kB on a connection with other requests open got an error under no id, the rest of it was skipped, and nothing was ever sent under its id.

Change: such a line is shortened like one that finds the buffers full. The error under no id and the ban come at once as before; at its end the line gets an error under its id.

--- a/cresstray/clients/connection_registry.py
+++ b/cresstray/clients/connection_registry.py
@@ -68,6 +68,7 @@
             session = max(self.connections, key=_shortening_rank, default=None)
             if session is None or not session.can_shorten_partial_line():
                 return
+            self.counters.add("client lines shortened")
             session.shorten_partial_line()
 
     def close_idle(self) -> None:
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -19,8 +19,8 @@
 _MAX_LINE_BYTES = 256 * 1024
 # Limit of the buffers of all connections together: unterminated lines on all of them would fill the memory.
 _MAX_BUFFERED_BYTES = 2 * 1024 * 1024
-# A request without its statement has some hundred bytes. On 1,024 connections, lines of this length are within
-# the limit above.
+# A request without its statement has some hundred bytes. On 1,024 connections, lines of this length do not
+# exceed the limit above.
 _MAX_SHORTENED_LINE_BYTES = 2 * 1024
 # Unread responses, a few whole results, above which a client's requests are rejected.
 _MAX_UNREAD_BYTES = 256 * 1024
@@ -218,7 +218,8 @@
         dropped_bytes = self._buffer.dropped_bytes
         lines = self._next_lines()
         if dropped_bytes:
-            self._handle_shortened_line(lines.pop(0), dropped_bytes)
+            line = lines.pop(0)
+            self._reject_long_line(line, len(line) + dropped_bytes)
         for line in lines:
             if line.strip():
                 self._handle_line(line)
@@ -235,9 +236,10 @@
 
     def _enforce_buffer_limits(self) -> None:
         if not self.has_buffered_lines:
-            if len(self._buffer) + self._buffer.dropped_bytes > _MAX_LINE_BYTES:
-                self._drop_partial_line()
-            elif self._buffer.dropped_bytes:
+            is_overlong = len(self._buffer) + self._buffer.dropped_bytes > _MAX_LINE_BYTES
+            if is_overlong:
+                self._reject_overlong_line(None)
+            if is_overlong or self._buffer.dropped_bytes:
                 self.shorten_partial_line()
         self._registry.limit_buffered_bytes(_MAX_BUFFERED_BYTES)
 
@@ -250,13 +252,11 @@
         return self._buffer.partial_line_bytes()
 
     def shorten_partial_line(self) -> None:
-        """Drops the statement of a request that is not complete yet, as all buffers together are full.
+        """Drops the statement of a request that is not complete yet: it is too long, or the buffers are full.
 
         The request is rejected once its line is complete, so it is answered whoever has filled the buffers. A
         line that stays long without its strings is no request: it is dropped, and the client banned.
         """
-        if not self._buffer.dropped_bytes:
-            self._registry.counters.add("client lines shortened")
         buffered_bytes = len(self._buffer)
         self._buffer.shorten_partial_line()
         self._registry.buffered_bytes -= buffered_bytes - len(self._buffer)
@@ -265,35 +265,34 @@
 
     def _drop_partial_line(self) -> None:
         """Drops the line that is not complete, as it cannot be a request; bans the client."""
-        self._reject_overlong_line()
+        self._reject_overlong_line(None)
         self._registry.buffered_bytes -= self.partial_line_bytes()
         self._buffer.drop_partial_line()
         self._finish_if_done()
 
-    def _reject_overlong_line(self) -> None:
-        if not self.is_banned():
-            self.reject_malformed(None, "a line without an end", codec.INVALID_REQUEST)
+    def _reject_overlong_line(self, request_id: int | None) -> None:
+        """Responds that a line is too long, under no id while it is not complete; bans the client."""
+        if request_id is not None or not self.is_banned():
+            self.reject_malformed(request_id, "a line without an end", codec.INVALID_REQUEST)
             self._ban()
 
-    def _handle_shortened_line(self, line: bytes, dropped_bytes: int) -> None:
-        """Rejects a request whose statement was dropped before its line was complete."""
-        if len(line) + dropped_bytes > _MAX_LINE_BYTES:
-            self._reject_overlong_line()
-            return
+    def _reject_long_line(self, line: bytes, size_bytes: int) -> None:
+        """Responds to a complete line that is too long, or of which a part was dropped before its end."""
         request_id = codec.decode_request_id(line)
-        if request_id is None:
-            self._on_malformed(codec.MalformedMessageError(codec.INVALID_REQUEST, "no id in a long line"))
-            return
-        self.has_sent_request = True
         if request_id in self.open_requests:
             self._reject_repeated_id(request_id)
-            return
-        self._ignored_count += self._has_too_much_unread()
-        self._transport.write(codec.encode_rejection(request_id, 0))
+        elif size_bytes > _MAX_LINE_BYTES:
+            self._reject_overlong_line(request_id)
+        elif request_id is None:
+            self._on_malformed(codec.MalformedMessageError(codec.INVALID_REQUEST, "no id in a long line"))
+        else:
+            self.has_sent_request = True
+            self._ignored_count += self._has_too_much_unread()
+            self._transport.write(codec.encode_rejection(request_id, 0))
 
     def _handle_line(self, line: bytes) -> None:
         if len(line) > _MAX_LINE_BYTES:
-            self._reject_overlong_line()
+            self._reject_long_line(line, len(line))
             return
         try:
             request_id, message = codec.decode(line, self._registry.request_class_names)
--- a/tests/test_client_session.py
+++ b/tests/test_client_session.py
@@ -184,6 +184,23 @@
             session.on_disconnected()
             self.assertEqual(0, self.registry.buffered_bytes)
 
+    def test_overlong_request_is_answered_under_its_id(self) -> None:
+        """Guards against a request without any answer on a connection that is kept open for another one."""
+        overlong = request(2, b"a" * 200_000)
+        for pieces in ([overlong], [overlong[:-1], b"\n"], [overlong[:200_000], overlong[200_000:]]):
+            session = self.session()
+            session.receive(request(1))
+            del self.lines[:]
+            for piece in pieces:
+                session.receive(piece)
+            self.assertEqual([-32600] * len(self.lines), list(map(error_code_of, self.lines)))
+            self.assertEqual(1, sum('"id":2' in line for line in self.lines))
+            self.assertTrue(session.is_banned())
+            session.fail(1)
+            self.assertEqual("ends once it is written", self.lines[-1])
+            session.on_disconnected()
+            self.assertEqual(0, self.registry.buffered_bytes)
+
     def test_longest_partial_line_is_dropped_when_the_buffers_are_full(self) -> None:
         """Not the line of the client that sends next."""
         sessions = [self.session() for _ in range(9)]
