Answer requests that wait for the shared store before a shutdown ends

Cause: the shutdown moves the deadline of each open request forward, but a request that waits for the store is planned by a copy of it (RequestTiming), made as it arrived, and went on waiting for up to half of the time it once had.

Evidence: the gateway's counters at its end have `idempotency: waits 31` and no answer, and count the request as cancelled by its client. The store answered all 31 round trips.

Change: RequestAccounting.limit_deadlines tells the idempotency hooks, and the times of undecided requests are made anew. At the deadline itself the shutdown rejects what still waits for the store. A request that is unanswered at the end is logged and counted, so that it can be told from a client that left.

Why it works: no wait for the store goes by an earlier deadline any more, and the last step ends those that are still under way, such as a lookup in flight.

--- a/cresstray/gateway/shutdown.py
+++ b/cresstray/gateway/shutdown.py
@@ -53,6 +53,7 @@
         with anyio.move_on_after(self._seconds_until(deadline_us + _LATE_ANSWER_US)):
             while parts.accounting.unanswered_count():
                 await anyio.sleep(_POLL_SECONDS)
+        self._report_unanswered()
         # A request accepted from here on would be sent to an engine and its answer be lost with the process.
         # Therefore no more connections are accepted, and all requests that are read are rejected.
         parts.listener.stop_listening()
@@ -75,9 +76,23 @@
         if parts.links is not None:
             parts.links.drain()
         parts.accounting.limit_deadlines(deadline_us)
-        parts.timers.call_after(remaining_us, parts.dispatcher.abandon_all)
+        parts.timers.call_after(remaining_us, self._on_deadline)
         return deadline_us
 
+    def _on_deadline(self, now_us: int) -> None:
+        """Ends all that requests still wait for; the policy answers what else is open in its next sweep."""
+        parts = self._parts
+        parts.dispatcher.abandon_all(now_us)
+        if parts.idempotency is not None:
+            parts.idempotency.reject_undecided()
+
+    def _report_unanswered(self) -> None:
+        parts = self._parts
+        unanswered = parts.accounting.unanswered_count()
+        if unanswered:
+            parts.counters.add("requests unanswered at shutdown", unanswered)
+            parts.log.log("service", f"{unanswered} requests are unanswered at the end of the shutdown")
+
     def _seconds_until(self, time_us: int) -> float:
         return max(0.0, (time_us - self._parts.clock.now()) / 1e6)
 
--- a/cresstray/idempotency/coordinator.py
+++ b/cresstray/idempotency/coordinator.py
@@ -210,6 +210,12 @@
         self._lookup.start(guarded, now_us)
         return True
 
+    def on_deadlines_limited(self, now_us: int) -> None:
+        """Plans what is left of each undecided request anew: its deadline may have been moved forward."""
+        for guarded in self.open_requests.by_request.values():
+            if guarded.on_decision is not None:
+                guarded.timing = _make_timing(guarded.request, now_us)
+
     def may_dispatch(self, request: Request, now_us: int) -> bool:
         """Returns whether an attempt may be sent now; `now_us` must be a fresh reading of the clock.
 
@@ -277,6 +283,7 @@
 
 
 def _make_timing(request: Request, now_us: int) -> RequestTiming:
+    """Divides the time from now on until the request's deadline between the store and an attempt."""
     request_class = request.request_class
     if request_class.latency:
         expected_us = request_class.latency.expected_us(request)
--- a/cresstray/idempotency/execution_guard.py
+++ b/cresstray/idempotency/execution_guard.py
@@ -77,7 +77,7 @@
     """Times of one request in microseconds of this gateway's clock.
 
     Attributes:
-        started_us: When the first lookup of the record began.
+        started_us: When the first lookup of the record began, or the deadline was moved forward later.
         latest_dispatch_us: Latest dispatch time for an answer within the latency objective.
         deadline_us: Time until which a claim must be valid.
         dedup_window_us: Length of the engines' deduplication window.
--- a/cresstray/idempotency/store_fallback.py
+++ b/cresstray/idempotency/store_fallback.py
@@ -132,7 +132,8 @@
             "no claim of the request waits for a sync"
         )
         is_synced = journal.take_sync_result(guarded.journal_id)
-        is_late = now_us >= sync_deadline_us
+        # The latest dispatch time may have been moved forward since, as the process is shutting down.
+        is_late = now_us >= min(sync_deadline_us, guarded.timing.latest_dispatch_us)
         if is_synced is None and (not is_late or guarded.on_decision is None):
             poll_us = _LATE_SYNC_POLL_US if is_late else _SYNC_POLL_US
             self._poll_again(guarded, decision, sync_deadline_us, poll_us)
--- a/cresstray/pipeline/accounting.py
+++ b/cresstray/pipeline/accounting.py
@@ -36,6 +36,8 @@
         """Limits the deadline of each open request to the end of the process."""
         for request in self.open_requests:
             deadlines.limit_deadline(request, shutdown_deadline_us)
+        if self.idempotency is not None:
+            self.idempotency.on_deadlines_limited()
 
     def succeed(self, request: Request, result: bytes) -> None:
         """Answers with the result, unless the request was answered before."""
--- a/cresstray/pipeline/idempotency_checks.py
+++ b/cresstray/pipeline/idempotency_checks.py
@@ -196,8 +196,19 @@
         else:
             accept(self._clock.now())
 
+    def reject_undecided(self) -> None:
+        """Rejects all requests that still wait for the store; nothing was sent for them."""
+        for request in list(self._undecided):
+            self._undecided.discard(request)
+            request.is_finished = True
+            self._accounting.reject(request, 0)
+
     # Called by the later stages, as IdempotencyHooks describes.
 
+    def on_deadlines_limited(self) -> None:
+        """The deadlines of open requests were moved forward, as the process is shutting down."""
+        self.records.on_deadlines_limited(self._clock.now())
+
     def may_send(self, request: Request) -> bool:
         """Whether an attempt may be sent now."""
         # Reads the clock again: if the process was stopped during this turn of the event loop, the time that
--- a/cresstray/pipeline/request_context.py
+++ b/cresstray/pipeline/request_context.py
@@ -142,6 +142,9 @@
     def on_attempt_finished(self, attempt: Attempt, outcome: Outcome, now_us: int, /) -> None:
         """An attempt has its outcome; called before the request is answered."""
 
+    def on_deadlines_limited(self) -> None:
+        """The deadlines of open requests were moved forward, as the process is shutting down."""
+
     def on_request_finished(self, request: Request, final_state: str, result: bytes | None = None) -> None:
         """The request was answered, or its client has left.
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -53,6 +53,7 @@
 from cresstray.idempotency.records import EventKind, IdempotencyRecord, RecordEvent, RecordState, apply_event
 from cresstray.idempotency.write_behind import WriteBehindQueue
 from cresstray.observability.counters import Counters
+from cresstray.policy import deadlines
 from cresstray.policy.types import Outcome, Request, RequestClass
 
 SECOND_US, START_US = 1_000_000, 1_800_000_000_000_000
@@ -1174,6 +1175,31 @@
                 ({}, 0), (gateway.coordinator.open_requests.by_request, len(gateway.coordinator.write_behind))
             )
 
+    def test_waiting_requests_are_decided_before_a_deadline_that_was_moved_forward(self) -> None:
+        """Guards against a wait for a claim, or for the journal, that goes by the time a request once had."""
+        settings = {"unguarded_rates": {"load": 1}, "max_unguarded_us": 60 * SECOND_US}
+        for has_journal in (False, True):
+            simulation = self.make_simulation(settings=settings)
+            first, second, _ = simulation.gateways
+            if has_journal:
+                second.coordinator.use_journal(SlowJournal(simulation, 60 * SECOND_US))
+                simulation.is_down = True
+                for number in range(8):  # until the breaker is open
+                    second.submit_request(f"x{number}")
+                    simulation.run_for(0.1)
+            first.submit_request("m", work_us=60 * SECOND_US)
+            simulation.run_for(2)
+            simulation.counts.clear()
+            second.submit_request("m")
+            simulation.run_for(0.05)
+            self.assertEqual(0, simulation.counts["decisions"])
+            request = list(second.coordinator.open_requests.by_request)[-1]
+            deadlines.limit_deadline(request, simulation.now_us + 150_000)
+            second.coordinator.on_deadlines_limited(simulation.now_us)
+            simulation.run_for(0.1)
+            self.assertEqual(1, simulation.counts["decisions"])
+            self.assertEqual(has_journal, bool(simulation.counts["Reject"]))
+
     def test_gateway_started_later_learns_of_a_clock_regression(self) -> None:
         simulation = self.make_simulation()
         simulation.run_for(1)
