Close clients that never stop sending in order at a planned restart

Cause: a connection ends once all that was read is handled and nothing waits unread. A hundred lines a turn are slower than such a client, up to 1 MB is read ahead, and 0.55 s after the last answer the process ended over unread bytes.

Evidence: printed every 10 ms in the last 0.45 s, the buffers stay at 0.4 to 1.4 MB and no connection is finishing.

Change: a quarter into the last 0.55 s nothing more is read, and what was read is handled without pauses; after three quarters the rest is dropped. The sending side is then shut down and the connection read out, as before.

Why it works: the end no longer depends on the client pausing. What is not read then came over 0.9 s after SIGTERM; the platform sends its last requests 0.6 s after it.

A new test of test_client_session. test_client_session, test_client_connections, test_external_names, test_service, test_shutdown, test_attacks and test_check_lines pass: 107.

--- a/cresstray/clients/client_connection.py
+++ b/cresstray/clients/client_connection.py
@@ -74,7 +74,7 @@
             if action is NextAction.CLOSE:
                 return
             if session.has_buffered_lines or session.is_banned():
-                await anyio.sleep(_TURN_PAUSE_S)
+                await self._pause()
 
     def _read_ahead(self, data: bytes) -> tuple[bytes, bool]:
         """Returns `data` with the data available after it, and whether the client's end of stream follows.
@@ -98,7 +98,7 @@
         action = session.receive(data, has_ended) if data else NextAction.READ
         if has_ended or action is NextAction.CLOSE:
             raise anyio.EndOfStream
-        if self._stream.has_unread():
+        if self._stream.has_unread() and not session.discards_unread:
             session.resume()
             return False
         return session.can_shut_down(has_received=bool(data))
@@ -108,4 +108,8 @@
         with anyio.move_on_after(_DRAIN_TIMEOUT_S):
             for _ in range(_MAX_DRAIN_READS):
                 await self._stream.receive()
-                await anyio.sleep(_TURN_PAUSE_S)
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Gives other connections their turn, only a short one where little time is left."""
+        await anyio.sleep(0 if self.session.discards_unread else _TURN_PAUSE_S)
--- a/cresstray/clients/listener.py
+++ b/cresstray/clients/listener.py
@@ -89,6 +89,16 @@
         for session in list(self.connections):
             session.close()
 
+    def discard_unread(self) -> None:
+        """After `close`, stops reading from clients that never stop sending."""
+        for session in list(self.connections):
+            session.discard_unread()
+
+    def discard_buffered_lines(self) -> None:
+        """After `discard_unread`, drops what was read and could not be handled in time."""
+        for session in list(self.connections):
+            session.discard_buffered_lines()
+
     def _accept(self, listener: socket.socket) -> bool:
         """Accepts waiting connections, up to a turn's limit; returns False if there is no room for one."""
         eviction_order = self.eviction_order()
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -113,6 +113,7 @@
         # When the connection was accepted, or later its last line, part of a line, or response.
         self.last_activity_us = registry.now_us()
         self.has_sent_request = False  # whether the client has sent a line that could be decoded
+        self.discards_unread = False  # whether the connection may end although the client is still sending
         self._buffer = LineBuffer()
         self._malformed_count = 0
         self._ignored_count = 0  # messages without effect since the last accepted request
@@ -173,9 +174,10 @@
 
     def can_read_ahead(self) -> bool:
         """Returns whether more may be read before the buffered data is handled."""
-        return (
+        has_room = (
             len(self._buffer) < _MAX_READ_AHEAD_BYTES and self._registry.buffered_bytes < _MAX_BUFFERED_BYTES
         )
+        return has_room and not self.discards_unread
 
     def is_banned(self) -> bool:
         """Returns whether the client has sent too many malformed messages.
@@ -354,6 +356,20 @@
         self._is_closing = True
         self._finish_if_done()
 
+    def discard_unread(self) -> None:
+        """Ends a connection that is being closed once its buffered lines are handled; reads no more."""
+        self.discards_unread = True
+        self._finish_if_done()
+
+    def discard_buffered_lines(self) -> None:
+        """Ends a connection that is being closed without handling its buffered lines."""
+        self._clear_buffer()
+        self._finish_if_done()
+
+    def _clear_buffer(self) -> None:
+        self._registry.buffered_bytes -= len(self._buffer)
+        self._buffer.clear()
+
     def _finish_if_done(self) -> None:
         if self._is_closing and not (self.open_requests or self.has_buffered_lines):
             self._finish()
@@ -383,8 +399,7 @@
             self.resume()
             return False
         self._is_shut_down = True
-        self._registry.buffered_bytes -= len(self._buffer)
-        self._buffer.clear()
+        self._clear_buffer()
         self._registry.on_closing(self)
         if not self._is_closing:
             self._registry.counters.add("clients silent, closed")
--- a/cresstray/gateway/shutdown.py
+++ b/cresstray/gateway/shutdown.py
@@ -57,8 +57,14 @@
         # A request accepted from here on would be sent to an engine and its answer be lost with the process.
         # Therefore no more connections are accepted, and all requests that are read are rejected.
         parts.listener.stop_listening()
-        last_seconds = _LAST_REQUESTS_SECONDS + _DISCONNECT_SECONDS
-        with anyio.move_on_after(min(last_seconds, self._seconds_until(deadline_us + _ALL_CLOSED_US))):
+        last_seconds = min(
+            _LAST_REQUESTS_SECONDS + _DISCONNECT_SECONDS, self._seconds_until(deadline_us + _ALL_CLOSED_US)
+        )
+        # Clients that never stop sending would be reset by the end of the process, and lose their answers.
+        quarter_us = int(last_seconds * 1e6) // 4
+        parts.timers.call_after(quarter_us, lambda _: parts.listener.discard_unread())
+        parts.timers.call_after(3 * quarter_us, lambda _: parts.listener.discard_buffered_lines())
+        with anyio.move_on_after(last_seconds):
             await anyio.sleep(_LAST_REQUESTS_SECONDS)
             parts.listener.close()
             if parts.worker is not None:
--- a/tests/test_client_session.py
+++ b/tests/test_client_session.py
@@ -288,6 +288,26 @@
         self.assertEqual((252, "ends once it is written"), (len(self.lines), self.lines[-1]))
         self.assertEqual((False, 0), (session.has_buffered_lines, self.registry.buffered_bytes))
 
+    def test_client_that_never_stops_sending_does_not_keep_its_connection_from_ending(self) -> None:
+        """Guards against a reset at the end of the process, which would cost the client its answers."""
+        for has_time in (True, False):
+            session = self.session()
+            session.receive(request(1) + 250 * status())
+            session.close()
+            session.fail(1)
+            session.discard_unread()
+            self.assertFalse(session.can_read_ahead())
+            self.assertNotIn("ends once it is written", self.lines)  # lines that were read are handled
+            while has_time and session.has_buffered_lines:
+                session.receive(b"")
+            if not has_time:
+                session.discard_buffered_lines()
+            self.assertEqual("ends once it is written", self.lines.pop())
+            self.assertTrue(session.can_shut_down(has_received=True))
+            self.assertEqual(250 if has_time else 99, sum("pass" in line for line in self.lines))
+            self.assertEqual(0, self.registry.buffered_bytes)
+            del self.lines[:]
+
     def test_request_followed_by_end_of_stream_is_not_accepted(self) -> None:
         session = self.session()
         session.receive(request(1) + status(), ended=True)
