--- a/cresstray/clients/client_connection.py
+++ b/cresstray/clients/client_connection.py
@@ -8,7 +8,8 @@
 from anyio.abc import TaskGroup
 
 from cresstray.clients.connection_registry import ConnectionRegistry
-from cresstray.clients.session import ClientSession, NextAction
+from cresstray.clients.ports import NextAction
+from cresstray.clients.session import ClientSession
 from cresstray.transport.streams import CONNECTION_ENDED, SocketStream
 
 # Reads before what was read is handled: the client's end of stream may follow right after a request.
--- a/cresstray/clients/connection_registry.py
+++ b/cresstray/clients/connection_registry.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable, Iterator
 
-from cresstray.clients.session import MIN_IDLE_US, ClientSession, RequestHandler
+from cresstray.clients.ports import RequestHandler
+from cresstray.clients.session import MIN_IDLE_US, ClientSession
 from cresstray.observability.counters import Counters
 
 # A client that keeps sending parts of a line is closed this long after its idle timeout. It must be closed
--- a/cresstray/clients/listener.py
+++ b/cresstray/clients/listener.py
@@ -10,7 +10,8 @@
 
 from cresstray.clients.client_connection import ClientConnection
 from cresstray.clients.connection_registry import ConnectionRegistry
-from cresstray.clients.session import ClientSession, RequestHandler
+from cresstray.clients.ports import RequestHandler
+from cresstray.clients.session import ClientSession
 from cresstray.observability.counters import Counters
 from cresstray.observability.log import Log
 from cresstray.transport.streams import faults_contained
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from enum import Enum
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from cresstray.clients import codec
 from cresstray.clients.line_buffer import LineBuffer
+from cresstray.clients.ports import NextAction, Transport
 
 if TYPE_CHECKING:
     from cresstray.clients.connection_registry import ConnectionRegistry
@@ -45,50 +45,6 @@
 MIN_IDLE_US = 300_000
 
 
-class RequestHandler(Protocol):
-    """Handles the requests of all connections. A request is identified by its session and its id there."""
-
-    def accept(self, session: ClientSession, request_id: int, query: codec.Query) -> None:
-        """Accepts a request, or responds to it at once."""
-
-    def cancel(self, session: ClientSession, request_id: int | None, name: str | None) -> None:
-        """Cancels the request of this id, or else of this name."""
-
-    def on_disconnected(self, session: ClientSession) -> None:
-        """Ends all open requests of the session: their responses can no longer be sent."""
-
-
-class Transport(Protocol):
-    """The socket that a session writes to, as implemented by `transport.streams.SocketStream`."""
-
-    unsent: bytearray  # written, and not yet accepted by the kernel
-
-    def write(self, message: bytes) -> object:
-        """Sends the message at once or later, in order."""
-
-    def write_eof_when_drained(self) -> None:
-        """Starts an orderly end.
-
-        Once all is sent, the connection reads the available data and calls `can_shut_down`.
-        """
-
-    def close(self) -> None:
-        """Closes at once."""
-
-    def has_unread(self) -> bool:
-        """Returns whether received data was not read yet."""
-
-    def has_ended(self) -> bool:
-        """Returns whether the client has closed its side, or the connection has broken."""
-
-
-class NextAction(Enum):
-    """What the connection does after it has passed in what it read."""
-
-    READ = "read on"
-    CLOSE = "close at once"
-
-
 class ClientSession:
     """One client's connection. `open_requests` holds the requests that wait for a response, by id.
 
--- a/cresstray/model_checking/lines.py
+++ b/cresstray/model_checking/lines.py
@@ -19,7 +19,8 @@
 import hiredis
 
 from cresstray.clients.connection_registry import ConnectionRegistry
-from cresstray.clients.session import ClientSession, NextAction
+from cresstray.clients.ports import NextAction
+from cresstray.clients.session import ClientSession
 from cresstray.engines.codec import EngineProtocolError
 from cresstray.engines.connection_pool import ConnectionPool, DescriptorQuota
 from cresstray.engines.connection_state import EngineConnection
--- a/tests/test_client_session.py
+++ b/tests/test_client_session.py
@@ -4,7 +4,8 @@
 from base64 import b64encode
 
 from cresstray.clients.connection_registry import ConnectionRegistry
-from cresstray.clients.session import ClientSession, NextAction
+from cresstray.clients.ports import NextAction
+from cresstray.clients.session import ClientSession
 from cresstray.engines import codec
 from cresstray.engines.codec import EngineProtocolError
 from cresstray.engines.connection_pool import ConnectionPool, DescriptorQuota
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -13,7 +13,8 @@
 
 from cresstray.clients import codec as client_codec
 from cresstray.clients.connection_registry import ConnectionRegistry
-from cresstray.clients.session import ClientSession, NextAction
+from cresstray.clients.ports import NextAction
+from cresstray.clients.session import ClientSession
 from cresstray.config import lines as conf_lines
 from cresstray.config import operator
 from cresstray.consensus import codec as consensus_codec
