--- a/cresstray/clients/line_buffer.py
+++ b/cresstray/clients/line_buffer.py
@@ -65,7 +65,7 @@
         self.dropped_bytes += held_bytes - len(self.data)
 
     def drop_partial_line(self) -> None:
-        """Drops the partial line, also what is still to be received of it."""
+        """Drops the partial line, also the part of it that is still to be received."""
         del self.data[len(self.data) - self.partial_line_bytes() :]
         self.dropped_bytes = 0
         self._is_skipping_line = True
--- a/cresstray/clients/listener.py
+++ b/cresstray/clients/listener.py
@@ -91,7 +91,7 @@
             session.close()
 
     def discard_unread(self) -> None:
-        """After `close`, stops reading from clients that never stop sending."""
+        """After `close`, stops reading ahead, so that clients that never stop sending are ended too."""
         for session in list(self.connections):
             session.discard_unread()
 
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -212,8 +212,8 @@
     def shorten_partial_line(self) -> None:
         """Drops the statement of a request that is not complete yet: it is too long, or the buffers are full.
 
-        The request is rejected once its line is complete, so it is answered whoever has filled the buffers. A
-        line that stays long without its strings is no request: it is dropped, and the client banned.
+        The request is answered once its line is complete, whoever has filled the buffers. A line that stays
+        long without its strings is no request: it is dropped, and the client banned.
         """
         buffered_bytes = len(self._buffer)
         self._buffer.shorten_partial_line()
@@ -313,7 +313,7 @@
         self._finish_if_done()
 
     def discard_unread(self) -> None:
-        """Ends a connection that is being closed once its buffered lines are handled; reads no more."""
+        """Ends a connection that is being closed once its buffered lines are handled; reads no further."""
         self.discards_unread = True
         self._finish_if_done()
 
