Count a crossing's time left from when it was sent, not from its arrival

Cause: the far gateway counted the time left from the frame's arrival; and the near one answered before the deadline where no answer could come in time, though the frame could still be on its way.

Change: ForwardRequest says how long the acknowledged heartbeat was held, so that the far gateway knows the frame's greatest age, without clocks, and takes it off the time left. A hopeless crossing is withdrawn at once and answered when that is confirmed, or at the deadline, unless it is known to be sent.

--- a/cresstray/sites/codec.py
+++ b/cresstray/sites/codec.py
@@ -96,15 +96,17 @@
     """Forwards one request.
 
     Attributes:
-        acknowledged: The number of the last heartbeat received from the remote gateway. It limits how old
-            this frame can be, independently of the clocks.
-        remaining_us: The time until the request's deadline.
+        acknowledged: The number of the last heartbeat received from the remote gateway. With `held_us` it
+            limits how old this frame can be, independently of the clocks.
+        remaining_us: The time until the request's deadline, from when the frame was made.
         max_queue_us: How long the remote gateway may queue the request.
         max_send_delay_us: The request may be sent to an engine within this time only; 0: at any time.
         table_group: The group of tables that the statement reads or writes.
         previous_attempts: Attempts made before this one; the remote gateway may make one.
         is_lease_bound: Whether the remote gateway cancels the request when the lease expires. The forwarding
             gateway may then retry it elsewhere.
+        held_us: The time since the acknowledged heartbeat was received. Earlier builds do not send it; the
+            frame then appears older than it is, by less than a heartbeat interval.
     """
 
     kind = 4
@@ -123,6 +125,7 @@
     previous_attempts: _Number
     is_lease_bound: bool
     statement: Annotated[bytes, msgspec.Meta(min_length=1)]
+    held_us: _DurationUs = 0
 
     @property
     def timeout_ms(self) -> float:
--- a/cresstray/sites/health.py
+++ b/cresstray/sites/health.py
@@ -111,7 +111,11 @@
         """Returns our next number, the last number received, and how long ago that was received."""
         self._sent_number += 1
         self._unacknowledged.append((self._sent_number, now_us))
-        return self._sent_number, self.received_number, max(0, now_us - self.received_us)
+        return self._sent_number, self.received_number, self.held_us(now_us)
+
+    def held_us(self, now_us: int) -> int:
+        """Returns how long ago the other side's last heartbeat was received."""
+        return max(0, now_us - self.received_us)
 
     def on_frame(self, now_us: int) -> None:
         """Notes that a frame of any kind was received."""
@@ -167,6 +171,17 @@
             return self.acknowledged_sent_us
         return next((sent_us for sent, sent_us in self._unacknowledged if sent == number), None)
 
+    def max_age_us(self, acknowledged: int, held_us: int, now_us: int) -> int | None:
+        """Returns how long ago a frame that arrives now can have been made at most.
+
+        Independently of the clocks, the frame was made `held_us` after the other side had received our
+        heartbeat `acknowledged`, hence at least `held_us` after we sent that.
+
+        Returns None if that heartbeat was never sent, or is too old.
+        """
+        sent_us = self.heartbeat_sent_us(acknowledged)
+        return None if sent_us is None else max(0, now_us - sent_us - held_us)
+
     def update_state(self, now_us: int) -> LinkState:
         """Updates and returns the state; a late heartbeat or acknowledgement makes the link suspected."""
         if self.state is LinkState.DISCONNECTED:
--- a/cresstray/sites/inbound.py
+++ b/cresstray/sites/inbound.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from cresstray.observability.counters import Counters
+from cresstray.policy.deadlines import ATTEMPT_MARGIN_US
 from cresstray.policy.types import NOT_EXECUTED, Outcome
 from cresstray.sites import codec
 from cresstray.sites.codec import FramingError
@@ -149,7 +150,7 @@
     # Frames of the forwarding gateway.
 
     def _on_forward_request(self, frame: codec.ForwardRequest, now_us: int) -> None:
-        sent_us = self._health.heartbeat_sent_us(frame.acknowledged)
+        max_age_us = self._health.max_age_us(frame.acknowledged, frame.held_us, now_us)
         self._health.acknowledge(frame.acknowledged)
         self.last_request_us = now_us
         inbound = self.ledger.add(frame.number, len(frame.statement))
@@ -162,14 +163,17 @@
             or self.ledger.size_bytes > self._max_bytes * 3 // 2 + codec.MAX_FRAME_BYTES
         ):
             raise FramingError("more is offered than there is credit for")
-        # Independently of the network's delay, the frame was sent after the heartbeat that it acknowledges.
-        if frame.max_send_delay_us and (sent_us is None or now_us - sent_us > frame.max_send_delay_us):
+        if max_age_us is None or 0 < frame.max_send_delay_us < max_age_us:
             self._reject(inbound, "it came too late to be sent", 0)
         elif self._paused_us():
             self._reject(inbound, "nothing is taken here now", _RETRY_AFTER_US)
-        elif not frame.remaining_us:
+        elif frame.remaining_us - max_age_us <= ATTEMPT_MARGIN_US:
+            # Rejected here, as the pipeline's rejection would be taken for a lack of capacity.
             self._reject(inbound, "its time is over", 0)
         else:
+            # The client is answered at its deadline, however late the frame is. `max_age_us` includes the way
+            # of the heartbeat, and so allows for the way of the answer.
+            frame.remaining_us -= max_age_us
             self._counters.add("crossings taken")
             inbound.is_lease_bound = frame.is_lease_bound
             self._wake()  # from now on its lease is checked
--- a/cresstray/sites/outbound.py
+++ b/cresstray/sites/outbound.py
@@ -203,11 +203,24 @@
                 len(request.attempts) - 1,
                 is_lease_bound,
                 query.statement,
+                self._health.held_us(now_us),
             )
         )
         self._counters.add("crossings offered")
         return forwarded
 
+    def _give_up(self, forwarded: ForwardedRequest) -> None:
+        """Ends a request that the remote gateway can no longer answer in time.
+
+        Unless it is known to be sent to an engine, it may still be on its way there, and the cancellation
+        arrives no sooner. Its client is therefore answered only when the remote gateway has confirmed the
+        cancellation, or at the deadline, after which the remote gateway sends nothing.
+        """
+        if forwarded.state is ForwardingState.SENT:
+            self._listener.on_deadline_unreachable(forwarded)
+        else:
+            self.abandon(forwarded)
+
     def abandon(self, forwarded: ForwardedRequest) -> bool:
         """Asks the remote gateway to cancel the request; it may still run until that is confirmed.
 
@@ -361,7 +374,7 @@
                 request, forwarded.state is ForwardingState.SENT, now_us
             ):
                 self._counters.add("crossings hopeless")
-                self._listener.on_deadline_unreachable(forwarded)
+                self._give_up(forwarded)
         self._report_state(now_us)
         return not self._health.is_dead(now_us)
 
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -48,7 +48,9 @@
     def start(self, in_flight: object) -> None:
         in_flight.connection, in_flight.is_written = self, True
         self.open[in_flight.name.decode()] = in_flight
-        self.gateway.world.runs.append((in_flight.name.decode(), self.name))
+        world = self.gateway.world
+        world.runs.append((in_flight.name.decode(), self.name))
+        world.run_started_us[in_flight.name.decode()] = world.clocks[0].time_us
         self.gateway.world.say(f"{self.name} runs {self.gateway.world.names[in_flight.name.decode()]}")
 
     def abandon(self, in_flight: object) -> bool:
@@ -95,6 +97,7 @@
         context = self.open_requests.pop(number)
         name = self._gateway.world.names[context.query.name]
         self.answers.setdefault(name, []).append(answer)
+        self._gateway.world.answered_us[context.query.name] = self._gateway.world.clocks[0].time_us
         self._gateway.world.say(f"{self._gateway.site} answers {name}: {answer}")
 
     def succeed(self, number: int, result: bytes, replica_position: str | None = None) -> None:
@@ -188,8 +191,11 @@
         self.lines: list[str] = []
         self.names: dict[str, str] = {}  # the labels of requests, by name
         self.runs: list[tuple[str, str]] = []  # the request's name and the engine's
+        self.run_started_us: dict[str, int] = {}  # when the last run began, by the request's name
+        self.answered_us: dict[str, int] = {}  # when the client was answered, by the request's name
         self.rejected_runs: dict[str, int] = {}  # runs that an engine rejected as overloaded
         self._trace, self.delay_us, self.is_connected = trace, delay_us, False
+        self.delay_back_us: int | None = None  # of the way from hall-b to hall-a; None: as the other way
         self.silenced: set[str] = set()  # directions that deliver nothing: "there", "back"
         self.there: deque[tuple[int, bytes]] = deque()  # from hall-a to hall-b
         self.back: deque[tuple[int, bytes]] = deque()  # from hall-b to hall-a
@@ -283,8 +289,10 @@
         self.inbound.on_disconnected()
 
     def _transmit(self, queue: deque, data: bytes) -> None:
+        is_back = queue is self.back and self.delay_back_us is not None
+        delay_us = self.delay_back_us if is_back else self.delay_us
         if self.is_connected:
-            queue.append((self.clocks[0].time_us + self.delay_us, data))
+            queue.append((self.clocks[0].time_us + delay_us, data))
 
     def _deliver(self) -> None:
         from cresstray.sites.codec import FramingError
