Count a crossing that the far engine refuses as an attempt on links of any delay

Callers saw: three further attempts in five seconds where two are set. Cause: a Sent waits for the link's write delay (round trips of 10 ms and more) and is dropped if the request ends meanwhile; the Failed that follows says only that nothing ran, which the near gateway took for never sent. Change: a Failed of what was sent and did not run comes behind a Sent, also when it is sent again after a reconnect.

--- a/cresstray/sites/inbound.py
+++ b/cresstray/sites/inbound.py
@@ -225,7 +225,7 @@
         """Reports that the request is sent to an engine."""
         inbound = self.ledger.open.get(number)
         if inbound is not None and inbound.state is ForwardingState.ACCEPTED:
-            inbound.state, inbound.may_have_executed = ForwardingState.SENT, True
+            inbound.state, inbound.may_have_executed, inbound.was_sent = ForwardingState.SENT, True, True
             delay_us = self.write_delay_us()
             if delay_us:
                 # The request may end before this frame would be written, and its outcome implies it.
@@ -307,6 +307,10 @@
         elif inbound.retry_after_us:
             self._send(codec.Rejected(inbound.number, inbound.retry_after_us, inbound.reason))
         else:
+            if inbound.was_sent:
+                # Only this tells the forwarding gateway that an engine got the request, which makes it an
+                # attempt. The frame may still have waited for its write delay, or have been lost.
+                self._send(codec.Sent(inbound.number))
             self._send(codec.Failed(inbound.number, False, inbound.reason))
 
     def _send_pages(self, inbound: InboundRequest) -> None:
--- a/cresstray/sites/ledger.py
+++ b/cresstray/sites/ledger.py
@@ -152,6 +152,7 @@
     __slots__ = (
         "number",
         "state",
+        "was_sent",
         "may_have_executed",
         "reason",
         "pages",
@@ -167,6 +168,7 @@
     def __init__(self, number: int, size_bytes: int) -> None:
         self.number, self.size_bytes = number, size_bytes
         self.state = ForwardingState.ACCEPTED
+        self.was_sent = False  # to an engine, whatever became of it there
         self.may_have_executed, self.reason, self.retry_after_us = False, "", 0
         self.is_lease_bound = True  # cancelled when the lease expires
         self.is_cancelled = False  # cancelled while its attempt has no outcome yet
--- a/tests/test_halls.py
+++ b/tests/test_halls.py
@@ -198,6 +198,26 @@
         world.run(3000)
         self.check_world("halls_no_way_back", world)
 
+    def test_attempt_that_the_remote_engine_refuses_counts_on_links_of_any_delay(self) -> None:
+        """Guards against a refusal that overtakes the notice of the attempt, which then counts for none."""
+        for delay_us in (1_000, 5_000, 20_000, 100_000):
+            for is_cut in (False, True):
+                with self.subTest(delay_us=delay_us, is_cut=is_cut):
+                    world = TwoSites(trace=False, delay_us=delay_us)
+                    world.establish_link()
+                    world.a.submit("refused", "lookup")
+                    while not world.b.fake_engines[0].open:
+                        world.run(1)
+                    world.b.fake_engines[0].answer(world.name("refused"), b"overload")
+                    if is_cut:
+                        world.disconnect()
+                        world.run(100)
+                        world.connect()
+                    world.run(3 * delay_us / 1000 + 200)
+                    counts = world.a.counters.counts
+                    self.assertEqual(1, counts["attempts overloaded"], counts)
+                    self.assertEqual(0, counts["attempts expired before send"], counts)
+
     def test_request_is_closed_when_cancellation_and_answer_are_in_transit_together(self) -> None:
         """The client cancels just before or just after the answer arrives, or while the request runs."""
         world = TwoSites()
