Record which process of a gateway's name may hold a lease

Seen in review: after a new leader is elected, the first process that renews under a gateway's name gets the lease, though another may hold one from the leader before. Cause: the lease table is the leader's own; the next one starts without holders.

Change: before a process gets its first lease, a log entry names it as the holder; a new leader grants to nobody else of that name until a lease is over since its election. Answers to renewals moved out of NodeController into RenewalHandler.

--- a/cresstray/control_plane/node_controller.py
+++ b/cresstray/control_plane/node_controller.py
@@ -23,6 +23,7 @@
 from cresstray.fleet_config import commands
 from cresstray.fleet_config.codec import ReplicaPositions
 from cresstray.fleet_config.leases import LeaseTable
+from cresstray.fleet_config.renewals import PendingRenewal, RenewalHandler
 from cresstray.fleet_config.state import ConfigState, ConfigUpdates
 from cresstray.observability.counters import Counters
 from cresstray.transport.framing import Frame, FramingError, encode_frame
@@ -130,11 +131,11 @@
         self.pending_proposals: dict[int, tuple[int, Callable[[bytes | None], None]]] = {}
         # Index to have applied, and callback.
         self._pending_reads: list[tuple[int, Callable[[bool], None]]] = []
-        self._pending_renewals: list[tuple[Callable[[Frame], None], str, config_codec.RenewLease]] = []
+        self._renewals = RenewalHandler(
+            leases, state, lambda data, callback: self.propose(data, callback, self.now_us)
+        )
         self.now_us = now_us
         self._ready_term = 0  # the term that this node leads, once it has applied all earlier ones
-        # By departed gateway: the term in which its departure was proposed.
-        self._departure_terms: dict[str, int] = {}
         self._proposed_turn = (0, 0)  # term and turn
         # By the turn that a gateway has: the turn that the updates start from, and the encoded frames.
         self._updates_by_turn: dict[int, tuple[int, list[bytes]]] = {}
@@ -247,7 +248,7 @@
             peer.turn = frame.turn
             self._push_config_to(peer)
         if self.node.role is Role.LEADER:
-            self._pending_renewals.append((peer.link.put, peer.name, frame))
+            self._renewals.add(PendingRenewal(peer.link.put, peer.name, frame))
         elif not self._forward(peer, frame):
             peer.link.put(config_codec.LeaseRefused(frame.number, self.state.turn, "no leader"))
 
@@ -277,7 +278,7 @@
             if role != "gateway":
                 raise FramingError(f"a renewal forwarded for {frame.origin!r}")
             if self.node.role is Role.LEADER:
-                self._pending_renewals.append((reply, name, inner))
+                self._renewals.add(PendingRenewal(reply, name, inner))
             else:
                 reply(config_codec.LeaseRefused(inner.number, self.state.turn, "no leader"))
             return
@@ -368,6 +369,8 @@
         self._log_role_changes()
         if self._full_copy_queue:
             due_times_us.append(now_us + 20_000)
+        if self._renewals.has_pending:  # their holder was recorded only now
+            due_times_us.append(now_us)
         if self._ready_term and self.state.pending_turn() is not None:
             due_times_us.append(self.leases.next_expiry_us(self.state, now_us) or now_us + self.settings.beat)
         return max(now_us, min(due_times_us))
@@ -438,7 +441,7 @@
             if not node.has_leader_lease(now_us) or self.applied_index < node.commit_index:
                 return
             self._ready_term = node.term
-            self._departure_terms.clear()
+            self._renewals.on_elected()
             self.leases.on_elected(self.state.counting_gateways(), node.elected_at_us)
         turn = self.state.pending_turn()
         if turn is None or self._proposed_turn == (node.term, turn):
@@ -448,30 +451,7 @@
                 self._proposed_turn = (node.term, turn)
 
     def _answer_renewals(self, now_us: int) -> None:
-        renewals, self._pending_renewals = self._pending_renewals, []
-        is_ready_leader = self.is_ready_leader(now_us)
-        for reply, name, frame in renewals:
-            if self._ready_term != self.node.term:
-                reply(config_codec.LeaseRefused(frame.number, self.state.turn, "no leader"))
-                continue
-            reply(
-                self.leases.renew(
-                    name,
-                    frame.number,
-                    frame.turn,
-                    self.state,
-                    is_ready_leader,
-                    now_us,
-                    frame.incarnation,
-                    frame.has_stopped,
-                )
-            )
-            if (
-                self.leases.has_departed(name, self.state)
-                and self._departure_terms.get(name) != self.node.term
-            ):
-                self._departure_terms[name] = self.node.term
-                self.propose(commands.encode_departed(name), lambda _: None, now_us)
+        self._renewals.answer(self._ready_term == self.node.term, self.is_ready_leader(now_us), now_us)
 
     # Configuration and positions for peers.
 
--- a/cresstray/fleet_config/commands.py
+++ b/cresstray/fleet_config/commands.py
@@ -57,7 +57,14 @@
     data: bytes
 
 
-Command = ProposeChange | AdvanceTurn | RemoveDeparted | SectionCommand
+class RecordLeaseHolder(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """States which process of a gateway may be granted leases from here on."""
+
+    gateway: _Name
+    incarnation: _Name
+
+
+Command = ProposeChange | AdvanceTurn | RemoveDeparted | SectionCommand | RecordLeaseHolder
 
 encode = msgspec.msgpack.Encoder(order="sorted").encode
 _decode_command = msgspec.msgpack.Decoder(Command).decode
@@ -109,3 +116,8 @@
 def encode_section_command(name: str, request: str, data: bytes) -> bytes:
     """Encodes a command of the section `name` as a log entry."""
     return encode(SectionCommand(name, request, data))
+
+
+def encode_lease_holder(gateway: str, incarnation: str) -> bytes:
+    """Encodes as a log entry that leases of this name are granted to this process from here on."""
+    return encode(RecordLeaseHolder(gateway, incarnation))
--- a/cresstray/fleet_config/leases.py
+++ b/cresstray/fleet_config/leases.py
@@ -1,6 +1,7 @@
 """The leader's table of leases: which gateway may act at which turn, and until when.
 
-The table is not replicated; a new leader starts with an empty one.
+The table is not replicated; a new leader starts with an empty one. What is replicated is to which process of
+each gateway leases were last granted (`ConfigState.lease_holders`), recorded before the first grant.
 """
 
 from __future__ import annotations
@@ -84,8 +85,9 @@
     ) -> Frame:
         """Returns the reply to a renewal.
 
-        The turn that the gateway reports is recorded even if it gets no lease. `is_leader` says that this
-        node leads and has applied all entries up to the first one of its own term.
+        The turn that the gateway reports is noted even if it gets no lease. `is_leader` says that this
+        node leads and has applied all entries up to the first one of its own term. Where `must_record` is
+        true, the process must be recorded as the holder first.
         """
         if not is_leader:
             return LeaseRefused(number, state.turn, "no leader")
@@ -94,9 +96,7 @@
         if gateway not in state.counting_gateways():
             return LeaseRefused(number, state.turn, NOT_NAMED)
         holder = self._holders.setdefault(gateway, self._new_holder())
-        # Two processes with one name would each use that name's share of the engines, so the second one gets
-        # no lease until the first one's has expired.
-        if holder.incarnation and incarnation != holder.incarnation and now_us < holder.lease_until_us:
+        if self._is_held_by_another(gateway, incarnation, state, now_us):
             return LeaseRefused(number, state.turn, "another of that name has a lease")
         if incarnation != holder.incarnation:
             holder.incarnation = incarnation
@@ -113,6 +113,29 @@
         holder.fallback_until_us = max(holder.fallback_until_us, now_us + self._fallback_lease_us)
         return LeaseGranted(number, turn)
 
+    def must_record(self, gateway: str, incarnation: str, turn: int, state: ConfigState, now_us: int) -> bool:
+        """Returns whether a renewal would be granted to a process that is not recorded as the holder yet.
+
+        A later leader would not know that this process has a lease.
+        """
+        return (
+            bool(incarnation)
+            and state.lease_holders.get(gateway) != incarnation
+            and turn == state.turn
+            and gateway in state.named_gateways()
+            and not self._is_held_by_another(gateway, incarnation, state, now_us)
+        )
+
+    def _is_held_by_another(self, gateway: str, incarnation: str, state: ConfigState, now_us: int) -> bool:
+        """Returns whether another process of this name may have an unexpired lease.
+
+        Two processes with one name would each use that name's share of the engines. Until a process has
+        renewed with this leader, the recorded one may have a lease that an earlier leader granted.
+        """
+        holder = self._holders.get(gateway) or self._new_holder()
+        owner = holder.incarnation or state.lease_holders.get(gateway, "")
+        return bool(owner) and incarnation != owner and now_us < holder.lease_until_us
+
     def has_departed(self, gateway: str, state: ConfigState) -> bool:
         """Returns whether a departed gateway has reported that it stopped at a turn without it."""
         holder = self._holders.get(gateway)
--- a/cresstray/fleet_config/state.py
+++ b/cresstray/fleet_config/state.py
@@ -22,6 +22,7 @@
     AdvanceTurn,
     CommandResult,
     ProposeChange,
+    RecordLeaseHolder,
     RemoveDeparted,
     SectionCommand,
     decode_command,
@@ -95,14 +96,21 @@
     sections: dict[str, bytes]
 
 
-_decode_snapshot = msgspec.msgpack.Decoder(_Snapshot).decode
+class _SnapshotWithHolders(_Snapshot):
+    """Earlier builds ignore the further field, and it is left out while it is empty."""
+
+    lease_holders: dict[str, str] = {}
+
+
+_decode_snapshot = msgspec.msgpack.Decoder(_SnapshotWithHolders).decode
 
 
 class ConfigState:
     """The configuration state of one node.
 
     `turn` is twice the version in force, plus one while a change is joint. `effective` are the documents that
-    apply at this turn.
+    apply at this turn. `lease_holders` has, by gateway, the incarnation of the process that leases were last
+    granted to.
     """
 
     def __init__(
@@ -119,6 +127,7 @@
         self._results = ResultCache()
         self._history = ChangeHistory()
         self._turn_deltas = TurnDeltas()
+        self.lease_holders: dict[str, str] = {}
 
     @property
     def latest(self) -> Documents:
@@ -163,6 +172,8 @@
             return encode(self._advance(command.turn))
         if isinstance(command, RemoveDeparted):
             return encode(self._remove_departed(command))
+        if isinstance(command, RecordLeaseHolder):
+            return encode(self._record_lease_holder(command))
         return self._apply_section_command(command)
 
     def _apply_proposal(self, command: ProposeChange) -> bytes:
@@ -251,6 +262,12 @@
         self._accept(content, "", "", command.reason or f"{command.gateway} is out", ())
         return CommandResult(True, content.version)
 
+    def _record_lease_holder(self, command: RecordLeaseHolder) -> CommandResult:
+        if command.gateway not in self._counting:
+            return CommandResult(False, self.version, [f"{command.gateway} is not counted"])
+        self.lease_holders[command.gateway] = command.incarnation
+        return CommandResult(True, self.version)
+
     def _accept(
         self, content: ContentVersion, request: str, author: str, reason: str, names: tuple[str, ...]
     ) -> None:
@@ -292,6 +309,8 @@
             named |= set(self._pending[0].documents.gateways.items)
         self._named = frozenset(named)
         self._counting = self._named | self.departed_gateways
+        for name in self.lease_holders.keys() - self._counting:
+            del self.lease_holders[name]
 
     def _joint_documents(self) -> Documents:
         old = self._in_force
@@ -367,9 +386,10 @@
             contents.append((content.version, delta, sorted(content.departed_gateways), content.min_divisor))
             before = content.documents
         sections = {name: self.sections[name].snapshot() for name in sorted(self.sections)}
-        return encode(
-            _Snapshot(self.is_joint, contents, self._results.items(), self._history.entries(), sections)
-        )
+        fields = (self.is_joint, contents, self._results.items(), self._history.entries(), sections)
+        if not self.lease_holders:
+            return encode(_Snapshot(*fields))
+        return encode(_SnapshotWithHolders(*fields, dict(sorted(self.lease_holders.items()))))
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by that of a snapshot.
@@ -388,6 +408,7 @@
         self._pending = deque(contents[1:])
         self.turn = 2 * self._in_force.version + snapshot.is_joint
         self.effective = self._joint_documents() if snapshot.is_joint else self._in_force.effective()
+        self.lease_holders = dict(snapshot.lease_holders)
         self._update_names()
         self._results = ResultCache(snapshot.results)
         self._history = ChangeHistory(snapshot.history)
--- a/cresstray/model_checking/properties.py
+++ b/cresstray/model_checking/properties.py
@@ -18,5 +18,6 @@
     "one_crossing": "A submission crosses to another hall once at the most.",
     "credit": "Credit between halls is never negative, and none is lost.",
     "belief": "Nothing goes to what is known gone, nothing that may run once to what is on trial.",
+    "one_holder": "Of the processes with one gateway's name, one at the most has a lease.",
     "sound": "No assertion fails, and no exception leaves the code.",
 }
--- a/tests/test_check_worlds.py
+++ b/tests/test_check_worlds.py
@@ -1,16 +1,16 @@
-"""The worlds of what is kept and of marks in a store: counts as kept, broken variants on their schedules."""
+"""Worlds of snapshots, marks in a store and leases: counts as kept, broken variants on their schedules."""
 
 from __future__ import annotations
 
 import random
 import unittest
 
-from cresstray.model_checking import beliefs, marked
+from cresstray.model_checking import beliefs, lease_holders, marked
 from cresstray.model_checking.explore import explore, replay, walk
 from cresstray.model_checking.world import Bounds, freeze, thaw
 
-CONFIGURATIONS = beliefs.CONFIGURATIONS | marked.CONFIGURATIONS
-MUTANTS = {one.name: one for one in beliefs.MUTANTS + marked.MUTANTS}
+CONFIGURATIONS = beliefs.CONFIGURATIONS | marked.CONFIGURATIONS | lease_holders.CONFIGURATIONS
+MUTANTS = {one.name: one for one in beliefs.MUTANTS + marked.MUTANTS + lease_holders.MUTANTS}
 
 # States, transitions, depth, and whether nothing was cut.
 EXPLORED = (
@@ -21,6 +21,8 @@
     ("marks", {"faults": 0, "leaves": 0}, (1084, 1214, 16, True)),
     ("marks", {"leaves": 0, "depth": 10}, (3238, 4032, 10, False)),
     ("marks", {"depth": 5, "submissions": 3, "words": 1}, (722, 971, 5, False)),
+    ("holders", {"submissions": 1}, (2304, 4811, 10, True)),
+    ("holders", {"words": 1}, (3457, 9488, 12, True)),
 )
 TWICE = "g1 is asked, store does g1/0, g1 sends, engines cut off g1, store does g1/0, time passes, "
 # A schedule that shows each, the shortest but for `fence_ignored`, and the bounds that it needs.
@@ -95,6 +97,20 @@
         {"submissions": 3},
     ),
     "asked_until_the_hard_stop": ("g1 is asked, time passes", {}),
+    "holder_known_to_one_leader_only": (
+        "a renews, leader hears a, b renews, log commits, a hears, leader changes, leader hears b, "
+        "log commits, b hears",
+        {},
+    ),
+    "granted_before_it_is_recorded": (
+        "a renews, leader hears a, a hears, b renews, leader changes, leader hears b, b hears",
+        {},
+    ),
+    "granted_while_another_is_recorded": (
+        "a renews, a renews, b renews, leader hears b, leader hears a, log commits, b hears, "
+        "leader changes and keeps the log, leader hears a, a hears",
+        {},
+    ),
     "memory_without_its_margin": (TWICE + "g1 is asked, store does g1/0, time passes, g1 sends", {}),
 }
 
--- a/tests/test_fleet_rules.py
+++ b/tests/test_fleet_rules.py
@@ -31,6 +31,7 @@
     decode_result,
     encode_advance,
     encode_departed,
+    encode_lease_holder,
     encode_proposal,
     encode_section_command,
 )
@@ -46,6 +47,7 @@
     to_plain,
 )
 from cresstray.fleet_config.leases import NOT_NAMED, LeaseTable
+from cresstray.fleet_config.renewals import PendingRenewal, RenewalHandler
 from cresstray.fleet_config.state import ConfigState
 from cresstray.fleet_config.strictest import gateway_divisor, strictest
 from cresstray.fleet_config.validation import validation_errors
@@ -636,6 +638,92 @@
                 self.assertEqual([] if row["may"] else ["g3"], table.blocking_gateways(state, now_us))
 
 
+class LeaseHolderTest(unittest.TestCase):
+    """Processes with one gateway's name, and leaders that follow one another."""
+
+    def setUp(self) -> None:
+        self.now_us = 10_000_000
+        self.state = state_with_gateways("g1 g2")
+        self.proposals: list[tuple[bytes, Any]] = []
+        self.replies: list[str] = []
+        self.elect()
+
+    def elect(self) -> None:
+        """A new leader, which knows what is committed."""
+        leases = LeaseTable(LEASE_US, FALLBACK_LEASE_US, DRIFT)
+        leases.on_elected(self.state.counting_gateways(), self.now_us)
+        self.handler = RenewalHandler(leases, self.state, self.propose)
+
+    def propose(self, data: bytes, callback: Any) -> bool:
+        self.proposals.append((data, callback))
+        return True
+
+    def commit(self) -> None:
+        data, callback = self.proposals.pop(0)
+        callback(self.state.apply(0, data))
+        self.handler.answer(True, True, self.now_us)
+
+    def renew(self, incarnation: str) -> None:
+        def reply(frame: Any) -> None:
+            self.replies.append(
+                f"{incarnation} {type(frame).__name__} {getattr(frame, 'reason', '')}".strip()
+            )
+
+        frame = RenewLease(1, self.state.turn, incarnation)
+        self.handler.add(PendingRenewal(reply, "g1", frame))
+        self.handler.answer(True, True, self.now_us)
+
+    def assert_replies(self, *replies: str) -> None:
+        self.assertEqual(list(replies), self.replies)
+        self.replies.clear()
+
+    def test_new_leader_grants_no_lease_beside_one_that_an_earlier_leader_granted(self) -> None:
+        """Guards against two processes of one name with a lease after a change of the leader."""
+        self.renew("first")
+        self.assert_replies()  # until it is recorded
+        self.commit()
+        self.assert_replies("first LeaseGranted")
+        self.elect()
+        self.renew("second")
+        self.assert_replies("second LeaseRefused another of that name has a lease")
+        self.renew("first")
+        self.assert_replies("first LeaseGranted")
+        self.now_us += LEASE_US * 102 // 100
+        self.elect()
+        self.now_us += LEASE_US * 102 // 100
+        self.renew("second")
+        self.commit()
+        self.renew("first")
+        self.assert_replies("second LeaseGranted", "first LeaseRefused another of that name has a lease")
+
+    def test_no_process_of_a_name_is_granted_a_lease_while_another_is_recorded(self) -> None:
+        self.renew("first")
+        self.renew("second")
+        self.assert_replies("second LeaseRefused the holder of its lease is being recorded")
+        _, callback = self.proposals.pop()
+        callback(None)
+        self.assert_replies("first LeaseRefused no leader")
+        self.renew("second")
+        self.commit()
+        self.assert_replies("second LeaseGranted")
+
+    def test_snapshot_has_the_holders_of_counted_gateways_and_earlier_builds_read_it(self) -> None:
+        for name in ("g1", "g2", "unknown"):
+            self.state.apply(0, encode_lease_holder(name, f"process of {name}"))
+        expected = {"g1": "process of g1", "g2": "process of g2"}
+        self.assertEqual(expected, self.state.lease_holders)
+        snapshot = self.state.snapshot()
+        msgspec.msgpack.decode(snapshot, type=state_module._Snapshot)  # as earlier builds do
+        restored = ConfigState(INVENTORY)
+        restored.restore(snapshot)
+        self.assertEqual((expected, snapshot), (restored.lease_holders, restored.snapshot()))
+        propose(self.state, gateways=gateway_list("g1"))
+        advance(self.state, 2)
+        self.state.apply(0, encode_departed("g2"))
+        advance(self.state, 2)
+        self.assertEqual({"g1": "process of g1"}, self.state.lease_holders)
+
+
 class ConfigAdmissionRulesTest(unittest.TestCase):
     """What the admission rules answer for the configuration in effect."""
 
--- a/tests/test_fleet_virtual.py
+++ b/tests/test_fleet_virtual.py
@@ -287,7 +287,7 @@
         """Of five clients that read and set one register, each through any keeper."""
         for seed, given in enumerate((REGISTER, MIXED | {"clients": 5, "gateways": 3, "moves": 0.3})):
             with self.subTest(seed=seed):
-                world = played(Plan(seed=seed, **SMALL | given), 12)
+                world = played(Plan(seed=seed, **SMALL | given), 14)
                 self.assertEqual({}, world.broken)
                 self.assertGreater(sum(one[-1] is True for one in world.noted), 20)
                 self.assertGreater(len(world.noted), 100)
