Elect a leader, and keep it, where a sync takes longer than the election timeout

Cause: a keeper does nothing else while it syncs; where that outlasts its election timer, each voter stands for election before it reads what has arrived, and a leader steps down at its first write.

Change: syncs, and rounds that are late by a heartbeat, do not count as the leader's silence; members wait longer by two of the longest syncs of late. Votes and leases go by the election timeout alone, as before.

--- a/cresstray/consensus/node_state.py
+++ b/cresstray/consensus/node_state.py
@@ -17,6 +17,12 @@
 _MAX_ROUNDS = 2_048
 
 
+# A round waits for the sync of the sender and for that of the receiver.
+_SYNCS_IN_A_ROUND = 2
+# The longest sync counts in full up to this, for so long, and less with each shorter one that follows it.
+_MAX_SYNC_US, _SYNC_MEMORY_US, _SYNC_DECAY_PERCENT = 1_000_000, 600_000_000, 90
+
+
 class Role(Enum):
     """A node's role in its term."""
 
@@ -68,6 +74,7 @@
         self._applied_index = state.snapshot.index
         self._restored_snapshot: Snapshot | None = state.snapshot if state.snapshot.index else None
         self.elected_at_us = 0
+        self._sync_us, self._synced_at_us = 0, now_us  # the longest of the recent syncs, and the last one
         # A restarted node may have heard from a leader just before, whose lease relies on its not voting.
         self._leader_contact_at_us = now_us
         self._reset_election_timer(now_us)
@@ -96,11 +103,34 @@
         """The latest members in the log, committed or not; majorities are counted among them."""
         return self._log.members
 
+    def on_stalled(self, duration_us: int) -> None:
+        """Notes for how long the caller delivered no messages, so that the leader only seems to be silent."""
+        self._election_due_us += duration_us
+
+    def on_synced(self, duration_us: int) -> None:
+        """Notes how long the last pending write took, during which the caller delivered no messages.
+
+        The disks of other members are taken to be alike: silence counts only beyond what syncs take.
+        """
+        self.on_stalled(duration_us)
+        earlier_us = self._remembered_sync_us() * _SYNC_DECAY_PERCENT // 100
+        self._sync_us = max(min(duration_us, _MAX_SYNC_US), earlier_us)
+        self._synced_at_us = self._now_us
+
+    def _remembered_sync_us(self) -> int:
+        return self._sync_us if self._now_us - self._synced_at_us < _SYNC_MEMORY_US else 0
+
+    def _patience_us(self) -> int:
+        """Returns for how long another member may be silent before it is taken to have failed.
+
+        Only availability depends on it: votes and leases go by the election timeout itself.
+        """
+        return self._timing.election_timeout_us + _SYNCS_IN_A_ROUND * self._remembered_sync_us()
+
     def _reset_election_timer(self, now_us: int) -> None:
         """Restarts the election timer, randomized so that voters seldom start elections together."""
-        self._election_due_us = (
-            now_us + self._timing.election_timeout_us + int(self._random() * self._timing.election_timeout_us)
-        )
+        patience_us = self._patience_us()
+        self._election_due_us = now_us + patience_us + int(self._random() * patience_us)
 
     def _enter_term(self, term: int) -> None:
         assert term > self.term
--- a/cresstray/consensus/raft.py
+++ b/cresstray/consensus/raft.py
@@ -143,7 +143,7 @@
             self.elected_at_us, self.elected_at_us if quorum_acked_at_us is None else quorum_acked_at_us
         )
         # A leader whose messages arrive but that hears no responses would keep others from being elected.
-        if silent_us > self._timing.election_timeout_us:
+        if silent_us > self._patience_us():
             self._step_down(now_us)
             return
         if self._transfer_target is not None and now_us >= self._transfer_deadline_us:
@@ -225,6 +225,7 @@
             tuple(sorted(self._votes)),
             max(0, self._leader_contact_at_us + self._timing.election_timeout_us - now_us),
             self._election_due_us - now_us,
+            self._remembered_sync_us(),
             self._incoming_snapshot
             and (
                 self._incoming_snapshot[0].last_included_index,
--- a/cresstray/control_plane/node.py
+++ b/cresstray/control_plane/node.py
@@ -146,6 +146,7 @@
             codec.RETURNED_FRAMES, contexts, random, self._event_log, self.counters
         )
         self._timer: asyncio.TimerHandle | None = None
+        self._due_us = started_at_us  # when the next round is due at the latest
         self._is_round_scheduled, self._operator_serial = False, 0
         self.failure = ""
         self._tasks: TaskGroup
@@ -166,6 +167,7 @@
         self._storage.write(pending_write)
         duration_s = time.monotonic() - started_s
         self.counters.add("syncs")
+        self._controller.node.on_synced(int(duration_s * 1e6))
         if duration_s > 0.1:
             self._log_event("file", "slow to sync", ms=round(duration_s * 1000))
 
@@ -183,8 +185,14 @@
             return
         if self._timer is not None:
             self._timer.cancel()
+        started_us = now_us()
+        lateness_us = started_us - self._due_us
+        if lateness_us > self._settings.beat:
+            # What has arrived meanwhile is handled after this round.
+            self._controller.node.on_stalled(lateness_us)
+            self.counters.add("rounds late by a heartbeat")
         try:
-            next_round_us = self._controller.run_round(now_us())
+            next_round_us = self._controller.run_round(started_us)
         except (OSError, sqlite3.Error, UnusableFileError) as error:
             # The node acts as if its state were synced, so it must not go on.
             self._fail(f"its file can't be written, it steps out: {error!r}")
@@ -194,7 +202,9 @@
             self._fail(f"a fault, it steps out: {traceback.format_exc()}")
             return
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(max(0, next_round_us - now_us()) / 1e6, self._run_round)
+        ended_us = now_us()
+        self._due_us = max(next_round_us, ended_us)
+        self._timer = loop.call_later((self._due_us - ended_us) / 1e6, self._run_round)
 
     def _fail(self, reason: str) -> None:
         self.failure = reason
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -58,6 +58,7 @@
         self.drop_rate = self.duplicate_rate = self.crash_rate = self.compact_rate = 0.0
         self.delay_range_us = (200, 2_000)
         self.frozen_until_us: dict[str, int] = {}
+        self.sync_us = 0  # how long each write to a node's file takes; the node does nothing else meanwhile
         self.nodes: dict[str, Node] = {}
         self.in_flight: list[tuple] = []
         self.leader_by_term: dict[int, str] = {}
@@ -91,6 +92,7 @@
 
     def process_ready(self, name: str) -> None:
         node, state = self.nodes[name], self.states[name]
+        synced_after_us = 0
         while ready := node.ready():
             # Crashes before the sync, or after it with only some of the messages sent.
             crash_draw = self.random.random() if self.crash_rate else 1.0
@@ -98,8 +100,12 @@
                 return self.stop(name)
             if ready.pending_write:
                 apply_write(state, ready.pending_write)
+                if self.sync_us:
+                    synced_after_us += self.sync_us
+                    self.frozen_until_us[name] = self.now_us + synced_after_us
+                    node.on_synced(self.sync_us)
             for to, frame in ready.messages[:1] if crash_draw < 2 * self.crash_rate else ready.messages:
-                self.send(name, to, frame)
+                self.send(name, to, frame, synced_after_us)
             if crash_draw < 2 * self.crash_rate:
                 return self.stop(name)
             if ready.restored_snapshot:
@@ -134,7 +140,7 @@
             assert self.proposed[index, entry.term] == entry.data
             self.acknowledged[index] = entry.data
 
-    def send(self, name: str, to: str, frame: framing.Frame) -> None:
+    def send(self, name: str, to: str, frame: framing.Frame, after_us: int = 0) -> None:
         assert len(framing.encode_frame(frame)) < 200_000
         for _ in range(1 + (self.random.random() < self.duplicate_rate)):
             if (
@@ -143,7 +149,7 @@
                 and to in self.states
             ):
                 self.sent_count += 1
-                arrival_us = self.now_us + self.random.randint(*self.delay_range_us)
+                arrival_us = self.now_us + after_us + self.random.randint(*self.delay_range_us)
                 heapq.heappush(self.in_flight, (arrival_us, self.sent_count, name, to, frame))
 
     def run_next_event(self, end_us: int) -> bool:
@@ -608,6 +614,22 @@
         self.assertIs(old_leader.role, Role.FOLLOWER)
         self.assertNotEqual(cluster.wait_for_leader().name, old_leader.name)
 
+    def test_slow_disks_elect_a_leader_that_stays(self) -> None:
+        """Guards against elections without end where a sync takes longer than the election timeout."""
+        for sync_us in (0, 50_000, 150_000, 300_000, 500_000, 800_000):
+            for seed in range(8):
+                with self.subTest(sync_us=sync_us, seed=seed):
+                    cluster = SimulatedCluster(seed, ("abc", "abcde")[seed % 2])
+                    cluster.sync_us = sync_us
+                    cluster.run(10_000_000)
+                    leader = cluster.leader()
+                    self.assertIsNotNone(leader)
+                    for number in range(20):
+                        cluster.propose(leader, b"%d" % number)
+                        cluster.run(2_000_000)
+                        self.assertIs(leader, cluster.leader())
+                    self.assertEqual(20, len(cluster.acknowledged))
+
     def test_uncommitted_membership_change_is_lost_after_partition(self) -> None:
         cluster = SimulatedCluster(2, "abcde")
         old_leader = cluster.wait_for_leader()
