Reject a statement whose group of tables has a number over 2^53

Callers saw: one client's statement ends the link to another site, for all requests on it. Cause: a group number has up to 18 digits, and a ForwardRequest up to 2^53; the far side takes the frame for a broken protocol. Change: the ingress rejects such a statement as malformed, under its id.

Result: the new test fails before (the link ends at field 11 of the frame), passes now.

--- a/cresstray/pipeline/ingress.py
+++ b/cresstray/pipeline/ingress.py
@@ -10,7 +10,7 @@
 from cresstray.pipeline.admission import Admission
 from cresstray.pipeline.request_context import Query, RequestContext, Responder
 from cresstray.policy.types import Request, RequestClass
-from cresstray.tables import find_table_group
+from cresstray.tables import MAX_TABLE_GROUP, find_table_group
 
 if TYPE_CHECKING:
     from cresstray.pipeline.replica_reads import ReplicaReads
@@ -32,6 +32,7 @@
     TIMEOUT_TOO_LONG = "a time limit beyond all bounds"
     STATEMENT_NOT_TEXT = "a statement that is no text"
     NAME_USED_BEFORE = "a name that was used before"
+    TABLE_GROUP_TOO_LARGE = "a group of tables beyond 2^53"
     UNUSABLE_HINT = "a hint that can't be followed"
 
 
@@ -99,7 +100,8 @@
         if tenant_index is None:
             responder.reject_malformed(number, RejectionReason.UNKNOWN_TENANT.value)
             return
-        reason = self._find_rejection_reason(query, accepted_class, statement, now_us)
+        table_group = find_table_group(statement or "") if offer is None else offer.table_group
+        reason = self._find_rejection_reason(query, accepted_class, statement, table_group, now_us)
         if reason is not None or statement is None:
             reason = reason or RejectionReason.STATEMENT_NOT_TEXT
             responder.reject_malformed(number, reason.value)
@@ -111,7 +113,6 @@
             except ValueError as error:
                 responder.reject_malformed(number, f"{RejectionReason.UNUSABLE_HINT.value}: {error}")
                 return
-        table_group = find_table_group(statement) if offer is None else offer.table_group
         request = self._make_request(query, request_class, tenant_index, table_group, now_us)
         if offer is not None:
             request.is_forwarded_in = True
@@ -121,7 +122,12 @@
         self._admission.admit(RequestContext(responder, number, query, request), now_us)
 
     def _find_rejection_reason(
-        self, query: Query, accepted_class: _AcceptedClass, statement: str | None, now_us: int
+        self,
+        query: Query,
+        accepted_class: _AcceptedClass,
+        statement: str | None,
+        table_group: int,
+        now_us: int,
     ) -> RejectionReason | None:
         if accepted_class.request_class.is_deduplicated and not query.idempotency_key:
             return RejectionReason.MISSING_IDEMPOTENCY_KEY
@@ -129,6 +135,8 @@
             return RejectionReason.TIMEOUT_TOO_LONG
         if statement is None:
             return RejectionReason.STATEMENT_NOT_TEXT
+        if table_group > MAX_TABLE_GROUP:
+            return RejectionReason.TABLE_GROUP_TOO_LARGE
         # Checked last, because the check remembers the name: a query that is rejected for another reason may
         # be sent again under its name.
         if not self._is_new(query.name, now_us):
--- a/cresstray/sites/codec.py
+++ b/cresstray/sites/codec.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from cresstray.policy.types import Outcome
+from cresstray.tables import MAX_TABLE_GROUP
 from cresstray.transport import framing
 from cresstray.transport.framing import MAX_FRAME_BYTES, Frame, FramingError, encode_frame
 
@@ -24,6 +25,7 @@
 
 _Text = Annotated[str, msgspec.Meta(max_length=128)]
 _Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_TableGroup = Annotated[int, msgspec.Meta(ge=0, le=MAX_TABLE_GROUP)]
 # Microseconds. Always a duration, never a time of day: the clocks of two sites are not comparable.
 _DurationUs = Annotated[int, msgspec.Meta(ge=0, le=10**12)]
 _Figure = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
@@ -121,7 +123,7 @@
     remaining_us: _DurationUs
     max_queue_us: _DurationUs
     max_send_delay_us: _DurationUs
-    table_group: _Number
+    table_group: _TableGroup
     previous_attempts: _Number
     is_lease_bound: bool
     statement: Annotated[bytes, msgspec.Meta(min_length=1)]
--- a/cresstray/tables.py
+++ b/cresstray/tables.py
@@ -4,6 +4,8 @@
 
 import re
 
+# Greater numbers do not fit into the frames of links between sites.
+MAX_TABLE_GROUP = 2**53
 # String literals with doubled quotes, and both kinds of comments.
 _LITERAL_OR_COMMENT = r"'(?:[^']|'')*'?|--[^\n]*|/\*.*?(?:\*/|\Z)"
 _QUOTED_NAME = r"\"(?P<quoted>(?:[^\"]|\"\")*)\"?"
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -81,10 +81,10 @@
 class Query:
     """A request as a client's message has it."""
 
-    def __init__(self, name: str, request_class: str, timeout_ms: float) -> None:
+    def __init__(self, name: str, request_class: str, timeout_ms: float, statement: bytes) -> None:
         self.name, self.class_name, self.timeout_ms, self.tenant = name, request_class, timeout_ms, "acme"
         self.idempotency_key = name if EFFECTS[request_class] == "deduplicated" else ""
-        self.estimated_work_ms, self.memory_mb, self.statement = 0.0, 0.0, b"select 1"
+        self.estimated_work_ms, self.memory_mb, self.statement = 0.0, 0.0, statement
 
 
 class Client:
@@ -156,13 +156,15 @@
             self.clock.now(),
         )
 
-    def submit(self, label: str, request_class: str, timeout_ms: float = 8000) -> None:
+    def submit(
+        self, label: str, request_class: str, timeout_ms: float = 8000, statement: bytes = b"select 1"
+    ) -> None:
         """The client sends a request."""
         self._number += 1
         name = f"{len(self.world.names) + 1:016x}"
         self.world.names[name] = label
         self.world.say(f"{self.site} is asked {label}, a {request_class}")
-        self.ingress.accept(self.client, self._number, Query(name, request_class, timeout_ms))
+        self.ingress.accept(self.client, self._number, Query(name, request_class, timeout_ms, statement))
 
     def cancel(self, label: str) -> None:
         """The client cancels its request."""
--- a/tests/test_halls.py
+++ b/tests/test_halls.py
@@ -218,6 +218,19 @@
                     self.assertEqual(1, counts["attempts overloaded"], counts)
                     self.assertEqual(0, counts["attempts expired before send"], counts)
 
+    def test_group_of_tables_that_fits_no_frame_is_rejected_and_the_link_stays(self) -> None:
+        """Guards against one client's statement that ends the link for all requests on it."""
+        world = TwoSites()
+        world.establish_link()
+        world.a.submit("other", "post")
+        for label, group in (("largest", 2**53), ("larger", 2**53 + 1), ("18 digits", 10**18 - 1)):
+            world.a.submit(label, "lookup", statement=b"select 1 from sales_%d.orders" % group)
+        world.run(60)
+        self.assertIsNone(world.link_error)
+        text = "hall-a rejects a group of tables beyond 2^53"
+        self.assertEqual(2, sum(line.endswith(text) for line in world.lines))
+        self.assertEqual({"other", "largest"}, {world.names[name] for name, _ in world.runs})
+
     def test_request_is_closed_when_cancellation_and_answer_are_in_transit_together(self) -> None:
         """The client cancels just before or just after the answer arrives, or while the request runs."""
         world = TwoSites()
