--- a/cresstray/pipeline/dispatch.py
+++ b/cresstray/pipeline/dispatch.py
@@ -74,7 +74,8 @@
     def _latest_send_us(self, attempt: Attempt, timeout_us: int) -> int:
         """Returns the time from which on the attempt may not be sent, however late its connection is."""
         request = attempt.request
-        latest_us = self._clock.now() + timeout_us
+        # A process that was stopped may come to send a queued request that its client has given up.
+        latest_us = min(self._clock.now() + timeout_us, request.deadline_us)
         if request.request_class.is_deduplicated:
             window_us = request.request_class.dedup_window_us - DEDUP_MARGIN_US
             for earlier_attempt in request.attempts:
--- a/cresstray/pipeline/request_context.py
+++ b/cresstray/pipeline/request_context.py
@@ -74,6 +74,9 @@
 class SiteResponder(Responder, Protocol):
     """A link from another site: its requests were forwarded in, and it is told of their attempts as well."""
 
+    def has_lease_ended(self, number: int, /) -> bool:
+        """Whether the other site may have taken the request back, as it heard nothing for a lease."""
+
     def on_attempt_sent(self, number: int, /) -> None:
         """Tells the other site that the request was sent to an engine."""
 
--- a/cresstray/sites/inbound.py
+++ b/cresstray/sites/inbound.py
@@ -276,6 +276,11 @@
         """Reports that the request failed and may have been executed."""
         self.reject(number, 0)
 
+    def has_lease_ended(self, number: int) -> bool:
+        """Returns whether the forwarding gateway may have retried the request elsewhere."""
+        inbound = self.ledger.open.get(number)
+        return inbound is not None and inbound.is_lease_bound and self._health.has_lease_expired(self._now())
+
     def has_disconnected(self) -> bool:
         """Returns False: the forwarding gateway may reconnect, and cancels what it no longer wants."""
         return False
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -199,6 +199,7 @@
         self._trace, self.delay_us, self.is_connected = trace, delay_us, False
         self.delay_back_us: int | None = None  # of the way from hall-b to hall-a; None: as the other way
         self.silenced: set[str] = set()  # directions that deliver nothing: "there", "back"
+        self.is_remote_stopped = False  # the gateway of hall-b does nothing, as after SIGSTOP
         self.there: deque[tuple[int, bytes]] = deque()  # from hall-a to hall-b
         self.back: deque[tuple[int, bytes]] = deque()  # from hall-b to hall-a
         settings = {
@@ -307,6 +308,7 @@
                 and self.there
                 and self.there[0][0] <= now_us
                 and "there" not in self.silenced
+                and not self.is_remote_stopped
             ):
                 for frame in self._decoder.feed(self.there.popleft()[1]):
                     if self._is_welcomed:
@@ -331,12 +333,14 @@
             for _ in range(3):  # a timer of one site may make data due at the other at once
                 self._deliver()
                 self.a.timers.run_due()
-                self.b.timers.run_due()
+                if not self.is_remote_stopped:
+                    self.b.timers.run_due()
             if self.clocks[0].time_us // 1000 % 10 == 0:
                 if not self.outbound.tick(self.clocks[0].now()) and self.is_connected:
                     self.say("hall-a finds the link dead")
                     self.disconnect()
-                self.inbound.tick(self.clocks[1].now())
+                if not self.is_remote_stopped:
+                    self.inbound.tick(self.clocks[1].now())
 
     def establish_link(self) -> None:
         """Connects the link and waits until the slow start no longer limits it."""
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from cresstray.sites.ledger import ForwardingState
 from tests.halls import TwoSites
 
 # Each way, in milliseconds.
@@ -146,6 +147,47 @@
                 self.assertEqual(set(world.names.values()), set(world.answers()))
                 self.assertEqual({1}, set(map(len, world.answers().values())))
 
+    def test_remote_gateway_that_was_stopped_sends_nothing_for_requests_that_have_ended(self) -> None:
+        """One is queued there and one on its way; what it handles first when it wakes is by chance."""
+        for stopped_ms in (300, 900, 2_000, 5_000):
+            for first in ("frames", "timers", "engines"):
+                for timeout_ms in TIMEOUTS_MS:
+                    with self.subTest(stopped_ms=stopped_ms, first=first, timeout_ms=timeout_ms):
+                        world = self._stop_remote(stopped_ms, timeout_ms)
+                        self._wake_remote(world, first)
+                        for _ in range(SETTLING_MS // STEP_MS):
+                            world.run(STEP_MS, step_us=5_000)
+                            answer_finished(world)
+                        self.assertEqual({}, late_starts(world))
+                        self.assertEqual({1}, set(map(len, world.answers().values())))
+
+    def _stop_remote(self, stopped_ms: int, timeout_ms: int) -> TwoSites:
+        """Stops the far gateway while its engine is busy with its own work."""
+        world = TwoSites(trace=False, cores=1)
+        world.establish_link()
+        for number in range(3):
+            world.b.submit(f"own {number}", "lookup")
+        world.refresh_capacity()
+        world.outbound.route.available_threads = 50.0
+        world.a.controller.site_forwarding.sites[0].policy_state.limit.value = 50.0
+        world.a.submit("queued there", "load", timeout_ms)
+        world.run(8)
+        self.assertEqual(
+            [ForwardingState.ACCEPTED], [one.state for one in world.inbound.ledger.open.values()]
+        )
+        world.is_remote_stopped = True
+        world.a.submit("on its way", "lookup", timeout_ms)
+        world.run(stopped_ms, step_us=5_000)
+        return world
+
+    def _wake_remote(self, world: TwoSites, first: str) -> None:
+        if first == "engines":
+            for name in list(world.b.fake_engines[0].open):
+                world.b.fake_engines[0].answer(name)
+        elif first == "timers":
+            world.b.timers.run_due()
+        world.is_remote_stopped = False
+
     def _disturb(self, world: TwoSites, rng: random.Random) -> None:
         if rng.random() < 0.15:
             world.delay_us, world.delay_back_us = (1000 * rng.choice((5, 50, 300, 900)) for _ in range(2))
