One question whether anybody waits for a request; simpler buffers; shared test steps

Read once more: has_lease_ended stood beside InboundLink.has_disconnected, which nothing called any more. Both are has_left(number) now, asked of each responder alike. A partial line that is dropped or measured never has whole lines before it: LineBuffer searches and cuts no more for them. A session's end clears its buffer by _clear_buffer. The plays of test_slow_links share their steps and assertions.

Behaviour is as before.

--- a/cresstray/clients/line_buffer.py
+++ b/cresstray/clients/line_buffer.py
@@ -50,10 +50,6 @@
         self.dropped_bytes = 0
         return lines
 
-    def partial_line_bytes(self) -> int:
-        """Returns how many bytes of the partial line are held."""
-        return len(self.data) - (self.data.rfind(b"\n") + 1)
-
     def shorten_partial_line(self) -> None:
         """Empties the long strings of the partial line, which must be the only line that is held.
 
@@ -65,9 +61,8 @@
         self.dropped_bytes += held_bytes - len(self.data)
 
     def drop_partial_line(self) -> None:
-        """Drops the partial line, also the part of it that is still to be received."""
-        del self.data[len(self.data) - self.partial_line_bytes() :]
-        self.dropped_bytes = 0
+        """Drops the partial line, which must be the only one, and the part of it that is still to come."""
+        self.clear()
         self._is_skipping_line = True
 
     def clear(self) -> None:
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -121,7 +121,7 @@
 
     # Received data.
 
-    def has_disconnected(self) -> bool:
+    def has_left(self, _request_id: int) -> bool:
         """Returns whether the client has closed its side or the connection has broken.
 
         May make a system call.
@@ -203,11 +203,11 @@
 
     def can_shorten_partial_line(self) -> bool:
         """Returns whether the line that is not complete holds more than is kept of a shortened one."""
-        return not self.has_buffered_lines and len(self._buffer) > _MAX_SHORTENED_LINE_BYTES
+        return self.partial_line_bytes() > _MAX_SHORTENED_LINE_BYTES
 
     def partial_line_bytes(self) -> int:
-        """Returns how many bytes are held of a line that is not complete yet."""
-        return self._buffer.partial_line_bytes()
+        """Returns how many bytes are held of a line that is not complete yet; 0 behind whole lines."""
+        return 0 if self.has_buffered_lines else len(self._buffer)
 
     def shorten_partial_line(self) -> None:
         """Drops the statement of a request that is not complete yet: it is too long, or the buffers are full.
@@ -224,7 +224,7 @@
     def _drop_partial_line(self) -> None:
         """Drops the line that is not complete, as it cannot be a request; bans the client."""
         self._reject_overlong_line(None)
-        self._registry.buffered_bytes -= self.partial_line_bytes()
+        self._registry.buffered_bytes -= len(self._buffer)
         self._buffer.drop_partial_line()
         self._finish_if_done()
 
@@ -363,7 +363,7 @@
 
     def on_disconnected(self) -> None:
         """Ends the session after its connection has ended; open requests get no response."""
-        self._registry.buffered_bytes -= len(self._buffer)
+        self._clear_buffer()
         self._registry.remove(self)
         self._registry.handler.on_disconnected(self)
 
--- a/cresstray/consensus/node_state.py
+++ b/cresstray/consensus/node_state.py
@@ -15,8 +15,6 @@
 
 # Rounds whose start a leader remembers, to find when an acknowledged round began.
 _MAX_ROUNDS = 2_048
-
-
 # A round waits for the sync of the sender and for that of the receiver.
 _SYNCS_IN_A_ROUND = 2
 # The longest sync counts in full up to this, for so long, and less with each shorter one that follows it.
--- a/cresstray/model_checking/gateway.py
+++ b/cresstray/model_checking/gateway.py
@@ -204,7 +204,7 @@
     def fail(self, number: int) -> None:
         self._told(number, "abandoned")
 
-    def has_disconnected(self) -> bool:
+    def has_left(self, number: int) -> bool:
         return False  # it stays to the end, or leaves by a withdrawal
 
     def reject_malformed(self, number: int | None, text: str) -> None:
--- a/cresstray/model_checking/lines.py
+++ b/cresstray/model_checking/lines.py
@@ -985,7 +985,7 @@
         "half_lines_are_counted_on",
         "nothing_kept",
         "connection",
-        lines((ClientSession.on_disconnected, "self._registry.buffered_bytes -= len(self._buffer)", "pass")),
+        lines((ClientSession.on_disconnected, "self._clear_buffer()", "pass")),
     ),
     Mutant(
         "idle_and_forgotten",
--- a/cresstray/pipeline/request_context.py
+++ b/cresstray/pipeline/request_context.py
@@ -67,16 +67,17 @@
     def reject_malformed(self, number: int | None, text: str, /) -> None:
         """Reports why the request is malformed; it was never opened."""
 
-    def has_disconnected(self) -> bool:
-        """Whether the client has closed its connection, even if not read yet; may cost a system call."""
+    def has_left(self, number: int, /) -> bool:
+        """Whether nobody waits for the answer any more; may cost a system call.
+
+        The client has closed its connection, even if that is not read yet; or the other site may have taken
+        the request back, as it heard nothing for a lease.
+        """
 
 
 class SiteResponder(Responder, Protocol):
     """A link from another site: its requests were forwarded in, and it is told of their attempts as well."""
 
-    def has_lease_ended(self, number: int, /) -> bool:
-        """Whether the other site may have taken the request back, as it heard nothing for a lease."""
-
     def on_attempt_sent(self, number: int, /) -> None:
         """Tells the other site that the request was sent to an engine."""
 
--- a/cresstray/pipeline/response.py
+++ b/cresstray/pipeline/response.py
@@ -15,7 +15,6 @@
     AttemptInFlight,
     EngineAttemptInFlight,
     IdempotencyHooks,
-    SiteResponder,
 )
 from cresstray.policy.controller import PolicyController
 from cresstray.policy.types import Attempt, EndpointState, Outcome, Request
@@ -122,19 +121,11 @@
         self.controller.on_attempt_sent(in_flight.attempt, self._clock.now())
 
     def has_client_left(self, request: Request) -> bool:
-        """Whether the client has closed its connection, even if the gateway has not read that yet.
-
-        Of a request that another site forwarded: whether that site may have taken it back.
-        """
+        """Whether nobody waits for the answer any more, even if no timer or read has found that yet."""
         if self._clock.now() - request.arrived_us < _CLIENT_CHECK_AGE_US:
             return False
         context = self._accounting.open_requests.get(request)
-        if context is None or context.is_answered:
-            return False
-        if request.is_forwarded_in:
-            # Checked here, as a process that was stopped may come to send before its timers have run.
-            return cast(SiteResponder, context.responder).has_lease_ended(context.number)
-        return context.responder.has_disconnected()
+        return context is not None and not context.is_answered and context.responder.has_left(context.number)
 
     def on_unsent(self, request_in_flight: InFlightRequest) -> None:
         """Nothing of the attempt was sent, and nothing may be sent any more."""
--- a/cresstray/sites/inbound.py
+++ b/cresstray/sites/inbound.py
@@ -276,15 +276,15 @@
         """Reports that the request failed and may have been executed."""
         self.reject(number, 0)
 
-    def has_lease_ended(self, number: int) -> bool:
-        """Returns whether the forwarding gateway may have retried the request elsewhere."""
+    def has_left(self, number: int) -> bool:
+        """Returns whether the forwarding gateway may have retried the request elsewhere.
+
+        A connection that has ended says nothing: the gateway may reconnect, and cancels what it no longer
+        wants. A process that was stopped may come to send before `tick` has found that the lease is over.
+        """
         inbound = self.ledger.open.get(number)
         return inbound is not None and inbound.is_lease_bound and self._health.has_lease_expired(self._now())
 
-    def has_disconnected(self) -> bool:
-        """Returns False: the forwarding gateway may reconnect, and cancels what it no longer wants."""
-        return False
-
     def reject_malformed(self, number: int | None, text: str) -> None:
         """Rejects a request that this site's configuration does not allow."""
         inbound = self.ledger.open.get(number)
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -51,7 +51,7 @@
         world = self.gateway.world
         world.runs.append((in_flight.name.decode(), self.name))
         world.run_started_us[in_flight.name.decode()] = world.clocks[0].time_us
-        self.gateway.world.say(f"{self.name} runs {self.gateway.world.names[in_flight.name.decode()]}")
+        world.say(f"{self.name} runs {world.names[in_flight.name.decode()]}")
 
     def abandon(self, in_flight: object) -> bool:
         self.open.pop(in_flight.name.decode(), None)
@@ -109,7 +109,7 @@
     def fail(self, number: int) -> None:
         self._on_answer(number, "abandoned")
 
-    def has_disconnected(self) -> bool:
+    def has_left(self, number: int) -> bool:
         return False
 
     def reject_malformed(self, number: int | None, text: str) -> None:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -63,7 +63,7 @@
         self.has_closed = False
         self.disconnect_checks = 0
 
-    def has_disconnected(self) -> bool:
+    def has_left(self, number: int) -> bool:
         self.disconnect_checks += 1
         return self.has_closed
 
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -125,10 +125,10 @@
                 client.sendall(request(1))
                 await wait_until(lambda: harness.handler.accepted)
                 session = harness.handler.sessions[0]
-                self.assertFalse(session.has_disconnected())
+                self.assertFalse(session.has_left(1))
                 disconnect(client)
                 # The event loop has not read the end of stream yet.
-                self.assertTrue(session.has_disconnected())
+                self.assertTrue(session.has_left(1))
                 self.assertEqual([], harness.handler.cancelled)
 
             run_scenario(scenario)
--- a/tests/test_client_session.py
+++ b/tests/test_client_session.py
@@ -307,7 +307,7 @@
     def test_request_followed_by_end_of_stream_is_not_accepted(self) -> None:
         session = self.session()
         session.receive(request(1) + status(), ended=True)
-        self.assertEqual(({}, True), (session.open_requests, session.has_disconnected()))
+        self.assertEqual(({}, True), (session.open_requests, session.has_left(1)))
 
     def test_silent_client_is_closed(self) -> None:
         """After 2.2 s it is closed unless data turns out to have been received; 0.4 s later in any case."""
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -69,6 +69,13 @@
                 engine.answer(name)
 
 
+def run_answering(world: TwoSites, milliseconds: int) -> None:
+    """Advances the clocks while the engines answer."""
+    for _ in range(0, milliseconds, STEP_MS):
+        world.run(STEP_MS, step_us=5_000)
+        answer_finished(world)
+
+
 def late_starts(world: TwoSites) -> dict[str, int]:
     """By label, for how many milliseconds a client had its answer when an attempt began."""
     late_us = {
@@ -94,19 +101,21 @@
                 timeout_ms = TIMEOUTS_MS[elapsed_ms // 80 % len(TIMEOUTS_MS)]
                 for request_class in ("lookup", "load", "post"):
                     world.a.submit(f"{request_class} at {elapsed_ms}", request_class, timeout_ms)
-            world.run(STEP_MS, step_us=5_000)
-            answer_finished(world)
+            run_answering(world, STEP_MS)
         return world
 
+    def assert_promises_kept(self, world: TwoSites) -> None:
+        """Each request of hall-a's client has one answer, and nothing began after it."""
+        self.assertEqual({}, late_starts(world))
+        self.assertEqual(set(world.names.values()), set(world.answers()))
+        self.assertEqual({1}, set(map(len, world.answers().values())))
+
     def test_no_attempt_begins_after_the_answer_whatever_the_delay_does(self) -> None:
         """Guards against a far gateway that adds the time on the way to the time that a request has left."""
         for profile in profiles():
             with self.subTest(str(profile)):
                 world = self.play(profile)
-                self.assertEqual({}, late_starts(world))
-                answers = world.answers()
-                self.assertEqual(set(world.names.values()), set(answers))
-                self.assertEqual({1}, set(map(len, answers.values())))
+                self.assert_promises_kept(world)
 
     def test_steady_link_serves_what_it_can_serve_in_time(self) -> None:
         """The greatest age of a frame is the round trip, also when heartbeats were rare before it."""
@@ -120,9 +129,7 @@
                     timeout_ms = 4 * delay_ms + 700
                     for number in range(10):
                         world.a.submit(f"request {number}", "lookup", timeout_ms)
-                        for _ in range(timeout_ms // STEP_MS + 1):
-                            world.run(STEP_MS, step_us=5_000)
-                            answer_finished(world)
+                        run_answering(world, timeout_ms + STEP_MS)
                     self.assertEqual({"fulfilled, 8 bytes"}, {one for (one,) in world.answers().values()})
 
     def test_no_attempt_begins_after_the_answer_through_cuts_silences_and_restarts(self) -> None:
@@ -140,12 +147,8 @@
                     world.run(rng.choice((10, 40, 120)), step_us=5_000)
                     answer_finished(world)
                 world.silenced.clear()
-                for _ in range(SETTLING_MS // STEP_MS):
-                    world.run(STEP_MS, step_us=5_000)
-                    answer_finished(world)
-                self.assertEqual({}, late_starts(world))
-                self.assertEqual(set(world.names.values()), set(world.answers()))
-                self.assertEqual({1}, set(map(len, world.answers().values())))
+                run_answering(world, SETTLING_MS)
+                self.assert_promises_kept(world)
 
     def test_remote_gateway_that_was_stopped_sends_nothing_for_requests_that_have_ended(self) -> None:
         """One is queued there and one on its way; what it handles first when it wakes is by chance."""
@@ -155,9 +158,7 @@
                     with self.subTest(stopped_ms=stopped_ms, first=first, timeout_ms=timeout_ms):
                         world = self._stop_remote(stopped_ms, timeout_ms)
                         self._wake_remote(world, first)
-                        for _ in range(SETTLING_MS // STEP_MS):
-                            world.run(STEP_MS, step_us=5_000)
-                            answer_finished(world)
+                        run_answering(world, SETTLING_MS)
                         self.assertEqual({}, late_starts(world))
                         self.assertEqual({1}, set(map(len, world.answers().values())))
 
