--- a/cresstray/clients/client_connection.py
+++ b/cresstray/clients/client_connection.py
@@ -67,16 +67,28 @@
         """
         session = self.session
         while True:
-            data = b"" if session.has_buffered_lines else await self._stream.receive()
-            data, has_ended = self._read_ahead(data)
-            action = session.receive(data, has_ended)
-            if has_ended:
-                raise anyio.EndOfStream
+            # No variable of this coroutine holds the data, which would be kept as long as it waits.
+            if session.has_buffered_lines:
+                action = self._handle(b"")
+            else:
+                action = self._handle(await self._stream.receive())
             if action is NextAction.CLOSE:
                 return
             if session.has_buffered_lines or session.is_banned():
                 await self._pause()
 
+    def _handle(self, data: bytes) -> NextAction:
+        """Handles `data` and what is available after it.
+
+        Raises:
+            anyio.EndOfStream: the client has disconnected.
+        """
+        data, has_ended = self._read_ahead(data)
+        action = self.session.receive(data, has_ended)
+        if has_ended:
+            raise anyio.EndOfStream
+        return action
+
     def _read_ahead(self, data: bytes) -> tuple[bytes, bool]:
         """Returns `data` with the data available after it, and whether the client's end of stream follows.
 
