Floods: a client has left when its socket is closed; crossings of an idle close are sent again

Cause: the flood's clients were counted as gone when their last write was taken, up to a second before their sockets were closed, so attempts were called late that were not. The good client counted a request that crossed the end of its idle connection as missing; the protocol has it sent again, once.

Change: the time of leaving is taken at the close; the good client connects again.

--- a/cresstray/emulators/flood_scene.py
+++ b/cresstray/emulators/flood_scene.py
@@ -37,6 +37,8 @@
 _REQUEST_TIMEOUT_S = 5.0
 # After this time behind its timeout an answer is lost.
 _LOST_AFTER_S = 0.5
+# A request that was sent so shortly before its idle connection ended is sent again, once.
+_CROSSING_S = 0.05
 # Every so many requests of the good client come on a connection of their own.
 _NEW_CONNECTION_EVERY = 4
 _CANCELLATION_SLACK_S = 0.1
@@ -231,6 +233,62 @@
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
+class _GoodConnection:
+    """One connection of the good client, and the requests that wait for their answers on it."""
+
+    def __init__(self, result: FloodResult) -> None:
+        self._result = result
+        self._waiting: dict[int, asyncio.Future[bool]] = {}
+        self._sent_s: dict[int, float] = {}
+        self._number = 0
+        self.has_ended = False
+
+    async def open(self, port: int) -> None:
+        """Connects; raises OSError."""
+        reader, self._writer = await asyncio.open_connection(_HOST, port, limit=1 << 20)
+        self._reading = asyncio.ensure_future(self._read(reader))
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        with contextlib.suppress(OSError):
+            while line := await reader.readline():
+                message = json.loads(line)
+                answered = self._waiting.pop(message.get("id"), None)
+                if answered is not None and not answered.done():
+                    answered.set_result(True)
+                    self._result.refused += "error" in message
+        self.has_ended = True
+        ended_s = time.monotonic()
+        for number, answered in self._waiting.items():
+            # A request that crosses the end of an idle connection is sent again, any other one is lost.
+            if not answered.done() and ended_s - self._sent_s[number] < _CROSSING_S:
+                answered.set_result(False)
+
+    async def ask(self, name: str) -> bool:
+        """Returns whether the request was answered; False if it is to be sent again.
+
+        Raises:
+            TimeoutError: it was not answered in time.
+        """
+        self._number += 1
+        number = self._number
+        params = {
+            "req": name,
+            "timeout": _REQUEST_TIMEOUT_S * 1000,
+            "owner": "acme",
+            "data": base64.b64encode(b"run 50 1 1").decode(),
+        }
+        message = {"jsonrpc": "2.0", "id": number, "method": "lookup", "params": params}
+        answered = self._waiting[number] = asyncio.get_running_loop().create_future()
+        self._sent_s[number] = time.monotonic()
+        self._writer.write(json.dumps(message).encode() + b"\n")
+        return await asyncio.wait_for(answered, _REQUEST_TIMEOUT_S + _LOST_AFTER_S)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._reading.cancel()
+        self._writer.close()
+
+
 class GoodClient:
     """Sends a request each tenth of a second, some of them on connections of their own."""
 
@@ -238,62 +296,41 @@
         self._port = port
         self._result = result
         self._random = random.Random(20261205)
-        self._waiting: dict[int, asyncio.Future[None]] = {}
-        self._number = 0
 
     async def run(self, seconds: float) -> None:
         """Sends requests for this time, and waits for all answers."""
         ends_s = time.monotonic() + seconds
-        reader, writer = await asyncio.open_connection(_HOST, self._port, limit=1 << 20)
-        reading = asyncio.ensure_future(self._read(reader))
+        kept = await self._connect()
         async with asyncio.TaskGroup() as tasks:
             count = 0
             while time.monotonic() < ends_s:
                 count += 1
-                if count % _NEW_CONNECTION_EVERY:
-                    tasks.create_task(self._ask(writer))
-                else:
-                    tasks.create_task(self._ask_on_new_connection())
+                if kept.has_ended:
+                    kept = await self._connect()
+                tasks.create_task(self._ask(kept if count % _NEW_CONNECTION_EVERY else None))
                 await asyncio.sleep(_REQUEST_INTERVAL_S)
-        reading.cancel()
-        writer.close()
+        kept.close()
 
-    async def _read(self, reader: asyncio.StreamReader) -> None:
-        while line := await reader.readline():
-            message = json.loads(line)
-            answered = self._waiting.pop(message.get("id"), None)
-            if answered is not None and not answered.done():
-                answered.set_result(None)
-                self._result.refused += "error" in message
-
-    async def _ask_on_new_connection(self) -> None:
-        try:
-            reader, writer = await asyncio.open_connection(_HOST, self._port, limit=1 << 20)
-        except OSError:
-            self._result.missing += 1
-            return
-        reading = asyncio.ensure_future(self._read(reader))
-        await self._ask(writer)
-        reading.cancel()
-        writer.close()
+    async def _connect(self) -> _GoodConnection:
+        connection = _GoodConnection(self._result)
+        await connection.open(self._port)
+        return connection
 
-    async def _ask(self, writer: asyncio.StreamWriter) -> None:
-        self._number += 1
-        number = self._number
-        params = {
-            "req": f"{self._random.getrandbits(64):016x}",
-            "timeout": _REQUEST_TIMEOUT_S * 1000,
-            "owner": "acme",
-            "data": base64.b64encode(b"run 50 1 1").decode(),
-        }
-        message = {"jsonrpc": "2.0", "id": number, "method": "lookup", "params": params}
-        answered = self._waiting[number] = asyncio.get_running_loop().create_future()
-        writer.write(json.dumps(message).encode() + b"\n")
-        sent_s = time.monotonic()
+    async def _ask(self, kept: _GoodConnection | None) -> None:
+        """Sends one request, on a new connection without `kept`, and once more if its connection ended."""
+        name = f"{self._random.getrandbits(64):016x}"
+        start_s = time.monotonic()
         try:
-            await asyncio.wait_for(answered, _REQUEST_TIMEOUT_S + _LOST_AFTER_S)
-            self._result.latencies_s.append(time.monotonic() - sent_s)
-        except TimeoutError:
+            is_answered = kept is not None and await kept.ask(name)
+            if not is_answered:
+                connection = await self._connect()
+                is_answered = await connection.ask(name)
+                connection.close()
+        except (OSError, TimeoutError):
+            is_answered = False
+        if is_answered:
+            self._result.latencies_s.append(time.monotonic() - start_s)
+        else:
             self._result.missing += 1
 
 
--- a/cresstray/emulators/floods.py
+++ b/cresstray/emulators/floods.py
@@ -52,6 +52,7 @@
         self._socket = connected
         self._random = random_source
         self.received_lines = 0
+        self.names: list[str] = []  # of all requests
 
     async def write(self, data: bytes) -> None:
         """Waits until the kernel has taken all of the data."""
@@ -67,11 +68,13 @@
         """Returns a request name that was not used before."""
         return f"{self._random.getrandbits(64):016x}"
 
-    def request_line(self, number: int, size_bytes: int, name: str = "") -> bytes:
+    def request_line(self, number: int, size_bytes: int) -> bytes:
         """Returns a request whose statement has this size; engines answer it after 50 ms."""
+        name = self.new_name()
+        self.names.append(name)
         statement = b"run 50 1 1 " + b"x" * max(0, size_bytes - 11)
         params = {
-            "req": name or self.new_name(),
+            "req": name,
             "timeout": 3000,
             "owner": "acme",
             "data": base64.b64encode(statement).decode(),
@@ -80,33 +83,33 @@
         return json.dumps(message).encode() + b"\n"
 
 
-Script = Callable[[FloodConnection, FloodRecord], Awaitable[None]]
+Script = Callable[[FloodConnection], Awaitable[None]]
 
 
-async def _endless_line(connection: FloodConnection, _: FloodRecord) -> None:
+async def _endless_line(connection: FloodConnection) -> None:
     chunk = b"x" * _CHUNK_BYTES
     while True:
         await connection.write(chunk)
 
 
-async def _endless_statement(connection: FloodConnection, _: FloodRecord) -> None:
+async def _endless_statement(connection: FloodConnection) -> None:
     await connection.write(connection.request_line(1, 100)[:-40])
-    await _endless_line(connection, _)
+    await _endless_line(connection)
 
 
-async def _endless_short_strings(connection: FloodConnection, _: FloodRecord) -> None:
+async def _endless_short_strings(connection: FloodConnection) -> None:
     chunk = b'"a":1,' * (_CHUNK_BYTES // 6)
     await connection.write(b'{"jsonrpc":"2.0","id":1,"method":"lookup","params":{')
     while True:
         await connection.write(chunk)
 
 
-async def _half_request(connection: FloodConnection, _: FloodRecord) -> None:
+async def _half_request(connection: FloodConnection) -> None:
     await connection.write(connection.request_line(1, _LARGE_REQUEST_BYTES * 3 // 4)[:-100_000])
     await asyncio.Event().wait()
 
 
-async def _slow_request(connection: FloodConnection, _: FloodRecord) -> None:
+async def _slow_request(connection: FloodConnection) -> None:
     line = connection.request_line(1, _LARGE_REQUEST_BYTES * 3 // 4)
     await connection.write(line[:-50_000])
     for start in range(len(line) - 50_000, len(line), _SLOW_PIECE_BYTES):
@@ -114,7 +117,7 @@
         await asyncio.sleep(_SLOW_PAUSE_S)
 
 
-async def _short_fields(connection: FloodConnection, _: FloodRecord) -> None:
+async def _short_fields(connection: FloodConnection) -> None:
     head = b'{"jsonrpc":"2.0","id":1,"method":"lookup","params":{'
     fields = b'"a":1,' * (_LARGE_REQUEST_BYTES // 6)
     await connection.write(head + fields)
@@ -123,43 +126,38 @@
     await asyncio.sleep(0.05)
 
 
-async def _open_requests(connection: FloodConnection, _: FloodRecord) -> None:
+async def _open_requests(connection: FloodConnection) -> None:
     for number in range(1, _MAX_OPEN_REQUESTS + 1):
         await connection.write(connection.request_line(number, _STATEMENT_BYTES))
     while connection.received_lines < _MAX_OPEN_REQUESTS:
         await asyncio.sleep(0.02)
 
 
-async def _unread_status(connection: FloodConnection, _: FloodRecord) -> None:
+async def _unread_status(connection: FloodConnection) -> None:
     line = b'{"jsonrpc":"2.0","id":1,"method":"status"}\n' * _LINES_PER_WRITE
     while True:
         await connection.write(line)
 
 
-async def _unread_results(connection: FloodConnection, _: FloodRecord) -> None:
+async def _unread_results(connection: FloodConnection) -> None:
     number = 0
     while True:
         number += 1
         await connection.write(connection.request_line(number, 100))
 
 
-async def _leavers(connection: FloodConnection, record: FloodRecord) -> None:
-    names = [connection.new_name() for _ in range(_LEAVER_REQUESTS)]
-    try:
-        for number, name in enumerate(names, 1):
-            await connection.write(connection.request_line(number, _LEAVER_STATEMENT_BYTES, name))
-    finally:
-        left_s = time.monotonic()
-        record.left.update(dict.fromkeys(names, left_s))
+async def _leavers(connection: FloodConnection) -> None:
+    for number in range(1, _LEAVER_REQUESTS + 1):
+        await connection.write(connection.request_line(number, _LEAVER_STATEMENT_BYTES))
 
 
-async def _malformed(connection: FloodConnection, _: FloodRecord) -> None:
+async def _malformed(connection: FloodConnection) -> None:
     lines = b'{"jsonrpc":"2.0","id":0}\n' * _LINES_PER_WRITE
     while True:
         await connection.write(lines)
 
 
-async def _new_names(connection: FloodConnection, _: FloodRecord) -> None:
+async def _new_names(connection: FloodConnection) -> None:
     number = 0
     while True:
         lines = [connection.request_line(number + place + 1, 20) for place in range(50)]
@@ -167,11 +165,11 @@
         await connection.write(b"".join(lines))
 
 
-async def _status(connection: FloodConnection, record: FloodRecord) -> None:
-    await _unread_status(connection, record)
+async def _status(connection: FloodConnection) -> None:
+    await _unread_status(connection)
 
 
-async def _cancellations(connection: FloodConnection, _: FloodRecord) -> None:
+async def _cancellations(connection: FloodConnection) -> None:
     while True:
         names = [connection.new_name() for _ in range(_LINES_PER_WRITE)]
         await connection.write(
@@ -182,13 +180,13 @@
         )
 
 
-async def _deep_nesting(connection: FloodConnection, _: FloodRecord) -> None:
+async def _deep_nesting(connection: FloodConnection) -> None:
     line = b'{"jsonrpc":"2.0","id":1,"method":"lookup","params":' + b"[" * 200_000 + b"\n"
     while True:
         await connection.write(line)
 
 
-async def _large_bodies(connection: FloodConnection, _: FloodRecord) -> None:
+async def _large_bodies(connection: FloodConnection) -> None:
     await connection.write(connection.request_line(1, 100)[:-40])
     for _sent in range(0, _BODY_BYTES, _CHUNK_BYTES):
         await connection.write(b"x" * _CHUNK_BYTES)
@@ -196,7 +194,7 @@
     await asyncio.sleep(1)
 
 
-async def _silent(_connection: FloodConnection, _: FloodRecord) -> None:
+async def _silent(_connection: FloodConnection) -> None:
     await asyncio.Event().wait()
 
 
@@ -242,13 +240,15 @@
             connected.setblocking(False)
             await loop.sock_connect(connected, address)
             record.connections += 1
-            await _play(FloodConnection(connected, random_source), kind, ends_s, record)
+            connection = FloodConnection(connected, random_source)
+            await _play(connection, kind, ends_s)
+            record.left.update(dict.fromkeys(connection.names, time.monotonic()))
         await asyncio.sleep(_RECONNECT_PAUSE_S)
 
 
-async def _play(connection: FloodConnection, kind: FloodKind, ends_s: float, record: FloodRecord) -> None:
+async def _play(connection: FloodConnection, kind: FloodKind, ends_s: float) -> None:
     """Runs the script until it ends, the gateway closes the connection, or the time is over."""
-    tasks = [asyncio.ensure_future(kind.script(connection, record))]
+    tasks = [asyncio.ensure_future(kind.script(connection))]
     if kind.reads:
         tasks.append(asyncio.ensure_future(connection.discard_received()))
     try:
