--- a/cresstray/clients/line_buffer.py
+++ b/cresstray/clients/line_buffer.py
@@ -6,6 +6,8 @@
 
 # Longer strings are dropped from a line that is shortened. In a request only the statement may be longer.
 _MAX_KEPT_STRING_BYTES = 256
+# A request has some twenty strings. Each pass over a line with very many takes long.
+MAX_QUOTES = 256
 # A string and its closing quote, which is missing from the last string of a line that is not complete.
 _JSON_STRING = re.compile(rb'"((?:[^"\\]++|\\.)*+)("?)')
 
@@ -44,9 +46,13 @@
 
     def take_lines(self, max_lines: int) -> list[bytes]:
         """Removes whole lines and returns them without their line feeds; all of them if `max_lines` is -1."""
-        *lines, rest = bytes(self.data).split(b"\n", max_lines)
-        self.data[:] = rest
-        self.has_lines = b"\n" in rest
+        lines: list[bytes] = []
+        start = 0
+        while len(lines) != max_lines and (end := self.data.find(b"\n", start)) >= 0:
+            lines.append(bytes(self.data[start:end]))
+            start = end + 1
+        del self.data[:start]
+        self.has_lines = b"\n" in self.data
         self.dropped_bytes = 0
         return lines
 
@@ -54,9 +60,12 @@
         """Empties the long strings of the partial line, which must be the only line that is held.
 
         What is left of a JSON message is still one, and its id can be decoded once the line is complete. The
-        message must not be handled as if it was whole; `dropped_bytes` tells so.
+        message must not be handled as if it was whole; `dropped_bytes` tells so. A line with very many
+        strings, which is no request, stays as it is.
         """
         held_bytes = len(self.data)
+        if self.data.count(b'"') > MAX_QUOTES:
+            return
         self.data = bytearray(_JSON_STRING.sub(_without_long_content, self.data))
         self.dropped_bytes += held_bytes - len(self.data)
 
