--- a/cresstray/clients/client_connection.py
+++ b/cresstray/clients/client_connection.py
@@ -12,10 +12,11 @@
 from cresstray.clients.session import ClientSession
 from cresstray.transport.streams import CONNECTION_ENDED, SocketStream
 
-# Reads before what was read is handled: the client's end of stream may follow right after a request.
-_MAX_READS_AHEAD = 16
-# Pause between two turns of a client that sends much, to give other connections their turn.
-_TURN_PAUSE_S = 0.002
+# Requests are mostly shorter. Whoever has sent more waits for a turn.
+_USUAL_BYTES = 4096
+# What one turn reads at most: as many requests as may be open at once, with statements as long as the longest
+# result.
+_MAX_READ_AHEAD_BYTES = 2 * 1024 * 1024
 # After the sending side is shut down, the connection discards received data for this time and this number of
 # reads at most. A client reads the end of stream within a round trip; a later one gets a reset.
 _DRAIN_TIMEOUT_S = 1.0
@@ -27,9 +28,12 @@
 
     def __init__(self, registry: ConnectionRegistry, accepted: socket.socket, tasks: TaskGroup) -> None:
         self._counters = registry.counters
-        self._read_scope = anyio.CancelScope()  # cancelled when the connection is to be ended
+        self._bulk_turns = registry.bulk_turns
+        self._read_scope = anyio.CancelScope()  # cancelled to end the wait for data
+        self._is_waiting_for_data = False
+        self._has_more = False  # whether the client has probably sent more than one turn handles
         self._stream = SocketStream(accepted, tasks, self._stop_reading)
-        self.session = ClientSession(registry, self._stream)
+        self.session = ClientSession(registry, self._stream, self._find_end_of_stream)
 
     def _stop_reading(self) -> None:
         self._read_scope.cancel()
@@ -55,9 +59,14 @@
             if self._stream.is_broken or not self._read_scope.cancel_called:
                 return False
             self._read_scope = anyio.CancelScope()
+            if not self.session.is_finishing:
+                continue
+            if self._stream.available_bytes(_USUAL_BYTES + 1) > _USUAL_BYTES:
+                await self._wait_for_turn()
             if self._can_shut_down():
                 self._stream.shutdown_write()
                 return True
+            await self._wait_for_turn()
 
     async def _read(self) -> None:
         """Reads until the connection is to be closed at once.
@@ -67,62 +76,90 @@
         """
         session = self.session
         while True:
-            # No variable of this coroutine holds the data, which would be kept as long as it waits.
-            if session.has_buffered_lines:
-                action = self._handle(b"")
-            else:
-                action = self._handle(await self._stream.receive())
-            if action is NextAction.CLOSE:
+            if not session.has_buffered_lines:
+                await self._wait_for_data()
+            if self._has_more:
+                await self._wait_for_turn()
+            if self._take_turn() is NextAction.CLOSE:
                 return
-            if session.has_buffered_lines or session.is_banned():
-                await self._pause()
 
-    def _handle(self, data: bytes) -> NextAction:
-        """Handles `data` and what is available after it.
+    async def _wait_for_data(self) -> None:
+        """Waits until something can be read, which is left to the turn: a waiting connection holds nothing.
 
         Raises:
             anyio.EndOfStream: the client has disconnected.
         """
-        data, has_ended = self._read_ahead(data)
-        action = self.session.receive(data, has_ended)
-        if has_ended:
-            raise anyio.EndOfStream
+        self._is_waiting_for_data = True
+        try:
+            available_bytes = await self._stream.wait_for_data(_USUAL_BYTES + 1)
+        finally:
+            self._is_waiting_for_data = False
+        has_long_line = self.session.partial_line_bytes() + available_bytes > _USUAL_BYTES
+        self._has_more = self._has_more or has_long_line
+
+    def _take_turn(self) -> NextAction:
+        """Reads ahead, and handles the lines of one turn."""
+        session = self.session
+        self._read_ahead()
+        action = session.handle_buffered()
+        self._has_more = session.has_buffered_lines or session.is_backlogged or session.is_banned()
         return action
 
-    def _read_ahead(self, data: bytes) -> tuple[bytes, bool]:
-        """Returns `data` with the data available after it, and whether the client's end of stream follows.
+    def _read_ahead(self) -> None:
+        """Buffers what the client has sent, as far as the limits of the buffers allow.
 
-        A client may send many requests and disconnect. Requests handled before its end of stream is read
-        would be sent to engines in vain.
+        A client may send many requests and disconnect. Handled before its end of stream is read, they would
+        be sent to engines in vain.
         """
-        for _ in range(_MAX_READS_AHEAD):
-            available = self._stream.receive_available() if self.session.can_read_ahead() else None
-            if available is None:
-                break
-            if not available:
-                return data, True
-            data += available
-        return data, False
+        session = self.session
+        session.is_backlogged = False
+        end_bytes = session.received_bytes + _MAX_READ_AHEAD_BYTES
+        while session.received_bytes < end_bytes and (max_bytes := session.max_read_bytes()):
+            data = self._stream.receive_available(max_bytes)
+            if data is None:
+                return
+            if not data:
+                session.is_disconnected = True
+                return
+            session.buffer(data)
+        session.is_backlogged = self._stream.has_unread()
+
+    def _find_end_of_stream(self) -> None:
+        """Reads ahead between two turns, to find out whether the client has disconnected."""
+        self._read_ahead()
+        if self._is_waiting_for_data:
+            self._read_scope.cancel()  # what was read is to be handled
 
     def _can_shut_down(self) -> bool:
-        """Handles the data available before the sending side is shut down; returns whether it may be."""
+        """Handles the data available before the sending side is shut down; returns whether it may be.
+
+        Raises:
+            anyio.EndOfStream: the client has disconnected, or the connection is to be closed at once.
+        """
         session = self.session
-        data, has_ended = self._read_ahead(b"")
-        action = session.receive(data, has_ended) if data else NextAction.READ
-        if has_ended or action is NextAction.CLOSE:
+        received_bytes = session.received_bytes
+        if not session.discards_unread:
+            self._read_ahead()
+        has_received = session.received_bytes > received_bytes
+        if has_received and session.handle_buffered() is NextAction.CLOSE:
+            raise anyio.EndOfStream
+        if session.is_disconnected and not session.has_buffered_lines:
             raise anyio.EndOfStream
-        if self._stream.has_unread() and not session.discards_unread:
+        if session.is_backlogged and not session.may_end_unread:
             session.resume()
             return False
-        return session.can_shut_down(has_received=bool(data))
+        return session.can_shut_down(has_received)
 
     async def _drain(self) -> None:
         """Discards received data: closing with unread data would reset the connection and lose responses."""
         with anyio.move_on_after(_DRAIN_TIMEOUT_S):
             for _ in range(_MAX_DRAIN_READS):
                 await self._stream.receive()
-                await self._pause()
+                await self._wait_for_turn()
 
-    async def _pause(self) -> None:
+    async def _wait_for_turn(self) -> None:
         """Gives other connections their turn, only a short one where little time is left."""
-        await anyio.sleep(0 if self.session.discards_unread else _TURN_PAUSE_S)
+        if self.session.discards_unread:
+            await anyio.sleep(0)
+        else:
+            await self._bulk_turns.wait()
--- a/cresstray/clients/connection_registry.py
+++ b/cresstray/clients/connection_registry.py
@@ -5,12 +5,16 @@
 from collections.abc import Callable, Iterator
 
 from cresstray.clients.ports import RequestHandler
-from cresstray.clients.session import MIN_IDLE_US, ClientSession
+from cresstray.clients.session import MAX_BUFFERED_BYTES, MIN_IDLE_US, ClientSession
+from cresstray.clients.turn_pacing import BulkTurns
 from cresstray.observability.counters import Counters
 
 # A client that keeps sending parts of a line is closed this long after its idle timeout. It must be closed
 # within three seconds of connecting.
 _FORCE_CLOSE_AFTER_US = 400_000
+# As many open requests as one connection may have, with statements as long as the longest result.
+_MAX_READ_AHEAD_BYTES = 2 * 1024 * 1024
+_READ_AHEAD_SHARE = 0.5
 
 
 class ConnectionRegistry:
@@ -40,6 +44,7 @@
         self.connections: dict[ClientSession, None] = {}  # in the order they were accepted
         # Connections that this side ends and that are not closed yet.
         self.closing_connections: dict[ClientSession, None] = {}
+        self.bulk_turns = BulkTurns()
         self.is_closing = False  # whether all new requests are rejected
         # Bytes of partial lines and of lines not yet handled, on all connections.
         self.buffered_bytes = 0
@@ -63,6 +68,17 @@
         """Returns by how many the connections exceed the limit; negative if there may be more."""
         return len(self.connections) + len(self.closing_connections) - self._max_connections()
 
+    def max_read_ahead_bytes(self, held_bytes: int) -> int:
+        """Returns how much one connection may buffer of lines that are not handled yet.
+
+        It is a share of what the other connections leave free, so that a few cannot take all of it.
+
+        Args:
+            held_bytes: what the connection has buffered already.
+        """
+        free_bytes = MAX_BUFFERED_BYTES - self.buffered_bytes + held_bytes
+        return min(_MAX_READ_AHEAD_BYTES, int(free_bytes * _READ_AHEAD_SHARE))
+
     def limit_buffered_bytes(self, max_bytes: int) -> None:
         """Shortens partial lines while the buffers of all connections hold more than `max_bytes`."""
         while self.buffered_bytes > max_bytes:
@@ -102,6 +118,19 @@
         yield from list(self.closing_connections)
         yield from self._by_idle_time()
 
+    def evict_stranger(self) -> bool:
+        """Closes the oldest connection whose client has never sent a whole request, though it has sent data.
+
+        Returns whether there was one that is not too young.
+        """
+        now_us = self.now_us()
+        for session in self.connections:
+            if session.is_stranger(now_us):
+                self.counters.add("clients that sent no request, evicted")
+                session.abort()
+                return True
+        return False
+
     def _by_idle_time(self) -> list[ClientSession]:
         """Returns all connections to evict, in order: those that never sent a request, then the longest idle.
 
--- a/cresstray/clients/listener.py
+++ b/cresstray/clients/listener.py
@@ -117,9 +117,10 @@
         """Evicts in this order as far as needed; returns whether there is room for one more connection."""
         while self.excess_connections() >= 0:
             session = next(eviction_order, None)
-            if session is None:
+            if session is not None:
+                session.try_evict()
+            elif not self.evict_stranger():
                 return False
-            session.try_evict()
         return True
 
     async def _serve(self, connection: ClientConnection) -> None:
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from cresstray.clients import codec
-from cresstray.clients.line_buffer import LineBuffer
+from cresstray.clients.line_buffer import MAX_QUOTES, LineBuffer
 from cresstray.clients.ports import NextAction, Transport
 
 if TYPE_CHECKING:
@@ -18,7 +19,7 @@
 # A statement has some kilobytes; a line far longer than any statement is missing its line feed.
 _MAX_LINE_BYTES = 256 * 1024
 # Limit of the buffers of all connections together: unterminated lines on all of them would fill the memory.
-_MAX_BUFFERED_BYTES = 2 * 1024 * 1024
+MAX_BUFFERED_BYTES = 2 * 1024 * 1024
 # A request without its statement has some hundred bytes. On 1,024 connections, lines of this length do not
 # exceed the limit above.
 _MAX_SHORTENED_LINE_BYTES = 2 * 1024
@@ -30,8 +31,11 @@
 _MAX_MALFORMED = 10
 # Lines handled in one turn of the event loop: some milliseconds of work before other connections have a turn.
 _MAX_LINES_PER_TURN = 100
-# Data that may be read ahead on one connection, to find out whether its client has disconnected.
-_MAX_READ_AHEAD_BYTES = 1024 * 1024
+# What is read of a line that is not complete, however little the buffers have left.
+_MIN_READ_BYTES = 4096
+# What a banned client may send until its connection ends even if it goes on: enough to get to the end of a
+# statement of several times the usual size, so that it is answered under its id.
+_MAX_BYTES_AFTER_BAN = 1024 * 1024
 # Messages without effect in a row, after which the connection is closed at once. A client reaches this number
 # only by repeating all its open requests many times. The responses to them may take 200 kB.
 _MAX_IGNORED_MESSAGES = 2000
@@ -56,27 +60,38 @@
     | closing      | `_is_closing`      | by `close` or a ban                   | new requests are rejected  |
     | finishing    | `_is_finishing`    | closing and no open requests, or idle | the transport drains       |
     | shut down    | `_is_shut_down`    | when `can_shut_down` returns True     | received data is discarded |
-    | disconnected | `_is_disconnected` | when end of stream has been read      | new requests are rejected  |
+    | disconnected | `is_disconnected` | when end of stream has been read      | new requests are rejected  |
 
     A finishing session returns to open or closing by `resume`. One that is shut down stays so until
     `on_disconnected`.
     """
 
-    def __init__(self, registry: ConnectionRegistry, transport: Transport) -> None:
+    def __init__(
+        self,
+        registry: ConnectionRegistry,
+        transport: Transport,
+        find_end_of_stream: Callable[[], None] = lambda: None,
+    ) -> None:
         self._registry = registry
         self._transport = transport
+        # Buffers what was sent, and sets `is_disconnected` if the client's end of stream follows.
+        self._find_end_of_stream = find_end_of_stream
         self.open_requests: dict[int, object] = {}
         # When the connection was accepted, or later its last line, part of a line, or response.
-        self.last_activity_us = registry.now_us()
+        self.last_activity_us = self._accepted_us = registry.now_us()
         self.has_sent_request = False  # whether the client has sent a line that could be decoded
         self.discards_unread = False  # whether the connection may end although the client is still sending
         self._buffer = LineBuffer()
         self._malformed_count = 0
+        self.received_bytes = 0
+        # Whether the client has sent more than may be buffered: it may have disconnected behind that.
+        self.is_backlogged = False
+        self._bytes_after_ban = 0
         self._ignored_count = 0  # messages without effect since the last accepted request
         self._is_closing = False
         self._is_finishing = False
         self._is_shut_down = False
-        self._is_disconnected = False
+        self.is_disconnected = False
 
     @property
     def has_buffered_lines(self) -> bool:
@@ -126,14 +141,35 @@
 
         May make a system call.
         """
-        return self._is_disconnected or self._transport.has_ended()
+        if self.is_disconnected or self._transport.has_ended():
+            return True
+        if self._transport.has_unread():
+            # The end of stream may follow behind data that the kernel of the client's host still holds.
+            self._find_end_of_stream()
+        return self.is_disconnected
 
     def can_read_ahead(self) -> bool:
         """Returns whether more may be read before the buffered data is handled."""
-        has_room = (
-            len(self._buffer) < _MAX_READ_AHEAD_BYTES and self._registry.buffered_bytes < _MAX_BUFFERED_BYTES
-        )
-        return has_room and not self.discards_unread
+        return self.max_read_bytes() > 0
+
+    def max_read_bytes(self) -> int:
+        """Returns how much may be read now, before the buffered data is handled."""
+        if self.discards_unread or self.is_disconnected or self.partial_line_bytes() > _MAX_LINE_BYTES:
+            return 0
+        held_bytes = len(self._buffer)
+        free_bytes = self._registry.max_read_ahead_bytes(held_bytes) - held_bytes
+        # A line that is not complete can always be continued: others are shortened in its place.
+        return max(0 if self.has_buffered_lines else _MIN_READ_BYTES, free_bytes)
+
+    @property
+    def may_end_unread(self) -> bool:
+        """Whether the connection may end although the client is still sending."""
+        return self.discards_unread or self._bytes_after_ban > _MAX_BYTES_AFTER_BAN
+
+    @property
+    def is_finishing(self) -> bool:
+        """Whether the connection ends once all is written."""
+        return self._is_finishing
 
     def is_banned(self) -> bool:
         """Returns whether the client has sent too many malformed messages.
@@ -151,15 +187,31 @@
             data: the received data.
             ended: whether the client's end of stream follows the data.
         """
-        self._is_disconnected = self._is_disconnected or ended
+        self.buffer(data)
+        self.is_disconnected = self.is_disconnected or ended
+        return self.handle_buffered()
+
+    def buffer(self, data: bytes) -> None:
+        """Adds received data, which may be split anywhere, to what is handled in the next turns."""
+        self.received_bytes += len(data)
         if self._is_shut_down:
-            return NextAction.READ
+            return
         registry = self._registry
         if self.has_sent_request and not self._buffer:
             self.last_activity_us = registry.now_us()
         buffered_bytes = len(self._buffer)
         self._buffer.append(data)
         registry.buffered_bytes += len(self._buffer) - buffered_bytes
+        if self.is_banned():
+            self._bytes_after_ban += len(data)
+
+    def handle_buffered(self) -> NextAction:
+        """Handles the buffered lines of one turn."""
+        if self._is_shut_down:
+            return NextAction.READ
+        registry = self._registry
+        if self.is_disconnected and self.open_requests:
+            registry.handler.on_disconnected(self)
         if self.has_buffered_lines:
             self.last_activity_us = registry.now_us()
             self._handle_next_lines()
@@ -184,12 +236,9 @@
 
     def _next_lines(self) -> list[bytes]:
         """Removes whole lines from the buffer, as many as are handled in one turn."""
-        registry = self._registry
-        # If the buffers of all connections are full, all lines are handled now rather than kept buffered.
-        max_lines = _MAX_LINES_PER_TURN if registry.buffered_bytes <= _MAX_BUFFERED_BYTES else -1
         buffered_bytes = len(self._buffer)
-        lines = self._buffer.take_lines(max_lines)
-        registry.buffered_bytes -= buffered_bytes - len(self._buffer)
+        lines = self._buffer.take_lines(_MAX_LINES_PER_TURN)
+        self._registry.buffered_bytes -= buffered_bytes - len(self._buffer)
         return lines
 
     def _enforce_buffer_limits(self) -> None:
@@ -199,7 +248,7 @@
                 self._reject_overlong_line(None)
             if is_overlong or self._buffer.dropped_bytes:
                 self.shorten_partial_line()
-        self._registry.limit_buffered_bytes(_MAX_BUFFERED_BYTES)
+        self._registry.limit_buffered_bytes(MAX_BUFFERED_BYTES)
 
     def can_shorten_partial_line(self) -> bool:
         """Returns whether the line that is not complete holds more than is kept of a shortened one."""
@@ -252,6 +301,9 @@
         if len(line) > _MAX_LINE_BYTES:
             self._reject_long_line(line, len(line))
             return
+        if len(line) > _MAX_SHORTENED_LINE_BYTES and line.count(b'"') > MAX_QUOTES:
+            self._on_malformed(codec.MalformedMessageError(codec.INVALID_REQUEST, "too many strings"))
+            return
         try:
             request_id, message = codec.decode(line, self._registry.request_class_names)
         except codec.MalformedMessageError as error:
@@ -295,8 +347,8 @@
 
     def _must_reject(self) -> bool:
         """Returns whether to reject a request because it could run and its response be lost."""
-        is_ending = self._is_closing or self._is_disconnected or self._registry.is_closing
-        return is_ending or self._has_too_much_unread()
+        is_ending = self._is_closing or self.is_disconnected or self._registry.is_closing
+        return is_ending or self.is_backlogged or self._has_too_much_unread()
 
     def _has_too_much_unread(self) -> bool:
         """Returns whether the client leaves so many responses unread that they could fill the memory.
@@ -387,6 +439,12 @@
         is_busy = self.open_requests or self.has_buffered_lines or self._transport.unsent
         return not is_busy and now_us - self.last_activity_us > MIN_IDLE_US
 
+    def is_stranger(self, now_us: int) -> bool:
+        """Returns whether the client has not sent a whole request some time after it connected."""
+        is_busy = self.open_requests or self.has_buffered_lines or self._transport.unsent
+        is_old = now_us - self._accepted_us > MIN_IDLE_US
+        return is_old and not (self.has_sent_request or is_busy)
+
     def close_idle(self, force: bool) -> None:
         """Ends the connection in order; without `force` it stays if data turns out to have been received."""
         if self._transport.unsent:
@@ -409,14 +467,13 @@
     def try_evict(self) -> bool:
         """Closes at once if the connection is shut down or idle; returns whether it did.
 
-        It is idle if no request is open and no data is unread or unsent.
+        It is idle if no request is open and no data is unread or unsent. What is unread of a client that was
+        banned or has left does not count.
         """
         transport = self._transport
         if not self._is_shut_down:
-            is_busy = (
-                self.open_requests or self.has_buffered_lines or transport.unsent or transport.has_unread()
-            )
-            if is_busy:
+            is_busy = self.open_requests or self.has_buffered_lines or transport.unsent
+            if is_busy or not (self.is_banned() or transport.has_ended() or not transport.has_unread()):
                 return False
         self.abort()
         return True
--- a/cresstray/transport/streams.py
+++ b/cresstray/transport/streams.py
@@ -15,8 +15,9 @@
 from cresstray.observability.counters import Counters
 from cresstray.observability.log import Log
 
-# CLOSE_WAIT, the state of a connection whose peer has closed its side, as in the first byte of TCP_INFO.
-_CLOSE_WAIT = b"\x08"
+# The states of a connection whose peer has closed or reset it, as in the first byte of TCP_INFO: CLOSE,
+# CLOSE_WAIT, LAST_ACK and CLOSING.
+_ENDED_STATES = (b"\x07", b"\x08", b"\x09", b"\x0b")
 # The exceptions of reads and writes on a connection that is closed, broken or reset.
 CONNECTION_ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
@@ -179,10 +180,36 @@
             raise anyio.EndOfStream
         return bytes(_READ_BUFFER[:size])
 
-    def receive_available(self) -> bytes | None:
-        """Returns the available data without waiting; None if there is none, b"" after the end."""
+    async def wait_for_data(self, max_bytes: int) -> int:
+        """Waits for data, which is not received; returns how much there is, counted up to `max_bytes`.
+
+        Raises:
+            anyio.EndOfStream: the peer has closed its side.
+            anyio.ClosedResourceError: the connection was closed on this side.
+            OSError: the connection is broken.
+        """
+        while True:
+            if self._socket.fileno() < 0:
+                raise anyio.ClosedResourceError
+            await anyio.wait_readable(self._socket)
+            with suppress(BlockingIOError):  # what made the socket readable was received meanwhile
+                available_bytes = self._socket.recv_into(_READ_BUFFER, max_bytes, socket.MSG_PEEK)
+                if not available_bytes:
+                    raise anyio.EndOfStream
+                return available_bytes
+
+    def available_bytes(self, max_bytes: int) -> int:
+        """Returns how much can be received at once, counted up to `max_bytes`."""
+        try:
+            return self._socket.recv_into(_READ_BUFFER, max_bytes, socket.MSG_PEEK)
+        except OSError:
+            return 0
+
+    def receive_available(self, max_bytes: int) -> bytes | None:
+        """Returns available data, up to `max_bytes` and 64 kB; None if there is none, b"" after the end."""
         try:
-            return bytes(_READ_BUFFER[: self._socket.recv_into(_READ_BUFFER)])
+            size = self._socket.recv_into(_READ_BUFFER, min(max_bytes, len(_READ_BUFFER)))
+            return bytes(_READ_BUFFER[:size])
         except BlockingIOError:
             return None
         except OSError:
@@ -200,11 +227,11 @@
         peeked = self._peek()
         if peeked is None:
             return False
-        return peeked == b"" or self._is_in_close_wait()
+        return peeked == b"" or self._is_in_ended_state()
 
-    def _is_in_close_wait(self) -> bool:
+    def _is_in_ended_state(self) -> bool:
         try:
-            return self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1) == _CLOSE_WAIT
+            return self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1) in _ENDED_STATES
         except OSError:
             return False  # the system does not support TCP_INFO
 
