--- a/cresstray/model_checking/lines.py
+++ b/cresstray/model_checking/lines.py
@@ -835,7 +835,7 @@
 
     def _tidy(self) -> None:
         """What is remembered and no longer has a future is dropped, so that states are the same that are."""
-        self.ingress._current_names.clear()
+        self.ingress.names.clear()
         self.ingress._next_generation_us = 0
         for context in self.accounting.open_requests.values():
             # How decoders share what they read is no part of a state.
--- a/cresstray/pipeline/ingress.py
+++ b/cresstray/pipeline/ingress.py
@@ -9,6 +9,7 @@
 from cresstray.clock import Clock
 from cresstray.memory_budget import MemoryBudget
 from cresstray.pipeline.admission import Admission
+from cresstray.pipeline.recent_names import RecentNames
 from cresstray.pipeline.request_context import Query, RequestContext, Responder
 from cresstray.policy.types import Request, RequestClass
 from cresstray.tables import MAX_TABLE_GROUP, find_table_group
@@ -16,13 +17,7 @@
 if TYPE_CHECKING:
     from cresstray.pipeline.replica_reads import ReplicaReads
 
-# Clients give each request a new name; a name that is reused within this time is a mistake or an attack.
-_NAME_GENERATION_US = 10_000_000
-_MAX_NAMES_PER_GENERATION = 20_000
-_NAME_GENERATIONS = 2
-# A string of 16 characters and its place in a set.
-_NAME_BYTES = 130
-# The part of the process's memory that names may take.
+# The part of the process's memory that names of recent requests may take.
 _NAMES_SHARE = 0.15
 # A longer timeout than this multiple of the class's own is a mistake of the client.
 _MAX_TIMEOUT_FACTOR = 2
@@ -75,7 +70,7 @@
         memory: MemoryBudget | None = None,
     ) -> None:
         self._clock = clock
-        self._memory = memory or MemoryBudget()
+        memory = memory or MemoryBudget()
         self._admission = admission
         self.shutdown_deadline_us: int | None = None  # set once the process is shutting down
         self.replica_reads: ReplicaReads | None = None  # set where fleet configuration places replicas
@@ -86,9 +81,10 @@
             for service, request_class in zip(settings.get("Services", []), request_classes)
         }
         self._tenants = {tenant["Name"]: index for index, tenant in enumerate(settings.get("Tenants", []))}
-        self._current_names: set[str] = set()  # used in the current generation
-        self._previous_names: set[str] = set()  # used in the generation before
-        self._next_generation_us = 0
+        # Engines identify a request by its name alone. If another client could reuse the name of an open
+        # request, it could have that request cancelled or answered, and a connection could not tell to which
+        # of the two an answer belongs.
+        self.names = RecentNames(lambda: int(memory.capacity_bytes * _NAMES_SHARE))
 
     def accept(
         self, responder: Responder, number: int, query: Query, offer: ForwardedOffer | None = None
@@ -147,7 +143,7 @@
             return RejectionReason.TABLE_GROUP_TOO_LARGE
         # Checked last, because the check remembers the name: a query that is rejected for another reason may
         # be sent again under its name.
-        if not self._is_new(query.name, now_us):
+        if not self.names.add(query.name, now_us):
             return RejectionReason.NAME_USED_BEFORE
         return None
 
@@ -169,32 +165,13 @@
             size_bytes=len(query.statement),
         )
 
-    def _is_new(self, name: str, now_us: int) -> bool:
-        # Engines identify a request by its name alone. If another client could reuse the name of an open
-        # request, it could have that request cancelled or answered, and a connection could not tell to which
-        # of the two an answer belongs.
-        is_full = len(self._current_names) >= self._max_names_per_generation()
-        if now_us >= self._next_generation_us or is_full:
-            self._previous_names = self._current_names
-            self._current_names = set()
-            self._next_generation_us = now_us + _NAME_GENERATION_US
-        if name in self._current_names or name in self._previous_names:
-            return False
-        self._current_names.add(name)
-        return True
-
-    def _max_names_per_generation(self) -> int:
-        memory_bytes = int(self._memory.capacity_bytes * _NAMES_SHARE)
-        return min(_MAX_NAMES_PER_GENERATION, memory_bytes // (_NAME_GENERATIONS * _NAME_BYTES))
-
     def recent_names(self) -> list[str]:
         """Returns the names of recent requests, those of the current generation last."""
-        return sorted(self._previous_names) + sorted(self._current_names)
+        return self.names.names()
 
     def remember_names(self, names: Iterable[str]) -> None:
         """Treats the names that the preceding process handed over as used."""
-        self._previous_names.update(names)
-        self._next_generation_us = self._next_generation_us or self._clock.now() + _NAME_GENERATION_US
+        self.names.add_earlier(names, self._clock.now())
 
     def cancel(self, responder: Responder, number: int | None, name: str | None) -> None:
         """Cancels a request of a client, by number or by name; does nothing if it is not open."""
