Spend less on the memory account for each request; check the limit only where one is set

Cause: the account cost 5 to 10% of a submission's CPU time: properties, a slow enum hash and recomputed limits on the way of each request. A gateway built in a process that already held over 192 MB, as the tests do, refused to start though no limit was set.

Change: limits are computed as the budget is sized; a connection's waiting data is only measured while another has or waits for its turn; the start is refused only where limits.memory_mb is set and less than what is resident.

--- a/cresstray/clients/client_connection.py
+++ b/cresstray/clients/client_connection.py
@@ -91,22 +91,32 @@
         """Waits until something can be read, which is left to the turn: a waiting connection holds nothing.
 
         Raises:
-            anyio.EndOfStream: the client has disconnected.
+            anyio.ClosedResourceError: the connection was closed on this side.
         """
         self._is_waiting_for_data = True
         try:
-            available_bytes = await self._stream.wait_for_data(_USUAL_BYTES + 1)
+            await self._stream.wait_for_data()
         finally:
             self._is_waiting_for_data = False
-        has_long_line = self.session.partial_line_bytes() + available_bytes > _USUAL_BYTES
-        self._has_more = self._has_more or has_long_line
+        if self._bulk_turns.must_wait and not self._has_more:
+            available_bytes = self._stream.available_bytes(_USUAL_BYTES + 1)
+            self._has_more = self.session.partial_line_bytes() + available_bytes > _USUAL_BYTES
 
     def _take_turn(self) -> NextAction:
-        """Reads ahead, and handles the lines of one turn."""
+        """Reads ahead, and handles the lines of one turn.
+
+        Raises:
+            anyio.EndOfStream: the client has disconnected, and all that it sent is handled.
+        """
         session = self.session
+        received_bytes = session.received_bytes
         self._read_ahead()
         action = session.handle_buffered()
+        if session.is_disconnected and not session.has_buffered_lines:
+            raise anyio.EndOfStream
         self._has_more = session.has_buffered_lines or session.is_backlogged or session.is_banned()
+        if self._has_more or session.received_bytes - received_bytes > _USUAL_BYTES:
+            self._bulk_turns.on_turn()
         return action
 
     def _read_ahead(self) -> None:
@@ -118,7 +128,8 @@
         session = self.session
         session.is_backlogged = False
         end_bytes = session.received_bytes + _MAX_READ_AHEAD_BYTES
-        while session.received_bytes < end_bytes and (max_bytes := session.max_read_bytes()):
+        max_bytes = session.max_read_bytes()
+        while max_bytes and session.received_bytes < end_bytes:
             data = self._stream.receive_available(max_bytes)
             if data is None:
                 return
@@ -126,6 +137,8 @@
                 session.is_disconnected = True
                 return
             session.buffer(data)
+            if len(data) > _USUAL_BYTES:
+                max_bytes = session.max_read_bytes()
         session.is_backlogged = self._stream.has_unread()
 
     def _find_end_of_stream(self) -> None:
--- a/cresstray/clients/connection_registry.py
+++ b/cresstray/clients/connection_registry.py
@@ -16,10 +16,6 @@
 # As many open requests as one connection may have, with statements as long as the longest result.
 _MAX_READ_AHEAD_BYTES = 2 * 1024 * 1024
 _READ_AHEAD_SHARE = 0.5
-# Limit of the buffers of all connections together: unterminated lines on all of them would fill the memory.
-_MAX_BUFFERED_BYTES = 2 * 1024 * 1024
-# The part of the process's memory that the buffers may take.
-_BUFFER_SHARE = 0.25
 # A connection with less unread is not closed for a lack of memory, which it would hardly end.
 _MIN_CUT_OFF_BYTES = 4096
 
@@ -62,10 +58,6 @@
         """Bytes of partial lines and of lines not yet handled, on all connections."""
         return self.memory.held_bytes[Holding.RECEIVED]
 
-    def max_buffered_bytes(self) -> int:
-        """Returns how much the buffers of all connections may hold."""
-        return min(_MAX_BUFFERED_BYTES, int(self.memory.capacity_bytes * _BUFFER_SHARE))
-
     def on_closing(self, session: ClientSession) -> None:
         """Moves a connection to those that this side ends."""
         self.connections.pop(session, None)
@@ -93,12 +85,14 @@
         Args:
             held_bytes: what the connection has buffered already.
         """
-        free_bytes = self.max_buffered_bytes() - self.buffered_bytes + held_bytes
+        memory = self.memory
+        free_bytes = memory.max_received_bytes - memory.held_bytes[Holding.RECEIVED] + held_bytes
         return min(_MAX_READ_AHEAD_BYTES, int(free_bytes * _READ_AHEAD_SHARE))
 
     def limit_buffered_bytes(self) -> None:
         """Shortens partial lines while the buffers of all connections hold more than they may."""
-        while self.buffered_bytes > self.max_buffered_bytes():
+        memory = self.memory
+        while memory.held_bytes[Holding.RECEIVED] > memory.max_received_bytes:
             session = max(self.connections, key=_shortening_rank, default=None)
             if session is None or not session.can_shorten_partial_line():
                 return
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -184,14 +184,18 @@
 
     def max_read_bytes(self) -> int:
         """Returns how much may be read now, before the buffered data is handled."""
-        if self.discards_unread or self.is_disconnected or self.partial_line_bytes() > _MAX_LINE_BYTES:
+        if self.discards_unread or self.is_disconnected:
             return 0
-        if self.must_read_responses():
+        if self._transport.unsent and self.must_read_responses():
             return 0
-        held_bytes = len(self._buffer)
+        held_bytes = len(self._buffer.data)
         free_bytes = self._registry.max_read_ahead_bytes(held_bytes) - held_bytes
+        if self._buffer.has_lines:
+            return max(0, free_bytes)
+        if held_bytes > _MAX_LINE_BYTES:
+            return 0
         # A line that is not complete can always be continued: others are shortened in its place.
-        return max(0 if self.has_buffered_lines else _MIN_READ_BYTES, free_bytes)
+        return max(_MIN_READ_BYTES, free_bytes)
 
     @property
     def may_end_unread(self) -> bool:
@@ -229,12 +233,13 @@
         if self._is_shut_down:
             return
         registry = self._registry
-        if self.has_sent_request and not self._buffer:
+        buffer = self._buffer
+        buffered_bytes = len(buffer.data)
+        if self.has_sent_request and not buffered_bytes:
             self.last_activity_us = registry.now_us()
-        buffered_bytes = len(self._buffer)
-        self._buffer.append(data)
-        registry.memory.add(Holding.RECEIVED, len(self._buffer) - buffered_bytes)
-        if self.is_banned():
+        buffer.append(data)
+        registry.memory.add(Holding.RECEIVED, len(buffer.data) - buffered_bytes)
+        if self._malformed_count >= _MAX_MALFORMED:
             self._bytes_after_ban += len(data)
 
     def handle_buffered(self) -> NextAction:
@@ -378,8 +383,9 @@
     def _has_memory_for(self, request_id: int, size_bytes: int) -> bool:
         """Returns whether a request may be accepted, and remembers what it takes."""
         request_bytes = _REQUEST_BYTES + int(_LINE_COPIES * size_bytes)
-        for number in self._request_bytes.keys() - self.open_requests.keys():
-            del self._request_bytes[number]
+        if len(self._request_bytes) > len(self.open_requests):
+            for number in self._request_bytes.keys() - self.open_requests.keys():
+                del self._request_bytes[number]
         if not self._registry.memory.can_hold(self._held_bytes(), request_bytes):
             return False
         self._request_bytes[request_id] = request_bytes
@@ -401,6 +407,8 @@
 
         Its connection is still read from: it may cancel a request, or disconnect.
         """
+        if not self._transport.unsent:
+            return False
         return self.unsent_bytes() > min(_MAX_UNREAD_BYTES, self._share_bytes())
 
     def must_read_responses(self) -> bool:
@@ -408,15 +416,17 @@
 
         Rejections of what it sends would take memory that other clients need.
         """
-        return self.unsent_bytes() > self._share_bytes()
+        return bool(self._transport.unsent) and self.unsent_bytes() > self._share_bytes()
 
     def _share_bytes(self) -> int:
         """Returns how much may be held for this client."""
         return self._registry.memory.client_share_bytes(self._held_bytes())
 
     def _held_bytes(self) -> int:
-        requests_bytes = sum(self._request_bytes.get(number, 0) for number in self.open_requests)
-        return len(self._buffer) + self.unsent_bytes() + requests_bytes
+        held_bytes = len(self._buffer) + len(self._transport.unsent)
+        for number in self.open_requests:
+            held_bytes += self._request_bytes.get(number, 0)
+        return held_bytes
 
     # Orderly end.
 
--- a/cresstray/gateway/configuration.py
+++ b/cresstray/gateway/configuration.py
@@ -13,7 +13,7 @@
 
 from cresstray.discovery.endpoint_list import InitialList
 from cresstray.gateway.errors import ConfigurationError
-from cresstray.memory_budget import DEFAULT_MEMORY_MB
+from cresstray.memory_budget import MEGABYTE
 
 if TYPE_CHECKING:
     from cresstray.config.operator import Operator
@@ -25,7 +25,11 @@
     """Resource limits that the platform sets for the process; that of the CPU is not needed here."""
 
     sockets: int = 1024
-    memory_mb: float = DEFAULT_MEMORY_MB
+    memory_mb: float | None = None
+
+    def memory_bytes(self) -> int | None:
+        """Returns the limit of resident memory; None where there is none."""
+        return None if self.memory_mb is None else int(self.memory_mb * MEGABYTE)
 
 
 class Configuration(msgspec.Struct):
--- a/cresstray/gateway/service.py
+++ b/cresstray/gateway/service.py
@@ -18,7 +18,7 @@
 from cresstray.gateway.resident_memory import resident_bytes
 from cresstray.gateway.shutdown import GracefulShutdown
 from cresstray.gateway.signals import receive_signals
-from cresstray.memory_budget import DEFAULT_MEMORY_MB, MEGABYTE
+from cresstray.memory_budget import MEGABYTE
 
 if TYPE_CHECKING:
     from cresstray.config.operator import Operator
@@ -48,7 +48,7 @@
         descriptors: int = 1024,
         operator: Operator | None = None,
         read_operator: ReadOperator = _reject_reload,
-        memory_limit_bytes: int = DEFAULT_MEMORY_MB * MEGABYTE,
+        memory_limit_bytes: int | None = None,
     ) -> None:
         self.listen = listen
         self._memory_limit_bytes = memory_limit_bytes
@@ -85,7 +85,7 @@
 
     def _check_memory_limit(self) -> None:
         held_bytes = resident_bytes()
-        if held_bytes >= self._memory_limit_bytes:
+        if self._memory_limit_bytes is not None and held_bytes >= self._memory_limit_bytes:
             raise ConfigurationError(
                 f"the process needs {held_bytes / MEGABYTE:.1f} MB before its first client, and may hold "
                 f"{self._memory_limit_bytes / MEGABYTE:.1f} - at `$.limits.memory_mb`"
@@ -115,7 +115,8 @@
             await self._start_links(parts.links)
         if parts.fleet_member is not None:
             parts.fleet_member.start(parts.tasks)
-        parts.memory.set_limit(self._memory_limit_bytes, resident_bytes())
+        if self._memory_limit_bytes is not None:
+            parts.memory.set_limit(self._memory_limit_bytes, resident_bytes())
         open_listener(listener, self.listen)
         parts.tasks.start_soon(parts.listener.run, listener)
 
--- a/cresstray/gateway/startup.py
+++ b/cresstray/gateway/startup.py
@@ -20,7 +20,6 @@
 from cresstray.gateway.errors import ConfigurationError, GatewayError
 from cresstray.gateway.service import Service
 from cresstray.gateway.signals import HANDLED_SIGNALS
-from cresstray.memory_budget import MEGABYTE
 
 if TYPE_CHECKING:
     from cresstray.config.operator import Operator
@@ -80,7 +79,7 @@
             configuration.limits.sockets,
             operator,
             read_operator_file,
-            int(configuration.limits.memory_mb * MEGABYTE),
+            configuration.limits.memory_bytes(),
         )
     except (OSError, ValueError, MalformedEventError) as error:
         raise ConfigurationError(str(error)) from error
--- a/cresstray/memory_budget.py
+++ b/cresstray/memory_budget.py
@@ -9,14 +9,17 @@
 from enum import Enum
 
 MEGABYTE = 1024 * 1024
-# Without a limit in the configuration: the most that the platform gives where it names one.
-DEFAULT_MEMORY_MB = 192
+# Without a limit in the configuration.
+_DEFAULT_CAPACITY_BYTES = 96 * MEGABYTE
 # Kept free for what one step of the event loop allocates, and for engines and the endpoint list.
 _RESERVE_BYTES = 1_000_000
 # The allocator holds more than was asked for: sizes are rounded up, and freed memory is returned late.
 _USABLE_PART = 0.8
 # However little the process may hold, a few clients can always be served.
 _MIN_CAPACITY_BYTES = 512 * 1024
+# Lines on all connections together that are not handled yet: unterminated ones would fill the memory.
+_MAX_RECEIVED_BYTES = 2 * MEGABYTE
+_RECEIVED_SHARE = 0.25
 # The part of what is free that one client may hold.
 _CLIENT_SHARE = 0.25
 # The part of the capacity that connections may take, whatever they send.
@@ -33,18 +36,22 @@
     REQUESTS = "requests"  # statements and messages of requests that are not finished
     RESPONSES = "responses"  # written, and not yet accepted by the kernel
 
+    __hash__ = object.__hash__  # that of Enum is slow, and is needed several times for each request
+
 
 class MemoryBudget:
     """Accounts for the memory that is held for clients.
 
     Attributes:
         capacity_bytes: how much may be held.
+        max_received_bytes: how much of it lines may take that are not handled yet.
         held_bytes: how much is held of each kind.
         peak_bytes: the most that was held at a time.
     """
 
-    def __init__(self, capacity_bytes: int = DEFAULT_MEMORY_MB * MEGABYTE // 2) -> None:
+    def __init__(self, capacity_bytes: int = _DEFAULT_CAPACITY_BYTES) -> None:
         self.capacity_bytes = capacity_bytes
+        self.max_received_bytes = min(_MAX_RECEIVED_BYTES, int(capacity_bytes * _RECEIVED_SHARE))
         self.held_bytes = dict.fromkeys(Holding, 0)
         self.peak_bytes = 0
         self._total_bytes = 0
@@ -53,12 +60,14 @@
         """Sizes the budget by the limit of the process and by what it holds before any client has come."""
         usable_bytes = int((limit_bytes - resident_bytes - _RESERVE_BYTES) * _USABLE_PART)
         self.capacity_bytes = max(_MIN_CAPACITY_BYTES, usable_bytes)
+        self.max_received_bytes = min(_MAX_RECEIVED_BYTES, int(self.capacity_bytes * _RECEIVED_SHARE))
 
     def add(self, kind: Holding, size_bytes: int) -> None:
         """Records that so much more is held; a negative size releases it."""
         self.held_bytes[kind] += size_bytes
         self._total_bytes += size_bytes
-        self.peak_bytes = max(self.peak_bytes, self._total_bytes)
+        if self._total_bytes > self.peak_bytes:
+            self.peak_bytes = self._total_bytes
 
     @property
     def free_bytes(self) -> int:
@@ -71,7 +80,8 @@
 
     def client_share_bytes(self, held_bytes: int) -> int:
         """Returns how much one client may hold in all, of which it holds `held_bytes` now."""
-        return max(0, int((self.free_bytes + held_bytes) * _CLIENT_SHARE))
+        free_bytes = self.capacity_bytes - self._total_bytes + held_bytes
+        return int(free_bytes * _CLIENT_SHARE) if free_bytes > 0 else 0
 
     def can_hold(self, held_bytes: int, size_bytes: int) -> bool:
         """Returns whether a client that holds `held_bytes` may hold `size_bytes` more."""
--- a/cresstray/pipeline/recent_names.py
+++ b/cresstray/pipeline/recent_names.py
@@ -11,7 +11,7 @@
 _HEX = 16
 _NAME_BITS = 64
 # Names are looked up in a bucket one after the other: a hundred in the largest ones.
-_BUCKET_BITS = 11
+_BUCKET_SHIFT = _NAME_BITS - 11
 # A name in its bucket, which grows ahead by an eighth.
 _NAME_BYTES = 9
 
@@ -20,19 +20,19 @@
     """The names of one span of time, as numbers of 64 bits in buckets by their first bits."""
 
     def __init__(self) -> None:
-        self._buckets: dict[int, array[int]] = {}
+        self.buckets: dict[int, array[int]] = {}
         self.count = 0
 
-    def __contains__(self, number: int) -> bool:
-        return number in self._buckets.get(number >> (_NAME_BITS - _BUCKET_BITS), ())
-
     def add(self, number: int) -> None:
-        bucket = self._buckets.setdefault(number >> (_NAME_BITS - _BUCKET_BITS), array("Q"))
+        place = number >> _BUCKET_SHIFT
+        bucket = self.buckets.get(place)
+        if bucket is None:
+            bucket = self.buckets[place] = array("Q")
         bucket.append(number)
         self.count += 1
 
     def __iter__(self) -> Iterator[int]:
-        for bucket in self._buckets.values():
+        for bucket in self.buckets.values():
             yield from bucket
 
 
@@ -52,23 +52,28 @@
 
     def __init__(self, max_bytes: Callable[[], int]) -> None:
         self._max_bytes = max_bytes
+        self._max_count = 0  # in one generation
         self._current = _Generation()
         self._previous = _Generation()
         self._next_generation_us = 0
 
     def add(self, name: str, now_us: int) -> bool:
         """Remembers a name; returns whether it is new."""
-        max_count = self._max_bytes() // (_GENERATIONS * _NAME_BYTES)
-        if now_us >= self._next_generation_us or self._current.count >= max_count:
-            self._previous = self._current
-            self._current = _Generation()
-            self._next_generation_us = now_us + _GENERATION_US
+        if now_us >= self._next_generation_us or self._current.count >= self._max_count:
+            self._begin_generation(now_us)
         number = _to_number(name)
-        if number in self._current or number in self._previous:
+        place = number >> _BUCKET_SHIFT
+        if number in self._current.buckets.get(place, ()) or number in self._previous.buckets.get(place, ()):
             return False
         self._current.add(number)
         return True
 
+    def _begin_generation(self, now_us: int) -> None:
+        self._previous = self._current
+        self._current = _Generation()
+        self._next_generation_us = now_us + _GENERATION_US
+        self._max_count = self._max_bytes() // (_GENERATIONS * _NAME_BYTES)
+
     def names(self) -> list[str]:
         """Returns all names, those of the current generation last."""
         return [f"{number:016x}" for part in (self._previous, self._current) for number in sorted(part)]
@@ -77,7 +82,9 @@
         """Treats the names that the preceding process handed over as used."""
         for name in names:
             self._previous.add(_to_number(name))
-        self._next_generation_us = self._next_generation_us or now_us + _GENERATION_US
+        if not self._next_generation_us:
+            self._next_generation_us = now_us + _GENERATION_US
+            self._max_count = self._max_bytes() // (_GENERATIONS * _NAME_BYTES)
 
     def clear(self) -> None:
         """Forgets all names."""
--- a/cresstray/transport/streams.py
+++ b/cresstray/transport/streams.py
@@ -185,23 +185,15 @@
             raise anyio.EndOfStream
         return bytes(_READ_BUFFER[:size])
 
-    async def wait_for_data(self, max_bytes: int) -> int:
-        """Waits for data, which is not received; returns how much there is, counted up to `max_bytes`.
+    async def wait_for_data(self) -> None:
+        """Waits until there is data or the end of the stream; there may be neither if both were received.
 
         Raises:
-            anyio.EndOfStream: the peer has closed its side.
             anyio.ClosedResourceError: the connection was closed on this side.
-            OSError: the connection is broken.
         """
-        while True:
-            if self._socket.fileno() < 0:
-                raise anyio.ClosedResourceError
-            await anyio.wait_readable(self._socket)
-            with suppress(BlockingIOError):  # what made the socket readable was received meanwhile
-                available_bytes = self._socket.recv_into(_READ_BUFFER, max_bytes, socket.MSG_PEEK)
-                if not available_bytes:
-                    raise anyio.EndOfStream
-                return available_bytes
+        if self._socket.fileno() < 0:
+            raise anyio.ClosedResourceError
+        await anyio.wait_readable(self._socket)
 
     def available_bytes(self, max_bytes: int) -> int:
         """Returns how much can be received at once, counted up to `max_bytes`."""
