--- a/cresstray/clients/client_connection.py
+++ b/cresstray/clients/client_connection.py
@@ -137,7 +137,7 @@
                 session.is_disconnected = True
                 return
             session.buffer(data)
-            if len(data) > _USUAL_BYTES:
+            if len(data) == max_bytes or len(data) > _USUAL_BYTES:
                 max_bytes = session.max_read_bytes()
         session.is_backlogged = self._stream.has_unread()
 
--- a/cresstray/pipeline/recent_names.py
+++ b/cresstray/pipeline/recent_names.py
@@ -91,3 +91,4 @@
         self._current = _Generation()
         self._previous = _Generation()
         self._next_generation_us = 0
+        self._max_count = 0
