--- a/tests/attack_stand_ins.py
+++ b/tests/attack_stand_ins.py
@@ -675,6 +675,7 @@
         self.engines = [Engine(self.audit, number + 1) for number in range(engines)]
         self.coordinator = Coordinator(self.events)
         self.clients: list[Client] = []
+        self.client_type = Client
         self.descriptors = int(overrides.pop("descriptors", 0))
         self.extra_configuration = {"limits": {"sockets": self.descriptors}} if self.descriptors else {}
         self.settings = settings(**overrides)
@@ -723,7 +724,7 @@
         }
 
     async def connect_client(self, receive_buffer_bytes: int = 0) -> Client:
-        client = await Client.open(self.audit, self.address, receive_buffer_bytes)
+        client = await self.client_type.open(self.audit, self.address, receive_buffer_bytes)
         self.clients.append(client)
         return client
 
