One figure for what a request takes; the budget's limits are computed in one place

Cause: read once more, the change had the bytes of an open request in two modules, the limit of received lines computed in two methods, and one script of the floods that only called another.

Change: REQUEST_BYTES stands beside CONNECTION_BYTES, MemoryBudget._set_capacity computes both limits, the single client that sends status lines uses their script. Behaviour is as before.

Measured: lint and types clean; tests of sessions, connections, memory, names, service, layers and both model checkers pass, and three floods at 32 MB peak at 28.1 to 30.9 MB. The whole suite was not run on this commit.

--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -12,7 +12,7 @@
 from cresstray.clients import codec
 from cresstray.clients.line_buffer import MAX_QUOTES, LineBuffer
 from cresstray.clients.ports import NextAction, Transport
-from cresstray.memory_budget import CONNECTION_BYTES, Holding
+from cresstray.memory_budget import CONNECTION_BYTES, REQUEST_BYTES, Holding
 
 if TYPE_CHECKING:
     from cresstray.clients.connection_registry import ConnectionRegistry
@@ -38,9 +38,8 @@
 # Messages without effect in a row, after which the connection is closed at once. A client reaches this number
 # only by repeating all its open requests many times. The responses to them may take 200 kB.
 _MAX_IGNORED_MESSAGES = 2000
-# What an open request takes beside its statement, which is kept as received and as sent to the engine; both
-# are shorter than the line, in which it is in base64.
-_REQUEST_BYTES = 4_000
+# A statement is kept as received and as sent to the engine; both are shorter than the line, in which it is in
+# base64.
 _LINE_COPIES = 1.5
 # A client that sends no whole line must be closed within three seconds of connecting.
 _SILENT_TIMEOUT_US = 2_200_000
@@ -382,7 +381,7 @@
 
     def _has_memory_for(self, request_id: int, size_bytes: int) -> bool:
         """Returns whether a request may be accepted, and remembers what it takes."""
-        request_bytes = _REQUEST_BYTES + int(_LINE_COPIES * size_bytes)
+        request_bytes = REQUEST_BYTES + int(_LINE_COPIES * size_bytes)
         if len(self._request_bytes) > len(self.open_requests):
             for number in self._request_bytes.keys() - self.open_requests.keys():
                 del self._request_bytes[number]
--- a/cresstray/emulators/floods.py
+++ b/cresstray/emulators/floods.py
@@ -133,7 +133,7 @@
         await asyncio.sleep(0.02)
 
 
-async def _unread_status(connection: FloodConnection) -> None:
+async def _status_lines(connection: FloodConnection) -> None:
     line = b'{"jsonrpc":"2.0","id":1,"method":"status"}\n' * _LINES_PER_WRITE
     while True:
         await connection.write(line)
@@ -165,10 +165,6 @@
         await connection.write(b"".join(lines))
 
 
-async def _status(connection: FloodConnection) -> None:
-    await _unread_status(connection)
-
-
 async def _cancellations(connection: FloodConnection) -> None:
     while True:
         names = [connection.new_name() for _ in range(_LINES_PER_WRITE)]
@@ -218,14 +214,14 @@
     "slow-request": FloodKind(_slow_request),
     "short-fields": FloodKind(_short_fields),
     "open-requests": FloodKind(_open_requests),
-    "unread-status": FloodKind(_unread_status, reads=False),
+    "unread-status": FloodKind(_status_lines, reads=False),
     "unread-results": FloodKind(_unread_results, reads=False),
     "leavers": FloodKind(_leavers),
     "large-bodies": FloodKind(_large_bodies),
     "deep-nesting": FloodKind(_deep_nesting),
     "silent": FloodKind(_silent),
     "one-malformed": FloodKind(_malformed, is_single=True),
-    "one-status": FloodKind(_status, is_single=True),
+    "one-status": FloodKind(_status_lines, is_single=True),
     "one-new-names": FloodKind(_new_names, is_single=True),
     "one-cancellations": FloodKind(_cancellations, is_single=True),
 }
--- a/cresstray/memory_budget.py
+++ b/cresstray/memory_budget.py
@@ -26,6 +26,8 @@
 _CONNECTION_SHARE = 0.6
 # What a connection takes that holds no data: its task, its socket and its session.
 CONNECTION_BYTES = 13_000
+# What an open request takes beside its statement.
+REQUEST_BYTES = 4_000
 
 
 class Holding(Enum):
@@ -50,8 +52,7 @@
     """
 
     def __init__(self, capacity_bytes: int = _DEFAULT_CAPACITY_BYTES) -> None:
-        self.capacity_bytes = capacity_bytes
-        self.max_received_bytes = min(_MAX_RECEIVED_BYTES, int(capacity_bytes * _RECEIVED_SHARE))
+        self._set_capacity(capacity_bytes)
         self.held_bytes = dict.fromkeys(Holding, 0)
         self.peak_bytes = 0
         self._total_bytes = 0
@@ -59,8 +60,11 @@
     def set_limit(self, limit_bytes: int, resident_bytes: int) -> None:
         """Sizes the budget by the limit of the process and by what it holds before any client has come."""
         usable_bytes = int((limit_bytes - resident_bytes - _RESERVE_BYTES) * _USABLE_PART)
-        self.capacity_bytes = max(_MIN_CAPACITY_BYTES, usable_bytes)
-        self.max_received_bytes = min(_MAX_RECEIVED_BYTES, int(self.capacity_bytes * _RECEIVED_SHARE))
+        self._set_capacity(max(_MIN_CAPACITY_BYTES, usable_bytes))
+
+    def _set_capacity(self, capacity_bytes: int) -> None:
+        self.capacity_bytes = capacity_bytes
+        self.max_received_bytes = min(_MAX_RECEIVED_BYTES, int(capacity_bytes * _RECEIVED_SHARE))
 
     def add(self, kind: Holding, size_bytes: int) -> None:
         """Records that so much more is held; a negative size releases it."""
--- a/cresstray/pipeline/accounting.py
+++ b/cresstray/pipeline/accounting.py
@@ -4,14 +4,12 @@
 
 from typing import cast
 
-from cresstray.memory_budget import Holding, MemoryBudget
+from cresstray.memory_budget import REQUEST_BYTES, Holding, MemoryBudget
 from cresstray.observability.counters import Counters
 from cresstray.pipeline.request_context import IdempotencyHooks, RequestContext, SiteResponder
 from cresstray.policy import deadlines
 from cresstray.policy.types import Outcome, Request
 
-# What an open request takes beside its statement.
-_REQUEST_BYTES = 4_000
 # The statement is kept as it was received, and in the message to the engine.
 _STATEMENT_COPIES = 2
 
@@ -33,7 +31,7 @@
         """Accepts a request: from here on its responder is owed an answer."""
         self.open_requests[context.request] = context
         context.responder.open_requests[context.number] = context
-        context.held_bytes = _REQUEST_BYTES + _STATEMENT_COPIES * len(context.query.statement)
+        context.held_bytes = REQUEST_BYTES + _STATEMENT_COPIES * len(context.query.statement)
         self._memory.add(Holding.REQUESTS, context.held_bytes)
         self._counters.add("requests accepted")
 
