--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,16 +1,34 @@
-"""A new configuration names a drain and another coordinator, which is slow to take the gateway in."""
+"""A client sends the id of an open request with a different statement, while the request has long to run."""
 
 import asyncio
-import signal
 from pathlib import Path
 
-from rig import LOOKUP, SLACK, ZONES, Case, Client, Coordinator, Engine, free_port, main, member, settings
+from rig import (
+    LOOKUP,
+    ZONES,
+    CannotRunError,
+    Case,
+    Client,
+    Coordinator,
+    Engine,
+    free_port,
+    main,
+    member,
+    settings,
+)
 
-GRACE_S = 1.0
-# After SIGHUP, what the coordinator has to tell counts as told so long later.
-TOLD_AFTER_SIGHUP_S = 4.0
-# For so long discovery is down.
-DOWN_S = 8.0
+# A report runs for so long; its client waits for 25 s.
+REPORT_MS = 24000
+REUSED_AFTER_S = 21.5
+REPORT = {
+    "Name": "report",
+    "Effect": "idempotent",
+    "GoalTime": 1500,
+    "AimStretch": 2.5,
+    "GiveUp": 25000,
+    "LateValue": 0.3,
+    "Worth": 5,
+}
 
 
 async def play(case: Case) -> list[str]:
@@ -20,44 +38,28 @@
     for engine in engines:
         await engine.start()
     members = [member(engine, number, "hall-a") for number, engine in enumerate(engines, 1)]
-    old = Coordinator(record, ZONES, members)
-    await old.start()
+    coordinator = Coordinator(record, ZONES, members)
+    await coordinator.start()
     port = free_port()
-    site = settings([LOOKUP], [1])
-    path = case.configure("n0", port, site, old.address, old.known)
-    process = await case.start_gateway("n0", path)
-    client = await Client(record, port).connect()
-
-    async def ask() -> None:
-        while True:
-            client.ask("lookup", "run 20", 2000)
-            await asyncio.sleep(0.1)
-
-    asking = asyncio.ensure_future(ask())
-    await asyncio.sleep(2)
-    drain = member(engines[1], 2, "hall-a", "terminating")
-    new = Coordinator(record, ZONES, members)
-    new.tell(drain)
-    known = {
-        "index": 2,
-        "updates": [
-            *old.known["updates"],
-            {"index": 2, "endpoints": {"complete": False, "members": [drain]}},
-        ],
-    }
-    if not case.has_trouble:
-        await new.start()
-    case.configure("n0", port, site, new.address, known)
-    hup_at = process.send(signal.SIGHUP)
-    await asyncio.sleep(1.5)
-    old.stop()
-    await asyncio.sleep(DOWN_S - 1.5)
-    if case.has_trouble:
-        await new.start()
+    site = settings([LOOKUP, REPORT], [1, 2])
+    await case.start_gateway("n0", case.configure("n0", port, site, coordinator.address, coordinator.known))
+    usual = await Client(record, port).connect()
+    report = usual.ask("report", f"run {REPORT_MS}", 25000, ms=REPORT_MS)
+    while record.now() < report.at + REUSED_AFTER_S:
+        usual.ask("lookup", "run 20", 2000)
+        await asyncio.sleep(0.25)
+    if report.answers:
+        raise CannotRunError("the report has ended already")
+    bad = await Client(record, port).connect()
+    again = bad.ask("lookup", "run 30", 2000, report.name if case.has_trouble else "")
     await asyncio.sleep(5)
-    asking.cancel()
-    late = [ask for ask in engines[1].asks if ask.at > hup_at + TOLD_AFTER_SIGHUP_S + GRACE_S + SLACK]
-    return [f"{ask.name} was sent to a draining engine {ask.at - hup_at:.1f} s after SIGHUP" for ask in late]
+    served = [how for _, how, _ in again.answers if how == "fulfilled"]
+    if not case.has_trouble:
+        return [] if served else ["an ordinary request was not served"]
+    ran = [ask for engine in engines for ask in engine.asks if ask.name == report.name]
+    return [
+        f"served to the client that sent the id of an open request; engines got it {len(ran)} times"
+    ] * len(served)
 
 
 main(str(Path(__file__).parent), play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,69 +1,82 @@
-"""A keyed request that may have run crosses to the other hall shortly before the engines forget its key."""
+"""A usual client asks beside clients that each send hundreds of requests and withdraw them at once."""
 
 import asyncio
-import socket
+import sys
 from pathlib import Path
 
 from rig import (
-    HOST,
-    LOAD,
     LOOKUP,
     SLACK,
-    CannotRunError,
+    ZONES,
     Case,
     Client,
+    Coordinator,
     Engine,
-    Halls,
-    Marks,
+    Sent,
+    free_port,
     main,
+    member,
     settings,
-    until,
 )
 
-# The engines' memory of keys, and the work of the load. The load's engine crashes right after its end.
-WINDOW_S = 5.0
-WORK_S = 4.2
-CONNECT_TIMEOUT_MS = 1500
+FLOOD = Path(__file__).resolve().parents[1] / "rig" / "flood.py"
+# Bad clients, under the third of the descriptors that clients hold at most.
+PROCESSES, CONNECTIONS = 4, 81
+FLOOD_S = 20
+TIMEOUT_MS = 500
+# A request is lost if its answer comes so long after its time, or never.
+LATE_S = 0.5
+# A request that crosses the close of a connection is sent again by its client; this is twice the stated time.
+CROSSING_S = 0.1
+USUAL_CLIENTS = 4
+# The usual clients send some requests at once, within the open requests that a connection carries.
+AT_ONCE, MOST_OPEN = 6, 32
+STATEMENT = "run 20 " + "x" * 1500
 
 
 async def play(case: Case) -> list[str]:
     """Plays the case; returns the breaks of the rule."""
-    marks = Marks(WINDOW_S)
-    near, far = Engine("engine-a", case.record, marks), Engine("engine-b", case.record, marks)
-    await near.start()
-    listener, fillers = listen(far.port, case.has_trouble)
-    load = {**LOAD, "KeyTtl": WINDOW_S * 1000}
-    site = settings([LOOKUP, load], [1, 2], Limits={"ConnectTimeout": CONNECT_TIMEOUT_MS})
-    halls = Halls(case, [near], [far], site)
-    await halls.start()
-    client = await Client(case.record, halls.ports[0]).connect()
-    near.loses_answers = case.has_trouble
-    sent = client.ask("manifest-load", f"run {WORK_S * 1000}", 20000, opkey="ab" * 16)
-    await until(lambda: near.asks and near.asks[0].ended is not None, 8, "the load runs")
-    first = near.asks[0]
+    record = case.record
+    engines = [Engine(f"engine-{number}", record) for number in range(1, 5)]
+    for engine in engines:
+        engine.is_recorded = False
+        await engine.start()
+    members = [member(engine, number, "hall-a") for number, engine in enumerate(engines, 1)]
+    coordinator = Coordinator(record, ZONES, members)
+    await coordinator.start()
+    port = free_port()
+    path = case.configure("n0", port, settings([LOOKUP], [1]), coordinator.address, coordinator.known)
+    await case.start_gateway("n0", path)
     if case.has_trouble:
-        near.die()
-        await asyncio.sleep(0.6)
-    await far.start_on(listener)
-    await until(lambda: sent.answers, 17, "an answer to the load")
-    for filler in fillers:
-        filler.close()
-    if not first.ran:
-        raise CannotRunError("the first attempt did not run")
-    return [
-        f"{ask.engine} ran {ask.name} {ask.at - first.at:.2f} s after its first attempt, keys last {WINDOW_S}"
-        for ask in far.asks
-        if ask.ran and ask.at > first.at + WINDOW_S + SLACK
-    ]
+        for number in range(PROCESSES):
+            command = f"exec {sys.executable} -B {FLOOD} {port} {CONNECTIONS} {FLOOD_S}"
+            case.start(f"bad-{number}", command)
+        await asyncio.sleep(3)
+    asked: list[tuple[Client, Sent]] = []
+    await asyncio.gather(*(ask(case, port, asked) for _ in range(USUAL_CLIENTS)))
+    await asyncio.sleep(TIMEOUT_MS / 1000 + LATE_S + 1)
+    record.add("count", asked=len(asked), answered=sum(bool(sent.answers) for _, sent in asked))
+    return [line for client, sent in asked for line in judge(client, sent)]
 
 
-def listen(port: int, is_late: bool) -> tuple[socket.socket, list[socket.socket]]:
-    """Listens; if it is late, new connections come up only with the kernel's next try, a second later."""
-    listener = socket.socket()
-    listener.bind((HOST, port))
-    listener.listen(0 if is_late else 100)
-    # One connection that nobody accepts fills the queue of the listener.
-    return listener, [socket.create_connection((HOST, port))] if is_late else []
+async def ask(case: Case, port: int, asked: list[tuple[Client, Sent]]) -> None:
+    """Asks twice a second for ten seconds, on one connection, which is made again when it ends."""
+    client = await Client(case.record, port).connect()
+    for _ in range(50):
+        if client.ended_at is not None:
+            client = await Client(case.record, port).connect()
+        if client.open_count() <= MOST_OPEN - AT_ONCE:
+            asked.extend((client, client.ask("lookup", STATEMENT, TIMEOUT_MS)) for _ in range(AT_ONCE))
+        await asyncio.sleep(0.2)
+
+
+def judge(client: Client, sent: Sent) -> list[str]:
+    """Returns a line if the request is lost: taken, and answered half a second after its time, or never."""
+    if not sent.answers:
+        crossed = client.ended_at is not None and sent.at > client.ended_at - CROSSING_S
+        return [] if crossed or not sent.is_written else [f"{sent.name} was never answered"]
+    late_s = sent.answers[0][0] - sent.at - sent.timeout_s
+    return [f"{sent.name} was answered {late_s:.2f} s after its time"] if late_s > LATE_S + SLACK else []
 
 
 main(str(Path(__file__).parent), play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,79 +1,69 @@
-"""A gateway with a stored list is restarted as planned, and one of its engines is withdrawn meanwhile."""
+"""A keyed request that may have run crosses to the other hall shortly before the engines forget its key."""
 
 import asyncio
-import signal
+import socket
 from pathlib import Path
 
 from rig import (
+    HOST,
+    LOAD,
     LOOKUP,
     SLACK,
-    ZONES,
     CannotRunError,
     Case,
     Client,
-    Coordinator,
     Engine,
-    free_port,
+    Halls,
+    Marks,
     main,
-    member,
     settings,
+    until,
 )
 
-GRACE_S = 1.0
+# The engines' memory of keys, and the work of the load. The load's engine crashes right after its end.
+WINDOW_S = 5.0
+WORK_S = 4.2
+CONNECT_TIMEOUT_MS = 1500
 
 
 async def play(case: Case) -> list[str]:
     """Plays the case; returns the breaks of the rule."""
-    record = case.record
-    engines = [Engine(f"engine-{number}", record) for number in (1, 2, 3, 4)]
-    for engine in engines:
-        await engine.start()
-    first, second, third, fourth = (
-        member(engine, number, "hall-a") for number, engine in enumerate(engines, 1)
-    )
-    coordinator = Coordinator(record, ZONES, [first, second, fourth])
-    await coordinator.start()
-    folder = case.temporary / "kept"
-    folder.mkdir(mode=0o700)
-    port = free_port()
-    site = settings([LOOKUP], [1])
-    path = case.configure("ga0", port, site, coordinator.address, coordinator.known)
-    process = await case.start_gateway("ga0", path, f"kept {folder}\n")
-    await ask_for(case, port, 2)
-    # An ordinary day: one engine is replaced by another, which makes three more events.
-    coordinator.tell(third)
-    coordinator.tell({**fourth, "phase": "terminating"})
-    coordinator.tell({**fourth, "phase": "terminated"})
-    await ask_for(case, port, 4)
+    marks = Marks(WINDOW_S)
+    near, far = Engine("engine-a", case.record, marks), Engine("engine-b", case.record, marks)
+    await near.start()
+    listener, fillers = listen(far.port, case.has_trouble)
+    load = {**LOAD, "KeyTtl": WINDOW_S * 1000}
+    site = settings([LOOKUP, load], [1, 2], Limits={"ConnectTimeout": CONNECT_TIMEOUT_MS})
+    halls = Halls(case, [near], [far], site)
+    await halls.start()
+    client = await Client(case.record, halls.ports[0]).connect()
+    near.loses_answers = case.has_trouble
+    sent = client.ask("manifest-load", f"run {WORK_S * 1000}", 20000, opkey="ab" * 16)
+    await until(lambda: near.asks and near.asks[0].ended is not None, 8, "the load runs")
+    first = near.asks[0]
     if case.has_trouble:
-        process.send(signal.SIGTERM)
-        if await process.ended(10) != 0:
-            raise CannotRunError("the gateway did not end as planned")
-        # Events are numbered from 1 at each start of a gateway; the first one holds the whole list.
-        later = Coordinator(record, ZONES, [first, third])
-        await later.start()
-        told_at = record.add("told", whole_list=[first["id"], third["id"]])
-        case.configure("ga0", port, site, later.address, later.known)
-        await case.start_gateway("ga0", path, f"kept {folder}\n")
-    else:
-        told_at = coordinator.tell({**second, "phase": "terminated"})
-    await ask_for(case, port, 20)
-    late = [ask for ask in engines[1].asks if ask.at > told_at + GRACE_S + SLACK]
-    record.add("count", sent_to_withdrawn=len(late), others=len(engines[0].asks) + len(engines[2].asks))
+        near.die()
+        await asyncio.sleep(0.6)
+    await far.start_on(listener)
+    await until(lambda: sent.answers, 17, "an answer to the load")
+    for filler in fillers:
+        filler.close()
+    if not first.ran:
+        raise CannotRunError("the first attempt did not run")
     return [
-        f"{ask.name} was sent to an engine {ask.at - told_at:.1f} s after it was told gone" for ask in late
+        f"{ask.engine} ran {ask.name} {ask.at - first.at:.2f} s after its first attempt, keys last {WINDOW_S}"
+        for ask in far.asks
+        if ask.ran and ask.at > first.at + WINDOW_S + SLACK
     ]
 
 
-async def ask_for(case: Case, port: int, seconds: float) -> None:
-    """Asks ten times a second, on one connection."""
-    client = await Client(case.record, port).connect()
-    until = case.record.now() + seconds
-    while case.record.now() < until:
-        client.ask("lookup", "run 20", 2000)
-        await asyncio.sleep(0.1)
-    await asyncio.sleep(0.5)
-    client.close()
+def listen(port: int, is_late: bool) -> tuple[socket.socket, list[socket.socket]]:
+    """Listens; if it is late, new connections come up only with the kernel's next try, a second later."""
+    listener = socket.socket()
+    listener.bind((HOST, port))
+    listener.listen(0 if is_late else 100)
+    # One connection that nobody accepts fills the queue of the listener.
+    return listener, [socket.create_connection((HOST, port))] if is_late else []
 
 
 main(str(Path(__file__).parent), play)
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -95,6 +95,9 @@
         self.port = port or free_port()
         self.asks: list[Ask] = []
         self.loses_answers = False  # the work is done, and the answer is not sent
+        self.is_recorded = (
+            True  # whether what it gets and does goes into the record, which a flood would fill
+        )
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._jobs: dict[tuple[asyncio.StreamWriter, str], tuple[asyncio.Task[None], Ask]] = {}
@@ -144,41 +147,46 @@
         if command == b"ASK":
             self._ask(writer, name.decode(), more[0].decode(), more[1].decode())
         elif command == b"QUIT":
-            self._record.add("quit", engine=self.name, req=name.decode())
+            self._note("quit", req=name.decode())
             self._give_up(writer, name.decode())
         elif command == b"NOOP":
             self._say(writer, name.decode(), "green", "-", "")
 
     def _ask(self, writer: asyncio.StreamWriter, name: str, fields: str, statement: str) -> None:
         given = dict(field.split("=", 1) for field in fields.split(",") if "=" in field)
-        at = self._record.add("ask", engine=self.name, req=name, fields=fields)
+        at = self._note("ask", req=name, fields=fields)
         ask = Ask(self.name, name, given, at)
         self.asks.append(ask)
         key = given.get("i", "")
         if key and self.marks is not None:
             if self.marks.is_repeat(key, at):
                 ask.ended = at
-                self._record.add("repeat dropped", engine=self.name, req=name)
+                self._note("repeat dropped", req=name)
                 self._say(writer, name, "served", self._load(), f"{name}\t{self.name}\trepeat\n")
                 return
             self.marks.began[key] = at
         ask.ran = True
-        self._record.add("run", engine=self.name, req=name, key=key)
+        self._note("run", req=name, key=key)
         work_s = float(statement.split()[1]) / 1000
         self._jobs[writer, name] = (asyncio.ensure_future(self._work(writer, ask, work_s)), ask)
 
     async def _work(self, writer: asyncio.StreamWriter, ask: Ask, work_s: float) -> None:
         await asyncio.sleep(work_s)
         self._jobs.pop((writer, ask.name), None)
-        ask.ended = self._record.add("done", engine=self.name, req=ask.name, told=not self.loses_answers)
+        ask.ended = self._note("done", req=ask.name, told=not self.loses_answers)
         if not self.loses_answers:
             self._say(writer, ask.name, "served", self._load(), f"{ask.name}\t{self.name}\tdone\n")
 
+    def _note(self, event: str, **fields: Any) -> float:
+        if not self.is_recorded:
+            return self._record.now()
+        return self._record.add(event, engine=self.name, **fields)
+
     def _give_up(self, writer: asyncio.StreamWriter, name: str) -> None:
         job = self._jobs.pop((writer, name), None)
         if job is not None:
             job[0].cancel()
-            job[1].ended = self._record.add("given up", engine=self.name, req=name)
+            job[1].ended = self._note("given up", req=name)
 
     def _load(self) -> str:
         return f"sheets=1,load=inflight:{len(self._jobs)};util:{min(1.0, len(self._jobs) / 8):.2f}"
@@ -301,7 +309,7 @@
 
     def __init__(self, number: int, name: str, at: float, timeout_s: float) -> None:
         self.number, self.name, self.at, self.timeout_s = number, name, at, timeout_s
-        self.withdrawn_at: float | None = None
+        self.is_written = False  # the kernel has all of it
         self.answers: list[tuple[float, str, Any]] = []  # when, fulfilled, denied or abandoned, the message
         self.answered = asyncio.Event()
 
@@ -336,13 +344,12 @@
         self._writer.write(json.dumps(message).encode() + b"\n")
         at = self._record.add("asked", req=name, tariff=tariff, timeout=timeout_ms, **params)
         sent = self.sent[self._number] = Sent(self._number, name, at, timeout_ms / 1000)
+        sent.is_written = self._writer.transport.get_write_buffer_size() == 0
         return sent
 
-    def withdraw(self, sent: Sent) -> None:
-        """Stops waiting for one request."""
-        message = {"jsonrpc": "2.0", "method": "withdraw", "params": {"id": sent.number}}
-        self._writer.write(json.dumps(message).encode() + b"\n")
-        sent.withdrawn_at = self._record.add("withdrawn", req=sent.name)
+    def open_count(self) -> int:
+        """Returns how many requests wait for an answer."""
+        return sum(not sent.answers for sent in self.sent.values())
 
     def close(self) -> None:
         """Closes the connection."""
@@ -474,7 +481,7 @@
             "name": name,
             "listen": f"{HOST}:{port}",
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": known,
             "settings": settings,
         }
