Review stand-ins: ports below those of outgoing connections

Cause: one of 30 runs side by side could not start a gateway (exit code 2), as its port had been taken meanwhile. Change: free ports are drawn from 20000 to 31999.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -26,6 +27,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+PORTS = (20000, 32000)
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # What the protocol page adds to each time limit on sockets, in seconds.
 SLACK = 0.05
@@ -40,11 +42,13 @@
 
 
 def free_port() -> int:
-    """Returns a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Returns a port that nothing listens on, below those that systems give to outgoing connections."""
+    for _ in range(1000):
+        port = random.SystemRandom().randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
+    raise CannotRunError("there is no free port")
 
 
 class Record:
