--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -31,8 +31,6 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # What the protocol page adds to each time limit on sockets, in seconds.
 SLACK = 0.05
-# Breaks that are shown of one run; all are counted.
-MOST_SHOWN = 20
 _STATES = {"in_service": 0, "terminating": 1, "terminated": 2}
 _RECORD = struct.Struct(">IIHBBBHIQ")
 
@@ -57,6 +55,7 @@
     def __init__(self, path: Path) -> None:
         self._file = path.open("w", encoding="utf-8")
         self._start = time.monotonic()
+        self.asked: set[str] = set()  # the ids of what this script's clients have sent
 
     def now(self) -> float:
         """Returns the seconds since the run began."""
@@ -99,9 +98,8 @@
         self.port = port or free_port()
         self.asks: list[Ask] = []
         self.loses_answers = False  # the work is done, and the answer is not sent
-        self.is_recorded = (
-            True  # whether what it gets and does goes into the record, which a flood would fill
-        )
+        # If not, only what clients of this script sent goes into the record.
+        self.is_recorded = True
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._jobs: dict[tuple[asyncio.StreamWriter, str], tuple[asyncio.Task[None], Ask]] = {}
@@ -182,7 +180,7 @@
             self._say(writer, ask.name, "served", self._load(), f"{ask.name}\t{self.name}\tdone\n")
 
     def _note(self, event: str, **fields: Any) -> float:
-        if not self.is_recorded:
+        if not self.is_recorded and fields["req"] not in self._record.asked:
             return self._record.now()
         return self._record.add(event, engine=self.name, **fields)
 
@@ -366,6 +364,7 @@
             **params,
         }
         message = {"jsonrpc": "2.0", "id": self._number, "method": tariff, "params": content}
+        self._record.asked.add(name)
         self._writer.write(json.dumps(message).encode() + b"\n")
         at = self._record.add("asked", req=name, tariff=tariff, timeout=timeout_ms, **params)
         sent = self.sent[self._number] = Sent(self._number, name, at, timeout_ms / 1000)
@@ -694,6 +693,7 @@
     code = NOT_RUN
     try:
         broken = asyncio.run(asyncio.wait_for(play(case), seconds))
+        case.record.add("verdict", breaks=len(broken))
         for line in broken:
             case.record.add("broken", what=line)
             print(f"broken: {line}")
