Review cases: each names its record; what goes wrong before a play exits with 2

Cause: record.txt was named in the stand-ins alone, and a record that could not be opened would have exited with 1.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -62,4 +62,4 @@
     ] * len(served)
 
 
-main(str(Path(__file__).parent), play)
+main(Path(__file__).parent / "record.txt", play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -88,4 +88,4 @@
     )
 
 
-main(str(Path(__file__).parent), play)
+main(Path(__file__).parent / "record.txt", play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -94,4 +94,4 @@
     ]
 
 
-main(str(Path(__file__).parent), play)
+main(Path(__file__).parent / "record.txt", play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -66,4 +66,4 @@
     return listener, [socket.create_connection((HOST, port))] if is_late else []
 
 
-main(str(Path(__file__).parent), play)
+main(Path(__file__).parent / "record.txt", play)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -29,4 +29,4 @@
     ]
 
 
-main(str(Path(__file__).parent), play)
+main(Path(__file__).parent / "record.txt", play)
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -491,9 +491,9 @@
 class Case:
     """One run of one case: its folder, record, processes and whether the disruption is played."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, record_path: Path) -> None:
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record = Record(folder / "record.txt")
+        self.record = Record(record_path)
         self.temporary = Path(tempfile.mkdtemp(prefix="review-"))
         self._processes: list[Process] = []
         with (ROOT / "deploy" / "balancer.toml").open("rb") as file:
@@ -680,32 +680,36 @@
 }
 
 
-def main(folder: str, play: Callable[[Case], Awaitable[list[str]]], seconds: float = 100) -> None:
+def main(record_path: Path, play: Callable[[Case], Awaitable[list[str]]], seconds: float = 100) -> None:
     """Plays a case; `play` returns one line for each break of the rule. Exits with 0, 1 or 2."""
-    case = Case(Path(folder))
-
-    def on_signal(*_: object) -> None:
-        raise KeyboardInterrupt
-
-    signal.signal(signal.SIGTERM, on_signal)
     # Streams that are collected behind the event loop's end complain on standard error.
     sys.unraisablehook = lambda *_: None
-    code = NOT_RUN
+    signal.signal(signal.SIGTERM, _on_signal)
     try:
-        broken = asyncio.run(asyncio.wait_for(play(case), seconds))
-        case.record.add("verdict", breaks=len(broken))
-        for line in broken:
-            case.record.add("broken", what=line)
-            print(f"broken: {line}")
-        code = BROKEN if broken else HELD
-        print("the rule was broken" if broken else "the rule held")
-    except CannotRunError as error:
-        case.record.add("could not run", why=str(error))
-        print(f"could not run: {error}")
+        code = _play_recorded(Case(record_path), play, seconds)
     except (KeyboardInterrupt, Exception):
-        why = traceback.format_exc()
+        traceback.print_exc()
+        code = NOT_RUN
+    sys.exit(code)
+
+
+def _on_signal(*_: object) -> None:
+    raise KeyboardInterrupt
+
+
+def _play_recorded(case: Case, play: Callable[[Case], Awaitable[list[str]]], seconds: float) -> int:
+    try:
+        broken = asyncio.run(asyncio.wait_for(play(case), seconds))
+    except (KeyboardInterrupt, Exception) as error:
+        why = str(error) if isinstance(error, CannotRunError) else traceback.format_exc()
         case.record.add("could not run", why=why)
         print(f"could not run: {why}")
+        return NOT_RUN
     finally:
         case.close()
-    sys.exit(code)
+    case.record.add("verdict", breaks=len(broken))
+    for line in broken:
+        case.record.add("broken", what=line)
+        print(f"broken: {line}")
+    print("the rule was broken" if broken else "the rule held")
+    return BROKEN if broken else HELD
