--- a/cresstray/gateway/composition.py
+++ b/cresstray/gateway/composition.py
@@ -150,9 +150,7 @@
         self.admission = Admission(self.accounting)
         self.responses.controller = self.controller
         self.admission.controller = self.controller
-        self.ingress = Ingress(
-            settings, self.controller.request_classes, self.clock, self.admission, self.memory
-        )
+        self.ingress = Ingress(settings, self.controller.request_classes, self.clock, self.admission)
 
     def _make_listener(self, settings: Mapping[str, Any], descriptors: int) -> None:
         request_class_names = frozenset(service["Name"] for service in settings.get("Services", []))
--- a/cresstray/pipeline/accounting.py
+++ b/cresstray/pipeline/accounting.py
@@ -6,16 +6,19 @@
 
 from cresstray.memory_budget import REQUEST_BYTES, Holding, MemoryBudget
 from cresstray.observability.counters import Counters
+from cresstray.pipeline.recent_names import RecentNames
 from cresstray.pipeline.request_context import IdempotencyHooks, RequestContext, SiteResponder
 from cresstray.policy import deadlines
 from cresstray.policy.types import Outcome, Request
 
 # The statement is kept as it was received, and in the message to the engine.
 _STATEMENT_COPIES = 2
+# The part of the process's memory that names of recent requests may take.
+_NAMES_SHARE = 0.15
 
 
 class RequestAccounting:
-    """Owns the requests in flight.
+    """Owns the requests in flight, and the names of these and of recent ones.
 
     Guarantees at most one answer to each request. A request stays in `open_requests` until it is answered
     and none of its attempts is in flight.
@@ -26,10 +29,12 @@
         self._memory = memory or MemoryBudget()
         self.idempotency: IdempotencyHooks | None = None  # set where idempotency records are kept in a store
         self.open_requests: dict[Request, RequestContext] = {}
+        self.names = RecentNames(lambda: int(self._memory.capacity_bytes * _NAMES_SHARE))
 
     def open_request(self, context: RequestContext) -> None:
         """Accepts a request: from here on its responder is owed an answer."""
         self.open_requests[context.request] = context
+        self.names.open(context.query.name)
         context.responder.open_requests[context.number] = context
         context.held_bytes = REQUEST_BYTES + _STATEMENT_COPIES * len(context.query.statement)
         self._memory.add(Holding.REQUESTS, context.held_bytes)
@@ -109,6 +114,7 @@
         context = self.open_requests.get(request)
         if context is not None and context.is_answered and request.current_attempt is None:
             del self.open_requests[request]
+            self.names.close(context.query.name)
             self._memory.add(Holding.REQUESTS, -context.held_bytes)
             # Attempts and requests refer to each other; left to the garbage collector, they cause pauses.
             request.attempts.clear()
--- a/cresstray/pipeline/admission.py
+++ b/cresstray/pipeline/admission.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cresstray.pipeline.accounting import RequestAccounting
+from cresstray.pipeline.recent_names import RecentNames
 from cresstray.pipeline.request_context import RequestContext
 from cresstray.policy.controller import PolicyController
 
@@ -32,6 +33,11 @@
         self.membership: Membership | None = None  # set where the endpoint list is persisted
         self.idempotency: IdempotencyChecks | None = None  # set where idempotency records are kept in a store
 
+    @property
+    def names(self) -> RecentNames:
+        """The names of open and of recent requests."""
+        return self._accounting.names
+
     def admit(self, context: RequestContext, now_us: int) -> None:
         """Opens the request and hands it on, at once or when the store has decided on its idempotency key."""
         self._accounting.open_request(context)
--- a/cresstray/pipeline/ingress.py
+++ b/cresstray/pipeline/ingress.py
@@ -7,9 +7,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 from cresstray.clock import Clock
-from cresstray.memory_budget import MemoryBudget
 from cresstray.pipeline.admission import Admission
-from cresstray.pipeline.recent_names import RecentNames
 from cresstray.pipeline.request_context import Query, RequestContext, Responder
 from cresstray.policy.types import Request, RequestClass
 from cresstray.tables import MAX_TABLE_GROUP, find_table_group
@@ -17,8 +15,6 @@
 if TYPE_CHECKING:
     from cresstray.pipeline.replica_reads import ReplicaReads
 
-# The part of the process's memory that names of recent requests may take.
-_NAMES_SHARE = 0.15
 # A longer timeout than this multiple of the class's own is a mistake of the client.
 _MAX_TIMEOUT_FACTOR = 2
 _DEFAULT_TIMEOUT_MS = 5e8
@@ -57,8 +53,8 @@
     """Validates queries and creates requests from them.
 
     Guarantees that each request that it passes on has a known class and tenant, a bounded timeout, a
-    statement that is text, and a name that was not used in the last seconds. Any other query gets one answer
-    that states the reason.
+    statement that is text, and a name that no open request has and that was not used in the last seconds.
+    Any other query gets one answer that states the reason.
     """
 
     def __init__(
@@ -67,10 +63,8 @@
         request_classes: list[RequestClass],
         clock: Clock,
         admission: Admission,
-        memory: MemoryBudget | None = None,
     ) -> None:
         self._clock = clock
-        memory = memory or MemoryBudget()
         self._admission = admission
         self.shutdown_deadline_us: int | None = None  # set once the process is shutting down
         self.replica_reads: ReplicaReads | None = None  # set where fleet configuration places replicas
@@ -84,7 +78,7 @@
         # Engines identify a request by its name alone. If another client could reuse the name of an open
         # request, it could have that request cancelled or answered, and a connection could not tell to which
         # of the two an answer belongs.
-        self.names = RecentNames(lambda: int(memory.capacity_bytes * _NAMES_SHARE))
+        self.names = admission.names
 
     def accept(
         self, responder: Responder, number: int, query: Query, offer: ForwardedOffer | None = None
--- a/cresstray/pipeline/recent_names.py
+++ b/cresstray/pipeline/recent_names.py
@@ -1,4 +1,4 @@
-"""The names of recent requests, kept in little memory. Free of I/O."""
+"""The names of open and of recent requests, kept in little memory. Free of I/O."""
 
 from __future__ import annotations
 
@@ -44,10 +44,12 @@
 
 
 class RecentNames:
-    """Remembers names for ten to twenty seconds.
+    """Remembers the names of requests: as long as a request is open, and for ten to twenty seconds beside.
 
-    Names are strings of 16 hexadecimal digits. `max_bytes()` returns the memory that they may take; if they
-    would take more, the oldest are forgotten early. Any other string is known by its last eight bytes.
+    That time counts from the first use of the name, and again from the end of its request. Names are strings
+    of 16 hexadecimal digits; any other string is known by its last eight bytes once its request has ended.
+    `max_bytes()` returns the memory that the names of requests may take that are not open; if they would
+    take more, the oldest are forgotten early.
     """
 
     def __init__(self, max_bytes: Callable[[], int]) -> None:
@@ -56,9 +58,12 @@
         self._current = _Generation()
         self._previous = _Generation()
         self._next_generation_us = 0
+        self._open: dict[str, _Generation] = {}  # the current generation at the time the request was opened
 
     def add(self, name: str, now_us: int) -> bool:
         """Remembers a name; returns whether it is new."""
+        if name in self._open:
+            return False
         if now_us >= self._next_generation_us or self._current.count >= self._max_count:
             self._begin_generation(now_us)
         number = _to_number(name)
@@ -68,6 +73,15 @@
         self._current.add(number)
         return True
 
+    def open(self, name: str) -> None:
+        """Keeps a name, which was added, until its request is closed, whatever time and memory that takes."""
+        self._open[name] = self._current
+
+    def close(self, name: str) -> None:
+        """Remembers the name of a request that has ended as if it was used now."""
+        if self._open.pop(name, None) is not self._current:
+            self._current.add(_to_number(name))
+
     def _begin_generation(self, now_us: int) -> None:
         self._previous = self._current
         self._current = _Generation()
@@ -87,8 +101,9 @@
             self._max_count = self._max_bytes() // (_GENERATIONS * _NAME_BYTES)
 
     def clear(self) -> None:
-        """Forgets all names."""
+        """Forgets all names, also those of open requests."""
         self._current = _Generation()
         self._previous = _Generation()
         self._next_generation_us = 0
         self._max_count = 0
+        self._open.clear()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -174,6 +174,26 @@
         )
 
 
+class OpenNameTest(PipelineTestCase):
+    def test_name_of_a_request_that_is_open_for_long_is_not_taken_again(self) -> None:
+        """Guards against a request that is served under the name of one that another client waits for."""
+        for open_until in ("answered", "cancelled, and its attempt runs on"):
+            harness = PipelineHarness(cancel=False)
+            harness.submit("0a", timeout_ms=60_000)
+            harness.connection().come_up()
+            for number in range(4):
+                harness.advance(10_000)
+                harness.submit(f"{number:016x}")
+            if open_until != "answered":
+                harness.cancel()
+            with self.assertRaisesRegex(AssertionError, "used before"):
+                harness.submit("0a")
+            harness.connection(number=0).answer("0a", "served", "sheets=1", "a\tb\tc\n")
+            with self.assertRaisesRegex(AssertionError, "used before"):
+                harness.submit("0a")  # its client sent it before the answer
+            self.assertEqual(1, harness.sent_lines().count("ASK 0a"))
+
+
 class LateConnectionTest(PipelineTestCase):
     """A connection is established after its attempt has ended; nothing may be sent over it."""
 
--- a/tests/test_recent_names.py
+++ b/tests/test_recent_names.py
@@ -39,6 +39,22 @@
         self.assertFalse(self.names.add(name, 9 * _SECOND_US))
         self.assertLess(held_bytes, _MEMORY_BYTES)
 
+    def test_name_of_an_open_request_is_kept_however_long_it_is_open_and_however_many_follow(self) -> None:
+        """Guards against a second request under the name of an open one, after 20 s or a flood of names."""
+        for seconds_between, count in ((10, 4), (0, 1000)):
+            names = RecentNames(lambda: 1800)
+            names.add("0" * 16, 0)
+            names.open("0" * 16)
+            now_us = 0
+            for _ in range(count):
+                now_us += seconds_between * _SECOND_US
+                self.assertTrue(names.add(self.new_name(), now_us))
+            self.assertFalse(names.add("0" * 16, now_us))
+            names.close("0" * 16)
+            self.assertFalse(names.add("0" * 16, now_us + 10 * _SECOND_US))  # just behind its answer
+            names.add(self.new_name(), now_us + 20 * _SECOND_US)
+            self.assertTrue(names.add("0" * 16, now_us + 30 * _SECOND_US))
+
     def test_names_of_a_preceding_process_are_known(self) -> None:
         name = self.new_name()
         self.names.add_earlier([name], 0)
