Free a client's buffer whole once its lines are handled or dropped

Cause: a bytearray that is emptied in place shrinks by realloc, which leaves a remainder at its place while its session lives. The next buffer of the same size does not fit between two of these, and the heap grows by one buffer each time. Change: a buffer that becomes empty is replaced.

--- a/cresstray/clients/line_buffer.py
+++ b/cresstray/clients/line_buffer.py
@@ -51,7 +51,7 @@
         while len(lines) != max_lines and (end := self.data.find(b"\n", start)) >= 0:
             lines.append(bytes(self.data[start:end]))
             start = end + 1
-        del self.data[:start]
+        self._remove(start)
         self.has_lines = b"\n" in self.data
         self.dropped_bytes = 0
         return lines
@@ -74,9 +74,17 @@
         self.clear()
         self._is_skipping_line = True
 
+    def _remove(self, size_bytes: int) -> None:
+        """Removes the first bytes."""
+        if size_bytes < len(self.data):
+            del self.data[:size_bytes]
+        else:
+            # One that is emptied in place leaves a remainder where it was, and the memory around it unusable.
+            self.data = bytearray()
+
     def clear(self) -> None:
         """Drops all data."""
-        self.data.clear()
+        self._remove(len(self.data))
         self.has_lines = False
         self.dropped_bytes = 0
 
--- a/tests/test_client_session.py
+++ b/tests/test_client_session.py
@@ -274,6 +274,20 @@
         session.on_disconnected()
         self.assertEqual(0, self.registry.buffered_bytes)
 
+    def test_memory_of_lines_that_are_handled_or_dropped_is_free_for_others(self) -> None:
+        """Guards against buffers that, emptied in place, keep a remainder amid the memory that they had."""
+        for line_end in (b"\n", b""):
+            sessions = [self.session() for _ in range(4)]
+            held = []
+            for session in sessions:
+                session.receive(b'"a":1,' * 10_000)
+                held.append(session._buffer.data)
+                session.receive(b'"a":1,' * 40_000 + line_end)
+            for session, data in zip(sessions, held):
+                self.assertEqual(0, session.partial_line_bytes())
+                self.assertIsNot(data, session._buffer.data)
+                session.on_disconnected()
+
     def test_many_lines_are_handled_in_several_turns(self) -> None:
         session = self.session()
         session.receive(250 * status() + status()[:9])
