--- a/cresstray/clients/client_connection.py
+++ b/cresstray/clients/client_connection.py
@@ -30,7 +30,8 @@
 
     def __init__(self, registry: ConnectionRegistry, accepted: socket.socket, tasks: TaskGroup) -> None:
         self._counters = registry.counters
-        self._bulk_turns = registry.bulk_turns
+        self._now_us = registry.now_us
+        self._turns = registry.turns
         self._read_scope = anyio.CancelScope()  # cancelled to end the wait for data
         self._is_waiting_for_data = False
         self._has_more = False  # whether the client has probably sent more than one turn handles
@@ -80,8 +81,8 @@
         while True:
             if not session.has_buffered_lines:
                 await self._wait_for_data()
-            if self._has_more:
-                await self._wait_for_turn()
+            if self._has_more or self._turns.must_all_wait:
+                await self._wait_for_turn(self._has_more)
             while session.must_read_responses():
                 await anyio.sleep(_UNREAD_CHECK_S)
             if self._take_turn() is NextAction.CLOSE:
@@ -98,7 +99,7 @@
             await self._stream.wait_for_data()
         finally:
             self._is_waiting_for_data = False
-        if self._bulk_turns.must_wait and not self._has_more:
+        if self._turns.must_large_wait and not self._has_more:
             available_bytes = self._stream.available_bytes(_USUAL_BYTES + 1)
             self._has_more = self.session.partial_line_bytes() + available_bytes > _USUAL_BYTES
 
@@ -109,14 +110,16 @@
             anyio.EndOfStream: the client has disconnected, and all that it sent is handled.
         """
         session = self.session
+        began_us = self._now_us()
         received_bytes = session.received_bytes
+        had_more = self._has_more
         self._read_ahead()
         action = session.handle_buffered()
+        self._has_more = session.has_buffered_lines or session.is_backlogged or session.is_banned()
+        is_large = had_more or self._has_more or session.received_bytes - received_bytes > _USUAL_BYTES
+        self._turns.on_turn(self.session.turn_share, began_us, session.fruitless_part, is_large)
         if session.is_disconnected and not session.has_buffered_lines:
             raise anyio.EndOfStream
-        self._has_more = session.has_buffered_lines or session.is_backlogged or session.is_banned()
-        if self._has_more or session.received_bytes - received_bytes > _USUAL_BYTES:
-            self._bulk_turns.on_turn()
         return action
 
     def _read_ahead(self) -> None:
@@ -158,8 +161,12 @@
         if not session.discards_unread:
             self._read_ahead()
         has_received = session.received_bytes > received_bytes
-        if has_received and session.handle_buffered() is NextAction.CLOSE:
-            raise anyio.EndOfStream
+        if has_received:
+            began_us = self._now_us()
+            action = session.handle_buffered()
+            self._turns.on_turn(self.session.turn_share, began_us, session.fruitless_part, is_large=True)
+            if action is NextAction.CLOSE:
+                raise anyio.EndOfStream
         if session.is_disconnected and not session.has_buffered_lines:
             raise anyio.EndOfStream
         if session.is_backlogged and not session.may_end_unread:
@@ -174,9 +181,15 @@
                 await self._stream.receive()
                 await self._wait_for_turn()
 
-    async def _wait_for_turn(self) -> None:
-        """Gives other connections their turn, only a short one where little time is left."""
+    async def _wait_for_turn(self, is_large: bool = True) -> None:
+        """Gives other connections their turn, only a short one where little time is left.
+
+        Raises:
+            anyio.ClosedResourceError: the connection was closed on this side.
+        """
         if self.session.discards_unread:
             await anyio.sleep(0)
         else:
-            await self._bulk_turns.wait()
+            await self._turns.wait(self.session.turn_share, is_large)
+        if not self._stream.is_open():
+            raise anyio.ClosedResourceError
--- a/cresstray/clients/connection_registry.py
+++ b/cresstray/clients/connection_registry.py
@@ -6,7 +6,7 @@
 
 from cresstray.clients.ports import RequestHandler
 from cresstray.clients.session import MIN_IDLE_US, ClientSession
-from cresstray.clients.turn_pacing import BulkTurns
+from cresstray.clients.turn_pacing import FairTurns
 from cresstray.memory_budget import Holding, MemoryBudget
 from cresstray.observability.counters import Counters
 
@@ -48,7 +48,7 @@
         self.connections: dict[ClientSession, None] = {}  # in the order they were accepted
         # Connections that this side ends and that are not closed yet.
         self.closing_connections: dict[ClientSession, None] = {}
-        self.bulk_turns = BulkTurns()
+        self.turns = FairTurns(now_us)
         self.is_closing = False  # whether all new requests are rejected
         self.memory = memory or MemoryBudget()
         self.shed_retry_after_us = 0  # told to clients whose requests are rejected for a lack of memory
--- a/cresstray/clients/line_buffer.py
+++ b/cresstray/clients/line_buffer.py
@@ -56,6 +56,12 @@
         self.dropped_bytes = 0
         return lines
 
+    def put_back(self, lines: list[bytes]) -> None:
+        """Puts lines that were taken last, and are not handled, before all that is held."""
+        if lines:
+            self.data[:0] = b"\n".join(lines) + b"\n"
+            self.has_lines = True
+
     def shorten_partial_line(self) -> None:
         """Empties the long strings of the partial line, which must be the only line that is held.
 
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -28,8 +28,11 @@
 _MAX_OPEN_REQUESTS = 32
 # Any client may send a malformed message; one that sends ten does not speak the protocol.
 _MAX_MALFORMED = 10
-# Lines handled in one turn of the event loop: some milliseconds of work before other connections have a turn.
+# Lines handled in one turn of the event loop.
 _MAX_LINES_PER_TURN = 100
+# A turn ends with the line that is being handled after this time, so that other connections have theirs.
+# Lines differ by a hundred times in what they cost.
+_MAX_TURN_US = 5_000
 # What is read of a line that is not complete, however little the buffers have left.
 _MIN_READ_BYTES = 4096
 # What a banned client may send until its connection ends even if it goes on: enough to get to the end of a
@@ -99,6 +102,10 @@
         # Whether the client has sent more than may be buffered: it may have disconnected behind that.
         self.is_backlogged = False
         self._bytes_after_ban = 0
+        self.turn_share = registry.turns.new_share()
+        # The part of the lines of the latest turn that have opened no request that is still open.
+        self.fruitless_part = 1.0
+        self._accepted_ids: list[int] = []  # of the requests that the handler got in the latest turn
         self._ignored_count = 0  # messages without effect since the last accepted request
         self._is_closing = False
         self._is_finishing = False
@@ -246,6 +253,7 @@
         if self._is_shut_down:
             return NextAction.READ
         registry = self._registry
+        self.fruitless_part = 1.0
         if self.is_disconnected and self.open_requests:
             registry.handler.on_disconnected(self)
         if self.has_buffered_lines:
@@ -261,14 +269,31 @@
         return NextAction.READ
 
     def _handle_next_lines(self) -> None:
+        """Handles buffered lines until the time of a turn is over."""
+        now_us = self._registry.now_us
+        ends_us = now_us() + _MAX_TURN_US
+        self._accepted_ids.clear()
         dropped_bytes = self._buffer.dropped_bytes
         lines = self._next_lines()
-        if dropped_bytes:
-            line = lines.pop(0)
-            self._reject_long_line(line, len(line) + dropped_bytes)
+        handled_count = 0
         for line in lines:
-            if line.strip():
+            if dropped_bytes and not handled_count:
+                self._reject_long_line(line, len(line) + dropped_bytes)
+            elif line.strip():
                 self._handle_line(line)
+            handled_count += 1
+            if now_us() >= ends_us:
+                break
+        if handled_count < len(lines):
+            self._put_back(lines[handled_count:])
+        open_count = sum(request_id in self.open_requests for request_id in self._accepted_ids)
+        self.fruitless_part = 1 - open_count / handled_count
+
+    def _put_back(self, lines: list[bytes]) -> None:
+        """Leaves lines that were taken from the buffer to the next turn."""
+        buffered_bytes = len(self._buffer)
+        self._buffer.put_back(lines)
+        self._registry.memory.add(Holding.RECEIVED, len(self._buffer) - buffered_bytes)
 
     def _next_lines(self) -> list[bytes]:
         """Removes whole lines from the buffer, as many as are handled in one turn."""
@@ -377,6 +402,7 @@
             self._write(codec.encode_rejection(request_id, retry_after_ms))
         else:
             self._ignored_count = 0
+            self._accepted_ids.append(request_id)
             handler.accept(self, request_id, query)
 
     def _has_memory_for(self, request_id: int, size_bytes: int) -> bool:
@@ -547,6 +573,7 @@
             self._registry.counters.add("clients silent, closed")
         self._registry.remove(self)
         self._transport.close()
+        self._registry.turns.stop_waiting(self.turn_share)
 
     def try_evict(self) -> bool:
         """Closes at once if the connection is shut down or idle; returns whether it did.
--- a/cresstray/gateway/service.py
+++ b/cresstray/gateway/service.py
@@ -144,5 +144,8 @@
         counters = self.parts.counters
         counters.counts["event loop max lateness us"] = self.parts.timers.max_lateness_us
         counters.counts["memory held for clients at most, bytes"] = self.parts.memory.peak_bytes
+        turns = self.parts.listener.turns
+        counters.counts["client turns waited for at most, us"] = turns.longest_wait_us
+        counters.counts["client turns took at most, us"] = turns.longest_turn_us
         for line in counters.lines():
             self.parts.log.log_always("counter", line)
--- a/cresstray/model_checking/lines.py
+++ b/cresstray/model_checking/lines.py
@@ -889,6 +889,8 @@
     """Drops what a session counts for limits of memory and time that no schedule reaches."""
     session.count_unsent()
     session.received_bytes = 0
+    session.fruitless_part = 1.0
+    session._accepted_ids = []
     session._accepted_us = session._last_read_us = 0
     session._request_bytes = {}
 
