--- a/cresstray/clients/client_connection.py
+++ b/cresstray/clients/client_connection.py
@@ -34,6 +34,8 @@
         self._turns = registry.turns
         self._read_scope = anyio.CancelScope()  # cancelled to end the wait for data
         self._is_waiting_for_data = False
+        # Since when the kernel may hold what is read next; None while that is noticed at once.
+        self._unread_since_us: int | None = None
         self._has_more = False  # whether the client has probably sent more than one turn handles
         self._stream = SocketStream(accepted, tasks, self._stop_reading)
         self.session = ClientSession(registry, self._stream, self._find_end_of_stream)
@@ -84,6 +86,7 @@
             if self._has_more or self._turns.must_all_wait:
                 await self._wait_for_turn(self._has_more)
             while session.must_read_responses():
+                self._note_unread()
                 await anyio.sleep(_UNREAD_CHECK_S)
             if self._take_turn() is NextAction.CLOSE:
                 return
@@ -130,19 +133,29 @@
         """
         session = self.session
         session.is_backlogged = False
+        unread_since_us = self._note_unread()
         end_bytes = session.received_bytes + _MAX_READ_AHEAD_BYTES
         max_bytes = session.max_read_bytes()
         while max_bytes and session.received_bytes < end_bytes:
             data = self._stream.receive_available(max_bytes)
             if data is None:
+                self._unread_since_us = None
                 return
             if not data:
                 session.is_disconnected = True
                 return
-            session.buffer(data)
+            session.buffer(data, unread_since_us)
             if len(data) == max_bytes or len(data) > _USUAL_BYTES:
                 max_bytes = session.max_read_bytes()
         session.is_backlogged = self._stream.has_unread()
+        if not session.is_backlogged:
+            self._unread_since_us = None
+
+    def _note_unread(self) -> int:
+        """Returns since when the kernel may hold what is read next: from now on, unless it was before."""
+        if self._unread_since_us is None:
+            self._unread_since_us = self._now_us()
+        return self._unread_since_us
 
     def _find_end_of_stream(self) -> None:
         """Reads ahead between two turns, to find out whether the client has disconnected."""
@@ -187,6 +200,7 @@
         Raises:
             anyio.ClosedResourceError: the connection was closed on this side.
         """
+        self._note_unread()
         if self.session.discards_unread:
             await anyio.sleep(0)
         else:
--- a/cresstray/clients/line_buffer.py
+++ b/cresstray/clients/line_buffer.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import re
+from collections import deque
+from typing import NamedTuple
 
 # Longer strings are dropped from a line that is shortened. In a request only the statement may be longer.
 _MAX_KEPT_STRING_BYTES = 256
@@ -12,6 +14,13 @@
 _JSON_STRING = re.compile(rb'"((?:[^"\\]++|\\.)*+)("?)')
 
 
+class ReceivedLine(NamedTuple):
+    """A whole line without its line feed, and when its last byte was received, in microseconds."""
+
+    content: bytes
+    received_us: int
+
+
 class LineBuffer:
     """Whole lines, and after them the beginning of a line that is not complete yet: the partial line.
 
@@ -25,18 +34,22 @@
         self.data = bytearray()
         self.has_lines = False
         self.dropped_bytes = 0
+        self._received: deque[tuple[int, int]] = deque()  # how many of the lines were received when
         self._is_skipping_line = False  # whether received data is discarded up to the end of a dropped line
 
     def __len__(self) -> int:
         """Returns the number of bytes that are held."""
         return len(self.data)
 
-    def append(self, data: bytes) -> None:
-        """Adds received data, which may be split anywhere."""
+    def append(self, data: bytes, received_us: int) -> None:
+        """Adds data that was received at that time, which may be split anywhere."""
         if self._is_skipping_line:
             data = self._skip_line(data)
         self.data += data
-        self.has_lines = self.has_lines or b"\n" in data
+        line_count = data.count(b"\n")
+        if line_count:
+            self._received.append((line_count, received_us))
+            self.has_lines = True
 
     def _skip_line(self, data: bytes) -> bytes:
         """Returns the data after the end of the line that is being skipped."""
@@ -44,22 +57,29 @@
         self._is_skipping_line = not line_end
         return data[line_end:] if line_end else b""
 
-    def take_lines(self, max_lines: int) -> list[bytes]:
-        """Removes whole lines and returns them without their line feeds; all of them if `max_lines` is -1."""
-        lines: list[bytes] = []
+    def take_lines(self, max_lines: int) -> list[ReceivedLine]:
+        """Removes whole lines, up to that many, and returns them."""
+        lines: list[ReceivedLine] = []
         start = 0
-        while len(lines) != max_lines and (end := self.data.find(b"\n", start)) >= 0:
-            lines.append(bytes(self.data[start:end]))
-            start = end + 1
+        while self._received and len(lines) < max_lines:
+            line_count, received_us = self._received.popleft()
+            taken_count = min(line_count, max_lines - len(lines))
+            if taken_count < line_count:
+                self._received.appendleft((line_count - taken_count, received_us))
+            for _ in range(taken_count):
+                end = self.data.index(b"\n", start)
+                lines.append(ReceivedLine(bytes(self.data[start:end]), received_us))
+                start = end + 1
         self._remove(start)
-        self.has_lines = b"\n" in self.data
+        self.has_lines = bool(self._received)
         self.dropped_bytes = 0
         return lines
 
-    def put_back(self, lines: list[bytes]) -> None:
+    def put_back(self, lines: list[ReceivedLine]) -> None:
         """Puts lines that were taken last, and are not handled, before all that is held."""
         if lines:
-            self.data[:0] = b"\n".join(lines) + b"\n"
+            self.data[:0] = b"".join(line.content + b"\n" for line in lines)
+            self._received.extendleft((1, line.received_us) for line in reversed(lines))
             self.has_lines = True
 
     def shorten_partial_line(self) -> None:
@@ -91,6 +111,7 @@
     def clear(self) -> None:
         """Drops all data."""
         self._remove(len(self.data))
+        self._received.clear()
         self.has_lines = False
         self.dropped_bytes = 0
 
--- a/cresstray/clients/ports.py
+++ b/cresstray/clients/ports.py
@@ -14,8 +14,10 @@
 class RequestHandler(Protocol):
     """Handles the requests of all connections. A request is identified by its session and its id there."""
 
-    def accept(self, session: ClientSession, request_id: int, query: codec.Query) -> None:
-        """Accepts a request, or responds to it at once."""
+    def accept(
+        self, session: ClientSession, request_id: int, query: codec.Query, *, received_us: int
+    ) -> None:
+        """Accepts a request, which was received at that time, or responds to it at once."""
 
     def cancel(self, session: ClientSession, request_id: int | None, name: str | None) -> None:
         """Cancels the request of this id, or else of this name."""
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from cresstray.clients import codec
-from cresstray.clients.line_buffer import MAX_QUOTES, LineBuffer
+from cresstray.clients.line_buffer import MAX_QUOTES, LineBuffer, ReceivedLine
 from cresstray.clients.ports import NextAction, Transport
 from cresstray.memory_budget import CONNECTION_BYTES, REQUEST_BYTES, Holding
 
@@ -229,12 +229,17 @@
             data: the received data.
             ended: whether the client's end of stream follows the data.
         """
-        self.buffer(data)
+        self.buffer(data, self._registry.now_us())
         self.is_disconnected = self.is_disconnected or ended
         return self.handle_buffered()
 
-    def buffer(self, data: bytes) -> None:
-        """Adds received data, which may be split anywhere, to what is handled in the next turns."""
+    def buffer(self, data: bytes, received_us: int) -> None:
+        """Adds received data, which may be split anywhere, to what is handled in the next turns.
+
+        Args:
+            data: the received data.
+            received_us: when the first of it may have been received: clients count a timeout from then.
+        """
         self.received_bytes += len(data)
         if self._is_shut_down:
             return
@@ -243,7 +248,7 @@
         buffered_bytes = len(buffer.data)
         if self.has_sent_request and not buffered_bytes:
             self.last_activity_us = registry.now_us()
-        buffer.append(data)
+        buffer.append(data, received_us)
         registry.memory.add(Holding.RECEIVED, len(buffer.data) - buffered_bytes)
         if self._malformed_count >= _MAX_MALFORMED:
             self._bytes_after_ban += len(data)
@@ -278,9 +283,9 @@
         handled_count = 0
         for line in lines:
             if dropped_bytes and not handled_count:
-                self._reject_long_line(line, len(line) + dropped_bytes)
-            elif line.strip():
-                self._handle_line(line)
+                self._reject_long_line(line.content, len(line.content) + dropped_bytes)
+            elif line.content.strip():
+                self._handle_line(line.content, line.received_us)
             handled_count += 1
             if now_us() >= ends_us:
                 break
@@ -289,13 +294,13 @@
         open_count = sum(request_id in self.open_requests for request_id in self._accepted_ids)
         self.fruitless_part = 1 - open_count / handled_count
 
-    def _put_back(self, lines: list[bytes]) -> None:
+    def _put_back(self, lines: list[ReceivedLine]) -> None:
         """Leaves lines that were taken from the buffer to the next turn."""
         buffered_bytes = len(self._buffer)
         self._buffer.put_back(lines)
         self._registry.memory.add(Holding.RECEIVED, len(self._buffer) - buffered_bytes)
 
-    def _next_lines(self) -> list[bytes]:
+    def _next_lines(self) -> list[ReceivedLine]:
         """Removes whole lines from the buffer, as many as are handled in one turn."""
         buffered_bytes = len(self._buffer)
         lines = self._buffer.take_lines(_MAX_LINES_PER_TURN)
@@ -358,7 +363,7 @@
             self._ignored_count += self._has_too_much_unread()
             self._write(codec.encode_rejection(request_id, 0))
 
-    def _handle_line(self, line: bytes) -> None:
+    def _handle_line(self, line: bytes, received_us: int) -> None:
         if len(line) > _MAX_LINE_BYTES:
             self._reject_long_line(line, len(line))
             return
@@ -379,7 +384,7 @@
             self._ignored_count += self._has_too_much_unread()
             self._write(codec.encode_status(request_id))
         else:
-            self._handle_request(request_id, message, len(line))
+            self._handle_request(request_id, message, len(line), received_us)
 
     def _on_malformed(self, error: codec.MalformedMessageError) -> None:
         if self.is_banned():
@@ -387,7 +392,7 @@
         else:
             self.reject_malformed(error.request_id, error.text, error.code)
 
-    def _handle_request(self, request_id: int, query: codec.Query, size_bytes: int) -> None:
+    def _handle_request(self, request_id: int, query: codec.Query, size_bytes: int, received_us: int) -> None:
         handler = self._registry.handler
         if request_id in self.open_requests:
             self._reject_repeated_id(request_id)
@@ -403,7 +408,7 @@
         else:
             self._ignored_count = 0
             self._accepted_ids.append(request_id)
-            handler.accept(self, request_id, query)
+            handler.accept(self, request_id, query, received_us=received_us)
 
     def _has_memory_for(self, request_id: int, size_bytes: int) -> bool:
         """Returns whether a request may be accepted, and remembers what it takes."""
--- a/cresstray/pipeline/ingress.py
+++ b/cresstray/pipeline/ingress.py
@@ -81,13 +81,26 @@
         self.names = admission.names
 
     def accept(
-        self, responder: Responder, number: int, query: Query, offer: ForwardedOffer | None = None
+        self,
+        responder: Responder,
+        number: int,
+        query: Query,
+        offer: ForwardedOffer | None = None,
+        *,
+        received_us: int | None = None,
     ) -> None:
         """Passes a valid query to the admission, rejects any other.
 
-        `offer` is set for a query that another site forwarded.
+        Args:
+            responder: gets the answer.
+            number: the request's number there.
+            query: the decoded query.
+            offer: is set for a query that another site forwarded.
+            received_us: when the query was received, from which its timeout counts; now, if None.
         """
         now_us = self._clock.now()
+        if received_us is None:
+            received_us = now_us
         accepted_class = self._classes.get(query.class_name)
         if accepted_class is None:
             responder.reject_malformed(number, RejectionReason.UNKNOWN_REQUEST_CLASS.value)
@@ -111,7 +124,7 @@
             except ValueError as error:
                 responder.reject_malformed(number, f"{RejectionReason.UNUSABLE_HINT.value}: {error}")
                 return
-        request = self._make_request(query, request_class, tenant_index, table_group, now_us)
+        request = self._make_request(query, request_class, tenant_index, table_group, received_us)
         if offer is not None:
             request.is_forwarded_in = True
             request.max_queue_us = offer.max_queue_us
@@ -142,14 +155,14 @@
         return None
 
     def _make_request(
-        self, query: Query, request_class: RequestClass, tenant_index: int, table_group: int, now_us: int
+        self, query: Query, request_class: RequestClass, tenant_index: int, table_group: int, received_us: int
     ) -> Request:
-        deadline_us = now_us + int(query.timeout_ms * 1000)
+        deadline_us = received_us + int(query.timeout_ms * 1000)
         if self.shutdown_deadline_us is not None:
             deadline_us = min(deadline_us, self.shutdown_deadline_us)
         return Request(
             request_class,
-            now_us,
+            received_us,
             deadline_us,
             tenant_index,
             0,
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -75,7 +75,7 @@
         self.fails_on: int | None = None  # the id of the request that makes the handler fail
         self.fails_on_disconnect = False
 
-    def accept(self, session: ClientSession, request_id: int, _query: object) -> None:
+    def accept(self, session: ClientSession, request_id: int, _query: object, *, received_us: int) -> None:
         if request_id == self.fails_on:
             raise RuntimeError("a failure of the handler")
         session.open_requests[request_id] = None
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,6 +10,7 @@
 import contextlib
 import errno
 import io
+import json
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
@@ -18,6 +19,8 @@
 import anyio
 import hiredis
 
+from cresstray.clients.connection_registry import ConnectionRegistry
+from cresstray.clients.session import ClientSession
 from cresstray.discovery.endpoint_list import Endpoint, EndpointEvent
 from cresstray.engines import connection as engine_connection
 from cresstray.engines.connection_state import EngineConnection
@@ -155,6 +158,23 @@
         return {name: count for name, count in counts.items() if count}
 
 
+class ListenerTransport:
+    """The transport of a client's session, which records what is written."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+        self.unsent = bytearray()
+
+    def write(self, line: bytes) -> None:
+        self.lines.append(line)
+
+    def has_ended(self) -> bool:
+        return False
+
+    def has_unread(self) -> bool:
+        return False
+
+
 class PipelineTestCase(unittest.TestCase):
     def assert_nothing_left(self, harness: PipelineHarness) -> None:
         """No answer is owed, no attempt is in flight and no request is open on a connection."""
@@ -174,6 +194,47 @@
         )
 
 
+class LateHandlingTest(PipelineTestCase):
+    """A request whose line is handled long after it was received, as its connection waits for a turn."""
+
+    def submit_late(self, harness: PipelineHarness, timeout_ms: int, late_ms: int) -> ListenerTransport:
+        registry = ConnectionRegistry(
+            frozenset(EFFECTS),
+            harness.ingress,
+            lambda: 10,
+            10,
+            harness.clock.now,
+            harness.counters,
+            lambda kind, text: None,
+        )
+        transport = ListenerTransport()
+        session = ClientSession(registry, transport)
+        params = {"req": "0" * 16, "timeout": timeout_ms, "data": "c2VsZWN0IDE="}
+        line = json.dumps({"jsonrpc": "2.0", "id": 1, "method": "read", "params": params}).encode()
+        session.buffer(line + b"\n", harness.clock.now())
+        harness.stop_process(late_ms)
+        session.handle_buffered()
+        return transport
+
+    def test_engine_is_told_what_is_left_of_the_timeout(self) -> None:
+        """Guards against a deadline that counts from the turn in which a request is handled."""
+        harness = PipelineHarness()
+        transport = self.submit_late(harness, 2000, late_ms=1200)
+        harness.connection().come_up()
+        harness.advance(500)
+        self.assertEqual([], transport.lines)
+        harness.advance(300)
+        self.assertEqual(1, len(transport.lines))
+        self.assert_nothing_left(harness)
+
+    def test_request_whose_time_is_over_is_rejected_at_once_and_not_sent(self) -> None:
+        harness = PipelineHarness()
+        transport = self.submit_late(harness, 2000, late_ms=2100)
+        self.assertEqual([-32000], [json.loads(line)["error"]["code"] for line in transport.lines])
+        self.assertEqual([], harness.connections())
+        self.assert_nothing_left(harness)
+
+
 class OpenNameTest(PipelineTestCase):
     def test_name_of_a_request_that_is_open_for_long_is_not_taken_again(self) -> None:
         """Guards against a request that is served under the name of one that another client waits for."""
--- a/tests/test_client_session.py
+++ b/tests/test_client_session.py
@@ -42,7 +42,7 @@
     def __init__(self, lines: list[str]) -> None:
         self.lines = lines
 
-    def accept(self, session: ClientSession, request_id: int, query: object) -> None:
+    def accept(self, session: ClientSession, request_id: int, query: object, *, received_us: int) -> None:
         self.lines.append(f"asks {request_id}")
         session.open_requests[request_id] = query
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -541,7 +541,9 @@
                 "Front",
                 (),
                 {
-                    "accept": lambda self, session, number, query: lines.append(f"{number} {query}"),
+                    "accept": lambda self, session, number, query, received_us: lines.append(
+                        f"{number} {query}"
+                    ),
                     "cancel": lambda self, session, number, name: lines.append(f"withdraw {number} {name}"),
                     "on_disconnected": lambda self, session: lines.append("gone"),
                 },
--- a/tests/test_turn_pacing.py
+++ b/tests/test_turn_pacing.py
@@ -114,9 +114,10 @@
 
     clock: list[int]
 
-    def accept(self, session: object, request_id: int, query: object) -> None:
+    def accept(self, session: object, request_id: int, query: object, *, received_us: int) -> None:
         self.clock[0] += _REQUEST_COST_US
-        super().accept(session, request_id, query)
+        self.received_us = {**getattr(self, "received_us", {}), request_id: received_us}
+        super().accept(session, request_id, query, received_us=received_us)
 
 
 class FloodedListenerTest(unittest.TestCase):
@@ -198,6 +199,32 @@
 
         run_scenario(scenario)
 
+    def test_request_counts_as_received_when_its_connection_began_to_wait(self) -> None:
+        """Guards against a request sent on with its whole timeout although its client's time is over."""
+
+        async def scenario(harness: ListenerHarness) -> None:
+            handler = harness.handler
+            handler.__class__, handler.clock = _CostlyHandler, harness.clock
+            early, late = harness.client(), harness.client()
+            late.sendall(request(1) + cancellation(1))
+            await wait_until(lambda: handler.cancelled)
+            # Long at rest: that does not count.
+            harness.clock[0] += 3_000_000
+            flood = b"".join(request(number) + cancellation(number) for number in range(10, 40))
+            early.sendall(flood)
+            late.sendall(flood)
+            while 12 not in handler.accepted:
+                await anyio.sleep(0)
+            sent_us = harness.clock[0]
+            late.sendall(request(2, "", b"s" * 5000))
+            await wait_until(lambda: 2 in handler.accepted)
+            received_us = handler.received_us[2]
+            self.assertLessEqual(received_us, sent_us)
+            self.assertGreater(received_us, 3_000_000)
+            self.assertGreater(harness.clock[0], sent_us + 100_000)
+
+        run_scenario(scenario)
+
     def test_lines_that_a_turn_leaves_are_handled_in_order(self) -> None:
         async def scenario(harness: ListenerHarness) -> None:
             handler = harness.handler
