--- a/cresstray/clients/client_connection.py
+++ b/cresstray/clients/client_connection.py
@@ -34,8 +34,6 @@
         self._turns = registry.turns
         self._read_scope = anyio.CancelScope()  # cancelled to end the wait for data
         self._is_waiting_for_data = False
-        # Since when the kernel may hold what is read next; None while that is noticed at once.
-        self._unread_since_us: int | None = None
         self._has_more = False  # whether the client has probably sent more than one turn handles
         self._stream = SocketStream(accepted, tasks, self._stop_reading)
         self.session = ClientSession(registry, self._stream, self._find_end_of_stream)
@@ -139,7 +137,7 @@
         while max_bytes and session.received_bytes < end_bytes:
             data = self._stream.receive_available(max_bytes)
             if data is None:
-                self._unread_since_us = None
+                session.unread_since_us = None
                 return
             if not data:
                 session.is_disconnected = True
@@ -149,13 +147,14 @@
                 max_bytes = session.max_read_bytes()
         session.is_backlogged = self._stream.has_unread()
         if not session.is_backlogged:
-            self._unread_since_us = None
+            session.unread_since_us = None
 
     def _note_unread(self) -> int:
         """Returns since when the kernel may hold what is read next: from now on, unless it was before."""
-        if self._unread_since_us is None:
-            self._unread_since_us = self._now_us()
-        return self._unread_since_us
+        session = self.session
+        if session.unread_since_us is None:
+            session.unread_since_us = self._now_us()
+        return session.unread_since_us
 
     def _find_end_of_stream(self) -> None:
         """Reads ahead between two turns, to find out whether the client has disconnected."""
--- a/cresstray/clients/line_buffer.py
+++ b/cresstray/clients/line_buffer.py
@@ -82,6 +82,10 @@
             self._received.extendleft((1, line.received_us) for line in reversed(lines))
             self.has_lines = True
 
+    def oldest_us(self) -> int | None:
+        """Returns when the first of the whole lines was received; None without one."""
+        return self._received[0][1] if self._received else None
+
     def shorten_partial_line(self) -> None:
         """Empties the long strings of the partial line, which must be the only line that is held.
 
--- a/cresstray/clients/listener.py
+++ b/cresstray/clients/listener.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable, Iterator
+from itertools import chain
 
 import anyio
 from anyio.abc import TaskGroup
@@ -103,6 +104,11 @@
         for session in list(self.connections):
             session.close()
 
+    def has_unhandled(self, before_us: int) -> bool:
+        """Returns whether anything may be unhandled that clients had sent by that time."""
+        open_sessions = chain(self.connections, self.closing_connections)
+        return any(session.has_unhandled(before_us) for session in open_sessions)
+
     def discard_unread(self) -> None:
         """After `close`, stops reading ahead, so that clients that never stop sending are ended too."""
         for session in list(self.connections):
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -99,13 +99,17 @@
         registry.memory.add(Holding.CONNECTIONS, CONNECTION_BYTES)
         self._malformed_count = 0
         self.received_bytes = 0
+        # Since when the kernel may hold what is read next; None while that is noticed at once.
+        self.unread_since_us: int | None = None
         # Whether the client has sent more than may be buffered: it may have disconnected behind that.
         self.is_backlogged = False
         self._bytes_after_ban = 0
         self.turn_share = registry.turns.new_share()
-        # The part of the lines of the latest turn that have opened no request that is still open.
+        # The part of the lines of the latest turn that were in vain by the client's own doing: they opened no
+        # request that is still open, nor were they rejected for the end of the process.
         self.fruitless_part = 1.0
         self._accepted_ids: list[int] = []  # of the requests that the handler got in the latest turn
+        self._rejected_at_end_count = 0
         self._ignored_count = 0  # messages without effect since the last accepted request
         self._is_closing = False
         self._is_finishing = False
@@ -203,6 +207,15 @@
         # A line that is not complete can always be continued: others are shortened in its place.
         return max(_MIN_READ_BYTES, free_bytes)
 
+    def has_unhandled(self, before_us: int) -> bool:
+        """Returns whether anything may be unhandled that the client had sent by that time."""
+        if self._is_shut_down or self.is_disconnected or self.discards_unread:
+            return False
+        oldest_us = self._buffer.oldest_us()
+        if oldest_us is not None and oldest_us < before_us:
+            return True
+        return self.unread_since_us is not None and self.unread_since_us < before_us
+
     @property
     def may_end_unread(self) -> bool:
         """Whether the connection may end although the client is still sending."""
@@ -281,6 +294,7 @@
         dropped_bytes = self._buffer.dropped_bytes
         lines = self._next_lines()
         handled_count = 0
+        self._rejected_at_end_count = 0
         for line in lines:
             if dropped_bytes and not handled_count:
                 self._reject_long_line(line.content, len(line.content) + dropped_bytes)
@@ -292,7 +306,7 @@
         if handled_count < len(lines):
             self._put_back(lines[handled_count:])
         open_count = sum(request_id in self.open_requests for request_id in self._accepted_ids)
-        self.fruitless_part = 1 - open_count / handled_count
+        self.fruitless_part = 1 - (open_count + self._rejected_at_end_count) / handled_count
 
     def _put_back(self, lines: list[ReceivedLine]) -> None:
         """Leaves lines that were taken from the buffer to the next turn."""
@@ -398,6 +412,7 @@
             self._reject_repeated_id(request_id)
         elif self._must_reject():
             self._ignored_count += 1
+            self._rejected_at_end_count += self._registry.is_closing
             self._write(codec.encode_rejection(request_id, 0))
         elif len(self.open_requests) >= _MAX_OPEN_REQUESTS:
             self.reject_malformed(request_id, "too many open requests", codec.INVALID_REQUEST)
--- a/cresstray/gateway/shutdown.py
+++ b/cresstray/gateway/shutdown.py
@@ -27,6 +27,9 @@
 # disconnect.
 _LAST_REQUESTS_SECONDS = 0.05
 _DISCONNECT_SECONDS = 0.5
+# The parts of that time until nothing more is read, and then until what was read is dropped.
+_READING_SHARE = 0.25
+_HANDLING_SHARE = 0.5
 # The last snapshot writes take some milliseconds. On a slower disk they are given up, and the succeeding
 # process starts with older data.
 _HAND_OVER_US = 300_000
@@ -57,19 +60,42 @@
         # A request accepted from here on would be sent to an engine and its answer be lost with the process.
         # Therefore no more connections are accepted, and all requests that are read are rejected.
         parts.listener.stop_listening()
-        last_seconds = min(
+        with anyio.move_on_after(self._seconds_until(deadline_us + _ALL_CLOSED_US)):
+            async with anyio.create_task_group() as tasks:
+                if parts.worker is not None:
+                    tasks.start_soon(self._end_worker, parts.worker)
+                await self._end_connections(deadline_us)
+
+    async def _end_connections(self, deadline_us: int) -> None:
+        """Ends all connections in order.
+
+        Whatever clients have sent by now is handled first, as a connection that waits for its turn has read
+        nothing yet; this lasts until the deadline of the shutdown at most. Clients that never stop sending
+        would be reset by the end of the process and lose their answers, so in the last part of the time
+        nothing is read from any client.
+        """
+        listener = self._parts.listener
+        stopped_us = self._parts.clock.now()
+        usual_seconds = min(
             _LAST_REQUESTS_SECONDS + _DISCONNECT_SECONDS, self._seconds_until(deadline_us + _ALL_CLOSED_US)
         )
-        # Clients that never stop sending would be reset by the end of the process, and lose their answers.
-        quarter_us = int(last_seconds * 1e6) // 4
-        parts.timers.call_after(quarter_us, lambda _: parts.listener.discard_unread())
-        parts.timers.call_after(3 * quarter_us, lambda _: parts.listener.discard_buffered_lines())
-        with anyio.move_on_after(last_seconds):
-            await anyio.sleep(_LAST_REQUESTS_SECONDS)
-            parts.listener.close()
-            if parts.worker is not None:
-                await self._end_worker(parts.worker)
-            while parts.listener.connections or parts.listener.closing_connections:
+        reading_seconds = _READING_SHARE * usual_seconds
+        last_reading_us = deadline_us - int((usual_seconds - reading_seconds) * 1e6)
+        await anyio.sleep(min(_LAST_REQUESTS_SECONDS, reading_seconds))
+        listener.close()
+        await self._wait_until_closed(self._seconds_until(stopped_us + int(reading_seconds * 1e6)))
+        while listener.has_unhandled(stopped_us) and self._parts.clock.now() < last_reading_us:
+            await anyio.sleep(_POLL_SECONDS)
+        listener.discard_unread()
+        await self._wait_until_closed(_HANDLING_SHARE * usual_seconds)
+        listener.discard_buffered_lines()
+        await self._wait_until_closed((1 - _READING_SHARE - _HANDLING_SHARE) * usual_seconds)
+
+    async def _wait_until_closed(self, seconds: float) -> None:
+        """Waits until no connection is open, or that time is over."""
+        listener = self._parts.listener
+        with anyio.move_on_after(seconds):
+            while listener.connections or listener.closing_connections:
                 await anyio.sleep(_POLL_SECONDS)
 
     def _set_deadline(self) -> int:
--- a/cresstray/model_checking/lines.py
+++ b/cresstray/model_checking/lines.py
@@ -891,6 +891,7 @@
     session.received_bytes = 0
     session.fruitless_part = 1.0
     session._accepted_ids = []
+    session._rejected_at_end_count = 0
     session._accepted_us = session._last_read_us = 0
     session._request_bytes = {}
 
