Tests of turns and late lines: one set-up, one builder of requests, the transport that exists

Cause: five scenarios set their handler up in the same two lines, by changing its class; four joined requests with their withdrawals by the same loop; test_attempts had a second fake transport beside that of test_client_session. Change: `_CostlyHandler.in_place_of`, `_withdrawn_requests`, and `FakeTransport`.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -39,6 +39,7 @@
 from cresstray.policy.types import EndpointState, Outcome
 from cresstray.transport.streams import connect
 from tests.harness import START_US, ClientStandIn, settings
+from tests.test_client_session import FakeTransport
 from tests.test_links import FakeConnection, FakePool
 from tests.test_service import GatewayHarness, make_endpoint
 
@@ -158,23 +159,6 @@
         return {name: count for name, count in counts.items() if count}
 
 
-class ListenerTransport:
-    """The transport of a client's session, which records what is written."""
-
-    def __init__(self) -> None:
-        self.lines: list[bytes] = []
-        self.unsent = bytearray()
-
-    def write(self, line: bytes) -> None:
-        self.lines.append(line)
-
-    def has_ended(self) -> bool:
-        return False
-
-    def has_unread(self) -> bool:
-        return False
-
-
 class PipelineTestCase(unittest.TestCase):
     def assert_nothing_left(self, harness: PipelineHarness) -> None:
         """No answer is owed, no attempt is in flight and no request is open on a connection."""
@@ -197,7 +181,7 @@
 class LateHandlingTest(PipelineTestCase):
     """A request whose line is handled long after it was received, as its connection waits for a turn."""
 
-    def submit_late(self, harness: PipelineHarness, timeout_ms: int, late_ms: int) -> ListenerTransport:
+    def submit_late(self, harness: PipelineHarness, timeout_ms: int, late_ms: int) -> list[str]:
         registry = ConnectionRegistry(
             frozenset(EFFECTS),
             harness.ingress,
@@ -207,30 +191,31 @@
             harness.counters,
             lambda kind, text: None,
         )
-        transport = ListenerTransport()
-        session = ClientSession(registry, transport)
+        lines: list[str] = []
+        session = ClientSession(registry, FakeTransport(lines))
         params = {"req": "0" * 16, "timeout": timeout_ms, "data": "c2VsZWN0IDE="}
         line = json.dumps({"jsonrpc": "2.0", "id": 1, "method": "read", "params": params}).encode()
         session.buffer(line + b"\n", harness.clock.now())
         harness.stop_process(late_ms)
         session.handle_buffered()
-        return transport
+        return lines
 
     def test_engine_is_told_what_is_left_of_the_timeout(self) -> None:
         """Guards against a deadline that counts from the turn in which a request is handled."""
         harness = PipelineHarness()
-        transport = self.submit_late(harness, 2000, late_ms=1200)
+        lines = self.submit_late(harness, 2000, late_ms=1200)
         harness.connection().come_up()
         harness.advance(500)
-        self.assertEqual([], transport.lines)
+        self.assertEqual([], lines)
         harness.advance(300)
-        self.assertEqual(1, len(transport.lines))
+        self.assertEqual(1, len(lines))
         self.assert_nothing_left(harness)
 
     def test_request_whose_time_is_over_is_rejected_at_once_and_not_sent(self) -> None:
         harness = PipelineHarness()
-        transport = self.submit_late(harness, 2000, late_ms=2100)
-        self.assertEqual([-32000], [json.loads(line)["error"]["code"] for line in transport.lines])
+        lines = self.submit_late(harness, 2000, late_ms=2100)
+        codes = [json.loads(line.removeprefix("hears "))["error"]["code"] for line in lines]
+        self.assertEqual([-32000], codes)
         self.assertEqual([], harness.connections())
         self.assert_nothing_left(harness)
 
--- a/tests/test_turn_pacing.py
+++ b/tests/test_turn_pacing.py
@@ -112,26 +112,37 @@
 class _CostlyHandler(RecordingHandler):
     """A request takes time, as its statement has to be parsed."""
 
-    clock: list[int]
+    def __init__(self, clock: list[int]) -> None:
+        super().__init__()
+        self._clock = clock
+        self.received_us: dict[int, int] = {}
+
+    @classmethod
+    def in_place_of(cls, harness: ListenerHarness) -> "_CostlyHandler":
+        """Returns a new handler, which handles the requests of the harness from now on."""
+        handler = harness.handler = harness.client_listener.handler = cls(harness.clock)
+        return handler
 
     def accept(self, session: object, request_id: int, query: object, *, received_us: int) -> None:
-        self.clock[0] += _REQUEST_COST_US
-        self.received_us = {**getattr(self, "received_us", {}), request_id: received_us}
+        self._clock[0] += _REQUEST_COST_US
+        self.received_us[request_id] = received_us
         super().accept(session, request_id, query, received_us=received_us)
 
 
+def _withdrawn_requests(first: int, count: int) -> bytes:
+    """Requests, each with its withdrawal behind it."""
+    return b"".join(request(number) + cancellation(number) for number in range(first, first + count))
+
+
 class FloodedListenerTest(unittest.TestCase):
     def test_requests_beside_clients_that_withdraw_hundreds_are_read_within_a_few_turns(self) -> None:
         """Guards against requests answered late: they waited for a long turn of each bad client."""
 
         async def scenario(harness: ListenerHarness) -> None:
-            handler = harness.handler
-            handler.__class__, handler.clock = _CostlyHandler, harness.clock
+            handler = _CostlyHandler.in_place_of(harness)
             usual = harness.client()
             await wait_until(lambda: len(harness.client_listener.connections) == 1)
-            flood = b"".join(
-                request(number) + cancellation(number) for number in range(1000, 1000 + _LINES_OF_EACH)
-            )
+            flood = _withdrawn_requests(1000, _LINES_OF_EACH)
             for _ in range(_FLOODING_CONNECTIONS):
                 harness.client().sendall(flood + status(1))
             await wait_until(lambda: len(set(handler.sessions)) == _FLOODING_CONNECTIONS)
@@ -150,8 +161,7 @@
         """Guards against an iteration that is as long as a costly line of every other client."""
 
         async def scenario(harness: ListenerHarness) -> None:
-            handler = harness.handler
-            handler.__class__, handler.clock = _CostlyHandler, harness.clock
+            handler = _CostlyHandler.in_place_of(harness)
             usual = harness.client()
             await wait_until(lambda: len(harness.client_listener.connections) == 1)
             flood = [harness.client() for _ in range(90)]
@@ -177,12 +187,9 @@
         """Guards against closed connections that hold their memory until a turn that is late to come."""
 
         async def scenario(harness: ListenerHarness) -> None:
-            handler = harness.handler
-            handler.__class__, handler.clock = _CostlyHandler, harness.clock
+            handler = _CostlyHandler.in_place_of(harness)
             for _ in range(30):
-                harness.client().sendall(
-                    b"".join(request(number) + cancellation(number) for number in range(10, 200))
-                )
+                harness.client().sendall(_withdrawn_requests(10, 190))
             await wait_until(lambda: len(set(handler.sessions)) == 30)
             evicted = list(harness.client_listener.connections)[:20]
             ended = harness.client_listener.counters.counts["clients ended"]
@@ -203,14 +210,13 @@
         """Guards against a request sent on with its whole timeout although its client's time is over."""
 
         async def scenario(harness: ListenerHarness) -> None:
-            handler = harness.handler
-            handler.__class__, handler.clock = _CostlyHandler, harness.clock
+            handler = _CostlyHandler.in_place_of(harness)
             early, late = harness.client(), harness.client()
             late.sendall(request(1) + cancellation(1))
             await wait_until(lambda: handler.cancelled)
             # Long at rest: that does not count.
             harness.clock[0] += 3_000_000
-            flood = b"".join(request(number) + cancellation(number) for number in range(10, 40))
+            flood = _withdrawn_requests(10, 30)
             early.sendall(flood)
             late.sendall(flood)
             while 12 not in handler.accepted:
@@ -227,12 +233,9 @@
 
     def test_lines_that_a_turn_leaves_are_handled_in_order(self) -> None:
         async def scenario(harness: ListenerHarness) -> None:
-            handler = harness.handler
-            handler.__class__, handler.clock = _CostlyHandler, harness.clock
+            handler = _CostlyHandler.in_place_of(harness)
             client = harness.client()
-            client.sendall(
-                b"".join(request(number) + cancellation(number) for number in range(1, 30)) + status(30)
-            )
+            client.sendall(_withdrawn_requests(1, 29) + status(30))
             self.assertEqual("30 pass", await receive_response(client))
             self.assertEqual(list(range(1, 30)), handler.accepted)
             self.assertEqual(list(range(1, 30)), handler.cancelled)
