A turn of one line reads the clock once less; lines are put back in one place

Cause: the loop over a turn's lines read the clock behind each line, also behind the last, where nothing is left to decide; lines were put back behind it, under a second check whether there are any, and `put_back` had a third. Change: the clock is read before each further line, and what is left goes back there. No order or bound is changed.

--- a/cresstray/clients/client_connection.py
+++ b/cresstray/clients/client_connection.py
@@ -118,7 +118,7 @@
         action = session.handle_buffered()
         self._has_more = session.has_buffered_lines or session.is_backlogged or session.is_banned()
         is_large = had_more or self._has_more or session.received_bytes - received_bytes > _USUAL_BYTES
-        self._turns.on_turn(self.session.turn_share, began_us, session.fruitless_part, is_large)
+        self._turns.on_turn(session.turn_share, began_us, session.fruitless_part, is_large)
         if session.is_disconnected and not session.has_buffered_lines:
             raise anyio.EndOfStream
         return action
@@ -176,7 +176,7 @@
         if has_received:
             began_us = self._now_us()
             action = session.handle_buffered()
-            self._turns.on_turn(self.session.turn_share, began_us, session.fruitless_part, is_large=True)
+            self._turns.on_turn(session.turn_share, began_us, session.fruitless_part, is_large=True)
             if action is NextAction.CLOSE:
                 raise anyio.EndOfStream
         if session.is_disconnected and not session.has_buffered_lines:
--- a/cresstray/clients/line_buffer.py
+++ b/cresstray/clients/line_buffer.py
@@ -76,11 +76,10 @@
         return lines
 
     def put_back(self, lines: list[ReceivedLine]) -> None:
-        """Puts lines that were taken last, and are not handled, before all that is held."""
-        if lines:
-            self.data[:0] = b"".join(line.content + b"\n" for line in lines)
-            self._received.extendleft((1, line.received_us) for line in reversed(lines))
-            self.has_lines = True
+        """Puts lines back that were taken last and are not handled, at least one, before all that is held."""
+        self.data[:0] = b"".join(line.content + b"\n" for line in lines)
+        self._received.extendleft((1, line.received_us) for line in reversed(lines))
+        self.has_lines = True
 
     def oldest_us(self) -> int | None:
         """Returns when the first of the whole lines was received; None without one."""
--- a/cresstray/clients/session.py
+++ b/cresstray/clients/session.py
@@ -296,15 +296,14 @@
         handled_count = 0
         self._rejected_at_end_count = 0
         for line in lines:
+            if handled_count and now_us() >= ends_us:
+                self._put_back(lines[handled_count:])
+                break
             if dropped_bytes and not handled_count:
                 self._reject_long_line(line.content, len(line.content) + dropped_bytes)
             elif line.content.strip():
                 self._handle_line(line.content, line.received_us)
             handled_count += 1
-            if now_us() >= ends_us:
-                break
-        if handled_count < len(lines):
-            self._put_back(lines[handled_count:])
         open_count = sum(request_id in self.open_requests for request_id in self._accepted_ids)
         self.fruitless_part = 1 - (open_count + self._rejected_at_end_count) / handled_count
 
