--- a/cresstray/pipeline/dispatch.py
+++ b/cresstray/pipeline/dispatch.py
@@ -76,6 +76,9 @@
         request = attempt.request
         # A process that was stopped may come to send a queued request that its client has given up.
         latest_us = min(self._clock.now() + timeout_us, request.deadline_us)
+        if request.latest_send_us is not None:
+            # The engines may already have got it from the other site, which knows when they forget it.
+            latest_us = min(latest_us, request.latest_send_us)
         if request.request_class.is_deduplicated:
             window_us = request.request_class.dedup_window_us - DEDUP_MARGIN_US
             for earlier_attempt in request.attempts:
--- a/cresstray/pipeline/ingress.py
+++ b/cresstray/pipeline/ingress.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 from enum import Enum
-from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from cresstray.clock import Clock
 from cresstray.pipeline.admission import Admission
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from cresstray.pipeline.replica_reads import ReplicaReads
+    from cresstray.sites.inbound import ForwardedOffer
 
 # A longer timeout than this multiple of the class's own is a mistake of the client.
 _MAX_TIMEOUT_FACTOR = 2
@@ -33,17 +34,6 @@
     UNUSABLE_HINT = "a hint that can't be followed"
 
 
-class ForwardedOffer(Protocol):
-    """What a forwarded query carries besides the query itself.
-
-    `max_queue_us`: for how long it may be queued here; `table_group`: the table group that the other site has
-    found.
-    """
-
-    max_queue_us: int
-    table_group: int
-
-
 class _AcceptedClass(NamedTuple):
     request_class: RequestClass
     max_timeout_ms: float
@@ -128,6 +118,7 @@
         if offer is not None:
             request.is_forwarded_in = True
             request.max_queue_us = offer.max_queue_us
+            request.latest_send_us = offer.latest_send_us
         if self.replica_reads is not None and replica_read is not None:
             self.replica_reads.attach(request, replica_read)
         self._admission.admit(RequestContext(responder, number, query, request), now_us)
--- a/cresstray/policy/types.py
+++ b/cresstray/policy/types.py
@@ -127,6 +127,7 @@
     size_bytes: int = 0  # of the statement
     is_forwarded_in: bool = False  # by another site: gets one attempt here, and is never forwarded again
     max_queue_us: int = 0  # the longest time in the queue of a request that was forwarded in
+    latest_send_us: int | None = None  # the site that forwarded it sets when it may be sent for the last time
     was_forwarded: bool = False  # to another site; at most once
     replica_read: HintedRead | None = None  # set if the request may read a replica
 
--- a/cresstray/sites/inbound.py
+++ b/cresstray/sites/inbound.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from cresstray.observability.counters import Counters
 from cresstray.policy.deadlines import ATTEMPT_MARGIN_US
@@ -25,6 +25,20 @@
 _RETRY_AFTER_US = 200_000
 
 
+class ForwardedOffer(NamedTuple):
+    """What a forwarded request carries besides its query.
+
+    Attributes:
+        max_queue_us: For how long it may be queued here.
+        table_group: The table group that the forwarding site has found.
+        latest_send_us: Nothing of it may be sent to an engine from this time on; None: until its deadline.
+    """
+
+    max_queue_us: int
+    table_group: int
+    latest_send_us: int | None
+
+
 class RequestIngress(Protocol):
     """The first stage of the pipeline."""
 
@@ -33,9 +47,9 @@
         responder: InboundLink,
         number: int,
         query: codec.ForwardRequest,
-        offer: codec.ForwardRequest,
+        offer: ForwardedOffer,
     ) -> None:
-        """Accepts a forwarded request, whose frame is both the query and what forwarding adds to it."""
+        """Accepts a forwarded request, whose frame is the query."""
 
     def cancel(self, responder: InboundLink, number: int | None, name: str | None) -> None:
         """Cancels an open request."""
@@ -163,7 +177,7 @@
             or self.ledger.size_bytes > self._max_bytes * 3 // 2 + codec.MAX_FRAME_BYTES
         ):
             raise FramingError("more is offered than there is credit for")
-        if max_age_us is None or 0 < frame.max_send_delay_us < max_age_us:
+        if max_age_us is None or 0 < frame.max_send_delay_us <= max_age_us:
             self._reject(inbound, "it came too late to be sent", 0)
         elif self._paused_us():
             self._reject(inbound, "nothing is taken here now", _RETRY_AFTER_US)
@@ -177,7 +191,7 @@
             self._counters.add("crossings taken")
             inbound.is_lease_bound = frame.is_lease_bound
             self._wake()  # from now on its lease is checked
-            self._ingress.accept(self, inbound.number, frame, frame)
+            self._ingress.accept(self, inbound.number, frame, _offer_of(frame, max_age_us, now_us))
             if inbound.state is ForwardingState.ACCEPTED:  # otherwise a later frame has implied it
                 self._send(codec.Accepted(inbound.number))
 
@@ -387,3 +401,9 @@
                 ),
                 immediately=True,
             )
+
+
+def _offer_of(frame: codec.ForwardRequest, max_age_us: int, now_us: int) -> ForwardedOffer:
+    """Returns the offer in a frame of at most this age, with its duration as a time of this clock."""
+    latest_send_us = now_us + frame.max_send_delay_us - max_age_us if frame.max_send_delay_us else None
+    return ForwardedOffer(frame.max_queue_us, frame.table_group, latest_send_us)
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -39,14 +39,36 @@
 
 
 class FakeEngine:
-    """One engine with its connections: keeps each request until the test answers it."""
+    """One engine with its connections: keeps each request until the test answers it.
+
+    `connect_us`: how long a new connection takes to come up; each request takes a new one.
+    """
 
     def __init__(self, gateway: "SiteGateway", name: str) -> None:
         self.gateway, self.name, self.address = gateway, name, ("", 0)
+        self.connect_us = 0
         self.open: dict[str, object] = {}
+        self._connecting: list[object] = []
 
     def start(self, in_flight: object) -> None:
-        in_flight.connection, in_flight.is_written = self, True
+        in_flight.connection = self
+        if not self.connect_us:
+            self._write(in_flight)
+            return
+        self._connecting.append(in_flight)
+        self.gateway.timers.call_after(self.connect_us, lambda _: self._on_connected(in_flight))
+
+    def _on_connected(self, in_flight: object) -> None:
+        if in_flight not in self._connecting:
+            return
+        self._connecting.remove(in_flight)
+        if in_flight.listener.may_send(in_flight):
+            self._write(in_flight)
+        else:
+            in_flight.listener.on_unsent(in_flight)
+
+    def _write(self, in_flight: object) -> None:
+        in_flight.is_written = True
         self.open[in_flight.name.decode()] = in_flight
         world = self.gateway.world
         world.runs.append((in_flight.name.decode(), self.name))
@@ -54,6 +76,9 @@
         world.say(f"{self.name} runs {world.names[in_flight.name.decode()]}")
 
     def abandon(self, in_flight: object) -> bool:
+        if in_flight in self._connecting:
+            self._connecting.remove(in_flight)
+            return True
         self.open.pop(in_flight.name.decode(), None)
         self.gateway.world.say(
             f"{self.name} is told to quit {self.gateway.world.names[in_flight.name.decode()]}"
@@ -188,6 +213,7 @@
         delay_us: int = 5_000,
         trace: bool = True,
         clock_skew_us: int = 240_000_000,
+        dedup_window_ms: int = 20_000,
         **limits: object,
     ) -> None:
         self.lines: list[str] = []
@@ -216,7 +242,7 @@
                     "GiveUp": 60000,
                     "Worth": 1,
                     "Group": "all",
-                    "KeyTtl": 20000,
+                    "KeyTtl": dedup_window_ms,
                     "LateValue": 0.5,
                 }
                 for name, effect in EFFECTS.items()
