--- a/cresstray/gateway/composition.py
+++ b/cresstray/gateway/composition.py
@@ -219,6 +219,7 @@
         links = SiteLinkManager(
             sites,
             incarnation,
+            self.controller.settings.can_cancel,
             self._seed,
             self.ingress,
             forwarder,
--- a/cresstray/model_checking/crossing.py
+++ b/cresstray/model_checking/crossing.py
@@ -290,7 +290,7 @@
     def _inward(self) -> InboundLink:
         far = self.far
         return InboundLink(
-            GatewayIdentity("hall-b", "gb", f"b{self.life}"),
+            GatewayIdentity("hall-b", "gb", f"b{self.life}", can_fence=True),
             GatewayIdentity("hall-a", "ga", "a1"),
             LinkHealth(_BEAT, _SLOW, _LEASE, _HEAL),
             16,
--- a/cresstray/sites/codec.py
+++ b/cresstray/sites/codec.py
@@ -20,6 +20,9 @@
 MAGIC = "cresstray-halls"
 # Optional features of this build; a feature that only one side announces is not used.
 FEATURES = ("pages", "resume")
+# Announced by a gateway that cancels what it runs for another site once the lease has expired. It must not
+# where `Limits.Cancel` is false; the other site then never retries elsewhere what may still run here.
+FENCING = "fencing"
 # Several pages fit into one write, and a page that is lost with its connection costs little to send again.
 PAGE_BYTES = 8_000
 
--- a/cresstray/sites/ends.py
+++ b/cresstray/sites/ends.py
@@ -16,11 +16,19 @@
 
 @dataclass(frozen=True)
 class GatewayIdentity:
-    """Identifies one run of a gateway: its site, its name there, and its incarnation."""
+    """Identifies one run of a gateway: its site, its name there, and its incarnation.
+
+    `can_fence`: it may cancel what it runs for another site, and does so once the lease has expired.
+    """
 
     site: str
     name: str
     incarnation: str
+    can_fence: bool = False
+
+    def features(self) -> list[str]:
+        """Returns the features to announce."""
+        return [*codec.FEATURES, codec.FENCING] if self.can_fence else list(codec.FEATURES)
 
 
 class LinkSession:
--- a/cresstray/sites/inbound.py
+++ b/cresstray/sites/inbound.py
@@ -121,7 +121,7 @@
         self._send(
             codec.Welcome(
                 codec.PROTOCOL_VERSION,
-                list(codec.FEATURES),
+                identity.features(),
                 identity.site,
                 identity.name,
                 identity.incarnation,
@@ -179,6 +179,9 @@
             raise FramingError("more is offered than there is credit for")
         if max_age_us is None or 0 < frame.max_send_delay_us <= max_age_us:
             self._reject(inbound, "it came too late to be sent", 0)
+        elif frame.is_lease_bound and not self._identity.can_fence:
+            # The forwarding gateway would retry it after a lease, beside the attempt here.
+            self._reject(inbound, "nothing may be cancelled here", _RETRY_AFTER_US)
         elif self._paused_us():
             self._reject(inbound, "nothing is taken here now", _RETRY_AFTER_US)
         elif frame.remaining_us - max_age_us <= ATTEMPT_MARGIN_US:
--- a/cresstray/sites/ledger.py
+++ b/cresstray/sites/ledger.py
@@ -76,6 +76,7 @@
         self.number, self.attempt, self.connection, self.name = number, attempt, link, name
         self.weight_threads = weight_threads  # the remote threads that it counts for
         # Whether the remote gateway cancels it when the lease expires, so that it may be retried here.
+        # Otherwise it may run there until its own timeout.
         self.is_lease_bound = is_lease_bound
         self.timeout = None  # the timer of the attempt's timeout
         # Disconnected: the connection that carried it has ended, and no later one has resumed it.
--- a/cresstray/sites/links.py
+++ b/cresstray/sites/links.py
@@ -127,6 +127,7 @@
         self,
         settings: operator.Halls,
         incarnation: str,
+        can_cancel: bool,
         seed: int,
         ingress: RequestIngress,
         listener: ForwardingListener,
@@ -142,6 +143,7 @@
         Args:
             settings: The operator's settings for this gateway, its links and its peers.
             incarnation: Differs between any two runs of this gateway.
+            can_cancel: Whether attempts at engines may be cancelled.
             seed: Of the random part of reconnect delays.
             ingress: Gets the requests that other sites forward.
             listener: Gets the events of forwarded requests.
@@ -158,7 +160,7 @@
         self._settings, self._ingress, self._listener = settings, ingress, listener
         self._local_capacity = spare_capacity
         self._clock, self._timers, self._counters, self._log = clock, timers, counters, log
-        self._identity = GatewayIdentity(settings.hall, settings.gateway, incarnation)
+        self._identity = GatewayIdentity(settings.hall, settings.gateway, incarnation, can_cancel)
         self._random = random.Random(seed).random
         self._worker = worker
         self.quota = ForwardingQuota(settings.share)
--- a/cresstray/sites/outbound.py
+++ b/cresstray/sites/outbound.py
@@ -71,6 +71,7 @@
         self._unsent_releases: list[int] = []  # request numbers for the next Release frame
         self.is_established, self._reported_cores = False, 0.0  # as last reported to the listener
         self._known_incarnation, self._heartbeat_us = "", 0  # of the remote gateway; when ours was last sent
+        self._can_remote_fence = False  # whether it cancels our requests once their lease has expired
         self.remote_gateway = ""  # its name, once the remote gateway has sent it
 
     # The connection.
@@ -84,7 +85,7 @@
             codec.Hello(
                 codec.MAGIC,
                 codec.PROTOCOL_VERSION,
-                list(codec.FEATURES),
+                identity.features(),
                 identity.site,
                 identity.name,
                 identity.incarnation,
@@ -141,6 +142,7 @@
             frame.gateway,
             True,
         )
+        self._can_remote_fence = codec.FENCING in frame.features
         self._health.on_connected(now_us)
         # With a shorter lease than the remote gateway's, requests would be retried here while they still run
         # there.
@@ -180,7 +182,10 @@
     def forward(self, attempt: Attempt, query: object, now_us: int) -> ForwardedRequest:
         """Forwards an attempt whose request the route has accepted; `query` is what the client sent."""
         request = attempt.request
-        is_lease_bound = request.request_class.is_idempotent or request.request_class.is_deduplicated
+        request_class = request.request_class
+        is_lease_bound = self._can_remote_fence and (
+            request_class.is_idempotent or request_class.is_deduplicated
+        )
         forwarded = self.ledger.add(
             attempt, self, query.name, self.route.reserve(request, now_us), is_lease_bound
         )
@@ -368,7 +373,7 @@
                 and (forwarded.is_lease_bound or request.is_finished)
             ):
                 # The remote gateway has cancelled it by now, in whatever state it was; or no client waits for
-                # it any more.
+                # it any more. What the remote gateway does not cancel waits for the link or its deadline.
                 self._finish(forwarded, ForwardingResult.UNKNOWN, True)
             elif not forwarded.is_cancelled and self.route.is_deadline_unreachable(
                 request, forwarded.state is ForwardingState.SENT, now_us
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -281,7 +281,7 @@
             self.b = SiteGateway(self, "hall-b", len(self.b.engines), self.clocks[1], self._settings)
         self._incarnation += 1
         self.inbound = InboundLink(
-            GatewayIdentity("hall-b", "gb", f"b{self._incarnation}"),
+            GatewayIdentity("hall-b", "gb", f"b{self._incarnation}", self._settings["Limits"]["Cancel"]),
             GatewayIdentity("hall-a", "ga", "a1"),
             LinkHealth(HEARTBEAT_US, SLOW_US, LEASE_US, RECOVERY_US),
             16,
--- a/tests/test_forwarded_conditions.py
+++ b/tests/test_forwarded_conditions.py
@@ -70,5 +70,86 @@
         self.assertEqual(1, world.b.counters.counts["attempts expired before send"])
 
 
+# How the link is disturbed: silenced directions, or none for a cut, and when it is back, in milliseconds.
+DISTURBANCES = tuple(
+    (silenced, back_ms)
+    for silenced in ((), ("there",), ("back",), ("there", "back"))
+    for back_ms in (500, 1_600, 3_000, None)
+)
+RUN_MS, TIMEOUT_MS = 5_000, 9_000
+
+
+class CancellationTest(unittest.TestCase):
+    """The link is disturbed while a request runs at hall-b, with `Limits.Cancel` as it may be."""
+
+    def _disturb(
+        self, request_class: str, silenced: tuple[str, ...], back_ms: int | None, cancel: bool
+    ) -> TwoSites:
+        world = TwoSites(trace=False, local_engines=1, Cancel=cancel)
+        world.a.update_endpoints(EndpointState.DRAINING)
+        world.establish_link()
+        world.a.submit("request", request_class, TIMEOUT_MS)
+        world.run(60)
+        self.assertEqual(1, len(world.runs))
+        world.a.update_endpoints(EndpointState.READY)
+        if silenced:
+            world.silenced.update(silenced)
+        else:
+            world.disconnect()
+        back_us = world.clocks[0].time_us + 1000 * back_ms if back_ms else None
+        for _ in range(0, TIMEOUT_MS + 1_000, 20):
+            if back_us is not None and world.clocks[0].time_us >= back_us:
+                world.silenced.clear()
+                if not world.is_connected:
+                    world.connect()
+            world.run(20, step_us=5_000)
+            self._answer_finished(world)
+        return world
+
+    def _answer_finished(self, world: TwoSites) -> None:
+        """The engines answer what has run for long enough; checks that none runs a request beside another."""
+        engines = (*world.a.fake_engines, *world.b.fake_engines)
+        self.assertLessEqual(sum(len(engine.open) for engine in engines), 1, "two attempts are out")
+        for engine in engines:
+            for name in list(engine.open):
+                if world.clocks[0].time_us - world.run_started_us[name] >= 1000 * RUN_MS:
+                    engine.answer(name)
+
+    def test_no_second_attempt_where_the_far_gateway_may_not_cancel_the_first(self) -> None:
+        """Guards against a retry after the lease while the far engine runs on, as it may not be cancelled."""
+        for silenced, back_ms in DISTURBANCES:
+            for request_class in ("lookup", "load", "post"):
+                with self.subTest(silenced=silenced, back_ms=back_ms, request_class=request_class):
+                    world = self._disturb(request_class, silenced, back_ms, cancel=False)
+                    self.assertEqual(1, len(world.runs))
+                    (answers,) = world.answers().values()
+                    self.assertEqual(1, len(answers))
+                    if back_ms is not None:
+                        self.assertEqual(["fulfilled, 8 bytes"], answers)
+                    answered_ms = (world.answered_us[world.name("request")] - world.clocks[0].time_us) / 1000
+                    self.assertLessEqual(answered_ms, -940)
+
+    def test_request_that_its_site_would_retry_after_the_lease_is_refused_where_it_may_not_be_cancelled(
+        self,
+    ) -> None:
+        """Guards against a second attempt by a forwarding gateway of an earlier build."""
+        world = TwoSites(trace=False, Cancel=False)
+        world.establish_link()
+        world.outbound._can_remote_fence = True
+        world.a.submit("request", "lookup", 1_000)
+        world.run(1_500)
+        self.assertEqual(([], {"request": ["denied"]}), (world.runs, world.answers()))
+        self.assertEqual(1, world.b.counters.counts["crossings refused here"])
+        self.assertIsNone(world.link_error)
+
+    def test_request_is_retried_after_the_lease_where_the_far_gateway_may_cancel_it(self) -> None:
+        """Guards against a lease without use: a request whose far attempt is cancelled is served here."""
+        for silenced, back_ms in DISTURBANCES:
+            for request_class in ("lookup", "load"):
+                with self.subTest(silenced=silenced, back_ms=back_ms, request_class=request_class):
+                    world = self._disturb(request_class, silenced, back_ms, cancel=True)
+                    self.assertEqual({"request": ["fulfilled, 8 bytes"]}, world.answers())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -123,6 +123,7 @@
             SiteLinkManager(
                 given,
                 "life",
+                True,
                 7,
                 None,
                 FakeAcross(),
