Pass a client's withdrawal on to the far site, also where attempts may not be cancelled

Where Limits.Cancel is false a client withdraws a request that waits at the far site, in a queue or for a connection to an engine; up to a second later it is written to the engine, for nobody. Cause: PolicyController.on_client_cancelled cancels an attempt only where the settings permit that at engines; for an attempt that has crossed it is the only word that the far gateway gets, and what is not written yet needs no permission. Change: an attempt at another site is always cancelled; the far gateway drops what it has not written, and cancels the rest as its own settings permit. Why it works: the far gateway finishes the request as the Cancel arrives, and what is finished is not written.

--- a/cresstray/policy/controller.py
+++ b/cresstray/policy/controller.py
@@ -293,8 +293,11 @@
         if not request.is_forwarded_in:
             self.retry_policy.on_client_cancelled(request)
         self._finish(request)
-        if request.current_attempt is not None and self.settings.can_cancel:
-            self.port.cancel_attempt(request.current_attempt)
+        attempt = request.current_attempt
+        # The gateway of another site is always told: it drops what it has not sent to an engine yet, and
+        # cancels the rest as its own settings permit.
+        if attempt is not None and (self.settings.can_cancel or attempt.engine.forwarding is not None):
+            self.port.cancel_attempt(attempt)
 
     def on_deadline_unreachable(self, attempt: Attempt, now_us: int) -> None:
         """Answers a request at once whose attempt can no longer succeed before the deadline."""
--- a/tests/test_forwarded_conditions.py
+++ b/tests/test_forwarded_conditions.py
@@ -70,6 +70,34 @@
         self.assertEqual(1, world.b.counters.counts["attempts expired before send"])
 
 
+class ClientLeftTest(unittest.TestCase):
+    """The client withdraws what has crossed and is not written yet: queued there, or behind a connection."""
+
+    def test_far_gateway_sends_nothing_for_a_client_that_left_whatever_may_be_cancelled(self) -> None:
+        """Guards against a withdrawal that is not passed on where attempts may not be cancelled."""
+        for cancel in (True, False):
+            for connect_ms in (0, 1_000):
+                with self.subTest(cancel=cancel, connect_ms=connect_ms):
+                    world = TwoSites(trace=False, cores=1, Cancel=cancel)
+                    world.establish_link()
+                    if not connect_ms:
+                        for number in range(3):
+                            world.b.submit(f"own {number}", "lookup")
+                        world.refresh_capacity()
+                        world.outbound.route.available_threads = 50.0
+                        world.a.controller.site_forwarding.sites[0].policy_state.limit.value = 50.0
+                    world.b.fake_engines[0].connect_us = 1000 * connect_ms
+                    world.a.submit("request", "lookup", 8_000)
+                    world.run(20)
+                    world.a.cancel("request")
+                    world.run(50)
+                    for name in list(world.b.fake_engines[0].open):
+                        world.b.fake_engines[0].answer(name)
+                    world.run(8_000, step_us=5_000)
+                    self.assertNotIn(world.name("request"), [name for name, _ in world.runs])
+                    self.assertFalse(world.outbound.ledger.open or world.a.accounting.open_requests)
+
+
 # How the link is disturbed: silenced directions, or none for a cut, and when it is back, in milliseconds.
 DISTURBANCES = tuple(
     (silenced, back_ms)
