--- a/cresstray/emulators/world.py
+++ b/cresstray/emulators/world.py
@@ -39,7 +39,7 @@
 _MEMORY = 20.0
 
 
-def settings(kinds: list[Kind], gateways: int, cores: int) -> dict:
+def settings(kinds: list[Kind], gateways: int, cores: int, can_cancel: bool = True) -> dict:
     """A gateway's settings, under the names that the platform gives them."""
     return {
         "Balancers": gateways,
@@ -49,7 +49,7 @@
         "FamilyInfo": {"CpuOfKind": [cores], "Dop": [kind.threads for kind in kinds]},
         "Limits": {
             "MaxAttempts": _ATTEMPTS,
-            "Cancel": True,
+            "Cancel": can_cancel,
             "RetryAfter": True,
             "MaxRetryAfter": 1000,
             "StreamsPerConn": 32,
@@ -215,6 +215,7 @@
         link: str = "",
         most: int = 10_000,
         tunnel: bool = False,
+        can_cancel: bool = True,
     ) -> None:
         self._folder, self._crossing = folder, crossing
         self.account = Account({kind.name: kind.effect for kind in kinds}, _ATTEMPTS, _BUDGET)
@@ -244,7 +245,7 @@
         if tunnel:
             self._dig()
         for hall in self.halls.values():
-            self._write(hall, settings(kinds, gateways * (1 + tunnel), cores), link)
+            self._write(hall, settings(kinds, gateways * (1 + tunnel), cores, can_cancel), link)
 
     def _dig(self) -> None:
         for hall in self.halls.values():
