--- a/benchmarks/crossing_faults.py
+++ b/benchmarks/crossing_faults.py
@@ -2,8 +2,8 @@
 
 `python -m benchmarks.crossing_faults`. Each play has processes of its own: a gateway and an engine at each
 site, and the network between them. Requests of hall-a cross, as its engine is away, and run at hall-b beside
-a request of a client of hall-b that must run once. The engine of hall-a comes back, and then the fault begins.
-Printed is what clients were answered, and how often a promise was broken.
+a request of a client of hall-b that must run once. The engine of hall-a comes back, and then the fault
+begins. Printed is what clients were answered, and how often a promise was broken.
 """
 
 from __future__ import annotations
