Take nothing for never executed on a link that the far gateway had forgotten

A request that may run once only has run at the far site when the link goes away for over a minute; when the link is back it is run again at the near site, and that run is told. Cause: a far gateway forgets a near one that is away for 60 s (links._remove_absent), with requests that are still open there. The same life then makes a new InboundLink, which says 'resumed' and calls numbers that it has never heard of 'never arrived'. Evidence: the near ledger settles the number as not executed, from the state 'n' of a welcome that says resumed; an InboundLink that is kept says 'f' for the same number. So neither the near ledger nor the lease is at fault. Change: a link that starts anew does not say 'resumed', so all that was out counts as may have run; a link with open requests is not forgotten, as what runs may not be cancelled. Why it works: 'never arrived' is said only by a ledger that has been there since the first connection of the near life. Concerned are deployments whose requests wait for over a minute.

--- a/cresstray/sites/inbound.py
+++ b/cresstray/sites/inbound.py
@@ -100,6 +100,7 @@
         self._counters, self._log = counters, log
         self.open_requests: dict[int, object] = {}  # the RequestContexts that the pipeline adds
         self.ledger = InboundLedger()
+        self._was_connected = False
         self._heartbeat_us, self.disconnected_us, self.last_request_us = 0, 0, 0
 
     # The connection.
@@ -108,7 +109,9 @@
         """Welcomes a new connection of the same incarnation and reconciles the requests of earlier ones."""
         self._write = write
         now_us = self._now()
-        resumed = hello.known_incarnation == self._identity.incarnation
+        # A link that starts anew knows nothing of earlier requests, also those that this process has run.
+        resumed = self._was_connected and hello.known_incarnation == self._identity.incarnation
+        self._was_connected = True
         states: list[tuple[int, str]] = []
         if resumed:
             states, dropped = self.ledger.reconcile(hello.open_requests)
--- a/cresstray/sites/links.py
+++ b/cresstray/sites/links.py
@@ -37,8 +37,8 @@
 _STABLE_CONNECTION_US = 5_000_000
 # All that is written to a peer that reads nothing would otherwise be kept in memory.
 _MAX_UNSENT_BYTES = 8 * 1024 * 1024
-# The requests of a forwarding gateway that has not reconnected for this long are cancelled and removed. The
-# check is rare, as each one wakes up a gateway that may be idle.
+# A forwarding gateway that has not reconnected for this long is forgotten, once none of its requests is open.
+# The check is rare, as each one wakes up a gateway that may be idle.
 _ABSENCE_LIMIT_US, _ABSENCE_CHECK_US = 60_000_000, 10_000_000
 # The time on the event loop for one connection: 650 us to connect, and a millisecond more for TLS.
 _CONNECT_COST_US, _TLS_CONNECT_COST_US = 650, 1_650
@@ -271,7 +271,9 @@
 
     def _remove_absent(self, now_us: int) -> None:
         for key, inbound in list(self._inbound.items()):
-            if inbound not in self._connections and now_us - inbound.disconnected_us > _ABSENCE_LIMIT_US:
+            if inbound in self._connections or inbound.is_busy(now_us):
+                continue
+            if now_us - inbound.disconnected_us > _ABSENCE_LIMIT_US:
                 inbound.cancel_all()
                 del self._inbound[key]
 
--- a/tests/halls.py
+++ b/tests/halls.py
@@ -280,6 +280,10 @@
                     fake_engine.abandon(in_flight)
             self.b = SiteGateway(self, "hall-b", len(self.b.engines), self.clocks[1], self._settings)
         self._incarnation += 1
+        self.forget_inbound_link()
+
+    def forget_inbound_link(self) -> None:
+        """The gateway of hall-b has forgotten the link of one that was away for long."""
         self.inbound = InboundLink(
             GatewayIdentity("hall-b", "gb", f"b{self._incarnation}", self._settings["Limits"]["Cancel"]),
             GatewayIdentity("hall-a", "ga", "a1"),
--- a/tests/test_forwarded_conditions.py
+++ b/tests/test_forwarded_conditions.py
@@ -98,6 +98,29 @@
                     self.assertFalse(world.outbound.ledger.open or world.a.accounting.open_requests)
 
 
+class ForgottenLinkTest(unittest.TestCase):
+    """The link is away for longer than the far gateway remembers it, while a request waits for its answer."""
+
+    def test_request_that_ran_is_not_run_again_after_the_far_gateway_forgot_the_link(self) -> None:
+        """Guards against an unsafe request that runs twice, as a link that starts anew knows no numbers."""
+        for request_class, answer in (("post", "abandoned"), ("load", "fulfilled, 8 bytes")):
+            with self.subTest(request_class=request_class):
+                world = TwoSites(trace=False, local_engines=1, dedup_window_ms=100_000)
+                world.a.update_endpoints(EndpointState.DRAINING)
+                world.establish_link()
+                world.a.submit("request", request_class, 100_000)
+                world.run(60)
+                world.b.fake_engines[0].answer(world.name("request"))
+                world.disconnect()
+                world.forget_inbound_link()
+                world.a.update_endpoints(EndpointState.READY)
+                world.connect()
+                world.run(1_000)
+                for name in list(world.a.fake_engines[0].open):
+                    world.a.fake_engines[0].answer(name)
+                self.assertEqual({"request": [answer]}, world.answers())
+
+
 # How the link is disturbed: silenced directions, or none for a cut, and when it is back, in milliseconds.
 DISTURBANCES = tuple(
     (silenced, back_ms)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -184,6 +184,19 @@
         )
         return f"{'up' if made[0] and made[1] else 'refused'} {why}".strip()
 
+    def test_link_whose_gateway_is_away_is_kept_while_its_requests_run(self) -> None:
+        """Guards against a request that the other site takes for never executed while it runs here."""
+        host, _, _ = self.hub("hall hall-b\n    gateway gb\npeer hall-a 127.0.0.1:1\n")
+        inbound = host._register_inbound(
+            codec.Hello(codec.MAGIC, codec.PROTOCOL_VERSION, [], "hall-a", "ga", "life", "", []), None
+        )
+        host._connections.clear()
+        inbound.open_requests[1] = None
+        for is_kept in (True, False):
+            host._remove_absent(host._clock.now() + 3_600_000_000)
+            self.assertEqual(is_kept, bool(host._inbound))
+            inbound.open_requests.clear()
+
     def test_strangers_at_the_door(self) -> None:
         """Whatever is said there ends that connection with one line; a link that is up goes on."""
 
