Ask the fleet's rules again as the bytes of a late attempt leave

A write waits for its connection (ConnectTimeout, up to 1.5 s) while the shard's primary is switched, or the gateway's lease ends: it is written to the former primary all the same. That leaves out capacity, which the attempt holds itself. ConfigAdmissionRules.allows is that and the capacity.

--- a/cresstray/fleet_config/admission.py
+++ b/cresstray/fleet_config/admission.py
@@ -179,6 +179,23 @@
 
     def allows(self, request: Request, engine: Engine, now_us: int) -> bool:
         """Returns whether an attempt may be sent to this engine now; asked again after queueing."""
+        if not self.still_allows(request, engine, now_us):
+            return False
+        engine_rules = self._rules.documents.engines.items
+        if not engine_rules:
+            return True
+        engine_id = self._engine_id(engine)
+        rule = engine_rules.get(engine_id)
+        if rule is None or rule.work_fraction >= 1:
+            return True
+        return self._has_capacity(request, engine, engine_id, rule, self._effective_config(now_us))
+
+    def still_allows(self, request: Request, engine: Engine, now_us: int) -> bool:
+        """Returns whether an attempt that has waited for its connection may be sent to this engine now.
+
+        A gateway without a lease, a class or a tenant that was stopped, and an engine that was barred or is
+        no longer the primary of the request's shard: none of these lets an earlier decision stand.
+        """
         config = self._effective_config(now_us)
         if self._rules.is_empty and request.replica_read is None:
             return config.mode is not Mode.STOPPED
@@ -187,17 +204,14 @@
         has_no_placement = shard is None and request.replica_read is None
         if not decision.is_allowed:
             return False
-        if has_no_placement and not config.documents.engines.items:
+        engine_rules = config.documents.engines.items
+        if has_no_placement and not engine_rules:
             return True
         engine_id = self._engine_id(engine)
         if not has_no_placement and not self._placement_allows(request, shard, engine_id, config, now_us):
             return False
-        rule = config.documents.engines.items.get(engine_id)
-        if rule is None:
-            return True
-        if rule.is_barred:
-            return False
-        return rule.work_fraction >= 1 or self._has_capacity(request, engine, engine_id, rule, config)
+        rule = engine_rules.get(engine_id)
+        return rule is None or not rule.is_barred
 
     def _decide(self, request: Request, config: EffectiveConfig) -> _RequestDecision:
         # The same request is checked against one engine after the other, so its decision is cached.
--- a/cresstray/gateway/fleet_member.py
+++ b/cresstray/gateway/fleet_member.py
@@ -78,6 +78,10 @@
             self._request_positions()
         return is_allowed
 
+    def still_allows(self, request: Request, engine: Engine, now_us: int) -> bool:
+        """Returns whether an attempt that has waited for its connection may be sent to this engine now."""
+        return self._admission.still_allows(request, engine, self._now_us())
+
     def retry_budget_scale(self, request: Request, now_us: int) -> float:
         """Returns the factor by which the fleet scales the retry budget at present."""
         return self._admission.retry_budget_scale(request, self._now_us())
--- a/cresstray/pipeline/response.py
+++ b/cresstray/pipeline/response.py
@@ -17,7 +17,7 @@
     IdempotencyHooks,
 )
 from cresstray.policy.controller import PolicyController
-from cresstray.policy.types import Attempt, EndpointState, Outcome, Request
+from cresstray.policy.types import Attempt, Outcome, Request
 
 if TYPE_CHECKING:
     from cresstray.membership.recovery import Membership
@@ -107,12 +107,11 @@
         """Whether the decision to send is still valid when the first bytes are about to be sent."""
         in_flight = cast(EngineAttemptInFlight, request_in_flight)
         attempt = in_flight.attempt
-        if attempt.request.is_finished or attempt.cancel_requested:
-            return False
-        if attempt.engine.state is not EndpointState.READY:
+        now_us = self._clock.now()
+        if not self.controller.may_still_send(attempt, now_us):
             return False
         latest_send_us = in_flight.latest_send_us
-        is_too_late = latest_send_us is not None and self._clock.now() >= latest_send_us
+        is_too_late = latest_send_us is not None and now_us >= latest_send_us
         return not is_too_late and not self.has_client_left(attempt.request)
 
     def on_sent(self, request_in_flight: InFlightRequest) -> None:
--- a/cresstray/policy/controller.py
+++ b/cresstray/policy/controller.py
@@ -215,6 +215,14 @@
         scale = self.admission_rules.retry_budget_scale(request, now_us) if self.admission_rules else 1
         return self.retry_policy.has_budget(now_us, scale)
 
+    def may_still_send(self, attempt: Attempt, now_us: int) -> bool:
+        """Returns whether an attempt that has waited for its connection may still be sent."""
+        request = attempt.request
+        if request.is_finished or attempt.cancel_requested or attempt.engine.state is not _READY:
+            return False
+        rules = self.admission_rules
+        return rules is None or rules.still_allows(request, attempt.engine, now_us)
+
     def on_attempt_sent(self, attempt: Attempt, now_us: int) -> None:
         """Handles that an attempt has been written to its connection."""
         if attempt.number:
--- a/cresstray/policy/ports.py
+++ b/cresstray/policy/ports.py
@@ -55,6 +55,12 @@
     def allows(self, request: Request, engine: Engine, now_us: int) -> bool:
         """Returns whether the request may be sent to this engine."""
 
+    def still_allows(self, request: Request, engine: Engine, now_us: int) -> bool:
+        """Returns whether an attempt that has waited for its connection may be sent to this engine now.
+
+        Unlike `allows`, it does not ask for capacity, which the attempt holds already.
+        """
+
     def retry_budget_scale(self, request: Request, now_us: int) -> float:
         """Returns the factor by which the retry budget is scaled for this request."""
 
@@ -85,6 +91,10 @@
         """Returns whether the request may be sent to this engine."""
         return self._next_rules is None or self._next_rules.allows(request, engine, now_us)
 
+    def still_allows(self, request: Request, engine: Engine, now_us: int) -> bool:
+        """Returns whether an attempt that has waited for its connection may be sent to this engine now."""
+        return self._next_rules is None or self._next_rules.still_allows(request, engine, now_us)
+
     def retry_budget_scale(self, request: Request, now_us: int) -> float:
         """Returns the factor by which the retry budget is scaled for this request."""
         return self._next_rules.retry_budget_scale(request, now_us) if self._next_rules else 1.0
--- a/tests/test_admission_rules.py
+++ b/tests/test_admission_rules.py
@@ -21,6 +21,9 @@
     def allows(self, request: Request, engine: Engine, now_us: int) -> bool:
         return engine not in self.denied_engines and request.replica_read is None
 
+    def still_allows(self, request: Request, engine: Engine, now_us: int) -> bool:
+        return self.gateways > 0 and self.allows(request, engine, now_us)
+
     def retry_budget_scale(self, request: Request, now_us: int) -> float:
         return self.budget_scale
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -39,6 +39,7 @@
 from cresstray.policy.types import EndpointState, Outcome
 from cresstray.transport.streams import connect
 from tests.harness import START_US, ClientStandIn, settings
+from tests.test_admission_rules import FakeAdmissionRules
 from tests.test_client_session import FakeTransport
 from tests.test_links import FakeConnection, FakePool
 from tests.test_service import GatewayHarness, make_endpoint
@@ -356,6 +357,28 @@
             connection.come_up()
         self.assertEqual(["ASK a", "ASK b", "ASK c", "ASK d"], sorted(harness.sent_lines()))
 
+    def test_request_is_not_sent_once_the_rules_of_the_fleet_forbid_it(self) -> None:
+        """Guards against a write to a former primary: the placement changes while the connection is made."""
+        for change in ("engine", "lease", "nothing"):
+            with self.subTest(change=change):
+                harness = PipelineHarness(engines=2)
+                rules = harness.controller.admission_rules = FakeAdmissionRules()
+                harness.submit("a", "post")
+                first_connection = harness.connections()[0]
+                if change == "engine":
+                    rules.denied_engines = {next(iter(harness.responses.in_flight)).engine}
+                elif change == "lease":
+                    rules.gateways = 0
+                sent = first_connection.come_up().received_commands()
+                self.assertEqual(["ASK a"] if change == "nothing" else [], sent)
+                if change == "engine":
+                    second_connection = next(
+                        connection
+                        for connection in harness.connections()
+                        if connection is not first_connection
+                    )
+                    self.assertEqual(["ASK a"], second_connection.come_up().received_commands())
+
     def test_request_goes_to_the_new_address_of_a_restarted_engine(self) -> None:
         harness = PipelineHarness()
         harness.submit("a", "post")
--- a/tests/test_fleet_rules.py
+++ b/tests/test_fleet_rules.py
@@ -777,6 +777,23 @@
             if self.rules.allows(request, engine, self.now_us)
         )
 
+    def test_attempt_that_waited_keeps_its_capacity_and_no_engine_that_lost_the_shard(self) -> None:
+        """Guards against a late write to a former primary, and against an attempt that is in its own way."""
+        self.receive(2, engines={"items": {"s-1": {"work": 0.1}}})
+        request = self.request(threads=8)
+        self.engines[1].policy_state.limit.running_threads = 8
+        self.assertFalse(self.rules.allows(request, self.engines[1], self.now_us))
+        self.assertTrue(self.rules.still_allows(request, self.engines[1], self.now_us))
+        shard = {"primary": "s-1", "epoch": 1}
+        self.receive(3, placement={"items": {"17": shard}})
+        write = self.request(data_set=17)
+        self.assertTrue(self.rules.still_allows(write, self.engines[1], self.now_us))
+        self.receive(4, placement={"items": {"17": {**shard, "primary": "s-2", "epoch": 2}}})
+        self.assertFalse(self.rules.still_allows(write, self.engines[1], self.now_us))
+        self.receive(5, lease=False, placement={"items": {"17": {**shard, "primary": "s-2", "epoch": 2}}})
+        self.now_us += 10 * LEASE_US
+        self.assertFalse(self.rules.still_allows(write, self.engines[2], self.now_us))
+
     def test_stopped_classes_and_barred_tenants_and_engines_get_no_requests(self) -> None:
         self.assertEqual(
             (20, True),
