--- a/cresstray/model_checking/crossing.py
+++ b/cresstray/model_checking/crossing.py
@@ -630,7 +630,11 @@
                 "frame.resumed and frame.incarnation == self._known_incarnation",
                 "frame.resumed",
             ),
-            (InboundLink.on_connected, "hello.known_incarnation == self._identity.incarnation", "True"),
+            (
+                InboundLink.on_connected,
+                "self._was_connected and hello.known_incarnation == self._identity.incarnation",
+                "True",
+            ),
         ),
     ),
     Mutant(
--- a/cresstray/model_checking/lines.py
+++ b/cresstray/model_checking/lines.py
@@ -35,6 +35,7 @@
 from cresstray.pipeline.response import ResponseHandler
 from cresstray.pipeline.routing import Router
 from cresstray.policy import deadlines
+from cresstray.policy.controller import PolicyController
 from cresstray.policy.types import (
     NOT_EXECUTED,
     Attempt,
@@ -118,6 +119,9 @@
 class ScriptedController:
     """In the module's place: it relays, calls back and ends what it holds when the world says so."""
 
+    admission_rules = None
+    may_still_send = PolicyController.may_still_send
+
     def __init__(self, world: ConnectionWorld) -> None:
         self._world, self.port = world, None
         self.queue: list[Request] = []
