Tell an engine the time that is left when its connection is up

Cause: the message was made as the attempt was handed over, and written as it was once the connection was up. Evidence: on the virtual clock w is 2,900 ms after dials of 0, 400 and 1,500 ms alike, for a client of 3,000 ms; so it is the dial and no queue that is not counted. Change: the late write, in the turn in which it asks whether it may, makes the message anew (InFlightListener.encode_late, pipeline/engine_message.py); the policy's formula for the time of an attempt has one place (deadlines.attempt_timeout_us). Why it works: w is the time left less 0.1 s, by the clock of the turn that writes.

--- a/cresstray/engines/connection_state.py
+++ b/cresstray/engines/connection_state.py
@@ -207,12 +207,15 @@
             self.pool.start(request)
 
     def _may_send(self, request: InFlightRequest) -> bool:
-        """Whether a request may still be sent later than it was handed over.
+        """Whether a request may still be sent later than it was handed over; if so, updates its message.
 
         Connecting takes time, and the process may be stopped meanwhile. By then the engine may be draining,
         the client may have disconnected, or the window for a retry may have passed.
         """
-        return not self.is_outdated and request.listener.may_send(request)
+        if self.is_outdated or not request.listener.may_send(request):
+            return False
+        request.message = request.listener.encode_late(request)
+        return True
 
     def seconds_left(self) -> float | None:
         """Returns the time left for the rest of a partial answer; None if no answer is partial."""
--- a/cresstray/engines/in_flight.py
+++ b/cresstray/engines/in_flight.py
@@ -51,6 +51,9 @@
     def may_send(self, request: InFlightRequest) -> bool:
         """Whether the request may still be sent, later than it was handed over."""
 
+    def encode_late(self, request: InFlightRequest) -> bytes:
+        """Returns the message of a request that is sent later than it was handed over, with the time left."""
+
     def on_sent(self, request: InFlightRequest) -> None:
         """The first bytes of the request were sent, at once or later."""
 
--- a/cresstray/pipeline/dispatch.py
+++ b/cresstray/pipeline/dispatch.py
@@ -5,10 +5,10 @@
 from typing import cast
 
 from cresstray.clock import Clock, Timers
-from cresstray.engines import codec
 from cresstray.engines.connection import SocketConnectionPool
 from cresstray.engines.in_flight import InFlightRequest
 from cresstray.observability.counters import Counters
+from cresstray.pipeline.engine_message import encode_attempt
 from cresstray.pipeline.request_context import (
     EngineAttemptInFlight,
     IdempotencyHooks,
@@ -39,12 +39,7 @@
         self, attempt: Attempt, context: RequestContext, pool: SocketConnectionPool, timeout_us: int
     ) -> None:
         """Hands the attempt to a connection of `pool`, unless it must not be sent any more."""
-        query = context.query
-        name = query.name.encode()
-        timeout_ms = max(1, timeout_us // 1000)
-        message = codec.encode_request(
-            name, query.class_name, timeout_ms, query.idempotency_key, query.statement
-        )
+        name, message = context.query.name.encode(), encode_attempt(context.query, timeout_us)
         request_in_flight = InFlightRequest(name, message, self._responses, attempt)
         in_flight = cast(EngineAttemptInFlight, request_in_flight)
         in_flight.latest_send_us = latest_send_us = self._latest_send_us(attempt, timeout_us)
--- a/cresstray/pipeline/response.py
+++ b/cresstray/pipeline/response.py
@@ -10,6 +10,7 @@
 from cresstray.engines.result_pages import ResultPages
 from cresstray.observability.counters import Counters
 from cresstray.pipeline.accounting import RequestAccounting
+from cresstray.pipeline.engine_message import encode_attempt
 from cresstray.pipeline.request_context import (
     AttemptConnection,
     AttemptInFlight,
@@ -17,6 +18,7 @@
     IdempotencyHooks,
 )
 from cresstray.policy.controller import PolicyController
+from cresstray.policy.deadlines import attempt_timeout_us
 from cresstray.policy.types import Attempt, Outcome, Request
 
 if TYPE_CHECKING:
@@ -114,6 +116,12 @@
         is_too_late = latest_send_us is not None and now_us >= latest_send_us
         return not is_too_late and not self.has_client_left(attempt.request)
 
+    def encode_late(self, request_in_flight: InFlightRequest) -> bytes:
+        """Returns the message of an attempt that is sent late, with the time that is left now."""
+        request = request_in_flight.attempt.request
+        query = self._accounting.open_requests[request].query
+        return encode_attempt(query, attempt_timeout_us(request, self._clock.now()))
+
     def on_sent(self, request_in_flight: InFlightRequest) -> None:
         """The first bytes of the attempt were sent."""
         in_flight = cast(EngineAttemptInFlight, request_in_flight)
--- a/cresstray/policy/controller.py
+++ b/cresstray/policy/controller.py
@@ -17,6 +17,7 @@
     DEADLINE_MARGIN_US,
     SWEEP_INTERVAL_US,
     WINDOW_US,
+    attempt_timeout_us,
 )
 from cresstray.policy.engine_registry import EngineRegistry
 from cresstray.policy.health_checks import HealthCheckSchedule
@@ -44,7 +45,6 @@
 )
 
 SWEEPS_PER_WINDOW = WINDOW_US // SWEEP_INTERVAL_US
-MIN_TIMEOUT_US = 1000
 # The value of a progress update that says that the request is blocked, as a data load has locked its data
 # set.
 DATA_SET_LOCKED = 2
@@ -197,8 +197,7 @@
         grant = grant_resources(request, self.settings, self.averages)
         if grant:
             self.port.assign_resources(request, grant.memory_mb, grant.priority)
-        timeout_us = max(MIN_TIMEOUT_US, request.deadline_us - now_us - ATTEMPT_MARGIN_US)
-        self.port.send_attempt(attempt, timeout_us)
+        self.port.send_attempt(attempt, attempt_timeout_us(request, now_us))
 
     def _update_gateway_count(self, now_us: int) -> bool:
         """Applies the number of gateways by the admission rules; returns whether this gateway may send."""
--- a/cresstray/policy/deadlines.py
+++ b/cresstray/policy/deadlines.py
@@ -18,6 +18,15 @@
 DEADLINE_MARGIN_US = SWEEP_INTERVAL_US + ATTEMPT_MARGIN_US
 
 
+# An engine is always given a millisecond, the least that its protocol can say.
+_MIN_TIMEOUT_US = 1_000
+
+
+def attempt_timeout_us(request: Request, now_us: int) -> int:
+    """Returns how long an attempt that is sent now may take, in microseconds."""
+    return max(_MIN_TIMEOUT_US, request.deadline_us - now_us - ATTEMPT_MARGIN_US)
+
+
 def limit_deadline(request: Request, shutdown_us: int) -> None:
     """Moves the deadline of a request forward, so that it is answered before the gateway shuts down."""
     request.deadline_us = min(request.deadline_us, shutdown_us)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -357,6 +357,16 @@
             connection.come_up()
         self.assertEqual(["ASK a", "ASK b", "ASK c", "ASK d"], sorted(harness.sent_lines()))
 
+    def test_engine_is_told_what_is_left_when_its_connection_is_up(self) -> None:
+        """Guards against a deadline passed on that is later than the client's by a dial."""
+        for connect_ms in (0, 400, 1_500):
+            with self.subTest(connect_ms=connect_ms):
+                harness = PipelineHarness()
+                harness.submit("a", timeout_ms=3_000)
+                harness.advance(connect_ms)
+                sent = harness.connection().come_up().sent
+                self.assertIn(b"w=%d" % (3_000 - connect_ms - 100), sent)
+
     def test_request_is_not_sent_once_the_rules_of_the_fleet_forbid_it(self) -> None:
         """Guards against a write to a former primary: the placement changes while the connection is made."""
         for change in ("engine", "lease", "nothing"):
--- a/tests/test_engine_connection.py
+++ b/tests/test_engine_connection.py
@@ -19,6 +19,9 @@
     def may_send(self, in_flight: InFlightRequest) -> bool:
         return True
 
+    def encode_late(self, in_flight: InFlightRequest) -> bytes:
+        return in_flight.message
+
     def on_sent(self, in_flight: InFlightRequest) -> None:
         """Does nothing: the pool records what is written."""
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -107,6 +107,9 @@
     def may_send(self, request: InFlightRequest) -> bool:
         return self.allowed
 
+    def encode_late(self, request: InFlightRequest) -> bytes:
+        return request.message
+
     def on_sent(self, request: InFlightRequest) -> None:
         """Does nothing: tests look at the commands that the engine has received."""
 
