Answer at once a keyed request whose deduplication window is over

Cause: RetryPolicy.is_worth_retrying did not ask whether the engines still discard a repeat; the request was queued for a sample window, and each engine was refused by may_repeat_on.

--- a/cresstray/policy/retry_policy.py
+++ b/cresstray/policy/retry_policy.py
@@ -77,7 +77,9 @@
         failed_count = [attempt.outcome for attempt in request.attempts].count(Outcome.FAILED)
         if len(request.attempts) >= max_attempts or failed_count >= MAX_FAILED_ATTEMPTS:
             return False
-        return request_class.is_deduplicated or self.may_reject(request)
+        if request_class.is_deduplicated:
+            return has_window_left(request, now_us)
+        return self.may_reject(request)
 
     def may_reject(self, request: Request) -> bool:
         """Returns whether the client may repeat the request: it was not executed, or a repeat is harmless."""
@@ -93,15 +95,22 @@
         request_class = request.request_class
         if not request_class.is_deduplicated:
             return True
-        for attempt in request.attempts:
-            if attempt.outcome in NOT_EXECUTED:
-                continue
-            # Outside the scope or after the window, a repeated request would take effect twice.
-            if now_us >= attempt.sent_us + request_class.dedup_window_us - DEDUP_MARGIN_US:
-                return False
-            if not _is_in_scope(request_class.dedup_scope, attempt.engine, engine):
-                return False
-        return True
+        # Outside the scope or after the window, a repeated request would take effect twice.
+        return has_window_left(request, now_us) and all(
+            _is_in_scope(request_class.dedup_scope, attempt.engine, engine)
+            for attempt in request.attempts
+            if attempt.outcome not in NOT_EXECUTED
+        )
+
+
+def has_window_left(request: Request, now_us: int) -> bool:
+    """Returns whether engines still discard a repeat of each attempt that may have been executed."""
+    window_us = request.request_class.dedup_window_us - DEDUP_MARGIN_US
+    return all(
+        now_us < attempt.sent_us + window_us
+        for attempt in request.attempts
+        if attempt.outcome not in NOT_EXECUTED
+    )
 
 
 def _is_in_scope(scope: str, first: Engine, second: Engine) -> bool:
