--- a/benchmarks/crossing_faults.py
+++ b/benchmarks/forwarding_faults.py
@@ -1,6 +1,6 @@
 """One fault at a time while requests of each class run at the other site.
 
-`python -m benchmarks.crossing_faults`. Each play has processes of its own: a gateway and an engine at each
+`python -m benchmarks.forwarding_faults`. Each play has processes of its own: a gateway and an engine at each
 site, and the network between them. Requests of hall-a cross, as its engine is away, and run at hall-b beside
 a request of a client of hall-b that must run once. The engine of hall-a comes back, and then the fault
 begins. Printed is what clients were answered, and how often a promise was broken.
@@ -58,13 +58,13 @@
     return begin
 
 
-def _far_gateway(world: World) -> Gateway:
+def _remote_gateway(world: World) -> Gateway:
     return world.halls["hall-b"].gateways[0]
 
 
 def _send(number: signal.Signals) -> Callable[[World], None]:
     def send(world: World) -> None:
-        process = _far_gateway(world).process
+        process = _remote_gateway(world).process
         assert process is not None, "the gateway was started"
         process.send_signal(number)
 
@@ -72,17 +72,17 @@
 
 
 def _kill(world: World) -> None:
-    _far_gateway(world).kill()
+    _remote_gateway(world).kill()
 
 
 def _replace_killed(world: World) -> None:
     _kill(world)
-    _far_gateway(world).start()
+    _remote_gateway(world).start()
 
 
 async def _replace_terminated(world: World) -> None:
-    await _far_gateway(world).stop()
-    _far_gateway(world).start()
+    await _remote_gateway(world).stop()
+    _remote_gateway(world).start()
 
 
 async def _cut_and_replace(world: World) -> None:
@@ -91,11 +91,11 @@
     world.heal()
 
 
-def _lose_far_engine(world: World) -> None:
+def _lose_remote_engine(world: World) -> None:
     world.lose("hall-b", 1)
 
 
-def _hang_far_engine(world: World) -> None:
+def _hang_remote_engine(world: World) -> None:
     for engine in world.halls["hall-b"].engines:
         engine.silent = True
 
@@ -111,18 +111,21 @@
             for name, directions in (("there", ("there",)), ("back", ("back",)), ("both", ("there", "back")))
             for seconds in (0.5, 3.0, 60.0)
         ),
-        Fault("far gateway killed", _kill),
-        Fault("far gateway killed and replaced", _replace_killed),
-        Fault("far gateway terminated and replaced", _replace_terminated),
-        Fault("link cut, far gateway terminated and replaced", _cut_and_replace),
+        Fault("remote gateway killed", _kill),
+        Fault("remote gateway killed and replaced", _replace_killed),
+        Fault("remote gateway terminated and replaced", _replace_terminated),
+        Fault("link cut, remote gateway terminated and replaced", _cut_and_replace),
         *(
             Fault(
-                f"far gateway stopped for {seconds} s", _send(signal.SIGSTOP), seconds, _send(signal.SIGCONT)
+                f"remote gateway stopped for {seconds} s",
+                _send(signal.SIGSTOP),
+                seconds,
+                _send(signal.SIGCONT),
             )
             for seconds in (0.5, 2.0, 5.0)
         ),
-        Fault("far engine dies", _lose_far_engine),
-        Fault("far engine hangs", _hang_far_engine),
+        Fault("remote engine dies", _lose_remote_engine),
+        Fault("remote engine hangs", _hang_remote_engine),
     )
 }
 
@@ -156,9 +159,9 @@
         await anyio.sleep(_LISTED_S)
         own = await world.client("hall-b").ask(_request(0, _KINDS[2]))
         client = world.client("hall-a")
-        crossing = [await client.ask(_request(number, kind)) for number, kind in enumerate(_KINDS, 1)]
+        forwarded = [await client.ask(_request(number, kind)) for number, kind in enumerate(_KINDS, 1)]
         with anyio.fail_after(_START_S):
-            while not all(world.account.runs.get(asked.name) for asked in (own, *crossing)):
+            while not all(world.account.runs.get(asked.name) for asked in (own, *forwarded)):
                 await anyio.sleep(0.01)
         world.restore("hall-a")
         until = anyio.current_time() + _DEADLINE_S + _SETTLING_S
@@ -166,7 +169,7 @@
             tasks.start_soon(_inflict, fault, world)
             await anyio.sleep(until - anyio.current_time())
             tasks.cancel_scope.cancel()
-        result = _result(fault, can_cancel, world, own, crossing)
+        result = _result(fault, can_cancel, world, own, forwarded)
         # A stopped process would not end.
         _send(signal.SIGCONT)(world)
     return result
@@ -189,14 +192,14 @@
     return Drawn(0.0, f"{number + 1:016x}", kind, _WORK_S, 0.0)
 
 
-def _result(fault: Fault, can_cancel: bool, world: World, own: Asked, crossing: list[Asked]) -> PlayResult:
+def _result(fault: Fault, can_cancel: bool, world: World, own: Asked, forwarded: list[Asked]) -> PlayResult:
     promises = world.account.promises(anyio.current_time())
     return PlayResult(
         fault.name,
         can_cancel,
-        {asked.tariff: _answer(asked) for asked in crossing},
+        {asked.tariff: _answer(asked) for asked in forwarded},
         _answer(own),
-        {asked.tariff: len(world.account.runs[asked.name]) for asked in crossing},
+        {asked.tariff: len(world.account.runs[asked.name]) for asked in forwarded},
         {promise: count for promise, count in promises.items() if count},
     )
 
@@ -209,7 +212,7 @@
 
 
 def _play_in_process(fault: str, can_cancel: bool) -> PlayResult:
-    command = [sys.executable, "-m", "benchmarks.crossing_faults", "--one", fault]
+    command = [sys.executable, "-m", "benchmarks.forwarding_faults", "--one", fault]
     command += [] if can_cancel else ["--no-cancel"]
     output = subprocess.run(command, stdout=subprocess.PIPE, check=True).stdout
     return PlayResult(**json.loads(output.splitlines()[-1]))
--- a/cresstray/pipeline/ingress.py
+++ b/cresstray/pipeline/ingress.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from cresstray.pipeline.replica_reads import ReplicaReads
-    from cresstray.sites.inbound import ForwardedOffer
+    from cresstray.sites.offer import ForwardedOffer
 
 # A longer timeout than this multiple of the class's own is a mistake of the client.
 _MAX_TIMEOUT_FACTOR = 2
--- a/cresstray/sites/inbound.py
+++ b/cresstray/sites/inbound.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from cresstray.observability.counters import Counters
 from cresstray.policy.deadlines import ATTEMPT_MARGIN_US
@@ -18,6 +18,7 @@
 from cresstray.sites.ends import PAGE_WINDOW, GatewayIdentity, LinkSession
 from cresstray.sites.health import LinkHealth
 from cresstray.sites.ledger import ForwardingState, InboundLedger, InboundRequest
+from cresstray.sites.offer import ForwardedOffer, offer_of
 
 # A request that has ended is kept until the forwarding gateway releases it, or has surely timed out.
 _RETENTION_US = 30_000_000
@@ -25,20 +26,6 @@
 _RETRY_AFTER_US = 200_000
 
 
-class ForwardedOffer(NamedTuple):
-    """What a forwarded request carries besides its query.
-
-    Attributes:
-        max_queue_us: For how long it may be queued here.
-        table_group: The table group that the forwarding site has found.
-        latest_send_us: Nothing of it may be sent to an engine from this time on; None: until its deadline.
-    """
-
-    max_queue_us: int
-    table_group: int
-    latest_send_us: int | None
-
-
 class RequestIngress(Protocol):
     """The first stage of the pipeline."""
 
@@ -197,7 +184,7 @@
             self._counters.add("crossings taken")
             inbound.is_lease_bound = frame.is_lease_bound
             self._wake()  # from now on its lease is checked
-            self._ingress.accept(self, inbound.number, frame, _offer_of(frame, max_age_us, now_us))
+            self._ingress.accept(self, inbound.number, frame, offer_of(frame, max_age_us, now_us))
             if inbound.state is ForwardingState.ACCEPTED:  # otherwise a later frame has implied it
                 self._send(codec.Accepted(inbound.number))
 
@@ -407,9 +394,3 @@
                 ),
                 immediately=True,
             )
-
-
-def _offer_of(frame: codec.ForwardRequest, max_age_us: int, now_us: int) -> ForwardedOffer:
-    """Returns the offer in a frame of at most this age, with its duration as a time of this clock."""
-    latest_send_us = now_us + frame.max_send_delay_us - max_age_us if frame.max_send_delay_us else None
-    return ForwardedOffer(frame.max_queue_us, frame.table_group, latest_send_us)
--- a/tests/test_forwarded_conditions.py
+++ b/tests/test_forwarded_conditions.py
@@ -12,9 +12,9 @@
 
 
 class LateConnectionTest(unittest.TestCase):
-    """The first attempt runs at hall-a and is lost; the retry crosses to an engine that connects late."""
+    """The first attempt is lost at hall-a; the retry is forwarded to an engine that connects late."""
 
-    def _retry_across(
+    def _retry_forwarded(
         self, request_class: str, lost_after_ms: int, connect_ms: int, delay_ms: int = 5
     ) -> TwoSites:
         world = TwoSites(
@@ -32,38 +32,40 @@
         return world
 
     def _sent_after_ms(self, world: TwoSites) -> float | None:
-        """Returns how long after the loss the far engine got the request, in milliseconds."""
+        """Returns how long after the loss the remote engine got the request, in milliseconds."""
         if len(world.runs) == 1:
             return None
         return (world.run_started_us[world.name("request")] - self.lost_us) / 1000
 
-    def test_far_gateway_sends_no_retry_after_the_deduplication_window_behind_a_late_connection(self) -> None:
-        """Guards against a keyed request that runs twice: the far connection comes up after the window."""
+    def test_remote_gateway_sends_no_retry_after_the_deduplication_window_behind_a_late_connection(
+        self,
+    ) -> None:
+        """Guards against a keyed request that runs twice: the remote connection comes up after the window."""
         for connect_ms in CONNECT_TIMES_MS:
             for left_ms in (150, 250, 800):
                 with self.subTest(connect_ms=connect_ms, left_ms=left_ms):
-                    world = self._retry_across("load", DEDUP_WINDOW_MS - left_ms, connect_ms)
+                    world = self._retry_forwarded("load", DEDUP_WINDOW_MS - left_ms, connect_ms)
                     sent_after_ms = self._sent_after_ms(world)
                     if sent_after_ms is not None:
                         self.assertLess(sent_after_ms, left_ms)
-                    # The near gateway's margin of 100 ms, and a round trip as the frame's greatest age.
+                    # The forwarding gateway's margin of 100 ms, and a round trip as the frame's greatest age.
                     may_send = connect_ms + 10 < min(left_ms - 100, RETRY_SEND_WINDOW_US / 1000)
                     self.assertEqual(may_send, sent_after_ms is not None)
 
-    def test_far_gateway_sends_no_retry_after_the_delay_that_the_budget_allows(self) -> None:
-        """Guards against a retry that the near gateway's budget counts up to a second too early."""
+    def test_remote_gateway_sends_no_retry_after_the_delay_that_the_budget_allows(self) -> None:
+        """Guards against a retry that the forwarding gateway's budget counts up to a second too early."""
         for connect_ms in CONNECT_TIMES_MS:
             for delay_ms in (5, 100):
                 with self.subTest(connect_ms=connect_ms, delay_ms=delay_ms):
-                    world = self._retry_across("lookup", 1_000, connect_ms, delay_ms)
+                    world = self._retry_forwarded("lookup", 1_000, connect_ms, delay_ms)
                     sent_after_ms = self._sent_after_ms(world)
                     if sent_after_ms is not None:
                         self.assertLess(sent_after_ms, RETRY_SEND_WINDOW_US / 1000)
                     self.assertEqual(connect_ms + 2 * delay_ms < 300, sent_after_ms is not None)
 
-    def test_request_that_the_far_gateway_may_not_send_gets_one_answer_in_time(self) -> None:
-        """Guards against a crossing without an end: it ends as not executed, and counts as nothing run."""
-        world = self._retry_across("load", DEDUP_WINDOW_MS - 800, 1_000)
+    def test_request_that_the_remote_gateway_may_not_send_gets_one_answer_in_time(self) -> None:
+        """Guards against a forwarded request without an end: it ends as not executed."""
+        world = self._retry_forwarded("load", DEDUP_WINDOW_MS - 800, 1_000)
         self.assertEqual({"request": ["denied"]}, world.answers())
         self.assertLess(world.answered_us[world.name("request")] - self.lost_us, 8_000_000)
         self.assertEqual(0, world.b.counters.counts["attempts connection lost"])
@@ -71,9 +73,9 @@
 
 
 class ClientLeftTest(unittest.TestCase):
-    """The client withdraws what has crossed and is not written yet: queued there, or behind a connection."""
+    """The client withdraws what was forwarded and is queued there, or waits for a connection."""
 
-    def test_far_gateway_sends_nothing_for_a_client_that_left_whatever_may_be_cancelled(self) -> None:
+    def test_remote_gateway_sends_nothing_for_a_client_that_left_whatever_may_be_cancelled(self) -> None:
         """Guards against a withdrawal that is not passed on where attempts may not be cancelled."""
         for cancel in (True, False):
             for connect_ms in (0, 1_000):
@@ -99,9 +101,9 @@
 
 
 class ForgottenLinkTest(unittest.TestCase):
-    """The link is away for longer than the far gateway remembers it, while a request waits for its answer."""
+    """The link is away for longer than the remote gateway remembers it, and a request still waits."""
 
-    def test_request_that_ran_is_not_run_again_after_the_far_gateway_forgot_the_link(self) -> None:
+    def test_request_that_ran_is_not_run_again_after_the_remote_gateway_forgot_the_link(self) -> None:
         """Guards against an unsafe request that runs twice, as a link that starts anew knows no numbers."""
         for request_class, answer in (("post", "abandoned"), ("load", "fulfilled, 8 bytes")):
             with self.subTest(request_class=request_class):
@@ -166,8 +168,8 @@
                 if world.clocks[0].time_us - world.run_started_us[name] >= 1000 * RUN_MS:
                     engine.answer(name)
 
-    def test_no_second_attempt_where_the_far_gateway_may_not_cancel_the_first(self) -> None:
-        """Guards against a retry after the lease while the far engine runs on, as it may not be cancelled."""
+    def test_no_second_attempt_where_the_remote_gateway_may_not_cancel_the_first(self) -> None:
+        """Guards against a retry after the lease while the remote attempt runs on, uncancelled."""
         for silenced, back_ms in DISTURBANCES:
             for request_class in ("lookup", "load", "post"):
                 with self.subTest(silenced=silenced, back_ms=back_ms, request_class=request_class):
@@ -193,8 +195,8 @@
         self.assertEqual(1, world.b.counters.counts["crossings refused here"])
         self.assertIsNone(world.link_error)
 
-    def test_request_is_retried_after_the_lease_where_the_far_gateway_may_cancel_it(self) -> None:
-        """Guards against a lease without use: a request whose far attempt is cancelled is served here."""
+    def test_request_is_retried_after_the_lease_where_the_remote_gateway_may_cancel_it(self) -> None:
+        """Guards against a lease without use: a request whose remote attempt is cancelled is served here."""
         for silenced, back_ms in DISTURBANCES:
             for request_class in ("lookup", "load"):
                 with self.subTest(silenced=silenced, back_ms=back_ms, request_class=request_class):
--- a/tests/test_crossing_faults.py
+++ b/tests/test_forwarding_faults.py
@@ -5,9 +5,9 @@
 import unittest
 from pathlib import Path
 
-from benchmarks.crossing_faults import FAULTS, PlayResult, play
+from benchmarks.forwarding_faults import FAULTS, PlayResult, play
 
-# Cancelling is not permitted in any of them, so the far attempt runs to its end.
+# Cancelling is not permitted in any of them, so the remote attempt runs to its end.
 PLAYED = ("cut", "cut for 3.0 s", "silent back for 3.0 s")
 
 
@@ -20,8 +20,8 @@
     return await asyncio.gather(*map(_play, PLAYED))
 
 
-class CrossingFaultsTest(unittest.TestCase):
-    def test_nothing_is_sent_twice_nor_lost_where_the_far_site_may_not_cancel(self) -> None:
+class ForwardingFaultsTest(unittest.TestCase):
+    def test_nothing_is_sent_twice_nor_lost_where_the_remote_site_may_not_cancel(self) -> None:
         """Guards against two attempts out after a lease, and against others' work ended for it."""
         for result in asyncio.run(_play_all()):
             with self.subTest(result.fault):
